--- a/core/core.go
+++ b/core/core.go
@@ -13,19 +13,29 @@
 	"time"
 )
 
-// Names of the parts of a deployment, as configuration spells them.
 type (
-	SiteName       string
-	RegionName     string
+	// SiteName names a deployment of one operator.
+	SiteName string
+	// RegionName names a group of data centres.
+	RegionName string
+	// DataCentreName names a zone that operators take out and bring back.
 	DataCentreName string
-	HostName       string
-	EndpointName   string
-	ServiceName    string
-	WorkspaceName  string
-	ModelName      string
-	AdapterName    string
-	VersionName    string
-	CallName       string
+	// HostName names a roster position of the entry fleet.
+	HostName string
+	// EndpointName names a back end.
+	EndpointName string
+	// ServiceName names what callers ask for.
+	ServiceName string
+	// WorkspaceName names a customer of the site.
+	WorkspaceName string
+	// ModelName names a model.
+	ModelName string
+	// AdapterName names an adapter of a model.
+	AdapterName string
+	// VersionName names a version of a model or adapter.
+	VersionName string
+	// CallName names a call of a plain service.
+	CallName string
 )
 
 // Revision numbers a published configuration. It never goes down on a host.
--- a/core/seams.go
+++ b/core/seams.go
@@ -42,6 +42,21 @@
 	MaxTokens  int
 	// Body is the caller's JSON body, passed on unchanged.
 	Body []byte
+	// Confirm is asked on the connected link, right before the first byte is
+	// written. False fails the try with ResultDialFailed: a process that slept
+	// past its permission sends nothing.
+	Confirm func() bool
+}
+
+// CallRequest runs one call of a plain service.
+type CallRequest struct {
+	Workspace WorkspaceName
+	Call      CallName
+	// Key is the ticket of an unrepeatable call, for the service's own records.
+	Key  string
+	Body []byte
+	// Confirm is as in EngineRequest.
+	Confirm func() bool
 }
 
 // EngineOrder asks an engine to load something or to change its role.
@@ -61,7 +76,7 @@
 	Cancel(ctx context.Context, endpoint Endpoint, generation GenerationID) error
 	// Call runs one call of a plain service. The request is written to one
 	// connection at most once.
-	Call(ctx context.Context, endpoint Endpoint, call CallName, key string, body []byte) ([]byte, error)
+	Call(ctx context.Context, endpoint Endpoint, request CallRequest) ([]byte, error)
 	Report(ctx context.Context, endpoint Endpoint) (Report, error)
 	CacheEvents(ctx context.Context, endpoint Endpoint, after uint64) ([]CacheEvent, error)
 	Order(ctx context.Context, endpoint Endpoint, order EngineOrder) error
@@ -85,6 +100,27 @@
 // Unwrap gives the underlying error.
 func (e *EndpointError) Unwrap() error { return e.Err }
 
+// Dispatcher is the decision core as a request's goroutine sees it. It is safe
+// for concurrent use. Errors are *OutcomeError.
+type Dispatcher interface {
+	// Place waits until the request may run on an endpoint or is refused. When
+	// ctx ends first the request leaves the queue and the error says NotRun.
+	Place(ctx context.Context, request Request) (Placement, error)
+	// Confirm tells whether the placement is still valid at this moment.
+	Confirm(placement Placement) bool
+	// Progress tells the tokens produced so far.
+	Progress(request RequestID, tokens int)
+	// Finish ends a try for good.
+	Finish(placement Placement, result Result, tokens int)
+	// Replace ends a try that delivered nothing and waits for another
+	// placement of the same request, or for its refusal.
+	Replace(ctx context.Context, failed Placement, result Result) (Placement, error)
+	// Endpoint finds an endpoint of the configuration in force.
+	Endpoint(name EndpointName) (Endpoint, bool)
+	// Config gives the configuration in force.
+	Config() Config
+}
+
 // ConfigService is the platform's read-and-watch service. Every call counts
 // against its rate, a waiting watch as one.
 type ConfigService interface {
