decide: thin decision core: owned slots, leases, views, FIFO queue

The shell needs a correct core.Decider early. Slots have one owner per revision by rendezvous hashing; a slot that may carry unknown work is shut until its former owner releases it or a late enough report proves room.

--- a/core/config.go
+++ b/core/config.go
@@ -94,6 +94,7 @@
 	BodyBytes          int64
 	DrainNotice        time.Duration // still accepting after SIGTERM, for the list's lag
 	ReportInterval     time.Duration
+	ReportLag          time.Duration // a report's content is at most this old when asked for; 0: 1 s
 	HeartbeatInterval  time.Duration
 	ServiceReads       float64 // reads a second of the configuration service, whole site
 	WeightLoads        float64 // loads a minute from the weight store, whole site
--- /dev/null
+++ b/core/procs/decide/apply.go
@@ -0,0 +1,223 @@
+package decide
+
+import (
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/invar"
+	"apricotproxy/core/procs/slots"
+	"apricotproxy/core/procs/view"
+	"apricotproxy/core/versn/owner"
+)
+
+// Apply puts an accepted configuration in force. A revision that is not higher
+// than the one in force is ignored.
+func (d *Decider) Apply(now time.Time, config core.Config) core.Actions {
+	d.begin()
+	if d.applied && config.Revision <= d.config.Revision {
+		return d.finish(now)
+	}
+	invar.Check(invar.RevisionNeverLower, config.Revision >= d.config.Revision,
+		"revision %d follows %d", config.Revision, d.config.Revision)
+	first, former, formerOwners := !d.applied, d.config, d.owners
+	d.applied = true
+	d.config = config
+	d.owners = owner.Build(config)
+	d.terms = slots.TermsOf(config.Limits)
+	d.viewTerms = viewTerms(d.terms, config.Limits)
+	d.home = homeOf(config, d.self.Host)
+	formerIndex := make(map[core.EndpointName]int, len(former.Endpoints))
+	for i := range former.Endpoints {
+		formerIndex[former.Endpoints[i].Name] = i
+	}
+	d.endpoints = d.endpoints[:0]
+	byName := make(map[core.EndpointName]*endpoint, len(config.Endpoints))
+	for i := range config.Endpoints {
+		e := d.reviseEndpoint(now, i)
+		byName[e.config.Name] = e
+		d.endpoints = append(d.endpoints, e)
+		share := d.share(e, first, former, formerOwners, formerIndex)
+		e.pool.Revise(now, d.terms, share)
+	}
+	for name, e := range d.byName {
+		if byName[name] == nil {
+			e.index = _removed
+		}
+	}
+	d.byName = byName
+	d.reviseServices()
+	d.reviseRoster(now, former)
+	d.refuseUnknown(now)
+	return d.finish(now)
+}
+
+// _removed is the index of an endpoint that the configuration no longer has.
+const _removed = -1
+
+func viewTerms(terms slots.Terms, limits core.Limits) view.Terms {
+	step := limits.ReportInterval
+	if step == 0 {
+		step = time.Second
+	}
+	return view.Terms{
+		Validity:  terms.Validity,
+		FirstStep: terms.Validity + terms.Lag,
+		Step:      step,
+		Suspicion: terms.Validity + terms.Lag,
+		Proof:     max(limits.WarmProof, 1),
+	}
+}
+
+func homeOf(config core.Config, host core.HostName) core.DataCentreName {
+	for i := range config.Hosts {
+		if config.Hosts[i].Name == host {
+			return config.Hosts[i].DataCentre
+		}
+	}
+	return ""
+}
+
+// reviseEndpoint carries what is known of an endpoint over to a revision.
+func (d *Decider) reviseEndpoint(now time.Time, index int) *endpoint {
+	config := d.config.Endpoints[index]
+	e := d.byName[config.Name]
+	if e == nil {
+		e = &endpoint{pool: slots.New(d.self, d.weakness)}
+	}
+	e.index = index
+	e.config = config
+	dataCentre, known := d.config.DataCentre(config.DataCentre)
+	was := e.inService
+	e.inService = known && dataCentre.InService
+	e.remote = config.DataCentre != d.home
+	if e.inService && !was {
+		// An endpoint that comes back is ramped up from its cold slots.
+		e.view.Rejoin(now)
+	}
+	return e
+}
+
+func (d *Decider) share(e *endpoint, first bool, former core.Config, owners owner.Table, index map[core.EndpointName]int) slots.Share {
+	share := slots.Share{
+		Revision:   d.config.Revision,
+		Endpoint:   e.config,
+		Owned:      d.owners.Positions(e.index, d.self.Host),
+		OwnerOf:    func(position int) core.HostName { return ownerOf(d.owners, e.index, position) },
+		FormerOf:   func(int) core.HostName { return "" },
+		Contiguous: !first && former.Revision+1 == d.config.Revision,
+		First:      first,
+	}
+	if i, ok := index[e.config.Name]; ok {
+		share.FormerOf = func(position int) core.HostName { return ownerOf(owners, i, position) }
+	}
+	return share
+}
+
+func ownerOf(owners owner.Table, endpoint, position int) core.HostName {
+	host, _ := owners.Owner(endpoint, position)
+	return host
+}
+
+func (d *Decider) reviseServices() {
+	clear(d.services)
+	for _, config := range d.config.Services {
+		d.services[config.Name] = &service{config: config}
+	}
+	for _, e := range d.endpoints {
+		if s := d.services[e.config.Service]; s != nil && d.owners.Deals(e.index, d.self.Host) {
+			s.endpoints = append(s.endpoints, e)
+		}
+	}
+}
+
+// reviseRoster forgets positions that left, and their leases.
+func (d *Decider) reviseRoster(now time.Time, former core.Config) {
+	present := make(map[core.HostName]bool, len(d.config.Hosts))
+	for i := range d.config.Hosts {
+		present[d.config.Hosts[i].Name] = true
+	}
+	for _, e := range d.endpoints {
+		e.pool.BorrowersLeft(now, present)
+	}
+	for _, host := range former.Hosts {
+		if !present[host.Name] {
+			d.departed[host.Name] = true
+		}
+	}
+	for _, host := range d.config.Hosts {
+		delete(d.departed, host.Name)
+	}
+	d.acknowledge(now, d.self.Host)
+	for _, host := range former.Hosts {
+		if d.positions[host.Name].revision >= d.config.Revision {
+			d.acknowledge(now, host.Name)
+		}
+	}
+}
+
+// refuseUnknown refuses waiting requests whose service the revision dropped.
+func (d *Decider) refuseUnknown(now time.Time) {
+	kept := d.waiting[:0]
+	for _, r := range d.waiting {
+		if d.services[r.Service] != nil {
+			kept = append(kept, r)
+			continue
+		}
+		d.refuse(r, core.CauseUnknownName, "the service was removed from the configuration", now)
+	}
+	d.waiting = kept
+}
+
+// Acknowledged tells that a roster position has a revision in force.
+func (d *Decider) Acknowledged(now time.Time, host core.HostID, revision core.Revision) core.Actions {
+	d.begin()
+	if host.Host == d.self.Host {
+		d.superseded = d.superseded || host.Incarnation > d.self.Incarnation
+		return d.finish(now)
+	}
+	known := d.positions[host.Host]
+	if host.Incarnation < known.incarnation {
+		return d.finish(now)
+	}
+	if host.Incarnation > known.incarnation {
+		for _, e := range d.endpoints {
+			e.pool.BorrowerGone(now, host.Host, host.Incarnation)
+		}
+		known = position{incarnation: host.Incarnation}
+	}
+	known.revision = max(known.revision, revision)
+	d.positions[host.Host] = known
+	if known.revision >= d.config.Revision {
+		d.acknowledge(now, host.Host)
+	}
+	return d.finish(now)
+}
+
+// acknowledge tells the pools that a position has the revision in force. A
+// revision that every position has acknowledged once is settled: no host gives
+// out slots by an older one any more, whatever becomes of the hosts.
+func (d *Decider) acknowledge(now time.Time, host core.HostName) {
+	if d.settled < d.config.Revision && d.everyone() {
+		d.settled = d.config.Revision
+	}
+	for _, e := range d.endpoints {
+		e.pool.Acknowledge(now, host, d.settled >= d.config.Revision)
+	}
+}
+
+// everyone tells whether every position, also those that left the roster while
+// this process lived, has the revision in force.
+func (d *Decider) everyone() bool {
+	for i := range d.config.Hosts {
+		name := d.config.Hosts[i].Name
+		if name != d.self.Host && d.positions[name].revision < d.config.Revision {
+			return false
+		}
+	}
+	for name := range d.departed {
+		if d.positions[name].revision < d.config.Revision {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/procs/decide/decide_test.go
@@ -0,0 +1,77 @@
+package decide_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/decide"
+	"apricotproxy/core/procs/route"
+)
+
+var _start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func site(hosts ...core.HostName) core.Config {
+	config := core.Config{
+		Site: "test", Revision: 1,
+		DataCentres: []core.DataCentre{{Name: "a", InService: true}},
+		Endpoints:   []core.Endpoint{{Name: "e", Service: "s", DataCentre: "a", ColdSlots: 2, WarmSlots: 8, MemoryTokens: 1000}},
+		Services:    []core.Service{{Name: "s", Kind: core.ServiceEngine}},
+		Workspaces:  []core.Workspace{{Name: "w", Weight: 1}},
+		Limits: core.Limits{
+			QueueTimeout: 10 * time.Second, QueueLength: 100, LeaseTerm: 2 * time.Second,
+			ConfigSpread: 3 * time.Second, ReportInterval: time.Second, WarmProof: 3,
+		},
+	}
+	for _, host := range hosts {
+		config.Hosts = append(config.Hosts, core.Host{Name: host, DataCentre: "a"})
+	}
+	return config
+}
+
+func newDecider(host core.HostName) *decide.Decider {
+	return decide.New(core.HostID{Host: host, Incarnation: 1}, decide.Options{
+		Policy: &route.Product{}, Random: rand.New(rand.NewPCG(1, 1)),
+	})
+}
+
+func ask(id int, now time.Time) core.Request {
+	return core.Request{
+		ID: core.RequestID(id), Workspace: "w", Service: "s", Repeatable: true,
+		Arrived: now, QueueDeadline: now.Add(10 * time.Second), Deadline: now.Add(30 * time.Second),
+	}
+}
+
+func TestColdEndpointTakesNoMoreThanItsColdSlots(t *testing.T) {
+	d := newDecider("h1")
+	now := _start
+	d.Apply(now, site("h1"))
+	placed := 0
+	for i := range 10 {
+		placed += len(d.Submit(now, ask(i, now)).Placements)
+	}
+	if placed != 0 {
+		t.Fatalf("%d placed before a report", placed)
+	}
+	now = now.Add(4 * time.Second)
+	actions := d.Observe(now, core.Report{Endpoint: "e", Incarnation: 1, Phase: core.PhaseCold, AskedAt: now})
+	if len(actions.Placements) != 2 {
+		t.Fatalf("%d placed on a cold endpoint of 2 cold slots", len(actions.Placements))
+	}
+	first := actions.Placements[0]
+	if !d.Confirm(now, first) {
+		t.Fatal("a fresh placement is not confirmed")
+	}
+	now = now.Add(time.Second)
+	if got := len(d.Finish(now, first, core.ResultCompleted, 5).Placements); got != 1 {
+		t.Fatalf("%d placed on one freed slot", got)
+	}
+	now = now.Add(time.Minute)
+	if d.Confirm(now, actions.Placements[1]) {
+		t.Fatal("a placement is confirmed after a pause of a minute")
+	}
+	if got := d.Tick(now); len(got.Placements) != 0 || len(got.Refusals) == 0 {
+		t.Fatalf("after the pause %d placed and %d refused", len(got.Placements), len(got.Refusals))
+	}
+}
--- a/core/request.go
+++ b/core/request.go
@@ -97,7 +97,8 @@
 	Position int
 }
 
-// Refusal tells that a request leaves the queue without having run.
+// Refusal tells that a request leaves the queue for good. The outcome is NotRun,
+// or Unknown when an earlier try was lost that may have run.
 type Refusal struct {
 	Request RequestID
 	Err     *OutcomeError
@@ -129,7 +130,8 @@
 	Lease Lease
 }
 
-// Actions is what a decision wants done, in this order.
+// Actions is what a decision wants done, in this order. Its slices are valid
+// until the next call of the Decider: the shell hands them on under its lock.
 type Actions struct {
 	Placements []Placement
 	Refusals   []Refusal
@@ -148,12 +150,14 @@
 	// Submit enters a request.
 	Submit(now time.Time, request Request) Actions
 	// Confirm tells whether a placement may still be dispatched. False takes
-	// the placement back; the request is placed again by a later decision.
+	// the placement back; the request is placed again by a later decision (the
+	// shell calls Tick next), and Finish of the same placement does nothing.
 	Confirm(now time.Time, placement Placement) bool
 	// Progress tells the tokens that a running request has produced so far.
 	Progress(now time.Time, request RequestID, tokens int)
-	// Finish ends a try. A lost try of a repeatable request is placed again
-	// or refused; the request is forgotten otherwise.
+	// Finish ends a try. A refused or failed dial, and a lost try of a
+	// repeatable request, is placed again or refused; a lost try of another is
+	// refused with the outcome Unknown. The request is forgotten otherwise.
 	Finish(now time.Time, placement Placement, result Result, tokens int) Actions
 	// Withdraw takes a waiting request out of the queue. It reports whether
 	// the request was still waiting.
@@ -170,7 +174,9 @@
 	Borrowed(now time.Time, asked Borrowing, lease Lease, granted bool) Actions
 	// Returned takes back a lease that this host had lent.
 	Returned(now time.Time, lease Lease) Actions
-	// Acknowledged tells that a roster position has a revision in force.
+	// Acknowledged tells that a roster position has a revision in force: for
+	// each heartbeat and piece of news of any host, also of this host's own
+	// position. Cold slots of a revision open only when all have told it.
 	Acknowledged(now time.Time, host HostID, revision Revision) Actions
 	// Drain stops admission: waiting requests are refused, idle leases go back.
 	Drain(now time.Time) Actions
