fakes: engine, plain service, platform and a network in memory

Cause: the demo and the randomised runs need stand-ins at the interfaces. Change: http.Handlers that speak docs/endpoints.md and docs/platform.md, record what ran and fail on demand; memnet joins whole hosts under virtual time. core.PrefixDigests and core.PromptTokens are what hosts and engines compute alike. Conclusion: all time is time.Now and timers, so the same fakes serve on loopback and in a testing/synctest bubble.

--- /dev/null
+++ b/core/prefix.go
@@ -0,0 +1,28 @@
+package core
+
+import "github.com/cespare/xxhash/v2"
+
+// PrefixBlockBytes is the size of a prompt block in the digests of prefixes.
+const PrefixBlockBytes = 256
+
+// PrefixDigests returns the digests of a prompt's prefixes, first block first:
+// digest i covers blocks 0 to i. A last block that is not full has no digest.
+// Entry hosts and engines compute them alike.
+func PrefixDigests(prompt string) []uint64 {
+	blocks := len(prompt) / PrefixBlockBytes
+	digests := make([]uint64, 0, blocks)
+	hash := xxhash.New()
+	for i := range blocks {
+		// Digest.WriteString never fails.
+		_, _ = hash.WriteString(prompt[i*PrefixBlockBytes : (i+1)*PrefixBlockBytes])
+		digests = append(digests, hash.Sum64())
+	}
+	return digests
+}
+
+// PromptTokens estimates the engine memory that a prompt takes, at four bytes a
+// token.
+func PromptTokens(prompt string) int {
+	const bytesPerToken = 4
+	return len(prompt)/bytesPerToken + 1
+}
--- /dev/null
+++ b/fakes/engine/batch.go
@@ -0,0 +1,245 @@
+package engine
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"regexp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"apricotproxy/core"
+)
+
+var (
+	_tokensDirective = regexp.MustCompile(`\[\[tokens=(\d+)\]\]`)
+	_keyDirective    = regexp.MustCompile(`\[\[key=([^\]]+)\]\]`)
+)
+
+// generation is one generation that the engine holds.
+type generation struct {
+	id       core.GenerationID
+	run      *Run
+	priority int
+	prompt   int64
+	length   int
+	reason   string
+	produced int
+	done     bool
+	lost     bool
+	changed  chan struct{}
+}
+
+// memory is the engine memory that the generation takes while it runs.
+func (g *generation) memory() int64 { return g.prompt + int64(g.produced) }
+
+// wake tells the streams of the generation that something changed.
+func (g *generation) wake() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *generation) end() {
+	g.done = true
+	g.run.Ended = time.Now()
+	g.run.Tokens = g.produced
+	g.wake()
+}
+
+// TokenText is the text of one token. It depends on the prompt, so that a
+// caller can tell its own answer from any other.
+func TokenText(prompt string, id core.GenerationID, index int) string {
+	sum := xxhash.Sum64String(prompt + "|" + string(id) + "|" + strconv.Itoa(index))
+	return fmt.Sprintf("w%04x ", sum&0xffff)
+}
+
+// Length is the number of tokens of a generation: the prompt's directive, as
+// in "[[tokens=120]]", or a heavy-tailed draw from the seed and the id.
+func (e *Engine) length(prompt string, id core.GenerationID) int {
+	if match := _tokensDirective.FindStringSubmatch(prompt); match != nil {
+		if n, err := strconv.Atoi(match[1]); err == nil {
+			return n
+		}
+	}
+	const sigma, longest = 1.2, 8192
+	draw := rand.New(rand.NewPCG(e.config.Seed, xxhash.Sum64String(string(id))))
+	mean := math.Log(float64(e.config.MeanTokens)) - sigma*sigma/2
+	n := int(math.Exp(mean + sigma*draw.NormFloat64()))
+	return min(max(n, 1), longest)
+}
+
+// begin takes a generation into the engine. It is called with mu held.
+func (e *Engine) begin(g *generation) {
+	e.generations[g.id] = g
+	e.runs = append(e.runs, g.run)
+	if e.phase == core.PhaseCold && e.coldLoad() >= e.config.ColdLimit {
+		e.fallOver(g)
+		return
+	}
+	e.waiting = append(e.waiting, g)
+	e.admit()
+	e.note()
+	if !e.stepping {
+		e.stepping = true
+		go e.stepWhileBusy()
+	}
+}
+
+// coldLoad counts the work that arrived since the engine turned cold.
+func (e *Engine) coldLoad() int {
+	load := 0
+	for _, g := range slices.Concat(e.running, e.waiting) {
+		if !g.run.Started.Before(e.coldSince) {
+			load++
+		}
+	}
+	return load
+}
+
+// fallOver records the generation above the cold limit and ends the process.
+func (e *Engine) fallOver(g *generation) {
+	e.overload = append(e.overload, ColdOverload{
+		At:         time.Now(),
+		ColdSince:  e.coldSince,
+		Generation: g.id,
+		Running:    e.coldLoad() + 1,
+		Limit:      e.config.ColdLimit,
+	})
+	e.kill()
+	if e.config.RestartAfter > 0 {
+		time.AfterFunc(e.config.RestartAfter, e.Restart)
+	}
+}
+
+// admit moves waiting generations into the batch, most urgent first, while
+// memory has room for what they hold already.
+func (e *Engine) admit() {
+	slices.SortStableFunc(e.waiting, func(a, b *generation) int { return b.priority - a.priority })
+	for len(e.waiting) > 0 && len(e.running) < e.config.MaxRunning {
+		next := e.waiting[0]
+		alone := len(e.running) == 0
+		if !alone && e.used+next.memory() >= e.config.MemoryTokens {
+			return
+		}
+		e.waiting = e.waiting[1:]
+		e.running = append(e.running, next)
+		e.used += next.memory()
+	}
+}
+
+// stepWhileBusy produces tokens until no generation is left.
+func (e *Engine) stepWhileBusy() {
+	for {
+		time.Sleep(e.interval())
+		if !e.step() {
+			return
+		}
+	}
+}
+
+func (e *Engine) interval() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	knee := e.config.BatchKnee
+	if knee == 0 || len(e.running) <= knee {
+		return e.config.TokenInterval
+	}
+	return e.config.TokenInterval * time.Duration(len(e.running)) / time.Duration(knee)
+}
+
+// step gives each running generation one token. It reports whether work is
+// left.
+func (e *Engine) step() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, g := range slices.Clone(e.running) {
+		if slices.Contains(e.running, g) {
+			e.advance(g)
+		}
+	}
+	e.admit()
+	e.note()
+	e.stepping = len(e.running)+len(e.waiting) > 0
+	return e.stepping
+}
+
+func (e *Engine) advance(g *generation) {
+	if g.produced >= g.length {
+		e.complete(g)
+		return
+	}
+	for e.used >= e.config.MemoryTokens && len(e.running) > 1 {
+		victim := e.victim()
+		e.preempt(victim)
+		if victim == g {
+			return
+		}
+	}
+	g.produced++
+	e.used++
+	g.wake()
+}
+
+// victim is the least urgent generation, the youngest among equals.
+func (e *Engine) victim() *generation {
+	victim := e.running[0]
+	for _, g := range e.running[1:] {
+		if g.priority <= victim.priority {
+			victim = g
+		}
+	}
+	return victim
+}
+
+// preempt takes a generation's memory; it stalls until there is room again.
+func (e *Engine) preempt(g *generation) {
+	e.remove(g)
+	e.waiting = append(e.waiting, g)
+	e.preemptions++
+}
+
+func (e *Engine) remove(g *generation) {
+	if at := slices.Index(e.running, g); at >= 0 {
+		e.running = slices.Delete(e.running, at, at+1)
+		e.used -= g.memory()
+	}
+	if at := slices.Index(e.waiting, g); at >= 0 {
+		e.waiting = slices.Delete(e.waiting, at, at+1)
+	}
+}
+
+func (e *Engine) complete(g *generation) {
+	e.remove(g)
+	g.run.Completed = true
+	g.end()
+	e.completions++
+	if e.phase == core.PhaseCold && e.completions >= e.config.WarmAfter {
+		e.phase = core.PhaseWarm
+	}
+	time.AfterFunc(e.config.Hold, func() { e.forget(g) })
+}
+
+func (e *Engine) forget(g *generation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.generations[g.id] == g {
+		delete(e.generations, g.id)
+	}
+}
+
+// cancel ends a generation that is not done yet.
+func (e *Engine) cancel(id core.GenerationID) {
+	g, ok := e.generations[id]
+	if !ok || g.done {
+		return
+	}
+	e.remove(g)
+	g.run.Cancelled = true
+	g.lost = true
+	g.end()
+	delete(e.generations, id)
+	e.note()
+}
