--- /dev/null
+++ b/io/shell/poll.go
@@ -0,0 +1,177 @@
+package shell
+
+import (
+	"context"
+	"time"
+
+	"apricotproxy/core"
+)
+
+// _pollTimeout bounds one report or one reading of cache events.
+const _pollTimeout = time.Second
+
+// pollTable holds when each endpoint is to be asked next. The Shell's lock
+// guards it.
+type pollTable struct {
+	polls []poll
+}
+
+// poll is the state of asking one endpoint.
+type poll struct {
+	endpoint core.Endpoint
+	engine   bool
+	dueAt    time.Time
+	// asking is true while a worker asks: a slow endpoint holds one worker at
+	// most.
+	asking bool
+	// after is the last cache event's sequence within the incarnation.
+	after       uint64
+	incarnation core.Incarnation
+}
+
+// dealer is implemented by a decision core that deals with a subset of the
+// endpoints only.
+type dealer interface {
+	Deals(endpoint core.EndpointName) bool
+}
+
+// apply takes over a configuration's endpoints. First polls are spread over
+// the interval, so that a new revision causes no burst.
+func (t *pollTable) apply(now time.Time, config core.Config) {
+	known := make(map[core.EndpointName]poll, len(t.polls))
+	for _, p := range t.polls {
+		known[p.endpoint.Name] = p
+	}
+	t.polls = make([]poll, 0, len(config.Endpoints))
+	for i, endpoint := range config.Endpoints {
+		p, ok := known[endpoint.Name]
+		if !ok || p.endpoint.Address != endpoint.Address {
+			spread := config.Limits.ReportInterval * time.Duration(i) / time.Duration(len(config.Endpoints))
+			p = poll{dueAt: now.Add(spread)}
+		}
+		service, _ := config.Service(endpoint.Service)
+		p.endpoint = endpoint
+		p.engine = service.Kind == core.ServiceEngine
+		t.polls = append(t.polls, p)
+	}
+}
+
+// find gives the poll of an endpoint, nil when it left the configuration.
+func (t *pollTable) find(name core.EndpointName) *poll {
+	for i := range t.polls {
+		if t.polls[i].endpoint.Name == name {
+			return &t.polls[i]
+		}
+	}
+	return nil
+}
+
+// pollReports asks the endpoints for reports until ctx ends.
+func (s *Shell) pollReports(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		timer.Reset(time.Until(s.startDuePolls(time.Now())))
+	}
+}
+
+// _pollScan is the longest time between two looks at the table: a new
+// configuration's endpoints are asked within it.
+const _pollScan = 250 * time.Millisecond
+
+// startDuePolls queues the polls that are due and gives the time of the next look.
+func (s *Shell) startDuePolls(now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := now.Add(_pollScan)
+	deals, limited := s.decider.(dealer)
+	for i := range s.polls.polls {
+		p := &s.polls.polls[i]
+		if limited && !deals.Deals(p.endpoint.Name) {
+			continue
+		}
+		if !p.dueAt.After(now) {
+			s.startPoll(now, p)
+		}
+		if p.dueAt.Before(next) {
+			next = p.dueAt
+		}
+	}
+	return next
+}
+
+// startPoll queues one poll. The caller holds the lock.
+func (s *Shell) startPoll(now time.Time, p *poll) {
+	p.dueAt = now.Add(s.config.Limits.ReportInterval)
+	if p.asking {
+		return
+	}
+	asked := *p
+	job := func(ctx context.Context) { s.poll(ctx, asked) }
+	select {
+	case s.jobs <- job:
+		p.asking = true
+	default:
+	}
+}
+
+// poll asks one endpoint and tells the core.
+func (s *Shell) poll(ctx context.Context, p poll) {
+	name := p.endpoint.Name
+	defer s.polled(name)
+	ctx, cancel := context.WithTimeout(ctx, _pollTimeout)
+	defer cancel()
+	asked := time.Now()
+	report, err := s.settings.Client.Report(ctx, p.endpoint)
+	if err != nil {
+		s.log.V(1).Info("No report.", "endpoint", name, "error", err.Error())
+		s.decide(func(now time.Time) core.Actions { return s.decider.ObserveUnreachable(now, name) })
+		return
+	}
+	report.Endpoint = name
+	report.AskedAt = asked
+	s.decide(func(now time.Time) core.Actions { return s.decider.Observe(now, report) })
+	if !p.engine {
+		return
+	}
+	if report.Incarnation != p.incarnation {
+		// A restarted engine counts its events from the start again.
+		p.after = 0
+	}
+	s.pollCache(ctx, p, report.Incarnation)
+}
+
+// pollCache reads an engine's cache events. They are hints: a failure is not
+// told to anyone.
+func (s *Shell) pollCache(ctx context.Context, p poll, incarnation core.Incarnation) {
+	events, err := s.settings.Client.CacheEvents(ctx, p.endpoint, p.after)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decider.ObserveCache(time.Now(), events)
+	kept := s.polls.find(p.endpoint.Name)
+	if kept == nil {
+		return
+	}
+	kept.incarnation = incarnation
+	kept.after = p.after
+	if len(events) > 0 {
+		kept.after = events[len(events)-1].Sequence
+	}
+}
+
+// polled lets the endpoint be asked again.
+func (s *Shell) polled(name core.EndpointName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.polls.find(name); p != nil {
+		p.asking = false
+	}
+}
