--- /dev/null
+++ b/io/shell/shell_test.go
@@ -0,0 +1,183 @@
+package shell
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr/testr"
+
+	"apricotproxy/core"
+	"apricotproxy/io/wire"
+)
+
+// scriptedDecider returns the actions that a test sets and records the calls.
+type scriptedDecider struct {
+	core.Decider
+	next      core.Actions
+	confirm   bool
+	waiting   bool
+	finished  []core.Result
+	borrowed  []core.Lease
+	lend      core.Lease
+	withdrawn int
+}
+
+func (d *scriptedDecider) take() core.Actions {
+	next := d.next
+	d.next = core.Actions{}
+	return next
+}
+
+func (d *scriptedDecider) Submit(time.Time, core.Request) core.Actions { return d.take() }
+func (d *scriptedDecider) Tick(time.Time) core.Actions                 { return d.take() }
+func (d *scriptedDecider) Confirm(time.Time, core.Placement) bool      { return d.confirm }
+func (d *scriptedDecider) Drain(time.Time) core.Actions                { return d.take() }
+func (d *scriptedDecider) Progress(time.Time, core.RequestID, int)     {}
+func (d *scriptedDecider) Returned(time.Time, core.Lease) core.Actions { return d.take() }
+func (d *scriptedDecider) Apply(time.Time, core.Config) core.Actions   { return d.take() }
+func (d *scriptedDecider) Observe(time.Time, core.Report) core.Actions { return d.take() }
+func (d *scriptedDecider) ObserveCache(time.Time, []core.CacheEvent)   {}
+func (d *scriptedDecider) Status(time.Time) core.DeciderStatus         { return core.DeciderStatus{} }
+func (d *scriptedDecider) Snapshot(time.Time) ([]byte, error)          { return nil, nil }
+func (d *scriptedDecider) Restore(time.Time, []byte) error             { return nil }
+func (d *scriptedDecider) Withdraw(time.Time, core.RequestID) (was bool) {
+	d.withdrawn++
+	return d.waiting
+}
+
+func (d *scriptedDecider) Finish(_ time.Time, _ core.Placement, result core.Result, _ int) core.Actions {
+	d.finished = append(d.finished, result)
+	return d.take()
+}
+
+func (d *scriptedDecider) Borrowed(_ time.Time, _ core.Borrowing, lease core.Lease, granted bool) core.Actions {
+	if granted {
+		d.borrowed = append(d.borrowed, lease)
+	}
+	return d.take()
+}
+
+func (d *scriptedDecider) Lend(time.Time, core.HostID, core.EndpointName, core.Revision) (core.Lease, bool) {
+	return d.lend, true
+}
+
+func newTestShell(t *testing.T, decider core.Decider, peer wire.Peer) *Shell {
+	return New(Settings{
+		Self:    core.HostID{Host: "entry-1", Incarnation: 7},
+		Decider: decider,
+		Peer:    func(core.HostName) wire.Peer { return peer },
+		Logger:  testr.New(t),
+	})
+}
+
+func TestPlaceWithdrawsWhenTheCallerLeaves(t *testing.T) {
+	decider := &scriptedDecider{waiting: true}
+	s := newTestShell(t, decider, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := s.Place(ctx, core.Request{ID: 1})
+	var outcome *core.OutcomeError
+	if !errors.As(err, &outcome) || outcome.Outcome != core.OutcomeNotRun {
+		t.Fatalf("Place = %v, want NotRun", err)
+	}
+	if decider.withdrawn != 1 || len(s.waiting) != 0 {
+		t.Fatalf("withdrawn %d times, %d still waiting; want 1 and 0", decider.withdrawn, len(s.waiting))
+	}
+}
+
+// A placement that comes at the moment the caller leaves must give its slot
+// back: nobody will ever dispatch it.
+func TestPlacementForALeavingCallerIsFinished(t *testing.T) {
+	decider := &scriptedDecider{}
+	s := newTestShell(t, decider, nil)
+	wait := s.wait(1)
+	s.answer(1, answer{placement: core.Placement{Request: 1}})
+	if _, err := s.abandon(1, wait); err == nil {
+		t.Fatal("abandon gave a placement")
+	}
+	if len(decider.finished) != 1 || decider.finished[0] != core.ResultCancelled {
+		t.Fatalf("finished %v, want one ResultCancelled", decider.finished)
+	}
+}
+
+// The core may place a retaken request before its goroutine calls Replace.
+func TestReplaceTakesAPlacementThatCameBeforeIt(t *testing.T) {
+	decider := &scriptedDecider{}
+	s := newTestShell(t, decider, nil)
+	first := core.Placement{Request: 1, Endpoint: "draft-1", Try: 1}
+	if s.Confirm(first) {
+		t.Fatal("Confirm = true, want the placement taken back")
+	}
+	second := core.Placement{Request: 1, Endpoint: "draft-2", Try: 1}
+	s.decide(func(time.Time) core.Actions { return core.Actions{Placements: []core.Placement{second}} })
+	got, err := s.Replace(t.Context(), first, core.ResultDialFailed)
+	if err != nil || got != second {
+		t.Fatalf("Replace = %v, %v; want %v", got, err, second)
+	}
+	if len(decider.finished) != 0 {
+		t.Fatalf("finished %v, want no Finish of a retaken placement", decider.finished)
+	}
+}
+
+// slowPeer answers a borrowing after a delay.
+type slowPeer struct {
+	wire.Peer
+	delay time.Duration
+	term  time.Duration
+}
+
+func (p slowPeer) Borrow(context.Context, *wire.BorrowRequest) (*wire.BorrowReply, error) {
+	time.Sleep(p.delay)
+	return &wire.BorrowReply{
+		Granted:    true,
+		Owner:      &wire.Host{Name: "entry-2", Incarnation: 3},
+		TermMillis: uint64(p.term / time.Millisecond),
+	}, nil
+}
+
+// The borrower's deadline counts from the question: asked at 0 s, answered at
+// 1 s with a term of 5 s, it ends at 5 s, a second before the owner's.
+func TestBorrowerCountsTheTermFromTheQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		decider := &scriptedDecider{}
+		s := newTestShell(t, decider, slowPeer{delay: time.Second, term: 5 * time.Second})
+		asked := time.Now()
+		s.borrow(t.Context(), core.Borrowing{Owner: "entry-2", Endpoint: "draft-1", Asked: asked})
+		if len(decider.borrowed) != 1 {
+			t.Fatalf("%d leases, want 1", len(decider.borrowed))
+		}
+		if got, want := decider.borrowed[0].Deadline, asked.Add(5*time.Second); !got.Equal(want) {
+			t.Fatalf("deadline %v, want %v", got, want)
+		}
+	})
+}
+
+func TestTickComesWhenTheCoreAskedForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		decider := &scriptedDecider{}
+		s := newTestShell(t, decider, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.Run(ctx)
+		decider.next = core.Actions{WakeAt: time.Now().Add(3 * time.Second)}
+		done := make(chan error, 1)
+		go func() {
+			_, err := s.Place(ctx, core.Request{ID: 9})
+			done <- err
+		}()
+		synctest.Wait()
+		s.mu.Lock()
+		decider.next = core.Actions{Refusals: []core.Refusal{{Request: 9, Err: core.NotRun(core.CauseDeadline, "waited too long", time.Time{})}}}
+		s.mu.Unlock()
+		begin := time.Now()
+		if err := <-done; err == nil {
+			t.Fatal("Place gave a placement, want the refusal")
+		}
+		if waited := time.Since(begin); waited != 3*time.Second {
+			t.Fatalf("refused after %v, want 3s", waited)
+		}
+	})
+}
