core: a borrower tells an owner which leases it still holds

A lent slot stays lent until it is returned, since the borrower's work may outlive the lease; a lost grant or return would idle it for good. Each request for a slot now carries the serials still held and the highest received; the owner takes back what ran out and is not held. Adds Decider.Reconcile, Borrowing.Holding and two fields of BorrowRequest; the shell passes them on.

--- a/core/procs/decide/borrow.go
+++ b/core/procs/decide/borrow.go
@@ -87,6 +87,7 @@
 func (d *Decider) ask(now time.Time, e *endpoint, holder core.HostName) {
 	d.actions.Borrowings = append(d.actions.Borrowings, core.Borrowing{
 		Owner: holder, Endpoint: e.config.Name, Asked: now, Seen: d.config.Revision,
+		Holding: e.pool.Holding(holder),
 	})
 }
 
@@ -148,6 +149,13 @@
 	return e.pool.Lend(now, borrower, seen, limit)
 }
 
+// Reconcile takes in what a borrower says that it holds of this host's leases.
+func (d *Decider) Reconcile(now time.Time, borrower core.HostID, holding core.Holding) {
+	if e := d.byName[holding.Endpoint]; e != nil {
+		e.pool.Reconcile(now, borrower, holding)
+	}
+}
+
 // Borrowed takes in an owner's answer.
 func (d *Decider) Borrowed(now time.Time, asked core.Borrowing, lease core.Lease, granted bool) core.Actions {
 	d.begin()
--- a/core/procs/slots/lease.go
+++ b/core/procs/slots/lease.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"slices"
 	"time"
 
 	"apricotproxy/core"
@@ -53,9 +54,10 @@
 // Grant takes in a lease that an owner answered to a request asked earlier. The
 // term is counted from the asking, so that the owner's count always ends later.
 func (p *Pool) Grant(now, asked time.Time, lease core.Lease) bool {
-	if lease.Revision != p.revision {
+	if lease.Revision != p.revision || lease.Serial <= p.received[lease.Owner.Host] {
 		return false
 	}
+	p.received[lease.Owner.Host] = lease.Serial
 	if s := p.find(lease.Slot.Position); s != nil && s.owned {
 		return p.released(s, lease)
 	}
@@ -90,6 +92,34 @@
 	s.lease = core.Lease{}
 }
 
+// Holding tells what this host holds of an owner's leases.
+func (p *Pool) Holding(owner core.HostName) core.Holding {
+	holding := core.Holding{Endpoint: p.endpoint.Name, Received: p.received[owner]}
+	for i := range p.borrowed {
+		if p.borrowed[i].lease.Owner.Host == owner {
+			holding.Held = append(holding.Held, p.borrowed[i].lease.Serial)
+		}
+	}
+	return holding
+}
+
+// Reconcile takes back leases that ran out and that the borrower does not hold:
+// the grant or the return was lost. A lease above the received serial may still
+// be on its way, and one that has not run out may have been granted after the
+// borrower told what it holds.
+func (p *Pool) Reconcile(now time.Time, borrower core.HostID, holding core.Holding) {
+	for i := range p.slots {
+		s := &p.slots[i]
+		if s.use != useLent || s.lease.Borrower != borrower || s.lease.Serial > holding.Received {
+			continue
+		}
+		if now.Before(s.lease.Deadline) || slices.Contains(holding.Held, s.lease.Serial) {
+			continue
+		}
+		s.use = useFree
+	}
+}
+
 // ReturnIdle drops leases that nothing uses and appends them to the list. With
 // all false only those go that ran out or cannot be used any more.
 func (p *Pool) ReturnIdle(now time.Time, all bool, list []core.Returning) []core.Returning {
--- a/core/procs/slots/slots.go
+++ b/core/procs/slots/slots.go
@@ -118,6 +118,8 @@
 	slots    []slot // ascending by position
 	borrowed []borrowed
 	serial   uint64
+	// received is the highest serial received of each owner.
+	received map[core.HostName]uint64
 	revision core.Revision
 
 	cold      bool
@@ -133,7 +135,16 @@
 // New builds the pool of an endpoint that this process has not met before. Its
 // own slots are shut: a predecessor's work may still run on the endpoint.
 func New(self core.HostID, weakness Weakness) *Pool {
-	return &Pool{self: self, weakness: weakness, cold: true, coldClear: true}
+	return &Pool{
+		self:     self,
+		weakness: weakness,
+		// A later incarnation starts above all serials of an earlier one,
+		// which gives out fewer than one lease a nanosecond.
+		serial:    uint64(self.Incarnation),
+		received:  make(map[core.HostName]uint64),
+		cold:      true,
+		coldClear: true,
+	}
 }
 
 // Cold tells whether the endpoint is limited to its cold slots.
--- a/core/request.go
+++ b/core/request.go
@@ -110,7 +110,19 @@
 	Endpoint EndpointName
 	Asked    time.Time
 	// Seen is the borrower's revision; an owner at another revision refuses.
-	Seen Revision
+	Seen    Revision
+	Holding Holding
+}
+
+// Holding tells an owner which of its leases of an endpoint a borrower still
+// holds, so that a lease whose grant or return was lost does not idle.
+type Holding struct {
+	Endpoint EndpointName
+	// Received is the highest serial that the borrower has received of this
+	// owner; it accepts no lower one later. 0 when there was none.
+	Received uint64
+	// Held lists the serials of the leases that it holds.
+	Held []uint64
 }
 
 // Lease is an owner's answer: a slot lent for a term. The borrower counts the
@@ -120,7 +132,9 @@
 	Owner    HostID
 	Borrower HostID
 	Revision Revision
-	Serial   uint64
+	// Serial rises with each lease of an owner, also from one incarnation to
+	// the next.
+	Serial uint64
 	// Deadline is by the clock of whoever holds this value.
 	Deadline time.Time
 }
@@ -170,6 +184,9 @@
 	ObserveUnreachable(now time.Time, endpoint EndpointName) Actions
 	// Lend answers another host that asks for a slot.
 	Lend(now time.Time, borrower HostID, endpoint EndpointName, seen Revision) (Lease, bool)
+	// Reconcile takes in what a borrower says that it holds of this host's
+	// leases. It comes with each request for a slot, before Lend.
+	Reconcile(now time.Time, borrower HostID, holding Holding)
 	// Borrowed takes in an owner's answer; a zero lease is a refusal.
 	Borrowed(now time.Time, asked Borrowing, lease Lease, granted bool) Actions
 	// Returned takes back a lease that this host had lent.
--- a/io/shell/lease.go
+++ b/io/shell/lease.go
@@ -33,6 +33,8 @@
 		Endpoint: string(borrowing.Endpoint),
 		Revision: uint64(borrowing.Seen),
 		To:       &wire.Host{Name: string(borrowing.Owner)},
+		Received: borrowing.Holding.Received,
+		Held:     borrowing.Holding.Held,
 	})
 	if err != nil {
 		s.log.V(1).Info("Borrowing failed.", "owner", borrowing.Owner, "endpoint", borrowing.Endpoint, "error", err.Error())
@@ -103,6 +105,9 @@
 	}
 	borrower := wire.ToHostID(request.GetFrom())
 	endpoint := core.EndpointName(request.GetEndpoint())
+	if request.GetReceived() > 0 {
+		s.decider.Reconcile(now, borrower, core.Holding{Endpoint: endpoint, Received: request.GetReceived(), Held: request.GetHeld()})
+	}
 	lease, granted := s.decider.Lend(now, borrower, endpoint, core.Revision(request.GetRevision()))
 	if !granted {
 		return &wire.BorrowReply{}, nil
