confg, audit, opers, cmds: configuration files, audit trail, operators' surface

Cause: operators need to read a site's configuration in a minute, to learn of a fault with its place and remedy before publishing, and to see what a host did. Change: an INI layer of base and overlay with an index of lines beside ini.v1, checks of a site and between sites, a page of effective settings with origins, differences in operators' words; a bounded audit trail; /healthz, /readyz, /statusz, /auditz and /debug/vars; the commands config, status, audit, version with documented exit codes; both example sites over one base. Endpoints are named by address: a name counted from a list would pass to another endpoint when an entry is removed.

--- /dev/null
+++ b/core/versn/confg/build.go
@@ -0,0 +1,366 @@
+package confg
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"apricotproxy/core"
+)
+
+// MaxBundleBytes is the largest value that the platform's configuration
+// service holds.
+const MaxBundleBytes = 1_000_000
+
+// Default ports and endpoint sizes.
+const (
+	_defaultCallerPort   = 8080
+	_defaultPeerPort     = 7443
+	_defaultEndpointPort = 9000
+	_defaultColdSlots    = 2
+	_defaultWarmSlots    = 16
+	_defaultMemoryTokens = 100_000
+)
+
+// Bounds of endpoint sizes and of a workspace's weight and priority.
+const (
+	_maxSlots        = 10_000
+	_maxMemoryTokens = 1_000_000_000
+	_maxWeight       = 1_000
+	_maxPriority     = 100
+)
+
+// Kinds of section.
+const (
+	_kindSite       = "Site"
+	_kindPorts      = "Ports"
+	_kindDataCentre = "DataCentre"
+	_kindDefaults   = "Defaults"
+	_kindService    = "Service"
+	_kindEndpoints  = "Endpoints"
+	_kindWorkspaces = "Workspaces"
+	_kindLimits     = "Limits"
+	_kindTLS        = "TLS"
+)
+
+// Names of the two kinds of service, as settings and [Defaults] have them.
+const (
+	_engine = "Engine"
+	_plain  = "Plain"
+)
+
+// _named tells for each kind of section whether its heading carries a name.
+var _named = map[string]bool{
+	_kindSite: false, _kindPorts: false, _kindLimits: false, _kindTLS: false,
+	_kindDataCentre: true, _kindDefaults: true, _kindService: true, _kindEndpoints: true, _kindWorkspaces: true,
+}
+
+// Site is one site's configuration together with what the operators wrote.
+type Site struct {
+	Config   core.Config
+	Settings []Setting
+	// BundleBytes is the size of the value to publish.
+	BundleBytes int
+
+	origins originTable
+}
+
+// originTable finds where the parts of a configuration were written.
+type originTable struct {
+	dataCentres map[core.DataCentreName]Origin
+	addresses   map[string]Origin
+	calls       map[callKey]Origin
+	services    map[core.ServiceName]Origin
+	workspaces  map[core.WorkspaceName]Origin
+}
+
+type callKey struct {
+	Service core.ServiceName
+	Call    core.CallName
+}
+
+// Parse reads a published bundle for a site. The error is a *FaultsError; its
+// files are called "base.ini" and "<site>.ini".
+func Parse(bundle core.Bundle, site core.SiteName) (core.Config, error) {
+	base := Source{File: "base.ini", Text: bundle.Base}
+	overlay := Source{File: string(site) + ".ini", Text: bundle.Overlay}
+	read, err := Read(base, overlay)
+	if err != nil {
+		return core.Config{}, err
+	}
+	if read.Config.Site != site {
+		faults := faultList{}
+		faults.add(Origin{File: overlay.File}, fmt.Sprintf("the overlay is of site %s", read.Config.Site), fmt.Sprintf("[Site] Name = %s", site), "publish the overlay under its own site's key")
+		return core.Config{}, faults.err()
+	}
+	return read.Config.WithRevision(bundle.Revision), nil
+}
+
+// Read reads a base and an overlay. The error is a *FaultsError with every
+// fault that was found.
+func Read(base, overlay Source) (Site, error) {
+	b := &builder{origins: originTable{
+		dataCentres: map[core.DataCentreName]Origin{},
+		addresses:   map[string]Origin{},
+		calls:       map[callKey]Origin{},
+		services:    map[core.ServiceName]Origin{},
+		workspaces:  map[core.WorkspaceName]Origin{},
+	}}
+	size := bundleBytes(base, overlay)
+	if size > MaxBundleBytes {
+		b.faults.add(Origin{File: overlay.File}, fmt.Sprintf("base and overlay take %d bytes as published", size), fmt.Sprintf("at most %d bytes", MaxBundleBytes), "write names and addresses as ranges, or move workspaces to another site")
+		return Site{}, b.faults.err()
+	}
+	baseDocument := readDocument(base, &b.faults)
+	overlayDocument := readDocument(overlay, &b.faults)
+	if err := b.faults.err(); err != nil {
+		return Site{}, err
+	}
+	b.build(mergeDocuments(baseDocument, overlayDocument), overlay.File)
+	if err := b.faults.err(); err != nil {
+		return Site{}, err
+	}
+	b.config.Digest = xxhash.Sum64String(base.Text + "\x00" + overlay.Text)
+	return Site{Config: b.config, Settings: b.settings, BundleBytes: size, origins: b.origins}, nil
+}
+
+// bundleBytes is the size of the JSON value that holds both texts.
+func bundleBytes(base, overlay Source) int {
+	encoded, err := json.Marshal(core.Bundle{Revision: ^core.Revision(0), Base: base.Text, Overlay: overlay.Text})
+	if err != nil {
+		return 0 // a struct of texts always encodes
+	}
+	return len(encoded)
+}
+
+// builder turns merged sections into a configuration.
+type builder struct {
+	config   core.Config
+	settings []Setting
+	faults   faultList
+	origins  originTable
+	ports    ports
+	byKind   map[string][]*section
+	overlay  string
+}
+
+type ports struct {
+	Caller   int
+	Peer     int
+	Endpoint int
+}
+
+func (b *builder) build(sections []*section, overlay string) {
+	b.overlay = overlay
+	b.byKind = map[string][]*section{}
+	for _, s := range sections {
+		if b.checkHeading(s) {
+			b.byKind[s.Kind] = append(b.byKind[s.Kind], s)
+		}
+	}
+	b.buildSite()
+	b.buildPorts()
+	b.buildDataCentres()
+	b.buildServices()
+	b.buildEndpoints()
+	b.buildWorkspaces()
+	b.buildLimits()
+	b.buildTLS()
+	b.sortAll()
+	b.checkWhole()
+}
+
+func (b *builder) checkHeading(s *section) bool {
+	kinds := make([]string, 0, len(_named))
+	for kind := range _named {
+		kinds = append(kinds, kind)
+	}
+	sort.Strings(kinds)
+	named, known := _named[s.Kind]
+	switch {
+	case !known:
+		remedy := "remove the section"
+		if likely := nearest(s.Kind, kinds); likely != "" {
+			remedy = "write " + likely
+		}
+		b.faults.add(s.Origin, fmt.Sprintf("there is no section [%s]", s.title()), "one of "+strings.Join(kinds, ", "), remedy)
+		return false
+	case named && s.Name == "":
+		b.faults.add(s.Origin, fmt.Sprintf("the section [%s] has no name", s.title()), fmt.Sprintf("[%s name]", s.Kind), "add the name to the heading")
+		return false
+	case !named && s.Name != "":
+		b.faults.add(s.Origin, fmt.Sprintf("the section [%s] has a name", s.title()), fmt.Sprintf("[%s]", s.Kind), "remove the name from the heading")
+		return false
+	}
+	return true
+}
+
+// only gives the single section of a kind, or nil.
+func (b *builder) only(kind string) *section {
+	if len(b.byKind[kind]) == 0 {
+		return nil
+	}
+	return b.byKind[kind][0]
+}
+
+func (b *builder) buildSite() {
+	s := b.only(_kindSite)
+	if s == nil {
+		b.faults.add(Origin{File: b.overlay}, "there is no section [Site]", "[Site] with Name and Region", "add the section to the overlay")
+		return
+	}
+	r := b.read(s, _kindSite)
+	name := r.required("Name", "the site's name")
+	if name.Value != "" && !isName(name.Value) {
+		r.fail(name, "letters, digits, hyphen, dot and underscore", "rename the site")
+	}
+	b.config.Site = core.SiteName(name.Value)
+	r.required("Region", "the region of the site's data centres")
+	r.close()
+}
+
+func (b *builder) buildPorts() {
+	r := b.read(b.only(_kindPorts), _kindPorts)
+	b.ports = ports{
+		Caller:   int(r.integer("Caller", _defaultCallerPort, 1, 65535)),
+		Peer:     int(r.integer("Peer", _defaultPeerPort, 1, 65535)),
+		Endpoint: int(r.integer("Endpoint", _defaultEndpointPort, 1, 65535)),
+	}
+	r.close()
+}
+
+func (b *builder) buildDataCentres() {
+	for _, s := range b.byKind[_kindDataCentre] {
+		r := b.read(s, _kindDataCentre)
+		r.fallback = b.only(_kindSite)
+		name := core.DataCentreName(s.Name)
+		b.origins.dataCentres[name] = s.Origin
+		b.config.DataCentres = append(b.config.DataCentres, core.DataCentre{
+			Name:      name,
+			InService: r.flag("InService", true),
+			Region:    core.RegionName(r.text("Region", "")),
+		})
+		b.buildHosts(r, name)
+		r.close()
+	}
+	if len(b.config.DataCentres) == 0 {
+		b.faults.add(Origin{File: b.overlay}, "the site has no data centre", "at least one section [DataCentre name]", "add a section [DataCentre name] with Hosts")
+	}
+}
+
+// buildHosts names roster positions by data centre and place in the list:
+// "austin-a-host-1". A replaced machine takes over the position of the old
+// one, and "-" leaves a position vacant, so that the others keep their names.
+func (b *builder) buildHosts(r *reader, dataCentre core.DataCentreName) {
+	e := r.take("Hosts", "")
+	for i, item := range r.expand(e) {
+		if item == "-" {
+			continue
+		}
+		peer, caller, err := hostAddresses(item, b.ports.Peer, b.ports.Caller)
+		if err != nil {
+			r.fail(e, "IP numbers such as 10.0.0.[1-3], or - for a vacant position", "correct it: "+err.Error())
+			return
+		}
+		b.claimAddress(peer, e)
+		b.claimAddress(caller, e)
+		b.config.Hosts = append(b.config.Hosts, core.Host{
+			Name:          core.HostName(fmt.Sprintf("%s-host-%d", dataCentre, i+1)),
+			DataCentre:    dataCentre,
+			PeerAddress:   peer,
+			CallerAddress: caller,
+		})
+	}
+}
+
+func (b *builder) claimAddress(address string, e entry) {
+	before, taken := b.origins.addresses[address]
+	if taken {
+		b.faults.add(e.Origin, fmt.Sprintf("the address %s is used twice", address), fmt.Sprintf("each address once; the first use is at %s", before), "remove one of the two, or correct its port")
+		return
+	}
+	b.origins.addresses[address] = e.Origin
+}
+
+func (b *builder) buildServices() {
+	for _, s := range b.byKind[_kindService] {
+		r := b.read(s, _kindService)
+		service := core.Service{Name: core.ServiceName(s.Name)}
+		b.origins.services[service.Name] = s.Origin
+		kind := r.required("Kind", "Engine or Plain")
+		switch kind.Value {
+		case _engine:
+			service.Kind = core.ServiceEngine
+			service.Model = core.ModelName(r.required("Model", "the model that the engines run").Value)
+			service.Adapter = core.AdapterName(r.text("Adapter", ""))
+			service.Version = core.VersionName(r.text("Version", ""))
+			service.Role = r.text("Role", "")
+		case _plain:
+			service.Kind = core.ServicePlain
+			b.buildCalls(r, &service)
+		case "":
+			continue
+		default:
+			r.fail(kind, "Engine or Plain", "write Kind = Engine for a model, Kind = Plain for calls")
+			continue
+		}
+		r.close()
+		b.config.Services = append(b.config.Services, service)
+	}
+}
+
+// buildCalls takes a plain service's calls. A call in neither list is refused
+// to callers, so that a forgotten line never makes a call repeatable.
+func (b *builder) buildCalls(r *reader, service *core.Service) {
+	for _, repeatable := range []bool{true, false} {
+		key := "RepeatableCalls"
+		if !repeatable {
+			key = "UnrepeatableCalls"
+		}
+		e := r.take(key, "")
+		for _, name := range r.names(e) {
+			call := callKey{Service: service.Name, Call: core.CallName(name)}
+			if _, both := b.origins.calls[call]; both {
+				r.fail(e, "each call in one of RepeatableCalls and UnrepeatableCalls", fmt.Sprintf("remove %s from one of the two", name))
+				continue
+			}
+			b.origins.calls[call] = e.Origin
+			service.Calls = append(service.Calls, core.Call{Name: call.Call, Repeatable: repeatable})
+		}
+	}
+	if len(service.Calls) == 0 {
+		b.faults.add(r.section.Origin, fmt.Sprintf("[%s] has no calls", r.section.title()), "RepeatableCalls, UnrepeatableCalls or both", "list the calls of the service")
+	}
+}
+
+func (b *builder) sortAll() {
+	c := &b.config
+	slices.SortFunc(c.DataCentres, func(x, y core.DataCentre) int { return strings.Compare(string(x.Name), string(y.Name)) })
+	slices.SortFunc(c.Hosts, func(x, y core.Host) int { return strings.Compare(string(x.Name), string(y.Name)) })
+	slices.SortFunc(c.Endpoints, func(x, y core.Endpoint) int { return strings.Compare(string(x.Name), string(y.Name)) })
+	slices.SortFunc(c.Services, func(x, y core.Service) int { return strings.Compare(string(x.Name), string(y.Name)) })
+	slices.SortFunc(c.Workspaces, func(x, y core.Workspace) int { return strings.Compare(string(x.Name), string(y.Name)) })
+	for i := range c.Services {
+		slices.SortFunc(c.Services[i].Calls, func(x, y core.Call) int { return strings.Compare(string(x.Name), string(y.Name)) })
+	}
+}
+
+// checkWhole checks what no single section shows.
+func (b *builder) checkWhole() {
+	if len(b.config.DataCentres) > 0 && len(b.config.Hosts) == 0 {
+		b.faults.add(Origin{File: b.overlay}, "the site has no entry host", "Hosts in at least one section [DataCentre name]", "list the addresses of the entry hosts")
+	}
+	served := map[core.ServiceName]bool{}
+	for _, endpoint := range b.config.Endpoints {
+		served[endpoint.Service] = true
+	}
+	for _, service := range b.config.Services {
+		if !served[service.Name] {
+			b.faults.add(b.origins.services[service.Name], fmt.Sprintf("the service %s has no endpoint", service.Name), fmt.Sprintf("a section [Endpoints %s.<data centre>]", service.Name), "add its endpoints, or remove the service")
+		}
+	}
+}
--- /dev/null
+++ b/core/versn/confg/doc.go
@@ -0,0 +1,14 @@
+// Package confg reads a site's configuration: a base that all sites share and
+// a small overlay, both INI texts. An overlay overrides single keys and adds
+// sections. The result is a core.Config, or a list of faults that each name
+// the file, the line, what was expected and the remedy.
+//
+// The phases, with the data that passes between them:
+//
+//	text of one file   -> document   (source.go: ini.v1 and an index of lines)
+//	base and overlay   -> sections   (merge.go: each key with its origin)
+//	sections           -> Site       (build.go, limits.go: values, defaults, checks)
+//	several Sites      -> faults     (sites.go: contradictions between sites)
+//	one Site           -> page       (show.go)
+//	two Sites          -> changes    (diff.go)
+package confg
--- /dev/null
+++ b/core/versn/confg/source.go
@@ -0,0 +1,217 @@
+package confg
+
+import (
+	"fmt"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"gopkg.in/ini.v1"
+)
+
+// Source is the text of one file and the name under which faults report it.
+type Source struct {
+	File string
+	Text string
+}
+
+// entry is one key of a section.
+type entry struct {
+	Key    string
+	Value  string
+	Origin Origin
+}
+
+// section is one section of a file, or of base and overlay merged.
+type section struct {
+	Kind    string // the first word of the title
+	Name    string // the second word, empty when there is none
+	Origin  Origin
+	Entries []entry
+}
+
+// title gives the section's heading without brackets.
+func (s *section) title() string {
+	if s.Name == "" {
+		return s.Kind
+	}
+	return s.Kind + " " + s.Name
+}
+
+func (s *section) find(key string) (entry, bool) {
+	for _, e := range s.Entries {
+		if e.Key == key {
+			return e, true
+		}
+	}
+	return entry{}, false
+}
+
+// document is one file, its sections in the order of the text.
+type document struct {
+	Sections []*section
+}
+
+// _options make ini.v1 read plain "Key = value" lines. Child sections are
+// switched off by a delimiter that no title can hold: otherwise the section
+// "Endpoints drafting.austin-a" would inherit from "Endpoints drafting".
+var _options = ini.LoadOptions{
+	KeyValueDelimiters:       "=",
+	ChildSectionDelimiter:    "\x00",
+	SpaceBeforeInlineComment: true,
+	PreserveSurroundedQuote:  true,
+}
+
+// readDocument reads one file. ini.v1 gives the values; the line of each key
+// comes from an index of our own, since ini.v1 keeps no lines.
+func readDocument(source Source, faults *faultList) *document {
+	text := strings.TrimPrefix(source.Text, "\ufeff")
+	found := len(faults.faults)
+	index := indexLines(Source{File: source.File, Text: text}, faults)
+	if len(faults.faults) > found {
+		return index
+	}
+	file, err := ini.LoadSources(_options, []byte(text))
+	if err != nil {
+		faults.add(Origin{File: source.File}, err.Error(), "an INI text", "correct the line that is quoted")
+		return index
+	}
+	for _, s := range index.Sections {
+		fillValues(s, file)
+	}
+	return index
+}
+
+// fillValues takes the values of a section's keys over from ini.v1. The raw
+// value is taken: ini.v1 would expand "%(name)s" otherwise.
+func fillValues(s *section, file *ini.File) {
+	parsed, err := file.GetSection(s.title())
+	if err != nil {
+		return // an empty section at the end of the index
+	}
+	for i := range s.Entries {
+		key, err := parsed.GetKey(s.Entries[i].Key)
+		if err == nil {
+			s.Entries[i].Value = key.Value()
+		}
+	}
+}
+
+// indexer finds the line of each section and key, following the reading rules
+// of ini.v1 and refusing what operators do not need: quoted multi-line values,
+// keys without a value, text outside sections.
+type indexer struct {
+	file     string
+	faults   *faultList
+	document *document
+	current  *section
+	titles   map[string]Origin
+	keys     map[string]Origin
+	// continued is true while the line before ended with a backslash.
+	continued bool
+	// skip is true within a section whose heading is at fault.
+	skip bool
+}
+
+func indexLines(source Source, faults *faultList) *document {
+	x := &indexer{
+		file:     source.File,
+		faults:   faults,
+		document: &document{},
+		titles:   map[string]Origin{},
+	}
+	if !utf8.ValidString(source.Text) || strings.ContainsRune(source.Text, 0) {
+		faults.add(Origin{File: source.File}, "the text is not UTF-8", "UTF-8 without NUL", "save the file as UTF-8")
+		return x.document
+	}
+	number := 0
+	for line := range strings.Lines(source.Text) {
+		number++
+		x.line(Origin{File: source.File, Line: number}, line)
+	}
+	return x.document
+}
+
+func (x *indexer) line(origin Origin, line string) {
+	text := strings.TrimFunc(line, unicode.IsSpace)
+	if x.continued {
+		// A blank line ends a continued value, as ini.v1 has it.
+		x.continued = strings.HasSuffix(text, `\`)
+		return
+	}
+	switch {
+	case text == "", text[0] == '#', text[0] == ';':
+	case text[0] == '[':
+		x.heading(origin, text)
+	default:
+		x.key(origin, text)
+	}
+}
+
+func (x *indexer) heading(origin Origin, text string) {
+	x.skip = true
+	end := strings.LastIndexByte(text, ']')
+	if end < 0 {
+		x.faults.add(origin, fmt.Sprintf("the heading %q is not closed", text), "[Kind] or [Kind name]", "end the heading with ]")
+		return
+	}
+	rest := strings.TrimSpace(text[end+1:])
+	words := strings.Split(text[1:end], " ")
+	if rest != "" && rest[0] != '#' && rest[0] != ';' || !isTitle(words) {
+		x.faults.add(origin, fmt.Sprintf("the heading %q is not understood", text), "[Kind] or [Kind name] with one space between", "write a heading such as [DataCentre austin-a]")
+		return
+	}
+	s := &section{Kind: words[0], Origin: origin}
+	if len(words) == 2 {
+		s.Name = words[1]
+	}
+	if before, twice := x.titles[s.title()]; twice {
+		x.faults.add(origin, fmt.Sprintf("the section [%s] stands twice", s.title()), fmt.Sprintf("one section of that name; the first is at %s", before), "merge the two sections")
+		return
+	}
+	x.skip = false
+	x.titles[s.title()] = origin
+	x.keys = map[string]Origin{}
+	x.current = s
+	x.document.Sections = append(x.document.Sections, s)
+}
+
+func (x *indexer) key(origin Origin, text string) {
+	x.continued = strings.HasSuffix(text, `\`)
+	key, value, found := strings.Cut(text, "=")
+	key = strings.TrimFunc(key, unicode.IsSpace)
+	value = strings.TrimFunc(value, unicode.IsSpace)
+	switch {
+	case !found || key == "":
+		x.faults.add(origin, fmt.Sprintf("the line %q has no key and value", text), "Key = value", "add the missing part, or start the line with ; to make it a comment")
+	case !isWord(key):
+		x.faults.add(origin, fmt.Sprintf("the key %q has characters that no key has", key), "a key of letters", "remove quotes and signs from the key")
+	case strings.HasPrefix(value, "`") || strings.HasPrefix(value, `"`):
+		x.faults.add(origin, fmt.Sprintf("the value of %s is quoted", key), "a value without quotes", `remove the quotes; continue a long value by ending its line with \`)
+	case x.skip:
+	case x.current == nil:
+		x.faults.add(origin, fmt.Sprintf("the key %s stands before the first section", key), "keys below a heading such as [Limits]", "move the key below its section's heading")
+	default:
+		x.addKey(origin, key)
+	}
+}
+
+func (x *indexer) addKey(origin Origin, key string) {
+	if before, twice := x.keys[key]; twice {
+		x.faults.add(origin, fmt.Sprintf("the key %s stands twice in [%s]", key, x.current.title()), fmt.Sprintf("one value; the first is at %s", before), "remove one of the two lines")
+		return
+	}
+	x.keys[key] = origin
+	x.current.Entries = append(x.current.Entries, entry{Key: key, Origin: origin})
+}
+
+func isTitle(words []string) bool {
+	switch len(words) {
+	case 1:
+		return isWord(words[0])
+	case 2:
+		return isWord(words[0]) && isName(words[1])
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/io/cmds/remote.go
@@ -0,0 +1,142 @@
+package cmds
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"apricotproxy/core/procs/audit"
+)
+
+// Bounds of a question to a host's operators' surface.
+const (
+	_remoteTimeout  = 10 * time.Second
+	_statusBytes    = 64 << 20
+	_auditLineBytes = 1 << 20
+)
+
+type statusCommand struct {
+	Address string `default:"127.0.0.1:7070" help:"Address of the host's operators' surface."`
+}
+
+// Run prints /statusz, and exits with 1 when the host is not ready.
+func (c *statusCommand) Run(ctx context.Context, console *Console) error {
+	ctx, cancel := context.WithTimeout(ctx, _remoteTimeout)
+	defer cancel()
+	status, err := get(ctx, "http://"+c.Address+"/statusz")
+	if err != nil {
+		return err
+	}
+	defer closeBody(status)
+	if _, err := io.Copy(console.Out, io.LimitReader(status.Body, _statusBytes)); err != nil {
+		return fmt.Errorf("printing the status: %w", err)
+	}
+	ready, err := request(ctx, "http://"+c.Address+"/readyz")
+	if err != nil {
+		return err
+	}
+	defer closeBody(ready)
+	if ready.StatusCode == http.StatusOK {
+		return nil
+	}
+	var health struct{ Reason string }
+	if err := json.NewDecoder(io.LimitReader(ready.Body, _statusBytes)).Decode(&health); err != nil {
+		return fmt.Errorf("reading /readyz: %w", err)
+	}
+	return found(fmt.Errorf("the host is not ready: %s", health.Reason))
+}
+
+// request sends a GET.
+func request(ctx context.Context, url string) (*http.Response, error) {
+	question, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("asking %s: %w", url, err)
+	}
+	answer, err := http.DefaultClient.Do(question)
+	if err != nil {
+		return nil, fmt.Errorf("the host does not answer; check --address: %w", err)
+	}
+	return answer, nil
+}
+
+// get sends a GET whose answer must be 200.
+func get(ctx context.Context, url string) (*http.Response, error) {
+	answer, err := request(ctx, url)
+	if err != nil {
+		return nil, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		closeBody(answer)
+		return nil, fmt.Errorf("asking %s: status %s", url, answer.Status)
+	}
+	return answer, nil
+}
+
+func closeBody(answer *http.Response) { _ = answer.Body.Close() }
+
+type auditCommand struct {
+	Address string `default:"127.0.0.1:7070" help:"Address of the host's operators' surface."`
+	After   uint64 `help:"Print only events with a higher number."`
+	Follow  bool   `short:"f" help:"Go on printing new events."`
+	JSON    bool   `name:"json" help:"Print one JSON object a line."`
+}
+
+// Run prints the audit trail.
+func (c *auditCommand) Run(ctx context.Context, console *Console) error {
+	url := fmt.Sprintf("http://%s/auditz?After=%d", c.Address, c.After)
+	if c.Follow {
+		url += "&Follow=yes"
+	} else {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, _remoteTimeout)
+		defer cancel()
+	}
+	answer, err := get(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer closeBody(answer)
+	err = c.printAll(console, answer.Body)
+	if c.Follow && errors.Is(ctx.Err(), context.Canceled) {
+		return nil // stopped by an interrupt, as the operator asked
+	}
+	return err
+}
+
+func (c *auditCommand) printAll(console *Console, body io.Reader) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, _auditLineBytes)
+	last := c.After
+	for lines.Scan() {
+		if len(lines.Bytes()) == 0 {
+			continue // sent while there are no events
+		}
+		var entry audit.Entry
+		if err := json.Unmarshal(lines.Bytes(), &entry); err != nil {
+			return fmt.Errorf("reading an audit event: %w", err)
+		}
+		if entry.Sequence > last+1 {
+			console.printf("apricotproxy: events %d to %d are no longer held\n", last+1, entry.Sequence-1)
+		}
+		last = entry.Sequence
+		if err := c.print(console, lines.Text(), entry); err != nil {
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("reading the audit trail: %w", err)
+	}
+	return nil
+}
+
+func (c *auditCommand) print(console *Console, line string, entry audit.Entry) error {
+	if c.JSON {
+		return console.outf("%s\n", line)
+	}
+	return console.outf("%s\n", entry)
+}
--- /dev/null
+++ b/io/opers/opers_test.go
@@ -0,0 +1,133 @@
+package opers_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/go-logr/logr"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/audit"
+	"apricotproxy/io/opers"
+)
+
+type status struct {
+	Host     string
+	Revision int
+}
+
+func newDependencies() opers.Dependencies {
+	trail := audit.New(2)
+	when := time.Date(2026, 12, 4, 2, 0, 0, 0, time.UTC)
+	for _, subject := range []string{"austin-a", "austin-b", "waco"} {
+		trail.Record(audit.Event(when, core.HostID{Host: "waco-host-1", Incarnation: 7}, core.AuditDataCentreOut, 12, subject, "revision 12"))
+	}
+	return opers.Dependencies{
+		Ready:  func() error { return nil },
+		Status: func() any { return status{Host: "waco-host-1", Revision: 12} },
+		Trail:  trail,
+		Logger: logr.Discard(),
+	}
+}
+
+// TestSurface sends the requests of testdata/surface, one a case.
+func TestSurface(t *testing.T) {
+	datadriven.RunTest(t, "testdata/surface", func(t *testing.T, d *datadriven.TestData) string {
+		dependencies := newDependencies()
+		if d.HasArg("not-ready") {
+			dependencies.Ready = func() error { return errors.New("no configuration yet") }
+		}
+		method, target, _ := strings.Cut(strings.TrimSpace(d.Input), " ")
+		var body *strings.Reader
+		request := httptest.NewRequest(method, target, nil)
+		if d.HasArg("body") {
+			body = strings.NewReader("x")
+			request = httptest.NewRequest(method, target, body)
+		}
+		answer := httptest.NewRecorder()
+		opers.NewHandler(dependencies).ServeHTTP(answer, request)
+		return fmt.Sprintf("%d\n%s", answer.Code, answer.Body)
+	})
+}
+
+// TestAuditStream follows the trail over a connection in memory: entries held
+// come first, then new ones, and pings while there are none.
+func TestAuditStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dependencies := newDependencies()
+		server := opers.NewServer(dependencies)
+		client, listener := newPipeListener()
+		go func() { _ = server.Serve(listener) }()
+		ctx, cancel := context.WithCancel(t.Context())
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://host/auditz?Follow=yes&After=2", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer, err := client.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines := bufio.NewScanner(answer.Body)
+		expectSubject(t, lines, "waco")
+		expectSubject(t, lines, "") // a ping after quiet seconds
+		dependencies.Trail.Record(core.AuditEvent{Subject: "laidley"})
+		expectSubject(t, lines, "laidley")
+		cancel()
+		if err := server.Shutdown(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		client.CloseIdleConnections()
+	})
+}
+
+func expectSubject(t *testing.T, lines *bufio.Scanner, subject string) {
+	t.Helper()
+	if !lines.Scan() {
+		t.Fatalf("the stream ended: %v", lines.Err())
+	}
+	if line := lines.Text(); subject == "" && line != "" || !strings.Contains(line, subject) {
+		t.Fatalf("got %q, want the subject %q", line, subject)
+	}
+}
+
+// pipeListener accepts connections in memory, which virtual time needs.
+type pipeListener struct {
+	connections chan net.Conn
+	closed      chan struct{}
+}
+
+func newPipeListener() (*http.Client, *pipeListener) {
+	l := &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})}
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		l.connections <- far
+		return near, nil
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial}}, l
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-l.connections:
+		return connection, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
--- /dev/null
+++ b/io/opers/stream.go
@@ -0,0 +1,64 @@
+package opers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"apricotproxy/core/procs/audit"
+)
+
+// auditStream writes entries as lines of JSON.
+type auditStream struct {
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	last    uint64
+}
+
+// follow sends new entries as they come and an empty line when none came for
+// a while. A reader that takes nothing for longer than the write timeout is
+// given up.
+func (s *auditStream) follow(ctx context.Context, trail *audit.Trail, after uint64) error {
+	s.last = max(s.last, after)
+	for {
+		waiting, cancel := context.WithTimeout(ctx, _pingInterval)
+		entries, err := trail.Wait(waiting, s.last)
+		cancel()
+		if ctx.Err() != nil {
+			return fmt.Errorf("following the trail: %w", ctx.Err())
+		}
+		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			return fmt.Errorf("following the trail: %w", err)
+		}
+		if err := s.send(entries); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *auditStream) send(entries []audit.Entry) error {
+	// A server in memory may not know write deadlines; it needs none.
+	_ = s.control.SetWriteDeadline(time.Now().Add(_writeTimeout))
+	lines := []byte{}
+	for _, entry := range entries {
+		line, err := json.Marshal(entry)
+		if err != nil {
+			return fmt.Errorf("encoding audit event %d: %w", entry.Sequence, err)
+		}
+		lines = append(append(lines, line...), '\n')
+		s.last = entry.Sequence
+	}
+	if len(lines) == 0 {
+		lines = []byte{'\n'}
+	}
+	if _, err := s.writer.Write(lines); err != nil {
+		return fmt.Errorf("writing audit events: %w", err)
+	}
+	if err := s.control.Flush(); err != nil {
+		return fmt.Errorf("flushing audit events: %w", err)
+	}
+	return nil
+}
