--- a/core/procs/decide/apply.go
+++ b/core/procs/decide/apply.go
@@ -30,6 +30,10 @@
 	for i := range former.Endpoints {
 		formerIndex[former.Endpoints[i].Name] = i
 	}
+	d.present = make(map[core.HostName]bool, len(config.Hosts))
+	for i := range config.Hosts {
+		d.present[config.Hosts[i].Name] = true
+	}
 	d.endpoints = d.endpoints[:0]
 	byName := make(map[core.EndpointName]*endpoint, len(config.Endpoints))
 	for i := range config.Endpoints {
@@ -104,6 +108,7 @@
 		Owned:      d.owners.Positions(e.index, d.self.Host),
 		OwnerOf:    func(position int) core.HostName { return ownerOf(d.owners, e.index, position) },
 		FormerOf:   func(int) core.HostName { return "" },
+		Present:    func(host core.HostName) bool { return d.present[host] },
 		Contiguous: !first && former.Revision+1 == d.config.Revision,
 		First:      first,
 	}
@@ -132,15 +137,11 @@
 
 // reviseRoster forgets positions that left, and their leases.
 func (d *Decider) reviseRoster(now time.Time, former core.Config) {
-	present := make(map[core.HostName]bool, len(d.config.Hosts))
-	for i := range d.config.Hosts {
-		present[d.config.Hosts[i].Name] = true
-	}
 	for _, e := range d.endpoints {
-		e.pool.BorrowersLeft(now, present)
+		e.pool.BorrowersLeft(now, d.present)
 	}
 	for _, host := range former.Hosts {
-		if !present[host.Name] {
+		if !d.present[host.Name] {
 			d.departed[host.Name] = true
 		}
 	}
--- a/core/procs/decide/decide.go
+++ b/core/procs/decide/decide.go
@@ -42,6 +42,7 @@
 	running    int
 	returns    []pendingReturn
 	positions  map[core.HostName]position
+	present    map[core.HostName]bool // on the roster
 	departed   map[core.HostName]bool // left the roster while this process lived
 	settled    core.Revision          // the highest one that every position acknowledged
 	draining   bool
--- a/core/procs/slots/report.go
+++ b/core/procs/slots/report.go
@@ -12,6 +12,10 @@
 	Unreported int
 }
 
+// _roomShare is the part of an endpoint's room that one host takes on one
+// report for its shut slots.
+const _roomShare = 8
+
 // SetCold tells the pool the endpoint's phase. When a warm endpoint turns cold,
 // requests above the cold limit may run on it and other hosts may not have seen
 // the change: nothing new is given out until a report proves it idle.
@@ -65,16 +69,20 @@
 }
 
 // observeRoom opens as many shut slots of a warm endpoint as the report shows
-// room for. A slot whose former owner has not acknowledged the revision opens
-// too, but stays unusable if the endpoint turns cold.
+// room for. A slot whose former owner left the roster opens without its
+// acknowledgement, but stays unusable if the endpoint turns cold.
 func (p *Pool) observeRoom(evidence Evidence) {
 	room := p.endpoint.WarmSlots - evidence.Running - evidence.Unreported
+	if room > 0 {
+		// Other hosts see the same room at the same time.
+		room = 1 + room/_roomShare
+	}
 	for i := range p.slots {
 		if room <= 0 {
 			return
 		}
 		g := &p.slots[i].gate
-		if g.shut && !evidence.AskedAt.Before(g.deadline) {
+		if g.shut && (!g.present || !g.unacknowledged) && !evidence.AskedAt.Before(g.deadline) {
 			g.shut = false
 			room--
 		}
--- a/core/procs/slots/revise.go
+++ b/core/procs/slots/revise.go
@@ -17,6 +17,8 @@
 	// under the revision that this host had in force before.
 	OwnerOf  func(position int) core.HostName
 	FormerOf func(position int) core.HostName
+	// Present tells whether a host is on the roster of this revision.
+	Present func(host core.HostName) bool
 	// Contiguous is true when no revision lies between the two, so that
 	// FormerOf is certainly the only other host that may give the slot out.
 	Contiguous bool
@@ -87,6 +89,7 @@
 	former := share.FormerOf(position)
 	if share.Contiguous && former != "" && former != p.self.Host {
 		g.former = former
+		g.present = share.Present(former)
 	} else {
 		g.everyone = true
 	}
--- a/core/procs/slots/slots.go
+++ b/core/procs/slots/slots.go
@@ -90,6 +90,9 @@
 	// former is the owner under the revision before, when there was exactly
 	// one revision between; empty otherwise.
 	former core.HostName
+	// present is true when the former owner is on the new roster too: it will
+	// acknowledge, itself or by its successor, so that even a warm slot waits.
+	present bool
 	// everyone demands that all positions have acknowledged the revision.
 	everyone bool
 	// unacknowledged keeps a slot from use while the endpoint is cold: its
