--- /dev/null
+++ b/core/procs/member/member.go
@@ -0,0 +1,504 @@
+// Package member keeps what one entry host knows of the others: their newest
+// incarnations, the revisions that they have in force, who is stopping, and
+// who holds the order ledger of a host that has stopped.
+//
+// Whether a host is suspected decides only whom to ask. Ownership of slots
+// never depends on it.
+//
+// Each heartbeat goes to a few peers and carries a few pieces of news, so the
+// cost of a host does not grow with the fleet. News that has been told least
+// often goes first; a piece that was told often enough takes its turn in a
+// slow rotation, which repairs what lost messages left out.
+package member
+
+import (
+	"cmp"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"apricotproxy/core"
+)
+
+// Defaults of Settings.
+const (
+	DefaultFanout       = 3
+	DefaultNewsAtMost   = 16
+	DefaultNewsRotation = 3
+
+	// A piece of news is told this many times the logarithm of the fleet.
+	_tellFactor = 2
+	// Failures in a row after which a host is dead rather than suspected.
+	_deadFailures = 3
+	// Intervals between two heartbeats to a host believed dead.
+	_deadProbeIntervals = 8
+)
+
+// Settings are the bounds of a Member.
+type Settings struct {
+	Self core.HostID
+	// Fanout is the number of heartbeats in an interval.
+	Fanout int
+	// NewsAtMost bounds the pieces of news in a message.
+	NewsAtMost int
+	// NewsRotation bounds the pieces of old news in a message.
+	NewsRotation int
+	Interval     time.Duration
+	// LedgerTerm is how long the holder of a ledger is remembered.
+	LedgerTerm time.Duration
+}
+
+// Standing is what a host is believed to be, for whom to ask only.
+type Standing uint8
+
+// Standings, best first.
+const (
+	StandingAlive Standing = iota + 1
+	StandingUnknown
+	StandingSuspected
+	StandingDead
+)
+
+// String names the standing as /statusz does.
+func (s Standing) String() string {
+	switch s {
+	case StandingAlive:
+		return "Alive"
+	case StandingSuspected:
+		return "Suspected"
+	case StandingDead:
+		return "Dead"
+	default:
+		return "Unknown"
+	}
+}
+
+// News is one piece of what a host tells another.
+type News struct {
+	Host     core.HostID
+	Revision core.Revision
+	Draining bool
+	SeenAt   time.Time
+	// Holder is set when the news tells who holds the ledger of Host.
+	Holder core.HostID
+}
+
+// Message is what a heartbeat or its answer says.
+type Message struct {
+	From     core.HostID
+	Revision core.Revision
+	Draining bool
+	News     []News
+}
+
+// Acknowledgement tells that a host has a revision in force.
+type Acknowledgement struct {
+	Host     core.HostID
+	Revision core.Revision
+}
+
+// Change is what a message taught.
+type Change struct {
+	Acknowledged []Acknowledgement
+	// Superseded is the newer incarnation at this host's own position; zero
+	// for none. A superseded host stops admitting.
+	Superseded core.HostID
+	// Replaced lists positions at which a newer incarnation was first seen.
+	Replaced []core.HostID
+}
+
+// position is what is known of one host.
+type position struct {
+	id       core.HostID
+	revision core.Revision
+	draining bool
+	leaving  bool
+	seenAt   time.Time
+	failures int
+	probeAt  time.Time
+	told     int
+}
+
+// ledger is who holds the ledger of a host that stopped.
+type ledger struct {
+	of      core.HostID
+	holder  core.HostID
+	seenAt  time.Time
+	forgets time.Time
+	told    int
+}
+
+// Member is the state machine. It is not safe for concurrent use.
+type Member struct {
+	settings Settings
+	random   *rand.Rand
+	revision core.Revision
+	draining bool
+
+	roster     map[core.HostName]bool
+	listed     map[core.HostName]bool
+	positions  map[core.HostName]*position
+	names      []core.HostName // of positions, in name order
+	rotation   []core.HostName // shuffled; whom to send heartbeats next
+	ledgers    []*ledger       // in the order of arrival
+	superseded core.HostID
+	nextTold   int
+}
+
+// New builds a member that knows nobody. Zero settings take the defaults.
+func New(settings Settings, random *rand.Rand) *Member {
+	settings.Fanout = cmp.Or(settings.Fanout, DefaultFanout)
+	settings.NewsAtMost = cmp.Or(settings.NewsAtMost, DefaultNewsAtMost)
+	settings.NewsRotation = cmp.Or(settings.NewsRotation, DefaultNewsRotation)
+	settings.Interval = cmp.Or(settings.Interval, time.Second)
+	settings.LedgerTerm = cmp.Or(settings.LedgerTerm, time.Hour)
+	return &Member{
+		settings:  settings,
+		random:    random,
+		roster:    make(map[core.HostName]bool),
+		listed:    make(map[core.HostName]bool),
+		positions: make(map[core.HostName]*position),
+	}
+}
+
+// SetTerms changes the interval of heartbeats and how long ledgers are
+// remembered, as a revision asks.
+func (m *Member) SetTerms(interval, ledgerTerm time.Duration) {
+	m.settings.Interval = cmp.Or(interval, m.settings.Interval)
+	m.settings.LedgerTerm = cmp.Or(ledgerTerm, m.settings.LedgerTerm)
+}
+
+// SetRoster takes the positions of the configuration in force.
+func (m *Member) SetRoster(hosts []core.Host) {
+	m.roster = make(map[core.HostName]bool, len(hosts))
+	for _, host := range hosts {
+		m.roster[host.Name] = true
+	}
+	m.rebuild()
+}
+
+// SetListed takes the platform's list.
+func (m *Member) SetListed(hosts []core.ListedHost) {
+	m.listed = make(map[core.HostName]bool, len(hosts))
+	for _, host := range hosts {
+		m.listed[host.Host] = true
+	}
+	m.rebuild()
+	for _, host := range hosts {
+		if known, ok := m.positions[host.Host]; ok {
+			known.leaving = host.Leaving
+		}
+	}
+}
+
+// rebuild keeps what is known of the hosts of the roster and, while there is
+// no roster, of the listed ones.
+func (m *Member) rebuild() {
+	wanted := m.roster
+	if len(wanted) == 0 {
+		wanted = m.listed
+	}
+	positions := make(map[core.HostName]*position, len(wanted))
+	names := make([]core.HostName, 0, len(wanted))
+	for name := range wanted {
+		if name == m.settings.Self.Host {
+			continue
+		}
+		names = append(names, name)
+		known, ok := m.positions[name]
+		if !ok {
+			known = &position{id: core.HostID{Host: name}}
+		}
+		positions[name] = known
+	}
+	slices.Sort(names)
+	if !slices.Equal(names, m.names) {
+		m.rotation = nil
+	}
+	m.positions, m.names = positions, names
+}
+
+// SetSelf tells the member what this host says of itself.
+func (m *Member) SetSelf(revision core.Revision, draining bool) {
+	m.revision, m.draining = revision, draining
+}
+
+// Superseded gives the newer incarnation at this host's own position.
+func (m *Member) Superseded() (core.HostID, bool) {
+	return m.superseded, m.superseded.Incarnation != 0
+}
+
+// Beat gives the hosts that get this interval's heartbeats.
+func (m *Member) Beat(now time.Time) []core.HostName { return m.pick(now, m.settings.Fanout) }
+
+// pick takes the next few hosts of the rotation. A host believed dead is
+// passed over until its probe is due.
+func (m *Member) pick(now time.Time, count int) []core.HostName {
+	var picked []core.HostName
+	for range len(m.names) {
+		if len(picked) == count {
+			break
+		}
+		name := m.turn()
+		if m.positions[name].probeAt.After(now) || slices.Contains(picked, name) {
+			continue
+		}
+		picked = append(picked, name)
+	}
+	return picked
+}
+
+// turn gives the next host of the rotation and shuffles anew at its end, so
+// that each host is reached once a round but in another order.
+func (m *Member) turn() core.HostName {
+	if len(m.rotation) == 0 {
+		m.rotation = slices.Clone(m.names)
+		m.random.Shuffle(len(m.rotation), func(i, j int) {
+			m.rotation[i], m.rotation[j] = m.rotation[j], m.rotation[i]
+		})
+	}
+	name := m.rotation[0]
+	m.rotation = m.rotation[1:]
+	return name
+}
+
+// Message gives what a heartbeat or an answer to one says.
+func (m *Member) Message(now time.Time) Message {
+	return Message{
+		From:     m.settings.Self,
+		Revision: m.revision,
+		Draining: m.draining,
+		News:     m.news(now),
+	}
+}
+
+// news picks the pieces told least often, then a few old ones in rotation.
+// With 9 hosts a piece counts as old after 2*4 = 8 messages.
+func (m *Member) news(now time.Time) []News {
+	enough := _tellFactor * bits.Len(uint(len(m.names)))
+	news := m.ledgerNews(now, enough)
+	fresh := make([]*position, 0, len(m.names))
+	for _, name := range m.names {
+		known := m.positions[name]
+		if known.id.Incarnation != 0 && known.told < enough {
+			fresh = append(fresh, known)
+		}
+	}
+	slices.SortStableFunc(fresh, func(a, b *position) int { return cmp.Compare(a.told, b.told) })
+	for _, known := range fresh {
+		if len(news) == m.settings.NewsAtMost {
+			return news
+		}
+		known.told++
+		news = append(news, known.news())
+	}
+	return m.oldNews(news, enough)
+}
+
+func (m *Member) oldNews(news []News, enough int) []News {
+	for range min(m.settings.NewsRotation, m.settings.NewsAtMost-len(news), len(m.names)) {
+		m.nextTold = (m.nextTold + 1) % len(m.names)
+		known := m.positions[m.names[m.nextTold]]
+		if known.id.Incarnation != 0 && known.told >= enough {
+			news = append(news, known.news())
+		}
+	}
+	return news
+}
+
+func (p *position) news() News {
+	return News{Host: p.id, Revision: p.revision, Draining: p.draining, SeenAt: p.seenAt}
+}
+
+// ledgerNews tells where ledgers went: the newest ones often, and always one
+// old one in turn, so that a replaced host learns it too.
+func (m *Member) ledgerNews(now time.Time, enough int) []News {
+	m.ledgers = slices.DeleteFunc(m.ledgers, func(l *ledger) bool { return !now.Before(l.forgets) })
+	sorted := slices.Clone(m.ledgers)
+	slices.SortStableFunc(sorted, func(a, b *ledger) int { return cmp.Compare(a.told, b.told) })
+	var news []News
+	for i, known := range sorted {
+		if len(news) == m.settings.NewsAtMost/2 || (known.told >= enough && i > 0) {
+			break
+		}
+		known.told++
+		news = append(news, News{Host: known.of, Holder: known.holder, SeenAt: known.seenAt})
+	}
+	return news
+}
+
+// Heard takes in a message that came straight from its sender.
+func (m *Member) Heard(now time.Time, message Message) Change {
+	var change Change
+	direct := News{Host: message.From, Revision: message.Revision, Draining: message.Draining, SeenAt: now}
+	m.learn(direct, &change)
+	if known, ok := m.positions[message.From.Host]; ok && known.id == message.From {
+		known.failures = 0
+		known.probeAt = time.Time{}
+	}
+	for _, piece := range message.News {
+		if piece.Holder.Incarnation != 0 {
+			m.LedgerMoved(now, piece.Host, piece.Holder, piece.SeenAt)
+			continue
+		}
+		m.learn(piece, &change)
+	}
+	return change
+}
+
+// learn merges one piece of news. A lower incarnation is ignored; a higher one
+// starts from nothing, because a new life holds nothing of the old one.
+func (m *Member) learn(piece News, change *Change) {
+	if piece.Host.Host == m.settings.Self.Host {
+		m.learnSelf(piece, change)
+		return
+	}
+	known, ok := m.positions[piece.Host.Host]
+	if !ok || piece.Host.Incarnation == 0 || piece.Host.Incarnation < known.id.Incarnation {
+		return
+	}
+	if piece.Host.Incarnation > known.id.Incarnation {
+		if known.id.Incarnation != 0 {
+			change.Replaced = append(change.Replaced, piece.Host)
+		}
+		leaving := known.leaving
+		*known = position{id: piece.Host, leaving: leaving, revision: piece.Revision}
+		change.Acknowledged = append(change.Acknowledged, Acknowledgement{Host: piece.Host, Revision: piece.Revision})
+	}
+	if piece.Revision > known.revision {
+		known.revision = piece.Revision
+		known.told = 0
+		change.Acknowledged = append(change.Acknowledged, Acknowledgement{Host: piece.Host, Revision: piece.Revision})
+	}
+	if piece.Draining && !known.draining {
+		known.draining = true
+		known.told = 0
+	}
+	if piece.SeenAt.After(known.seenAt) {
+		known.seenAt = piece.SeenAt
+	}
+}
+
+func (m *Member) learnSelf(piece News, change *Change) {
+	newest := max(m.settings.Self.Incarnation, m.superseded.Incarnation)
+	if piece.Host.Incarnation <= newest {
+		return
+	}
+	m.superseded = piece.Host
+	change.Superseded = piece.Host
+}
+
+// Failed takes in that a host did not answer.
+func (m *Member) Failed(now time.Time, host core.HostName) {
+	known, ok := m.positions[host]
+	if !ok {
+		return
+	}
+	known.failures++
+	if known.failures >= _deadFailures {
+		known.probeAt = now.Add(_deadProbeIntervals * m.settings.Interval)
+	}
+}
+
+// Known gives the newest incarnation seen of a host.
+func (m *Member) Known(host core.HostName) (core.HostID, bool) {
+	known, ok := m.positions[host]
+	if !ok || known.id.Incarnation == 0 {
+		return core.HostID{Host: host}, false
+	}
+	return known.id, true
+}
+
+// Old tells whether an incarnation has been replaced at its position.
+func (m *Member) Old(host core.HostID) bool {
+	if host.Host == m.settings.Self.Host {
+		return host.Incarnation < m.settings.Self.Incarnation
+	}
+	known, ok := m.positions[host.Host]
+	return ok && host.Incarnation < known.id.Incarnation
+}
+
+// Standing tells what a host is believed to be.
+func (m *Member) Standing(host core.HostName) Standing {
+	known, ok := m.positions[host]
+	switch {
+	case !ok:
+		return StandingUnknown
+	case known.failures >= _deadFailures:
+		return StandingDead
+	case known.failures > 0:
+		return StandingSuspected
+	case known.id.Incarnation == 0:
+		return StandingUnknown
+	default:
+		return StandingAlive
+	}
+}
+
+// Draining tells whether a host is stopping, by its own word or the list's.
+func (m *Member) Draining(host core.HostName) bool {
+	known, ok := m.positions[host]
+	return ok && (known.draining || known.leaving)
+}
+
+// Hosts gives all other hosts in name order. The result is not to be written.
+func (m *Member) Hosts() []core.HostName { return m.names }
+
+// Ask gives at most count hosts to ask for something, best first: alive before
+// unknown before suspected, and hosts that are stopping last. Equal ones come
+// in random order, so that askers spread over the fleet.
+func (m *Member) Ask(count int) []core.HostName {
+	hosts := slices.Clone(m.names)
+	m.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	slices.SortStableFunc(hosts, func(a, b core.HostName) int { return cmp.Compare(m.askRank(a), m.askRank(b)) })
+	return hosts[:min(count, len(hosts))]
+}
+
+func (m *Member) askRank(host core.HostName) int {
+	rank := int(m.Standing(host))
+	if m.Draining(host) {
+		rank += int(StandingDead)
+	}
+	return rank
+}
+
+// LedgerMoved records who holds the ledger of a host that stopped.
+func (m *Member) LedgerMoved(now time.Time, of, holder core.HostID, seenAt time.Time) {
+	forgets := seenAt.Add(m.settings.LedgerTerm)
+	if of == holder || !now.Before(forgets) {
+		return
+	}
+	for _, known := range m.ledgers {
+		if known.of == of {
+			// A ledger moves away from one incarnation once: its holder hands
+			// it on under its own name.
+			return
+		}
+	}
+	m.ledgers = append(m.ledgers, &ledger{of: of, holder: holder, seenAt: seenAt, forgets: forgets})
+}
+
+// Holder follows the moves of a host's ledger. It gives the host itself while
+// no move is known. If entry-1 handed over to entry-2 and that one to entry-3,
+// the holder of entry-1's ledger is entry-3.
+func (m *Member) Holder(of core.HostID) core.HostID {
+	holder := of
+	for range len(m.ledgers) {
+		next, ok := m.moved(holder)
+		if !ok {
+			break
+		}
+		holder = next
+	}
+	return holder
+}
+
+func (m *Member) moved(of core.HostID) (core.HostID, bool) {
+	for _, known := range m.ledgers {
+		if known.of == of {
+			return known.holder, true
+		}
+	}
+	return core.HostID{}, false
+}
--- /dev/null
+++ b/io/platf/platf.go
@@ -0,0 +1,279 @@
+// Package platf reads the platform: the configuration service, the host list
+// and the weight store's published rate. It never writes. docs/platform.md
+// gives the protocol.
+//
+// Every call, a waiting watch included, takes one permit of this host's share
+// of the site's read budget.
+package platf
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/time/rate"
+
+	"apricotproxy/core"
+)
+
+const (
+	// ValueBytesAtMost is the size of the largest value that the service holds.
+	ValueBytesAtMost = 1 << 20
+
+	_readTimeout    = 3 * time.Second
+	_watchTimeout   = 35 * time.Second
+	_firstBackoff   = 100 * time.Millisecond
+	_longestBackoff = 3 * time.Second
+	_readBurst      = 4
+	_versionHeader  = "Version"
+)
+
+// Settings are what a Client needs.
+type Settings struct {
+	// Address is the platform's host and port.
+	Address string
+	Dialer  core.Dialer
+	// Reads is this host's share of the site's read budget, in calls a second;
+	// 0 for no bound.
+	Reads float64
+}
+
+// Error tells which call of the platform failed.
+type Error struct {
+	Call   string
+	Status int
+	// RetryAt is when the platform asked to be tried again; zero if it did not.
+	RetryAt time.Time
+	Err     error
+}
+
+// Error gives "platform: read apricotproxy/site: status 429".
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("platform: %s: status %d", e.Call, e.Status)
+	}
+	return fmt.Sprintf("platform: %s: %v", e.Call, e.Err)
+}
+
+// Unwrap gives the underlying error.
+func (e *Error) Unwrap() error { return e.Err }
+
+// ErrTooLarge tells that a value is above ValueBytesAtMost.
+var ErrTooLarge = errors.New("the value is above 1 MB; publish a smaller one")
+
+// Client implements core.ConfigService and core.HostList over HTTP. It is safe
+// for concurrent use.
+type Client struct {
+	base    string
+	http    *http.Client
+	limiter *rate.Limiter
+
+	mu      sync.Mutex
+	backoff *backoff.ExponentialBackOff
+	retryAt time.Time
+}
+
+var (
+	_ core.ConfigService = (*Client)(nil)
+	_ core.HostList      = (*Client)(nil)
+)
+
+// New builds a client. It opens no connection.
+func New(settings Settings) *Client {
+	limit := rate.Inf
+	if settings.Reads > 0 {
+		limit = rate.Limit(settings.Reads)
+	}
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = _firstBackoff
+	wait.MaxInterval = _longestBackoff
+	transport := &http.Transport{
+		DialContext:         settings.Dialer.DialContext,
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	return &Client{
+		base:    "http://" + settings.Address,
+		http:    &http.Client{Transport: transport},
+		limiter: rate.NewLimiter(limit, _readBurst),
+		backoff: wait,
+	}
+}
+
+// SetReads changes this host's share of the read budget, in calls a second.
+func (c *Client) SetReads(reads float64) {
+	if reads <= 0 {
+		return
+	}
+	c.limiter.SetLimit(rate.Limit(reads))
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Read gives the present value of the key. It tries once.
+func (c *Client) Read(ctx context.Context, key string) (value []byte, version uint64, err error) {
+	answer, err := c.get(ctx, "read "+key, "/v1/config/"+key, _readTimeout)
+	if err != nil {
+		return nil, 0, err
+	}
+	return answer.body, answer.version, nil
+}
+
+// Watch waits until the key's version is above after, or ctx ends. It goes on
+// through failures of the service with growing, jittered pauses.
+func (c *Client) Watch(ctx context.Context, key string, after uint64) (value []byte, version uint64, err error) {
+	path := "/v1/config/" + key + "?After=" + strconv.FormatUint(after, 10)
+	for {
+		answer, err := c.get(ctx, "watch "+key, path, _watchTimeout)
+		if ctx.Err() != nil {
+			return nil, 0, fmt.Errorf("watch %s: %w", key, ctx.Err())
+		}
+		if err == nil && answer.status == http.StatusOK {
+			return answer.body, answer.version, nil
+		}
+	}
+}
+
+// Hosts gives the platform's lagging list of hosts.
+func (c *Client) Hosts(ctx context.Context) ([]core.ListedHost, error) {
+	answer, err := c.get(ctx, "hosts", "/v1/hosts", _readTimeout)
+	if err != nil {
+		return nil, err
+	}
+	var list struct{ Hosts []core.ListedHost }
+	if err := json.Unmarshal(answer.body, &list); err != nil {
+		return nil, &Error{Call: "hosts", Err: fmt.Errorf("decode the list: %w", err)}
+	}
+	return list.Hosts, nil
+}
+
+// LoadsPerMinute gives the weight store's published rate.
+func (c *Client) LoadsPerMinute(ctx context.Context) (float64, error) {
+	answer, err := c.get(ctx, "weights", "/v1/weights", _readTimeout)
+	if err != nil {
+		return 0, err
+	}
+	var weights struct{ LoadsPerMinute float64 }
+	if err := json.Unmarshal(answer.body, &weights); err != nil {
+		return 0, &Error{Call: "weights", Err: fmt.Errorf("decode the rate: %w", err)}
+	}
+	return weights.LoadsPerMinute, nil
+}
+
+type answer struct {
+	status  int
+	version uint64
+	body    []byte
+}
+
+// get makes one call within the read budget and the back-off. A call that is
+// cut short by its timeout closes its connection, so that a connection which
+// went silent is never used again.
+func (c *Client) get(ctx context.Context, call, path string, timeout time.Duration) (answer, error) {
+	if err := c.pause(ctx); err != nil {
+		return answer{}, &Error{Call: call, Err: fmt.Errorf("wait for the back-off: %w", err)}
+	}
+	if err := c.limiter.Wait(ctx); err != nil {
+		return answer{}, &Error{Call: call, Err: fmt.Errorf("wait for the read budget: %w", err)}
+	}
+	got, err := c.exchange(ctx, call, path, timeout)
+	if ctx.Err() == nil {
+		c.settle(err)
+	}
+	return got, err
+}
+
+func (c *Client) exchange(ctx context.Context, call, path string, timeout time.Duration) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, http.NoBody)
+	if err != nil {
+		return answer{}, &Error{Call: call, Err: fmt.Errorf("build the request: %w", err)}
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		// The other idle connections may have gone silent by the same cause.
+		c.http.CloseIdleConnections()
+		return answer{}, &Error{Call: call, Err: fmt.Errorf("ask the platform: %w", err)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	return readAnswer(call, response)
+}
+
+func readAnswer(call string, response *http.Response) (answer, error) {
+	got := answer{status: response.StatusCode}
+	if response.StatusCode == http.StatusNotModified {
+		return got, nil
+	}
+	if response.StatusCode != http.StatusOK {
+		return got, &Error{Call: call, Status: response.StatusCode, RetryAt: retryAt(response.Header)}
+	}
+	// JSON escapes may double the size of a value.
+	body, err := io.ReadAll(io.LimitReader(response.Body, 2*ValueBytesAtMost+1))
+	if err != nil {
+		return got, &Error{Call: call, Err: fmt.Errorf("read the answer: %w", err)}
+	}
+	if len(body) > 2*ValueBytesAtMost {
+		return got, &Error{Call: call, Err: ErrTooLarge}
+	}
+	got.body = body
+	if text := response.Header.Get(_versionHeader); text != "" {
+		got.version, err = strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return got, &Error{Call: call, Err: fmt.Errorf("parse header %s: %w", _versionHeader, err)}
+		}
+	}
+	return got, nil
+}
+
+func retryAt(header http.Header) time.Time {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(seconds) * time.Second)
+}
+
+// pause waits for the end of the back-off that the last failure started.
+func (c *Client) pause(ctx context.Context) error {
+	c.mu.Lock()
+	wait := time.Until(c.retryAt)
+	c.mu.Unlock()
+	if wait <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// settle moves the back-off after a call: a success ends it, a failure makes
+// it longer, and the platform's own Retry-After goes first when it is later.
+func (c *Client) settle(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.backoff.Reset()
+		c.retryAt = time.Time{}
+		return
+	}
+	c.retryAt = time.Now().Add(c.backoff.NextBackOff())
+	var failed *Error
+	if errors.As(err, &failed) && failed.RetryAt.After(c.retryAt) {
+		c.retryAt = failed.RetryAt
+	}
+}
