--- a/core/request.go
+++ b/core/request.go
@@ -97,7 +97,8 @@
 	Position int
 }
 
-// Refusal tells that a request leaves the queue without having run.
+// Refusal tells that a request leaves the queue for good. The outcome is NotRun,
+// or Unknown when an earlier try was lost that may have run.
 type Refusal struct {
 	Request RequestID
 	Err     *OutcomeError
@@ -109,7 +110,19 @@
 	Endpoint EndpointName
 	Asked    time.Time
 	// Seen is the borrower's revision; an owner at another revision refuses.
-	Seen Revision
+	Seen    Revision
+	Holding Holding
+}
+
+// Holding tells an owner which of its leases of an endpoint a borrower still
+// holds, so that a lease whose grant or return was lost does not idle.
+type Holding struct {
+	Endpoint EndpointName
+	// Received is the highest serial that the borrower has received of this
+	// owner; it accepts no lower one later. 0 when there was none.
+	Received uint64
+	// Held lists the serials of the leases that it holds.
+	Held []uint64
 }
 
 // Lease is an owner's answer: a slot lent for a term. The borrower counts the
@@ -119,7 +132,9 @@
 	Owner    HostID
 	Borrower HostID
 	Revision Revision
-	Serial   uint64
+	// Serial rises with each lease of an owner, also from one incarnation to
+	// the next.
+	Serial uint64
 	// Deadline is by the clock of whoever holds this value.
 	Deadline time.Time
 }
@@ -129,7 +144,8 @@
 	Lease Lease
 }
 
-// Actions is what a decision wants done, in this order.
+// Actions is what a decision wants done, in this order. Its slices are valid
+// until the next call of the Decider: the shell hands them on under its lock.
 type Actions struct {
 	Placements []Placement
 	Refusals   []Refusal
@@ -148,12 +164,14 @@
 	// Submit enters a request.
 	Submit(now time.Time, request Request) Actions
 	// Confirm tells whether a placement may still be dispatched. False takes
-	// the placement back; the request is placed again by a later decision.
+	// the placement back; the request is placed again by a later decision (the
+	// shell calls Tick next), and Finish of the same placement does nothing.
 	Confirm(now time.Time, placement Placement) bool
 	// Progress tells the tokens that a running request has produced so far.
 	Progress(now time.Time, request RequestID, tokens int)
-	// Finish ends a try. A lost try of a repeatable request is placed again
-	// or refused; the request is forgotten otherwise.
+	// Finish ends a try. A refused or failed dial, and a lost try of a
+	// repeatable request, is placed again or refused; a lost try of another is
+	// refused with the outcome Unknown. The request is forgotten otherwise.
 	Finish(now time.Time, placement Placement, result Result, tokens int) Actions
 	// Withdraw takes a waiting request out of the queue. It reports whether
 	// the request was still waiting.
@@ -166,11 +184,16 @@
 	ObserveUnreachable(now time.Time, endpoint EndpointName) Actions
 	// Lend answers another host that asks for a slot.
 	Lend(now time.Time, borrower HostID, endpoint EndpointName, seen Revision) (Lease, bool)
+	// Reconcile takes in what a borrower says that it holds of this host's
+	// leases. It comes with each request for a slot, before Lend.
+	Reconcile(now time.Time, borrower HostID, holding Holding)
 	// Borrowed takes in an owner's answer; a zero lease is a refusal.
 	Borrowed(now time.Time, asked Borrowing, lease Lease, granted bool) Actions
 	// Returned takes back a lease that this host had lent.
 	Returned(now time.Time, lease Lease) Actions
-	// Acknowledged tells that a roster position has a revision in force.
+	// Acknowledged tells that a roster position has a revision in force: for
+	// each heartbeat and piece of news of any host, also of this host's own
+	// position. Cold slots of a revision open only when all have told it.
 	Acknowledged(now time.Time, host HostID, revision Revision) Actions
 	// Drain stops admission: waiting requests are refused, idle leases go back.
 	Drain(now time.Time) Actions
