Callers, streams and orders: first whole path

Cause: requests had seams and no path. This adds the client towards endpoints (one fresh connection per stream, call and order, with a gate on the connection that asks for permission right before the first byte), the runner of one request (relay, resumption, replacement, cancel, adoption), the order desk with its ledger, and the callers' HTTP and SSE handler.

core.Token gains FinishReason; wire.HandOverRequest gains Commit.

Tests run three entry hosts, two engines and two plain workers over a network in memory in virtual time: streams, whole answers, calls, orders repeated at other hosts, callers that come back elsewhere, abandoned generations, engine and connection faults.

--- a/core/seams.go
+++ b/core/seams.go
@@ -23,6 +23,8 @@
 	// Final marks the last event; Count is then the number of tokens.
 	Final bool
 	Count int
+	// FinishReason is the engine's own, on the last event.
+	FinishReason string
 }
 
 // EngineStream is one connection's worth of a generation's tokens.
--- /dev/null
+++ b/io/caller/unary.go
@@ -0,0 +1,181 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+
+	"apricotproxy/core"
+	"apricotproxy/io/runs"
+)
+
+// unary serves calls of one request and one answer by go-kit. The body is read
+// before, within its bounds.
+func (h *Handler) unary(decode kithttp.DecodeRequestFunc, serve endpoint.Endpoint) http.Handler {
+	server := kithttp.NewServer(serve, decode, h.encode,
+		kithttp.ServerBefore(withWorkspace),
+		kithttp.ServerErrorEncoder(func(_ context.Context, err error, w http.ResponseWriter) { h.writeError(w, err) }),
+		kithttp.ServerErrorHandler(discardErrors{}),
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := h.readBody(w, r)
+		if err != nil {
+			h.writeError(w, err)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		server.ServeHTTP(w, r)
+	})
+}
+
+// discardErrors leaves errors to the error encoder, which handles each once.
+type discardErrors struct{}
+
+// Handle does nothing.
+func (discardErrors) Handle(context.Context, error) {}
+
+func (h *Handler) encode(_ context.Context, w http.ResponseWriter, answer any) error {
+	h.writeJSON(w, http.StatusOK, answer)
+	return nil
+}
+
+// rawAnswer passes a plain service's answer on unchanged where it is JSON.
+func rawAnswer(answer []byte) any {
+	if json.Valid(answer) {
+		return json.RawMessage(answer)
+	}
+	return string(answer)
+}
+
+type callRequest struct {
+	wanted runs.Wanted
+	body   []byte
+}
+
+func decodeCall(ctx context.Context, r *http.Request) (any, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, badBody("the body could not be read", err)
+	}
+	if len(body) > 0 && !json.Valid(body) {
+		return nil, badBody("the body is not JSON", nil)
+	}
+	return callRequest{
+		wanted: runs.Wanted{
+			Workspace: workspaceFrom(ctx),
+			Service:   core.ServiceName(r.PathValue("service")),
+			Call:      core.CallName(r.PathValue("call")),
+		},
+		body: body,
+	}, nil
+}
+
+func (h *Handler) call(ctx context.Context, request any) (any, error) {
+	asked, _ := request.(callRequest)
+	if err := h.ready(); err != nil {
+		return nil, err
+	}
+	admitted, _, refusal := h.config.Runner.Admit(time.Now(), asked.wanted)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if !admitted.Repeatable {
+		return nil, core.NotRun(core.CauseBadRequest,
+			"this call may not be repeated; get a ticket by POST /v1/tickets and use POST /v1/orders", time.Time{})
+	}
+	answer, err := h.config.Runner.Call(ctx, admitted, asked.body)
+	if err != nil {
+		return nil, err
+	}
+	return rawAnswer(answer), nil
+}
+
+// ticketsRequest is the body of POST /v1/tickets.
+type ticketsRequest struct {
+	Count int
+}
+
+// ticketsAnswer is its answer.
+type ticketsAnswer struct {
+	Tickets   []string
+	ExpiresAt time.Time
+}
+
+func decodeTickets(_ context.Context, r *http.Request) (any, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, badBody("the body could not be read", err)
+	}
+	return parseTickets(body)
+}
+
+func parseTickets(body []byte) (ticketsRequest, error) {
+	request := ticketsRequest{Count: 1}
+	if len(bytes.TrimSpace(body)) == 0 {
+		return request, nil
+	}
+	if err := parseStrict(body, &request); err != nil {
+		return ticketsRequest{}, err
+	}
+	return request, nil
+}
+
+func (h *Handler) tickets(ctx context.Context, request any) (any, error) {
+	asked, _ := request.(ticketsRequest)
+	if err := h.ready(); err != nil {
+		return nil, err
+	}
+	texts, expires, err := h.config.Desk.Issue(workspaceFrom(ctx), asked.Count)
+	if err != nil {
+		return nil, err
+	}
+	return ticketsAnswer{Tickets: texts, ExpiresAt: expires.UTC()}, nil
+}
+
+// orderRequest is the body of POST /v1/orders.
+type orderRequest struct {
+	Ticket  string
+	Service core.ServiceName
+	Call    core.CallName
+	Body    json.RawMessage
+}
+
+func decodeOrder(_ context.Context, r *http.Request) (any, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, badBody("the body could not be read", err)
+	}
+	return parseOrder(body)
+}
+
+func parseOrder(body []byte) (orderRequest, error) {
+	var request orderRequest
+	if err := parseStrict(body, &request); err != nil {
+		return orderRequest{}, err
+	}
+	if request.Ticket == "" || request.Service == "" || request.Call == "" {
+		return orderRequest{}, badBody("an order needs Ticket, Service and Call", nil)
+	}
+	return request, nil
+}
+
+func (h *Handler) order(ctx context.Context, request any) (any, error) {
+	asked, _ := request.(orderRequest)
+	answer, err := h.config.Desk.Order(ctx, runs.Order{
+		Workspace: workspaceFrom(ctx),
+		Ticket:    asked.Ticket,
+		Service:   asked.Service,
+		Call:      asked.Call,
+		Body:      asked.Body,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return rawAnswer(answer), nil
+}
--- /dev/null
+++ b/io/runs/admit.go
@@ -0,0 +1,101 @@
+package runs
+
+import (
+	"fmt"
+	"time"
+
+	"apricotproxy/core"
+)
+
+// Wanted names what a caller asks for. Service may be empty for a completion
+// that names a model.
+type Wanted struct {
+	Workspace core.WorkspaceName
+	Service   core.ServiceName
+	Model     core.ModelName
+	Call      core.CallName
+}
+
+// Admit checks the names of a request against the configuration and gives the
+// request its number and deadlines.
+func (r *Runner) Admit(now time.Time, wanted Wanted) (core.Request, core.Service, *core.OutcomeError) {
+	config := r.config.Dispatcher.Config()
+	workspace, ok := findWorkspace(config, wanted.Workspace)
+	if !ok {
+		return core.Request{}, core.Service{}, unknownName("workspace", string(wanted.Workspace), "send the header Workspace with a configured name")
+	}
+	service, ok := findService(config, workspace, wanted)
+	if !ok {
+		name := string(wanted.Service)
+		if name == "" {
+			name = string(wanted.Model)
+		}
+		return core.Request{}, core.Service{}, unknownName("service or model", name, "name one that the workspace may use")
+	}
+	request := core.Request{
+		ID:            core.RequestID(r.requests.Add(1)),
+		Workspace:     workspace.Name,
+		Service:       service.Name,
+		Priority:      workspace.Priority,
+		Repeatable:    true,
+		Arrived:       now,
+		QueueDeadline: now.Add(config.Limits.QueueTimeout),
+		Deadline:      now.Add(config.Limits.RequestTimeout),
+	}
+	if service.Kind == core.ServiceEngine {
+		return request, service, wrongKind(service, wanted.Call != "")
+	}
+	call, ok := findCall(service, wanted.Call)
+	if !ok {
+		return core.Request{}, service, unknownName("call", string(wanted.Call), "name a call of service "+string(service.Name))
+	}
+	request.Call = call.Name
+	request.Repeatable = call.Repeatable
+	return request, service, nil
+}
+
+func wrongKind(service core.Service, isCall bool) *core.OutcomeError {
+	if !isCall {
+		return nil
+	}
+	return core.NotRun(core.CauseBadRequest,
+		fmt.Sprintf("service %q is a model engine and has no calls; use POST /v1/completions", service.Name), time.Time{})
+}
+
+func unknownName(kind, name, remedy string) *core.OutcomeError {
+	return core.NotRun(core.CauseUnknownName, fmt.Sprintf("%s %q is not known; %s", kind, clip(name), remedy), time.Time{})
+}
+
+func findWorkspace(config core.Config, name core.WorkspaceName) (core.Workspace, bool) {
+	for _, w := range config.Workspaces {
+		if w.Name == name {
+			return w, true
+		}
+	}
+	return core.Workspace{}, false
+}
+
+// findService finds a service that the workspace may use. A model that several
+// services serve picks the first in name order.
+func findService(config core.Config, workspace core.Workspace, wanted Wanted) (core.Service, bool) {
+	for _, name := range workspace.Services {
+		service, ok := config.Service(name)
+		if !ok {
+			continue
+		}
+		if wanted.Service == name || wanted.Service == "" && wanted.Model != "" &&
+			(wanted.Model == service.Model || string(wanted.Model) == string(name)) {
+			return service, true
+		}
+	}
+	return core.Service{}, false
+}
+
+func findCall(service core.Service, name core.CallName) (core.Call, bool) {
+	for _, c := range service.Calls {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return core.Call{}, false
+}
--- /dev/null
+++ b/io/runs/leave.go
@@ -0,0 +1,125 @@
+package runs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/io/wire"
+)
+
+// _handOverTry bounds one step of a handover.
+const _handOverTry = 3 * time.Second
+
+var errNoSuccessor = errors.New("no other host took the order ledger; its orders are Unknown from now on")
+
+// Leave hands the ledger to another host at a planned stop. It waits until no
+// order runs, and tries hosts until one has it or ctx ends. Orders that come
+// meanwhile wait, and are then answered by the successor.
+func (d *Desk) Leave(ctx context.Context) error {
+	d.mu.Lock()
+	d.ledger.Seal()
+	d.mu.Unlock()
+	d.awaitIdle(ctx)
+	if d.Held() == 0 {
+		return nil
+	}
+	for wait := _firstPause; ; wait = min(2*wait, _longestPause) {
+		names := successors(d.config.Runner.config.Dispatcher.Config().Hosts, d.config.Self.Host)
+		for _, name := range names {
+			moved, err := d.handOverTo(ctx, name)
+			if moved || err != nil {
+				return err
+			}
+		}
+		if len(names) == 0 || !pause(ctx, wait) {
+			return errNoSuccessor
+		}
+	}
+}
+
+// awaitIdle waits until no order runs, or ctx ends.
+func (d *Desk) awaitIdle(ctx context.Context) {
+	for {
+		d.mu.Lock()
+		running := d.ledger.Running()
+		changed := d.changed
+		d.mu.Unlock()
+		if running == 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// handOverTo makes one attempt. It returns an error only when the ledger can go
+// to no other host any more: the commit was sent and has no answer.
+func (d *Desk) handOverTo(ctx context.Context, name core.HostName) (moved bool, err error) {
+	peer := d.config.Runner.peer(name)
+	if peer == nil {
+		return false, nil
+	}
+	d.mu.Lock()
+	data, attempt, err := d.ledger.Prepare(time.Now())
+	d.mu.Unlock()
+	if err != nil {
+		return false, err
+	}
+	reply, err := d.sendStep(ctx, peer, &wire.HandOverRequest{Serial: attempt, Ledger: data})
+	if err != nil || !reply.GetAccepted() {
+		d.logger.Info("A host did not take the order ledger.", "host", name)
+		return false, nil
+	}
+	return d.commit(ctx, peer, wire.ToHostID(reply.GetHolder()), attempt)
+}
+
+// commit gives up the right to decide and tells the successor, with retries
+// until it answers or ctx ends.
+func (d *Desk) commit(ctx context.Context, peer wire.Peer, successor core.HostID, attempt uint64) (moved bool, err error) {
+	d.mu.Lock()
+	err = d.ledger.Commit(successor, attempt)
+	d.mu.Unlock()
+	if err != nil {
+		return false, err
+	}
+	for wait := _firstPause; ; wait = min(2*wait, _longestPause) {
+		reply, err := d.sendStep(ctx, peer, &wire.HandOverRequest{Serial: attempt, Commit: true})
+		// An answer by a later incarnation says nothing of the one that had
+		// the copy: it may have decided on orders before it died.
+		if err == nil && wire.ToHostID(reply.GetHolder()) == successor {
+			return d.committed(successor, attempt, reply.GetAccepted()), nil
+		}
+		if err == nil {
+			return false, fmt.Errorf("the order ledger went to %s, which is gone", successor)
+		}
+		if !pause(ctx, wait) {
+			return false, fmt.Errorf("the order ledger went to %s, which did not confirm it: %w", successor, err)
+		}
+	}
+}
+
+func (d *Desk) committed(successor core.HostID, attempt uint64, accepted bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ledger.Committed(successor, attempt, accepted)
+	d.noteMove(fmt.Sprintf("own ledger to %s", successor), accepted)
+	d.wake()
+	return accepted
+}
+
+func (d *Desk) sendStep(ctx context.Context, peer wire.Peer, request *wire.HandOverRequest) (*wire.HandOverReply, error) {
+	request.From = wire.FromHostID(d.config.Self)
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(_handOverTry))
+	defer cancel()
+	reply, err := peer.HandOver(ctx, request)
+	if err != nil {
+		return nil, fmt.Errorf("hand the order ledger over: %w", err)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/io/runs/resume.go
@@ -0,0 +1,95 @@
+package runs
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/reqst/relay"
+	"apricotproxy/io/wire"
+)
+
+// Resumption asks for the rest of a generation that any entry host started.
+type Resumption struct {
+	Workspace  core.WorkspaceName
+	Generation core.GenerationID
+	// Next is the index of the first token that the caller lacks.
+	Next int
+}
+
+// Resume continues a generation from the engine's own memory. It returns nil
+// when the answer is whole; otherwise an *core.OutcomeError.
+func (r *Runner) Resume(ctx context.Context, resumption Resumption, sink Sink) error {
+	r.work.Add(1)
+	defer r.work.Done()
+	origin, err := ParseGeneration(resumption.Generation, resumption.Workspace)
+	if err != nil {
+		return core.NotRun(core.CauseBadRequest, err.Error(), time.Time{})
+	}
+	endpoint, ok := r.config.Dispatcher.Endpoint(origin.Endpoint)
+	if !ok {
+		return interrupted(resumption.Next, "the generation's endpoint has left the configuration", nil)
+	}
+	g := &run{
+		runner:     r,
+		caller:     ctx,
+		sink:       sink,
+		endpoint:   endpoint,
+		generation: resumption.Generation,
+		relay:      relay.New(resumption.Generation, resumption.Next),
+		sent:       resumption.Next,
+		started:    true,
+	}
+	g.life, g.endLife = context.WithCancelCause(ctx)
+	defer g.endLife(nil)
+	go r.keepAdopted(g.life, origin.Host, resumption.Generation)
+	stream, err := r.config.Client.Resume(g.life, endpoint, resumption.Generation, resumption.Next)
+	if err != nil {
+		if failed, result := resultOf(err); result == core.ResultRefused {
+			return g.end(fmt.Errorf("the engine does not hold the generation any more: %w", failed)).err
+		}
+	}
+	return g.end(g.relayAll(stream, err)).err
+}
+
+// keepAdopted keeps a generation on its first host until ctx ends. Without that
+// host the generation goes on too: it ends at the latest with the engine's bound
+// on output. It is not cancelled from here, since its caller may have come back
+// at a third host, which this one cannot know.
+func (r *Runner) keepAdopted(ctx context.Context, host core.HostID, generation core.GenerationID) {
+	for {
+		known, term := r.askAdoption(ctx, host, generation)
+		if !known || !pause(ctx, term/_renewals) {
+			return
+		}
+	}
+}
+
+// _renewals is how often an adoption is renewed in its term.
+const _renewals = 3
+
+func (r *Runner) askAdoption(ctx context.Context, host core.HostID, generation core.GenerationID) (known bool, term time.Duration) {
+	if host == r.config.Self {
+		return r.adopt(generation)
+	}
+	peer := r.peer(host.Host)
+	if peer == nil {
+		return false, 0
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(_peerTry))
+	defer cancel()
+	reply, err := peer.Adopt(ctx, &wire.AdoptRequest{From: wire.FromHostID(r.config.Self), Generation: string(generation)})
+	if err != nil {
+		r.logger.V(1).Info("An adoption was not answered.", "host", host.Host, "error", err.Error())
+		return false, 0
+	}
+	return reply.GetKnown(), time.Duration(reply.GetTermMillis()) * time.Millisecond
+}
+
+func (r *Runner) peer(host core.HostName) wire.Peer {
+	if r.config.Peer == nil {
+		return nil
+	}
+	return r.config.Peer(host)
+}
