--- a/io/caller/rig_test.go
+++ b/io/caller/rig_test.go
@@ -149,6 +149,8 @@
 			r.t.Errorf("close a server: %v", err)
 		}
 	}
+	// The fakes' own goroutines end with their last step.
+	time.Sleep(time.Minute)
 }
 
 func (r *rig) serve(address string, handler http.Handler) {
