--- a/core/procs/decide/apply.go
+++ b/core/procs/decide/apply.go
@@ -1,10 +1,13 @@
 package decide
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"apricotproxy/core"
 	"apricotproxy/core/invar"
+	"apricotproxy/core/procs/queue"
 	"apricotproxy/core/procs/slots"
 	"apricotproxy/core/procs/view"
 	"apricotproxy/core/versn/owner"
@@ -13,7 +16,7 @@
 // Apply puts an accepted configuration in force. A revision that is not higher
 // than the one in force is ignored.
 func (d *Decider) Apply(now time.Time, config core.Config) core.Actions {
-	d.begin()
+	d.begin(now)
 	if d.applied && config.Revision <= d.config.Revision {
 		return d.finish(now)
 	}
@@ -45,13 +48,17 @@
 	}
 	for name, e := range d.byName {
 		if byName[name] == nil {
-			e.index = _removed
+			e.index, e.place, e.service = _removed, _removed, nil
 		}
 	}
 	d.byName = byName
-	d.reviseServices()
+	d.workspaces = make(map[core.WorkspaceName]core.Workspace, len(config.Workspaces))
+	for _, workspace := range config.Workspaces {
+		d.workspaces[workspace.Name] = workspace
+	}
+	d.budget.SetShare(config.Limits.RetryShare)
 	d.reviseRoster(now, former)
-	d.refuseUnknown(now)
+	d.reviseServices(now)
 	return d.finish(now)
 }
 
@@ -123,14 +130,51 @@
 	return host
 }
 
-func (d *Decider) reviseServices() {
-	clear(d.services)
-	for _, config := range d.config.Services {
-		d.services[config.Name] = &service{config: config}
+// reviseServices rebuilds the services with their candidates. What waits for a
+// service that is kept goes on waiting.
+func (d *Decider) reviseServices(now time.Time) {
+	before := d.byService
+	d.services = d.services[:0]
+	d.byService = make(map[core.ServiceName]*service, len(d.config.Services))
+	for i, config := range d.config.Services {
+		s := before[config.Name]
+		if s == nil {
+			s = &service{queue: queue.New[*request]()}
+		}
+		s.index, s.config, s.endpoints, s.dueAt = i, config, s.endpoints[:0], time.Time{}
+		d.services = append(d.services, s)
+		d.byService[config.Name] = s
 	}
 	for _, e := range d.endpoints {
-		if s := d.services[e.config.Service]; s != nil && d.owners.Deals(e.index, d.self.Host) {
-			s.endpoints = append(s.endpoints, e)
+		e.service, e.place = d.byService[e.config.Service], _removed
+		if e.service != nil && d.owners.Deals(e.index, d.self.Host) {
+			e.place = len(e.service.endpoints)
+			e.service.endpoints = append(e.service.endpoints, e)
+		}
+		d.track(e)
+	}
+	for _, s := range d.services {
+		s.candidates = make([]core.Candidate, len(s.endpoints))
+		for _, e := range s.endpoints {
+			d.update(now, e)
+		}
+		if d.roles != nil {
+			d.separate(now, s)
+		}
+	}
+	d.refuseDropped(now, before)
+}
+
+// refuseDropped refuses what waits for services that the revision dropped.
+func (d *Decider) refuseDropped(now time.Time, before map[core.ServiceName]*service) {
+	for _, name := range slices.Sorted(maps.Keys(before)) {
+		s := before[name]
+		if d.byService[name] == s {
+			continue
+		}
+		for item := s.queue.Any(); item != nil; item = s.queue.Any() {
+			d.leave(item.Value)
+			d.refuse(item.Value, core.CauseUnknownName, "the service was removed from the configuration", time.Time{})
 		}
 	}
 }
@@ -156,22 +200,9 @@
 	}
 }
 
-// refuseUnknown refuses waiting requests whose service the revision dropped.
-func (d *Decider) refuseUnknown(now time.Time) {
-	kept := d.waiting[:0]
-	for _, r := range d.waiting {
-		if d.services[r.Service] != nil {
-			kept = append(kept, r)
-			continue
-		}
-		d.refuse(r, core.CauseUnknownName, "the service was removed from the configuration", now)
-	}
-	d.waiting = kept
-}
-
 // Acknowledged tells that a roster position has a revision in force.
 func (d *Decider) Acknowledged(now time.Time, host core.HostID, revision core.Revision) core.Actions {
-	d.begin()
+	d.begin(now)
 	if host.Host == d.self.Host {
 		d.superseded = d.superseded || host.Incarnation > d.self.Incarnation
 		return d.finish(now)
@@ -183,6 +214,7 @@
 	if host.Incarnation > known.incarnation {
 		for _, e := range d.endpoints {
 			e.pool.BorrowerGone(now, host.Host, host.Incarnation)
+			d.update(now, e)
 		}
 		known = position{incarnation: host.Incarnation}
 	}
@@ -202,7 +234,9 @@
 		d.settled = d.config.Revision
 	}
 	for _, e := range d.endpoints {
-		e.pool.Acknowledge(now, host, d.settled >= d.config.Revision)
+		if e.pool.Acknowledge(now, host, d.settled >= d.config.Revision) {
+			d.update(now, e)
+		}
 	}
 }
 
--- a/core/procs/decide/borrow.go
+++ b/core/procs/decide/borrow.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"apricotproxy/core"
-	"apricotproxy/core/procs/slots"
+	"apricotproxy/core/procs/queue"
 )
 
 const (
@@ -16,21 +16,10 @@
 	_askPauseAtMost = time.Second
 	// _askTimeout is when an unanswered question is forgotten.
 	_askTimeout = 2 * time.Second
+	// _askAtOnce bounds the questions of a service that are on their way.
+	_askAtOnce = 8
 )
 
-// borrowState is where the asking for slots of one endpoint stands.
-type borrowState struct {
-	// pendingUntil is when the question now on its way is forgotten.
-	pendingUntil time.Time
-	// askAt is when owners may be asked again after all refused.
-	askAt    time.Time
-	pause    time.Duration
-	refusals int
-	cursor   int
-	// releaseAt is when the former owners of shut slots are asked next.
-	releaseAt time.Time
-}
-
 // pendingReturn is a lease on its way back. The owner ignores a repeat.
 type pendingReturn struct {
 	lease core.Lease
@@ -38,98 +27,87 @@
 	left  int
 }
 
-func evidence(askedAt time.Time, running, unreported int) slots.Evidence {
-	return slots.Evidence{AskedAt: askedAt, Running: running, Unreported: unreported}
-}
-
 // borrow asks owners for slots that waiting requests could use, and former
 // owners to release the slots that this host gained.
 func (d *Decider) borrow(now time.Time) {
 	if d.superseded || d.policy.Mode() != core.LimitLeases {
 		return
 	}
-	for _, e := range d.endpoints {
+	for _, e := range d.gaining {
 		d.askRelease(now, e)
 	}
-	asked := 0
-	for _, e := range d.endpoints {
-		if now.Before(e.borrow.pendingUntil) {
-			asked++
-		}
-	}
-	for _, r := range d.waiting {
-		if asked >= len(d.waiting) {
-			return
-		}
-		if d.askFor(now, r) {
-			asked++
+	for _, s := range d.services {
+		s.borrowAt = time.Time{}
+		for class := queue.ClassShort; class <= queue.ClassLong; class++ {
+			if s.queue.Count(class) > 0 {
+				d.borrowFor(now, s, s.queue.Head(class).Value)
+			}
 		}
 	}
 }
 
-// askFor asks for a slot of the endpoint that the policy wants for a request.
-func (d *Decider) askFor(now time.Time, r *request) bool {
-	d.candidates = candidates{decider: d, now: now, request: r, service: d.services[r.Service]}
-	wanted := d.policy.Want(now, &r.Request, &borrowable{&d.candidates})
-	if wanted < 0 {
-		return false
-	}
-	e := d.candidates.service.endpoints[wanted]
-	holder, ok := d.nextOwner(now, e)
-	if !ok {
-		return false
+// borrowFor asks for slots that a waiting request could use, for at most as
+// many as there are requests waiting.
+func (d *Decider) borrowFor(now time.Time, s *service, r *request) {
+	d.ask(now, r)
+	for s.asking < min(s.queue.Len(), _askAtOnce) {
+		wanted := d.policy.Want(now, &d.demand, s.candidates)
+		if wanted < 0 {
+			break
+		}
+		e := s.endpoints[wanted]
+		holder, ok := d.nextOwner(now, e)
+		if !ok {
+			s.candidates[wanted].Asking = true
+			e.askAt = now.Add(_askPauseAtMost)
+			continue
+		}
+		e.pendingUntil = now.Add(_askTimeout)
+		s.asking++
+		s.candidates[wanted].Asking = true
+		s.dueAt = earlier(s.dueAt, e.pendingUntil)
+		d.request(now, e, holder)
 	}
-	e.borrow.pendingUntil = now.Add(_askTimeout)
-	d.ask(now, e, holder)
-	return true
 }
 
-func (d *Decider) ask(now time.Time, e *endpoint, holder core.HostName) {
+// request asks a host for a slot or for the release of one.
+func (d *Decider) request(now time.Time, e *endpoint, holder core.HostName) {
 	d.actions.Borrowings = append(d.actions.Borrowings, core.Borrowing{
 		Owner: holder, Endpoint: e.config.Name, Asked: now, Seen: d.config.Revision,
 		Holding: e.pool.Holding(holder),
 	})
 }
 
-// borrowable hides endpoints that are being asked for or that refused lately.
-type borrowable struct{ *candidates }
-
-// At describes one endpoint; one that cannot be borrowed has the limit 0.
-func (b *borrowable) At(i int) core.Candidate {
-	e := b.service.endpoints[i]
-	if b.now.Before(e.borrow.pendingUntil) || b.now.Before(e.borrow.askAt) {
-		return core.Candidate{Index: e.index}
-	}
-	return b.candidates.At(i)
-}
-
 // nextOwner goes round the owners of the endpoint's usable positions.
 func (d *Decider) nextOwner(now time.Time, e *endpoint) (core.HostName, bool) {
-	limit := min(e.view.Limit(now, e.config, d.viewTerms), d.owners.Slots(e.index))
+	limit := min(longLimit(d.limit(now, e)), d.owners.Slots(e.index))
+	if limit <= 0 {
+		return "", false
+	}
+	if e.cursor == 0 {
+		// Hosts that need slots at the same time begin at different owners.
+		e.cursor = d.random.IntN(limit)
+	}
 	for range limit {
-		e.borrow.cursor = (e.borrow.cursor + 1) % limit
-		holder, ok := d.owners.Owner(e.index, e.borrow.cursor)
+		e.cursor = (e.cursor + 1) % limit
+		holder, ok := d.owners.Owner(e.index, e.cursor)
 		if ok && holder != d.self.Host {
 			return holder, true
 		}
 	}
-	e.borrow.askAt = now.Add(_askPauseAtMost)
 	return "", false
 }
 
 // askRelease asks the former owners of shut slots once per report interval.
 func (d *Decider) askRelease(now time.Time, e *endpoint) {
-	if now.Before(e.borrow.releaseAt) {
+	if now.Before(e.releaseAt) {
 		return
 	}
 	formers := e.pool.Formers(nil)
-	if len(formers) == 0 {
-		return
-	}
-	e.borrow.releaseAt = now.Add(d.viewTerms.Step)
+	e.releaseAt = now.Add(d.viewTerms.Step)
 	for i, former := range formers {
 		if i == 0 || formers[i-1] != former {
-			d.ask(now, e, former)
+			d.request(now, e, former)
 		}
 	}
 }
@@ -141,41 +119,63 @@
 	if e == nil || d.superseded || borrower.Incarnation < d.positions[borrower.Host].incarnation {
 		return core.Lease{}, false
 	}
-	d.refresh(now, e)
 	limit := 0
-	if d.open(now, e) && len(d.waiting) == 0 {
-		limit = e.view.Limit(now, e.config, d.viewTerms)
+	if d.open(now, e) && (e.service == nil || e.service.queue.Len() == 0) {
+		limit = longLimit(d.limit(now, e))
 	}
-	return e.pool.Lend(now, borrower, seen, limit)
+	lease, granted := e.pool.Lend(now, borrower, seen, limit)
+	if granted {
+		d.update(now, e)
+	}
+	return lease, granted
 }
 
 // Reconcile takes in what a borrower says that it holds of this host's leases.
 func (d *Decider) Reconcile(now time.Time, borrower core.HostID, holding core.Holding) {
 	if e := d.byName[holding.Endpoint]; e != nil {
 		e.pool.Reconcile(now, borrower, holding)
+		d.update(now, e)
 	}
 }
 
 // Borrowed takes in an owner's answer.
 func (d *Decider) Borrowed(now time.Time, asked core.Borrowing, lease core.Lease, granted bool) core.Actions {
-	d.begin()
+	d.begin(now)
 	e := d.byName[asked.Endpoint]
 	if e == nil {
 		d.returnUnused(now, lease, granted)
 		return d.finish(now)
 	}
-	e.borrow.pendingUntil = time.Time{}
-	if granted {
-		e.borrow.refusals, e.borrow.pause = 0, 0
-		if !e.pool.Grant(now, asked.Asked, lease) {
-			d.returnUnused(now, lease, granted)
-		}
+	if s := e.service; s != nil && now.Before(e.pendingUntil) && s.asking > 0 {
+		s.asking--
+	}
+	e.pendingUntil = time.Time{}
+	if !granted {
+		e.refused(now, len(d.owners.Group(e.index))-1)
+		d.update(now, e)
 		return d.finish(now)
 	}
-	d.refused(now, e)
+	e.refusals, e.askPause = 0, 0
+	if e.pool.Grant(now, asked.Asked, lease) {
+		d.returnUnused(now, lease, granted)
+	}
+	d.track(e)
+	d.update(now, e)
 	return d.finish(now)
 }
 
+// track keeps the lists of endpoints with leases in hand and with slots to gain.
+func (d *Decider) track(e *endpoint) {
+	if !e.leased && e.pool.Borrowed() > 0 {
+		e.leased = true
+		d.leased = append(d.leased, e)
+	}
+	if !e.gaining && len(e.pool.Formers(nil)) > 0 {
+		e.gaining = true
+		d.gaining = append(d.gaining, e)
+	}
+}
+
 // returnUnused gives back a lease that came too late.
 func (d *Decider) returnUnused(now time.Time, lease core.Lease, granted bool) {
 	if granted && lease.Owner.Host != "" {
@@ -185,38 +185,60 @@
 
 // refused pauses the asking once every owner has refused, twice as long each
 // time.
-func (d *Decider) refused(now time.Time, e *endpoint) {
-	e.borrow.refusals++
-	if e.borrow.refusals < len(d.owners.Group(e.index))-1 {
+func (e *endpoint) refused(now time.Time, owners int) {
+	e.refusals++
+	if e.refusals < owners {
 		return
 	}
-	e.borrow.refusals = 0
-	e.borrow.pause = min(max(2*e.borrow.pause, _askPause), _askPauseAtMost)
-	e.borrow.askAt = now.Add(e.borrow.pause)
+	e.refusals = 0
+	e.askPause = min(max(2*e.askPause, _askPause), _askPauseAtMost)
+	e.askAt = now.Add(e.askPause)
 }
 
 // Returned takes back a lease that this host had lent.
 func (d *Decider) Returned(now time.Time, lease core.Lease) core.Actions {
-	d.begin()
+	d.begin(now)
 	if e := d.byName[lease.Slot.Endpoint]; e != nil {
 		e.pool.Returned(lease)
+		d.update(now, e)
 	}
 	return d.finish(now)
 }
 
 // giveBack returns leases that nothing waits for, and repeats earlier returns.
 func (d *Decider) giveBack(now time.Time) {
-	idle := d.draining || len(d.waiting) == 0
-	for _, e := range d.endpoints {
-		before := len(d.actions.Returnings)
-		d.actions.Returnings = e.pool.ReturnIdle(now, idle, d.actions.Returnings)
-		for _, returning := range d.actions.Returnings[before:] {
-			d.repeatLater(now, returning.Lease)
+	kept := d.leased[:0]
+	for _, e := range d.leased {
+		d.giveBackIdle(now, e)
+		e.leased = e.pool.Borrowed() > 0
+		if e.leased {
+			kept = append(kept, e)
+		}
+	}
+	d.leased = kept
+	gaining := d.gaining[:0]
+	for _, e := range d.gaining {
+		e.gaining = e.index >= 0 && len(e.pool.Formers(nil)) > 0
+		if e.gaining {
+			gaining = append(gaining, e)
 		}
 	}
+	d.gaining = gaining
 	d.repeatReturns(now)
 }
 
+func (d *Decider) giveBackIdle(now time.Time, e *endpoint) {
+	idle := d.draining || e.service == nil || e.service.queue.Len() == 0
+	before := len(d.actions.Returnings)
+	d.actions.Returnings = e.pool.ReturnIdle(now, idle, d.actions.Returnings)
+	for _, returning := range d.actions.Returnings[before:] {
+		d.repeatLater(now, returning.Lease)
+	}
+	if len(d.actions.Returnings) > before {
+		d.update(now, e)
+	}
+}
+
 func (d *Decider) returnLease(now time.Time, lease core.Lease) {
 	d.actions.Returnings = append(d.actions.Returnings, core.Returning{Lease: lease})
 	d.repeatLater(now, lease)
@@ -240,9 +262,3 @@
 	}
 	d.returns = kept
 }
-
-// Snapshot carries what a replaced host needs.
-func (d *Decider) Snapshot(time.Time) ([]byte, error) { return []byte("{}"), nil }
-
-// Restore takes in a snapshot.
-func (d *Decider) Restore(time.Time, []byte) error { return nil }
--- a/core/procs/decide/decide.go
+++ b/core/procs/decide/decide.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/procs/budget"
+	"apricotproxy/core/procs/length"
+	"apricotproxy/core/procs/queue"
 	"apricotproxy/core/procs/slots"
 	"apricotproxy/core/procs/view"
 	"apricotproxy/core/versn/owner"
@@ -14,9 +17,12 @@
 
 // Options are the parts of a Decider that vary.
 type Options struct {
-	Policy   core.RoutePolicy
-	Random   *rand.Rand
+	Policy core.RoutePolicy
+	Random *rand.Rand
+	// Weakness is set by tests only.
 	Weakness slots.Weakness
+	// Roles separates short and long requests when set; see RolePlan.
+	Roles RolePlan
 }
 
 // Decider implements core.Decider. The slices of the Actions that it returns
@@ -26,6 +32,7 @@
 	policy   core.RoutePolicy
 	random   *rand.Rand
 	weakness slots.Weakness
+	roles    RolePlan
 
 	config    core.Config
 	applied   bool
@@ -36,40 +43,55 @@
 
 	endpoints  []*endpoint // in the order of the configuration
 	byName     map[core.EndpointName]*endpoint
-	services   map[core.ServiceName]*service
-	requests   map[core.RequestID]*request
-	waiting    []*request
-	running    int
-	returns    []pendingReturn
+	services   []*service // in the order of the configuration
+	byService  map[core.ServiceName]*service
+	workspaces map[core.WorkspaceName]core.Workspace
+	// leased lists the endpoints with borrowed slots in hand.
+	leased []*endpoint
+	// gaining lists the endpoints with shut slots to be released by others.
+	gaining []*endpoint
+
+	requests map[core.RequestID]*request
+	spare    *request
+	delayed  []*request // retries that pause
+	waiting  int
+	running  int
+	returns  []pendingReturn
+	lengths  *length.Estimates
+	hints    *view.Hints[*endpoint]
+	budget   *budget.Budget
+
 	positions  map[core.HostName]position
 	present    map[core.HostName]bool // on the roster
 	departed   map[core.HostName]bool // left the roster while this process lived
 	settled    core.Revision          // the highest one that every position acknowledged
 	draining   bool
 	superseded bool
-	actions    core.Actions
-	candidates candidates
-}
 
-// endpoint is one back end with all that this host knows of it.
-type endpoint struct {
-	index     int
-	config    core.Endpoint
-	pool      *slots.Pool
-	view      view.View
-	inService bool
-	remote    bool
-	running   []*request
-	// unreported counts the running requests that the last report may lack.
-	unreported int
-	borrow     borrowState
+	actions core.Actions
+	demand  core.Demand
 }
 
 // service is what callers ask for, with the endpoints that this host deals
-// with.
+// with and the requests that wait for them.
 type service struct {
-	config    core.Service
-	endpoints []*endpoint
+	index  int
+	config core.Service
+	// candidates describes the endpoints at the same positions.
+	endpoints  []*endpoint
+	candidates []core.Candidate
+	// dueAt is when some candidate changes by itself; zero for never.
+	dueAt time.Time
+	queue *queue.Queue[*request]
+	// blocked is set when the head of a class could not be placed, until
+	// something changes.
+	blocked [queue.Classes]bool
+	rates   [queue.Classes]queue.Rate
+	// residual is the usual remainder of a request in progress, in tokens.
+	residual float64
+	asking   int
+	// borrowAt is when owners are asked again at the latest.
+	borrowAt time.Time
 }
 
 // position is what this host knows of a roster position.
@@ -80,6 +102,9 @@
 
 var _ core.Decider = (*Decider)(nil)
 
+// _histogramsAtMost bounds the length histograms of single workspaces.
+const _histogramsAtMost = 1024
+
 // New builds the decision core of one life of one host.
 func New(self core.HostID, options Options) *Decider {
 	return &Decider{
@@ -87,54 +112,89 @@
 		policy:    options.Policy,
 		random:    options.Random,
 		weakness:  options.Weakness,
+		roles:     options.Roles,
 		byName:    make(map[core.EndpointName]*endpoint),
-		services:  make(map[core.ServiceName]*service),
+		byService: make(map[core.ServiceName]*service),
 		requests:  make(map[core.RequestID]*request),
+		lengths:   length.New(_histogramsAtMost),
+		hints:     view.NewHints[*endpoint](),
+		budget:    budget.New(0),
 		positions: make(map[core.HostName]position),
+		present:   make(map[core.HostName]bool),
 		departed:  make(map[core.HostName]bool),
 	}
 }
 
-// begin prepares the actions of a call.
-func (d *Decider) begin() {
+// begin prepares the actions of a call and does what is due.
+func (d *Decider) begin(now time.Time) {
 	d.actions = core.Actions{
 		Placements: d.actions.Placements[:0],
 		Refusals:   d.actions.Refusals[:0],
 		Borrowings: d.actions.Borrowings[:0],
 		Returnings: d.actions.Returnings[:0],
 	}
+	d.expire(now)
 }
 
-// finish does what every call ends with: what is due, then placing.
+// finish does what every call ends with: placing, borrowing, giving back.
 func (d *Decider) finish(now time.Time) core.Actions {
-	d.expire(now)
 	d.place(now)
 	d.borrow(now)
 	d.giveBack(now)
-	d.actions.WakeAt = d.wakeAt(now)
+	d.actions.WakeAt = d.wakeAt()
 	return d.actions
 }
 
 // Tick does what is due.
 func (d *Decider) Tick(now time.Time) core.Actions {
-	d.begin()
+	d.begin(now)
 	return d.finish(now)
 }
 
 // Drain stops admission: waiting requests are refused, idle leases go back.
 func (d *Decider) Drain(now time.Time) core.Actions {
-	d.begin()
 	d.draining = true
-	for _, r := range d.waiting {
-		d.refuse(r, core.CauseDraining, "this host is stopping; ask again, another host answers", now)
-	}
-	d.waiting = d.waiting[:0]
+	d.begin(now)
 	return d.finish(now)
 }
 
+// wakeAt is the earliest time at which something falls due.
+func (d *Decider) wakeAt() time.Time {
+	var at time.Time
+	for _, s := range d.services {
+		if s.queue.Len() == 0 {
+			continue
+		}
+		at = earlier(at, s.queue.NextDeadline())
+		at = earlier(at, s.dueAt)
+		at = earlier(at, s.borrowAt)
+	}
+	for _, r := range d.delayed {
+		at = earlier(at, r.notBefore)
+	}
+	for _, p := range d.returns {
+		at = earlier(at, p.next)
+	}
+	for _, e := range d.leased {
+		at = earlier(at, e.pool.NextExpiry())
+	}
+	for _, e := range d.gaining {
+		at = earlier(at, e.releaseAt)
+	}
+	return at
+}
+
+// earlier gives the earlier of two deadlines, where zero is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
 // Status gives the figures for /statusz.
 func (d *Decider) Status(now time.Time) core.DeciderStatus {
-	status := core.DeciderStatus{Waiting: len(d.waiting), Running: d.running}
+	status := core.DeciderStatus{Waiting: d.waiting, Running: d.running}
 	for _, e := range d.endpoints {
 		counts := e.pool.Counts()
 		phase := core.PhaseWarm
--- a/core/procs/decide/place.go
+++ b/core/procs/decide/place.go
@@ -5,96 +5,113 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/invar"
+	"apricotproxy/core/procs/queue"
 )
 
-// candidates gives the endpoints of a request to the policy.
-type candidates struct {
-	decider *Decider
-	now     time.Time
-	request *request
-	service *service
-}
-
-// Len counts the endpoints that this host deals with for the service.
-func (c *candidates) Len() int { return len(c.service.endpoints) }
+// _agedAfter is how long the head of the long class waits before it goes ahead
+// of short requests.
+const _agedAfter = 2 * time.Second
 
-// At describes one endpoint. One that takes no new work has the limit 0.
-func (c *candidates) At(i int) core.Candidate {
-	e := c.service.endpoints[i]
-	if !c.decider.open(c.now, e) || e == c.request.avoid {
-		return core.Candidate{Index: e.index}
-	}
-	c.decider.refresh(c.now, e)
-	limit := e.view.Limit(c.now, e.config, c.decider.viewTerms)
-	return core.Candidate{
-		Index:       e.index,
-		Free:        e.pool.Free(c.now, limit),
-		Limit:       limit,
-		Running:     e.view.Report.Running,
-		Waiting:     e.view.Report.Waiting,
-		Own:         len(e.running),
-		Unreported:  e.unreported,
-		TotalTokens: e.view.Report.TotalTokens,
-		PeakTokens:  e.view.Report.TotalTokens - e.view.Report.FreeTokens,
-		NeedTokens:  int64(c.request.PromptTokens),
-		Remote:      e.remote,
+// place gives waiting requests the slots in hand.
+func (d *Decider) place(now time.Time) {
+	if d.superseded {
+		return
+	}
+	for _, s := range d.services {
+		for s.queue.Len() > 0 {
+			class, ok := d.nextClass(now, s)
+			if !ok {
+				break
+			}
+			if !d.placeHead(now, s, class) {
+				s.blocked[class] = true
+			}
+		}
 	}
 }
 
-// expire refuses waiting requests whose deadline has passed.
-func (d *Decider) expire(now time.Time) {
-	for _, e := range d.endpoints {
-		e.pool.Expire(now)
-	}
-	kept := d.waiting[:0]
-	for _, r := range d.waiting {
-		if d.draining || d.superseded {
-			d.refuseStopped(r, now)
-			continue
-		}
-		if deadline := r.deadline(); deadline.IsZero() || now.Before(deadline) {
-			kept = append(kept, r)
-			continue
+// nextClass picks the class whose head is placed next: short ones first, unless
+// the long one has waited too long.
+func (d *Decider) nextClass(now time.Time, s *service) (queue.Class, bool) {
+	short := s.queue.Count(queue.ClassShort) > 0 && !s.blocked[queue.ClassShort]
+	long := s.queue.Count(queue.ClassLong) > 0 && !s.blocked[queue.ClassLong]
+	if !short || !long {
+		if long {
+			return queue.ClassLong, true
 		}
-		d.refuse(r, core.CauseDeadline, "no endpoint had room before the queue deadline", d.retryAt(now))
+		return queue.ClassShort, short
+	}
+	if now.Sub(s.queue.Head(queue.ClassLong).Entered) > _agedAfter {
+		return queue.ClassLong, true
 	}
-	d.waiting = kept
+	return queue.ClassShort, true
 }
 
-// refuseStopped refuses a request on a host that admits no more.
-func (d *Decider) refuseStopped(r *request, now time.Time) {
-	if d.draining {
-		d.refuse(r, core.CauseDraining, "this host is stopping; ask again, another host answers", now)
-		return
+// placeHead tries to place the head of a class.
+func (d *Decider) placeHead(now time.Time, s *service, class queue.Class) bool {
+	item := s.queue.Head(class)
+	r := item.Value
+	d.ask(now, r)
+	picked := d.policy.Pick(now, &d.demand, s.candidates)
+	if picked < 0 {
+		return false
 	}
-	d.refuse(r, core.CauseNotReady, "a newer process stands at this host's position; ask again", now)
+	e := s.endpoints[picked]
+	slot, validUntil, ok := d.take(now, e, r)
+	if !ok {
+		return false
+	}
+	s.queue.Take(item)
+	d.waiting--
+	s.rates[class].Departed(now, s.queue.Count(class) > 0)
+	d.start(now, r, e, slot, validUntil)
+	return true
 }
 
-// place gives waiting requests the slots in hand.
-func (d *Decider) place(now time.Time) {
-	if d.superseded {
-		return
+// ask fills in the demand of a request.
+func (d *Decider) ask(now time.Time, r *request) {
+	d.demand.Short = r.item.Class == queue.ClassShort
+	d.demand.PromptTokens = float32(r.PromptTokens)
+	d.demand.ExpectedTokens = float32(r.expected)
+	d.demand.Avoid = -1
+	if r.avoid != nil && r.avoid.service == r.service {
+		d.demand.Avoid = r.avoid.place
+	}
+	d.demand.Hints = d.demand.Hints[:0]
+	if len(r.Prefixes) > 0 {
+		d.hint(now, r)
 	}
-	kept := d.waiting[:0]
-	for _, r := range d.waiting {
-		if !d.placeOne(now, r) {
-			kept = append(kept, r)
+}
+
+// hint looks up where the prompt's longest known prefix seems to be cached.
+func (d *Decider) hint(now time.Time, r *request) {
+	for i := len(r.Prefixes) - 1; i >= 0; i-- {
+		tokens := r.PromptTokens * (i + 1) / len(r.Prefixes)
+		d.hints.Each(now, r.Prefixes[i], func(e *endpoint) {
+			if e.service == r.service && e.place >= 0 {
+				d.demand.Hints = append(d.demand.Hints, core.PrefixHint{Candidate: e.place, Tokens: tokens})
+			}
+		})
+		if len(d.demand.Hints) > 0 {
+			return
 		}
 	}
-	d.waiting = kept
 }
 
-func (d *Decider) placeOne(now time.Time, r *request) bool {
-	d.candidates = candidates{decider: d, now: now, request: r, service: d.services[r.Service]}
-	picked := d.policy.Pick(now, &r.Request, &d.candidates)
-	if picked < 0 {
-		return false
+// take takes a slot. A policy that goes by reports alone needs none.
+func (d *Decider) take(now time.Time, e *endpoint, r *request) (core.SlotID, time.Time, bool) {
+	if mode := d.policy.Mode(); mode == core.LimitReports || mode == core.LimitNone {
+		return core.SlotID{Endpoint: e.config.Name, Position: -1}, time.Time{}, true
 	}
-	e := d.candidates.service.endpoints[picked]
-	slot, validUntil, ok := d.take(now, e)
-	if !ok {
-		return false
+	limit := d.limit(now, e)
+	if r.item.Class == queue.ClassLong {
+		limit = longLimit(limit)
 	}
+	return e.pool.Take(now, limit)
+}
+
+// start makes a placement.
+func (d *Decider) start(now time.Time, r *request, e *endpoint, slot core.SlotID, validUntil time.Time) {
 	invar.Check(invar.DataCentreOut, e.inService, "endpoint %s is out of service", e.config.Name)
 	invar.Check(invar.EndpointLeaving, !e.config.Leaving && !e.view.Report.Leaving, "endpoint %s is leaving", e.config.Name)
 	r.try++
@@ -102,85 +119,102 @@
 	r.endpoint = e
 	r.dispatched = now
 	r.unreported = true
+	r.remaining = r.expected
 	r.placement = core.Placement{
 		Request:    r.ID,
 		Endpoint:   e.config.Name,
 		Slot:       slot,
 		ValidUntil: earlier(validUntil, e.view.ValidUntil),
-		Priority:   r.Priority,
+		Priority:   r.enginePriority(),
 		Try:        r.try,
 	}
 	e.running = append(e.running, r)
 	e.unreported++
+	e.unreportedTokens += float64(r.PromptTokens)
+	e.remaining += r.remaining
 	d.running++
 	d.actions.Placements = append(d.actions.Placements, r.placement)
-	return true
-}
-
-// take takes a slot. A policy that goes by reports alone needs none.
-func (d *Decider) take(now time.Time, e *endpoint) (core.SlotID, time.Time, bool) {
-	if d.policy.Mode() == core.LimitReports {
-		return core.SlotID{Endpoint: e.config.Name, Position: -1}, time.Time{}, true
+	for _, prefix := range r.Prefixes {
+		d.hints.Stored(now, prefix, e)
 	}
-	return e.pool.Take(now, e.view.Limit(now, e.config, d.viewTerms))
+	d.update(now, e)
 }
 
-// earlier gives the earlier of two deadlines, where zero is none.
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
-		return b
+// enginePriority puts short requests above long ones of the same priority.
+func (r *request) enginePriority() int {
+	if r.item.Class == queue.ClassShort {
+		return 2*r.Priority + 1
 	}
-	return a
+	return 2 * r.Priority
 }
 
-// Observe takes in an endpoint's load report.
-func (d *Decider) Observe(now time.Time, report core.Report) core.Actions {
-	d.begin()
-	e := d.byName[report.Endpoint]
-	if e == nil || !e.view.Observe(now, report, d.viewTerms) {
-		return d.finish(now)
-	}
-	d.refresh(now, e)
-	d.recount(e)
-	running := report.Running + report.Waiting
-	e.pool.Observe(evidence(report.AskedAt, running, e.unreported))
-	return d.finish(now)
+// Confirm tells whether a placement may still be dispatched.
+func (d *Decider) Confirm(now time.Time, placement core.Placement) bool {
+	r := d.current(placement)
+	if r == nil {
+		return false
+	}
+	if d.mayDispatch(now, r) {
+		r.dispatched = now
+		r.state = stateDispatched
+		return true
+	}
+	e := r.endpoint
+	d.endTry(now, r, false)
+	r.state = stateDelayed
+	r.notBefore = now
+	d.delayed = append(d.delayed, r)
+	d.update(now, e)
+	return false
 }
 
-// recount marks the running requests that the report may lack.
-func (d *Decider) recount(e *endpoint) {
-	e.unreported = 0
-	since := e.view.Report.AskedAt.Add(-d.terms.Lag)
-	for _, r := range e.running {
-		r.unreported = r.dispatched.After(since)
-		if r.unreported {
-			e.unreported++
-		}
+// current finds the request of a placement that is still in force.
+func (d *Decider) current(placement core.Placement) *request {
+	r := d.requests[placement.Request]
+	if r == nil || r.state < statePlaced || r.placement.Try != placement.Try || r.placement.Slot != placement.Slot {
+		return nil
 	}
+	return r
 }
 
-// ObserveUnreachable tells that an endpoint could not be asked. The last report
-// stays in force until its own deadline.
-func (d *Decider) ObserveUnreachable(now time.Time, _ core.EndpointName) core.Actions {
-	d.begin()
-	return d.finish(now)
+// mayDispatch checks all that may have changed since the placement was made.
+func (d *Decider) mayDispatch(now time.Time, r *request) bool {
+	e := r.endpoint
+	if d.superseded || !d.open(now, e) {
+		return false
+	}
+	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+		return false
+	}
+	if r.placement.Slot.Position < 0 {
+		return true
+	}
+	return e.pool.Valid(now, r.placement.Slot.Position, d.limit(now, e))
 }
 
-// ObserveCache takes in cache events.
-func (d *Decider) ObserveCache(time.Time, []core.CacheEvent) {}
-
-// wakeAt is the earliest time at which something falls due.
-func (d *Decider) wakeAt(now time.Time) time.Time {
-	var at time.Time
-	for _, r := range d.waiting {
-		at = earlier(at, r.deadline())
+// endTry gives a try's slot back.
+func (d *Decider) endTry(now time.Time, r *request, doubt bool) {
+	e := r.endpoint
+	if r.placement.Slot.Position >= 0 {
+		lease, returned := e.pool.Release(now, r.placement.Slot.Position, doubt)
+		if returned {
+			d.returnLease(now, lease)
+		}
 	}
-	if len(d.waiting) > 0 || len(d.returns) > 0 {
-		at = earlier(at, now.Add(_pollInterval))
+	for i, other := range e.running {
+		if other == r {
+			last := len(e.running) - 1
+			e.running[i] = e.running[last]
+			e.running[last] = nil
+			e.running = e.running[:last]
+			break
+		}
+	}
+	if r.unreported {
+		r.unreported = false
+		e.unreported--
+		e.unreportedTokens -= float64(r.PromptTokens)
 	}
-	return at
+	e.remaining -= r.remaining
+	d.running--
 }
-
-// _pollInterval is how often a host with waiting requests looks again for slots
-// that its ramps opened and for owners to borrow from.
-const _pollInterval = 50 * time.Millisecond
--- a/core/procs/slots/lease.go
+++ b/core/procs/slots/lease.go
@@ -53,24 +53,29 @@
 
 // Grant takes in a lease that an owner answered to a request asked earlier. The
 // term is counted from the asking, so that the owner's count always ends later.
-func (p *Pool) Grant(now, asked time.Time, lease core.Lease) bool {
-	if lease.Revision != p.revision || lease.Serial <= p.received[lease.Owner.Host] {
+// It reports whether the lease must go back unused. A repeat of an answer must
+// not: its lease may be in use by now.
+func (p *Pool) Grant(now, asked time.Time, lease core.Lease) (giveBack bool) {
+	if lease.Serial <= p.received[lease.Owner.Host] {
 		return false
 	}
 	p.received[lease.Owner.Host] = lease.Serial
+	if lease.Revision != p.revision {
+		return true
+	}
 	if s := p.find(lease.Slot.Position); s != nil && s.owned {
-		return p.released(s, lease)
+		return !p.released(s, lease)
 	}
 	if p.leaseIndex(lease.Slot.Position) >= 0 {
-		return false
+		return true
 	}
 	lease.Deadline = asked.Add(p.terms.Lease)
 	held := borrowed{lease: lease, asked: asked}
 	if p.expired(&held, now) {
-		return false
+		return true
 	}
 	p.borrowed = append(p.borrowed, held)
-	return true
+	return false
 }
 
 // released opens a gained slot that its former owner gave up.
@@ -135,8 +140,9 @@
 	return list
 }
 
-// Expire does what is due at a lease's deadline. A slot whose lease ran out
-// without a return stays lent: the borrower may still have work on it.
+// Expire takes lent slots back at their deadline, under the weakness that does
+// so. Otherwise a slot whose lease ran out without a return stays lent: the
+// borrower may still have work on it.
 func (p *Pool) Expire(now time.Time) {
 	if !p.weakness.NoLeaseDeadline {
 		return
--- a/core/procs/slots/report.go
+++ b/core/procs/slots/report.go
@@ -24,9 +24,14 @@
 		return
 	}
 	p.cold = cold
-	if !cold {
-		return
+	if cold {
+		p.Blind(now)
 	}
+}
+
+// Blind tells the pool that the host has lost sight of the endpoint's phase for
+// a while: there may have been a warm spell with requests above the cold limit.
+func (p *Pool) Blind(now time.Time) {
 	p.coldClear = false
 	// Other hosts may act on a warm report for its validity, and its content
 	// was older by the lag; the proving report's content lags as well.
--- a/core/procs/slots/revise.go
+++ b/core/procs/slots/revise.go
@@ -127,14 +127,17 @@
 }
 
 // Acknowledge tells that a position has the present revision in force. What it
-// lent before may run until the end of the longest lease.
-func (p *Pool) Acknowledge(now time.Time, host core.HostName, everyone bool) {
+// lent before may run until the end of the longest lease. It reports whether
+// that changed a slot.
+func (p *Pool) Acknowledge(now time.Time, host core.HostName, everyone bool) bool {
+	changed := false
 	for i := range p.slots {
 		g := &p.slots[i].gate
 		if !g.unacknowledged {
 			continue
 		}
 		if (g.former != "" && g.former == host) || (g.everyone && everyone) {
+			changed = true
 			g.unacknowledged = false
 			g.deadline = later(g.deadline, now.Add(p.terms.Lease+p.terms.Lag))
 			if !g.shut && p.cold {
@@ -142,6 +145,7 @@
 			}
 		}
 	}
+	return changed
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/procs/slots/slots.go
+++ b/core/procs/slots/slots.go
@@ -263,6 +263,20 @@
 	return free
 }
 
+// NextExpiry gives the earliest deadline of an idle lease, zero for none.
+func (p *Pool) NextExpiry() time.Time {
+	var next time.Time
+	for i := range p.borrowed {
+		if b := &p.borrowed[i]; b.idle() && (next.IsZero() || b.lease.Deadline.Before(next)) {
+			next = b.lease.Deadline
+		}
+	}
+	return next
+}
+
+// Borrowed counts the leases in hand.
+func (p *Pool) Borrowed() int { return len(p.borrowed) }
+
 // Valid tells whether a slot that was taken may still be dispatched on.
 func (p *Pool) Valid(now time.Time, position, limit int) bool {
 	if i := p.leaseIndex(position); i >= 0 {
--- a/core/procs/view/view.go
+++ b/core/procs/view/view.go
@@ -124,6 +124,29 @@
 	return min(limit, endpoint.WarmSlots)
 }
 
+// NextChange gives the next time at which Limit or Cold may change by itself;
+// zero when only a report changes them.
+func (v *View) NextChange(now time.Time, endpoint core.Endpoint, terms Terms) time.Time {
+	if !now.Before(v.ValidUntil) {
+		return time.Time{}
+	}
+	next := v.ValidUntil
+	if now.Before(v.SuspectUntil) && v.SuspectUntil.Before(next) {
+		next = v.SuspectUntil
+	}
+	if v.Cold(now) || v.Limit(now, endpoint, terms) >= endpoint.WarmSlots {
+		return next
+	}
+	step := v.WarmSince.Add(terms.FirstStep)
+	for !step.After(now) {
+		step = step.Add(terms.Step)
+	}
+	if step.Before(next) {
+		return step
+	}
+	return next
+}
+
 // Completed counts a completion as proof of warmth.
 func (v *View) Completed() { v.Completions++ }
 
