--- a/core/procs/slots/revise.go
+++ b/core/procs/slots/revise.go
@@ -31,6 +31,9 @@
 func (p *Pool) Revise(now time.Time, terms Terms, share Share) {
 	p.terms = terms
 	p.endpoint = share.Endpoint
+	if p.revision == 0 {
+		p.Blind(now)
+	}
 	p.revision = share.Revision
 	before := p.slots
 	p.slots = make([]slot, 0, len(share.Owned))
--- a/core/procs/slots/slots.go
+++ b/core/procs/slots/slots.go
@@ -136,17 +136,17 @@
 }
 
 // New builds the pool of an endpoint that this process has not met before. Its
-// own slots are shut: a predecessor's work may still run on the endpoint.
+// own slots are shut, since a predecessor's work may still run on the endpoint,
+// and as long as it is cold nothing is given out until it was seen idle.
 func New(self core.HostID, weakness Weakness) *Pool {
 	return &Pool{
 		self:     self,
 		weakness: weakness,
 		// A later incarnation starts above all serials of an earlier one,
 		// which gives out fewer than one lease a nanosecond.
-		serial:    uint64(self.Incarnation),
-		received:  make(map[core.HostName]uint64),
-		cold:      true,
-		coldClear: true,
+		serial:   uint64(self.Incarnation),
+		received: make(map[core.HostName]uint64),
+		cold:     true,
 	}
 }
 
