--- a/core/procs/member/member.go
+++ b/core/procs/member/member.go
@@ -387,6 +387,7 @@
 	}
 	m.superseded = piece.Host
 	change.Superseded = piece.Host
+	change.Acknowledged = append(change.Acknowledged, Acknowledgement{Host: piece.Host, Revision: piece.Revision})
 }
 
 // Failed takes in that a host did not answer.
@@ -410,6 +411,21 @@
 	return known.id, true
 }
 
+// Acknowledgements gives the revision that each known host has in force, in
+// name order, and the newer incarnation at this host's own position.
+func (m *Member) Acknowledgements() []Acknowledgement {
+	var known []Acknowledgement
+	for _, name := range m.names {
+		if p := m.positions[name]; p.id.Incarnation != 0 {
+			known = append(known, Acknowledgement{Host: p.id, Revision: p.revision})
+		}
+	}
+	if newer, ok := m.Superseded(); ok {
+		known = append(known, Acknowledgement{Host: newer})
+	}
+	return known
+}
+
 // Old tells whether an incarnation has been replaced at its position.
 func (m *Member) Old(host core.HostID) bool {
 	if host.Host == m.settings.Self.Host {
--- a/io/fleet/beat.go
+++ b/io/fleet/beat.go
@@ -159,7 +159,7 @@
 	now := time.Now()
 	message := f.member.Message(now)
 	return &wire.HeartbeatRequest{
-		From:     peers.ToWire(message.From),
+		From:     wire.FromHostID(message.From),
 		Revision: uint64(message.Revision),
 		Digest:   f.applied.Digest,
 		Running:  uint32(running),
@@ -171,7 +171,7 @@
 func (f *Fleet) heardReply(reply *wire.HeartbeatReply) {
 	now := time.Now()
 	f.heard(member.Message{
-		From:     peers.FromWire(reply.GetFrom()),
+		From:     wire.ToHostID(reply.GetFrom()),
 		Revision: core.Revision(reply.GetRevision()),
 		Draining: reply.GetDraining(),
 		News:     newsFromWire(now, reply.GetNews()),
@@ -219,11 +219,16 @@
 	}
 }
 
-// Heartbeat serves a peer's heartbeat.
+// Heartbeat serves a peer's heartbeat. An incarnation that has been replaced
+// is told so, and nothing of what it says is taken in.
 func (f *Fleet) Heartbeat(_ context.Context, request *wire.HeartbeatRequest) (*wire.HeartbeatReply, error) {
 	now := time.Now()
+	from := wire.ToHostID(request.GetFrom())
+	if reply, old := f.answerOld(from); old {
+		return reply, nil
+	}
 	f.heard(member.Message{
-		From:     peers.FromWire(request.GetFrom()),
+		From:     from,
 		Revision: core.Revision(request.GetRevision()),
 		Draining: request.GetDraining(),
 		News:     newsFromWire(now, request.GetNews()),
@@ -232,7 +237,7 @@
 	defer f.mu.Unlock()
 	message := f.member.Message(now)
 	return &wire.HeartbeatReply{
-		From:     peers.ToWire(message.From),
+		From:     wire.FromHostID(message.From),
 		Revision: uint64(message.Revision),
 		Digest:   f.applied.Digest,
 		Draining: message.Draining,
@@ -240,6 +245,26 @@
 	}, nil
 }
 
+// answerOld tells an incarnation that has been replaced of the newer one.
+func (f *Fleet) answerOld(from core.HostID) (reply *wire.HeartbeatReply, old bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.member.Old(from) {
+		return nil, false
+	}
+	newer := f.settings.Self
+	if from.Host != newer.Host {
+		newer, _ = f.member.Known(from.Host)
+	}
+	return &wire.HeartbeatReply{
+		From:     wire.FromHostID(f.settings.Self),
+		Revision: uint64(f.applied.Revision),
+		Digest:   f.applied.Digest,
+		Draining: f.draining,
+		News:     []*wire.HostNews{{Host: wire.FromHostID(newer)}},
+	}, true
+}
+
 // FetchRevision gives a peer the bundle in force.
 func (f *Fleet) FetchRevision(context.Context, *wire.FetchRevisionRequest) (*wire.FetchRevisionReply, error) {
 	f.mu.Lock()
@@ -304,7 +329,7 @@
 	if !ok {
 		return bundle, fmt.Errorf("fetch a revision: host %s has no address", host)
 	}
-	reply, err := peer.FetchRevision(ctx, &wire.FetchRevisionRequest{From: peers.ToWire(f.settings.Self)})
+	reply, err := peer.FetchRevision(ctx, &wire.FetchRevisionRequest{From: wire.FromHostID(f.settings.Self)})
 	if err != nil {
 		return bundle, fmt.Errorf("fetch a revision from %s: %w", host, err)
 	}
@@ -318,13 +343,13 @@
 	pieces := make([]*wire.HostNews, 0, len(news))
 	for _, piece := range news {
 		encoded := &wire.HostNews{
-			Host:      peers.ToWire(piece.Host),
+			Host:      wire.FromHostID(piece.Host),
 			Revision:  uint64(piece.Revision),
 			Draining:  piece.Draining,
 			AgeMillis: uint64(max(now.Sub(piece.SeenAt), 0).Milliseconds()),
 		}
 		if piece.Holder.Incarnation != 0 {
-			encoded.LedgerHolder = peers.ToWire(piece.Holder)
+			encoded.LedgerHolder = wire.FromHostID(piece.Holder)
 		}
 		pieces = append(pieces, encoded)
 	}
@@ -336,11 +361,11 @@
 	for _, piece := range pieces {
 		age := time.Duration(piece.GetAgeMillis()) * time.Millisecond
 		news = append(news, member.News{
-			Host:     peers.FromWire(piece.GetHost()),
+			Host:     wire.ToHostID(piece.GetHost()),
 			Revision: core.Revision(piece.GetRevision()),
 			Draining: piece.GetDraining(),
 			SeenAt:   now.Add(-age),
-			Holder:   peers.FromWire(piece.GetLedgerHolder()),
+			Holder:   wire.ToHostID(piece.GetLedgerHolder()),
 		})
 	}
 	return slices.Clip(news)
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -348,7 +348,10 @@
 	f.mu.Lock()
 	f.applied = decision.Stamp
 	f.member.SetSelf(decision.Stamp.Revision, f.draining)
+	known := f.member.Acknowledgements()
 	f.mu.Unlock()
+	// Peers that were ahead have acknowledged this revision already.
+	f.tell(member.Change{Acknowledged: known})
 	if f.settings.Callbacks.KeepPeers != nil {
 		f.settings.Callbacks.KeepPeers(addresses)
 	}
--- a/io/fleet/start.go
+++ b/io/fleet/start.go
@@ -7,7 +7,6 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/spread"
-	"apricotproxy/io/peers"
 	"apricotproxy/io/wire"
 )
 
@@ -90,7 +89,7 @@
 	if !ok {
 		return fmt.Errorf("ask for a snapshot: host %s has no address", host)
 	}
-	reply, err := peer.Snapshot(ctx, &wire.SnapshotRequest{From: peers.ToWire(f.settings.Self)})
+	reply, err := peer.Snapshot(ctx, &wire.SnapshotRequest{From: wire.FromHostID(f.settings.Self)})
 	if err != nil {
 		return fmt.Errorf("ask %s for a snapshot: %w", host, err)
 	}
--- a/io/peers/guard.go
+++ b/io/peers/guard.go
@@ -19,14 +19,16 @@
 func guarded[Q interface{ GetFrom() *wire.Host }, A any](
 	ctx context.Context, check Check, request Q, serve func(context.Context, Q) (*A, error),
 ) (*A, error) {
-	if err := check(FromWire(request.GetFrom())); err != nil {
+	if err := check(wire.ToHostID(request.GetFrom())); err != nil {
 		return nil, refusal(err)
 	}
 	return serve(ctx, request)
 }
 
+// Heartbeat passes unchecked: the answer is where an old incarnation learns of
+// the newer one. The fleet takes nothing from such a message.
 func (g *guard) Heartbeat(ctx context.Context, q *wire.HeartbeatRequest) (*wire.HeartbeatReply, error) {
-	return guarded(ctx, g.check, q, g.next.Heartbeat)
+	return g.next.Heartbeat(ctx, q)
 }
 
 func (g *guard) FetchRevision(ctx context.Context, q *wire.FetchRevisionRequest) (*wire.FetchRevisionReply, error) {
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -224,14 +224,4 @@
 	return twirp.NewError(twirp.InvalidArgument, err.Error())
 }
 
-// FromWire reads a sender.
-func FromWire(host *wire.Host) core.HostID {
-	return core.HostID{Host: core.HostName(host.GetName()), Incarnation: core.Incarnation(host.GetIncarnation())}
-}
-
-// ToWire writes a sender.
-func ToWire(id core.HostID) *wire.Host {
-	return &wire.Host{Name: string(id.Host), Incarnation: uint64(id.Incarnation)}
-}
-
 var errNoSender = errors.New("the message names no sender; set From to the host and its incarnation")
