--- a/core/versn/confg/fault.go
+++ b/core/versn/confg/fault.go
@@ -37,8 +37,8 @@
 	return fmt.Sprintf("%s: %s\n  expected: %s\n  remedy:   %s", f.Origin, f.Problem, f.Expected, f.Remedy)
 }
 
-// FaultsError rejects a configuration whole. It holds at least one fault, in
-// order of file and line.
+// FaultsError rejects a configuration whole. It holds at least one fault, and
+// at most the first 200 found, in order of file and line.
 type FaultsError struct {
 	Faults []Fault
 }
@@ -62,12 +62,18 @@
 	return strings.Join(pages, "")
 }
 
+// _faultsKept bounds what a text of nothing but faults makes of itself.
+const _faultsKept = 200
+
 // faultList collects faults, so that one run reports all of them.
 type faultList struct {
 	faults []Fault
 }
 
 func (l *faultList) add(origin Origin, problem, expected, remedy string) {
+	if len(l.faults) == _faultsKept {
+		return
+	}
 	l.faults = append(l.faults, Fault{Origin: origin, Problem: problem, Expected: expected, Remedy: remedy})
 }
 
--- a/core/versn/confg/source.go
+++ b/core/versn/confg/source.go
@@ -9,6 +9,13 @@
 	"gopkg.in/ini.v1"
 )
 
+// Bounds of a file's shape. ini.v1 and merging take a time that grows with the
+// square of these.
+const (
+	_maxKeys           = 100   // of one section
+	_maxContinuedLines = 8_000 // of one value
+)
+
 // Source is the text of one file and the name under which faults report it.
 type Source struct {
 	File string
@@ -107,8 +114,10 @@
 	current  *section
 	titles   map[string]Origin
 	keys     map[string]Origin
-	// continued is true while the line before ended with a backslash.
+	// continued is true while the line before ended with a backslash, lines
+	// counts the lines of the value so far.
 	continued bool
+	lines     int
 	// skip is true within a section whose heading is at fault.
 	skip bool
 }
@@ -137,8 +146,13 @@
 	if x.continued {
 		// A blank line ends a continued value, as ini.v1 has it.
 		x.continued = strings.HasSuffix(text, `\`)
+		x.lines++
+		if x.lines == _maxContinuedLines {
+			x.faults.add(origin, "the value goes on for too many lines", fmt.Sprintf("fewer than %d lines", _maxContinuedLines), "put several entries on a line, or write them as ranges")
+		}
 		return
 	}
+	x.lines = 0
 	switch {
 	case text == "", text[0] == '#', text[0] == ';':
 	case text[0] == '[':
@@ -201,6 +215,11 @@
 		x.faults.add(origin, fmt.Sprintf("the key %s stands twice in [%s]", key, x.current.title()), fmt.Sprintf("one value; the first is at %s", before), "remove one of the two lines")
 		return
 	}
+	if len(x.keys) == _maxKeys {
+		x.faults.add(origin, fmt.Sprintf("[%s] has too many keys", x.current.title()), fmt.Sprintf("at most %d keys", _maxKeys), "remove the keys that the section does not have")
+		x.skip = true
+		return
+	}
 	x.keys[key] = origin
 	x.current.Entries = append(x.current.Entries, entry{Key: key, Origin: origin})
 }
--- a/io/certs/certs.go
+++ b/io/certs/certs.go
@@ -23,6 +23,9 @@
 	"apricotproxy/core"
 )
 
+// RereadInterval is how often a host looks for changed files.
+const RereadInterval = 30 * time.Second
+
 // ReadFile reads a file whole; os.ReadFile in a real process.
 type ReadFile func(name string) ([]byte, error)
 
@@ -42,8 +45,8 @@
 func (e *FileError) Unwrap() error { return e.Err }
 
 var (
-	_errNoCertificate = errors.New("holds no certificate")
-	_errOff           = errors.New("TLS is not switched on")
+	errNoCertificate = errors.New("holds no certificate")
+	errOff           = errors.New("TLS is not switched on")
 )
 
 // Role is a use of TLS.
@@ -173,7 +176,7 @@
 	if files.Authority != "" {
 		m.authority = x509.NewCertPool()
 		if !m.authority.AppendCertsFromPEM(m.texts[2]) {
-			return nil, &FileError{File: files.Authority, Remedy: "name a PEM file with the authority's certificates", Err: _errNoCertificate}
+			return nil, &FileError{File: files.Authority, Remedy: "name a PEM file with the authority's certificates", Err: errNoCertificate}
 		}
 	}
 	return m, nil
--- a/io/certs/links.go
+++ b/io/certs/links.go
@@ -28,7 +28,7 @@
 func (s *Store) serverConfig(role Role) (*tls.Config, error) {
 	m := s.current[role].Load()
 	if m.certificate == nil {
-		return nil, fmt.Errorf("meeting a client as %s: %w", role, _errOff)
+		return nil, fmt.Errorf("meeting a client as %s: %w", role, errOff)
 	}
 	config := &tls.Config{
 		MinVersion:   minVersion(role),
