io/meter: metrics of a process by expvar through go-kit

Cause: expvar stops the process when two hosts in it publish one name, and no part counted what callers were told.

--- /dev/null
+++ b/io/meter/callers.go
@@ -0,0 +1,100 @@
+package meter
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-kit/kit/metrics"
+
+	"apricotproxy/core"
+)
+
+// Callers counts what passes through the callers' handler:
+//
+//	callers.open               requests in hand
+//	callers.answered           status 2xx; a stream may still be interrupted
+//	callers.refused            status 4xx or 503: nothing ran
+//	callers.unknown            status 500, 502, 504: it may have run
+//	callers.first_byte_millis  from the request to the first byte of a 2xx answer
+func Callers(next http.Handler) http.Handler {
+	return &callers{
+		next:      next,
+		open:      Gauge("callers.open"),
+		answered:  Counter("callers.answered"),
+		refused:   Counter("callers.refused"),
+		unknown:   Counter("callers.unknown"),
+		firstByte: Histogram("callers.first_byte_millis"),
+	}
+}
+
+type callers struct {
+	next      http.Handler
+	open      metrics.Gauge
+	answered  metrics.Counter
+	refused   metrics.Counter
+	unknown   metrics.Counter
+	firstByte metrics.Histogram
+}
+
+// ServeHTTP serves and counts one request.
+func (c *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.open.Add(1)
+	defer c.open.Add(-1)
+	c.next.ServeHTTP(&countingWriter{ResponseWriter: w, callers: c, arrived: time.Now()}, r)
+}
+
+func (c *callers) count(status int, arrived time.Time) {
+	switch {
+	case status < http.StatusMultipleChoices:
+		c.answered.Add(1)
+		c.firstByte.Observe(float64(time.Since(arrived)) / float64(time.Millisecond))
+	case status < http.StatusInternalServerError, status == http.StatusServiceUnavailable:
+		c.refused.Add(1)
+	default:
+		c.unknown.Add(1)
+	}
+}
+
+// countingWriter sees the status of an answer. http.ResponseController reaches
+// the writer below by Unwrap.
+type countingWriter struct {
+	http.ResponseWriter
+	callers *callers
+	arrived time.Time
+	counted bool
+}
+
+// Unwrap gives the writer below.
+func (w *countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader counts the first status; 1xx is not an answer.
+func (w *countingWriter) WriteHeader(status int) {
+	if !w.counted && status >= http.StatusOK {
+		w.counted = true
+		w.callers.count(status, w.arrived)
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write counts an answer without an explicit status as 200.
+func (w *countingWriter) Write(p []byte) (int, error) {
+	if !w.counted {
+		w.counted = true
+		w.callers.count(http.StatusOK, w.arrived)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Auditor counts audit events by kind, as "audit.DataCentreOut", and passes
+// them on.
+func Auditor(next core.Auditor) core.Auditor { return auditor{next: next} }
+
+type auditor struct {
+	next core.Auditor
+}
+
+// Record counts an event and passes it on.
+func (a auditor) Record(event core.AuditEvent) {
+	Counter("audit." + string(event.Kind)).Add(1)
+	a.next.Record(event)
+}
