io/certs: TLS is switched on and off by a revision, and never falls back

Cause: a host makes its listeners and dialers before it knows a configuration; a wrapper that looked only then whether TLS is on would have gone on in plain text after a revision that asks for TLS, without a word. Change: listeners and dialers look at each new connection; a role that is asked for and whose files were never good refuses its connections with the fault. Conclusion: a test switches TLS on for running hosts and for one without files.

--- a/io/certs/certs.go
+++ b/io/certs/certs.go
@@ -4,7 +4,8 @@
 // connection takes what was read last.
 //
 // A file that cannot be used changes nothing: the last good certificates stay
-// in use, and the fault is logged.
+// in use, and the fault is logged. Where TLS is asked for and no good files were
+// ever read, connections fail: they never fall back to plain ones.
 package certs
 
 import (
@@ -44,10 +45,7 @@
 // Unwrap gives the error within.
 func (e *FileError) Unwrap() error { return e.Err }
 
-var (
-	errNoCertificate = errors.New("holds no certificate")
-	errOff           = errors.New("TLS is not switched on")
-)
+var errNoCertificate = errors.New("holds no certificate")
 
 // Role is a use of TLS.
 type Role uint8
@@ -87,8 +85,12 @@
 	texts       [3][]byte
 	certificate *tls.Certificate // nil: none to show
 	authority   *x509.CertPool   // nil: none to check against
+	fault       error            // why there is nothing to use although TLS is asked for
 }
 
+// on tells whether TLS is asked for.
+func (m *material) on() bool { return m.names != names{} }
+
 // Store holds the certificates in use. It is safe for concurrent use.
 type Store struct {
 	read   ReadFile
@@ -130,13 +132,17 @@
 func (s *Store) reload() (changed bool, err error) {
 	var faults []error
 	for role := range _roles {
+		before := s.current[role].Load()
 		read, err := s.readRole(namesOf(s.settings, role))
 		if err != nil {
-			faults = append(faults, fmt.Errorf("reading the files of %s: %w", role, err))
+			err = fmt.Errorf("reading the files of %s: %w", role, err)
+			faults = append(faults, err)
+			if before == nil || !before.on() {
+				s.current[role].Store(&material{names: namesOf(s.settings, role), fault: err})
+			}
 			continue
 		}
-		before := s.current[role].Load()
-		if before != nil && before.names == read.names && equalTexts(before.texts, read.texts) {
+		if before != nil && before.fault == nil && before.names == read.names && equalTexts(before.texts, read.texts) {
 			continue
 		}
 		s.current[role].Store(read)
@@ -210,10 +216,7 @@
 }
 
 // On tells whether a role uses TLS.
-func (s *Store) On(role Role) bool {
-	m := s.current[role].Load()
-	return m.certificate != nil || m.authority != nil
-}
+func (s *Store) On(role Role) bool { return s.current[role].Load().on() }
 
 // Expiry is when a role's certificate ends.
 type Expiry struct {
--- a/io/certs/certs_test.go
+++ b/io/certs/certs_test.go
@@ -227,6 +227,36 @@
 	})
 }
 
+// TestSwitchingOn switches TLS on for two hosts that run, and then for one
+// whose files are missing: it must not go on in plain text.
+func TestSwitchingOn(t *testing.T) {
+	ours := newAuthority(t)
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(time.Millisecond)
+		server := newStore(t, newFolder(t, ours, "10.0.0.1"), core.TLS{})
+		client := newStore(t, newFolder(t, ours, "10.0.0.2"), core.TLS{})
+		bare := newStore(t, &folder{}, core.TLS{})
+		for _, store := range []*certs.Store{server, client} {
+			if changed, err := store.Apply(_all); err != nil || !changed {
+				t.Fatalf("changed %t, %v", changed, err)
+			}
+		}
+		expectSerial(t, network, server, client, 2)
+		if changed, err := client.Apply(_all); err != nil || changed {
+			t.Errorf("the same settings again: changed %t, %v", changed, err)
+		}
+		if _, err := bare.Apply(_all); err == nil {
+			t.Error("missing files are accepted")
+		}
+		if _, err := meet(t, network, certs.RolePeer, server, bare); err == nil {
+			t.Error("a client without files is let in")
+		}
+		if _, err := meet(t, network, certs.RolePeer, bare, client); err == nil {
+			t.Error("a server without files is trusted")
+		}
+	})
+}
+
 // TestFilesAreReadAgain renews a certificate, then spoils it, under Watch.
 func TestFilesAreReadAgain(t *testing.T) {
 	ours := newAuthority(t)
--- a/io/certs/links.go
+++ b/io/certs/links.go
@@ -3,32 +3,53 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 
 	"apricotproxy/core"
 )
 
-// Listen wraps a listener for callers or peers. A role that is switched off
-// gives the listener back as it is. Peers must show a certificate of the
-// peers' authority.
+var errNothingToShow = errors.New("there is no certificate to show")
+
+// Listen wraps a listener for callers or peers. While the role is switched off
+// connections stay plain; each new connection goes by what was read last.
+// Peers must show a certificate of the peers' authority.
 func (s *Store) Listen(role Role, listener net.Listener) net.Listener {
-	if !s.On(role) {
-		return listener
+	return &tlsListener{Listener: listener, store: s, role: role}
+}
+
+type tlsListener struct {
+	net.Listener
+	store *Store
+	role  Role
+}
+
+// Accept gives the next connection; the handshake comes with its first read.
+func (l *tlsListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
-	return tls.NewListener(listener, &tls.Config{
-		MinVersion: minVersion(role),
+	if !l.store.On(l.role) {
+		return connection, nil
+	}
+	return tls.Server(connection, &tls.Config{
+		MinVersion: minVersion(l.role),
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			return s.serverConfig(role)
+			return l.store.serverConfig(l.role)
 		},
-	})
+	}), nil
 }
 
 // serverConfig is made for each connection, so that it takes what was read last.
 func (s *Store) serverConfig(role Role) (*tls.Config, error) {
 	m := s.current[role].Load()
+	if m.fault != nil {
+		return nil, m.fault
+	}
 	if m.certificate == nil {
-		return nil, fmt.Errorf("meeting a client as %s: %w", role, errOff)
+		return nil, fmt.Errorf("meeting a client as %s: %w", role, errNothingToShow)
 	}
 	config := &tls.Config{
 		MinVersion:   minVersion(role),
@@ -49,14 +70,11 @@
 	return tls.VersionTLS12
 }
 
-// Dialer wraps a dialer for peers or endpoints: connections are given out
-// after the handshake. It checks that the other side's certificate is signed
-// by the role's authority and names the address that was dialled. A role that
-// is switched off gives the dialer back as it is.
+// Dialer wraps a dialer for peers or endpoints: while the role is switched on,
+// connections are given out after the handshake. It checks that the other
+// side's certificate is signed by the role's authority and names the address
+// that was dialled.
 func (s *Store) Dialer(role Role, dialer core.Dialer) core.Dialer {
-	if !s.On(role) {
-		return dialer
-	}
 	return &tlsDialer{store: s, role: role, dialer: dialer}
 }
 
@@ -68,7 +86,10 @@
 
 // DialContext dials and shakes hands within ctx.
 func (d *tlsDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	host, _, err := net.SplitHostPort(address)
+	if !d.store.On(d.role) {
+		return d.dialer.DialContext(ctx, network, address)
+	}
+	config, err := d.store.clientConfig(d.role, address)
 	if err != nil {
 		return nil, fmt.Errorf("dialling as %s: %w", d.role, err)
 	}
@@ -76,7 +97,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dialling as %s: %w", d.role, err)
 	}
-	secured := tls.Client(connection, d.store.clientConfig(d.role, host))
+	secured := tls.Client(connection, config)
 	if err := secured.HandshakeContext(ctx); err != nil {
 		_ = connection.Close() // the handshake's error says more
 		return nil, fmt.Errorf("shaking hands with %s as %s: %w", address, d.role, err)
@@ -84,11 +105,18 @@
 	return secured, nil
 }
 
-func (s *Store) clientConfig(role Role, host string) *tls.Config {
+func (s *Store) clientConfig(role Role, address string) (*tls.Config, error) {
 	m := s.current[role].Load()
+	if m.fault != nil {
+		return nil, m.fault
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("splitting the address: %w", err)
+	}
 	config := &tls.Config{MinVersion: minVersion(role), ServerName: host, RootCAs: m.authority}
 	if m.certificate != nil {
 		config.Certificates = []tls.Certificate{*m.certificate}
 	}
-	return config
+	return config, nil
 }
