--- a/core/procs/slots/slots.go
+++ b/core/procs/slots/slots.go
@@ -90,6 +90,9 @@
 	// former is the owner under the revision before, when there was exactly
 	// one revision between; empty otherwise.
 	former core.HostName
+	// present is true when the former owner is on the new roster too: it will
+	// acknowledge, itself or by its successor, so that even a warm slot waits.
+	present bool
 	// everyone demands that all positions have acknowledged the revision.
 	everyone bool
 	// unacknowledged keeps a slot from use while the endpoint is cold: its
@@ -118,6 +121,8 @@
 	slots    []slot // ascending by position
 	borrowed []borrowed
 	serial   uint64
+	// received is the highest serial received of each owner.
+	received map[core.HostName]uint64
 	revision core.Revision
 
 	cold      bool
@@ -133,7 +138,16 @@
 // New builds the pool of an endpoint that this process has not met before. Its
 // own slots are shut: a predecessor's work may still run on the endpoint.
 func New(self core.HostID, weakness Weakness) *Pool {
-	return &Pool{self: self, weakness: weakness, cold: true, coldClear: true}
+	return &Pool{
+		self:     self,
+		weakness: weakness,
+		// A later incarnation starts above all serials of an earlier one,
+		// which gives out fewer than one lease a nanosecond.
+		serial:    uint64(self.Incarnation),
+		received:  make(map[core.HostName]uint64),
+		cold:      true,
+		coldClear: true,
+	}
 }
 
 // Cold tells whether the endpoint is limited to its cold slots.
