decide: a later revision acknowledges nothing of an earlier one

Cause: the exploration of slot handover found that a process that starts on an old revision took its peers' later revision as their acknowledgement, opened the cold slot that the old revision gives it, and put a second request on an engine that bears one (trace: the old owner dies, is replaced on revision 1, a peer at revision 2 acknowledges, an idle report, both take the slot). Change: only the very same revision acknowledges. Conclusion: a start on an old revision costs idle slots, never an overload.

--- a/core/procs/decide/apply.go
+++ b/core/procs/decide/apply.go
@@ -150,7 +150,7 @@
 	}
 	d.acknowledge(now, d.self.Host)
 	for _, host := range former.Hosts {
-		if d.positions[host.Name].revision >= d.config.Revision {
+		if d.positions[host.Name].revision == d.config.Revision {
 			d.acknowledge(now, host.Name)
 		}
 	}
@@ -188,7 +188,7 @@
 	}
 	known.revision = max(known.revision, revision)
 	d.positions[host.Host] = known
-	if known.revision >= d.config.Revision {
+	if known.revision == d.config.Revision {
 		d.acknowledge(now, host.Host)
 	}
 	return d.finish(now)
@@ -207,16 +207,20 @@
 }
 
 // everyone tells whether every position, also those that left the roster while
-// this process lived, has the revision in force.
+// this process lived, has exactly this revision in force. A position at a later
+// one has not given up what this one assigns to this host.
+//
+// Example: slot 0 is entry-1's by revision 1 and entry-2's by revision 2. A new
+// process of entry-1 starts on revision 1; entry-2, at revision 2, uses slot 0.
 func (d *Decider) everyone() bool {
 	for i := range d.config.Hosts {
 		name := d.config.Hosts[i].Name
-		if name != d.self.Host && d.positions[name].revision < d.config.Revision {
+		if name != d.self.Host && d.positions[name].revision != d.config.Revision {
 			return false
 		}
 	}
 	for name := range d.departed {
-		if d.positions[name].revision < d.config.Revision {
+		if d.positions[name].revision != d.config.Revision {
 			return false
 		}
 	}
--- a/core/procs/decide/decide_test.go
+++ b/core/procs/decide/decide_test.go
@@ -75,3 +75,35 @@
 		t.Fatalf("after the pause %d placed and %d refused", len(got.Placements), len(got.Refusals))
 	}
 }
+
+// A process that starts on an old revision hears other hosts name a later one.
+// They gave up nothing that the old one assigns to it.
+func TestLaterRevisionAcknowledgesNothing(t *testing.T) {
+	for _, c := range []struct {
+		acknowledged core.Revision
+		placed       int
+	}{
+		{acknowledged: 1, placed: 2},
+		{acknowledged: 2, placed: 0},
+	} {
+		placed := 0
+		for _, host := range []core.HostName{"h1", "h2"} {
+			d := newDecider(host)
+			now := _start
+			d.Apply(now, site("h1", "h2"))
+			other := core.HostName("h1")
+			if host == other {
+				other = "h2"
+			}
+			d.Acknowledged(now, core.HostID{Host: other, Incarnation: 1}, c.acknowledged)
+			now = now.Add(10 * time.Second)
+			d.Observe(now, core.Report{Endpoint: "e", Incarnation: 1, Phase: core.PhaseCold, AskedAt: now})
+			for i := range 10 {
+				placed += len(d.Submit(now, ask(i, now)).Placements)
+			}
+		}
+		if placed != c.placed {
+			t.Errorf("others at revision %d: %d placed on 2 cold slots by both hosts, want %d", c.acknowledged, placed, c.placed)
+		}
+	}
+}
