--- a/proof/slots_test.go
+++ b/proof/slots_test.go
@@ -129,6 +129,7 @@
 		Endpoint:   _slotEndpoint,
 		OwnerOf:    func(int) core.HostName { return slotHostName(slotOwner(revision)) },
 		FormerOf:   func(int) core.HostName { return "" },
+		Present:    func(core.HostName) bool { return true },
 		Contiguous: h.revision+1 == revision,
 		First:      h.revision == 0,
 	}
