--- a/core/versn/confg/build.go
+++ b/core/versn/confg/build.go
@@ -363,6 +363,7 @@
 	if len(b.config.DataCentres) > 0 && len(b.config.Hosts) == 0 {
 		b.faults.add(Origin{File: b.overlay}, "the site has no entry host", "Hosts in at least one section [DataCentre name]", "list the addresses of the entry hosts")
 	}
+	b.checkEndpointNames()
 	served := map[core.ServiceName]bool{}
 	for _, endpoint := range b.config.Endpoints {
 		served[endpoint.Service] = true
--- a/core/versn/confg/confg_test.go
+++ b/core/versn/confg/confg_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -180,6 +181,25 @@
 	return confg.Source{File: name, Text: string(text)}
 }
 
+// TestEveryLimitIsRead finds fields of core.Limits that no setting reaches.
+func TestEveryLimitIsRead(t *testing.T) {
+	limits := reflect.ValueOf(confg.DefaultLimits())
+	site, err := readFiles(t).read("north")
+	if err != nil {
+		t.Fatal(faultPage(err))
+	}
+	read := map[string]bool{}
+	for _, setting := range site.Settings {
+		read[setting.Section+" "+setting.Key] = true
+	}
+	for i := range limits.NumField() {
+		name := limits.Type().Field(i).Name
+		if limits.Field(i).IsZero() || !read["Limits "+name] {
+			t.Errorf("%s has no default or no key in [Limits]", name)
+		}
+	}
+}
+
 func TestParse(t *testing.T) {
 	read := readFiles(t)
 	bundle := core.Bundle{Revision: 12, Base: read["base.ini"], Overlay: read["north.ini"]}
--- a/core/versn/confg/endpoints.go
+++ b/core/versn/confg/endpoints.go
@@ -55,11 +55,26 @@
 	}
 }
 
-// endpointName names an endpoint by its address, as "drafting@10.0.1.1:9000".
-// A name counted from the list's order would pass to another endpoint when an
-// entry is removed, and a warm endpoint's slots with it.
+// endpointName names an endpoint by its address: "drafting-10.0.1.1-9000". A
+// name counted from the list's order would pass to another endpoint when an
+// entry is removed, and a warm endpoint's slots with it. The name has only
+// characters that need no escape in a path, since ids of generations hold it.
 func endpointName(service core.ServiceName, address string) core.EndpointName {
-	return core.EndpointName(string(service) + "@" + address)
+	return core.EndpointName(string(service) + "-" + _plainAddress.Replace(address))
+}
+
+// _plainAddress makes an address part of a name.
+var _plainAddress = strings.NewReplacer("[", "", "]", "", ":", "-")
+
+// checkEndpointNames reports names that two endpoints share. It takes unusual
+// service names to bring that about, such as "a" and "a-10.0.0.1-80".
+func (b *builder) checkEndpointNames() {
+	for i := 1; i < len(b.config.Endpoints); i++ {
+		before, after := b.config.Endpoints[i-1], b.config.Endpoints[i]
+		if before.Name == after.Name && before.Address != after.Address {
+			b.faults.add(b.origins.addresses[after.Address], fmt.Sprintf("%s and %s are both named %s", before.Address, after.Address, after.Name), "endpoints whose names differ", "rename one of the two services")
+		}
+	}
 }
 
 // endpointDefaults checks the sections [Defaults Engine] and [Defaults Plain]
