--- a/core/procs/ticket/handover.go
+++ b/core/procs/ticket/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -195,7 +196,10 @@
 	if err := json.Unmarshal(data, &e); err != nil {
 		return false, fmt.Errorf("decode the ledger of %s: %w", from, err)
 	}
-	if len(l.records)+len(e.Records) > 2*l.settings.Size {
+	if err := e.check(); err != nil {
+		return false, fmt.Errorf("check the ledger of %s: %w", from, err)
+	}
+	if l.holdsAny(e.Issuers) || len(l.records)+len(e.Records) > 2*l.settings.Size {
 		return false, nil
 	}
 	l.prepared[from] = preparedCopy{attempt: attempt, data: e}
@@ -204,7 +208,15 @@
 
 // AcceptCommit puts a copy in force. False is a definite refusal: this host will
 // never decide on the attempt, even when a late copy of the prepare arrives.
-func (l *Ledger) AcceptCommit(now time.Time, from core.HostID, attempt uint64) bool {
+//
+// The commit names the incarnation to which it is given up. Without that, an
+// incarnation that refused and was replaced could leave late copies of both
+// messages to its successor at the same address, which would accept them, while
+// the old holder has read the refusal.
+func (l *Ledger) AcceptCommit(now time.Time, to, from core.HostID, attempt uint64) bool {
+	if to != l.settings.Self {
+		return false
+	}
 	done := l.settled[from]
 	if done.committed == attempt && attempt != 0 {
 		return true
@@ -213,7 +225,7 @@
 		return false
 	}
 	p, ok := l.prepared[from]
-	accept := ok && p.attempt == attempt && !l.sealed()
+	accept := ok && p.attempt == attempt && !l.sealed() && !l.holdsAny(p.data.Issuers)
 	done.attempt = attempt
 	if accept {
 		done.committed = attempt
@@ -226,6 +238,36 @@
 	return accept
 }
 
+// holdsAny tells whether this host decides for one of the issuers already. A copy
+// that says otherwise is wrong, whoever sent it.
+func (l *Ledger) holdsAny(issuers []core.HostID) bool {
+	for _, issuer := range issuers {
+		if _, ok := l.issuers[issuer]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// check tells whether a copy is consistent: each issuer once, and no record of
+// another issuer.
+func (e exported) check() error {
+	for i, issuer := range e.Issuers {
+		if slices.Contains(e.Issuers[:i], issuer) {
+			return fmt.Errorf("issuer %s comes twice", issuer)
+		}
+	}
+	for _, x := range e.Records {
+		if !slices.Contains(e.Issuers, x.Issuer) {
+			return fmt.Errorf("record %d is of %s, which is no issuer of the ledger", x.Serial, x.Issuer)
+		}
+		if len(x.Mark) != sha256.Size || len(x.Digest) != sha256.Size {
+			return fmt.Errorf("record %d of %s: a digest is not of %d bytes", x.Serial, x.Issuer, sha256.Size)
+		}
+	}
+	return nil
+}
+
 func (l *Ledger) adopt(now time.Time, e exported) {
 	for _, issuer := range e.Issuers {
 		_, held := l.issuers[issuer]
--- a/core/procs/ticket/ledger.go
+++ b/core/procs/ticket/ledger.go
@@ -271,7 +271,7 @@
 
 // Finish records an order's outcome. It gives the outcome that the caller is to
 // be told, which is the recorded one.
-func (l *Ledger) Finish(_ time.Time, id ID, outcome Outcome) Outcome {
+func (l *Ledger) Finish(now time.Time, id ID, outcome Outcome) Outcome {
 	r, ok := l.records[id]
 	if !ok || r.phase != phaseRunning {
 		return outcome
@@ -280,6 +280,11 @@
 		"order %s is called NotRun though a dispatch may have run", id)
 	l.running--
 	l.record(r, outcome)
+	// An order that took longer than its ticket's time is still told to those
+	// who wait for it.
+	if least := now.Add(l.settings.Term); r.forgetAt.Before(least) {
+		r.forgetAt = least
+	}
 	return outcome
 }
 
--- /dev/null
+++ b/io/caller/order_test.go
@@ -0,0 +1,433 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/fakes/plain"
+	"apricotproxy/io/wire"
+)
+
+// order sends an order to a host and gives its status and answer.
+func (r *rig) order(host, ticket string) (status int, answer string) {
+	return r.post("http://"+host+":80/v1/orders", orderBody(ticket, "Ann"))
+}
+
+func (r *rig) wantOrder(host, ticket string, status int, part string) {
+	r.t.Helper()
+	got, answer := r.order(host, ticket)
+	if got != status || !strings.Contains(answer, part) {
+		r.t.Errorf("order at %s: status %d: %s; want %d with %q", host, got, answer, status, part)
+	}
+}
+
+func (r *rig) wantRuns(want int) {
+	r.t.Helper()
+	if ran := r.orderRuns(); ran != want {
+		r.t.Errorf("orders ran %d times; want %d", ran, want)
+	}
+}
+
+// failNext sets the fault of the next call, whichever worker gets it.
+func (r *rig) failNext(fault plain.Fault) {
+	for _, p := range r.plains {
+		p.FailNext(fault)
+	}
+}
+
+func TestOrderAfterARefusalRunsElsewhere(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		r.plains[0].FailNext(plain.FaultRefused)
+		ticket := r.tickets("entry-0", 1)[0]
+		r.wantOrder("entry-0", ticket, http.StatusOK, "")
+		r.wantRuns(1)
+	})
+}
+
+// Whatever leaves open whether the order ran is Unknown, also for repeats, and
+// the order is never tried again.
+func TestOrderThatMayHaveRunIsUnknown(t *testing.T) {
+	for name, fault := range map[string]plain.Fault{
+		"status 500 after it ran": plain.FaultAfterRun,
+		"link cut after it ran":   plain.FaultCutAfterRun,
+		"link silent":             plain.FaultSilent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inRig(t, testConfig(), func(r *rig) {
+				r.failNext(fault)
+				ticket := r.tickets("entry-0", 1)[0]
+				r.wantOrder("entry-0", ticket, http.StatusBadGateway, `"Outcome":"Unknown"`)
+				r.wantOrder("entry-1", ticket, http.StatusBadGateway, `"Outcome":"Unknown"`)
+				r.wantRuns(1)
+			})
+		})
+	}
+}
+
+func TestOrderToDeadEndpointsIsNotRun(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		r.network.Kill("plain-0")
+		r.network.Kill("plain-1")
+		ticket := r.tickets("entry-0", 1)[0]
+		r.wantOrder("entry-0", ticket, http.StatusTooManyRequests, `"Outcome":"NotRun"`)
+		r.wantRuns(0)
+	})
+}
+
+// The refusal burns the ticket: a copy that comes later cannot run.
+func TestRefusedOrderCannotRunLater(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		ticket := r.tickets("entry-0", 1)[0]
+		r.hosts["entry-0"].dispatcher.Refuse(core.NotRun(core.CauseOverload, "full", time.Time{}))
+		r.wantOrder("entry-0", ticket, http.StatusTooManyRequests, `"Outcome":"NotRun"`)
+		r.hosts["entry-0"].dispatcher.Refuse(nil)
+		r.wantOrder("entry-0", ticket, http.StatusTooManyRequests, `"Outcome":"NotRun"`)
+		r.wantOrder("entry-2", ticket, http.StatusTooManyRequests, `"Outcome":"NotRun"`)
+		r.wantRuns(0)
+	})
+}
+
+func TestCopiesAtTheSameTimeRunOnce(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		ticket := r.tickets("entry-0", 1)[0]
+		done := make(chan string, 6)
+		for i := range cap(done) {
+			go func() {
+				status, answer := r.order(fmt.Sprintf("entry-%d", i%3), ticket)
+				done <- fmt.Sprint(status, answer)
+			}()
+		}
+		first := <-done
+		for range cap(done) - 1 {
+			if got := <-done; got != first {
+				t.Errorf("answers %q and %q; want the same", got, first)
+			}
+		}
+		r.wantRuns(1)
+	})
+}
+
+// A caller that leaves does not stop its order; it asks for the outcome later.
+func TestOrderGoesOnWithoutItsCaller(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		ticket := r.tickets("entry-0", 1)[0]
+		ctx, cancel := context.WithDeadline(r.t.Context(), time.Now().Add(5*time.Millisecond))
+		defer cancel()
+		request := r.request(http.MethodPost, "http://entry-0:80/v1/orders", orderBody(ticket, "Ann")).WithContext(ctx)
+		if _, err := r.client("caller").Do(request); err == nil {
+			t.Error("the order had an answer; want the caller to leave before")
+		}
+		r.wantOrder("entry-1", ticket, http.StatusOK, "")
+		r.wantRuns(1)
+	})
+}
+
+func TestTicketsThatAreNotValid(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		ticket := r.tickets("entry-0", 1)[0]
+		forged := ticket[:len(ticket)-4] + "AAAA"
+		for name, body := range map[string]string{
+			"forged":     orderBody(forged, "Ann"),
+			"garbage":    orderBody("no ticket", "Ann"),
+			"other site": orderBody(otherSiteTicket(r), "Ann"),
+		} {
+			for _, host := range []string{"entry-0", "entry-1"} {
+				status, answer := r.post("http://"+host+":80/v1/orders", body)
+				if status != http.StatusForbidden || !strings.Contains(answer, `"Cause":"TicketInvalid"`) {
+					t.Errorf("%s at %s: status %d: %s; want 403 TicketInvalid", name, host, status, answer)
+				}
+			}
+		}
+		r.wantRuns(0)
+		r.wantOrder("entry-0", ticket, http.StatusOK, "")
+	})
+}
+
+// otherSiteTicket gets a ticket of a host of another site with the same name.
+func otherSiteTicket(r *rig) string {
+	config := r.config
+	config.Site = "lockyer"
+	other := rig{t: r.t, network: r.network, config: config, hosts: map[core.HostName]*host{}}
+	h := other.startHost("entry-far", 1)
+	r.servers = append(r.servers, other.servers...)
+	texts, _, err := h.desk.Issue(_workspace, 1)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return texts[0]
+}
+
+func TestFullLedgerRefusesNewTickets(t *testing.T) {
+	config := testConfig()
+	config.Limits.LedgerSize = 2
+	inRig(t, config, func(r *rig) {
+		tickets := r.tickets("entry-0", 2)
+		status, answer := r.post("http://entry-0:80/v1/tickets", `{"Count":1}`)
+		if status != http.StatusTooManyRequests || !strings.Contains(answer, `"Cause":"LedgerFull"`) {
+			t.Errorf("status %d: %s; want 429 LedgerFull", status, answer)
+		}
+		for _, ticket := range tickets {
+			r.wantOrder("entry-1", ticket, http.StatusOK, "")
+		}
+		r.wantRuns(2)
+	})
+}
+
+// brokenPeer is a peer whose calls get lost, before or after they did their work.
+type brokenPeer struct {
+	wire.Peer
+	before func(method string) error
+	after  func(method string) error
+}
+
+var errBroken = errors.New("the link is broken")
+
+func (p brokenPeer) ForwardOrder(ctx context.Context, q *wire.ForwardOrderRequest) (*wire.ForwardOrderReply, error) {
+	return around(p, "ForwardOrder", func() (*wire.ForwardOrderReply, error) { return p.Peer.ForwardOrder(ctx, q) })
+}
+
+func (p brokenPeer) HandOver(ctx context.Context, q *wire.HandOverRequest) (*wire.HandOverReply, error) {
+	method := "Prepare"
+	if q.GetCommit() {
+		method = "Commit"
+	}
+	return around(p, method, func() (*wire.HandOverReply, error) { return p.Peer.HandOver(ctx, q) })
+}
+
+func around[T any](p brokenPeer, method string, call func() (*T, error)) (*T, error) {
+	if p.before != nil {
+		if err := p.before(method); err != nil {
+			return nil, err
+		}
+	}
+	reply, err := call()
+	if err == nil && p.after != nil {
+		err = p.after(method)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// A partition: both halves serve, and the order runs at its issuer only.
+func TestOrderInAPartition(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		ticket := r.tickets("entry-0", 1)[0]
+		r.wrap = func(from, to core.HostName, peer wire.Peer) wire.Peer {
+			if (from == "entry-0") == (to == "entry-0") {
+				return peer
+			}
+			return brokenPeer{Peer: peer, before: func(string) error { return errBroken }}
+		}
+		r.wantOrder("entry-1", ticket, http.StatusBadGateway, `"Cause":"IssuerGone"`)
+		r.wantOrder("entry-0", ticket, http.StatusOK, "")
+		r.wantOrder("entry-2", ticket, http.StatusBadGateway, `"Outcome":"Unknown"`)
+		r.wrap = nil
+		r.wantOrder("entry-2", ticket, http.StatusOK, "")
+		r.wantRuns(1)
+	})
+}
+
+// A forwarder whose calls arrive and whose answers get lost asks again; the
+// issuer runs the order once.
+func TestForwardedOrderWhoseAnswerIsLost(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		ticket := r.tickets("entry-0", 1)[0]
+		lost := 0
+		r.wrap = func(_, _ core.HostName, peer wire.Peer) wire.Peer {
+			return brokenPeer{Peer: peer, after: func(string) error {
+				if lost++; lost <= 2 {
+					return errBroken
+				}
+				return nil
+			}}
+		}
+		r.wantOrder("entry-1", ticket, http.StatusOK, "")
+		r.wantRuns(1)
+	})
+}
+
+// An issuer that sleeps for a minute is Unknown to others, and runs the order at
+// most once when it wakes.
+func TestIssuerThatPauses(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		ticket := r.tickets("entry-0", 1)[0]
+		wakes := time.Now().Add(time.Minute)
+		r.wrap = func(_, to core.HostName, peer wire.Peer) wire.Peer {
+			if to != "entry-0" {
+				return peer
+			}
+			return sleepingPeer{Peer: peer, wakes: wakes}
+		}
+		begin := time.Now()
+		r.wantOrder("entry-1", ticket, http.StatusBadGateway, `"Outcome":"Unknown"`)
+		if took, most := time.Since(begin), 15*time.Second; took > most {
+			t.Errorf("the answer took %v; want at most %v", took, most)
+		}
+		time.Sleep(2 * time.Minute)
+		// The copies that waited for the issuer have been served.
+		status, _ := r.order("entry-2", ticket)
+		if ran := r.orderRuns(); ran > 1 || status == http.StatusOK && ran != 1 {
+			t.Errorf("status %d, ran %d times", status, ran)
+		}
+	})
+}
+
+type sleepingPeer struct {
+	wire.Peer
+	wakes time.Time
+}
+
+// ForwardOrder gives up when the caller does, and the call is served all the same
+// when the host wakes.
+func (p sleepingPeer) ForwardOrder(ctx context.Context, q *wire.ForwardOrderRequest) (*wire.ForwardOrderReply, error) {
+	if left := time.Until(p.wakes); left > 0 {
+		time.AfterFunc(left, func() { _, _ = p.Peer.ForwardOrder(context.Background(), q) })
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return p.Peer.ForwardOrder(ctx, q)
+}
+
+// A dead issuer, and one replaced at its position, is Unknown, never NotRun.
+func TestIssuerThatDied(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		ticket := r.tickets("entry-0", 1)[0]
+		delete(r.hosts, "entry-0")
+		r.wantOrder("entry-1", ticket, http.StatusBadGateway, `"Cause":"IssuerGone"`)
+		r.network.Kill("entry-0")
+		r.startHost("entry-0", 2)
+		r.wantOrder("entry-1", ticket, http.StatusBadGateway, `"Cause":"IssuerGone"`)
+		r.wantOrder("entry-0", ticket, http.StatusBadGateway, `"Cause":"IssuerGone"`)
+		r.wantRuns(0)
+	})
+}
+
+// leave hands a host's ledger over and stops the host.
+func (r *rig) leave(name core.HostName) error {
+	ctx, cancel := context.WithDeadline(r.t.Context(), time.Now().Add(10*time.Second))
+	defer cancel()
+	err := r.hosts[name].desk.Leave(ctx)
+	delete(r.hosts, name)
+	return err
+}
+
+func TestLedgerIsHandedOverAtAPlannedStop(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		tickets := r.tickets("entry-0", 3)
+		r.wantOrder("entry-0", tickets[0], http.StatusOK, "")
+		if err := r.leave("entry-0"); err != nil {
+			t.Fatal(err)
+		}
+		r.wantOrder("entry-1", tickets[0], http.StatusOK, "")
+		r.wantRuns(1)
+		r.wantOrder("entry-1", tickets[1], http.StatusOK, "")
+		r.wantOrder("entry-2", tickets[1], http.StatusOK, "")
+		r.wantRuns(2)
+		// The second host leaves too, and the third has all of it.
+		if err := r.leave("entry-1"); err != nil {
+			t.Fatal(err)
+		}
+		r.wantOrder("entry-2", tickets[0], http.StatusOK, "")
+		r.wantOrder("entry-2", tickets[1], http.StatusOK, "")
+		r.wantOrder("entry-2", tickets[2], http.StatusOK, "")
+		r.wantRuns(3)
+	})
+}
+
+// An order that runs when its host is told to stop ends before the ledger moves;
+// one that comes meanwhile is answered by the successor.
+func TestOrdersDuringAHandover(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		tickets := r.tickets("entry-0", 2)
+		done := make(chan string, 2)
+		send := func(ticket string) {
+			status, answer := r.order("entry-0", ticket)
+			done <- fmt.Sprint(status, answer)
+		}
+		go send(tickets[0])
+		time.Sleep(8 * time.Millisecond)
+		time.AfterFunc(time.Millisecond, func() { send(tickets[1]) })
+		if err := r.leave("entry-0"); err != nil {
+			t.Fatal(err)
+		}
+		for range 2 {
+			if got := <-done; !strings.HasPrefix(got, "200") {
+				t.Errorf("answer %s; want status 200", got)
+			}
+		}
+		r.wantRuns(2)
+	})
+}
+
+// A successor that dies before the commit is replaced by another.
+func TestSuccessorThatTakesTheCopyAndDies(t *testing.T) {
+	for _, step := range []string{"Prepare", "Commit"} {
+		t.Run(step, func(t *testing.T) {
+			inRig(t, testConfig(), func(r *rig) {
+				tickets := r.tickets("entry-0", 2)
+				r.wantOrder("entry-0", tickets[0], http.StatusOK, "")
+				var dead core.HostName
+				r.wrap = func(_, to core.HostName, peer wire.Peer) wire.Peer {
+					return brokenPeer{Peer: peer, after: func(method string) error {
+						if method == step && dead == "" {
+							dead = to
+						}
+						if to == dead {
+							return errBroken
+						}
+						return nil
+					}, before: func(string) error {
+						if to == dead {
+							return errBroken
+						}
+						return nil
+					}}
+				}
+				err := r.leave("entry-0")
+				alive := "entry-1"
+				if dead == "entry-1" {
+					alive = "entry-2"
+				}
+				if step == "Prepare" {
+					if err != nil {
+						t.Fatal(err)
+					}
+					r.wantOrder(alive, tickets[0], http.StatusOK, "")
+					r.wantOrder(alive, tickets[1], http.StatusOK, "")
+					r.wantRuns(2)
+					return
+				}
+				if err == nil {
+					t.Error("the handover succeeded without an answer to the commit")
+				}
+				r.wantOrder(alive, tickets[1], http.StatusBadGateway, `"Cause":"IssuerGone"`)
+				r.wantRuns(1)
+			})
+		})
+	}
+}
+
+// An order is not dispatched when the permission ends right before its first
+// byte; the dispatcher places it again.
+func TestPermissionIsAskedRightBeforeTheFirstByte(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		asked := 0
+		r.hosts["entry-0"].dispatcher.OnConfirm = func(core.Placement) bool {
+			asked++
+			return asked > 2
+		}
+		r.wantOrder("entry-0", r.tickets("entry-0", 1)[0], http.StatusOK, "")
+		r.wantRuns(1)
+		if asked != 3 {
+			t.Errorf("permission was asked %d times; want 3", asked)
+		}
+	})
+}
--- a/io/caller/rig_test.go
+++ b/io/caller/rig_test.go
@@ -46,6 +46,8 @@
 	hosts   map[core.HostName]*host
 	servers []*http.Server
 	clients []*http.Transport
+	// wrap puts faults between two hosts; nil for none.
+	wrap func(from, to core.HostName, peer wire.Peer) wire.Peer
 }
 
 // host is one entry host of the rig.
@@ -225,11 +227,14 @@
 	return p.host.runner.Adopt(ctx, q)
 }
 
-func (r *rig) peer(_, to core.HostName) wire.Peer {
+func (r *rig) peer(from, to core.HostName) wire.Peer {
 	h, ok := r.hosts[to]
 	if !ok {
 		return nil
 	}
+	if r.wrap != nil {
+		return r.wrap(from, to, peerLink{host: h})
+	}
 	return peerLink{host: h}
 }
 
--- a/io/runs/desk.go
+++ b/io/runs/desk.go
@@ -297,7 +297,7 @@
 	d.ledger.SetLimits(limits.LedgerSize, limits.TicketTerm)
 	reply := &wire.HandOverReply{Holder: wire.FromHostID(d.config.Self)}
 	if request.GetCommit() {
-		reply.Accepted = d.ledger.AcceptCommit(time.Now(), from, request.GetSerial())
+		reply.Accepted = d.ledger.AcceptCommit(time.Now(), wire.ToHostID(request.GetTo()), from, request.GetSerial())
 		d.noteMove(fmt.Sprintf("ledger of %s", from), reply.Accepted)
 		d.wake()
 		return reply, nil
--- a/io/runs/leave.go
+++ b/io/runs/leave.go
@@ -89,7 +89,11 @@
 		return false, err
 	}
 	for wait := _firstPause; ; wait = min(2*wait, _longestPause) {
-		reply, err := d.sendStep(ctx, peer, &wire.HandOverRequest{Serial: attempt, Commit: true})
+		reply, err := d.sendStep(ctx, peer, &wire.HandOverRequest{
+			Serial: attempt,
+			Commit: true,
+			To:     wire.FromHostID(successor),
+		})
 		// An answer by a later incarnation says nothing of the one that had
 		// the copy: it may have decided on orders before it died.
 		if err == nil && wire.ToHostID(reply.GetHolder()) == successor {
