--- a/io/cmds/remote.go
+++ b/io/cmds/remote.go
@@ -21,7 +21,7 @@
 )
 
 type statusCommand struct {
-	Address string `default:"127.0.0.1:7070" help:"Address of the host's operators' surface."`
+	Address string `default:"127.0.0.1:9090" help:"Address of the host's operators' surface."`
 }
 
 // Run prints /statusz, and exits with 1 when the host is not ready.
@@ -80,7 +80,7 @@
 func closeBody(answer *http.Response) { _ = answer.Body.Close() }
 
 type auditCommand struct {
-	Address string `default:"127.0.0.1:7070" help:"Address of the host's operators' surface."`
+	Address string `default:"127.0.0.1:9090" help:"Address of the host's operators' surface."`
 	After   uint64 `help:"Print only events with a higher number."`
 	Follow  bool   `short:"f" help:"Go on printing new events."`
 	JSON    bool   `name:"json" help:"Print one JSON object a line."`
