confg: a difference tells what each service has left

Cause: an operator who takes a data centre out needs to know whether the rest can carry the load, and had to count endpoints by hand. Change: config diff adds, for each service whose usable endpoints change, their number and warm slots before and after, or that its requests are refused.

--- a/core/versn/confg/diff.go
+++ b/core/versn/confg/diff.go
@@ -42,6 +42,7 @@
 	d.hosts(old, next)
 	d.services(old, next)
 	d.endpoints(old, next)
+	d.usable(old, next)
 	d.workspaces(old, next)
 	d.fields(PartLimits, reflect.ValueOf(old.Limits), reflect.ValueOf(next.Limits))
 	d.fields(PartTLS, reflect.ValueOf(old.TLS), reflect.ValueOf(next.TLS))
