io/opers, io/cmds: a followed audit trail neither holds a stop nor hangs

Cause: an audit stream never ends by itself, so that a planned stop would have waited for its reader, and a reader behind a link that went silent would have waited for ever. Change: Shutdown ends the streams; audit gives a host up after 15 s without a line (a quiet host sends an empty one every 5 s) and names the number to go on from. Conclusion: tests of both ends; the silent link is tested at the host's side only, with virtual time.

--- a/io/cmds/cmds_test.go
+++ b/io/cmds/cmds_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -39,6 +40,16 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// startEnding serves an audit stream that ends after one event.
+func startEnding(t *testing.T) (address string) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("\n" + `{"Sequence":3,"Kind":"Drain","Subject":"a-host-1","Cause":"asked to"}` + "\n"))
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
 // copyExamples copies the examples to a directory and changes texas.ini.
 func copyExamples(t *testing.T, old, changed string) string {
 	t.Helper()
@@ -62,8 +73,8 @@
 }
 
 // TestCommandLines runs the command lines of testdata/lines. EXAMPLES, CHANGED
-// (the examples with one line of texas.ini replaced), READY and UNREADY (hosts'
-// addresses) and EMPTY stand for places that differ from run to run.
+// (the examples with one line of texas.ini replaced), READY, UNREADY and ENDING
+// (hosts' addresses) and EMPTY stand for places that differ from run to run.
 func TestCommandLines(t *testing.T) {
 	datadriven.RunTest(t, "testdata/lines", func(t *testing.T, d *datadriven.TestData) string {
 		old, changed := "", ""
@@ -74,6 +85,7 @@
 			"CHANGED", copyExamples(t, strings.ReplaceAll(old, "_", " "), strings.ReplaceAll(changed, "_", " ")),
 			"UNREADY", startSurface(t, errors.New("no configuration yet")),
 			"READY", startSurface(t, nil),
+			"ENDING", startEnding(t),
 			"EMPTY", t.TempDir(),
 		}
 		line := strings.NewReplacer(places...).Replace(strings.TrimSpace(d.Input))
--- a/io/cmds/remote.go
+++ b/io/cmds/remote.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"apricotproxy/core/procs/audit"
+	"apricotproxy/io/opers"
 )
 
 // Bounds of a question to a host's operators' surface.
@@ -20,6 +21,8 @@
 	_auditLineBytes = 1 << 20
 )
 
+var errSilent = errors.New("the host went silent")
+
 type statusCommand struct {
 	Address string `default:"127.0.0.1:9090" help:"Address of the host's operators' surface."`
 }
@@ -89,30 +92,45 @@
 // Run prints the audit trail.
 func (c *auditCommand) Run(ctx context.Context, console *Console) error {
 	url := fmt.Sprintf("http://%s/auditz?After=%d", c.Address, c.After)
+	limit := _remoteTimeout
 	if c.Follow {
 		url += "&Follow=yes"
-	} else {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, _remoteTimeout)
-		defer cancel()
+		limit = opers.AuditSilence
 	}
-	answer, err := get(ctx, url)
+	// A host or a link that has gone silent ends the reading; with Follow each
+	// line gives it time anew.
+	bounded, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := time.AfterFunc(limit, func() { cancel(errSilent) })
+	defer watch.Stop()
+	answer, err := get(bounded, url)
 	if err != nil {
 		return err
 	}
 	defer closeBody(answer)
-	err = c.printAll(console, answer.Body)
-	if c.Follow && errors.Is(ctx.Err(), context.Canceled) {
+	err = c.printAll(console, answer.Body, func() {
+		if c.Follow {
+			watch.Reset(limit)
+		}
+	})
+	switch {
+	case c.Follow && ctx.Err() != nil:
 		return nil // stopped by an interrupt, as the operator asked
+	case errors.Is(context.Cause(bounded), errSilent):
+		return fmt.Errorf("%w; ask again with --after %d", errSilent, c.After)
+	case c.Follow && err == nil:
+		return fmt.Errorf("the host ended the stream; ask again with --after %d", c.After)
+	default:
+		return err
 	}
-	return err
 }
 
-func (c *auditCommand) printAll(console *Console, body io.Reader) error {
+// printAll prints each event and keeps its number in c.After.
+func (c *auditCommand) printAll(console *Console, body io.Reader, lineCame func()) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, _auditLineBytes)
-	last := c.After
 	for lines.Scan() {
+		lineCame()
 		if len(lines.Bytes()) == 0 {
 			continue // sent while there are no events
 		}
@@ -120,10 +138,10 @@
 		if err := json.Unmarshal(lines.Bytes(), &entry); err != nil {
 			return fmt.Errorf("reading an audit event: %w", err)
 		}
-		if entry.Sequence > last+1 {
-			console.printf("apricotproxy: events %d to %d are no longer held\n", last+1, entry.Sequence-1)
+		if entry.Sequence > c.After+1 {
+			console.printf("apricotproxy: events %d to %d are no longer held\n", c.After+1, entry.Sequence-1)
 		}
-		last = entry.Sequence
+		c.After = entry.Sequence
 		if err := c.print(console, lines.Text(), entry); err != nil {
 			return err
 		}
--- a/io/opers/opers.go
+++ b/io/opers/opers.go
@@ -8,10 +8,12 @@
 package opers
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"expvar"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,11 +29,13 @@
 	_headTimeout  = 5 * time.Second
 	_headBytes    = 16 << 10
 	_writeTimeout = 10 * time.Second
-	// _pingInterval is how often a quiet audit stream sends an empty line, so
-	// that a reader finds a silent link and this host a reader that is gone.
 	_pingInterval = 5 * time.Second
 )
 
+// AuditSilence is how long an audit stream may be without a line before its
+// reader gives it up: a quiet one sends an empty line every 5 s.
+const AuditSilence = 3 * _pingInterval
+
 // Dependencies are what the surface shows.
 type Dependencies struct {
 	// Ready gives nil when the host takes requests, else the reason.
@@ -43,12 +47,17 @@
 }
 
 // NewServer makes the server; the caller gives it a listener and shuts it down.
+// Shutdown ends the audit streams, which would otherwise hold it for ever.
 func NewServer(dependencies Dependencies) *http.Server {
-	return &http.Server{
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &http.Server{
 		Handler:           NewHandler(dependencies),
 		ReadHeaderTimeout: _headTimeout,
 		MaxHeaderBytes:    _headBytes,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
+	server.RegisterOnShutdown(cancel)
+	return server
 }
 
 // NewHandler makes the handler of the paths above.
--- a/io/opers/opers_test.go
+++ b/io/opers/opers_test.go
@@ -90,6 +90,31 @@
 	})
 }
 
+// TestShutdownEndsStreams stops a server that a reader follows.
+func TestShutdownEndsStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := opers.NewServer(newDependencies())
+		client, listener := newPipeListener()
+		go func() { _ = server.Serve(listener) }()
+		answer, err := client.Get("http://host/auditz?Follow=yes")
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines := bufio.NewScanner(answer.Body)
+		expectSubject(t, lines, "austin-b")
+		expectSubject(t, lines, "waco")
+		stopped := make(chan error)
+		go func() { stopped <- server.Shutdown(t.Context()) }()
+		if lines.Scan() {
+			t.Errorf("got %q after the stop", lines.Text())
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+		client.CloseIdleConnections()
+	})
+}
+
 func expectSubject(t *testing.T, lines *bufio.Scanner, subject string) {
 	t.Helper()
 	if !lines.Scan() {
