--- a/core/procs/decide/apply.go
+++ b/core/procs/decide/apply.go
@@ -30,6 +30,10 @@
 	for i := range former.Endpoints {
 		formerIndex[former.Endpoints[i].Name] = i
 	}
+	d.present = make(map[core.HostName]bool, len(config.Hosts))
+	for i := range config.Hosts {
+		d.present[config.Hosts[i].Name] = true
+	}
 	d.endpoints = d.endpoints[:0]
 	byName := make(map[core.EndpointName]*endpoint, len(config.Endpoints))
 	for i := range config.Endpoints {
@@ -104,6 +108,7 @@
 		Owned:      d.owners.Positions(e.index, d.self.Host),
 		OwnerOf:    func(position int) core.HostName { return ownerOf(d.owners, e.index, position) },
 		FormerOf:   func(int) core.HostName { return "" },
+		Present:    func(host core.HostName) bool { return d.present[host] },
 		Contiguous: !first && former.Revision+1 == d.config.Revision,
 		First:      first,
 	}
@@ -132,15 +137,11 @@
 
 // reviseRoster forgets positions that left, and their leases.
 func (d *Decider) reviseRoster(now time.Time, former core.Config) {
-	present := make(map[core.HostName]bool, len(d.config.Hosts))
-	for i := range d.config.Hosts {
-		present[d.config.Hosts[i].Name] = true
-	}
 	for _, e := range d.endpoints {
-		e.pool.BorrowersLeft(now, present)
+		e.pool.BorrowersLeft(now, d.present)
 	}
 	for _, host := range former.Hosts {
-		if !present[host.Name] {
+		if !d.present[host.Name] {
 			d.departed[host.Name] = true
 		}
 	}
@@ -149,7 +150,7 @@
 	}
 	d.acknowledge(now, d.self.Host)
 	for _, host := range former.Hosts {
-		if d.positions[host.Name].revision >= d.config.Revision {
+		if d.positions[host.Name].revision == d.config.Revision {
 			d.acknowledge(now, host.Name)
 		}
 	}
@@ -187,7 +188,7 @@
 	}
 	known.revision = max(known.revision, revision)
 	d.positions[host.Host] = known
-	if known.revision >= d.config.Revision {
+	if known.revision == d.config.Revision {
 		d.acknowledge(now, host.Host)
 	}
 	return d.finish(now)
@@ -206,16 +207,20 @@
 }
 
 // everyone tells whether every position, also those that left the roster while
-// this process lived, has the revision in force.
+// this process lived, has exactly this revision in force. A position at a later
+// one has not given up what this one assigns to this host.
+//
+// Example: slot 0 is entry-1's by revision 1 and entry-2's by revision 2. A new
+// process of entry-1 starts on revision 1; entry-2, at revision 2, uses slot 0.
 func (d *Decider) everyone() bool {
 	for i := range d.config.Hosts {
 		name := d.config.Hosts[i].Name
-		if name != d.self.Host && d.positions[name].revision < d.config.Revision {
+		if name != d.self.Host && d.positions[name].revision != d.config.Revision {
 			return false
 		}
 	}
 	for name := range d.departed {
-		if d.positions[name].revision < d.config.Revision {
+		if d.positions[name].revision != d.config.Revision {
 			return false
 		}
 	}
