io/load: streams are resumed at another host, as a caller would

Cause: a load that gives a stream up at the first broken connection says nothing of the service during data centre moves and stops; one without a bound on silence would wait for the answer timeout. Change: a stream that breaks or goes without a byte is resumed with Last-Event-ID at the next target, a few times, and verified across connections; resumptions are counted. An outcome that was never set no longer reads as Done. Conclusion: scripted cases of cut and silent streams, repeated and foreign tokens, lost generations; also with -race.

--- a/io/cmds/load.go
+++ b/io/cmds/load.go
@@ -22,6 +22,8 @@
 	Rate          float64       `default:"10" help:"Mean arrivals a second; they do not wait for answers."`
 	Duration      time.Duration `default:"30s" help:"How long requests arrive; their answers are awaited after it."`
 	AnswerTimeout time.Duration `default:"5m" help:"Longest time for one answer."`
+	Silence       time.Duration `default:"15s" help:"A stream without a byte for longer is resumed at the next target."`
+	Resumes       int           `default:"3" help:"How often a stream is resumed at most."`
 	MaxOpen       int           `default:"20000" help:"Most requests in flight; arrivals above it are counted as Skipped."`
 	Seed          uint64        `default:"1" help:"Seed of the arrivals: the same seed sends the same requests at the same times."`
 
@@ -88,7 +90,8 @@
 	}
 	return load.Settings{
 		Targets: c.Targets, TLS: authority, Workspaces: workspaces, Seed: c.Seed,
-		Rate: c.Rate, Duration: c.Duration, AnswerTimeout: c.AnswerTimeout, MaxOpen: c.MaxOpen,
+		Rate: c.Rate, Duration: c.Duration, AnswerTimeout: c.AnswerTimeout,
+		Silence: c.Silence, Resumes: c.Resumes, MaxOpen: c.MaxOpen,
 		DraftShare: c.DraftShare, LookupShare: c.LookupShare, CallShare: c.CallShare, OrderShare: c.OrderShare,
 		Service: core.ServiceName(c.Service), DraftPrompt: c.DraftPrompt, LookupPrompt: c.LookupPrompt,
 		DraftTokens: c.DraftTokens, LookupTokens: c.LookupTokens, Call: call, Order: order,
--- a/io/load/calls.go
+++ b/io/load/calls.go
@@ -45,7 +45,7 @@
 	}
 	defer closeBody(response)
 	if response.StatusCode != http.StatusOK {
-		return x.refused(response)
+		return refused(response)
 	}
 	var tickets ticketsAnswer
 	if err := json.NewDecoder(io.LimitReader(response.Body, _eventBytes)).Decode(&tickets); err != nil || len(tickets.Tickets) != 1 {
@@ -67,7 +67,7 @@
 	}
 	defer closeBody(response)
 	if response.StatusCode != http.StatusOK {
-		return x.refused(response)
+		return refused(response)
 	}
 	if _, err := io.CopyN(io.Discard, response.Body, _answerBytes); err != nil && !errors.Is(err, io.EOF) {
 		return answer{Outcome: Broken, Detail: "the answer was cut: " + err.Error()}
@@ -76,7 +76,7 @@
 }
 
 // refused reads an error answer.
-func (x *exchange) refused(response *http.Response) answer {
+func refused(response *http.Response) answer {
 	var refusal struct {
 		Outcome string
 		Cause   string
--- a/io/load/fuzz_test.go
+++ b/io/load/fuzz_test.go
@@ -21,9 +21,10 @@
 		return d.Expected
 	})
 	f.Fuzz(func(t *testing.T, text string) {
-		x := &exchange{}
-		got := x.readStream(strings.NewReader(text))
-		if got.Outcome >= _outcomes {
+		reader := &streamReader{}
+		reader.read(strings.NewReader(text))
+		got := reader.answer
+		if got.Outcome < Done || got.Outcome >= _outcomes {
 			t.Fatalf("the outcome is %d", got.Outcome)
 		}
 		if got.Outcome != Done {
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -54,6 +54,10 @@
 	Duration time.Duration
 	// AnswerTimeout bounds one request, from its scheduled arrival.
 	AnswerTimeout time.Duration
+	// Silence is how long a stream may be without a byte before it is resumed
+	// at another target, at most Resumes times.
+	Silence time.Duration
+	Resumes int
 	// MaxOpen bounds the requests in flight; arrivals above it are counted as
 	// Skipped, so that the result shows the bound was met.
 	MaxOpen    int
@@ -101,8 +105,8 @@
 		return errors.New("no workspace; name at least one of the site's workspaces")
 	case !(s.Rate > 0):
 		return errors.New("the rate is not above 0")
-	case s.Duration <= 0 || s.AnswerTimeout <= 0:
-		return errors.New("the duration and the answer timeout must be above 0")
+	case s.Duration <= 0 || s.AnswerTimeout <= 0 || s.Silence <= 0:
+		return errors.New("the duration, the answer timeout and the silence must be above 0")
 	case s.MaxOpen <= 0:
 		return errors.New("the bound on open requests is not above 0")
 	case total == 0:
--- a/io/load/load_test.go
+++ b/io/load/load_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,7 @@
 		Rate:          2,
 		Duration:      5 * time.Second,
 		AnswerTimeout: 20 * time.Second,
+		Silence:       10 * time.Second,
 		MaxOpen:       100,
 		Seed:          1,
 		Workspaces:    []core.WorkspaceName{"lake"},
@@ -53,25 +55,57 @@
 	return result
 }
 
+// scriptedHost answers each request with the texts of a case.
+type scriptedHost struct {
+	status, resumedStatus int
+	first, resumed        string
+	cut, silent           bool
+
+	mu       sync.Mutex
+	lastSeen string // the Last-Event-ID of the latest resumption
+}
+
+func newScriptedHost(t *testing.T, d *datadriven.TestData) *scriptedHost {
+	h := &scriptedHost{status: http.StatusOK, resumedStatus: http.StatusOK, cut: d.HasArg("cut"), silent: d.HasArg("silent")}
+	d.MaybeScanArgs(t, "status", &h.status)
+	d.MaybeScanArgs(t, "resumed-status", &h.resumedStatus)
+	h.first, h.resumed, _ = strings.Cut(d.Input, "== resumed\n")
+	return h
+}
+
+// ServeHTTP answers.
+func (h *scriptedHost) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // the server looks for a lost caller only after that
+	switch {
+	case r.URL.Path == "/v1/tickets":
+		_, _ = w.Write([]byte(`{"Tickets":["ticket"]}`))
+	case r.Method == http.MethodGet:
+		h.mu.Lock()
+		h.lastSeen = r.Header.Get("Last-Event-ID")
+		h.mu.Unlock()
+		w.WriteHeader(h.resumedStatus)
+		_, _ = w.Write([]byte(h.resumed + "\n\n"))
+	default:
+		w.WriteHeader(h.status)
+		_, _ = w.Write([]byte(h.first + "\n\n"))
+		_ = http.NewResponseController(w).Flush()
+		if h.cut {
+			panic(http.ErrAbortHandler)
+		}
+		if h.silent {
+			<-r.Context().Done()
+		}
+	}
+}
+
 // TestAnswers gives each request the answer of a case in testdata/answers and
-// shows what the load counts.
+// shows what the load counts. What stands below "== resumed" answers the
+// resumption of a stream.
 func TestAnswers(t *testing.T) {
 	datadriven.RunTest(t, "testdata/answers", func(t *testing.T, d *datadriven.TestData) string {
-		status := http.StatusOK
-		d.MaybeScanArgs(t, "status", &status)
-		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/v1/tickets" {
-				_, _ = w.Write([]byte(`{"Tickets":["ticket"]}`))
-				return
-			}
-			w.WriteHeader(status)
-			_, _ = w.Write([]byte(d.Input + "\n\n"))
-			if d.HasArg("cut") {
-				_ = http.NewResponseController(w).Flush()
-				panic(http.ErrAbortHandler)
-			}
-		})
+		handler := newScriptedHost(t, d)
 		settings := newSettings()
+		settings.Resumes = 1
 		switch d.Cmd {
 		case "draft":
 			settings.DraftShare = 1
@@ -89,6 +123,9 @@
 				t.Fatal(err)
 			}
 			fmt.Fprintf(&text, "faulty: %d\n", result.Faulty())
+			if handler.lastSeen != "" {
+				fmt.Fprintf(&text, "resumed after %s\n", handler.lastSeen)
+			}
 		})
 		return text.String()
 	})
--- a/io/load/record.go
+++ b/io/load/record.go
@@ -13,7 +13,7 @@
 // Outcomes. The first four are the system's own words; the others say that no
 // such word came.
 const (
-	Done Outcome = iota
+	Done Outcome = iota + 1
 	NotRun
 	Interrupted
 	Unknown
@@ -30,7 +30,7 @@
 
 // String names the outcome.
 func (o Outcome) String() string {
-	return [...]string{"Done", "NotRun", "Interrupted", "Unknown", "Broken", "Unreached", "Skipped", "Abandoned"}[o]
+	return [...]string{"Pending", "Done", "NotRun", "Interrupted", "Unknown", "Broken", "Unreached", "Skipped", "Abandoned"}[o]
 }
 
 // outcomeOf reads a system's word; any other word is Broken.
@@ -58,6 +58,7 @@
 // figures are the counts and histograms of one kind of request.
 type figures struct {
 	sent       int
+	resumes    int
 	outcomes   [_outcomes]int
 	tokens     int
 	firstToken *hdrhistogram.Histogram
@@ -76,6 +77,7 @@
 func (f *figures) add(other *figures) {
 	f.sent += other.sent
 	f.tokens += other.tokens
+	f.resumes += other.resumes
 	for i := range f.outcomes {
 		f.outcomes[i] += other.outcomes[i]
 	}
@@ -129,6 +131,7 @@
 	f := s.kinds[kind]
 	f.outcomes[a.Outcome]++
 	f.tokens += a.Tokens
+	f.resumes += a.Resumes
 	if a.FirstToken > 0 {
 		record(f.firstToken, a.FirstToken)
 	}
--- a/io/load/report.go
+++ b/io/load/report.go
@@ -76,6 +76,8 @@
 	Skipped     int
 	Abandoned   int
 	Tokens      int
+	// Resumes counts the connections after the first of all streams.
+	Resumes int
 	// FirstToken and Whole are counted from the scheduled arrival.
 	FirstToken Times
 	Between    Times
@@ -129,6 +131,7 @@
 		Skipped:     f.outcomes[Skipped],
 		Abandoned:   f.outcomes[Abandoned],
 		Tokens:      f.tokens,
+		Resumes:     f.resumes,
 		FirstToken:  timesOf(f.firstToken),
 		Between:     timesOf(f.between),
 		Whole:       timesOf(f.whole),
@@ -156,9 +159,9 @@
 		// Errors of the writer show at Flush.
 		_, _ = fmt.Fprintln(table, strings.Join(texts, "\t")+"\t")
 	}
-	row("Kind", "Sent", "Done", "NotRun", "Interrupted", "Unknown", "Broken", "Unreached", "Skipped", "Abandoned", "Tokens")
+	row("Kind", "Sent", "Done", "NotRun", "Interrupted", "Unknown", "Broken", "Unreached", "Skipped", "Abandoned", "Tokens", "Resumes")
 	for _, k := range r.Kinds {
-		row(k.Kind, k.Sent, k.Done, k.NotRun, k.Interrupted, k.Unknown, k.Broken, k.Unreached, k.Skipped, k.Abandoned, k.Tokens)
+		row(k.Kind, k.Sent, k.Done, k.NotRun, k.Interrupted, k.Unknown, k.Broken, k.Unreached, k.Skipped, k.Abandoned, k.Tokens, k.Resumes)
 	}
 	row()
 	row("Milliseconds", "", "Count", "p50", "p95", "p99", "Max")
--- a/io/load/stream.go
+++ b/io/load/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +19,9 @@
 const (
 	_eventBytes  = 1 << 20
 	_answerBytes = 16 << 20
+	// _resumeDelay comes before the second resumption, twice that before the
+	// third: a host that is not ready would use all of them up at once.
+	_resumeDelay = 500 * time.Millisecond
 )
 
 // exchange is one request and the reading of its answer.
@@ -36,6 +40,7 @@
 	Whole      time.Duration
 	Between    []time.Duration
 	Tokens     int
+	Resumes    int
 	// Detail tells why the outcome is not Done.
 	Detail string
 }
@@ -61,7 +66,8 @@
 	Stream    bool   `json:"stream"`
 }
 
-// complete runs one streamed generation.
+// complete runs one streamed generation. A stream that breaks or goes silent
+// after its first event is resumed at the next target, as a caller would.
 func (x *exchange) complete(ctx context.Context, prompt string, tokens int) answer {
 	body := completionBody{
 		Service:   string(x.settings.Service),
@@ -69,15 +75,32 @@
 		MaxTokens: tokens,
 		Stream:    true,
 	}
-	response, failed := x.post(ctx, "/v1/completions", body)
-	if response == nil {
-		return failed
+	reader := &streamReader{due: x.due}
+	ended := reader.attempt(ctx, x.settings.Silence, func(ctx context.Context) (*http.Response, answer) {
+		return x.post(ctx, "/v1/completions", body)
+	})
+	for resumes := 1; !ended && resumes <= x.settings.Resumes; resumes++ {
+		if !sleepUntil(ctx, time.Now().Add(time.Duration(resumes-1)*_resumeDelay)) {
+			break
+		}
+		reader.answer.Resumes = resumes
+		ended = reader.attempt(ctx, x.settings.Silence, func(ctx context.Context) (*http.Response, answer) {
+			return x.resume(ctx, reader, resumes)
+		})
 	}
-	defer closeBody(response)
-	if response.StatusCode != http.StatusOK {
-		return x.refused(response)
+	return reader.answer
+}
+
+// resume asks for the rest of a stream at another target.
+func (x *exchange) resume(ctx context.Context, reader *streamReader, resumes int) (*http.Response, answer) {
+	target := x.settings.Targets[(x.arrival.Serial+resumes)%len(x.settings.Targets)]
+	address := x.settings.scheme() + target + "/v1/completions/" + url.PathEscape(reader.generation)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
+	if err != nil {
+		return nil, answer{Outcome: Unreached, Detail: err.Error()}
 	}
-	return x.readStream(response.Body)
+	request.Header.Set("Last-Event-ID", fmt.Sprintf("%s.%d", reader.generation, reader.count-1))
+	return x.do(request)
 }
 
 // post sends a JSON body. Without a response, the answer tells why.
@@ -91,6 +114,10 @@
 		return nil, answer{Outcome: Unreached, Detail: err.Error()}
 	}
 	request.Header.Set("Content-Type", "application/json")
+	return x.do(request)
+}
+
+func (x *exchange) do(request *http.Request) (*http.Response, answer) {
 	request.Header.Set("Workspace", string(x.arrival.Workspace))
 	response, err := x.client.Do(request)
 	if err != nil {
@@ -129,17 +156,73 @@
 	answer     answer
 }
 
-func (x *exchange) readStream(body io.Reader) answer {
-	r := &streamReader{due: x.due}
+// attempt reads the stream over one connection. It reports whether the answer
+// has ended for good; otherwise the stream may be resumed.
+func (r *streamReader) attempt(ctx context.Context, silence time.Duration, ask func(context.Context) (*http.Response, answer)) (ended bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	response, failed := ask(ctx)
+	if response == nil {
+		r.answer.Outcome, r.answer.Detail = failed.Outcome, failed.Detail
+		return r.count == 0
+	}
+	defer closeBody(response)
+	if response.StatusCode != http.StatusOK {
+		return r.takeRefusal(response)
+	}
+	watch := time.AfterFunc(silence, cancel)
+	defer watch.Stop()
+	ended = r.read(&watchedReader{reader: response.Body, watch: watch, silence: silence})
+	if !ended {
+		cancel() // what is left of a broken stream is not read
+	}
+	return ended || r.count == 0
+}
+
+// takeRefusal takes an error answer. To a resumption, it ends the answer only
+// when it says that the generation is lost.
+func (r *streamReader) takeRefusal(response *http.Response) (ended bool) {
+	refusal := refused(response)
+	r.answer.Outcome, r.answer.Detail = refusal.Outcome, refusal.Detail
+	if r.count == 0 {
+		return true
+	}
+	if refusal.Outcome == NotRun {
+		// The resumption did not run, but the generation did.
+		r.broken("the stream was not resumed: %s", refusal.Detail)
+	}
+	return refusal.Outcome == Interrupted || refusal.Outcome == Unknown
+}
+
+// watchedReader gives a stream time with each byte, pings included.
+type watchedReader struct {
+	reader  io.Reader
+	watch   *time.Timer
+	silence time.Duration
+}
+
+// Read reads and winds the watch up again.
+func (w *watchedReader) Read(p []byte) (int, error) {
+	n, err := w.reader.Read(p)
+	if n > 0 {
+		w.watch.Reset(w.silence)
+	}
+	return n, err
+}
+
+// read takes events until the answer or the connection ends.
+func (r *streamReader) read(body io.Reader) (ended bool) {
 	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: _eventBytes}) {
 		if err != nil {
-			return r.broken("the stream broke after %d tokens: %v", r.count, err)
+			r.broken("the stream broke after %d tokens: %v", r.count, err)
+			return false
 		}
-		if ended := r.take(event, time.Now()); ended {
-			return r.answer
+		if r.take(event, time.Now()) {
+			return true
 		}
 	}
-	return r.broken("the stream ended after %d tokens without an outcome", r.count)
+	r.broken("the stream ended after %d tokens without an outcome", r.count)
+	return false
 }
 
 func (r *streamReader) broken(format string, arguments ...any) answer {
