--- a/core/procs/route/product.go
+++ b/core/procs/route/product.go
@@ -12,7 +12,7 @@
 // Weights tune the product's score.
 type Weights struct {
 	// MemoryShare is the share of an engine's memory that long requests may be
-	// expected to fill at the peak; short requests may fill all of it.
+	// expected to fill at the peak.
 	MemoryShare float32
 	// Memory, Batch, Prompt and Remote weigh the parts of the score: the share
 	// of memory in use at the peak, the share of slots in use, the prompt that
@@ -117,10 +117,18 @@
 		Remaining: c.RemainingTokens + demand.ExpectedTokens,
 	}
 	peak := load.Peak()
-	share := p.Weights.MemoryShare
+	prompt := demand.PromptTokens - cached
+	score := batch + (p.Weights.Memory*peak+p.Weights.Prompt*prompt)/c.TotalTokens
 	if demand.Short {
-		share = 1
+		return score, shortFits(c, demand)
 	}
-	prompt := demand.PromptTokens - cached
-	return batch + (p.Weights.Memory*peak+p.Weights.Prompt*prompt)/c.TotalTokens, peak <= share*c.TotalTokens
+	return score, peak <= p.Weights.MemoryShare*c.TotalTokens
+}
+
+// shortFits tells whether a short request fits until it has ended. What the
+// others will hold at their peak is of no consequence to it: they grow by no
+// more tokens each than it produces itself.
+func shortFits(c *core.Candidate, demand *core.Demand) bool {
+	growth := demand.ExpectedTokens * float32(c.Running+c.Unreported+1)
+	return c.UsedTokens+demand.PromptTokens+growth <= c.TotalTokens
 }
