--- a/core/procs/decide/request.go
+++ b/core/procs/decide/request.go
@@ -147,7 +147,7 @@
 	s, class := r.service, r.item.Class
 	r.item.Deadline = r.deadline()
 	if wait, known := d.wait(now, r); known && !r.item.Deadline.IsZero() {
-		if spare := r.item.Deadline.Sub(now); wait > _waitMargin*spare {
+		if spare := r.item.Deadline.Sub(now); wait > spare*_waitPercent/100 {
 			d.refuse(r, core.CauseOverload, "the queue is longer than the request may wait", now.Add(wait-spare))
 			return
 		}
@@ -165,9 +165,9 @@
 	}
 }
 
-// _waitMargin is how far the estimated wait must exceed the time to the
-// deadline for a request to be refused on arrival.
-const _waitMargin = 2
+// _waitPercent is the share of the time to its deadline that a request's
+// estimated wait may take; above it the request is refused on arrival.
+const _waitPercent = 80
 
 // wait estimates how long a request would wait in the queue. A workspace waits
 // for its own line in turn with the others, never longer than for all.
--- a/core/procs/route/baseline.go
+++ b/core/procs/route/baseline.go
@@ -85,3 +85,31 @@
 
 // Want borrows nothing.
 func (*StaticShare) Want(time.Time, *core.Demand, []core.Candidate) int { return -1 }
+
+// LeastReportedOwn is LeastReported with this host's own unreported work added.
+type LeastReportedOwn struct{}
+
+// Name gives the policy's name in tables.
+func (*LeastReportedOwn) Name() string { return "LeastReportedOwn" }
+
+// Mode gives what bounds the work.
+func (*LeastReportedOwn) Mode() core.LimitMode { return core.LimitReports }
+
+// Pick takes the candidate with the least reported and own work.
+func (*LeastReportedOwn) Pick(_ time.Time, demand *core.Demand, candidates []core.Candidate) int {
+	best, bestLoad := -1, int32(0)
+	for i := range candidates {
+		c := &candidates[i]
+		load := c.Running + c.Waiting + c.Unreported
+		if !c.Open || i == demand.Avoid || load >= c.Limit {
+			continue
+		}
+		if best < 0 || load < bestLoad {
+			best, bestLoad = i, load
+		}
+	}
+	return best
+}
+
+// Want borrows nothing.
+func (*LeastReportedOwn) Want(time.Time, *core.Demand, []core.Candidate) int { return -1 }
--- a/core/procs/route/product.go
+++ b/core/procs/route/product.go
@@ -21,11 +21,14 @@
 	Batch  float32
 	Prompt float32
 	Remote float32
+	// Fresh weighs the requests that were placed lately: their prompts are
+	// computed in the same steps as a short request's.
+	Fresh float32
 }
 
 // DefaultWeights are the weights that serve.
 func DefaultWeights() Weights {
-	return Weights{MemoryShare: 0.9, Memory: 1, Batch: 0.5, Prompt: 2, Remote: 0.05}
+	return Weights{MemoryShare: 0.85, Memory: 1, Batch: 0.5, Prompt: 2, Remote: 0.05, Fresh: 0.2}
 }
 
 // Product is the policy that serves: it filters by slot and predicted memory,
@@ -81,7 +84,7 @@
 	best, bestScore := -1, float32(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Open || c.Asking || i == demand.Avoid || c.Running+c.Waiting+c.Unreported >= c.Limit {
+		if !c.Open || c.Asking || !roleFits(c, demand) || i == demand.Avoid || c.Running+c.Waiting+c.Unreported >= c.Limit {
 			continue
 		}
 		score, fits := p.score(c, demand, 0)
@@ -93,7 +96,7 @@
 }
 
 func inHand(c *core.Candidate, demand *core.Demand) bool {
-	if !c.Open {
+	if !c.Open || !roleFits(c, demand) {
 		return false
 	}
 	if demand.Short {
@@ -102,6 +105,11 @@
 	return c.FreeLong > 0
 }
 
+// roleFits tells whether the endpoint's role takes the request's class.
+func roleFits(c *core.Candidate, demand *core.Demand) bool {
+	return c.Role == core.RoleMixed || (c.Role == core.RoleShort) == demand.Short
+}
+
 // score weighs a candidate; lower is better. It tells also whether the
 // request's growth is expected to fit.
 func (p *Product) score(c *core.Candidate, demand *core.Demand, cached float32) (float32, bool) {
@@ -120,6 +128,7 @@
 	prompt := demand.PromptTokens - cached
 	score := batch + (p.Weights.Memory*peak+p.Weights.Prompt*prompt)/c.TotalTokens
 	if demand.Short {
+		score += p.Weights.Fresh * float32(c.Unreported)
 		return score, shortFits(c, demand)
 	}
 	return score, peak <= p.Weights.MemoryShare*c.TotalTokens
--- a/exper/result.go
+++ b/exper/result.go
@@ -21,6 +21,8 @@
 	P50 float64
 	P95 float64
 	P99 float64
+	// P999 is the quantile 99.9 %.
+	P999 float64
 }
 
 // Result holds the figures of one run.
@@ -28,10 +30,14 @@
 	Site        string
 	Policy      string
 	Load        float64
+	Seeds       int
 	Submitted   int
 	Completed   int
 	Refusals    int
 	RefusedLate int // by their deadline, not on arrival
+	// RefusedWithRoom counts refusals while some engine could have taken the
+	// request and run it to its end.
+	RefusedWithRoom int
 	Lost        int
 	// CompletedTokens counts the output tokens of completed requests a second.
 	CompletedTokens float64
@@ -51,7 +57,7 @@
 	Borrowings int
 	Leases     int
 
-	tokens                         float64
+	tokens, seconds                float64
 	between, firstShort, firstLong *hdrhistogram.Histogram
 }
 
@@ -60,7 +66,7 @@
 		return hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 2)
 	}
 	return &Result{
-		Site: setting.Site.Name, Policy: setting.Policy.Name, Load: setting.Load,
+		Site: setting.Site.Name, Policy: setting.Policy.Name, Load: setting.Load, Seeds: 1,
 		between: histogram(), firstShort: histogram(), firstLong: histogram(),
 	}
 }
@@ -99,7 +105,12 @@
 }
 
 func (r *Result) finish(length time.Duration) {
-	r.CompletedTokens = r.tokens / length.Seconds()
+	r.seconds = length.Seconds()
+	r.summarize()
+}
+
+func (r *Result) summarize() {
+	r.CompletedTokens = r.tokens / r.seconds
 	r.Between = quantiles(r.between)
 	r.FirstShort = quantiles(r.firstShort)
 	r.FirstLong = quantiles(r.firstLong)
@@ -107,21 +118,21 @@
 
 func quantiles(histogram *hdrhistogram.Histogram) Quantiles {
 	at := func(percent float64) float64 { return float64(histogram.ValueAtQuantile(percent)) / 1000 }
-	return Quantiles{P50: at(50), P95: at(95), P99: at(99)}
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99), P999: at(99.9)}
 }
 
 // WriteTable writes the results as a table.
 func WriteTable(out io.Writer, results []*Result) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	header := "Site\tPolicy\tLoad\tDone\tRefused\tLate\tLost\tTokens/s\tPreempt\tStall s\tOverWarm\tOverCold\tFalls\t" +
-		"Between p50\tp95\tp99\tShort p50\tp95\tp99\tLong p50\tp95\tp99\tAsked\tLeases\t\n"
+	header := "Site\tPolicy\tLoad\tDone\tRefused\tLate\tRoom\tLost\tTokens/s\tPreempt\tStall s\tOverWarm\tOverCold\tFalls\t" +
+		"Between p50\tp95\tp99\tp99.9\tShort p50\tp95\tp99\tLong p50\tp95\tp99\tAsked\tLeases\t\n"
 	if _, err := io.WriteString(table, header); err != nil {
 		return fmt.Errorf("write the table's header: %w", err)
 	}
 	for _, r := range results {
-		_, err := fmt.Fprintf(table, "%s\t%s\t%.2f\t%d\t%d\t%d\t%d\t%.0f\t%d\t%.0f\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%d\t%d\t\n",
-			r.Site, r.Policy, r.Load, r.Completed, r.Refusals, r.RefusedLate, r.Lost, r.CompletedTokens, r.Preemptions, r.StallSeconds,
-			r.OverWarm, r.OverCold, r.Falls, r.Between.P50, r.Between.P95, r.Between.P99,
+		_, err := fmt.Fprintf(table, "%s\t%s\t%.2f\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t%.0f\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%d\t%d\t\n",
+			r.Site, r.Policy, r.Load, r.Completed, r.Refusals, r.RefusedLate, r.RefusedWithRoom, r.Lost, r.CompletedTokens, r.Preemptions, r.StallSeconds,
+			r.OverWarm, r.OverCold, r.Falls, r.Between.P50, r.Between.P95, r.Between.P99, r.Between.P999,
 			r.FirstShort.P50, r.FirstShort.P95, r.FirstShort.P99, r.FirstLong.P50, r.FirstLong.P95, r.FirstLong.P99, r.Borrowings, r.Leases)
 		if err != nil {
 			return fmt.Errorf("write a row of the table: %w", err)
@@ -142,3 +153,31 @@
 	}
 	return nil
 }
+
+func (r *Result) sameSetting(other *Result) bool {
+	return r.Site == other.Site && r.Policy == other.Policy && r.Load == other.Load
+}
+
+// merge adds the figures of a run with another seed.
+func (r *Result) merge(other *Result) {
+	r.Seeds += other.Seeds
+	r.Submitted += other.Submitted
+	r.Completed += other.Completed
+	r.Refusals += other.Refusals
+	r.RefusedLate += other.RefusedLate
+	r.RefusedWithRoom += other.RefusedWithRoom
+	r.Lost += other.Lost
+	r.Preemptions += other.Preemptions
+	r.StallSeconds += other.StallSeconds
+	r.OverWarm += other.OverWarm
+	r.OverCold += other.OverCold
+	r.Falls += other.Falls
+	r.Borrowings += other.Borrowings
+	r.Leases += other.Leases
+	r.tokens += other.tokens
+	r.between.Merge(other.between)
+	r.firstShort.Merge(other.firstShort)
+	r.firstLong.Merge(other.firstLong)
+	r.seconds += other.seconds
+	r.summarize()
+}
--- a/exper/run.go
+++ b/exper/run.go
@@ -10,6 +10,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/decide"
+	"apricotproxy/core/procs/route"
 )
 
 const (
@@ -174,6 +175,22 @@
 	}
 }
 
+// room tells whether some warm engine has a slot and memory for the whole of a
+// request, with the memory share that the product leaves for growth.
+func (r *run) room(a *arrival) bool {
+	share := float64(route.DefaultWeights().MemoryShare)
+	for _, e := range r.engines {
+		inFlight := len(e.running) + len(e.waiting)
+		if e.down || e.phase != core.PhaseWarm || inFlight >= e.config.WarmSlots {
+			continue
+		}
+		if float64(e.used+a.PromptTokens+a.length) <= share*float64(e.config.MemoryTokens) {
+			return true
+		}
+	}
+	return false
+}
+
 // host is one entry host: the Decider with the shell's part done by events.
 type host struct {
 	run     *run
@@ -231,10 +248,13 @@
 		r.after(0, func() { h.dispatch(placement) })
 	}
 	for _, refusal := range actions.Refusals {
-		delete(h.waiting, refusal.Request)
 		if r.measuring() {
 			r.result.refused(refusal.Err.Cause)
+			if r.room(h.waiting[refusal.Request]) {
+				r.result.RefusedWithRoom++
+			}
 		}
+		delete(h.waiting, refusal.Request)
 	}
 	for _, borrowing := range actions.Borrowings {
 		h.borrow(borrowing)
