--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -55,6 +55,9 @@
 
 // badBody is the refusal of a body that is not as expected.
 func badBody(detail string, err error) error {
+	if err != nil {
+		detail += ": " + err.Error()
+	}
 	refusal := core.NotRun(core.CauseBadRequest, detail, time.Time{})
 	refusal.Err = err
 	return refusal
--- a/io/caller/complete.go
+++ b/io/caller/complete.go
@@ -9,27 +9,46 @@
 	"apricotproxy/io/runs"
 )
 
-// serveCompletion runs a completion.
+// serveCompletion runs a completion. It waits for most of its life in Complete,
+// so that its frame and those below it are kept small: their stack is the
+// greatest part of an idle stream's memory.
 func (h *Handler) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var completion *runs.Completion
+	var sink answerSink
+	onOwnStack(func() { completion, sink = h.openCompletion(w, r) })
+	if completion == nil {
+		return
+	}
+	if err := h.config.Runner.Complete(r.Context(), completion, sink); err != nil {
+		sink.fail(err)
+	}
+}
+
+// openCompletion reads and checks a request. It answers one that is refused, and
+// returns nil then.
+func (h *Handler) openCompletion(w http.ResponseWriter, r *http.Request) (*runs.Completion, answerSink) {
 	body, err := h.readBody(w, r)
 	if err != nil {
 		h.writeError(w, err)
-		return
+		return nil, nil
+	}
+	asked, err := parseCompletion(body)
+	if err == nil {
+		err = h.ready()
 	}
-	completion, asked, err := h.admit(r, body)
 	if err != nil {
 		h.writeError(w, err)
-		return
+		return nil, nil
 	}
-	var sink answerSink
-	if asked.Stream {
-		sink = h.newEventSink(w, completion.Model)
-	} else {
-		sink = &wholeSink{handler: h, writer: w, model: completion.Model}
+	completion, err := h.admit(workspaceOf(r), &asked, body)
+	if err != nil {
+		h.writeError(w, err)
+		return nil, nil
 	}
-	if err := h.config.Runner.Complete(r.Context(), completion, sink); err != nil {
-		sink.fail(err)
+	if asked.Stream {
+		return completion, h.newEventSink(w, completion.Model)
 	}
+	return completion, &wholeSink{handler: h, writer: w, model: completion.Model}
 }
 
 // answerSink is a runs.Sink that can also tell an error.
@@ -39,28 +58,17 @@
 }
 
 // admit builds the completion that a body asks for.
-func (h *Handler) admit(r *http.Request, body []byte) (runs.Completion, completionBody, error) {
-	asked, err := parseCompletion(body)
-	if err != nil {
-		return runs.Completion{}, asked, err
-	}
-	if err := h.ready(); err != nil {
-		return runs.Completion{}, asked, err
-	}
+func (h *Handler) admit(workspace core.WorkspaceName, asked *completionBody, body []byte) (*runs.Completion, error) {
 	request, service, refusal := h.config.Runner.Admit(time.Now(), runs.Wanted{
-		Workspace: workspaceOf(r),
+		Workspace: workspace,
 		Service:   asked.Service,
 		Model:     asked.Model,
 	})
 	if refusal != nil {
-		return runs.Completion{}, asked, refusal
-	}
-	if service.Kind != core.ServiceEngine {
-		return runs.Completion{}, asked, core.NotRun(core.CauseBadRequest,
-			fmt.Sprintf("service %q is a plain service; use POST /v1/calls or /v1/orders", service.Name), time.Time{})
+		return nil, refusal
 	}
 	if most := h.limits().OutputTokensAtMost; most > 0 && asked.MaxTokens > most {
-		return runs.Completion{}, asked, core.NotRun(core.CauseBadRequest,
+		return nil, core.NotRun(core.CauseBadRequest,
 			fmt.Sprintf(`"max_tokens" is %d; expected at most %d`, asked.MaxTokens, most), time.Time{})
 	}
 	request.Delivery = asked.delivery()
@@ -69,14 +77,14 @@
 	request.Prefixes = core.PrefixDigests(asked.Prompt)
 	engineBody, err := engineBody(body, service.Model)
 	if err != nil {
-		return runs.Completion{}, asked, err
+		return nil, err
 	}
-	return runs.Completion{
+	return &runs.Completion{
 		Request: request,
 		Model:   service.Model,
 		Adapter: service.Adapter,
 		Body:    engineBody,
-	}, asked, nil
+	}, nil
 }
 
 // serveResumption continues a stream of any entry host.
@@ -110,3 +118,17 @@
 	resumption.Next = index + 1
 	return resumption, nil
 }
+
+// onOwnStack runs f on a goroutine of its own and waits for it. The stack that
+// parsing needs is freed with it, and the goroutine that waits for tokens keeps a
+// small one for as long as its stream lives.
+func onOwnStack(f func()) {
+	failure := make(chan any)
+	go func() {
+		defer func() { failure <- recover() }()
+		f()
+	}()
+	if reason := <-failure; reason != nil {
+		panic(reason)
+	}
+}
--- a/io/caller/errors.go
+++ b/io/caller/errors.go
@@ -136,10 +136,13 @@
 // boundWrites gives the next writes a deadline, by which a caller that has gone
 // silent is found.
 func (h *Handler) boundWrites(w http.ResponseWriter) {
-	limit := h.limits().SilenceTimeout
-	if limit <= 0 {
-		limit = _writeTimeout
-	}
 	// A writer without deadlines is one of a test.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.writeTimeout()))
+}
+
+func (h *Handler) writeTimeout() time.Duration {
+	if limit := h.limits().SilenceTimeout; limit > 0 {
+		return limit
+	}
+	return _writeTimeout
 }
--- a/io/caller/rig_test.go
+++ b/io/caller/rig_test.go
@@ -38,14 +38,15 @@
 
 // rig is a site in memory: entry hosts, two engines and two plain workers.
 type rig struct {
-	t       *testing.T
-	network *memnet.Network
-	config  core.Config
-	engines []*fakeengine.Engine
-	plains  []*plain.Service
-	hosts   map[core.HostName]*host
-	servers []*http.Server
-	clients []*http.Transport
+	t        *testing.T
+	network  *memnet.Network
+	config   core.Config
+	engines  []*fakeengine.Engine
+	plains   []*plain.Service
+	hosts    map[core.HostName]*host
+	servers  []*http.Server
+	clients  []*http.Transport
+	draining bool
 	// wrap puts faults between two hosts; nil for none.
 	wrap func(from, to core.HostName, peer wire.Peer) wire.Peer
 }
@@ -203,6 +204,7 @@
 		Dispatcher: h.dispatcher,
 		Runner:     h.runner,
 		Desk:       h.desk,
+		Ready:      r.ready,
 		Logger:     logr.Discard(),
 	}))
 	return h
@@ -238,6 +240,13 @@
 	return peerLink{host: h}
 }
 
+func (r *rig) ready() *core.OutcomeError {
+	if !r.draining {
+		return nil
+	}
+	return core.NotRun(core.CauseDraining, "this host is leaving; ask again, another host will answer", time.Now())
+}
+
 // client gives a caller's HTTP client of its own machine.
 func (r *rig) client(machine string) *http.Client {
 	transport := &http.Transport{DialContext: r.network.Dialer(machine).DialContext}
--- a/io/caller/sink.go
+++ b/io/caller/sink.go
@@ -24,10 +24,18 @@
 	// head is the data of each event up to the text.
 	head []byte
 	beat pulse.Pulse
+	// writeTimeout is the setting at the start of the answer.
+	writeTimeout time.Duration
 }
 
 func (h *Handler) newEventSink(w http.ResponseWriter, model core.ModelName) *eventSink {
-	return &eventSink{handler: h, writer: w, control: http.NewResponseController(w), model: model}
+	return &eventSink{
+		handler:      h,
+		writer:       w,
+		control:      http.NewResponseController(w),
+		model:        model,
+		writeTimeout: h.writeTimeout(),
+	}
 }
 
 // begin sends the headers. They wait for the first token: until then the answer
@@ -100,12 +108,8 @@
 
 // bound sets the write deadline when the present one has come too near.
 func (s *eventSink) bound() error {
-	limit := s.handler.limits().SilenceTimeout
-	if limit <= 0 {
-		limit = _writeTimeout
-	}
-	s.beat = s.beat.WithHeard(time.Now(), limit)
-	if !s.beat.NeedsArming(limit) {
+	s.beat = s.beat.WithHeard(time.Now(), s.writeTimeout)
+	if !s.beat.NeedsArming(s.writeTimeout) {
 		return nil
 	}
 	s.beat = s.beat.WithArmed()
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -29,7 +29,7 @@
 	_controlBodyBytes  = 4 << 20
 	_refusalBodyBytes  = 4 << 10
 	_headerBytes       = 32 << 10
-	_streamBufferBytes = 2 << 10
+	_streamBufferBytes = 1 << 10
 	_idleConnections   = 4 // per endpoint, for reports, cache events and cancels
 	_idleTimeout       = 30 * time.Second
 )
--- a/io/runs/abandon.go
+++ b/io/runs/abandon.go
@@ -69,7 +69,6 @@
 // an event id may come back, to any host; until the grace is over the generation
 // goes on without it. One that has none cannot.
 func (g *run) callerLeft() {
-	grace := g.runner.config.Dispatcher.Config().Limits.AbandonGrace
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.gone {
@@ -80,7 +79,7 @@
 		g.endLife(errExpired)
 		return
 	}
-	if until := time.Now().Add(grace); until.After(g.keepUntil) {
+	if until := time.Now().Add(g.grace); until.After(g.keepUntil) {
 		g.keepUntil = until
 	}
 	g.keeper = time.AfterFunc(time.Until(g.keepUntil), g.expire)
--- a/io/runs/admit.go
+++ b/io/runs/admit.go
@@ -20,11 +20,11 @@
 // request its number and deadlines.
 func (r *Runner) Admit(now time.Time, wanted Wanted) (core.Request, core.Service, *core.OutcomeError) {
 	config := r.config.Dispatcher.Config()
-	workspace, ok := findWorkspace(config, wanted.Workspace)
+	workspace, ok := findWorkspace(&config, wanted.Workspace)
 	if !ok {
 		return core.Request{}, core.Service{}, unknownName("workspace", string(wanted.Workspace), "send the header Workspace with a configured name")
 	}
-	service, ok := findService(config, workspace, wanted)
+	service, ok := findService(&config, workspace, wanted)
 	if !ok {
 		name := string(wanted.Service)
 		if name == "" {
@@ -45,6 +45,10 @@
 	if service.Kind == core.ServiceEngine {
 		return request, service, wrongKind(service, wanted.Call != "")
 	}
+	if wanted.Call == "" {
+		return core.Request{}, service, core.NotRun(core.CauseBadRequest,
+			fmt.Sprintf("service %q is a plain service; use POST /v1/calls or /v1/orders", service.Name), time.Time{})
+	}
 	call, ok := findCall(service, wanted.Call)
 	if !ok {
 		return core.Request{}, service, unknownName("call", string(wanted.Call), "name a call of service "+string(service.Name))
@@ -66,7 +70,7 @@
 	return core.NotRun(core.CauseUnknownName, fmt.Sprintf("%s %q is not known; %s", kind, clip(name), remedy), time.Time{})
 }
 
-func findWorkspace(config core.Config, name core.WorkspaceName) (core.Workspace, bool) {
+func findWorkspace(config *core.Config, name core.WorkspaceName) (core.Workspace, bool) {
 	for _, w := range config.Workspaces {
 		if w.Name == name {
 			return w, true
@@ -77,7 +81,7 @@
 
 // findService finds a service that the workspace may use. A model that several
 // services serve picks the first in name order.
-func findService(config core.Config, workspace core.Workspace, wanted Wanted) (core.Service, bool) {
+func findService(config *core.Config, workspace core.Workspace, wanted Wanted) (core.Service, bool) {
 	for _, name := range workspace.Services {
 		service, ok := config.Service(name)
 		if !ok {
--- a/io/runs/desk.go
+++ b/io/runs/desk.go
@@ -111,7 +111,7 @@
 			fmt.Sprintf("Count is %d; expected 1 to %d", count, _ticketsAtOnce), time.Time{})
 	}
 	config := d.config.Runner.config.Dispatcher.Config()
-	if _, ok := findWorkspace(config, workspace); !ok {
+	if _, ok := findWorkspace(&config, workspace); !ok {
 		return nil, time.Time{}, unknownName("workspace", string(workspace), "send the header Workspace with a configured name")
 	}
 	d.mu.Lock()
@@ -246,9 +246,6 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	if request.Call == "" {
-		return nil, core.NotRun(core.CauseBadRequest, "an order names a call of a plain service", time.Time{})
-	}
 	request.Repeatable = false
 	u := unary{
 		runner:  d.config.Runner,
--- a/io/runs/resume.go
+++ b/io/runs/resume.go
@@ -40,7 +40,9 @@
 		relay:      relay.New(resumption.Generation, resumption.Next),
 		sent:       resumption.Next,
 		started:    true,
+		completion: &Completion{},
 	}
+	g.set(r.config.Dispatcher.Config().Limits)
 	g.life, g.endLife = context.WithCancelCause(ctx)
 	defer g.endLife(nil)
 	go r.keepAdopted(g.life, origin.Host, resumption.Generation)
--- a/io/runs/runs.go
+++ b/io/runs/runs.go
@@ -106,7 +106,7 @@
 
 // Complete runs a completion and passes its answer to the sink. It returns nil
 // when the answer is whole; otherwise an *core.OutcomeError.
-func (r *Runner) Complete(ctx context.Context, c Completion, sink Sink) error {
+func (r *Runner) Complete(ctx context.Context, c *Completion, sink Sink) error {
 	r.work.Add(1)
 	defer r.work.Done()
 	placement, err := r.config.Dispatcher.Place(ctx, c.Request)
@@ -123,7 +123,7 @@
 }
 
 // try runs a completion once.
-func (r *Runner) try(ctx context.Context, c Completion, placement core.Placement, sink Sink) ending {
+func (r *Runner) try(ctx context.Context, c *Completion, placement core.Placement, sink Sink) ending {
 	g, err := r.newRun(ctx, c, placement, sink)
 	if err != nil {
 		r.logger.Error(err, "A try was not built.", "endpoint", placement.Endpoint)
--- a/io/runs/stream.go
+++ b/io/runs/stream.go
@@ -32,7 +32,7 @@
 	runner     *Runner
 	caller     context.Context
 	sink       Sink
-	completion Completion
+	completion *Completion
 	placement  core.Placement
 	endpoint   core.Endpoint
 	generation core.GenerationID
@@ -46,6 +46,10 @@
 	// unflushed tells that tokens are held back in the sink.
 	unflushed bool
 
+	// resumeTerm and grace are the settings at the start of the generation.
+	resumeTerm time.Duration
+	grace      time.Duration
+
 	// life ends when the generation is given up for good.
 	life    context.Context
 	endLife context.CancelCauseFunc
@@ -67,7 +71,7 @@
 	result core.Result
 }
 
-func (r *Runner) newRun(ctx context.Context, c Completion, placement core.Placement, sink Sink) (*run, error) {
+func (r *Runner) newRun(ctx context.Context, c *Completion, placement core.Placement, sink Sink) (*run, error) {
 	endpoint, ok := r.config.Dispatcher.Endpoint(placement.Endpoint)
 	if !ok {
 		return nil, errNotConfigured
@@ -90,9 +94,17 @@
 		owned:      true,
 	}
 	g.relay = relay.New(g.generation, 0)
+	g.set(r.config.Dispatcher.Config().Limits)
 	return g, nil
 }
 
+// set takes what the generation needs of the settings, so that its hot path does
+// not ask for the configuration.
+func (g *run) set(limits core.Limits) {
+	g.resumeTerm = _resumeSilences * limits.SilenceTimeout
+	g.grace = limits.AbandonGrace
+}
+
 // carry runs the generation until its answer is whole, it is lost, or its
 // caller is gone for good.
 func (g *run) carry() ending {
@@ -104,7 +116,18 @@
 	defer g.unregister()
 	late := time.AfterFunc(time.Until(g.completion.Request.Deadline), g.firstTokenLate)
 	defer late.Stop()
-	stream, err := g.runner.config.Client.Start(g.life, g.endpoint, core.EngineRequest{
+	stream, err := g.start()
+	if err != nil {
+		failed, result := resultOf(err)
+		if provesNotRun(result) {
+			return g.notStarted(failed, result)
+		}
+	}
+	return g.end(g.relayAll(stream, err))
+}
+
+func (g *run) start() (core.EngineStream, error) {
+	return g.runner.config.Client.Start(g.life, g.endpoint, core.EngineRequest{
 		Generation: g.generation,
 		Workspace:  g.completion.Request.Workspace,
 		Model:      g.completion.Model,
@@ -114,13 +137,6 @@
 		Body:       g.completion.Body,
 		Confirm:    func() bool { return g.runner.config.Dispatcher.Confirm(g.placement) },
 	})
-	if err != nil {
-		failed, result := resultOf(err)
-		if provesNotRun(result) {
-			return g.notStarted(failed, result)
-		}
-	}
-	return g.end(g.relayAll(stream, err))
 }
 
 // notStarted ends a try that certainly ran nothing.
@@ -167,7 +183,7 @@
 }
 
 func (g *run) resumeDeadline() time.Time {
-	return time.Now().Add(_resumeSilences * g.runner.config.Dispatcher.Config().Limits.SilenceTimeout)
+	return time.Now().Add(g.resumeTerm)
 }
 
 // resume opens a fresh connection at the next token, with retries until the
