--- a/io/cmds/cmds_test.go
+++ b/io/cmds/cmds_test.go
@@ -1,6 +1,7 @@
 package cmds_test
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -22,6 +23,13 @@
 
 const _examples = "../../examples"
 
+// _status is the body of /statusz.
+const _status = `{"Site":"north","Host":"a-host-1","Revision":12,"Ready":true,"OpenRequests":3,"Waiting":1,"Running":2,
+"Generations":2,"Tickets":1,"DataCentres":[{"Name":"a","InService":true},{"Name":"b","InService":false}],
+"Hosts":[{"Name":"a-host-2","Standing":"Alive"},{"Name":"b-host-1","Standing":"Suspected"},{"Name":"b-host-2","Standing":"Alive","Draining":true}],
+"Endpoints":[{"Name":"writing-10.0.1.11-9000","Phase":"Warm","OwnedSlots":8,"InUse":2,"Lent":1,"Borrowed":0,"FreeTokens":4000,"ReportedAt":"2026-12-04T02:00:00.5Z"},
+{"Name":"writing-10.0.1.12-9000","Phase":"Cold","OwnedSlots":1}]}`
+
 // startSurface serves an operators' surface on loopback.
 func startSurface(t *testing.T, ready error) (address string) {
 	t.Helper()
@@ -32,7 +40,7 @@
 	}
 	server := httptest.NewServer(opers.NewHandler(opers.Dependencies{
 		Ready:  func() error { return ready },
-		Status: func() any { return struct{ Host string }{"a-host-1"} },
+		Status: func() any { return json.RawMessage(_status) },
 		Trail:  trail,
 		Logger: logr.Discard(),
 	}))
--- a/io/cmds/remote.go
+++ b/io/cmds/remote.go
@@ -21,39 +21,9 @@
 	_auditLineBytes = 1 << 20
 )
 
+// errSilent ends the reading of a host that sends nothing any more.
 var errSilent = errors.New("the host went silent")
 
-type statusCommand struct {
-	Address string `default:"127.0.0.1:9090" help:"Address of the host's operators' surface."`
-}
-
-// Run prints /statusz, and exits with 1 when the host is not ready.
-func (c *statusCommand) Run(ctx context.Context, console *Console) error {
-	ctx, cancel := context.WithTimeout(ctx, _remoteTimeout)
-	defer cancel()
-	status, err := get(ctx, "http://"+c.Address+"/statusz")
-	if err != nil {
-		return err
-	}
-	defer closeBody(status)
-	if _, err := io.Copy(console.Out, io.LimitReader(status.Body, _statusBytes)); err != nil {
-		return fmt.Errorf("printing the status: %w", err)
-	}
-	ready, err := request(ctx, "http://"+c.Address+"/readyz")
-	if err != nil {
-		return err
-	}
-	defer closeBody(ready)
-	if ready.StatusCode == http.StatusOK {
-		return nil
-	}
-	var health struct{ Reason string }
-	if err := json.NewDecoder(io.LimitReader(ready.Body, _statusBytes)).Decode(&health); err != nil {
-		return fmt.Errorf("reading /readyz: %w", err)
-	}
-	return found(fmt.Errorf("the host is not ready: %s", health.Reason))
-}
-
 // request sends a GET.
 func request(ctx context.Context, url string) (*http.Response, error) {
 	question, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
