--- a/io/cmds/cmds_test.go
+++ b/io/cmds/cmds_test.go
@@ -1,8 +1,10 @@
 package cmds_test
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -21,6 +23,13 @@
 
 const _examples = "../../examples"
 
+// _status is the body of /statusz.
+const _status = `{"Site":"north","Host":"a-host-1","Revision":12,"Ready":true,"OpenRequests":3,"Waiting":1,"Running":2,
+"Generations":2,"Tickets":1,"DataCentres":[{"Name":"a","InService":true},{"Name":"b","InService":false}],
+"Hosts":[{"Name":"a-host-2","Standing":"Alive"},{"Name":"b-host-1","Standing":"Suspected"},{"Name":"b-host-2","Standing":"Alive","Draining":true}],
+"Endpoints":[{"Name":"writing-10.0.1.11-9000","Phase":"Warm","OwnedSlots":8,"InUse":2,"Lent":1,"Borrowed":0,"FreeTokens":4000,"ReportedAt":"2026-12-04T02:00:00.5Z"},
+{"Name":"writing-10.0.1.12-9000","Phase":"Cold","OwnedSlots":1}]}`
+
 // startSurface serves an operators' surface on loopback.
 func startSurface(t *testing.T, ready error) (address string) {
 	t.Helper()
@@ -31,7 +40,7 @@
 	}
 	server := httptest.NewServer(opers.NewHandler(opers.Dependencies{
 		Ready:  func() error { return ready },
-		Status: func() any { return struct{ Host string }{"a-host-1"} },
+		Status: func() any { return json.RawMessage(_status) },
 		Trail:  trail,
 		Logger: logr.Discard(),
 	}))
@@ -39,6 +48,16 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// startEnding serves an audit stream that ends after one event.
+func startEnding(t *testing.T) (address string) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("\n" + `{"Sequence":3,"Kind":"Drain","Subject":"a-host-1","Cause":"asked to"}` + "\n"))
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
 // copyExamples copies the examples to a directory and changes texas.ini.
 func copyExamples(t *testing.T, old, changed string) string {
 	t.Helper()
@@ -62,8 +81,8 @@
 }
 
 // TestCommandLines runs the command lines of testdata/lines. EXAMPLES, CHANGED
-// (the examples with one line of texas.ini replaced), READY and UNREADY (hosts'
-// addresses) and EMPTY stand for places that differ from run to run.
+// (the examples with one line of texas.ini replaced), READY, UNREADY and ENDING
+// (hosts' addresses) and EMPTY stand for places that differ from run to run.
 func TestCommandLines(t *testing.T) {
 	datadriven.RunTest(t, "testdata/lines", func(t *testing.T, d *datadriven.TestData) string {
 		old, changed := "", ""
@@ -74,6 +93,7 @@
 			"CHANGED", copyExamples(t, strings.ReplaceAll(old, "_", " "), strings.ReplaceAll(changed, "_", " ")),
 			"UNREADY", startSurface(t, errors.New("no configuration yet")),
 			"READY", startSurface(t, nil),
+			"ENDING", startEnding(t),
 			"EMPTY", t.TempDir(),
 		}
 		line := strings.NewReplacer(places...).Replace(strings.TrimSpace(d.Input))
--- a/io/cmds/remote.go
+++ b/io/cmds/remote.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"apricotproxy/core/procs/audit"
+	"apricotproxy/io/opers"
 )
 
 // Bounds of a question to a host's operators' surface.
@@ -20,36 +21,8 @@
 	_auditLineBytes = 1 << 20
 )
 
-type statusCommand struct {
-	Address string `default:"127.0.0.1:7070" help:"Address of the host's operators' surface."`
-}
-
-// Run prints /statusz, and exits with 1 when the host is not ready.
-func (c *statusCommand) Run(ctx context.Context, console *Console) error {
-	ctx, cancel := context.WithTimeout(ctx, _remoteTimeout)
-	defer cancel()
-	status, err := get(ctx, "http://"+c.Address+"/statusz")
-	if err != nil {
-		return err
-	}
-	defer closeBody(status)
-	if _, err := io.Copy(console.Out, io.LimitReader(status.Body, _statusBytes)); err != nil {
-		return fmt.Errorf("printing the status: %w", err)
-	}
-	ready, err := request(ctx, "http://"+c.Address+"/readyz")
-	if err != nil {
-		return err
-	}
-	defer closeBody(ready)
-	if ready.StatusCode == http.StatusOK {
-		return nil
-	}
-	var health struct{ Reason string }
-	if err := json.NewDecoder(io.LimitReader(ready.Body, _statusBytes)).Decode(&health); err != nil {
-		return fmt.Errorf("reading /readyz: %w", err)
-	}
-	return found(fmt.Errorf("the host is not ready: %s", health.Reason))
-}
+// errSilent ends the reading of a host that sends nothing any more.
+var errSilent = errors.New("the host went silent")
 
 // request sends a GET.
 func request(ctx context.Context, url string) (*http.Response, error) {
@@ -80,7 +53,7 @@
 func closeBody(answer *http.Response) { _ = answer.Body.Close() }
 
 type auditCommand struct {
-	Address string `default:"127.0.0.1:7070" help:"Address of the host's operators' surface."`
+	Address string `default:"127.0.0.1:9090" help:"Address of the host's operators' surface."`
 	After   uint64 `help:"Print only events with a higher number."`
 	Follow  bool   `short:"f" help:"Go on printing new events."`
 	JSON    bool   `name:"json" help:"Print one JSON object a line."`
@@ -89,30 +62,45 @@
 // Run prints the audit trail.
 func (c *auditCommand) Run(ctx context.Context, console *Console) error {
 	url := fmt.Sprintf("http://%s/auditz?After=%d", c.Address, c.After)
+	limit := _remoteTimeout
 	if c.Follow {
 		url += "&Follow=yes"
-	} else {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, _remoteTimeout)
-		defer cancel()
+		limit = opers.AuditSilence
 	}
-	answer, err := get(ctx, url)
+	// A host or a link that has gone silent ends the reading; with Follow each
+	// line gives it time anew.
+	bounded, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := time.AfterFunc(limit, func() { cancel(errSilent) })
+	defer watch.Stop()
+	answer, err := get(bounded, url)
 	if err != nil {
 		return err
 	}
 	defer closeBody(answer)
-	err = c.printAll(console, answer.Body)
-	if c.Follow && errors.Is(ctx.Err(), context.Canceled) {
+	err = c.printAll(console, answer.Body, func() {
+		if c.Follow {
+			watch.Reset(limit)
+		}
+	})
+	switch {
+	case c.Follow && ctx.Err() != nil:
 		return nil // stopped by an interrupt, as the operator asked
+	case errors.Is(context.Cause(bounded), errSilent):
+		return fmt.Errorf("%w; ask again with --after %d", errSilent, c.After)
+	case c.Follow && err == nil:
+		return fmt.Errorf("the host ended the stream; ask again with --after %d", c.After)
+	default:
+		return err
 	}
-	return err
 }
 
-func (c *auditCommand) printAll(console *Console, body io.Reader) error {
+// printAll prints each event and keeps its number in c.After.
+func (c *auditCommand) printAll(console *Console, body io.Reader, lineCame func()) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, _auditLineBytes)
-	last := c.After
 	for lines.Scan() {
+		lineCame()
 		if len(lines.Bytes()) == 0 {
 			continue // sent while there are no events
 		}
@@ -120,10 +108,10 @@
 		if err := json.Unmarshal(lines.Bytes(), &entry); err != nil {
 			return fmt.Errorf("reading an audit event: %w", err)
 		}
-		if entry.Sequence > last+1 {
-			console.printf("apricotproxy: events %d to %d are no longer held\n", last+1, entry.Sequence-1)
+		if entry.Sequence > c.After+1 {
+			console.printf("apricotproxy: events %d to %d are no longer held\n", c.After+1, entry.Sequence-1)
 		}
-		last = entry.Sequence
+		c.After = entry.Sequence
 		if err := c.print(console, lines.Text(), entry); err != nil {
 			return err
 		}
