--- a/core/procs/decide/decide_test.go
+++ b/core/procs/decide/decide_test.go
@@ -32,7 +32,7 @@
 
 func newDecider(host core.HostName) *decide.Decider {
 	return decide.New(core.HostID{Host: host, Incarnation: 1}, decide.Options{
-		Policy: route.NewProduct(), Random: rand.New(rand.NewPCG(1, 1)),
+		Policy: route.NewProduct(nil), Random: rand.New(rand.NewPCG(1, 1)),
 	})
 }
 
--- a/core/procs/decide/fleet_test.go
+++ b/core/procs/decide/fleet_test.go
@@ -180,7 +180,7 @@
 	h.wake = time.Time{}
 	h.id = core.HostID{Host: h.name, Incarnation: core.Incarnation(f.now.UnixNano())}
 	h.decider = decide.New(h.id, decide.Options{
-		Policy: route.NewProduct(), Random: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Weakness: f.weakness,
+		Policy: route.NewProduct(nil), Random: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Weakness: f.weakness,
 	})
 	h.revision = 0
 	f.apply(h, config)
--- a/core/procs/route/product.go
+++ b/core/procs/route/product.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"apricotproxy/core"
@@ -32,13 +33,27 @@
 }
 
 // Product is the policy that serves: it filters by slot and predicted memory,
-// then takes the smallest score.
+// then takes the smallest score. Without weights it takes the default ones.
+//
+// For short requests it scores a few candidates drawn at random, so that hosts
+// that see the same reports do not send them to one engine, where their prompts
+// would be computed one after the other. Without a random source it scores all.
 type Product struct {
 	Weights Weights
+	Random  *rand.Rand
+	// Draws is how many candidates are drawn for a short request, and LongDraws
+	// for a long one; 0 to score all.
+	Draws     int
+	LongDraws int
 }
 
-// NewProduct builds the policy with the weights that serve.
-func NewProduct() *Product { return &Product{Weights: DefaultWeights()} }
+// _draws is the number of candidates that serves for short requests.
+const _draws = 3
+
+// NewProduct builds the policy that serves.
+func NewProduct(random *rand.Rand) *Product {
+	return &Product{Weights: DefaultWeights(), Random: random, Draws: _draws}
+}
 
 // Name gives the policy's name in tables.
 func (*Product) Name() string { return "Product" }
@@ -49,6 +64,44 @@
 // Pick takes the candidate with a slot in hand, memory for the request's
 // growth, and the smallest score.
 func (p *Product) Pick(_ time.Time, demand *core.Demand, candidates []core.Candidate) int {
+	if p.Weights == (Weights{}) {
+		p.Weights = DefaultWeights()
+	}
+	draws := p.LongDraws
+	if demand.Short {
+		draws = p.Draws
+	}
+	if draws > 0 && p.Random != nil && len(candidates) > draws {
+		if drawn := p.draw(draws, demand, candidates); drawn >= 0 {
+			return drawn
+		}
+	}
+	return p.pickAll(demand, candidates)
+}
+
+// draw takes the best of a few candidates drawn at random, or of the hinted
+// ones; -1 when none of the drawn ones fits.
+func (p *Product) draw(draws int, demand *core.Demand, candidates []core.Candidate) int {
+	best, bestScore := -1, float32(0)
+	for range draws {
+		i := p.Random.IntN(len(candidates))
+		c := &candidates[i]
+		if !inHand(c, demand) || i == demand.Avoid {
+			continue
+		}
+		score, fits := p.score(c, demand, 0)
+		if fits && (best < 0 || score < bestScore) {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return -1
+	}
+	return p.hinted(demand, candidates, best, bestScore)
+}
+
+// pickAll takes the best of all candidates.
+func (p *Product) pickAll(demand *core.Demand, candidates []core.Candidate) int {
 	best, bestScore := -1, float32(0)
 	for i := range candidates {
 		c := &candidates[i]
--- a/core/versn/owner/owner_test.go
+++ b/core/versn/owner/owner_test.go
@@ -66,7 +66,6 @@
 	mean         float64
 	churn        float64 // memberships that change when a host leaves, as a share
 	unnecessary  float64 // of those, not the leaving host's
-	stateAtMost  int
 	largestRatio float64
 }
 
--- a/exper/engine.go
+++ b/exper/engine.go
@@ -1,6 +1,7 @@
 package exper
 
 import (
+	"slices"
 	"time"
 
 	"apricotproxy/core"
@@ -111,7 +112,7 @@
 // fall loses all work; the engine comes back cold.
 func (e *engine) fall() {
 	e.run.result.Falls++
-	lost := append(e.running, e.waiting...)
+	lost := slices.Concat(e.running, e.waiting)
 	e.running, e.waiting, e.used, e.prefixes = nil, nil, 0, nil
 	e.down, e.phase, e.completions = true, core.PhaseCold, 0
 	e.incarnation++
--- a/exper/policy.go
+++ b/exper/policy.go
@@ -1,6 +1,7 @@
 package exper
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"apricotproxy/core"
@@ -10,10 +11,10 @@
 // Policies are the product and the baselines.
 func Policies() []Policy {
 	return []Policy{
-		{Name: "Product", Build: func() core.RoutePolicy { return route.NewProduct() }},
-		{Name: "RoundRobin", Build: func() core.RoutePolicy { return &route.RoundRobin{} }},
-		{Name: "LeastReported", Build: func() core.RoutePolicy { return &route.LeastReported{} }},
-		{Name: "StaticShare", Build: func() core.RoutePolicy { return &route.StaticShare{} }},
+		{Name: "Product", Build: func(random *rand.Rand) core.RoutePolicy { return route.NewProduct(random) }},
+		{Name: "RoundRobin", Build: func(*rand.Rand) core.RoutePolicy { return &route.RoundRobin{} }},
+		{Name: "LeastReported", Build: func(*rand.Rand) core.RoutePolicy { return &route.LeastReported{} }},
+		{Name: "StaticShare", Build: func(*rand.Rand) core.RoutePolicy { return &route.StaticShare{} }},
 	}
 }
 
--- a/exper/result.go
+++ b/exper/result.go
@@ -38,7 +38,7 @@
 	// RefusedWithRoom counts refusals while some engine could have taken the
 	// request and run it to its end.
 	RefusedWithRoom int
-	Lost        int
+	Lost            int
 	// CompletedTokens counts the output tokens of completed requests a second.
 	CompletedTokens float64
 	Preemptions     int
--- a/exper/run.go
+++ b/exper/run.go
@@ -39,7 +39,7 @@
 // Policy builds what is compared, one per host.
 type Policy struct {
 	Name  string
-	Build func() core.RoutePolicy
+	Build func(random *rand.Rand) core.RoutePolicy
 	Roles decide.RolePlan
 }
 
@@ -203,9 +203,10 @@
 func (r *run) addHost(i int) {
 	id := core.HostID{Host: r.config.Hosts[i].Name, Incarnation: 1}
 	h := &host{run: r, id: id, waiting: make(map[core.RequestID]*arrival)}
+	random := rand.New(rand.NewPCG(r.setting.Seed, uint64(i)+2))
 	h.decider = decide.New(id, decide.Options{
-		Policy: r.setting.Policy.Build(),
-		Random: rand.New(rand.NewPCG(r.setting.Seed, uint64(i)+2)),
+		Policy: r.setting.Policy.Build(random),
+		Random: random,
 		Roles:  r.setting.Policy.Roles,
 	})
 	r.hosts = append(r.hosts, h)
@@ -312,4 +313,3 @@
 	}
 	h.act(h.decider.Finish(h.run.now, w.placement, result, w.produced))
 }
-
--- a/exper/site.go
+++ b/exper/site.go
@@ -36,18 +36,19 @@
 	}
 }
 
+const _service core.ServiceName = "drafting"
+
 const (
-	_service      core.ServiceName = "drafting"
-	_memoryTokens                  = 32000
-	_warmSlots                     = 32
-	_coldSlots                     = 2
-	_workspaces                    = 10
-	_longestToken                  = 8192
-	_shortTokens                   = 32
-	_shortPrompt                   = 150
-	_longPrompt                    = 300
-	_promptSpread                  = 400
-	// _batchTokens is the usual number of requests that share a step.
+	_memoryTokens = 32000
+	_warmSlots    = 32
+	_coldSlots    = 2
+	_workspaces   = 10
+	_longestToken = 8192
+	_shortTokens  = 32
+	_shortPrompt  = 150
+	_longPrompt   = 300
+	_promptSpread = 400
+	// _usualBatch is the usual number of requests that share a step.
 	_usualBatch = 20
 	_queueTime  = 10 * time.Second
 )
@@ -118,7 +119,6 @@
 	short        bool
 	prefix       uint64
 	prefixTokens int
-	firstAt      time.Time
 }
 
 // draw makes a request: workspaces are of very different sizes.
--- a/exper/study.go
+++ b/exper/study.go
@@ -96,22 +96,28 @@
 	weights := route.DefaultWeights()
 	weights.MemoryShare = share
 	return Policy{
-		Name:  fmt.Sprintf("Share%.2f", share),
-		Build: func() core.RoutePolicy { return &route.Product{Weights: weights} },
+		Name: fmt.Sprintf("Share%.2f", share),
+		Build: func(random *rand.Rand) core.RoutePolicy {
+			policy := route.NewProduct(random)
+			policy.Weights = weights
+			return policy
+		},
 	}
 }
 
 // herdingPolicies go from reports alone to slots and predicted memory.
 func herdingPolicies() []Policy {
-	sampled := func() core.RoutePolicy {
-		return &route.Sampled{Product: *route.NewProduct(), Draws: 2, Random: rand.New(rand.NewPCG(1, 1))}
+	sampled := func(random *rand.Rand) core.RoutePolicy {
+		policy := route.NewProduct(random)
+		policy.Draws, policy.LongDraws = 2, 2
+		return policy
 	}
+	scoring := func(*rand.Rand) core.RoutePolicy { return route.NewProduct(nil) }
+	own := func(*rand.Rand) core.RoutePolicy { return &route.LeastReportedOwn{} }
+	all := Policies()
 	return []Policy{
-		{Name: "LeastReported", Build: func() core.RoutePolicy { return &route.LeastReported{} }},
-		{Name: "LeastReportedOwn", Build: func() core.RoutePolicy { return &route.LeastReportedOwn{} }},
-		{Name: "StaticShare", Build: func() core.RoutePolicy { return &route.StaticShare{} }},
-		{Name: "Sampled", Build: sampled},
-		Policies()[0],
+		all[2], {Name: "LeastReportedOwn", Build: own}, all[3],
+		{Name: "TwoChoices", Build: sampled}, {Name: "ScoreAll", Build: scoring}, all[0],
 	}
 }
 
--- /dev/null
+++ b/io/cmds/experiment.go
@@ -0,0 +1,63 @@
+package cmds
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"apricotproxy/exper"
+)
+
+// ExperimentCommand measures the decision core against small fake engines in
+// virtual time. The same seeds give the same figures.
+type ExperimentCommand struct {
+	Study    string        `default:"policies" help:"What to compare: policies, roles, herding or cold."`
+	Length   time.Duration `default:"240s" help:"Virtual time of a run; the first third is not measured."`
+	Seeds    uint64        `default:"2" help:"Runs per row, merged into one."`
+	Workers  int           `default:"4" help:"Runs at the same time."`
+	JSON     string        `help:"File to write the results to as JSON." type:"path"`
+	PlotPath string        `help:"Directory to write SVG plots over the load to." type:"path"`
+}
+
+// Run does the study's runs and prints the table.
+func (c *ExperimentCommand) Run() error {
+	study, err := exper.NewStudy(c.Study, c.Length, c.Seeds)
+	if err != nil {
+		return fmt.Errorf("prepare the experiment: %w", err)
+	}
+	results := study.Run(c.Workers)
+	if err := exper.WriteTable(os.Stdout, results); err != nil {
+		return fmt.Errorf("print the results: %w", err)
+	}
+	if err := c.writeJSON(results); err != nil {
+		return err
+	}
+	if c.PlotPath == "" {
+		return nil
+	}
+	if err := os.MkdirAll(c.PlotPath, 0o755); err != nil {
+		return fmt.Errorf("make the plot directory: %w", err)
+	}
+	if err := exper.Plot(c.PlotPath, results); err != nil {
+		return fmt.Errorf("plot the results: %w", err)
+	}
+	return nil
+}
+
+func (c *ExperimentCommand) writeJSON(results []*exper.Result) error {
+	if c.JSON == "" {
+		return nil
+	}
+	file, err := os.Create(filepath.Clean(c.JSON))
+	if err != nil {
+		return fmt.Errorf("create the results file: %w", err)
+	}
+	if err := exper.WriteJSON(file, results); err != nil {
+		return fmt.Errorf("write %s: %w", c.JSON, err)
+	}
+	if err := file.Close(); err != nil {
+		return fmt.Errorf("close %s: %w", c.JSON, err)
+	}
+	return nil
+}
