--- a/core/procs/member/member.go
+++ b/core/procs/member/member.go
@@ -24,7 +24,7 @@
 // Defaults of Settings.
 const (
 	DefaultFanout       = 3
-	DefaultNewsAtMost   = 16
+	DefaultNewsAtMost   = 32
 	DefaultNewsRotation = 3
 
 	// A piece of news is told this many times the logarithm of the fleet.
@@ -118,6 +118,7 @@
 	failures int
 	probeAt  time.Time
 	told     int
+	fresh    bool // in Member.fresh
 }
 
 // ledger is who holds the ledger of a host that stopped.
@@ -141,6 +142,7 @@
 	positions  map[core.HostName]*position
 	names      []core.HostName // of positions, in name order
 	rotation   []core.HostName // shuffled; whom to send heartbeats next
+	fresh      []*position     // with news that was not told often enough
 	ledgers    []*ledger       // in the order of arrival
 	superseded core.HostID
 	nextTold   int
@@ -217,6 +219,16 @@
 		m.rotation = nil
 	}
 	m.positions, m.names = positions, names
+	m.fresh = slices.DeleteFunc(m.fresh, func(p *position) bool { return positions[p.id.Host] != p })
+}
+
+// renew makes what is known of a host news again.
+func (m *Member) renew(known *position) {
+	known.told = 0
+	if !known.fresh {
+		known.fresh = true
+		m.fresh = append(m.fresh, known)
+	}
 }
 
 // SetSelf tells the member what this host says of itself.
@@ -278,15 +290,12 @@
 func (m *Member) news(now time.Time) []News {
 	enough := _tellFactor * bits.Len(uint(len(m.names)))
 	news := m.ledgerNews(now, enough)
-	fresh := make([]*position, 0, len(m.names))
-	for _, name := range m.names {
-		known := m.positions[name]
-		if known.id.Incarnation != 0 && known.told < enough {
-			fresh = append(fresh, known)
-		}
-	}
-	slices.SortStableFunc(fresh, func(a, b *position) int { return cmp.Compare(a.told, b.told) })
-	for _, known := range fresh {
+	m.fresh = slices.DeleteFunc(m.fresh, func(p *position) bool {
+		p.fresh = p.told < enough
+		return !p.fresh
+	})
+	slices.SortStableFunc(m.fresh, func(a, b *position) int { return cmp.Compare(a.told, b.told) })
+	for _, known := range m.fresh {
 		if len(news) == m.settings.NewsAtMost {
 			return news
 		}
@@ -362,18 +371,18 @@
 		if known.id.Incarnation != 0 {
 			change.Replaced = append(change.Replaced, piece.Host)
 		}
-		leaving := known.leaving
-		*known = position{id: piece.Host, leaving: leaving, revision: piece.Revision}
+		*known = position{id: piece.Host, leaving: known.leaving, revision: piece.Revision, fresh: known.fresh}
+		m.renew(known)
 		change.Acknowledged = append(change.Acknowledged, Acknowledgement{Host: piece.Host, Revision: piece.Revision})
 	}
 	if piece.Revision > known.revision {
 		known.revision = piece.Revision
-		known.told = 0
+		m.renew(known)
 		change.Acknowledged = append(change.Acknowledged, Acknowledgement{Host: piece.Host, Revision: piece.Revision})
 	}
 	if piece.Draining && !known.draining {
 		known.draining = true
-		known.told = 0
+		m.renew(known)
 	}
 	if piece.SeenAt.After(known.seenAt) {
 		known.seenAt = piece.SeenAt
--- a/core/procs/spread/reads.go
+++ b/core/procs/spread/reads.go
@@ -59,6 +59,7 @@
 	random *rand.Rand
 	// urgent asks for a plain read before anything else.
 	urgent  bool
+	polled  bool
 	watches int
 }
 
@@ -97,7 +98,7 @@
 		return Read{Kind: ReadValue, At: now, HoldUntil: now}
 	}
 	if !r.IsReader(alive) {
-		return Read{Kind: ReadValue, At: now.Add(r.Jitter(PollPeriod(roster, budget)))}
+		return Read{Kind: ReadValue, At: now.Add(r.pollWait(PollPeriod(roster, budget)))}
 	}
 	if r.watches == RereadEvery {
 		r.watches = 0
@@ -107,6 +108,16 @@
 	return Read{Kind: ReadWatch, At: now, HoldUntil: now.Add(r.Jitter(WatchHold))}
 }
 
+// pollWait spreads the first polls over the whole period: hosts that start
+// together would poll together for many periods.
+func (r *Reads) pollWait(period time.Duration) time.Duration {
+	if r.polled {
+		return r.Jitter(period)
+	}
+	r.polled = true
+	return time.Duration(r.random.Float64() * float64(period))
+}
+
 // PollPeriod spreads the polls of all hosts over a share of the budget. At 360
 // hosts and 20 reads a second: 360 / (0.25 * 20) = 72 s.
 func PollPeriod(roster int, budget float64) time.Duration {
--- /dev/null
+++ b/core/procs/spread/scale_test.go
@@ -0,0 +1,77 @@
+package spread_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+)
+
+// The promise for a revision, the bound of what its spread may cost, and how
+// long a fleet runs before and during the measurement.
+const (
+	inForceWithin = 14 * time.Second
+	trafficAtMost = 16 << 10 // bytes a second a host
+	settled       = 40 * time.Second
+	measured      = 10 * time.Second
+)
+
+// A published revision is in force on every host within the promise, and the
+// cost of a host stays within its allowance, at growing sizes and with lost
+// messages. The figures are logged; docs/decisions quotes them.
+func TestSpreadAtSizes(t *testing.T) {
+	for _, loss := range []float64{0, 0.05} {
+		for _, count := range []int{9, 40, 120, 360} {
+			t.Run(fmt.Sprintf("%d hosts, loss %.2f", count, loss), func(t *testing.T) {
+				t.Parallel()
+				checkSpread(t, newSim(t, count, uint64(count), loss))
+			})
+		}
+	}
+}
+
+func checkSpread(t *testing.T, s *sim) {
+	s.publish(s.bundle(7))
+	for _, n := range s.nodes {
+		n.start()
+	}
+	s.run(settled)
+	s.exchanges, s.bytes, s.service.calls = 0, 0, 0
+	s.run(measured)
+	hosts := float64(len(s.nodes))
+	// A host is at both ends of exchanges.
+	messages := 2 * float64(s.exchanges) / (measured.Seconds() * hosts)
+	traffic := 2 * float64(s.bytes) / (measured.Seconds() * hosts)
+	reads := float64(s.service.calls) / measured.Seconds()
+
+	published := s.now
+	s.bytes = 0
+	s.publish(s.bundle(8))
+	acknowledged := s.untilAcknowledged(8)
+	at, alive := s.inForce(8)
+	inForce := s.latest().Sub(published)
+	peak := 2 * float64(s.bytes) / (acknowledged.Seconds() * hosts)
+	t.Logf("in force after %v, acknowledged everywhere after %v; %.1f messages/s and %.0f bytes/s a host, "+
+		"%.0f bytes/s until then; %.2f reads/s at the service",
+		inForce.Round(time.Millisecond), acknowledged, messages, traffic, peak, reads)
+	if at != alive || inForce > inForceWithin {
+		t.Errorf("%d of %d hosts have revision 8 in force after %v, want all in %v", at, alive, inForce, inForceWithin)
+	}
+	if max(traffic, peak) > trafficAtMost {
+		t.Errorf("%.0f bytes/s a host, want %d at most", max(traffic, peak), trafficAtMost)
+	}
+	if reads > _budget {
+		t.Errorf("%.1f reads/s at the service, want %.0f at most", reads, _budget)
+	}
+}
+
+// untilAcknowledged runs until every host knows that every other one has the
+// revision in force.
+func (s *sim) untilAcknowledged(revision core.Revision) time.Duration {
+	begun := s.now
+	for !s.allAcknowledged(revision) && s.now.Sub(begun) < 5*time.Minute {
+		s.run(time.Second)
+	}
+	return s.now.Sub(begun)
+}
--- /dev/null
+++ b/core/procs/spread/spread_test.go
@@ -0,0 +1,68 @@
+package spread_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"apricotproxy/core"
+	"apricotproxy/core/invar"
+	"apricotproxy/core/procs/spread"
+)
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+func accept(bundle core.Bundle) (core.Config, error) { return core.Config{}, nil }
+
+func ExampleSpread_Offer() {
+	s := spread.New(spread.Settings{Self: "entry-1", Parse: accept}, random())
+	for _, bundle := range []core.Bundle{
+		{Revision: 7, Base: "a"}, {Revision: 6, Base: "a"}, {Revision: 7, Base: "a"}, {Revision: 7, Base: "b"},
+	} {
+		fmt.Println(bundle.Revision, s.Offer(bundle).Verdict)
+	}
+	// Output:
+	// 7 Accepted
+	// 6 Lower
+	// 7 Same
+	// 7 Conflict
+}
+
+// With the safeguard off, the assertion behind it notices a lower revision.
+func TestTakeLowerIsNoticed(t *testing.T) {
+	noticed := 0
+	defer invar.Handle(func(v *invar.Violation) {
+		if v.Promise == invar.RevisionNeverLower {
+			noticed++
+		}
+	})()
+	s := spread.New(spread.Settings{Parse: accept, Switches: spread.Switches{TakeLower: true}}, random())
+	s.Offer(core.Bundle{Revision: 7})
+	s.Offer(core.Bundle{Revision: 6})
+	if noticed != 1 {
+		t.Errorf("the assertion noticed %d lower revisions, want 1", noticed)
+	}
+}
+
+// All hosts that believe the same hosts alive choose the same few readers.
+func TestReadersAreChosenAlike(t *testing.T) {
+	for _, count := range []int{9, 40, 360} {
+		var alive []core.HostName
+		for i := range count {
+			alive = append(alive, core.HostName(fmt.Sprintf("entry-%d", i)))
+		}
+		readers := 0
+		for _, host := range alive {
+			if spread.NewReads(host, random()).IsReader(alive) {
+				readers++
+			}
+		}
+		want := spread.Readers
+		if count <= spread.AllRead {
+			want = count
+		}
+		if readers != want {
+			t.Errorf("%d of %d hosts read, want %d", readers, count, want)
+		}
+	}
+}
--- a/io/fleet/beat.go
+++ b/io/fleet/beat.go
@@ -47,6 +47,7 @@
 		f.extendView(now)
 	}
 	hosts := f.member.Beat(now)
+	f.asked, f.answered = len(hosts), 0
 	f.mu.Unlock()
 	sent := f.send(ctx, hosts)
 	if !slept {
@@ -139,9 +140,19 @@
 		return false
 	}
 	f.heardReply(reply)
+	f.countAnswer()
 	return true
 }
 
+func (f *Fleet) countAnswer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered++
+	if 2*f.answered > f.asked {
+		f.confirmView(time.Now())
+	}
+}
+
 func (f *Fleet) beatFailed(host core.HostName) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -108,8 +108,13 @@
 	// viewDeadline is when the view of the fleet is too old to dispatch from
 	// without asking first; see Current.
 	viewDeadline time.Time
-	interval     time.Duration
-	inFlight     map[core.HostName]bool // hosts that a heartbeat is under way to
+	// viewUntil is when the view is too old to give engine orders from; see
+	// ViewUntil.
+	viewUntil time.Time
+	asked     int // heartbeats of the present round
+	answered  int
+	interval  time.Duration
+	inFlight  map[core.HostName]bool // hosts that a heartbeat is under way to
 
 	beats    chan struct{} // permits of heartbeats in flight
 	kick     chan struct{} // asks for a round of heartbeats now
@@ -207,6 +212,18 @@
 	return now.Before(f.viewDeadline)
 }
 
+// ViewUntil gives the time until which engine orders may be given from this
+// host's view: a few intervals after the service last answered, or after more
+// than half of a round's heartbeats were answered.
+func (f *Fleet) ViewUntil() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.viewUntil
+}
+
+// confirmView is called with mu held.
+func (f *Fleet) confirmView(now time.Time) { f.viewUntil = now.Add(_sleptIntervals * f.interval) }
+
 // extendView is called with mu held.
 func (f *Fleet) extendView(now time.Time) {
 	f.viewDeadline = now.Add(_sleptIntervals * f.interval)
--- a/io/fleet/read.go
+++ b/io/fleet/read.go
@@ -108,8 +108,9 @@
 	}
 	f.offer("service", func() spread.Decision { return f.spread.Offer(bundle) })
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.spread.ServiceAsked()
-	f.mu.Unlock()
+	f.confirmView(time.Now())
 	return nil
 }
 
