--- a/core/procs/slots/slots.go
+++ b/core/procs/slots/slots.go
@@ -136,17 +136,17 @@
 }
 
 // New builds the pool of an endpoint that this process has not met before. Its
-// own slots are shut: a predecessor's work may still run on the endpoint.
+// own slots are shut, since a predecessor's work may still run on the endpoint,
+// and as long as it is cold nothing is given out until it was seen idle.
 func New(self core.HostID, weakness Weakness) *Pool {
 	return &Pool{
 		self:     self,
 		weakness: weakness,
 		// A later incarnation starts above all serials of an earlier one,
 		// which gives out fewer than one lease a nanosecond.
-		serial:    uint64(self.Incarnation),
-		received:  make(map[core.HostName]uint64),
-		cold:      true,
-		coldClear: true,
+		serial:   uint64(self.Incarnation),
+		received: make(map[core.HostName]uint64),
+		cold:     true,
 	}
 }
 
@@ -263,6 +263,20 @@
 	return free
 }
 
+// NextExpiry gives the earliest deadline of an idle lease, zero for none.
+func (p *Pool) NextExpiry() time.Time {
+	var next time.Time
+	for i := range p.borrowed {
+		if b := &p.borrowed[i]; b.idle() && (next.IsZero() || b.lease.Deadline.Before(next)) {
+			next = b.lease.Deadline
+		}
+	}
+	return next
+}
+
+// Borrowed counts the leases in hand.
+func (p *Pool) Borrowed() int { return len(p.borrowed) }
+
 // Valid tells whether a slot that was taken may still be dispatched on.
 func (p *Pool) Valid(now time.Time, position, limit int) bool {
 	if i := p.leaseIndex(position); i >= 0 {
