--- a/core/procs/decide/borrow.go
+++ b/core/procs/decide/borrow.go
@@ -37,23 +37,22 @@
 		d.askRelease(now, e)
 	}
 	for _, s := range d.services {
-		s.borrowAt = time.Time{}
 		for class := queue.ClassShort; class <= queue.ClassLong; class++ {
-			if s.queue.Count(class) > 0 {
-				d.borrowFor(now, s, s.queue.Head(class).Value)
+			if s.queue.Count(class) > 0 && !s.unwanted[class] {
+				s.unwanted[class] = !d.borrowFor(now, s, s.queue.Head(class).Value)
 			}
 		}
 	}
 }
 
 // borrowFor asks for slots that a waiting request could use, for at most as
-// many as there are requests waiting.
-func (d *Decider) borrowFor(now time.Time, s *service, r *request) {
+// many as there are requests waiting. It is false when none is to be asked for.
+func (d *Decider) borrowFor(now time.Time, s *service, r *request) bool {
 	d.ask(now, r)
 	for s.asking < min(s.queue.Len(), _askAtOnce) {
 		wanted := d.policy.Want(now, &d.demand, s.candidates)
 		if wanted < 0 {
-			break
+			return false
 		}
 		e := s.endpoints[wanted]
 		holder, ok := d.nextOwner(now, e)
@@ -68,6 +67,7 @@
 		s.dueAt = earlier(s.dueAt, e.pendingUntil)
 		d.request(now, e, holder)
 	}
+	return true
 }
 
 // request asks a host for a slot or for the release of one.
--- a/core/procs/decide/decide.go
+++ b/core/procs/decide/decide.go
@@ -86,12 +86,12 @@
 	// blocked is set when the head of a class could not be placed, until
 	// something changes.
 	blocked [queue.Classes]bool
-	rates   [queue.Classes]queue.Rate
+	// unwanted is set when there was no slot to ask other hosts for either.
+	unwanted [queue.Classes]bool
+	rates    [queue.Classes]queue.Rate
 	// residual is the usual remainder of a request in progress, in tokens.
 	residual float64
 	asking   int
-	// borrowAt is when owners are asked again at the latest.
-	borrowAt time.Time
 }
 
 // position is what this host knows of a roster position.
@@ -167,7 +167,6 @@
 		}
 		at = earlier(at, s.queue.NextDeadline())
 		at = earlier(at, s.dueAt)
-		at = earlier(at, s.borrowAt)
 	}
 	for _, r := range d.delayed {
 		at = earlier(at, r.notBefore)
--- a/core/procs/decide/decide_test.go
+++ b/core/procs/decide/decide_test.go
@@ -109,3 +109,44 @@
 		}
 	}
 }
+
+func TestSnapshotSparesTheRamp(t *testing.T) {
+	config := site("h1")
+	warm, now := warmDecider(config)
+	encoded, err := warm.Snapshot(now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	placed := func(restore bool) int {
+		d := newDecider("h1")
+		d.Apply(now, config)
+		if restore {
+			if err := d.Restore(now, encoded); err != nil {
+				t.Fatal(err)
+			}
+		}
+		later := now
+		for range 6 {
+			later = later.Add(time.Second)
+			d.Observe(later, core.Report{
+				Endpoint: "e", Incarnation: 1, Phase: core.PhaseWarm, AskedAt: later, FreeTokens: 100000, TotalTokens: 100000,
+			})
+		}
+		count := 0
+		for i := range 10 {
+			request := ask(i, later)
+			request.MaxTokens = 10
+			count += len(d.Submit(later, request).Placements)
+		}
+		return count
+	}
+	if got := placed(false); got != 4 {
+		t.Errorf("%d placed at the second step of the ramp, twice the 2 cold slots wanted", got)
+	}
+	if got := placed(true); got != 8 {
+		t.Errorf("%d placed after taking over a long warm spell", got)
+	}
+	if newDecider("h1").Restore(now, []byte("{")) == nil {
+		t.Error("a broken snapshot is accepted")
+	}
+}
--- a/core/procs/decide/endpoint.go
+++ b/core/procs/decide/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/procs/queue"
 	"apricotproxy/core/procs/slots"
 	"apricotproxy/core/procs/view"
 )
@@ -81,7 +82,7 @@
 	if s == nil || e.place < 0 {
 		return
 	}
-	s.blocked = [len(s.blocked)]bool{}
+	s.lookAgain()
 	c := &s.candidates[e.place]
 	limit := d.limit(now, e)
 	report := &e.view.Report
@@ -110,6 +111,12 @@
 	s.dueAt = earlier(s.dueAt, due)
 }
 
+// lookAgain lets the heads of both classes be looked at again.
+func (s *service) lookAgain() {
+	s.blocked = [queue.Classes]bool{}
+	s.unwanted = [queue.Classes]bool{}
+}
+
 // refresh updates all candidates of a service when one has changed by itself.
 func (d *Decider) refresh(now time.Time, s *service) {
 	if s.dueAt.IsZero() || now.Before(s.dueAt) {
--- a/core/procs/decide/place.go
+++ b/core/procs/decide/place.go
@@ -112,8 +112,7 @@
 
 // start makes a placement.
 func (d *Decider) start(now time.Time, r *request, e *endpoint, slot core.SlotID, validUntil time.Time) {
-	invar.Check(invar.DataCentreOut, e.inService, "endpoint %s is out of service", e.config.Name)
-	invar.Check(invar.EndpointLeaving, !e.config.Leaving && !e.view.Report.Leaving, "endpoint %s is leaving", e.config.Name)
+	e.check()
 	r.try++
 	r.state = statePlaced
 	r.endpoint = e
@@ -140,6 +139,18 @@
 	d.update(now, e)
 }
 
+// check asserts the promises on endpoints that take no new work. The conditions
+// stand outside the calls so that their arguments are built for a broken
+// promise only.
+func (e *endpoint) check() {
+	if !e.inService {
+		invar.Check(invar.DataCentreOut, false, "endpoint %s is out of service", e.config.Name)
+	}
+	if e.config.Leaving || e.view.Report.Leaving {
+		invar.Check(invar.EndpointLeaving, false, "endpoint %s is leaving", e.config.Name)
+	}
+}
+
 // enginePriority puts short requests above long ones of the same priority.
 func (r *request) enginePriority() int {
 	if r.item.Class == queue.ClassShort {
--- a/core/procs/decide/request.go
+++ b/core/procs/decide/request.go
@@ -158,7 +158,7 @@
 	d.waiting++
 	// Only the head of a class may be placed, so that a new head is looked at.
 	if s.queue.Count(class) == 1 {
-		s.blocked[class] = false
+		s.blocked[class], s.unwanted[class] = false, false
 	}
 	if most := d.config.Limits.QueueLength; most > 0 && d.waiting > most {
 		d.pushOut(now)
@@ -211,7 +211,7 @@
 		s.rates[class].Emptied()
 	}
 	// The next one in line has another demand.
-	s.blocked[class] = false
+	s.blocked[class], s.unwanted[class] = false, false
 }
 
 // deadline is when the request is given up while it waits.
--- a/core/procs/length/length.go
+++ b/core/procs/length/length.go
@@ -85,6 +85,7 @@
 	s := e.shared[key]
 	if s == nil {
 		s = newEstimate()
+		s.eager = true
 		e.shared[key] = s
 	}
 	return s
@@ -153,8 +154,10 @@
 	total  int64
 	stale  int
 	used   uint64
-	mean   [_steps]float64
-	shift  shift
+	// eager estimates are computed anew for each of the first completions.
+	eager bool
+	mean  [_steps]float64
+	shift shift
 }
 
 func newEstimate() *estimate {
@@ -178,7 +181,8 @@
 		s.recent.Reset()
 	}
 	s.stale++
-	if s.stale >= _refresh || s.total < _refresh || shifted {
+	// The first few count one by one: there is nothing better to go by.
+	if s.stale >= _refresh || (s.eager && s.total < _refresh) || shifted {
 		s.compute()
 	}
 	return shifted
--- a/core/procs/slots/slots.go
+++ b/core/procs/slots/slots.go
@@ -171,12 +171,14 @@
 
 // check asserts the promises on the limits at the moment a slot is given out.
 func (p *Pool) check(position int) {
-	if p.cold {
-		invar.Check(invar.ColdLimit, position < p.endpoint.ColdSlots && p.coldClear,
-			"endpoint %s is cold and slot %d is given out", p.endpoint.Name, position)
+	// The conditions stand outside the calls so that their arguments are built
+	// for a broken promise only.
+	if p.cold && (position >= p.endpoint.ColdSlots || !p.coldClear) {
+		invar.Check(invar.ColdLimit, false, "endpoint %s is cold and slot %d is given out", p.endpoint.Name, position)
+	}
+	if position >= max(p.endpoint.WarmSlots, p.endpoint.ColdSlots) {
+		invar.Check(invar.SlotLimit, false, "endpoint %s has no slot %d", p.endpoint.Name, position)
 	}
-	invar.Check(invar.SlotLimit, position < p.endpoint.WarmSlots || position < p.endpoint.ColdSlots,
-		"endpoint %s has no slot %d", p.endpoint.Name, position)
 }
 
 // cap bounds a limit by the phase.
--- a/core/procs/view/view.go
+++ b/core/procs/view/view.go
@@ -51,6 +51,8 @@
 	Completions int
 	// firstDelay is the usual first-token delay in seconds; 0 for unknown.
 	firstDelay float64
+	// provenWarm is the incarnation that another host has seen fully ramped.
+	provenWarm core.Incarnation
 }
 
 // Observe takes in a report. It ignores one that was asked for earlier than the
@@ -60,7 +62,7 @@
 		return false
 	}
 	restarted := v.Report.Incarnation != 0 && report.Incarnation != v.Report.Incarnation
-	blind := now.After(v.ValidUntil.Add(terms.Validity))
+	blind := !v.ValidUntil.IsZero() && now.After(v.ValidUntil.Add(terms.Validity))
 	v.Report = report
 	v.ValidUntil = report.AskedAt.Add(terms.Validity)
 	if restarted || blind {
@@ -97,6 +99,7 @@
 }
 
 func (v *View) turnCold() {
+	v.provenWarm = 0
 	v.WarmSince = time.Time{}
 	v.Completions = 0
 }
@@ -118,6 +121,9 @@
 		return endpoint.ColdSlots
 	}
 	limit := max(endpoint.ColdSlots, 1)
+	if v.provenWarm != 0 && v.provenWarm == v.Report.Incarnation && !now.Before(v.WarmSince.Add(terms.FirstStep)) {
+		return endpoint.WarmSlots
+	}
 	for at := v.WarmSince.Add(terms.FirstStep); !at.After(now) && limit < endpoint.WarmSlots; at = at.Add(terms.Step) {
 		limit *= _stepGrowth
 	}
@@ -176,3 +182,8 @@
 		v.WarmSince = now
 	}
 }
+
+// Inherit takes over that another host has seen the incarnation warm for long:
+// the ramp then has its first step only. That step stays, since it is what other
+// hosts' proofs of an idle cold endpoint rest on.
+func (v *View) Inherit(incarnation core.Incarnation) { v.provenWarm = incarnation }
