--- a/core/versn/confg/limits.go
+++ b/core/versn/confg/limits.go
@@ -61,7 +61,7 @@
 		ReportLag:          r.duration("ReportLag", d.ReportLag, time.Millisecond, 30*time.Second),
 		HeartbeatInterval:  r.duration("HeartbeatInterval", d.HeartbeatInterval, 100*time.Millisecond, 10*time.Second),
 		ServiceReads:       r.number("ServiceReads", d.ServiceReads, 0.1, 2000),
-		WeightLoads:        r.number("WeightLoads", d.WeightLoads, 0.1, 100_000),
+		WeightLoads:        r.number("WeightLoads", d.WeightLoads, 0, 100_000),
 		WarmProof:          int(r.integer("WarmProof", int64(d.WarmProof), 1, 10_000)),
 		OutputTokensAtMost: int(r.integer("OutputTokensAtMost", int64(d.OutputTokensAtMost), 1, 10_000_000)),
 	}
