io/platf, io/peers: tests of silence, bounds and budget; watches held for 6 s

Cause: with 8 s a watch that went silent cost up to 10 s, the default of ConfigSpread. Change: watches are held for 6 s; tests silence all connections at once. Conclusion: a revision published into silent watches is in force in 14 s.

--- a/core/procs/spread/reads.go
+++ b/core/procs/spread/reads.go
@@ -19,7 +19,7 @@
 	Readers = 8
 	// WatchHold is how long a watch is held before it is asked anew on
 	// another connection. A connection that went silent costs no longer.
-	WatchHold = 8 * time.Second
+	WatchHold = 6 * time.Second
 	// RereadEvery is the number of watches after which the value is read
 	// without regard to its version: a service that restarted with lower
 	// versions would leave a watch waiting for ever.
--- a/io/fleet/fleet_basic_test.go
+++ b/io/fleet/fleet_basic_test.go
@@ -30,13 +30,20 @@
 				t.Errorf("host %s: ready %v at revision %d, want ready at 7", name, h.fleet.Ready(), h.revision())
 			}
 		}
+		calls := w.platform.Calls()
+		time.Sleep(time.Minute)
+		t.Logf("%d calls of the service in a calm minute", w.platform.Calls()-calls)
 		published := time.Now()
 		w.publish(8, "a")
 		time.Sleep(14 * time.Second)
+		latest := published
 		for name, h := range w.hosts {
 			if h.revision() != 8 || h.ackedAt(8) != 8 {
 				t.Errorf("host %s is at revision %d and knows it of %d others", name, h.revision(), h.ackedAt(8))
 			}
+			if h.inForce.After(latest) {
+				latest = h.inForce
+			}
 			if late := h.inForce.Sub(published); late > 3*time.Second {
 				t.Errorf("host %s had revision 8 in force after %v, want 3 s at most", name, late)
 			}
@@ -44,6 +51,7 @@
 				t.Errorf("host %s is ready in a data centre that is out", name)
 			}
 		}
+		t.Logf("in force on all hosts after %v", latest.Sub(published))
 	})
 }
 
@@ -55,11 +63,13 @@
 		w.start("entry-2")
 		time.Sleep(2 * time.Second)
 		w.platform.SetDown(true)
+		begun := time.Now()
 		late := w.start("entry-3")
 		if late.fleet.Ready() {
 			t.Error("entry-3 is ready before it has asked anybody")
 		}
 		<-late.fleet.Started()
+		t.Logf("ready after %v", time.Since(begun))
 		if late.revision() != 7 || len(late.snapshot) == 0 {
 			t.Errorf("entry-3 started at revision %d with snapshot %q", late.revision(), late.snapshot)
 		}
@@ -75,8 +85,10 @@
 		time.Sleep(3 * time.Second)
 		w.hosts["entry-5"].stop()
 		w.publish(6, "") // the service lost its newest values
+		begun := time.Now()
 		late := w.start("entry-5")
 		<-late.fleet.Started()
+		t.Logf("ready after %v", time.Since(begun))
 		if late.revision() != 8 {
 			t.Errorf("entry-5 is ready at revision %d, want 8", late.revision())
 		}
@@ -190,3 +202,58 @@
 		t.Errorf("noticed %d with error %v, want 1", noticed, err)
 	}
 }
+
+// Every open connection to the platform goes silent at once; a revision
+// published then is in force in time, because watches are asked anew.
+func TestAllWatchesGoSilent(t *testing.T) {
+	bubble(t, 9, func(t *testing.T, w *world) {
+		w.startAll()
+		for _, name := range w.names {
+			w.network.Silence(_platform, name)
+		}
+		w.publish(8, "")
+		time.Sleep(14 * time.Second)
+		for name, h := range w.hosts {
+			if h.revision() != 8 {
+				t.Errorf("host %s is at revision %d, want 8", name, h.revision())
+			}
+		}
+	})
+}
+
+// Every open connection between two hosts goes silent one way; heartbeats go
+// on over new ones, and nobody is believed dead for long.
+func TestPeerConnectionsGoSilent(t *testing.T) {
+	bubble(t, 3, func(t *testing.T, w *world) {
+		w.startAll()
+		w.network.Silence("entry-1", "entry-2")
+		w.network.Silence("entry-2", "entry-1")
+		time.Sleep(20 * time.Second)
+		for _, status := range w.hosts["entry-1"].fleet.Status() {
+			if status.Standing != "Alive" {
+				t.Errorf("entry-1 believes %s %s", status.Name, status.Standing)
+			}
+		}
+	})
+}
+
+// The service is down for an hour and then has a new revision.
+func TestServiceDownForAnHour(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, w *world) {
+		w.startAll()
+		w.platform.SetDown(true)
+		time.Sleep(time.Hour)
+		w.platform.SetDown(false)
+		up := time.Now()
+		w.publish(8, "")
+		time.Sleep(14 * time.Second)
+		for name, h := range w.hosts {
+			if h.revision() != 8 || !h.fleet.Ready() {
+				t.Errorf("host %s: ready %v at revision %d, want ready at 8", name, h.fleet.Ready(), h.revision())
+			}
+			if late := h.inForce.Sub(up); late > 14*time.Second {
+				t.Errorf("host %s had revision 8 in force after %v", name, late)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/io/platf/platf_test.go
@@ -0,0 +1,160 @@
+package platf_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/fakes/memnet"
+	fake "apricotproxy/fakes/platf"
+	"apricotproxy/io/platf"
+)
+
+const (
+	_address = "platform:80"
+	_key     = "apricotproxy/test"
+)
+
+// bubble runs a test against a handler in the platform's place.
+func bubble(t *testing.T, handler http.Handler, reads float64, test func(*testing.T, *memnet.Network, *platf.Client)) {
+	t.Helper()
+	network := memnet.New(time.Millisecond)
+	listener, err := network.Listen("tcp", _address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	var served sync.WaitGroup
+	served.Go(func() { _ = server.Serve(listener) })
+	client := platf.New(platf.Settings{Address: _address, Dialer: network.Dialer("entry-1"), Reads: reads})
+	test(t, network, client)
+	client.Close()
+	_ = server.Close()
+	served.Wait()
+}
+
+func TestReadAndWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := fake.New(fake.Config{LoadsPerMinute: 6})
+		platform.Publish(_key, []byte("one"))
+		platform.SetHosts([]core.ListedHost{{Host: "entry-1", Address: "10.0.0.1:7443", Leaving: true}})
+		bubble(t, platform, 0, func(t *testing.T, _ *memnet.Network, client *platf.Client) {
+			value, version, err := client.Read(t.Context(), _key)
+			if err != nil || string(value) != "one" || version != 1 {
+				t.Fatalf("read %q at %d: %v", value, version, err)
+			}
+			time.AfterFunc(100*time.Second, func() { platform.Publish(_key, []byte("two")) })
+			value, version, err = client.Watch(t.Context(), _key, version)
+			if err != nil || string(value) != "two" || version != 2 {
+				t.Errorf("watched %q at %d: %v", value, version, err)
+			}
+			hosts, err := client.Hosts(t.Context())
+			if err != nil || len(hosts) != 1 || !hosts[0].Leaving {
+				t.Errorf("hosts %v: %v", hosts, err)
+			}
+			rate, err := client.LoadsPerMinute(t.Context())
+			if err != nil || rate != 6 {
+				t.Errorf("rate %v: %v", rate, err)
+			}
+		})
+	})
+}
+
+// A watch goes on through an hour without the service, with few calls.
+func TestWatchThroughAnHourWithoutService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := fake.New(fake.Config{})
+		platform.Publish(_key, []byte("one"))
+		platform.SetDown(true)
+		bubble(t, platform, 0, func(t *testing.T, _ *memnet.Network, client *platf.Client) {
+			time.AfterFunc(time.Hour, func() {
+				platform.SetDown(false)
+				platform.Publish(_key, []byte("two"))
+			})
+			value, _, err := client.Watch(t.Context(), _key, 1)
+			if err != nil || string(value) != "two" {
+				t.Errorf("watched %q: %v", value, err)
+			}
+			if calls := platform.Calls(); calls > 3600 {
+				t.Errorf("%d calls in the hour, want one a second at most", calls)
+			}
+		})
+	})
+}
+
+// Calls stay within the read budget.
+func TestReadBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := fake.New(fake.Config{})
+		platform.Publish(_key, []byte("one"))
+		bubble(t, platform, 2, func(t *testing.T, _ *memnet.Network, client *platf.Client) {
+			begun := time.Now()
+			for range 24 {
+				if _, _, err := client.Read(t.Context(), _key); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if took := time.Since(begun); took < 10*time.Second {
+				t.Errorf("24 reads took %v at 2 a second after a burst of 4, want 10 s at least", took)
+			}
+		})
+	})
+}
+
+// A connection that went silent costs one timeout; the next call works.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := fake.New(fake.Config{})
+		platform.Publish(_key, []byte("one"))
+		bubble(t, platform, 0, func(t *testing.T, network *memnet.Network, client *platf.Client) {
+			if _, _, err := client.Read(t.Context(), _key); err != nil {
+				t.Fatal(err)
+			}
+			network.Silence("platform", "entry-1")
+			begun := time.Now()
+			var failed *platf.Error
+			if _, _, err := client.Read(t.Context(), _key); !errors.As(err, &failed) || !errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("the silent read gave %v, want a timeout", err)
+			}
+			if _, _, err := client.Read(t.Context(), _key); err != nil {
+				t.Errorf("the read after it: %v", err)
+			}
+			if took := time.Since(begun); took > 5*time.Second {
+				t.Errorf("the two reads took %v", took)
+			}
+		})
+	})
+}
+
+// Values above the bound and refusals are errors that say what to do.
+func TestBadAnswers(t *testing.T) {
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    string
+	}{
+		{"too large", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, 2*platf.ValueBytesAtMost+1))
+		}, "above 1 MB"},
+		{"no value", http.NotFound, "status 404"},
+		{"bad version", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Version", "new") }, "header Version"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bubble(t, c.handler, 0, func(t *testing.T, _ *memnet.Network, client *platf.Client) {
+					_, _, err := client.Read(t.Context(), _key)
+					if err == nil || !strings.Contains(err.Error(), c.want) {
+						t.Errorf("read gave %v, want %q", err, c.want)
+					}
+				})
+			})
+		})
+	}
+}
