Callers: streams take their connection over from the server

Change: with the first event an HTTP/1.1 connection is taken over and written to directly, one write a flush. Handler.Wait waits for streams at a planned stop. Tests for HTTP/1.0 callers and for the checks with the resume filter and the ledger check switched off.

--- a/core/procs/ticket/ledger.go
+++ b/core/procs/ticket/ledger.go
@@ -28,7 +28,7 @@
 // Weakness switches mechanisms off, so that a test can show that the checks
 // notice. Only tests set it.
 type Weakness struct {
-	// NoLedgerCheck runs an order for each copy of it that arrives.
+	// NoLedgerCheck runs an order for each copy that arrives while it runs.
 	NoLedgerCheck bool
 	// OpenWhileMoving goes on running orders after the ledger was sent.
 	OpenWhileMoving bool
@@ -212,7 +212,7 @@
 	if r.phase != phaseIssued && r.digest != digest {
 		return refuse(r.ticket, core.CauseTicketInvalid, "the ticket was used for another order; get a new ticket")
 	}
-	if l.settings.Weakness.NoLedgerCheck && r.phase != phaseIssued {
+	if l.settings.Weakness.NoLedgerCheck && r.phase == phaseRunning {
 		return Step{Kind: StepRun, ID: id}
 	}
 	switch r.phase {
--- a/io/caller/complete.go
+++ b/io/caller/complete.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -9,28 +10,30 @@
 	"apricotproxy/io/runs"
 )
 
-// serveCompletion runs a completion. It waits for most of its life in Complete,
-// so that its frame and those below it are kept small: their stack is the
-// greatest part of an idle stream's memory.
+// serveCompletion runs a completion.
 func (h *Handler) serveCompletion(w http.ResponseWriter, r *http.Request) {
-	var completion *runs.Completion
-	var sink answerSink
-	onOwnStack(func() { completion, sink = h.openCompletion(w, r) })
-	if completion == nil {
-		return
-	}
-	if err := h.config.Runner.Complete(r.Context(), completion, sink); err != nil {
-		sink.fail(err)
+	completion, stream := h.openCompletion(w, r)
+	switch {
+	case completion == nil:
+	case stream:
+		h.stream(w, r, h.newEventSink(w, completion.Model), func(ctx context.Context, sink runs.Sink) error {
+			return h.config.Runner.Complete(ctx, completion, sink)
+		})
+	default:
+		sink := &wholeSink{handler: h, writer: w, model: completion.Model}
+		if err := h.config.Runner.Complete(r.Context(), completion, sink); err != nil {
+			sink.fail(err)
+		}
 	}
 }
 
 // openCompletion reads and checks a request. It answers one that is refused, and
 // returns nil then.
-func (h *Handler) openCompletion(w http.ResponseWriter, r *http.Request) (*runs.Completion, answerSink) {
+func (h *Handler) openCompletion(w http.ResponseWriter, r *http.Request) (completion *runs.Completion, stream bool) {
 	body, err := h.readBody(w, r)
 	if err != nil {
 		h.writeError(w, err)
-		return nil, nil
+		return nil, false
 	}
 	asked, err := parseCompletion(body)
 	if err == nil {
@@ -38,23 +41,14 @@
 	}
 	if err != nil {
 		h.writeError(w, err)
-		return nil, nil
+		return nil, false
 	}
-	completion, err := h.admit(workspaceOf(r), &asked, body)
+	completion, err = h.admit(workspaceOf(r), &asked, body)
 	if err != nil {
 		h.writeError(w, err)
-		return nil, nil
-	}
-	if asked.Stream {
-		return completion, h.newEventSink(w, completion.Model)
+		return nil, false
 	}
-	return completion, &wholeSink{handler: h, writer: w, model: completion.Model}
-}
-
-// answerSink is a runs.Sink that can also tell an error.
-type answerSink interface {
-	runs.Sink
-	fail(err error)
+	return completion, asked.Stream
 }
 
 // admit builds the completion that a body asks for.
@@ -95,10 +89,9 @@
 		return
 	}
 	resumption.Workspace = workspaceOf(r)
-	sink := h.newEventSink(w, "")
-	if err := h.config.Runner.Resume(r.Context(), resumption, sink); err != nil {
-		sink.fail(err)
-	}
+	h.stream(w, r, h.newEventSink(w, ""), func(ctx context.Context, sink runs.Sink) error {
+		return h.config.Runner.Resume(ctx, resumption, sink)
+	})
 }
 
 // parseResumption reads the generation of the path and the event id of the
@@ -118,17 +111,3 @@
 	resumption.Next = index + 1
 	return resumption, nil
 }
-
-// onOwnStack runs f on a goroutine of its own and waits for it. The stack that
-// parsing needs is freed with it, and the goroutine that waits for tokens keeps a
-// small one for as long as its stream lives.
-func onOwnStack(f func()) {
-	failure := make(chan any)
-	go func() {
-		defer func() { failure <- recover() }()
-		f()
-	}()
-	if reason := <-failure; reason != nil {
-		panic(reason)
-	}
-}
--- a/io/caller/order_test.go
+++ b/io/caller/order_test.go
@@ -315,6 +315,8 @@
 	ctx, cancel := context.WithDeadline(r.t.Context(), time.Now().Add(10*time.Second))
 	defer cancel()
 	err := r.hosts[name].desk.Leave(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	delete(r.hosts, name)
 	return err
 }
--- a/io/caller/path_test.go
+++ b/io/caller/path_test.go
@@ -1,6 +1,8 @@
 package caller_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -58,3 +60,23 @@
 		}
 	})
 }
+
+// A caller without HTTP/1.1 gets its stream through the server, without chunks.
+func TestStreamForHTTP10(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		conn, err := r.network.Dialer("caller").DialContext(r.t.Context(), "tcp", "entry-0:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.0\r\nWorkspace: cards\r\nContent-Length: %d\r\n\r\n%s", len(_draft), _draft)
+		answer, err := io.ReadAll(conn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := string(answer)
+		if strings.Contains(text, "chunked") || strings.Count(text, "\nid: ") != 61 || !strings.HasSuffix(text, "data: [DONE]\n\n") {
+			t.Errorf("answer %q; want 61 events without chunks", text)
+		}
+		_ = conn.Close()
+	})
+}
--- a/io/caller/rig_test.go
+++ b/io/caller/rig_test.go
@@ -20,6 +20,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"apricotproxy/core"
+	"apricotproxy/core/procs/ticket"
 	fakeengine "apricotproxy/fakes/engine"
 	"apricotproxy/fakes/memnet"
 	"apricotproxy/fakes/place"
@@ -43,10 +44,16 @@
 	config   core.Config
 	engines  []*fakeengine.Engine
 	plains   []*plain.Service
-	hosts    map[core.HostName]*host
 	servers  []*http.Server
-	clients  []*http.Transport
 	draining bool
+	// Mechanisms that are switched off, for tests of the checks.
+	weakness       runs.Weakness
+	ledgerWeakness ticket.Weakness
+
+	// mu guards hosts and clients.
+	mu      sync.Mutex
+	hosts   map[core.HostName]*host
+	clients []*http.Transport
 	// wrap puts faults between two hosts; nil for none.
 	wrap func(from, to core.HostName, peer wire.Peer) wire.Peer
 }
@@ -58,6 +65,7 @@
 	client     *engine.Client
 	runner     *runs.Runner
 	desk       *runs.Desk
+	handler    *caller.Handler
 }
 
 // seeded is a source of nonces that is the same in every run.
@@ -145,6 +153,7 @@
 	}
 	for _, h := range r.hosts {
 		h.runner.Wait()
+		h.handler.Wait()
 		h.client.Close()
 	}
 	for _, s := range r.servers {
@@ -185,28 +194,33 @@
 		Auditor:    audits{},
 		Logger:     logr.Discard(),
 		Random:     newSeeded(name, incarnation),
+		Weakness:   r.weakness,
 	})
 	desk, err := runs.NewDesk(runs.DeskConfig{
-		Runner:  h.runner,
-		Site:    r.config.Site,
-		Self:    h.id,
-		Auditor: audits{},
-		Logger:  logr.Discard(),
-		Random:  newSeeded(name, incarnation),
+		Runner:   h.runner,
+		Site:     r.config.Site,
+		Self:     h.id,
+		Auditor:  audits{},
+		Logger:   logr.Discard(),
+		Random:   newSeeded(name, incarnation),
+		Weakness: r.ledgerWeakness,
 	})
 	if err != nil {
 		r.t.Fatal(err)
 	}
 	h.desk = desk
+	r.mu.Lock()
 	r.hosts[name] = h
-	r.serve(fmt.Sprintf("%s:80", name), caller.New(caller.Config{
+	r.mu.Unlock()
+	h.handler = caller.New(caller.Config{
 		Self:       h.id,
 		Dispatcher: h.dispatcher,
 		Runner:     h.runner,
 		Desk:       h.desk,
 		Ready:      r.ready,
 		Logger:     logr.Discard(),
-	}))
+	})
+	r.serve(fmt.Sprintf("%s:80", name), h.handler)
 	return h
 }
 
@@ -230,7 +244,9 @@
 }
 
 func (r *rig) peer(from, to core.HostName) wire.Peer {
+	r.mu.Lock()
 	h, ok := r.hosts[to]
+	r.mu.Unlock()
 	if !ok {
 		return nil
 	}
@@ -250,6 +266,8 @@
 // client gives a caller's HTTP client of its own machine.
 func (r *rig) client(machine string) *http.Client {
 	transport := &http.Transport{DialContext: r.network.Dialer(machine).DialContext}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.clients = append(r.clients, transport)
 	return &http.Client{Transport: transport}
 }
--- a/io/caller/sink.go
+++ b/io/caller/sink.go
@@ -2,52 +2,49 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"apricotproxy/core"
-	"apricotproxy/core/conn/pulse"
 )
 
 // eventSink writes an answer as server-sent events. Its buffer holds what is not
 // flushed yet and is reused, so that a token allocates nothing.
 type eventSink struct {
 	handler *Handler
-	writer  http.ResponseWriter
-	control *http.ResponseController
-	model   core.ModelName
-	begun   bool
-	buffer  []byte
+	// refuse answers with an error and its status; it is dropped with the first
+	// event.
+	refuse func(err error)
+	output output
+	model  core.ModelName
+	begun  bool
+	// buffer starts with the room that the output needs.
+	buffer []byte
 	// head is the data of each event up to the text.
 	head []byte
-	beat pulse.Pulse
-	// writeTimeout is the setting at the start of the answer.
-	writeTimeout time.Duration
 }
 
 func (h *Handler) newEventSink(w http.ResponseWriter, model core.ModelName) *eventSink {
 	return &eventSink{
-		handler:      h,
-		writer:       w,
-		control:      http.NewResponseController(w),
-		model:        model,
-		writeTimeout: h.writeTimeout(),
+		handler: h,
+		refuse:  func(err error) { h.writeError(w, err) },
+		model:   model,
+		buffer:  make([]byte, _chunkHead, _firstBufferBytes),
 	}
 }
 
+// _firstBufferBytes has room for one event.
+const _firstBufferBytes = 512
+
 // begin sends the headers. They wait for the first token: until then the answer
 // may still be an error with a status.
-func (s *eventSink) begin(generation core.GenerationID) {
+func (s *eventSink) begin(generation core.GenerationID) error {
 	s.begun = true
-	header := s.writer.Header()
-	header.Set("Content-Type", "text/event-stream")
-	header.Set("Cache-Control", "no-store")
-	header.Set("Generation-Id", string(generation))
-	s.writer.WriteHeader(http.StatusOK)
+	s.refuse = nil
 	s.head = appendHead(nil, generation, s.model)
+	return s.output.start(string(generation))
 }
 
 func appendHead(buffer []byte, generation core.GenerationID, model core.ModelName) []byte {
@@ -64,7 +61,9 @@
 //	data: {"id":"g","object":"text_completion","model":"m","choices":[{"index":0,"text":"a","finish_reason":null}]}
 func (s *eventSink) Token(token core.Token) error {
 	if !s.begun {
-		s.begin(token.Generation)
+		if err := s.begin(token.Generation); err != nil {
+			return err
+		}
 	}
 	b := s.buffer
 	b = append(b, "id: "...)
@@ -89,34 +88,12 @@
 
 // Flush sends the buffer.
 func (s *eventSink) Flush() error {
-	if len(s.buffer) == 0 {
+	if len(s.buffer) == _chunkHead {
 		return nil
 	}
-	if err := s.bound(); err != nil {
-		return err
-	}
-	_, err := s.writer.Write(s.buffer)
-	s.buffer = s.buffer[:0]
-	if err != nil {
-		return fmt.Errorf("write to the caller: %w", err)
-	}
-	if err := s.control.Flush(); err != nil {
-		return fmt.Errorf("flush to the caller: %w", err)
-	}
-	return nil
-}
-
-// bound sets the write deadline when the present one has come too near.
-func (s *eventSink) bound() error {
-	s.beat = s.beat.WithHeard(time.Now(), s.writeTimeout)
-	if !s.beat.NeedsArming(s.writeTimeout) {
-		return nil
-	}
-	s.beat = s.beat.WithArmed()
-	if err := s.control.SetWriteDeadline(s.beat.Deadline()); err != nil {
-		return fmt.Errorf("set the write deadline: %w", err)
-	}
-	return nil
+	err := s.output.send(s.buffer)
+	s.buffer = s.buffer[:_chunkHead]
+	return err
 }
 
 // Ping sends a comment, so that the caller can tell a slow answer from a silent
@@ -136,7 +113,7 @@
 		return
 	}
 	if !s.begun {
-		s.handler.writeError(s.writer, err)
+		s.refuse(err)
 		return
 	}
 	data, err := json.Marshal(bodyOf(time.Now(), outcome))
--- /dev/null
+++ b/io/caller/weakness_test.go
@@ -0,0 +1,89 @@
+package caller_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"apricotproxy/core/invar"
+	"apricotproxy/core/procs/ticket"
+	fakeengine "apricotproxy/fakes/engine"
+	"apricotproxy/io/runs"
+)
+
+// violations collects broken promises in place of ending the test.
+type violations struct {
+	mu   sync.Mutex
+	seen map[invar.Promise]int
+}
+
+func collectViolations(t *testing.T) *violations {
+	v := &violations{seen: map[invar.Promise]int{}}
+	t.Cleanup(invar.Handle(func(broken *invar.Violation) {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.seen[broken.Promise]++
+	}))
+	return v
+}
+
+func (v *violations) want(t *testing.T, promise invar.Promise) {
+	t.Helper()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.seen[promise] == 0 {
+		t.Errorf("violations %v; want one of %s", v.seen, promise)
+	}
+}
+
+// Without the resume filter the assertions on the delivery must notice.
+func TestChecksNoticeAMissingResumeFilter(t *testing.T) {
+	for fault, promise := range map[fakeengine.TokenFault]invar.Promise{
+		fakeengine.TokenTwice:   invar.TokensOnceInOrder,
+		fakeengine.TokenMissing: invar.TokensOnceInOrder,
+		fakeengine.TokenForeign: invar.AnswerToOwnRequest,
+	} {
+		t.Run(string(promise), func(t *testing.T) {
+			seen := collectViolations(t)
+			inRig(t, testConfig(), func(r *rig) {
+				r.weakness = runs.Weakness{NoResumeFilter: true}
+				h := r.startHost("entry-weak", 1)
+				time.AfterFunc(200*time.Millisecond, func() {
+					for _, e := range r.engines {
+						e.SpoilToken(fault)
+					}
+				})
+				request := r.request(http.MethodPost, "http://"+string(h.id.Host)+":80/v1/completions", _draft)
+				res, err := r.client("caller").Do(request)
+				if err != nil {
+					t.Fatal(err)
+				}
+				h.handler.Wait()
+				_ = res.Body.Close()
+			})
+			seen.want(t, promise)
+		})
+	}
+}
+
+// Without the ledger's check a copy of a running order is dispatched again, and
+// the ledger's assertion must notice.
+func TestChecksNoticeAMissingLedgerCheck(t *testing.T) {
+	seen := collectViolations(t)
+	inRig(t, testConfig(), func(r *rig) {
+		r.ledgerWeakness = ticket.Weakness{NoLedgerCheck: true}
+		h := r.startHost("entry-weak", 1)
+		tickets := r.tickets("entry-weak", 1)
+		var group sync.WaitGroup
+		for range 2 {
+			group.Go(func() { _, _ = r.order("entry-weak", tickets[0]) })
+		}
+		group.Wait()
+		h.runner.Wait()
+		if ran := r.orderRuns(); ran < 2 {
+			t.Errorf("the order ran %d times; want the weakness to show", ran)
+		}
+	})
+	seen.want(t, invar.OrderAtMostOnce)
+}
