--- /dev/null
+++ b/exper/policy.go
@@ -0,0 +1,39 @@
+package exper
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/route"
+)
+
+// Policies are the product and the baselines.
+func Policies() []Policy {
+	return []Policy{
+		{Name: "Product", Build: func(random *rand.Rand) core.RoutePolicy { return route.NewProduct(random) }},
+		{Name: "RoundRobin", Build: func(*rand.Rand) core.RoutePolicy { return &route.RoundRobin{} }},
+		{Name: "LeastReported", Build: func(*rand.Rand) core.RoutePolicy { return &route.LeastReported{} }},
+		{Name: "StaticShare", Build: func(*rand.Rand) core.RoutePolicy { return &route.StaticShare{} }},
+	}
+}
+
+// RunAll does the runs on a pool of workers and gives the results in order.
+func RunAll(settings []Setting, workers int) []*Result {
+	results := make([]*Result, len(settings))
+	next := make(chan int)
+	var group sync.WaitGroup
+	for range max(workers, 1) {
+		group.Go(func() {
+			for i := range next {
+				results[i] = Run(settings[i])
+			}
+		})
+	}
+	for i := range settings {
+		next <- i
+	}
+	close(next)
+	group.Wait()
+	return results
+}
