--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -37,14 +37,13 @@
 // kong gives what it asks for: a context.Context that ends with SIGTERM or an
 // interrupt, and a *Console.
 type commandLine struct {
-	Config configCommand `cmd:"" help:"Check, show, compare and bundle configuration files."`
-	Status statusCommand `cmd:"" help:"Print what a host reports of itself."`
-	Audit  auditCommand  `cmd:"" help:"Print a host's audit trail."`
-	Load   loadCommand   `cmd:"" help:"Send an open-loop load to entry hosts and measure what callers see."`
+	Config  configCommand  `cmd:"" help:"Check, show, compare and bundle configuration files."`
+	Status  statusCommand  `cmd:"" help:"Print what a host reports of itself."`
+	Audit   auditCommand   `cmd:"" help:"Print a host's audit trail."`
+	Load    loadCommand    `cmd:"" help:"Send an open-loop load to entry hosts and measure what callers see."`
+	Version versionCommand `cmd:"" help:"Print the version."`
 
 	Experiment ExperimentCommand `cmd:"" help:"Compare routing policies on fake engines in virtual time."`
-
-	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
 // Console is where a command writes: results to Out, all else to Err.
