io/runs: outcomes counted; NotRunMeansNotRun asserted for every request

Cause: the middleware that counts callers saw no stream any more, since a stream takes its connection over without a status; and a dispatcher's refusal after a lost try was turned into Unknown without an assertion behind it.

Change: the middleware counts a connection given away as answered; the runner counts outcomes, resumptions, tries after the first, abandoned generations and forwarded orders; the assertion notices when the memory of lost tries is switched off, and a test shows it.

--- a/io/caller/weakness_test.go
+++ b/io/caller/weakness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -87,3 +88,37 @@
 	})
 	seen.want(t, invar.OrderAtMostOnce)
 }
+
+// A whole answer whose only try was lost may have run; the dispatcher's refusal of
+// another try must not be told as NotRun.
+func TestRefusalAfterALostTryIsUnknown(t *testing.T) {
+	for name, weakness := range map[string]runs.Weakness{
+		"as built":      {},
+		"no try memory": {NoTryMemory: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			seen := collectViolations(t)
+			inRig(t, testConfig(), func(r *rig) {
+				r.weakness = weakness
+				h := r.startHost("entry-weak", 1)
+				h.dispatcher.Tries = 1
+				time.AfterFunc(300*time.Millisecond, func() {
+					for _, e := range r.engines {
+						e.Kill()
+						e.Restart()
+					}
+				})
+				status, answer := r.post("http://entry-weak:80/v1/completions", `{"model":"m","prompt":"[[tokens=60]]"}`)
+				if weakness.NoTryMemory {
+					return
+				}
+				if status != http.StatusBadGateway || !strings.Contains(answer, `"Outcome":"Unknown"`) {
+					t.Errorf("status %d: %s; want 502 Unknown", status, answer)
+				}
+			})
+			if weakness.NoTryMemory {
+				seen.want(t, invar.NotRunMeansNotRun)
+			}
+		})
+	}
+}
--- a/io/meter/callers.go
+++ b/io/meter/callers.go
@@ -1,6 +1,8 @@
 package meter
 
 import (
+	"bufio"
+	"net"
 	"net/http"
 	"time"
 
@@ -11,7 +13,7 @@
 
 // Callers counts what passes through the callers' handler:
 //
-//	callers.open               requests in hand
+//	callers.open               requests in hand, without streams that have begun
 //	callers.answered           status 2xx; a stream may still be interrupted
 //	callers.refused            status 4xx or 503: nothing ran
 //	callers.unknown            status 500, 502, 504: it may have run
@@ -67,6 +69,17 @@
 // Unwrap gives the writer below.
 func (w *countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// Hijack gives the connection away and counts a stream as answered: a handler
+// takes it over with the first event.
+func (w *countingWriter) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	conn, buffer, err := http.NewResponseController(w.ResponseWriter).Hijack()
+	if err == nil && !w.counted {
+		w.counted = true
+		w.callers.count(http.StatusOK, w.arrived)
+	}
+	return conn, buffer, err
+}
+
 // WriteHeader counts the first status; 1xx is not an answer.
 func (w *countingWriter) WriteHeader(status int) {
 	if !w.counted && status >= http.StatusOK {
--- a/io/runs/desk.go
+++ b/io/runs/desk.go
@@ -137,6 +137,7 @@
 	answer, err := d.settle(ctx, t, order)
 	var elsewhere *elsewhereError
 	if errors.As(err, &elsewhere) {
+		_forwarded.Add(1)
 		answer, err = d.forward(ctx, t, order, elsewhere.holder)
 	}
 	if err != nil {
@@ -200,7 +201,7 @@
 // that left can ask for the outcome with the same ticket.
 func (d *Desk) run(id ticket.ID, order Order) {
 	answer, err := d.dispatch(id, order)
-	outcome := outcomeOf(answer, err)
+	outcome := outcomeOf(answer, counted(err))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ledger.Finish(time.Now(), id, outcome)
--- a/io/runs/runs.go
+++ b/io/runs/runs.go
@@ -23,6 +23,7 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/core"
+	"apricotproxy/core/invar"
 	"apricotproxy/io/wire"
 )
 
@@ -45,6 +46,8 @@
 type Weakness struct {
 	// NoResumeFilter passes on whatever an engine sends.
 	NoResumeFilter bool
+	// NoTryMemory forgets that an earlier try may have run.
+	NoTryMemory bool
 }
 
 // Runner carries the requests of one host. It is safe for concurrent use.
@@ -109,17 +112,22 @@
 func (r *Runner) Complete(ctx context.Context, c *Completion, sink Sink) error {
 	r.work.Add(1)
 	defer r.work.Done()
+	return counted(r.complete(ctx, c, sink))
+}
+
+func (r *Runner) complete(ctx context.Context, c *Completion, sink Sink) error {
 	placement, err := r.config.Dispatcher.Place(ctx, c.Request)
 	mayHaveRun := false
 	for err == nil {
 		end := r.try(ctx, c, placement, sink)
 		if !end.again {
-			return honest(end.err, mayHaveRun)
+			return r.honest(end.err, mayHaveRun)
 		}
 		mayHaveRun = mayHaveRun || !provesNotRun(end.result)
+		_replaced.Add(1)
 		placement, err = r.config.Dispatcher.Replace(ctx, placement, end.result)
 	}
-	return honest(err, mayHaveRun)
+	return r.honest(err, mayHaveRun)
 }
 
 // try runs a completion once.
@@ -137,7 +145,8 @@
 	r.work.Add(1)
 	defer r.work.Done()
 	o := unary{runner: r, request: request, body: body}
-	return o.run(ctx)
+	answer, err := o.run(ctx)
+	return answer, counted(err)
 }
 
 // provesNotRun tells whether a result proves that the endpoint ran nothing.
@@ -147,7 +156,7 @@
 
 // honest turns a NotRun into Unknown when an earlier try may have run. The
 // dispatcher refuses a request without knowing what its tries did.
-func honest(err error, mayHaveRun bool) error {
+func (r *Runner) honest(err error, mayHaveRun bool) error {
 	if err == nil {
 		return nil
 	}
@@ -155,13 +164,15 @@
 	if !errors.As(err, &outcome) {
 		return internal(err)
 	}
-	if outcome.Outcome != core.OutcomeNotRun || !mayHaveRun {
-		return outcome
+	if outcome.Outcome == core.OutcomeNotRun && mayHaveRun && !r.config.Weakness.NoTryMemory {
+		changed := *outcome
+		changed.Outcome = core.OutcomeUnknown
+		changed.Detail = "an earlier try may have run; then: " + outcome.Detail
+		outcome = &changed
 	}
-	changed := *outcome
-	changed.Outcome = core.OutcomeUnknown
-	changed.Detail = "an earlier try may have run; then: " + outcome.Detail
-	return &changed
+	invar.Check(invar.NotRunMeansNotRun, outcome.Outcome != core.OutcomeNotRun || !mayHaveRun,
+		"a request is called NotRun though a try may have run: %v", outcome)
+	return outcome
 }
 
 func internal(err error) error {
--- a/io/runs/stream.go
+++ b/io/runs/stream.go
@@ -205,6 +205,7 @@
 				opened()
 				break
 			}
+			_resumed.Add(1)
 			g.runner.logger.V(1).Info("A generation was resumed.", "endpoint", g.endpoint.Name, "index", g.relay.Next())
 			return &boundStream{EngineStream: stream, release: opened}, nil
 		}
@@ -345,6 +346,7 @@
 		}
 		return ending{}
 	case errors.Is(err, errExpired), g.caller.Err() != nil && !g.owned:
+		_abandoned.Add(1)
 		g.cancelThenFinish(core.ResultCancelled)
 		return ending{err: callerGone(g.sent)}
 	case errors.Is(err, errTooLate):
--- a/io/runs/unary.go
+++ b/io/runs/unary.go
@@ -26,7 +26,7 @@
 	mayHaveRun := false
 	for {
 		if err != nil {
-			return nil, honest(err, mayHaveRun)
+			return nil, u.runner.honest(err, mayHaveRun)
 		}
 		answer, callErr := u.try(ctx, placement)
 		if callErr == nil {
@@ -40,7 +40,7 @@
 		if result == core.ResultRefused {
 			if refusal, final := endpointRefusal(failed); final {
 				dispatcher.Finish(placement, result, 0)
-				return nil, honest(refusal, mayHaveRun)
+				return nil, u.runner.honest(refusal, mayHaveRun)
 			}
 		}
 		mayHaveRun = mayHaveRun || !provesNotRun(result)
@@ -48,6 +48,7 @@
 			dispatcher.Finish(placement, result, 0)
 			return nil, unknown(core.CauseEndpointLost, "the endpoint was lost; the call may have run", callErr)
 		}
+		_replaced.Add(1)
 		placement, err = dispatcher.Replace(ctx, placement, result)
 	}
 }
