--- /dev/null
+++ b/fakes/site/site.go
@@ -0,0 +1,192 @@
+// Package site starts the outside of a small site on loopback: a platform,
+// model engines and a plain service, with a configuration that names them. The
+// demo and whole-program tests put entry hosts before it.
+package site
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/versn/confg"
+	"apricotproxy/fakes/engine"
+	"apricotproxy/fakes/plain"
+	"apricotproxy/fakes/platf"
+)
+
+// Name is the name of the site.
+const Name core.SiteName = "demo"
+
+const (
+	_engines       = 4
+	_loopback      = "127.0.0.1:0"
+	_tokenInterval = 5 * time.Millisecond
+	_meanTokens    = 60
+	_callTime      = 20 * time.Millisecond
+)
+
+// HostPorts are the addresses of one entry host.
+type HostPorts struct {
+	Peer   string
+	Caller string
+}
+
+// Site is a running outside. Close ends it.
+type Site struct {
+	Platform        *platf.Platform
+	PlatformAddress string
+	Engines         []*engine.Engine
+	Plain           *plain.Service
+	Hosts           []HostPorts
+
+	servers []*http.Server
+}
+
+// Start opens the fakes on free ports and publishes revision 1 with a roster
+// of that many entry hosts on ports that are free at this moment.
+func Start(hosts int) (*Site, error) {
+	s := &Site{Platform: platf.New(platf.Config{ReadsPerSecond: 2000, LoadsPerMinute: 60})}
+	var err error
+	if s.PlatformAddress, err = s.serve(s.Platform); err != nil {
+		return nil, s.closing(err)
+	}
+	var engines []string
+	for i := range _engines {
+		e := engine.New(engine.Config{
+			Seed:          uint64(i + 1),
+			Model:         core.LoadedModel{Model: "card-writer", Version: "1"},
+			TokenInterval: _tokenInterval,
+			MeanTokens:    _meanTokens,
+			StartWarm:     true,
+		}.WithDefaults())
+		address, err := s.serve(e)
+		if err != nil {
+			return nil, s.closing(err)
+		}
+		s.Engines = append(s.Engines, e)
+		engines = append(engines, address)
+	}
+	s.Plain = plain.New(plain.Config{CallTime: _callTime})
+	orders, err := s.serve(s.Plain)
+	if err != nil {
+		return nil, s.closing(err)
+	}
+	if s.Hosts, err = freePorts(hosts); err != nil {
+		return nil, s.closing(err)
+	}
+	bundle := core.Bundle{Revision: 1, Base: _base, Overlay: s.overlay(engines, orders)}
+	if _, err := confg.Parse(bundle, Name); err != nil {
+		return nil, s.closing(fmt.Errorf("check the site's configuration: %w", err))
+	}
+	if err := s.Platform.PublishBundle(Name, bundle); err != nil {
+		return nil, s.closing(err)
+	}
+	return s, nil
+}
+
+const _base = `; What all sites share.
+[Limits]
+DrainNotice = 500ms
+HeartbeatInterval = 200ms
+ConfigSpread = 2s
+LeaseTerm = 1s
+`
+
+// overlay writes the site's part of the configuration.
+func (s *Site) overlay(engines []string, orders string) string {
+	var hosts []string
+	for _, host := range s.Hosts {
+		_, callerPort, _ := net.SplitHostPort(host.Caller)
+		hosts = append(hosts, host.Peer+"/"+callerPort)
+	}
+	return fmt.Sprintf(`[Site]
+Name = %s
+Region = loopback
+
+[DataCentre here]
+InService = yes
+Hosts = %s
+
+[Service drafting]
+Kind = Engine
+Model = card-writer
+Version = 1
+
+[Service card-order]
+Kind = Plain
+RepeatableCalls = order-state
+UnrepeatableCalls = engrave
+
+[Endpoints drafting.here]
+Addresses = %s
+ColdSlots = 2
+WarmSlots = 16
+MemoryTokens = 100000
+
+[Endpoints card-order.here]
+Addresses = %s
+ColdSlots = 4
+WarmSlots = 8
+
+[Workspaces all]
+Names = ceremonies
+Services = drafting, card-order
+`, Name, strings.Join(hosts, ", "), strings.Join(engines, ", "), orders)
+}
+
+// serve opens one fake on a free port.
+func (s *Site) serve(handler http.Handler) (address string, err error) {
+	listener, err := net.Listen("tcp", _loopback)
+	if err != nil {
+		return "", fmt.Errorf("open a fake: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// freePorts finds addresses that nobody listens on.
+func freePorts(hosts int) ([]HostPorts, error) {
+	var found []HostPorts
+	var open []net.Listener
+	defer func() {
+		for _, listener := range open {
+			_ = listener.Close()
+		}
+	}()
+	for range hosts {
+		var ports HostPorts
+		for _, address := range []*string{&ports.Peer, &ports.Caller} {
+			listener, err := net.Listen("tcp", _loopback)
+			if err != nil {
+				return nil, fmt.Errorf("find a free port: %w", err)
+			}
+			open = append(open, listener)
+			*address = listener.Addr().String()
+		}
+		found = append(found, ports)
+	}
+	return found, nil
+}
+
+// HostName gives the name that the configuration derives for the i-th entry
+// host, from 0.
+func HostName(i int) core.HostName { return core.HostName(fmt.Sprintf("here-host-%d", i+1)) }
+
+func (s *Site) closing(err error) error {
+	return errors.Join(err, s.Close())
+}
+
+// Close ends the fakes and breaks their connections.
+func (s *Site) Close() error {
+	var all error
+	for _, server := range s.servers {
+		all = errors.Join(all, server.Close())
+	}
+	return all
+}
--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -37,6 +37,8 @@
 // kong gives what it asks for: a context.Context that ends with SIGTERM or an
 // interrupt, and a *Console.
 type commandLine struct {
+	Serve   ServeCommand   `cmd:"" help:"Run an entry host."`
+	Demo    DemoCommand    `cmd:"" help:"Show the whole path on loopback: three entry hosts before fakes."`
 	Config  configCommand  `cmd:"" help:"Check, show, compare and bundle configuration files."`
 	Status  statusCommand  `cmd:"" help:"Print what a host reports of itself."`
 	Audit   auditCommand   `cmd:"" help:"Print a host's audit trail."`
--- /dev/null
+++ b/io/cmds/serve.go
@@ -0,0 +1,83 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"apricotproxy/core"
+	"apricotproxy/io/host"
+)
+
+// ServeCommand runs one entry host.
+type ServeCommand struct {
+	Site            string   `required:"" help:"Name of the site, as its configuration spells it."`
+	Name            string   `required:"" help:"This host's roster position, such as austin-a-host-1."`
+	Platform        string   `required:"" help:"Host and port of the platform's service." placeholder:"10.0.0.9:8500"`
+	CallerAddress   string   `default:":8080" help:"Where to listen for callers."`
+	PeerAddress     string   `default:":7443" help:"Where to listen for other entry hosts."`
+	OperatorAddress string   `default:"127.0.0.1:9090" help:"Where to listen for operators; empty for nowhere."`
+	Peers           []string `help:"Peer addresses to ask at the start while the platform is down." placeholder:"10.0.0.1:7443"`
+	PeerCertificate string   `help:"Certificate file towards other hosts until the configuration is known."`
+	PeerKey         string   `help:"Key file of the peer certificate."`
+	PeerAuthority   string   `help:"Authority file that other hosts' certificates must be signed by."`
+	LogFormat       string   `enum:"text,json" default:"text" help:"Form of the log: text or json."`
+	LogLevel        string   `enum:"info,debug" default:"info" help:"Least level to log: info or debug."`
+}
+
+// _keepAlive finds peers that vanished without a word while a connection idles.
+const _keepAlive = 15 * time.Second
+
+// Run serves until SIGTERM, then finishes every request and exits.
+func (c *ServeCommand) Run(ctx context.Context, console *Console) error {
+	dialer := &net.Dialer{KeepAlive: _keepAlive}
+	h, err := host.New(host.Settings{
+		Site:            core.SiteName(c.Site),
+		Self:            core.HostID{Host: core.HostName(c.Name), Incarnation: core.Incarnation(time.Now().UnixNano())},
+		CallerAddress:   c.CallerAddress,
+		PeerAddress:     c.PeerAddress,
+		OperatorAddress: c.OperatorAddress,
+		Platform:        c.Platform,
+		Seeds:           c.Peers,
+		TLS: core.TLS{
+			PeerCertificate: c.PeerCertificate,
+			PeerKey:         c.PeerKey,
+			PeerAuthority:   c.PeerAuthority,
+		},
+		ReadFile: os.ReadFile,
+		Dialer:   dialer,
+		Listen:   listenTCP,
+		Logger:   c.logger(console),
+	})
+	if err != nil {
+		return fmt.Errorf("start the host: %w", err)
+	}
+	if err := h.Run(ctx); err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+// listenTCP is a core.Listen with keep-alive.
+func listenTCP(network, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: _keepAlive}
+	return config.Listen(context.Background(), network, address)
+}
+
+// logger writes to standard error; standard output has the audit trail.
+func (c *ServeCommand) logger(console *Console) logr.Logger {
+	options := &slog.HandlerOptions{Level: slog.LevelInfo}
+	if c.LogLevel == "debug" {
+		options.Level = slog.LevelDebug
+	}
+	var handler slog.Handler = slog.NewTextHandler(console.Err, options)
+	if c.LogFormat == "json" {
+		handler = slog.NewJSONHandler(console.Err, options)
+	}
+	return logr.FromSlogHandler(handler)
+}
--- /dev/null
+++ b/io/host/host.go
@@ -0,0 +1,368 @@
+// Package host puts one entry host together: the listeners for callers, peers
+// and operators, and the parts behind them. Every entry host of a site is the
+// same; none keeps anything beyond its process.
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/audit"
+	"apricotproxy/core/procs/decide"
+	"apricotproxy/core/procs/route"
+	"apricotproxy/core/versn/confg"
+	"apricotproxy/io/caller"
+	"apricotproxy/io/certs"
+	"apricotproxy/io/engine"
+	"apricotproxy/io/fleet"
+	"apricotproxy/io/opers"
+	"apricotproxy/io/peers"
+	"apricotproxy/io/platf"
+	"apricotproxy/io/runs"
+	"apricotproxy/io/shell"
+	"apricotproxy/io/wire"
+)
+
+// _auditEntries is how many events the audit trail keeps in memory.
+const _auditEntries = 4096
+
+// _certificateCheck is how often the files of certificates are looked at.
+const _certificateCheck = 10 * time.Second
+
+// Settings are what a process learns at its start, and not from configuration.
+type Settings struct {
+	Site core.SiteName
+	Self core.HostID
+	// Addresses to listen on; an empty operator address serves no operators.
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
+	// Platform is the host and port of the platform's service.
+	Platform string
+	// Seeds are peer addresses to ask at the start while the platform is down.
+	Seeds []string
+	// TLS names the certificates in use until a configuration is known, so
+	// that a host can ask its peers for one.
+	TLS core.TLS
+	// ReadFile reads certificates and keys.
+	ReadFile certs.ReadFile
+	Dialer   core.Dialer
+	Listen   core.Listen
+	Logger   logr.Logger
+	// Seed makes random choices repeatable; tests set it.
+	Seed uint64
+	// Switches turn safeguards off; only tests set them.
+	Switches Switches
+}
+
+// Switches turn safeguards off, so that a test can show that the assertions
+// behind them notice.
+type Switches struct {
+	Fleet   fleet.Switches
+	Decider decide.Options
+	Runs    runs.Weakness
+}
+
+// Host is one entry host.
+type Host struct {
+	settings Settings
+	log      logr.Logger
+	trail    *audit.Trail
+	certs    *certs.Store
+	pool     *peers.Pool
+	platform *platf.Client
+	client   *engine.Client
+	shell    *shell.Shell
+	fleet    *fleet.Fleet
+	runner   *runs.Runner
+	desk     *runs.Desk
+
+	// open counts callers' requests without an outcome.
+	open atomic.Int64
+	// refusing is set once a planned stop refuses new requests.
+	refusing atomic.Bool
+	servers  []server
+}
+
+// server is one listener with what it serves.
+type server struct {
+	name     string
+	http     *http.Server
+	listener net.Listener
+}
+
+// New puts a host together. It opens the listeners, so that an address in use
+// is found at once, and starts nothing.
+func New(settings Settings) (*Host, error) {
+	store, err := certs.New(settings.TLS, settings.ReadFile, settings.Logger)
+	if err != nil {
+		return nil, fmt.Errorf("read the certificates: %w", err)
+	}
+	h := &Host{
+		settings: settings,
+		log:      settings.Logger.WithName("host"),
+		trail:    audit.New(_auditEntries),
+		certs:    store,
+		pool:     peers.NewPool(peers.Settings{Dialer: store.Dialer(certs.RolePeer, settings.Dialer)}),
+		platform: platf.New(platf.Settings{Address: settings.Platform, Dialer: settings.Dialer}),
+	}
+	h.client = engine.New(engine.Config{
+		Dialer: store.Dialer(certs.RoleEndpoint, settings.Dialer),
+		Limits: func() core.Limits { return h.shell.Config().Limits },
+	})
+	h.shell = shell.New(shell.Settings{
+		Self:    settings.Self,
+		Decider: h.newDecider(),
+		Client:  h.client,
+		Peer:    h.peer,
+		Current: func(now time.Time) bool { return h.fleet.Current(now) },
+		Logger:  settings.Logger,
+	})
+	h.fleet = fleet.New(h.fleetSettings())
+	h.runner = runs.New(runs.Config{
+		Self:       settings.Self,
+		Dispatcher: h.shell,
+		Client:     h.client,
+		Peer:       h.peer,
+		Auditor:    h.trail,
+		Logger:     settings.Logger,
+		Weakness:   settings.Switches.Runs,
+	})
+	h.desk, err = runs.NewDesk(runs.DeskConfig{
+		Runner:  h.runner,
+		Site:    settings.Site,
+		Self:    settings.Self,
+		Holder:  h.ledgerHolder,
+		Auditor: h.trail,
+		Logger:  settings.Logger,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("make the order desk: %w", err)
+	}
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) newDecider() core.Decider {
+	seed := h.settings.Seed
+	if seed == 0 {
+		seed = uint64(h.settings.Self.Incarnation)
+	}
+	options := h.settings.Switches.Decider
+	options.Policy = &route.Product{}
+	options.Random = rand.New(rand.NewPCG(seed, 1))
+	return decide.New(h.settings.Self, options)
+}
+
+func (h *Host) fleetSettings() fleet.Settings {
+	return fleet.Settings{
+		Self:    h.settings.Self,
+		Site:    h.settings.Site,
+		Seeds:   h.settings.Seeds,
+		Service: h.platform,
+		List:    h.platform,
+		Dial:    h.pool.At,
+		Parse: func(bundle core.Bundle) (core.Config, error) {
+			return confg.Parse(bundle, h.settings.Site)
+		},
+		Callbacks: fleet.Callbacks{
+			Apply:        h.apply,
+			Acknowledged: h.shell.Acknowledged,
+			Superseded:   func(newer core.HostID) { h.shell.Acknowledged(newer, 0) },
+			Restore:      h.shell.Restore,
+			Running:      h.running,
+			KeepPeers:    h.pool.Keep,
+			SetReads:     h.platform.SetReads,
+		},
+		Auditor:  h.trail,
+		Logger:   h.settings.Logger,
+		Seed:     h.settings.Seed,
+		Switches: h.settings.Switches.Fleet,
+	}
+}
+
+// apply puts an accepted configuration in force. Certificates that cannot be
+// read leave the old ones in use: the rest of the revision does not wait.
+func (h *Host) apply(config core.Config) {
+	if _, err := h.certs.Apply(config.TLS); err != nil {
+		h.log.Error(err, "Certificates of a revision cannot be used. The last good ones stay in use.", "revision", config.Revision)
+	}
+	h.shell.Apply(config)
+}
+
+// listen opens the listeners, callers' first.
+func (h *Host) listen() error {
+	callers := caller.New(caller.Config{
+		Self:       h.settings.Self,
+		Dispatcher: h.shell,
+		Runner:     h.runner,
+		Desk:       h.desk,
+		Ready:      h.refusal,
+		Logger:     h.settings.Logger,
+	})
+	entries := []struct {
+		name    string
+		address string
+		server  *http.Server
+		wrap    func(net.Listener) net.Listener
+	}{
+		{name: "callers", address: h.settings.CallerAddress, server: caller.NewServer(h.counted(callers)), wrap: h.secured(certs.RoleCaller)},
+		{name: "peers", address: h.settings.PeerAddress, server: peers.NewServer(h.peerHandler()), wrap: h.secured(certs.RolePeer)},
+		{name: "operators", address: h.settings.OperatorAddress, server: opers.NewServer(h.operators())},
+	}
+	for _, entry := range entries {
+		if entry.address == "" {
+			continue
+		}
+		listener, err := h.settings.Listen("tcp", entry.address)
+		if err != nil {
+			h.closeListeners()
+			return fmt.Errorf("listen for %s on %s: %w", entry.name, entry.address, err)
+		}
+		if entry.wrap != nil {
+			listener = entry.wrap(listener)
+		}
+		h.servers = append(h.servers, server{name: entry.name, http: entry.server, listener: listener})
+	}
+	return nil
+}
+
+// secured gives a wrapper that serves a role by TLS while it is switched on.
+func (h *Host) secured(role certs.Role) func(net.Listener) net.Listener {
+	return func(listener net.Listener) net.Listener { return h.certs.Listen(role, listener) }
+}
+
+func (h *Host) closeListeners() {
+	for _, s := range h.servers {
+		_ = s.listener.Close()
+	}
+}
+
+// counted counts the requests in progress, which a planned stop waits for.
+func (h *Host) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.open.Add(1)
+		defer h.open.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// running counts what a planned stop has to finish: callers' requests, and
+// generations that go on without their caller.
+func (h *Host) running() int { return int(h.open.Load()) + h.runner.Running() }
+
+func (h *Host) peerHandler() http.Handler {
+	return peers.NewHandler(peers.Guard(&peerService{host: h}, h.fleet.CheckSender))
+}
+
+func (h *Host) operators() opers.Dependencies {
+	return opers.Dependencies{
+		Ready:  h.ready,
+		Status: func() any { return h.Status() },
+		Trail:  h.trail,
+		Logger: h.settings.Logger,
+	}
+}
+
+// peer finds the client of another entry host; nil when its address is not
+// known.
+func (h *Host) peer(name core.HostName) wire.Peer {
+	client, ok := h.fleet.Peer(name)
+	if !ok {
+		return nil
+	}
+	return client
+}
+
+func (h *Host) ledgerHolder(of core.HostID) (core.HostID, bool) {
+	holder := h.fleet.Holder(of)
+	return holder, holder != of
+}
+
+var errNotReady = errors.New("this host has not learned the configuration, is stopping, was replaced, or its data centre is out of service")
+
+func (h *Host) ready() error {
+	if !h.fleet.Ready() {
+		return errNotReady
+	}
+	return nil
+}
+
+// _notReadyRetry is when a caller refused by a host without a configuration
+// does well to ask again.
+const _notReadyRetry = time.Second
+
+// refusal gives the refusal of new work, if any. A host whose data centre is
+// out of service is not ready for the balancer but serves what reaches it.
+func (h *Host) refusal() *core.OutcomeError {
+	if h.refusing.Load() {
+		return core.NotRun(core.CauseDraining, "this host is stopping; ask again, another host answers", time.Now().Add(_notReadyRetry))
+	}
+	select {
+	case <-h.fleet.Started():
+		return nil
+	default:
+		return core.NotRun(core.CauseNotReady, "this host is starting; ask again, another host answers", time.Now().Add(_notReadyRetry))
+	}
+}
+
+// Trail gives the audit trail.
+func (h *Host) Trail() *audit.Trail { return h.trail }
+
+// Started is closed when the host has learned what it needs to serve.
+func (h *Host) Started() <-chan struct{} { return h.fleet.Started() }
+
+// Run serves until ctx ends, then stops as planned: it returns nil when
+// nothing was cut off.
+func (h *Host) Run(ctx context.Context) error {
+	working, halt := context.WithCancel(context.WithoutCancel(ctx))
+	defer halt()
+	var group sync.WaitGroup
+	failed := make(chan error, len(h.servers))
+	for _, s := range h.servers {
+		group.Go(func() { h.serve(s, failed) })
+	}
+	group.Go(func() { h.shell.Run(working) })
+	group.Go(func() { _ = h.fleet.Run(working) })
+	group.Go(func() { h.certs.Watch(working, _certificateCheck) })
+	h.log.Info("This host serves.", "host", h.settings.Self, "site", h.settings.Site)
+	var err error
+	select {
+	case <-ctx.Done():
+		err = h.stop(working)
+	case err = <-failed:
+	}
+	h.closeServers()
+	halt()
+	group.Wait()
+	h.pool.Close()
+	h.platform.Close()
+	h.client.Close()
+	h.log.Info("This host has stopped.", "host", h.settings.Self)
+	return err
+}
+
+func (h *Host) serve(s server, failed chan<- error) {
+	err := s.http.Serve(s.listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		failed <- fmt.Errorf("serve %s: %w", s.name, err)
+	}
+}
+
+func (h *Host) closeServers() {
+	for _, s := range h.servers {
+		_ = s.http.Close()
+	}
+}
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -36,8 +36,11 @@
 	Decider core.Decider
 	Client  core.EndpointClient
 	// Peer finds the client of another entry host; nil when it is unknown.
-	Peer   func(core.HostName) wire.Peer
-	Logger logr.Logger
+	Peer func(core.HostName) wire.Peer
+	// Current tells whether the view of the fleet is fresh enough to dispatch
+	// from; nil for always.
+	Current func(now time.Time) bool
+	Logger  logr.Logger
 }
 
 // Shell is safe for concurrent use. It implements core.Dispatcher.
@@ -258,8 +261,10 @@
 	return a.placement, nil
 }
 
-// Confirm implements core.Dispatcher.
+// Confirm implements core.Dispatcher. A process that slept first waits until
+// it has heard what changed: the core then judges by the present view.
 func (s *Shell) Confirm(placement core.Placement) bool {
+	s.awaitCurrent()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.decider.Confirm(time.Now(), placement) {
@@ -351,3 +356,17 @@
 	defer s.mu.Unlock()
 	return s.decider.Status(time.Now())
 }
+
+// _currentStep is how often a process that slept looks whether its view of the
+// fleet is fresh again.
+const _currentStep = 20 * time.Millisecond
+
+// awaitCurrent waits until the view of the fleet is fresh.
+func (s *Shell) awaitCurrent() {
+	if s.settings.Current == nil {
+		return
+	}
+	for !s.settings.Current(time.Now()) {
+		time.Sleep(_currentStep)
+	}
+}
