fakes/engine: the test of a restart waits for it

Cause: the restart and the test's sleep end at the same virtual instant, and either could run first. Change: the test lets the bubble settle before it asks.

--- a/fakes/engine/engine_test.go
+++ b/fakes/engine/engine_test.go
@@ -82,6 +82,8 @@
 			t.Fatalf("a dead engine answered %q", got)
 		}
 		time.Sleep(time.Minute)
+		// The restart is due at this very instant: let it happen first.
+		synctest.Wait()
 		if got := report(t, e); got.Incarnation != 2 || got.Phase != core.PhaseCold {
 			t.Fatalf("after the restart: %+v", got)
 		}
