Streams count as work in hand until their last byte; kept answers are bounded together

Cause: a stream that has taken its connection over is unknown to the server, and Running counted only generations that this host started, so that a planned stop could believe to be done while a resumed stream ran. Kept answers of orders were bounded each, not together: a full ledger could have been larger than a handover may be. Caller connections needed a listener of ours to be watched.

Change: Runner.Hold counts a request until its caller has the last byte; Running and Wait go by it. The ledger keeps 4 MB of answers at most; a repeat whose answer was not kept gets a note in its place. A stream's connection is watched from the moment it is taken over, whatever listener it came from.

--- a/core/procs/ticket/explore_test.go
+++ b/core/procs/ticket/explore_test.go
@@ -81,7 +81,7 @@
 var _exploreNow = time.Unix(1_700_000_000, 0).UTC()
 
 func (w *world) newLedger(id core.HostID) *Ledger {
-	return New(Settings{Site: "s", Self: id, Key: Key{byte(id.Incarnation), id.Host[1]}, Size: 4, Term: time.Hour, AnswerBytes: 10, Weakness: w.weakness})
+	return New(Settings{Site: "s", Self: id, Key: Key{byte(id.Incarnation), id.Host[1]}, Size: 4, Term: time.Hour, AnswerBytes: 10, AnswersBytes: 100, Weakness: w.weakness})
 }
 
 func (w *world) clone() *world {
--- a/core/procs/ticket/handover.go
+++ b/core/procs/ticket/handover.go
@@ -199,7 +199,9 @@
 	if err := e.check(); err != nil {
 		return false, fmt.Errorf("check the ledger of %s: %w", from, err)
 	}
-	if l.holdsAny(e.Issuers) || len(l.records)+len(e.Records) > 2*l.settings.Size {
+	// A host has room for its own tickets and as many of others.
+	if l.holdsAny(e.Issuers) || len(l.records)+len(e.Records) > 2*l.settings.Size ||
+		l.answers+e.answers() > 2*l.settings.AnswersBytes {
 		return false, nil
 	}
 	l.prepared[from] = preparedCopy{attempt: attempt, data: e}
@@ -249,6 +251,15 @@
 	return false
 }
 
+// answers counts the bytes of the answers in a copy.
+func (e exported) answers() int {
+	total := 0
+	for _, x := range e.Records {
+		total += len(x.Answer)
+	}
+	return total
+}
+
 // check tells whether a copy is consistent: each issuer once, and no record of
 // another issuer.
 func (e exported) check() error {
@@ -277,6 +288,7 @@
 	for _, x := range e.Records {
 		r := importRecord(now, l.settings.Site, x)
 		l.records[r.ticket.ID] = r
+		l.answers += len(r.outcome.Answer)
 	}
 }
 
--- a/core/procs/ticket/ledger.go
+++ b/core/procs/ticket/ledger.go
@@ -20,9 +20,11 @@
 	// Term is how long a ticket can start an order, and how much longer its
 	// outcome is held after that.
 	Term time.Duration
-	// AnswerBytes is the longest answer that is kept for repeats.
-	AnswerBytes int
-	Weakness    Weakness
+	// AnswerBytes is the longest answer that is kept for repeats, and
+	// AnswersBytes bounds all of them together.
+	AnswerBytes  int
+	AnswersBytes int
+	Weakness     Weakness
 }
 
 // Weakness switches mechanisms off, so that a test can show that the checks
@@ -110,6 +112,8 @@
 	issuers map[core.HostID]struct{}
 	serial  uint64
 	running int
+	// answers counts the bytes of the answers that are kept.
+	answers int
 	handover
 }
 
@@ -269,8 +273,7 @@
 	}
 }
 
-// Finish records an order's outcome. It gives the outcome that the caller is to
-// be told, which is the recorded one.
+// Finish records an order's outcome and gives it as it is kept for repeats.
 func (l *Ledger) Finish(now time.Time, id ID, outcome Outcome) Outcome {
 	r, ok := l.records[id]
 	if !ok || r.phase != phaseRunning {
@@ -285,23 +288,29 @@
 	if least := now.Add(l.settings.Term); r.forgetAt.Before(least) {
 		r.forgetAt = least
 	}
-	return outcome
+	return r.outcome
 }
 
 func (l *Ledger) record(r *record, outcome Outcome) {
-	if len(outcome.Answer) > l.settings.AnswerBytes {
-		outcome.Detail = fmt.Sprintf("the answer of %d bytes was longer than the %d that are kept; only the first reply carries it",
-			len(outcome.Answer), l.settings.AnswerBytes)
+	if !l.keeps(len(outcome.Answer)) {
+		outcome.Detail = fmt.Sprintf("the answer of %d bytes was not kept; only the first reply carries it", len(outcome.Answer))
 		outcome.Answer = nil
 	}
+	l.answers += len(outcome.Answer)
 	r.phase = phaseRecorded
 	r.outcome = outcome
 }
 
+// keeps tells whether an answer of this length is kept for repeats.
+func (l *Ledger) keeps(length int) bool {
+	return length <= l.settings.AnswerBytes && l.answers+length <= l.settings.AnswersBytes
+}
+
 // forget drops records whose time is over. A running order is never dropped.
 func (l *Ledger) forget(now time.Time) {
 	for id, r := range l.records {
 		if r.phase != phaseRunning && !now.Before(r.forgetAt) {
+			l.answers -= len(r.outcome.Answer)
 			delete(l.records, id)
 		}
 	}
--- a/core/procs/ticket/ledger_test.go
+++ b/core/procs/ticket/ledger_test.go
@@ -17,12 +17,13 @@
 
 func ledgerOf(host string, incarnation core.Incarnation) *ticket.Ledger {
 	return ticket.New(ticket.Settings{
-		Site:        "s",
-		Self:        core.HostID{Host: core.HostName(host), Incarnation: incarnation},
-		Key:         ticket.Key{host[0], byte(incarnation)},
-		Size:        3,
-		Term:        time.Minute,
-		AnswerBytes: 8,
+		Site:         "s",
+		Self:         core.HostID{Host: core.HostName(host), Incarnation: incarnation},
+		Key:          ticket.Key{host[0], byte(incarnation)},
+		Size:         3,
+		Term:         time.Minute,
+		AnswerBytes:  8,
+		AnswersBytes: 12,
 	})
 }
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -42,8 +41,6 @@
 	config Config
 	logger logr.Logger
 	mux    *http.ServeMux
-	// streams counts the streams, whose connections the server does not know.
-	streams sync.WaitGroup
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -67,12 +64,8 @@
 // ServeHTTP serves one request of a caller.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
 
-// Wait returns when every stream has ended. At a planned stop it follows the
-// server's Shutdown, which does not wait for streams.
-func (h *Handler) Wait() { h.streams.Wait() }
-
-// NewServer builds a server around a handler, with bounds on slow callers. Its
-// connections are watched when they come from Watch.
+// NewServer builds a server around a handler, with bounds on slow callers. At a
+// planned stop Runner.Wait follows its Shutdown, which does not know streams.
 func NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/io/caller/output.go
+++ b/io/caller/output.go
@@ -48,7 +48,9 @@
 		bound:   bound{limit: h.writeTimeout()},
 	}
 	done := make(chan struct{})
-	h.streams.Go(func() {
+	release := h.config.Runner.Hold()
+	go func() {
+		defer release()
 		defer cancel()
 		defer close(done)
 		defer h.logPanic()
@@ -56,7 +58,7 @@
 			sink.fail(err)
 		}
 		sink.output.end()
-	})
+	}()
 	select {
 	case <-taken:
 	case <-done:
@@ -138,6 +140,9 @@
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return fmt.Errorf("clear the server's deadlines: %w", err)
 	}
+	if err := watch(conn, o.bound.limit); err != nil {
+		return err
+	}
 	return o.write([]byte("HTTP/1.1 200 OK\r\n" +
 		"Content-Type: text/event-stream\r\n" +
 		"Cache-Control: no-store\r\n" +
--- a/io/caller/rig_test.go
+++ b/io/caller/rig_test.go
@@ -153,7 +153,6 @@
 	}
 	for _, h := range r.hosts {
 		h.runner.Wait()
-		h.handler.Wait()
 		h.client.Close()
 	}
 	for _, s := range r.servers {
--- a/io/caller/watch_linux_test.go
+++ b/io/caller/watch_linux_test.go
@@ -5,8 +5,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/go-logr/logr/testr"
 )
 
 func TestWatchBoundsUnacknowledgedBytes(t *testing.T) {
@@ -14,14 +12,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	watched := Watch(listener, func() time.Duration { return 4 * time.Second }, testr.New(t))
-	defer func() { _ = watched.Close() }()
+	defer func() { _ = listener.Close() }()
 	dialed, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = dialed.Close() }()
-	conn, err := watched.Accept()
+	conn, err := listener.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,6 +27,9 @@
 	if !ok {
 		t.Fatalf("a connection of type %T; want *net.TCPConn", conn)
 	}
+	if err := watch(tcp, 4*time.Second); err != nil {
+		t.Fatal(err)
+	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
--- a/io/caller/weakness_test.go
+++ b/io/caller/weakness_test.go
@@ -60,7 +60,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				h.handler.Wait()
+				h.runner.Wait()
 				_ = res.Body.Close()
 			})
 			seen.want(t, promise)
--- a/io/runs/abandon.go
+++ b/io/runs/abandon.go
@@ -131,7 +131,7 @@
 	if g.tryCancel() {
 		return
 	}
-	g.runner.work.Go(func() { g.cancelUntil(time.Now().Add(_cancelTerm)) })
+	g.runner.inBackground(func() { g.cancelUntil(time.Now().Add(_cancelTerm)) })
 }
 
 // cancelThenFinish cancels in the background and ends the try when the engine
@@ -142,7 +142,7 @@
 		return
 	}
 	until := time.Now().Add(_cancelTerm)
-	g.runner.work.Go(func() {
+	g.runner.inBackground(func() {
 		g.cancelUntil(until)
 		g.finish(result)
 	})
--- a/io/runs/desk.go
+++ b/io/runs/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -19,6 +20,9 @@
 const (
 	// _answerBytes is the longest answer of an order that is kept for repeats.
 	_answerBytes = 16 << 10
+	// _answersBytes bounds all of them. Twice that, for a ledger taken over, fits
+	// the protocol between hosts with room to spare.
+	_answersBytes = 4 << 20
 	// _answerHold is how long a longer answer waits for its forwarder.
 	_answerHold = 10 * time.Second
 	// _ticketsAtOnce bounds one request for tickets.
@@ -79,11 +83,12 @@
 		changed: make(chan struct{}),
 		long:    map[ticket.ID][]byte{},
 		ledger: ticket.New(ticket.Settings{
-			Site:        config.Site,
-			Self:        config.Self,
-			Key:         key,
-			AnswerBytes: _answerBytes,
-			Weakness:    config.Weakness,
+			Site:         config.Site,
+			Self:         config.Self,
+			Key:          key,
+			AnswerBytes:  _answerBytes,
+			AnswersBytes: _answersBytes,
+			Weakness:     config.Weakness,
 		}),
 	}, nil
 }
@@ -180,7 +185,7 @@
 		case ticket.StepElsewhere:
 			return nil, &elsewhereError{holder: step.Holder}
 		case ticket.StepRun:
-			d.config.Runner.work.Go(func() { d.run(t.ID, order) })
+			d.config.Runner.inBackground(func() { d.run(t.ID, order) })
 		}
 		select {
 		case <-changed:
@@ -190,7 +195,22 @@
 	}
 }
 
+// answerNote stands in place of an answer that was not kept.
+type answerNote struct {
+	Outcome string
+	Detail  string
+}
+
+// told gives a recorded outcome as the caller gets it. An answer that was not kept
+// is replaced by a note.
 func told(outcome ticket.Outcome) ([]byte, error) {
+	if outcome.Outcome == core.OutcomeDone && outcome.Answer == nil && outcome.Detail != "" {
+		note, err := json.Marshal(answerNote{Outcome: outcome.Outcome.String(), Detail: outcome.Detail})
+		if err != nil {
+			return nil, fmt.Errorf("encode a note: %w", err)
+		}
+		return note, nil
+	}
 	if outcome.Outcome == core.OutcomeDone {
 		return outcome.Answer, nil
 	}
@@ -204,8 +224,8 @@
 	outcome := outcomeOf(answer, counted(err))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.ledger.Finish(time.Now(), id, outcome)
-	if len(answer) > _answerBytes {
+	kept := d.ledger.Finish(time.Now(), id, outcome)
+	if len(kept.Answer) < len(answer) {
 		d.long[id] = answer
 		time.AfterFunc(_answerHold, func() { d.dropLong(id) })
 	}
--- a/io/runs/resume.go
+++ b/io/runs/resume.go
@@ -21,8 +21,7 @@
 // Resume continues a generation from the engine's own memory. It returns nil
 // when the answer is whole; otherwise an *core.OutcomeError.
 func (r *Runner) Resume(ctx context.Context, resumption Resumption, sink Sink) error {
-	r.work.Add(1)
-	defer r.work.Done()
+	defer r.Hold()()
 	origin, err := ParseGeneration(resumption.Generation, resumption.Workspace)
 	if err != nil {
 		return core.NotRun(core.CauseBadRequest, err.Error(), time.Time{})
--- a/io/runs/runs.go
+++ b/io/runs/runs.go
@@ -61,8 +61,9 @@
 	running map[core.GenerationID]*run
 	// requests numbers the requests of this host.
 	requests atomic.Uint64
-	// work counts the goroutines that cancel and end generations.
+	// work and held count what is in hand.
 	work sync.WaitGroup
+	held atomic.Int64
 }
 
 // New builds a Runner.
@@ -77,15 +78,32 @@
 	}
 }
 
-// Running gives the number of generations that this host keeps.
-func (r *Runner) Running() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.running)
+// Running gives the number of requests, generations without a caller and cancels
+// that are in hand.
+func (r *Runner) Running() int { return int(r.held.Load()) }
+
+// Hold counts one more piece of work until release is called. Who carries a
+// request holds it until the caller has the last byte.
+func (r *Runner) Hold() (release func()) {
+	r.work.Add(1)
+	r.held.Add(1)
+	return func() {
+		r.held.Add(-1)
+		r.work.Done()
+	}
 }
 
-// Wait returns when every generation and every cancel has ended. New ones must
-// have been stopped before.
+// inBackground runs f on a goroutine of its own that counts as work in hand.
+func (r *Runner) inBackground(f func()) {
+	release := r.Hold()
+	go func() {
+		defer release()
+		f()
+	}()
+}
+
+// Wait returns when nothing is in hand any more. New requests must have been
+// stopped before.
 func (r *Runner) Wait() { r.work.Wait() }
 
 // Sink takes the answer of one request. Its methods are called by one goroutine.
@@ -110,8 +128,7 @@
 // Complete runs a completion and passes its answer to the sink. It returns nil
 // when the answer is whole; otherwise an *core.OutcomeError.
 func (r *Runner) Complete(ctx context.Context, c *Completion, sink Sink) error {
-	r.work.Add(1)
-	defer r.work.Done()
+	defer r.Hold()()
 	return counted(r.complete(ctx, c, sink))
 }
 
@@ -142,8 +159,7 @@
 
 // Call runs one repeatable call of a plain service.
 func (r *Runner) Call(ctx context.Context, request core.Request, body []byte) ([]byte, error) {
-	r.work.Add(1)
-	defer r.work.Done()
+	defer r.Hold()()
 	o := unary{runner: r, request: request, body: body}
 	answer, err := o.run(ctx)
 	return answer, counted(err)
