--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -44,6 +44,8 @@
 	Audit   auditCommand   `cmd:"" help:"Print a host's audit trail."`
 	Load    loadCommand    `cmd:"" help:"Send an open-loop load to entry hosts and measure what callers see."`
 	Version versionCommand `cmd:"" help:"Print the version."`
+
+	Experiment ExperimentCommand `cmd:"" help:"Compare routing policies on fake engines in virtual time."`
 }
 
 // Console is where a command writes: results to Out, all else to Err.
