route: short requests warm cold engines; decide: questions without an answer end

With short requests drawn at random a cold engine of 20 was drawn too rarely to complete what makes it warm.

A question to an owner that was never answered counted as on its way for ever; after eight of them a service borrowed no more. It now ends at its deadline.

--- a/core/procs/decide/apply.go
+++ b/core/procs/decide/apply.go
@@ -141,7 +141,7 @@
 		if s == nil {
 			s = &service{queue: queue.New[*request]()}
 		}
-		s.index, s.config, s.endpoints, s.dueAt = i, config, s.endpoints[:0], time.Time{}
+		s.index, s.config, s.endpoints, s.dueAt, s.asking = i, config, s.endpoints[:0], time.Time{}, 0
 		d.services = append(d.services, s)
 		d.byService[config.Name] = s
 	}
@@ -151,6 +151,9 @@
 			e.place = len(e.service.endpoints)
 			e.service.endpoints = append(e.service.endpoints, e)
 		}
+		if e.service != nil && !e.pendingUntil.IsZero() {
+			e.service.asking++
+		}
 		d.track(e)
 	}
 	for _, s := range d.services {
--- a/core/procs/decide/borrow.go
+++ b/core/procs/decide/borrow.go
@@ -146,10 +146,7 @@
 		d.returnUnused(now, lease, granted)
 		return d.finish(now)
 	}
-	if s := e.service; s != nil && now.Before(e.pendingUntil) && s.asking > 0 {
-		s.asking--
-	}
-	e.pendingUntil = time.Time{}
+	e.answered()
 	if !granted {
 		e.refused(now, len(d.owners.Group(e.index))-1)
 		d.update(now, e)
@@ -164,6 +161,17 @@
 	return d.finish(now)
 }
 
+// answered ends the question on its way.
+func (e *endpoint) answered() {
+	if e.pendingUntil.IsZero() {
+		return
+	}
+	e.pendingUntil = time.Time{}
+	if e.service != nil {
+		e.service.asking--
+	}
+}
+
 // track keeps the lists of endpoints with leases in hand and with slots to gain.
 func (d *Decider) track(e *endpoint) {
 	if !e.leased && e.pool.Borrowed() > 0 {
--- a/core/procs/decide/endpoint.go
+++ b/core/procs/decide/endpoint.go
@@ -82,6 +82,9 @@
 	if s == nil || e.place < 0 {
 		return
 	}
+	if !now.Before(e.pendingUntil) {
+		e.answered()
+	}
 	s.lookAgain()
 	c := &s.candidates[e.place]
 	limit := d.limit(now, e)
@@ -89,6 +92,7 @@
 	*c = core.Candidate{
 		Open:            d.open(now, e),
 		Remote:          e.remote,
+		Cold:            e.view.Cold(now),
 		Asking:          now.Before(e.pendingUntil) || now.Before(e.askAt),
 		Role:            c.Role,
 		Free:            int32(e.pool.Free(now, limit)),
--- a/core/procs/decide/roles.go
+++ b/core/procs/decide/roles.go
@@ -8,7 +8,7 @@
 
 // RolePlan tells which class of requests an endpoint takes at a time, by its
 // position among the service's endpoints. It is the separation by rotating
-// roles that docs/decisions/0024-related-paper.md weighs.
+// roles that docs/decisions/0016-related-paper.md weighs.
 type RolePlan interface {
 	Role(now time.Time, position, endpoints int) core.EndpointRole
 	// NextChange is when some role changes next.
--- a/core/procs/route/product.go
+++ b/core/procs/route/product.go
@@ -29,7 +29,7 @@
 
 // DefaultWeights are the weights that serve.
 func DefaultWeights() Weights {
-	return Weights{MemoryShare: 0.85, Memory: 1, Batch: 0.5, Prompt: 2, Remote: 0.05, Fresh: 0.2}
+	return Weights{MemoryShare: 0.85, Memory: 1, Batch: 0.5, Prompt: 2, Remote: 0.05, Fresh: 1}
 }
 
 // Product is the policy that serves: it filters by slot and predicted memory,
@@ -79,9 +79,14 @@
 	return p.pickAll(demand, candidates)
 }
 
-// draw takes the best of a few candidates drawn at random, or of the hinted
-// ones; -1 when none of the drawn ones fits.
+// draw takes a cold candidate if one is free, and else the best of a few drawn at
+// random or hinted; -1 when none of them fits. Cold engines become warm by the
+// requests that they complete, and short ones complete soonest: left to the
+// draw, a cold engine of 20 stays cold for long.
 func (p *Product) draw(draws int, demand *core.Demand, candidates []core.Candidate) int {
+	if cold := coldFree(demand, candidates); cold >= 0 {
+		return cold
+	}
 	best, bestScore := -1, float32(0)
 	for range draws {
 		i := p.Random.IntN(len(candidates))
@@ -100,6 +105,16 @@
 	return p.hinted(demand, candidates, best, bestScore)
 }
 
+// coldFree finds a cold candidate with a slot in hand.
+func coldFree(demand *core.Demand, candidates []core.Candidate) int {
+	for i := range candidates {
+		if c := &candidates[i]; c.Cold && i != demand.Avoid && inHand(c, demand) {
+			return i
+		}
+	}
+	return -1
+}
+
 // pickAll takes the best of all candidates.
 func (p *Product) pickAll(demand *core.Demand, candidates []core.Candidate) int {
 	best, bestScore := -1, float32(0)
--- a/core/route.go
+++ b/core/route.go
@@ -20,6 +20,8 @@
 	Open bool
 	// Remote is true when the endpoint is in another data centre.
 	Remote bool
+	// Cold is true while the endpoint is limited to its cold slots.
+	Cold bool
 	// Asking is true when its owners are being asked for a slot, or have all
 	// refused lately.
 	Asking bool
