--- a/core/procs/decide/apply.go
+++ b/core/procs/decide/apply.go
@@ -59,6 +59,7 @@
 	d.budget.SetShare(config.Limits.RetryShare)
 	d.reviseRoster(now, former)
 	d.reviseServices(now)
+	d.expire(now)
 	return d.finish(now)
 }
 
@@ -205,9 +206,11 @@
 
 // Acknowledged tells that a roster position has a revision in force.
 func (d *Decider) Acknowledged(now time.Time, host core.HostID, revision core.Revision) core.Actions {
+	if host.Host == d.self.Host && host.Incarnation > d.self.Incarnation {
+		d.superseded = true
+	}
 	d.begin(now)
 	if host.Host == d.self.Host {
-		d.superseded = d.superseded || host.Incarnation > d.self.Incarnation
 		return d.finish(now)
 	}
 	known := d.positions[host.Host]
--- a/core/procs/decide/observe.go
+++ b/core/procs/decide/observe.go
@@ -31,6 +31,9 @@
 		Unreported: e.unreported,
 	})
 	d.update(now, e)
+	if report.Leaving {
+		d.expire(now)
+	}
 	return d.finish(now)
 }
 
--- a/core/procs/decide/request.go
+++ b/core/procs/decide/request.go
@@ -79,7 +79,7 @@
 	case r.service == nil:
 		d.refuse(r, core.CauseUnknownName, "the configuration has no service "+string(submitted.Service), time.Time{})
 	case !d.served(r.service):
-		d.refuse(r, core.CauseNoEndpoint, "every endpoint of the service is leaving or out of service", now.Add(_noEndpointPause))
+		d.refuse(r, core.CauseNoEndpoint, _noEndpoint, now.Add(_noEndpointPause))
 	default:
 		d.budget.First()
 		d.classify(r)
@@ -88,6 +88,8 @@
 	return d.finish(now)
 }
 
+const _noEndpoint = "every endpoint of the service is leaving or out of service"
+
 // _noEndpointPause is when a caller may ask again for a service without
 // endpoints: operators bring a data centre back in seconds at the earliest.
 const _noEndpointPause = 5 * time.Second
--- a/core/procs/decide/retry.go
+++ b/core/procs/decide/retry.go
@@ -88,6 +88,13 @@
 		}
 		return
 	}
+	if s.queue.Len() > 0 && !d.served(s) {
+		for item := s.queue.Any(); item != nil; item = s.queue.Any() {
+			d.leave(item.Value)
+			d.refuse(item.Value, core.CauseNoEndpoint, _noEndpoint, now.Add(_noEndpointPause))
+		}
+		return
+	}
 	for item := s.queue.Expired(now); item != nil; item = s.queue.Expired(now) {
 		r := item.Value
 		retryAt := d.retryAt(now, r)
