io/runs: an engine that does not stop is cancelled at OutputTokensAtMost

Cause: a whole answer is held in memory until its end, which only the engine bounded. Change: a token beyond the bound cancels the generation; it is Unknown, or Interrupted's kin in a stream, and is not tried again. Adoption no longer spins when a host's grace is zero.

--- a/io/caller/resume_test.go
+++ b/io/caller/resume_test.go
@@ -223,3 +223,20 @@
 		}
 	})
 }
+
+// An engine that does not stop fills no memory: a whole answer beyond the bound is
+// cancelled and not tried again.
+func TestEngineThatDoesNotStopIsCancelled(t *testing.T) {
+	config := testConfig()
+	config.Limits.OutputTokensAtMost = 50
+	inRig(t, config, func(r *rig) {
+		status, answer := r.post("http://entry-0:80/v1/completions", `{"model":"m","prompt":"[[tokens=5000]]"}`)
+		if status != http.StatusBadGateway || !strings.Contains(answer, "OutputTokensAtMost") {
+			t.Errorf("status %d: %s; want 502 that names OutputTokensAtMost", status, answer)
+		}
+		r.hosts["entry-0"].runner.Wait()
+		if ran := r.engineRuns(); len(ran) != 1 || !ran[0].Cancelled {
+			t.Errorf("runs %+v; want one, cancelled", ran)
+		}
+	})
+}
--- a/io/runs/resume.go
+++ b/io/runs/resume.go
@@ -61,7 +61,7 @@
 func (r *Runner) keepAdopted(ctx context.Context, host core.HostID, generation core.GenerationID) {
 	for {
 		known, term := r.askAdoption(ctx, host, generation)
-		if !known || !pause(ctx, term/_renewals) {
+		if !known || !pause(ctx, max(term/_renewals, _firstPause)) {
 			return
 		}
 	}
--- a/io/runs/stream.go
+++ b/io/runs/stream.go
@@ -24,6 +24,7 @@
 var (
 	errTooLate       = errors.New("the first token did not come before the request's deadline")
 	errExpired       = errors.New("the caller went away and did not come back")
+	errTooLong       = errors.New("the engine sent more tokens than OutputTokensAtMost allows")
 	errNotConfigured = errors.New("the endpoint is not in the configuration any more")
 )
 
@@ -46,9 +47,10 @@
 	// unflushed tells that tokens are held back in the sink.
 	unflushed bool
 
-	// resumeTerm and grace are the settings at the start of the generation.
-	resumeTerm time.Duration
-	grace      time.Duration
+	// Settings at the start of the generation.
+	resumeTerm   time.Duration
+	grace        time.Duration
+	tokensAtMost int // 0 for no bound
 
 	// life ends when the generation is given up for good.
 	life    context.Context
@@ -103,6 +105,7 @@
 func (g *run) set(limits core.Limits) {
 	g.resumeTerm = _resumeSilences * limits.SilenceTimeout
 	g.grace = limits.AbandonGrace
+	g.tokensAtMost = limits.OutputTokensAtMost
 }
 
 // carry runs the generation until its answer is whole, it is lost, or its
@@ -281,6 +284,10 @@
 	case relay.Duplicate:
 		return false, nil
 	case relay.Deliver:
+		if g.tokensAtMost > 0 && token.Index >= g.tokensAtMost {
+			g.endLife(errTooLong)
+			return false, errTooLong
+		}
 		g.relay = next
 		g.deliver(token)
 		return false, nil
@@ -355,6 +362,9 @@
 	case g.callerHasTokens():
 		g.cancelThenFinish(core.ResultCut)
 		return ending{err: interrupted(g.sent, "the generation is lost after it had begun; ask again for a new one", err)}
+	case errors.Is(err, errTooLong):
+		g.cancelThenFinish(core.ResultCut)
+		return ending{err: unknown(core.CauseEndpointLost, err.Error()+"; it was cancelled", nil)}
 	case !g.owned:
 		return ending{err: unknown(core.CauseEndpointLost, "the generation is lost", err)}
 	case !g.completion.Request.Repeatable:
