io/caller: benchmarks measure the host in a process of its own

Cause: the memory of an idle stream was the difference of two runs in one process with engine and callers, so that pages which the engine's buffers kept half used counted as the host's; processor time was a difference too.

Change: the engine and the callers of the benchmarks run as a child of the test binary; heap, stacks and processor time of the host are read directly.

--- a/io/caller/bench_test.go
+++ b/io/caller/bench_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
 	"runtime"
 	"strconv"
 	"sync"
@@ -82,27 +85,11 @@
 	time.Sleep(next.Sub(now))
 }
 
-// benchSite is one entry host and one engine on loopback.
-type benchSite struct {
-	direct  string
-	proxied string
-}
-
-func newBenchSite(b *testing.B, e *tickEngine) benchSite {
+// newBenchHost serves one entry host in front of an engine and gives its address.
+func newBenchHost(b *testing.B, engineAddress string) string {
 	b.Helper()
-	serve := func(handler http.Handler) string {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			b.Fatal(err)
-		}
-		server := caller.NewServer(handler)
-		go func() { _ = server.Serve(listener) }()
-		b.Cleanup(func() { _ = server.Close() })
-		return listener.Addr().String()
-	}
-	site := benchSite{direct: serve(e)}
 	config := testConfig()
-	config.Endpoints = []core.Endpoint{{Name: "draft-0", Service: "draft", Address: site.direct}}
+	config.Endpoints = []core.Endpoint{{Name: "draft-0", Service: "draft", Address: engineAddress}}
 	config.Limits.SilenceTimeout = time.Minute
 	config.Limits.RequestTimeout = time.Minute
 	dispatcher := place.New(config)
@@ -113,8 +100,14 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	site.proxied = serve(caller.New(caller.Config{Dispatcher: dispatcher, Runner: runner, Desk: desk, Logger: logr.Discard()}))
-	return site
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := caller.NewServer(caller.New(caller.Config{Dispatcher: dispatcher, Runner: runner, Desk: desk, Logger: logr.Discard()}))
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
 }
 
 // latencies of one group of streams, in microseconds.
@@ -129,6 +122,29 @@
 	return &latencies{first: hdrhistogram.New(1, longest, 3), token: hdrhistogram.New(1, longest, 3)}
 }
 
+func (l *latencies) record(first bool, begin, sent time.Time) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if first {
+		_ = l.first.RecordValue(max(1, now.Sub(begin).Microseconds()))
+		return
+	}
+	_ = l.token.RecordValue(max(1, now.Sub(sent).Microseconds()))
+}
+
+func (l *latencies) quantiles() quantiles {
+	return quantiles{
+		First50: l.first.ValueAtQuantile(50), First99: l.first.ValueAtQuantile(99),
+		Token50: l.token.ValueAtQuantile(50), Token99: l.token.ValueAtQuantile(99),
+	}
+}
+
+// quantiles of latencies, in microseconds.
+type quantiles struct {
+	First50, First99, Token50, Token99 int64
+}
+
 var (
 	_benchBody   = []byte(`{"model":"m","prompt":"p","stream":true}`)
 	_benchMarker = []byte(`"text":"`)
@@ -179,57 +195,174 @@
 	}
 }
 
-func (l *latencies) record(first bool, begin, sent time.Time) {
-	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if first {
-		_ = l.first.RecordValue(max(1, now.Sub(begin).Microseconds()))
+// The benchmarks run the engine and the callers in a process of their own, so that
+// what is measured in the first process is the host alone. The child is the test
+// binary; it takes commands as lines of JSON and answers each with one.
+
+const _benchChild = "APRICOTPROXY_BENCH_CHILD"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(_benchChild) != "" {
+		runChild()
 		return
 	}
-	_ = l.token.RecordValue(max(1, now.Sub(sent).Microseconds()))
+	os.Exit(m.Run())
+}
+
+// command asks the child for streams through the host and past it.
+type command struct {
+	Host    string
+	Through int
+	Past    int
+	Tokens  int
+	Paced   bool
+	// Idle opens the streams and leaves them after the first token; the next
+	// command lets them end.
+	Idle bool
+}
+
+// result is the child's answer.
+type result struct {
+	Engine  string
+	Tokens  int64 // through the host
+	Failed  int64
+	Through quantiles
+	Past    quantiles
+}
+
+func runChild() {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	var current atomic.Pointer[tickEngine]
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		current.Load().ServeHTTP(w, r)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	replies := json.NewEncoder(os.Stdout)
+	_ = replies.Encode(result{Engine: listener.Addr().String()})
+	commands := json.NewDecoder(os.Stdin)
+	release := func() {}
+	for {
+		var c command
+		if err := commands.Decode(&c); err != nil {
+			return
+		}
+		release()
+		e := &tickEngine{tokens: c.Tokens, paced: c.Paced}
+		if c.Idle {
+			e.idle = make(chan struct{})
+			release = sync.OnceFunc(func() { close(e.idle) })
+		}
+		current.Store(e)
+		_ = replies.Encode(c.run(listener.Addr().String()))
+	}
 }
 
-// _benchRamp is the time over which streams are started.
-const _benchRamp = 2 * time.Second
+// run reads the streams, started over two seconds.
+func (c command) run(engineAddress string) result {
+	var group, opened sync.WaitGroup
+	var r result
+	var tokens, failed atomic.Int64
+	through, past := newLatencies(), newLatencies()
+	start := func(address string, count int, l *latencies, counted bool) {
+		opened.Add(count)
+		for i := range count {
+			group.Go(func() {
+				time.Sleep(2 * time.Second * time.Duration(i) / time.Duration(count))
+				n, err := readStream(address, l, sync.OnceFunc(opened.Done))
+				if err != nil {
+					failed.Add(1)
+				}
+				if counted {
+					tokens.Add(int64(n))
+				}
+			})
+		}
+	}
+	start(c.Host, c.Through, through, true)
+	start(engineAddress, c.Past, past, false)
+	if c.Idle {
+		opened.Wait()
+		return r
+	}
+	group.Wait()
+	return result{Tokens: tokens.Load(), Failed: failed.Load(), Through: through.quantiles(), Past: past.quantiles()}
+}
 
-// runStreams reads a number of streams at once.
-func runStreams(b *testing.B, group *sync.WaitGroup, address string, count int, l *latencies, total *atomic.Int64) {
+// child is the process of the engine and the callers.
+type child struct {
+	b        *testing.B
+	commands *json.Encoder
+	replies  *json.Decoder
+	host     string
+}
+
+func startChild(b *testing.B) *child {
 	b.Helper()
-	for i := range count {
-		group.Go(func() {
-			time.Sleep(_benchRamp * time.Duration(i) / time.Duration(count))
-			tokens, err := readStream(address, l, nil)
-			if err != nil {
-				b.Errorf("stream %d: %v", i, err)
-			}
-			total.Add(int64(tokens))
-		})
+	process := exec.Command(os.Args[0])
+	process.Env = append(os.Environ(), _benchChild+"=1")
+	process.Stderr = os.Stderr
+	in, err := process.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := process.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := process.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = in.Close()
+		_ = process.Wait()
+	})
+	c := &child{b: b, commands: json.NewEncoder(in), replies: json.NewDecoder(out)}
+	c.host = newBenchHost(b, c.reply().Engine)
+	return c
+}
+
+func (c *child) do(asked command) result {
+	c.b.Helper()
+	asked.Host = c.host
+	if err := c.commands.Encode(asked); err != nil {
+		c.b.Fatal(err)
+	}
+	r := c.reply()
+	if r.Failed != 0 {
+		c.b.Errorf("%d streams failed", r.Failed)
 	}
+	return r
+}
+
+func (c *child) reply() result {
+	c.b.Helper()
+	var r result
+	if err := c.replies.Decode(&r); err != nil {
+		c.b.Fatal(err)
+	}
+	return r
 }
 
 // BenchmarkAddedLatency gives the time that one entry host adds to the first token
 // and to each token, with 1,000 open streams, against streams past the host in
 // the same run.
 func BenchmarkAddedLatency(b *testing.B) {
-	site := newBenchSite(b, &tickEngine{tokens: 300, paced: true})
-	direct, proxied := newLatencies(), newLatencies()
-	var total atomic.Int64
+	c := startChild(b)
+	var r result
 	for range b.N {
-		var group sync.WaitGroup
-		runStreams(b, &group, site.proxied, _benchStreams, proxied, &total)
-		runStreams(b, &group, site.direct, _benchProbes, direct, &total)
-		group.Wait()
-	}
-	report := func(name string, of func(*latencies) *hdrhistogram.Histogram) {
-		for _, q := range []float64{50, 99} {
-			d, p := of(direct).ValueAtQuantile(q), of(proxied).ValueAtQuantile(q)
-			b.ReportMetric(float64(d), fmt.Sprintf("%s-p%.0f-direct-µs", name, q))
-			b.ReportMetric(float64(p-d), fmt.Sprintf("%s-p%.0f-added-µs", name, q))
-		}
+		r = c.do(command{Through: _benchStreams, Past: _benchProbes, Tokens: 300, Paced: true})
 	}
-	report("first", func(l *latencies) *hdrhistogram.Histogram { return l.first })
-	report("token", func(l *latencies) *hdrhistogram.Histogram { return l.token })
+	b.ReportMetric(float64(r.Past.First50), "first-p50-past-µs")
+	b.ReportMetric(float64(r.Through.First50-r.Past.First50), "first-p50-added-µs")
+	b.ReportMetric(float64(r.Past.First99), "first-p99-past-µs")
+	b.ReportMetric(float64(r.Through.First99-r.Past.First99), "first-p99-added-µs")
+	b.ReportMetric(float64(r.Past.Token50), "token-p50-past-µs")
+	b.ReportMetric(float64(r.Through.Token50-r.Past.Token50), "token-p50-added-µs")
+	b.ReportMetric(float64(r.Past.Token99), "token-p99-past-µs")
+	b.ReportMetric(float64(r.Through.Token99-r.Past.Token99), "token-p99-added-µs")
 }
 
 func cpuTime() time.Duration {
@@ -241,74 +374,52 @@
 }
 
 // BenchmarkTokensPerCore gives the tokens that one second of processor time of an
-// entry host carries: the time of a run through the host less that of the same
-// run past it.
+// entry host's process carries.
 func BenchmarkTokensPerCore(b *testing.B) {
-	for name, test := range map[string]struct {
-		engine  *tickEngine
-		streams int
-	}{
+	for name, asked := range map[string]command{
 		// Each token comes alone, as with 1,000 streams of 37 tokens a second.
-		"paced": {&tickEngine{tokens: 150, paced: true}, _benchStreams},
+		"paced": {Through: _benchStreams, Tokens: 300, Paced: true},
 		// Tokens come as fast as they are taken.
-		"saturated": {&tickEngine{tokens: 20_000}, 16},
+		"saturated": {Through: 16, Tokens: 50_000},
 	} {
 		b.Run(name, func(b *testing.B) {
-			site := newBenchSite(b, test.engine)
-			var tokens atomic.Int64
-			measure := func(address string) time.Duration {
-				tokens.Store(0)
-				before := cpuTime()
-				var group sync.WaitGroup
-				runStreams(b, &group, address, test.streams, nil, &tokens)
-				group.Wait()
-				return cpuTime() - before
-			}
-			var host time.Duration
-			var carried int64
+			c := startChild(b)
+			before := cpuTime()
+			var tokens int64
 			for range b.N {
-				past := measure(site.direct)
-				through := measure(site.proxied)
-				host += through - past
-				carried += tokens.Load()
+				tokens += c.do(asked).Tokens
 			}
-			b.ReportMetric(float64(carried)/host.Seconds(), "tokens/core-s")
-			b.ReportMetric(float64(host.Nanoseconds())/float64(carried), "cpu-ns/token")
+			used := cpuTime() - before
+			b.ReportMetric(float64(tokens)/used.Seconds(), "tokens/core-s")
+			b.ReportMetric(float64(used.Nanoseconds())/float64(tokens), "cpu-ns/token")
 		})
 	}
 }
 
-// BenchmarkIdleStreamMemory gives the memory of the process that an idle stream
-// takes in an entry host: that of streams through the host less that of the same
-// number past it. The system's socket buffers are not in it.
+// BenchmarkIdleStreamMemory gives the memory that an idle stream takes in an entry
+// host's process: heap and stacks in use. The system's socket buffers are not in
+// it.
 func BenchmarkIdleStreamMemory(b *testing.B) {
-	measure := func(address string, e *tickEngine) uint64 {
-		before := memoryInUse()
-		var group, opened sync.WaitGroup
-		opened.Add(_benchStreams)
-		for range _benchStreams {
-			group.Go(func() { _, _ = readStream(address, nil, opened.Done) })
-		}
-		opened.Wait()
-		after := memoryInUse()
-		close(e.idle)
-		group.Wait()
-		return after - before
-	}
 	for range b.N {
-		e := &tickEngine{tokens: 2, idle: make(chan struct{})}
-		site := newBenchSite(b, e)
-		past := measure(site.direct, e)
-		e.idle = make(chan struct{})
-		through := measure(site.proxied, e)
-		b.ReportMetric(float64(through-past)/_benchStreams, "bytes/stream")
+		c := startChild(b)
+		// Streams that have ended leave what each host keeps anyway.
+		c.do(command{Through: _benchStreams, Tokens: 1})
+		heap, stack := memoryInUse()
+		c.do(command{Through: _benchStreams, Tokens: 2, Idle: true})
+		heapAfter, stackAfter := memoryInUse()
+		c.do(command{Through: 1, Tokens: 1})
+		b.ReportMetric(float64(heapAfter-heap)/_benchStreams, "heap-bytes/stream")
+		b.ReportMetric(float64(stackAfter-stack)/_benchStreams, "stack-bytes/stream")
+		b.ReportMetric(float64(heapAfter-heap+stackAfter-stack)/_benchStreams, "bytes/stream")
 	}
 }
 
-func memoryInUse() uint64 {
+func memoryInUse() (heap, stack int64) {
+	// The second collection frees what the first one's finalizers held, and
+	// shrinks stacks once more.
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return m.HeapInuse + m.StackInuse
+	return int64(m.HeapInuse), int64(m.StackInuse)
 }
