io/host: engine orders, metrics, phases in the audit trail, certificates in the status

serve writes the audit trail to standard output and reports a broken promise in the log and the trail instead of stopping: a stop would break more of them.

--- a/io/cmds/serve.go
+++ b/io/cmds/serve.go
@@ -11,6 +11,8 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/core"
+	"apricotproxy/core/invar"
+	"apricotproxy/core/procs/audit"
 	"apricotproxy/io/host"
 )
 
@@ -27,6 +29,7 @@
 	PeerKey         string   `help:"Key file of the peer certificate."`
 	PeerAuthority   string   `help:"Authority file that other hosts' certificates must be signed by."`
 	LogFormat       string   `enum:"text,json" default:"text" help:"Form of the log: text or json."`
+	Audit           string   `enum:"yes,no" default:"yes" help:"Write the audit trail to standard output: yes or no."`
 	LogLevel        string   `enum:"info,debug" default:"info" help:"Least level to log: info or debug."`
 }
 
@@ -35,6 +38,7 @@
 
 // Run serves until SIGTERM, then finishes every request and exits.
 func (c *ServeCommand) Run(ctx context.Context, console *Console) error {
+	logger := c.logger(console)
 	dialer := &net.Dialer{KeepAlive: _keepAlive}
 	h, err := host.New(host.Settings{
 		Site:            core.SiteName(c.Site),
@@ -52,17 +56,42 @@
 		ReadFile: os.ReadFile,
 		Dialer:   dialer,
 		Listen:   listenTCP,
-		Logger:   c.logger(console),
+		Logger:   logger,
 	})
 	if err != nil {
 		return fmt.Errorf("start the host: %w", err)
 	}
+	defer invar.Handle(c.brokenPromise(h, logger))()
+	if c.Audit == "yes" {
+		go c.printAudit(ctx, console, h)
+	}
 	if err := h.Run(ctx); err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
 }
 
+// brokenPromise reports a broken promise and goes on serving: stopping would
+// break more of them.
+func (c *ServeCommand) brokenPromise(h *host.Host, logger logr.Logger) func(*invar.Violation) {
+	return func(violation *invar.Violation) {
+		logger.WithName("promise").Error(violation, "A promise is broken.")
+		h.Trail().Record(core.AuditEvent{
+			Time: time.Now(), Host: core.HostID{Host: core.HostName(c.Name)}, Kind: core.AuditPromiseBroken,
+			Subject: string(violation.Promise), Cause: violation.Detail,
+		})
+	}
+}
+
+// printAudit writes the audit trail to standard output as it grows, to the end
+// of a planned stop.
+func (c *ServeCommand) printAudit(ctx context.Context, console *Console, h *host.Host) {
+	_ = h.Trail().Follow(context.WithoutCancel(ctx), func(entry audit.Entry) error {
+		_, err := fmt.Fprintln(console.Out, entry)
+		return err
+	})
+}
+
 // listenTCP is a core.Listen with keep-alive.
 func listenTCP(network, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAlive: _keepAlive}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -25,6 +25,7 @@
 	"apricotproxy/io/certs"
 	"apricotproxy/io/engine"
 	"apricotproxy/io/fleet"
+	"apricotproxy/io/meter"
 	"apricotproxy/io/opers"
 	"apricotproxy/io/peers"
 	"apricotproxy/io/platf"
@@ -86,9 +87,8 @@
 	fleet    *fleet.Fleet
 	runner   *runs.Runner
 	desk     *runs.Desk
+	orders   *fleet.Orders
 
-	// open counts callers' requests without an outcome.
-	open atomic.Int64
 	// refusing is set once a planned stop refuses new requests.
 	refusing atomic.Bool
 	servers  []server
@@ -121,14 +121,25 @@
 		Limits: func() core.Limits { return h.shell.Config().Limits },
 	})
 	h.shell = shell.New(shell.Settings{
-		Self:    settings.Self,
-		Decider: h.newDecider(),
-		Client:  h.client,
-		Peer:    h.peer,
-		Current: func(now time.Time) bool { return h.fleet.Current(now) },
-		Logger:  settings.Logger,
+		Self:     settings.Self,
+		Decider:  h.newDecider(),
+		Client:   h.client,
+		Peer:     h.peer,
+		Current:  func(now time.Time) bool { return h.fleet.Current(now) },
+		Reported: func(report core.Report) { h.orders.Observe(report) },
+		Auditor:  h.trail,
+		Logger:   settings.Logger,
 	})
 	h.fleet = fleet.New(h.fleetSettings())
+	h.orders = fleet.NewOrders(fleet.OrderSettings{
+		Self:           settings.Self,
+		Client:         h.client,
+		ViewUntil:      h.fleet.ViewUntil,
+		LoadsPerMinute: h.platform.LoadsPerMinute,
+		Auditor:        h.trail,
+		Logger:         settings.Logger,
+		Seed:           settings.Seed,
+	})
 	h.runner = runs.New(runs.Config{
 		Self:       settings.Self,
 		Dispatcher: h.shell,
@@ -182,7 +193,7 @@
 			Acknowledged: h.shell.Acknowledged,
 			Superseded:   func(newer core.HostID) { h.shell.Acknowledged(newer, 0) },
 			Restore:      h.shell.Restore,
-			Running:      h.running,
+			Running:      func() int { return h.runner.Running() },
 			KeepPeers:    h.pool.Keep,
 			SetReads:     h.platform.SetReads,
 		},
@@ -200,6 +211,7 @@
 		h.log.Error(err, "Certificates of a revision cannot be used. The last good ones stay in use.", "revision", config.Revision)
 	}
 	h.shell.Apply(config)
+	h.orders.Apply(config)
 }
 
 // listen opens the listeners, callers' first.
@@ -218,7 +230,7 @@
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
-		{name: "callers", address: h.settings.CallerAddress, server: caller.NewServer(h.counted(callers)), wrap: h.secured(certs.RoleCaller)},
+		{name: "callers", address: h.settings.CallerAddress, server: caller.NewServer(meter.Callers(callers)), wrap: h.secured(certs.RoleCaller)},
 		{name: "peers", address: h.settings.PeerAddress, server: peers.NewServer(h.peerHandler()), wrap: h.secured(certs.RolePeer)},
 		{name: "operators", address: h.settings.OperatorAddress, server: opers.NewServer(h.operators())},
 	}
@@ -250,19 +262,6 @@
 	}
 }
 
-// counted counts the requests in progress, which a planned stop waits for.
-func (h *Host) counted(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.open.Add(1)
-		defer h.open.Add(-1)
-		next.ServeHTTP(w, r)
-	})
-}
-
-// running counts what a planned stop has to finish: callers' requests, and
-// generations that go on without their caller.
-func (h *Host) running() int { return int(h.open.Load()) + h.runner.Running() }
-
 func (h *Host) peerHandler() http.Handler {
 	return peers.NewHandler(peers.Guard(&peerService{host: h}, h.fleet.CheckSender))
 }
@@ -336,6 +335,7 @@
 	}
 	group.Go(func() { h.shell.Run(working) })
 	group.Go(func() { _ = h.fleet.Run(working) })
+	group.Go(func() { h.orders.Run(working) })
 	group.Go(func() { h.certs.Watch(working, _certificateCheck) })
 	h.log.Info("This host serves.", "host", h.settings.Self, "site", h.settings.Site)
 	var err error
--- a/io/host/status.go
+++ b/io/host/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"apricotproxy/core"
+	"apricotproxy/io/certs"
 	"apricotproxy/io/fleet"
 )
 
@@ -13,13 +14,15 @@
 	Revision    core.Revision
 	Ready       bool
 	Stopping    bool
-	// OpenRequests counts callers' requests without an outcome, Generations
-	// those that run on engines, Tickets the order tickets held.
-	OpenRequests int64
-	Generations  int
-	Tickets      int
-	Waiting      int
-	Running      int
+	// InHand counts requests without an outcome, streams and generations
+	// without a caller included. Waiting and Running are the decision core's
+	// part of them. Tickets counts the order tickets held.
+	InHand  int
+	Waiting int
+	Running int
+	Tickets int
+	// Certificates lists the certificates in use with their ends.
+	Certificates []certs.Expiry
 	DataCentres  []core.DataCentre
 	Hosts        []fleet.HostStatus
 	Endpoints    []core.EndpointStatus
@@ -36,11 +39,11 @@
 		Revision:     config.Revision,
 		Ready:        h.ready() == nil,
 		Stopping:     h.refusing.Load(),
-		OpenRequests: h.open.Load(),
-		Generations:  h.runner.Running(),
+		InHand:       h.runner.Running(),
 		Tickets:      h.desk.Held(),
 		Waiting:      decisions.Waiting,
 		Running:      decisions.Running,
+		Certificates: h.certs.Expiries(),
 		DataCentres:  config.DataCentres,
 		Hosts:        h.fleet.Status(),
 		Endpoints:    decisions.Endpoints,
--- a/io/host/stop.go
+++ b/io/host/stop.go
@@ -70,7 +70,7 @@
 func (s stopper) ReturnLeases(context.Context) { s.host.shell.Drain() }
 
 // Running counts what the stop has to wait for.
-func (s stopper) Running() int { return s.host.running() }
+func (s stopper) Running() int { return s.host.runner.Running() }
 
 // anyStays tells whether some other host has not said that it leaves.
 func (h *Host) anyStays() bool {
@@ -95,7 +95,7 @@
 		}
 	}
 	h.runner.Wait()
-	running := h.running()
+	running := h.runner.Running()
 	invar.Check(invar.GracefulStop, running == 0, "host %s stops with %d requests running", h.settings.Self, running)
 	return nil
 }
--- a/io/shell/poll.go
+++ b/io/shell/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"apricotproxy/core"
@@ -27,6 +28,9 @@
 	// after is the last cache event's sequence within the incarnation.
 	after       uint64
 	incarnation core.Incarnation
+	// phase and reporter are what the last report said, for the audit trail.
+	phase    core.Phase
+	reporter core.Incarnation
 }
 
 // dealer is implemented by a decision core that deals with a subset of the
@@ -136,6 +140,10 @@
 	report.Endpoint = name
 	report.AskedAt = asked
 	s.decide(func(now time.Time) core.Actions { return s.decider.Observe(now, report) })
+	s.auditPhase(report)
+	if s.settings.Reported != nil {
+		s.settings.Reported(report)
+	}
 	if !p.engine {
 		return
 	}
@@ -146,6 +154,30 @@
 	s.pollCache(ctx, p, report.Incarnation)
 }
 
+// auditPhase records a change of phase or of incarnation. First reports of an
+// endpoint are no change.
+func (s *Shell) auditPhase(report core.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.polls.find(report.Endpoint)
+	if p == nil {
+		return
+	}
+	before, reporter := p.phase, p.reporter
+	p.phase, p.reporter = report.Phase, report.Incarnation
+	if s.settings.Auditor == nil || reporter == 0 || (before == report.Phase && reporter == report.Incarnation) {
+		return
+	}
+	cause := fmt.Sprintf("%s to %s", before, report.Phase)
+	if reporter != report.Incarnation {
+		cause += fmt.Sprintf(", incarnation %d to %d", reporter, report.Incarnation)
+	}
+	s.settings.Auditor.Record(core.AuditEvent{
+		Time: report.AskedAt, Host: s.settings.Self, Kind: core.AuditPhaseChanged,
+		Revision: s.config.Revision, Subject: string(report.Endpoint), Cause: cause,
+	})
+}
+
 // pollCache reads an engine's cache events. They are hints: a failure is not
 // told to anyone.
 func (s *Shell) pollCache(ctx context.Context, p poll, incarnation core.Incarnation) {
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -40,6 +40,10 @@
 	// Current tells whether the view of the fleet is fresh enough to dispatch
 	// from; nil for always.
 	Current func(now time.Time) bool
+	// Reported is told of each load report; nil for nobody.
+	Reported func(core.Report)
+	// Auditor records changes of phase; nil for none.
+	Auditor core.Auditor
 	Logger  logr.Logger
 }
 
