io/shell: a host asks only the endpoints that it deals with or is the steward of

Cause: every host polled every endpoint, which at 600 endpoints, 360 hosts and two reports a second is 1,200 reports a second a host. Change: the decision core tells which endpoints it deals with (core.Decider.Deals), the orders which ones the host is the steward of, and the table of polls holds those only. At that size this is 24 + 2 endpoints of a service on average by the groups' size.

--- a/core/procs/decide/decide.go
+++ b/core/procs/decide/decide.go
@@ -191,6 +191,12 @@
 	return a
 }
 
+// Deals tells whether this host deals with an endpoint.
+func (d *Decider) Deals(name core.EndpointName) bool {
+	e := d.byName[name]
+	return e != nil && d.owners.Deals(e.index, d.self.Host)
+}
+
 // Status gives the figures for /statusz.
 func (d *Decider) Status(now time.Time) core.DeciderStatus {
 	status := core.DeciderStatus{Waiting: d.waiting, Running: d.running}
--- a/core/request.go
+++ b/core/request.go
@@ -203,6 +203,9 @@
 	// replaced host. Restore ignores what is older than what it has.
 	Snapshot(now time.Time) ([]byte, error)
 	Restore(now time.Time, snapshot []byte) error
+	// Deals tells whether this host deals with an endpoint, and so has to
+	// watch it. Large fleets have each host deal with a subset.
+	Deals(endpoint EndpointName) bool
 	// Status gives the figures for /statusz.
 	Status(now time.Time) DeciderStatus
 }
--- a/io/fleet/orders.go
+++ b/io/fleet/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,6 +73,13 @@
 	o.keeper.Observe(time.Now(), report)
 }
 
+// Steward tells whether this host gives an endpoint its orders.
+func (o *Orders) Steward(endpoint core.EndpointName) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Contains(o.keeper.Endpoints(), endpoint)
+}
+
 // Run gives what orders are due until ctx ends.
 func (o *Orders) Run(ctx context.Context) {
 	for sleep(ctx, time.Now().Add(_orderStep), nil) {
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -126,6 +126,7 @@
 		Client:   h.client,
 		Peer:     h.peer,
 		Current:  func(now time.Time) bool { return h.fleet.Current(now) },
+		Steward:  func(endpoint core.EndpointName) bool { return h.orders.Steward(endpoint) },
 		Reported: func(report core.Report) { h.orders.Observe(report) },
 		Auditor:  h.trail,
 		Logger:   settings.Logger,
@@ -210,8 +211,9 @@
 	if _, err := h.certs.Apply(config.TLS); err != nil {
 		h.log.Error(err, "Certificates of a revision cannot be used. The last good ones stay in use.", "revision", config.Revision)
 	}
-	h.shell.Apply(config)
+	// The shell asks the orders which endpoints this host is the steward of.
 	h.orders.Apply(config)
+	h.shell.Apply(config)
 }
 
 // listen opens the listeners, callers' first.
--- a/io/shell/poll.go
+++ b/io/shell/poll.go
@@ -33,21 +33,19 @@
 	reporter core.Incarnation
 }
 
-// dealer is implemented by a decision core that deals with a subset of the
-// endpoints only.
-type dealer interface {
-	Deals(endpoint core.EndpointName) bool
-}
-
-// apply takes over a configuration's endpoints. First polls are spread over
-// the interval, so that a new revision causes no burst.
-func (t *pollTable) apply(now time.Time, config core.Config) {
+// apply takes over those endpoints of a configuration that watched names.
+// First polls are spread over the interval, so that a new revision causes no
+// burst.
+func (t *pollTable) apply(now time.Time, config core.Config, watched func(core.EndpointName) bool) {
 	known := make(map[core.EndpointName]poll, len(t.polls))
 	for _, p := range t.polls {
 		known[p.endpoint.Name] = p
 	}
-	t.polls = make([]poll, 0, len(config.Endpoints))
+	t.polls = make([]poll, 0, len(t.polls))
 	for i, endpoint := range config.Endpoints {
+		if !watched(endpoint.Name) {
+			continue
+		}
 		p, ok := known[endpoint.Name]
 		if !ok || p.endpoint.Address != endpoint.Address {
 			spread := config.Limits.ReportInterval * time.Duration(i) / time.Duration(len(config.Endpoints))
@@ -93,12 +91,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := now.Add(_pollScan)
-	deals, limited := s.decider.(dealer)
 	for i := range s.polls.polls {
 		p := &s.polls.polls[i]
-		if limited && !deals.Deals(p.endpoint.Name) {
-			continue
-		}
 		if !p.dueAt.After(now) {
 			s.startPoll(now, p)
 		}
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -3,8 +3,8 @@
 // hands placements to the goroutines of waiting requests, borrows slots from
 // other hosts and collects the endpoints' reports.
 //
-// Lock order: Shell.mu is the only lock. It is never held over a call to an
-// endpoint, a peer or a caller.
+// Lock order: Shell.mu before what Settings.Steward takes. No lock is held
+// over a call to an endpoint, a peer or a caller.
 package shell
 
 import (
@@ -40,6 +40,9 @@
 	// Current tells whether the view of the fleet is fresh enough to dispatch
 	// from; nil for always.
 	Current func(now time.Time) bool
+	// Steward tells whether this host gives an endpoint its engine orders, and
+	// so needs its reports; nil for no endpoint.
+	Steward func(core.EndpointName) bool
 	// Reported is told of each load report; nil for nobody.
 	Reported func(core.Report)
 	// Auditor records changes of phase; nil for none.
@@ -324,11 +327,18 @@
 		for _, endpoint := range config.Endpoints {
 			s.endpoints[endpoint.Name] = endpoint
 		}
-		s.polls.apply(now, config)
-		return s.decider.Apply(now, config)
+		actions := s.decider.Apply(now, config)
+		s.polls.apply(now, config, s.watched)
+		return actions
 	})
 }
 
+// watched tells whether this host asks an endpoint for reports. The caller
+// holds the lock.
+func (s *Shell) watched(endpoint core.EndpointName) bool {
+	return s.decider.Deals(endpoint) || (s.settings.Steward != nil && s.settings.Steward(endpoint))
+}
+
 // Drain stops admission. It returns when no request waits any more; running
 // requests go on.
 func (s *Shell) Drain() {
--- a/io/shell/shell_test.go
+++ b/io/shell/shell_test.go
@@ -48,6 +48,10 @@
 	return d.waiting
 }
 
+func (d *scriptedDecider) Deals(endpoint core.EndpointName) bool {
+	return endpoint == "dealt"
+}
+
 func (d *scriptedDecider) Finish(_ time.Time, _ core.Placement, result core.Result, _ int) core.Actions {
 	d.finished = append(d.finished, result)
 	return d.take()
@@ -181,3 +185,17 @@
 		}
 	})
 }
+
+// A host asks the endpoints that it deals with or is the steward of, and no
+// others: at 600 endpoints the rest would cost more than all other control.
+func TestOnlyWatchedEndpointsAreAsked(t *testing.T) {
+	decider := &scriptedDecider{}
+	s := newTestShell(t, decider, nil)
+	s.settings.Steward = func(endpoint core.EndpointName) bool { return endpoint == "stewarded" }
+	s.Apply(core.Config{Endpoints: []core.Endpoint{{Name: "dealt"}, {Name: "elsewhere"}, {Name: "stewarded"}}})
+	for name, want := range map[core.EndpointName]bool{"dealt": true, "elsewhere": false, "stewarded": true} {
+		if got := s.polls.find(name) != nil; got != want {
+			t.Errorf("endpoint %s is asked: %t, want %t", name, got, want)
+		}
+	}
+}
