status, /debug/vars: what the host shows, from one place

Cause: the status page had its own copy of the host's status, which has changed since; audit events were counted only if every part was given a wrapper. Change: the page takes io/host's Status; the trail counts its events by kind and /debug/vars shows them for its own host; a variable that is no number no longer spoils the answer.

--- a/core/procs/audit/audit.go
+++ b/core/procs/audit/audit.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -34,6 +35,7 @@
 	mu      sync.Mutex
 	entries ring[Entry]
 	last    uint64
+	counts  map[core.AuditKind]uint64
 	// changed is closed and replaced at each event, which wakes all readers
 	// without holding a queue for any of them.
 	changed chan struct{}
@@ -43,7 +45,11 @@
 
 // New makes a trail that keeps the latest capacity events.
 func New(capacity int) *Trail {
-	return &Trail{entries: newRing[Entry](capacity), changed: make(chan struct{})}
+	return &Trail{
+		entries: newRing[Entry](capacity),
+		counts:  map[core.AuditKind]uint64{},
+		changed: make(chan struct{}),
+	}
 }
 
 // Record adds an event. It does not block: a slow reader misses events, and
@@ -52,6 +58,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.last++
+	t.counts[event.Kind]++
 	event.Cause = oneLine(event.Cause)
 	event.Subject = oneLine(event.Subject)
 	t.entries.push(Entry{Sequence: t.last, AuditEvent: event})
@@ -59,6 +66,14 @@
 	t.changed = make(chan struct{})
 }
 
+// Counts gives the number of events of each kind since the start, those that
+// the trail no longer holds included.
+func (t *Trail) Counts() map[core.AuditKind]uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.counts)
+}
+
 // After gives the entries that the trail still holds with a number above
 // after, oldest first.
 func (t *Trail) After(after uint64) []Entry {
--- a/core/procs/audit/audit_test.go
+++ b/core/procs/audit/audit_test.go
@@ -41,6 +41,9 @@
 		}
 		record(trail, fmt.Sprint("subject ", recorded))
 	}
+	if count := trail.Counts()[core.AuditDataCentreOut]; count != 10 {
+		t.Errorf("%d events are counted, want 10", count)
+	}
 	if entries := trail.After(9); len(entries) != 1 || entries[0].Subject != "subject 9" {
 		t.Errorf("got %v, want only the last event", entries)
 	}
--- a/io/cmds/status.go
+++ b/io/cmds/status.go
@@ -9,7 +9,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"apricotproxy/core"
+	"apricotproxy/io/host"
 )
 
 type statusCommand struct {
@@ -17,28 +17,9 @@
 	JSON    bool   `name:"json" help:"Print the host's JSON as it comes."`
 }
 
-// hostStatus is what the page takes from /statusz.
+// hostStatus is /statusz as a page.
 type hostStatus struct {
-	Site         core.SiteName
-	Host         core.HostName
-	Revision     core.Revision
-	Ready        bool
-	Stopping     bool
-	OpenRequests int64
-	Generations  int
-	Tickets      int
-	Waiting      int
-	Running      int
-	DataCentres  []core.DataCentre
-	Hosts        []peerStatus
-	Endpoints    []core.EndpointStatus
-}
-
-// peerStatus is another host as this one sees it.
-type peerStatus struct {
-	Name     core.HostName
-	Standing string
-	Draining bool
+	host.Status
 }
 
 // Run prints a page about a host, and exits with 1 when it is not ready.
@@ -65,7 +46,7 @@
 		return console.outf("%s", text)
 	}
 	var status hostStatus
-	if err := json.Unmarshal(text, &status); err != nil {
+	if err := json.Unmarshal(text, &status.Status); err != nil {
 		return fmt.Errorf("reading /statusz: %w", err)
 	}
 	return console.outf("%s", status.page())
@@ -91,9 +72,12 @@
 func (s hostStatus) page() string {
 	page := &strings.Builder{}
 	fmt.Fprintf(page, "site %s, host %s, revision %d, %s\n", s.Site, s.Host, s.Revision, s.state())
-	fmt.Fprintf(page, "requests: %d open, %d waiting, %d running; %d generations, %d tickets\n", s.OpenRequests, s.Waiting, s.Running, s.Generations, s.Tickets)
+	fmt.Fprintf(page, "requests: %d in hand, %d waiting, %d running; %d order tickets\n", s.InHand, s.Waiting, s.Running, s.Tickets)
 	fmt.Fprintf(page, "data centres: %s\n", s.dataCentres())
 	fmt.Fprintf(page, "other hosts: %s\n", s.peers())
+	for _, expiry := range s.Certificates {
+		fmt.Fprintf(page, "certificate of %s ends %s\n", expiry.Role, expiry.NotAfter.UTC().Format("2006-01-02 15:04Z"))
+	}
 	s.writeEndpoints(page)
 	return page.String()
 }
--- a/io/meter/callers.go
+++ b/io/meter/callers.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/go-kit/kit/metrics"
-
-	"apricotproxy/core"
 )
 
 // Callers counts what passes through the callers' handler:
@@ -97,17 +95,3 @@
 	}
 	return w.ResponseWriter.Write(p)
 }
-
-// Auditor counts audit events by kind, as "audit.DataCentreOut", and passes
-// them on.
-func Auditor(next core.Auditor) core.Auditor { return auditor{next: next} }
-
-type auditor struct {
-	next core.Auditor
-}
-
-// Record counts an event and passes it on.
-func (a auditor) Record(event core.AuditEvent) {
-	Counter("audit." + string(event.Kind)).Add(1)
-	a.next.Record(event)
-}
--- a/io/opers/opers.go
+++ b/io/opers/opers.go
@@ -69,7 +69,7 @@
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.HandleFunc("GET /statusz", s.status)
 	mux.HandleFunc("GET /auditz", s.audit)
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/vars", s.vars)
 	return withoutBody(mux)
 }
 
@@ -126,6 +126,35 @@
 	}
 }
 
+// vars writes the process's variables as expvar does, and the host's counts of
+// audit events beside them: a variable of expvar would be one for all hosts of
+// the process.
+func (s *surface) vars(w http.ResponseWriter, _ *http.Request) {
+	body := map[string]json.RawMessage{}
+	expvar.Do(func(variable expvar.KeyValue) {
+		body[variable.Key] = jsonOf(variable.Value.String())
+	})
+	counts, err := json.Marshal(s.Trail.Counts())
+	if err != nil {
+		s.Logger.Error(err, "The audit counts did not encode.")
+	}
+	body["apricotproxy.audit"] = counts
+	s.write(w, http.StatusOK, body)
+}
+
+// jsonOf gives a variable's text as JSON. A float that is no number prints as
+// NaN, which would spoil the whole answer; it becomes the string "NaN".
+func jsonOf(text string) json.RawMessage {
+	if json.Valid([]byte(text)) {
+		return json.RawMessage(text)
+	}
+	quoted, err := json.Marshal(text)
+	if err != nil {
+		return json.RawMessage("null") // a string always encodes
+	}
+	return quoted
+}
+
 // audit writes one JSON object a line, and goes on with Follow=yes.
 func (s *surface) audit(w http.ResponseWriter, r *http.Request) {
 	after, follow, err := auditQuery(r)
--- a/io/opers/opers_test.go
+++ b/io/opers/opers_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
+	"expvar"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -90,6 +93,22 @@
 	})
 }
 
+func TestVariables(t *testing.T) {
+	expvar.NewFloat("test.nan").Set(math.NaN())
+	answer := httptest.NewRecorder()
+	opers.NewHandler(newDependencies()).ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/debug/vars", nil))
+	var variables struct {
+		Memory struct{ HeapAlloc uint64 } `json:"memstats"`
+		Audit  map[core.AuditKind]uint64  `json:"apricotproxy.audit"`
+	}
+	if err := json.Unmarshal(answer.Body.Bytes(), &variables); err != nil {
+		t.Fatal(err)
+	}
+	if variables.Memory.HeapAlloc == 0 || variables.Audit[core.AuditDataCentreOut] != 3 {
+		t.Errorf("got %+v", variables)
+	}
+}
+
 // TestShutdownEndsStreams stops a server that a reader follows.
 func TestShutdownEndsStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
