--- a/io/fleet/fleet_basic_test.go
+++ b/io/fleet/fleet_basic_test.go
@@ -196,7 +196,7 @@
 func TestSkippedDrainIsNoticed(t *testing.T) {
 	noticed := 0
 	defer invar.Handle(func(*invar.Violation) { noticed++ })()
-	h := &host{running: 1}
+	h := &entry{running: 1}
 	f := fleet.New(fleet.Settings{Parse: parse, Switches: fleet.Switches{SkipDrain: true}})
 	if err := f.Drain(context.Background(), h); err != nil || noticed != 1 {
 		t.Errorf("noticed %d with error %v, want 1", noticed, err)
--- a/io/fleet/fleet_world_test.go
+++ b/io/fleet/fleet_world_test.go
@@ -53,12 +53,12 @@
 	platform *fakeplatf.Platform
 	server   *http.Server
 	served   sync.WaitGroup
-	hosts    map[string]*host
+	hosts    map[string]*entry
 	names    []string
 }
 
-// host is one entry host: its fleet, and a stand-in for the rest.
-type host struct {
+// entry is one entry host: its fleet, and a stand-in for the rest.
+type entry struct {
 	fleet *fleet.Fleet
 	stop  func()
 
@@ -79,7 +79,7 @@
 		t:        t,
 		network:  memnet.New(time.Millisecond),
 		platform: fakeplatf.New(fakeplatf.Config{ReadsPerSecond: 2000, ListLag: 5 * time.Second}),
-		hosts:    make(map[string]*host),
+		hosts:    make(map[string]*entry),
 	}
 	for i := range count {
 		w.names = append(w.names, fmt.Sprintf("entry-%d", i+1))
@@ -117,7 +117,7 @@
 type stub struct {
 	*fleet.Fleet
 	wire.Peer
-	host *host
+	host *entry
 }
 
 func (s stub) Heartbeat(ctx context.Context, q *wire.HeartbeatRequest) (*wire.HeartbeatReply, error) {
@@ -132,8 +132,8 @@
 	return &wire.SnapshotReply{Decider: []byte("estimates")}, nil
 }
 
-func (w *world) start(name string) *host {
-	h := &host{acked: make(map[core.HostID]core.Revision), kinds: make(map[core.AuditKind]int)}
+func (w *world) start(name string) *entry {
+	h := &entry{acked: make(map[core.HostID]core.Revision), kinds: make(map[core.AuditKind]int)}
 	dialer := w.network.Dialer(name)
 	pool := peers.NewPool(peers.Settings{Dialer: dialer})
 	client := platf.New(platf.Settings{Address: _platform + _port, Dialer: dialer})
@@ -169,7 +169,7 @@
 	return h
 }
 
-func (h *host) callbacks(pool *peers.Pool, client *platf.Client) fleet.Callbacks {
+func (h *entry) callbacks(pool *peers.Pool, client *platf.Client) fleet.Callbacks {
 	return fleet.Callbacks{
 		Apply:        h.apply,
 		Acknowledged: h.acknowledge,
@@ -205,26 +205,26 @@
 	return w.network.Partition(names, right)
 }
 
-func (h *host) apply(config core.Config) {
+func (h *entry) apply(config core.Config) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.applied = config
 	h.inForce = time.Now()
 }
 
-func (h *host) acknowledge(id core.HostID, revision core.Revision) {
+func (h *entry) acknowledge(id core.HostID, revision core.Revision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.acked[id] = revision
 }
 
-func (h *host) superseded(id core.HostID) {
+func (h *entry) superseded(id core.HostID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.newer = id
 }
 
-func (h *host) restore(snapshot []byte) error {
+func (h *entry) restore(snapshot []byte) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.snapshot = snapshot
@@ -232,26 +232,26 @@
 }
 
 // Record implements core.Auditor.
-func (h *host) Record(event core.AuditEvent) {
+func (h *entry) Record(event core.AuditEvent) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.kinds[event.Kind]++
 }
 
-func (h *host) audited(kind core.AuditKind) int {
+func (h *entry) audited(kind core.AuditKind) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.kinds[kind]
 }
 
-func (h *host) revision() core.Revision {
+func (h *entry) revision() core.Revision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.applied.Revision
 }
 
 // ackedAt counts the other hosts known to have a revision in force.
-func (h *host) ackedAt(revision core.Revision) int {
+func (h *entry) ackedAt(revision core.Revision) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	count := 0
@@ -263,31 +263,31 @@
 	return count
 }
 
-func (h *host) setRunning(running int) {
+func (h *entry) setRunning(running int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.running = running
 }
 
 // Running, Refuse, HandOver and ReturnLeases implement fleet.Stopper.
-func (h *host) Running() int {
+func (h *entry) Running() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.running
 }
 
-func (h *host) Refuse(context.Context) {
+func (h *entry) Refuse(context.Context) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.refusing = true
 }
 
-func (h *host) isRefusing() bool {
+func (h *entry) isRefusing() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.refusing
 }
 
-func (h *host) HandOver(context.Context) (core.HostID, error) { return h.holder, nil }
+func (h *entry) HandOver(context.Context) (core.HostID, error) { return h.holder, nil }
 
-func (h *host) ReturnLeases(context.Context) {}
+func (h *entry) ReturnLeases(context.Context) {}
