--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -64,8 +64,8 @@
 // ServeHTTP serves one request of a caller.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
 
-// NewServer builds a server around a handler, with bounds on slow callers. Its
-// connections are watched when they come from Watch.
+// NewServer builds a server around a handler, with bounds on slow callers. At a
+// planned stop Runner.Wait follows its Shutdown, which does not know streams.
 func NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/io/runs/runs.go
+++ b/io/runs/runs.go
@@ -23,6 +23,7 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/core"
+	"apricotproxy/core/invar"
 	"apricotproxy/io/wire"
 )
 
@@ -45,6 +46,8 @@
 type Weakness struct {
 	// NoResumeFilter passes on whatever an engine sends.
 	NoResumeFilter bool
+	// NoTryMemory forgets that an earlier try may have run.
+	NoTryMemory bool
 }
 
 // Runner carries the requests of one host. It is safe for concurrent use.
@@ -58,8 +61,9 @@
 	running map[core.GenerationID]*run
 	// requests numbers the requests of this host.
 	requests atomic.Uint64
-	// work counts the goroutines that cancel and end generations.
+	// work and held count what is in hand.
 	work sync.WaitGroup
+	held atomic.Int64
 }
 
 // New builds a Runner.
@@ -74,15 +78,32 @@
 	}
 }
 
-// Running gives the number of generations that this host keeps.
-func (r *Runner) Running() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.running)
+// Running gives the number of requests, generations without a caller and cancels
+// that are in hand.
+func (r *Runner) Running() int { return int(r.held.Load()) }
+
+// Hold counts one more piece of work until release is called. Who carries a
+// request holds it until the caller has the last byte.
+func (r *Runner) Hold() (release func()) {
+	r.work.Add(1)
+	r.held.Add(1)
+	return func() {
+		r.held.Add(-1)
+		r.work.Done()
+	}
+}
+
+// inBackground runs f on a goroutine of its own that counts as work in hand.
+func (r *Runner) inBackground(f func()) {
+	release := r.Hold()
+	go func() {
+		defer release()
+		f()
+	}()
 }
 
-// Wait returns when every generation and every cancel has ended. New ones must
-// have been stopped before.
+// Wait returns when nothing is in hand any more. New requests must have been
+// stopped before.
 func (r *Runner) Wait() { r.work.Wait() }
 
 // Sink takes the answer of one request. Its methods are called by one goroutine.
@@ -107,19 +128,23 @@
 // Complete runs a completion and passes its answer to the sink. It returns nil
 // when the answer is whole; otherwise an *core.OutcomeError.
 func (r *Runner) Complete(ctx context.Context, c *Completion, sink Sink) error {
-	r.work.Add(1)
-	defer r.work.Done()
+	defer r.Hold()()
+	return counted(r.complete(ctx, c, sink))
+}
+
+func (r *Runner) complete(ctx context.Context, c *Completion, sink Sink) error {
 	placement, err := r.config.Dispatcher.Place(ctx, c.Request)
 	mayHaveRun := false
 	for err == nil {
 		end := r.try(ctx, c, placement, sink)
 		if !end.again {
-			return honest(end.err, mayHaveRun)
+			return r.honest(end.err, mayHaveRun)
 		}
 		mayHaveRun = mayHaveRun || !provesNotRun(end.result)
+		_replaced.Add(1)
 		placement, err = r.config.Dispatcher.Replace(ctx, placement, end.result)
 	}
-	return honest(err, mayHaveRun)
+	return r.honest(err, mayHaveRun)
 }
 
 // try runs a completion once.
@@ -134,10 +159,10 @@
 
 // Call runs one repeatable call of a plain service.
 func (r *Runner) Call(ctx context.Context, request core.Request, body []byte) ([]byte, error) {
-	r.work.Add(1)
-	defer r.work.Done()
+	defer r.Hold()()
 	o := unary{runner: r, request: request, body: body}
-	return o.run(ctx)
+	answer, err := o.run(ctx)
+	return answer, counted(err)
 }
 
 // provesNotRun tells whether a result proves that the endpoint ran nothing.
@@ -147,7 +172,7 @@
 
 // honest turns a NotRun into Unknown when an earlier try may have run. The
 // dispatcher refuses a request without knowing what its tries did.
-func honest(err error, mayHaveRun bool) error {
+func (r *Runner) honest(err error, mayHaveRun bool) error {
 	if err == nil {
 		return nil
 	}
@@ -155,13 +180,15 @@
 	if !errors.As(err, &outcome) {
 		return internal(err)
 	}
-	if outcome.Outcome != core.OutcomeNotRun || !mayHaveRun {
-		return outcome
+	if outcome.Outcome == core.OutcomeNotRun && mayHaveRun && !r.config.Weakness.NoTryMemory {
+		changed := *outcome
+		changed.Outcome = core.OutcomeUnknown
+		changed.Detail = "an earlier try may have run; then: " + outcome.Detail
+		outcome = &changed
 	}
-	changed := *outcome
-	changed.Outcome = core.OutcomeUnknown
-	changed.Detail = "an earlier try may have run; then: " + outcome.Detail
-	return &changed
+	invar.Check(invar.NotRunMeansNotRun, outcome.Outcome != core.OutcomeNotRun || !mayHaveRun,
+		"a request is called NotRun though a try may have run: %v", outcome)
+	return outcome
 }
 
 func internal(err error) error {
