--- a/core/procs/audit/audit.go
+++ b/core/procs/audit/audit.go
@@ -26,7 +26,11 @@
 //	2026-12-04T02:00:00.000Z #7 DataCentreOut austin-a: revision 12 (waco-host-1, revision 12)
 func (e Entry) String() string {
 	when := e.Time.UTC().Format("2006-01-02T15:04:05.000Z")
-	return fmt.Sprintf("%s #%d %s %s: %s (%s, revision %d)", when, e.Sequence, e.Kind, e.Subject, e.Cause, e.Host.Host, e.Revision)
+	what := e.Subject
+	if e.Cause != "" {
+		what += ": " + e.Cause
+	}
+	return fmt.Sprintf("%s #%d %s %s (%s, revision %d)", when, e.Sequence, e.Kind, what, e.Host.Host, e.Revision)
 }
 
 // Trail is a bounded audit trail. It is safe for concurrent use and implements
