core/procs/ticket: an order costs the same in a long ledger

Cause: each order looked through all records for expired ones.

Change: the look is taken 64 times a term, and when a full ledger refuses and something can have expired. Records are told as recorded until dropped; a running order is never dropped, as before.

--- a/core/procs/ticket/handover.go
+++ b/core/procs/ticket/handover.go
@@ -286,9 +286,7 @@
 		l.issuers[issuer] = struct{}{}
 	}
 	for _, x := range e.Records {
-		r := importRecord(now, l.settings.Site, x)
-		l.records[r.ticket.ID] = r
-		l.answers += len(r.outcome.Answer)
+		l.add(importRecord(now, l.settings.Site, x))
 	}
 }
 
--- a/core/procs/ticket/ledger.go
+++ b/core/procs/ticket/ledger.go
@@ -114,6 +114,12 @@
 	running int
 	// answers counts the bytes of the answers that are kept.
 	answers int
+	// forgetNext is when records are looked through again for those whose time
+	// is over.
+	forgetNext time.Time
+	// earliest is not after the first time at which a record can be dropped, so
+	// that a full ledger refuses without a look through its records.
+	earliest time.Time
 	handover
 }
 
@@ -147,11 +153,14 @@
 		return nil, core.NotRun(core.CauseDraining, "this host is leaving; ask again, another host will answer", now)
 	}
 	l.forget(now)
+	if len(l.records)+count > l.settings.Size && !now.Before(l.earliest) {
+		l.forgetAll(now)
+	}
 	if len(l.records)+count > l.settings.Size {
 		return nil, core.NotRun(core.CauseLedgerFull,
 			fmt.Sprintf("the host holds %d of at most %d tickets; ask again later or for fewer than %d",
 				len(l.records), l.settings.Size, count),
-			l.earliestForget(now))
+			l.earliest)
 	}
 	tickets := make([]Ticket, 0, count)
 	expires := now.Add(l.settings.Term).Truncate(time.Millisecond)
@@ -163,7 +172,7 @@
 			Workspace: workspace,
 			ExpiresAt: expires,
 		}.withMark(l.settings.Key)
-		l.records[t.ID] = &record{ticket: t, forgetAt: expires.Add(l.settings.Term)}
+		l.add(&record{ticket: t, forgetAt: expires.Add(l.settings.Term)})
 		tickets = append(tickets, t)
 	}
 	return tickets, nil
@@ -306,22 +315,40 @@
 	return length <= l.settings.AnswerBytes && l.answers+length <= l.settings.AnswersBytes
 }
 
-// forget drops records whose time is over. A running order is never dropped.
+// _forgetShare is the part of the term between two looks through the records:
+// looking at each order would cost as much as the ledger is long.
+const _forgetShare = 64
+
+// forget drops records whose time is over, from time to time. What is dropped
+// later than it might be is told as recorded until then.
 func (l *Ledger) forget(now time.Time) {
+	if now.Before(l.forgetNext) {
+		return
+	}
+	l.forgetNext = now.Add(l.settings.Term / _forgetShare)
+	l.forgetAll(now)
+}
+
+// forgetAll drops all records whose time is over. A running order is never
+// dropped.
+func (l *Ledger) forgetAll(now time.Time) {
+	l.earliest = now.Add(l.settings.Term)
 	for id, r := range l.records {
-		if r.phase != phaseRunning && !now.Before(r.forgetAt) {
+		switch {
+		case r.phase == phaseRunning:
+		case !now.Before(r.forgetAt):
 			l.answers -= len(r.outcome.Answer)
 			delete(l.records, id)
+		case r.forgetAt.Before(l.earliest):
+			l.earliest = r.forgetAt
 		}
 	}
 }
 
-func (l *Ledger) earliestForget(now time.Time) time.Time {
-	earliest := now.Add(l.settings.Term)
-	for _, r := range l.records {
-		if r.forgetAt.Before(earliest) {
-			earliest = r.forgetAt
-		}
+func (l *Ledger) add(r *record) {
+	l.records[r.ticket.ID] = r
+	l.answers += len(r.outcome.Answer)
+	if r.forgetAt.Before(l.earliest) {
+		l.earliest = r.forgetAt
 	}
-	return earliest
 }
