--- a/core/procs/audit/audit.go
+++ b/core/procs/audit/audit.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -25,7 +26,11 @@
 //	2026-12-04T02:00:00.000Z #7 DataCentreOut austin-a: revision 12 (waco-host-1, revision 12)
 func (e Entry) String() string {
 	when := e.Time.UTC().Format("2006-01-02T15:04:05.000Z")
-	return fmt.Sprintf("%s #%d %s %s: %s (%s, revision %d)", when, e.Sequence, e.Kind, e.Subject, e.Cause, e.Host.Host, e.Revision)
+	what := e.Subject
+	if e.Cause != "" {
+		what += ": " + e.Cause
+	}
+	return fmt.Sprintf("%s #%d %s %s (%s, revision %d)", when, e.Sequence, e.Kind, what, e.Host.Host, e.Revision)
 }
 
 // Trail is a bounded audit trail. It is safe for concurrent use and implements
@@ -34,6 +39,7 @@
 	mu      sync.Mutex
 	entries ring[Entry]
 	last    uint64
+	counts  map[core.AuditKind]uint64
 	// changed is closed and replaced at each event, which wakes all readers
 	// without holding a queue for any of them.
 	changed chan struct{}
@@ -43,7 +49,11 @@
 
 // New makes a trail that keeps the latest capacity events.
 func New(capacity int) *Trail {
-	return &Trail{entries: newRing[Entry](capacity), changed: make(chan struct{})}
+	return &Trail{
+		entries: newRing[Entry](capacity),
+		counts:  map[core.AuditKind]uint64{},
+		changed: make(chan struct{}),
+	}
 }
 
 // Record adds an event. It does not block: a slow reader misses events, and
@@ -52,6 +62,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.last++
+	t.counts[event.Kind]++
 	event.Cause = oneLine(event.Cause)
 	event.Subject = oneLine(event.Subject)
 	t.entries.push(Entry{Sequence: t.last, AuditEvent: event})
@@ -59,6 +70,14 @@
 	t.changed = make(chan struct{})
 }
 
+// Counts gives the number of events of each kind since the start, those that
+// the trail no longer holds included.
+func (t *Trail) Counts() map[core.AuditKind]uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.counts)
+}
+
 // After gives the entries that the trail still holds with a number above
 // after, oldest first.
 func (t *Trail) After(after uint64) []Entry {
