--- a/core/procs/length/shift.go
+++ b/core/procs/length/shift.go
@@ -18,7 +18,10 @@
 // shift compares the logarithms of the latest lengths with the long run's. In
 // logarithms heavy tails do not drown the typical length.
 type shift struct {
-	ring  [_latest]int
+	ring [_latest]int
+	// logs and sum hold the logarithms of the ring.
+	logs  [_latest]float64
+	sum   float64
 	next  int
 	full  bool
 	count float64
@@ -29,11 +32,13 @@
 // observe takes in a length and reports whether the typical length has shifted.
 // After a shift the comparison starts anew.
 func (s *shift) observe(tokens int) bool {
-	leaving := s.ring[s.next]
+	leaving := s.logs[s.next]
 	if s.full {
 		s.learn(leaving)
 	}
-	s.ring[s.next] = tokens
+	value := math.Log(float64(tokens))
+	s.sum += value - s.logs[s.next]
+	s.ring[s.next], s.logs[s.next] = tokens, value
 	s.next = (s.next + 1) % _latest
 	s.full = s.full || s.next == 0
 	if !s.full || s.count < _baseAtLeast || !s.differs() {
@@ -43,9 +48,8 @@
 	return true
 }
 
-// learn adds a length to the long run.
-func (s *shift) learn(tokens int) {
-	value := math.Log(float64(tokens))
+// learn adds the logarithm of a length to the long run.
+func (s *shift) learn(value float64) {
 	s.count++
 	delta := value - s.mean
 	s.mean += delta / s.count
@@ -53,11 +57,7 @@
 }
 
 func (s *shift) differs() bool {
-	sum := 0.0
-	for _, tokens := range s.ring {
-		sum += math.Log(float64(tokens))
-	}
-	difference := math.Abs(sum/_latest - s.mean)
+	difference := math.Abs(s.sum/_latest - s.mean)
 	deviation := math.Sqrt(s.m2 / s.count)
 	return difference > math.Log(_leastFactor) && difference > _significance*deviation/math.Sqrt(_latest)
 }
--- a/core/procs/view/view.go
+++ b/core/procs/view/view.go
@@ -16,8 +16,8 @@
 	_slowAtLeast = 2 * time.Second
 	// _delaySmoothing is the weight of a new first-token delay in the average.
 	_delaySmoothing = 0.1
-	// _stepGrowth is the factor between two steps of the ramp.
-	_stepGrowth = 2
+	// _mostSteps is how often the ramp doubles at most.
+	_mostSteps = 16
 )
 
 // Terms are the durations that a view's deadlines are computed from.
@@ -124,12 +124,26 @@
 	if v.provenWarm != 0 && v.provenWarm == v.Report.Incarnation && !now.Before(v.WarmSince.Add(terms.FirstStep)) {
 		return endpoint.WarmSlots
 	}
-	for at := v.WarmSince.Add(terms.FirstStep); !at.After(now) && limit < endpoint.WarmSlots; at = at.Add(terms.Step) {
-		limit *= _stepGrowth
+	beyond := now.Sub(v.WarmSince) - terms.FirstStep
+	if beyond < 0 {
+		return min(limit, endpoint.WarmSlots)
 	}
-	return min(limit, endpoint.WarmSlots)
+	steps := beyond/terms.Step + 1
+	if steps > _mostSteps {
+		return endpoint.WarmSlots
+	}
+	return min(limit<<steps, endpoint.WarmSlots)
 }
 
+// idle tells whether the report explains no wait for a first token.
+func (v *View) idle() bool {
+	return v.Report.Waiting == 0 && _spareMemory*v.Report.FreeTokens >= v.Report.TotalTokens
+}
+
+// _spareMemory is the part of the memory, one in so many, that an engine with
+// memory to spare has free.
+const _spareMemory = 10
+
 // NextChange gives the next time at which Limit or Cold may change by itself;
 // zero when only a report changes them.
 func (v *View) NextChange(now time.Time, endpoint core.Endpoint, terms Terms) time.Time {
@@ -158,11 +172,11 @@
 
 // FirstToken takes in the delay of a request's first token. It reports whether
 // the delay makes a warm endpoint suspect of being cold: it is far above the
-// usual although the engine reports no request waiting.
+// usual although the engine reports no request waiting and memory to spare.
 func (v *View) FirstToken(now time.Time, delay time.Duration, terms Terms) bool {
 	usual := time.Duration(v.firstDelay * float64(time.Second))
 	slow := delay >= _slowAtLeast && usual > 0 && delay > _slowFactor*usual
-	if slow && v.Report.Waiting == 0 && !v.Cold(now) {
+	if slow && v.idle() && !v.Cold(now) {
 		v.SuspectUntil = now.Add(terms.Suspicion)
 		v.turnCold()
 		return true
