--- a/io/runs/desk.go
+++ b/io/runs/desk.go
@@ -179,7 +179,7 @@
 			if long != nil {
 				return long, nil
 			}
-			return told(step.Recorded)
+			return answerOf(step.Recorded)
 		case ticket.StepRefuse:
 			return nil, step.Err
 		case ticket.StepElsewhere:
@@ -201,9 +201,9 @@
 	Detail  string
 }
 
-// told gives a recorded outcome as the caller gets it. An answer that was not kept
+// answerOf gives a recorded outcome as the caller gets it. An answer that was not kept
 // is replaced by a note.
-func told(outcome ticket.Outcome) ([]byte, error) {
+func answerOf(outcome ticket.Outcome) ([]byte, error) {
 	if outcome.Outcome == core.OutcomeDone && outcome.Answer == nil && outcome.Detail != "" {
 		note, err := json.Marshal(answerNote{Outcome: outcome.Outcome.String(), Detail: outcome.Detail})
 		if err != nil {
--- a/io/runs/forward.go
+++ b/io/runs/forward.go
@@ -101,7 +101,7 @@
 	for range _searchRounds {
 		reply, missing := d.search(ctx, t, order, holder)
 		if reply != nil {
-			return told(ticket.Outcome{
+			return answerOf(ticket.Outcome{
 				Outcome: core.Outcome(reply.GetOutcome()),
 				Cause:   core.Cause(reply.GetCause()),
 				Detail:  reply.GetDetail(),
--- a/io/runs/runs.go
+++ b/io/runs/runs.go
@@ -138,13 +138,13 @@
 	for err == nil {
 		end := r.try(ctx, c, placement, sink)
 		if !end.again {
-			return r.honest(end.err, mayHaveRun)
+			return r.conclude(end.err, mayHaveRun)
 		}
 		mayHaveRun = mayHaveRun || !provesNotRun(end.result)
 		_replaced.Add(1)
 		placement, err = r.config.Dispatcher.Replace(ctx, placement, end.result)
 	}
-	return r.honest(err, mayHaveRun)
+	return r.conclude(err, mayHaveRun)
 }
 
 // try runs a completion once.
@@ -170,9 +170,9 @@
 	return result == core.ResultDialFailed || result == core.ResultRefused
 }
 
-// honest turns a NotRun into Unknown when an earlier try may have run. The
+// conclude turns a NotRun into Unknown when an earlier try may have run. The
 // dispatcher refuses a request without knowing what its tries did.
-func (r *Runner) honest(err error, mayHaveRun bool) error {
+func (r *Runner) conclude(err error, mayHaveRun bool) error {
 	if err == nil {
 		return nil
 	}
--- a/io/runs/stream.go
+++ b/io/runs/stream.go
@@ -189,67 +189,6 @@
 	return time.Now().Add(g.resumeTerm)
 }
 
-// resume opens a fresh connection at the next token, with retries until the
-// deadline. cause is why the connection before it ended.
-func (g *run) resume(until time.Time, cause error) (core.EngineStream, error) {
-	ctx, cancel := context.WithDeadline(g.life, until)
-	defer cancel()
-	for wait := _firstPause; ; wait = min(2*wait, _longestPause) {
-		if !pause(ctx, wait) {
-			break
-		}
-		// The stream outlives ctx: it is bound to the generation's life.
-		opening, opened := context.WithCancel(g.life)
-		stop := context.AfterFunc(ctx, opened)
-		stream, err := g.runner.config.Client.Resume(opening, g.endpoint, g.generation, g.relay.Next())
-		if err == nil {
-			if !stop() {
-				_ = stream.Close()
-				opened()
-				break
-			}
-			_resumed.Add(1)
-			g.runner.logger.V(1).Info("A generation was resumed.", "endpoint", g.endpoint.Name, "index", g.relay.Next())
-			return &boundStream{EngineStream: stream, release: opened}, nil
-		}
-		opened()
-		cause = err
-		if _, result := resultOf(err); result == core.ResultRefused {
-			return nil, fmt.Errorf("the engine does not hold the generation any more: %w", err)
-		}
-	}
-	if g.life.Err() != nil {
-		return nil, context.Cause(g.life)
-	}
-	return nil, fmt.Errorf("the generation could not be resumed before its deadline: %w", cause)
-}
-
-// boundStream releases its context when it is closed.
-type boundStream struct {
-	core.EngineStream
-	release context.CancelFunc
-}
-
-// Close closes the stream.
-func (s *boundStream) Close() error {
-	defer s.release()
-	return s.EngineStream.Close()
-}
-
-// batched is a stream that knows whether its next token has been read already.
-type batched interface {
-	Buffered() bool
-	OnPing(func())
-}
-
-func batchedOf(stream core.EngineStream) batched {
-	if bound, ok := stream.(*boundStream); ok {
-		stream = bound.EngineStream
-	}
-	b, _ := stream.(batched)
-	return b
-}
-
 // pump passes on the tokens of one connection. It returns nil when the answer is
 // whole.
 func (g *run) pump(stream core.EngineStream) error {
@@ -396,29 +335,3 @@
 		g.runner.config.Dispatcher.Finish(g.placement, result, g.relay.Next())
 	}
 }
-
-// collector holds a whole answer back until it is complete.
-type collector struct {
-	sink   Sink
-	tokens []core.Token
-}
-
-// Token keeps a token; the last one releases them all.
-func (c *collector) Token(token core.Token) error {
-	c.tokens = append(c.tokens, token)
-	if !token.Final {
-		return nil
-	}
-	for _, t := range c.tokens {
-		if err := c.sink.Token(t); err != nil {
-			return err
-		}
-	}
-	return c.sink.Flush()
-}
-
-// Flush does nothing: what is kept waits for the last token.
-func (c *collector) Flush() error { return nil }
-
-// Ping does nothing: the caller expects no byte before the whole answer.
-func (c *collector) Ping() error { return nil }
--- a/io/runs/unary.go
+++ b/io/runs/unary.go
@@ -26,7 +26,7 @@
 	mayHaveRun := false
 	for {
 		if err != nil {
-			return nil, u.runner.honest(err, mayHaveRun)
+			return nil, u.runner.conclude(err, mayHaveRun)
 		}
 		answer, callErr := u.try(ctx, placement)
 		if callErr == nil {
@@ -40,7 +40,7 @@
 		if result == core.ResultRefused {
 			if refusal, final := endpointRefusal(failed); final {
 				dispatcher.Finish(placement, result, 0)
-				return nil, u.runner.honest(refusal, mayHaveRun)
+				return nil, u.runner.conclude(refusal, mayHaveRun)
 			}
 		}
 		mayHaveRun = mayHaveRun || !provesNotRun(result)
