confg: ConfigSpread defaults to the promised 14 s

Cause: slots that change owners wait for ConfigSpread, and a revision is promised to be in force within 14 s; with 10 s a slot could open before a slow host has let it go. Change: the default is 14 s.

--- a/core/versn/confg/limits.go
+++ b/core/versn/confg/limits.go
@@ -22,7 +22,7 @@
 		SilenceTimeout:     5 * time.Second,
 		DialTimeout:        2 * time.Second,
 		LeaseTerm:          5 * time.Second,
-		ConfigSpread:       10 * time.Second,
+		ConfigSpread:       14 * time.Second,
 		AbandonGrace:       15 * time.Second,
 		RetryShare:         0.1,
 		TicketTerm:         10 * time.Minute,
