--- /dev/null
+++ b/io/caller/tls_test.go
@@ -0,0 +1,54 @@
+package caller_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/tmaxmax/go-sse"
+
+	"apricotproxy/core"
+	fakeengine "apricotproxy/fakes/engine"
+	"apricotproxy/fakes/place"
+	"apricotproxy/io/caller"
+	"apricotproxy/io/engine"
+	"apricotproxy/io/runs"
+)
+
+// A stream takes its connection over under TLS as well.
+func TestStreamOverTLS(t *testing.T) {
+	worker := httptest.NewServer(fakeengine.New(fakeengine.Config{Seed: 1, StartWarm: true, TokenInterval: 1}))
+	defer worker.Close()
+	config := testConfig()
+	config.Endpoints = []core.Endpoint{{Name: "draft-0", Service: "draft", Address: worker.Listener.Addr().String()}}
+	dispatcher := place.New(config)
+	client := engine.New(engine.Config{Dialer: &net.Dialer{}, Limits: func() core.Limits { return config.Limits }})
+	defer client.Close()
+	runner := runs.New(runs.Config{Dispatcher: dispatcher, Client: client, Logger: logr.Discard()})
+	server := httptest.NewTLSServer(caller.New(caller.Config{Dispatcher: dispatcher, Runner: runner, Logger: logr.Discard()}))
+	defer server.Close()
+	request, err := http.NewRequest(http.MethodPost, server.URL+"/v1/completions", strings.NewReader(_draft))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Workspace", _workspace)
+	res, err := server.Client().Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s received
+	for event, err := range sse.Read(res.Body, nil) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.take(t, event)
+	}
+	_ = res.Body.Close()
+	runner.Wait()
+	if !s.whole || s.count != 60 || len(s.texts) != 60 {
+		t.Errorf("whole=%t count=%d tokens=%d; want 60", s.whole, s.count, len(s.texts))
+	}
+}
