--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -95,6 +95,7 @@
 		kong.BindTo(ctx, (*context.Context)(nil)),
 		kong.Bind(&console),
 		kong.UsageOnError(),
+		kong.Configuration(loadSettings),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 	)
 	if err != nil {
--- a/io/cmds/serve.go
+++ b/io/cmds/serve.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/alecthomas/kong"
 	"github.com/go-logr/logr"
 
 	"apricotproxy/core"
@@ -18,19 +19,20 @@
 
 // ServeCommand runs one entry host.
 type ServeCommand struct {
-	Site            string   `required:"" help:"Name of the site, as its configuration spells it."`
-	Name            string   `required:"" help:"This host's roster position, such as austin-a-host-1."`
-	Platform        string   `required:"" help:"Host and port of the platform's service." placeholder:"10.0.0.9:8500"`
-	CallerAddress   string   `default:":8080" help:"Where to listen for callers."`
-	PeerAddress     string   `default:":7443" help:"Where to listen for other entry hosts."`
-	OperatorAddress string   `default:"127.0.0.1:9090" help:"Where to listen for operators; empty for nowhere."`
-	Peers           []string `help:"Peer addresses to ask at the start while the platform is down." placeholder:"10.0.0.1:7443"`
-	PeerCertificate string   `help:"Certificate file towards other hosts until the configuration is known."`
-	PeerKey         string   `help:"Key file of the peer certificate."`
-	PeerAuthority   string   `help:"Authority file that other hosts' certificates must be signed by."`
-	LogFormat       string   `enum:"text,json" default:"text" help:"Form of the log: text or json."`
-	Audit           string   `enum:"yes,no" default:"yes" help:"Write the audit trail to standard output: yes or no."`
-	LogLevel        string   `enum:"info,debug" default:"info" help:"Least level to log: info or debug."`
+	Settings        kong.ConfigFlag `help:"INI file with a section [Serve], whose keys are these flags in Pascal case. Flags go before it."`
+	Site            string          `required:"" help:"Name of the site, as its configuration spells it."`
+	Name            string          `required:"" help:"This host's roster position, such as austin-a-host-1."`
+	Platform        string          `required:"" help:"Host and port of the platform's service." placeholder:"10.0.0.9:8500"`
+	CallerAddress   string          `default:":8080" help:"Where to listen for callers."`
+	PeerAddress     string          `default:":7443" help:"Where to listen for other entry hosts."`
+	OperatorAddress string          `default:"127.0.0.1:9090" help:"Where to listen for operators; empty for nowhere."`
+	Peers           []string        `help:"Peer addresses to ask at the start while the platform is down." placeholder:"10.0.0.1:7443"`
+	PeerCertificate string          `help:"Certificate file towards other hosts until the configuration is known."`
+	PeerKey         string          `help:"Key file of the peer certificate."`
+	PeerAuthority   string          `help:"Authority file that other hosts' certificates must be signed by."`
+	LogFormat       string          `enum:"text,json" default:"text" help:"Form of the log: text or json."`
+	Audit           string          `enum:"yes,no" default:"yes" help:"Write the audit trail to standard output: yes or no."`
+	LogLevel        string          `enum:"info,debug" default:"info" help:"Least level to log: info or debug."`
 }
 
 // _keepAlive finds peers that vanished without a word while a connection idles.
