io/fleet: a slept process asks first; orders and restarts on whole hosts

Cause: a process that slept for up to 4 s dispatched from its old view, longer than the 3 s in which a data centre that is out gets no more work; an engine that takes a minute to load would be ordered twice. Change: a process has slept after 2.5 s without heartbeats; an endpoint is left alone for 2 minutes after an order. Tests: wake with and without peers, a new version ordered on whole hosts.

--- a/core/procs/fence/fence.go
+++ b/core/procs/fence/fence.go
@@ -28,7 +28,7 @@
 	// A report is fresh enough to order by for this long after it was asked for.
 	reportTerm = 5 * time.Second
 	// After an order the endpoint is left alone, longer each time.
-	firstHold   = 30 * time.Second
+	firstHold   = 2 * time.Minute
 	longestHold = 10 * time.Minute
 	// An endpoint that has lost what it was ordered to hold this many times
 	// under one revision is left alone until the next: somebody else orders it
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -30,9 +30,15 @@
 	_seedStream      = 0x666c656574
 	// Heartbeats in flight at once, as a multiple of the fanout.
 	_beatsInFlight = 4 * member.DefaultFanout
-	// Intervals without a heartbeat round after which this process is taken to
-	// have slept.
-	_sleptIntervals = 4
+	// A process that has not sent heartbeats for longer is taken to have slept.
+	// It is below the 3 s within which a data centre that is out gets no more
+	// work: a revision can be no older than this to a process that dispatches.
+	_viewTerm = 2500 * time.Millisecond
+	// The same in intervals, where those are long.
+	_viewIntervals = 2.5
+	// Intervals for which engine orders may be given after the view was
+	// confirmed.
+	_orderIntervals = 4
 )
 
 // Callbacks tell the rest of the host what the fleet learned. Nil ones are
@@ -83,6 +89,9 @@
 	Spread spread.Switches
 	// SkipDrain makes Drain return at once, with work still running.
 	SkipDrain bool
+	// SkipSnapshot makes a host start without a peer's snapshot, so that a
+	// measurement can tell what it is worth.
+	SkipSnapshot bool
 }
 
 // Fleet is the membership of one entry host.
@@ -222,11 +231,11 @@
 }
 
 // confirmView is called with mu held.
-func (f *Fleet) confirmView(now time.Time) { f.viewUntil = now.Add(_sleptIntervals * f.interval) }
+func (f *Fleet) confirmView(now time.Time) { f.viewUntil = now.Add(_orderIntervals * f.interval) }
 
 // extendView is called with mu held.
 func (f *Fleet) extendView(now time.Time) {
-	f.viewDeadline = now.Add(_sleptIntervals * f.interval)
+	f.viewDeadline = now.Add(max(_viewTerm, time.Duration(_viewIntervals*float64(f.interval))))
 }
 
 // Config gives the configuration in force.
--- a/io/fleet/fleet_basic_test.go
+++ b/io/fleet/fleet_basic_test.go
@@ -257,3 +257,31 @@
 		}
 	})
 }
+
+// A process that slept is not current until its peers have answered and it has
+// the revision that they told of; one that reaches nobody becomes current after
+// its heartbeats have failed.
+func TestSleptProcessAsksFirst(t *testing.T) {
+	bubble(t, 3, func(t *testing.T, w *world) {
+		w.startAll()
+		h := w.hosts["entry-3"]
+		for _, cut := range []bool{false, true} {
+			heal := func() {}
+			if cut {
+				heal = w.partition("entry-3")
+			}
+			if !h.fleet.Current(time.Now()) {
+				t.Fatal("a process that did not sleep is not current")
+			}
+			h.fleet.Sleep()
+			if h.fleet.Current(time.Now()) {
+				t.Error("a process is current as soon as it wakes")
+			}
+			time.Sleep(4 * time.Second)
+			if !h.fleet.Current(time.Now()) {
+				t.Errorf("a process is not current 4 s after it woke, partition %v", cut)
+			}
+			heal()
+		}
+	})
+}
--- a/io/fleet/fleet_move_test.go
+++ b/io/fleet/fleet_move_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/io/fleet"
 	"apricotproxy/io/load"
 )
 
@@ -80,3 +81,28 @@
 			kind.Between.P99Millis, kind.Between.MaxMillis, kind.Whole.P99Millis, preemptions)
 	}
 }
+
+// TestMeasureRestart measures what callers see of a site whose hosts have all
+// just been replaced, with and without peers' snapshots.
+func TestMeasureRestart(t *testing.T) {
+	if !*_measure {
+		t.Skip("run with -args -measure")
+	}
+	for i := range 8 {
+		skip := i%2 == 1
+		t.Run(fmt.Sprintf("run %d without snapshot %v", i/2, skip), func(t *testing.T) {
+			t.Parallel()
+			wholeSite(t, size{engines: 2, hosts: 1, knee: _knee, memory: 1500}, func(t *testing.T, s *site) {
+				const rate = 25
+				s.logPhase("before", s.load(rate, 40*time.Second, uint64(i/2)))
+				s.switches = fleet.Switches{SkipSnapshot: skip}
+				for _, position := range s.config.Hosts {
+					s.stop(position)
+					<-s.start(position).host.Started()
+				}
+				time.Sleep(_listLag + time.Millisecond)
+				s.logPhase(fmt.Sprintf("after, without snapshot %v", skip), s.load(rate, 40*time.Second, uint64(100+i/2)))
+			})
+		})
+	}
+}
--- a/io/fleet/fleet_whole_test.go
+++ b/io/fleet/fleet_whole_test.go
@@ -22,6 +22,7 @@
 	"apricotproxy/fakes/memnet"
 	"apricotproxy/fakes/plain"
 	fakeplatf "apricotproxy/fakes/platf"
+	"apricotproxy/io/fleet"
 	"apricotproxy/io/host"
 	"apricotproxy/io/load"
 )
@@ -46,7 +47,7 @@
 [Defaults Engine]
 ColdSlots = 2
 WarmSlots = 12
-MemoryTokens = 8000
+MemoryTokens = %d
 ChecksFencing = yes
 
 [Defaults Plain]
@@ -72,6 +73,8 @@
 	servers  []*http.Server
 	config   core.Config
 	size     size
+	version  string // of the model that the configuration asks for
+	switches fleet.Switches
 
 	mu        sync.Mutex
 	processes map[core.HostName]*life
@@ -96,9 +99,14 @@
 	hosts   int
 	// knee is the engines' BatchKnee, 0 for none.
 	knee int
+	// memory is the engines' memory in tokens, 8000 by default.
+	memory int64
 }
 
 func wholeSite(t *testing.T, size size, test func(*testing.T, *site)) {
+	if size.memory == 0 {
+		size.memory = 8000
+	}
 	if size.centres == nil {
 		size.centres = _centres
 	}
@@ -109,6 +117,7 @@
 			platform:  fakeplatf.New(fakeplatf.Config{ReadsPerSecond: 2000, ListLag: _listLag, LoadsPerMinute: 60}),
 			engines:   make(map[string][]*engine.Engine),
 			size:      size,
+			version:   "1",
 			processes: make(map[core.HostName]*life),
 			listed:    make(map[core.HostName]bool),
 		}
@@ -117,7 +126,7 @@
 			for j := range size.engines {
 				e := engine.New(engine.Config{
 					Seed: uint64(10*i + j), Model: core.LoadedModel{Model: "m", Version: "1"},
-					MemoryTokens: 8000, ColdLimit: 2, WarmAfter: 3, StartWarm: true, BatchKnee: size.knee,
+					MemoryTokens: size.memory, ColdLimit: 2, WarmAfter: 3, StartWarm: true, BatchKnee: size.knee,
 					ReportLag: 300 * time.Millisecond, ChecksFencing: true,
 				}.WithDefaults())
 				s.engines[centre] = append(s.engines[centre], e)
@@ -161,14 +170,14 @@
 		}
 		fmt.Fprintf(&b, "\n[DataCentre %s]\nInService = %s\nHosts = 10.%d.1.[1-%d]\n", centre, inService, i+1, s.size.hosts)
 	}
-	b.WriteString("\n[Service draft]\nKind = Engine\nModel = m\nVersion = 1\n")
+	fmt.Fprintf(&b, "\n[Service draft]\nKind = Engine\nModel = m\nVersion = %s\n", s.version)
 	b.WriteString("\n[Service desk]\nKind = Plain\nRepeatableCalls = look\nUnrepeatableCalls = book\n")
 	for i, centre := range s.size.centres {
 		fmt.Fprintf(&b, "\n[Endpoints draft.%s]\nAddresses = 10.%d.2.[1-%d]\n", centre, i+1, s.size.engines)
 		fmt.Fprintf(&b, "\n[Endpoints desk.%s]\nAddresses = 10.%d.3.1\n", centre, i+1)
 	}
 	b.WriteString("\n[Workspaces all]\nNames = w-1, w-2\nServices = draft, desk\n")
-	bundle := core.Bundle{Revision: revision, Base: _wholeBase, Overlay: b.String()}
+	bundle := core.Bundle{Revision: revision, Base: fmt.Sprintf(_wholeBase, s.size.memory), Overlay: b.String()}
 	config, err := confg.Parse(bundle, "whole")
 	if err != nil {
 		s.t.Fatal(err)
@@ -189,6 +198,7 @@
 		Platform: _platform + ":80", Seeds: []string{s.config.Hosts[0].PeerAddress},
 		Dialer: s.network.Dialer(machineOf(position.PeerAddress)), Listen: s.network.Listen,
 		Logger: logr.Discard(), Seed: uint64(len(s.processes) + 1),
+		Switches: host.Switches{Fleet: s.switches},
 	})
 	if err != nil {
 		s.t.Fatal(err)
@@ -454,6 +464,7 @@
 					t.Errorf("break at %d ms for %v: the order was done and then had status %d", offset, breakFor, after)
 				}
 				outcomes[before]++
+				t.Logf("links broken at %d ms for %v: status %d, later %d", offset, breakFor, before, after)
 				s.checkWhole(load.Result{})
 			})
 		}
@@ -581,3 +592,35 @@
 		s.checkHonest(result)
 	})
 }
+
+// The configuration asks for another version of the model: every engine is
+// ordered to load it once, by one steward, below the rate; callers are not cut.
+func TestEngineOrdersFollowConfiguration(t *testing.T) {
+	t.Parallel()
+	wholeSite(t, size{engines: 1, hosts: 3}, func(t *testing.T, s *site) {
+		var result load.Result
+		loaded := make(chan struct{})
+		go func() {
+			defer close(loaded)
+			result = s.load(0.5, 4*time.Minute, 5)
+		}()
+		time.Sleep(time.Minute)
+		s.version = "2"
+		s.publish(2)
+		<-loaded
+		var loads []time.Time
+		for centre, engines := range s.engines {
+			for _, e := range engines {
+				orders := e.Orders()
+				if len(orders) != 1 || orders[0].Refused || orders[0].Order.Version != "2" {
+					t.Errorf("orders to the engine of %s: %+v, want one to load version 2", centre, orders)
+				}
+				for _, order := range orders {
+					loads = append(loads, order.At)
+				}
+			}
+		}
+		t.Logf("loads at %v", loads)
+		s.checkWhole(result)
+	})
+}
--- a/io/fleet/start.go
+++ b/io/fleet/start.go
@@ -70,7 +70,7 @@
 
 // restore asks peers for a snapshot until one gives it.
 func (f *Fleet) restore(ctx context.Context) {
-	if f.settings.Callbacks.Restore == nil {
+	if f.settings.Callbacks.Restore == nil || f.settings.Switches.SkipSnapshot {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, _snapshotTimeout)
