--- a/fakes/memnet/memnet.go
+++ b/fakes/memnet/memnet.go
@@ -51,8 +51,11 @@
 	listeners map[Addr]*listener
 	conns     map[*conn]struct{}
 	stalled   map[link]int
-	healed    chan struct{}
-	ports     int
+	// lives counts the deaths of each machine: a dialer of an earlier life is
+	// that of a dead process.
+	lives  map[string]int
+	healed chan struct{}
+	ports  int
 }
 
 // New builds a network whose bytes arrive after a latency.
@@ -62,6 +65,7 @@
 		listeners: map[Addr]*listener{},
 		conns:     map[*conn]struct{}{},
 		stalled:   map[link]int{},
+		lives:     map[string]int{},
 		healed:    make(chan struct{}),
 	}
 }
@@ -79,21 +83,24 @@
 	return l, nil
 }
 
-// Dialer gives the dialer of one machine.
+// Dialer gives the dialer of the process that now runs on a machine.
 func (n *Network) Dialer(machine string) core.Dialer {
-	return &dialer{network: n, machine: machine}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &dialer{network: n, machine: machine, life: n.lives[machine]}
 }
 
 type dialer struct {
 	network *Network
 	machine string
+	life    int
 }
 
 // DialContext opens a connection. Through a stalled link it waits.
 func (d *dialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	to := Addr(address)
 	for {
-		c, healed, err := d.network.connect(d.machine, to)
+		c, healed, err := d.network.connect(d, to)
 		if err != nil {
 			return nil, &net.OpError{Op: "dial", Net: "memory", Addr: to, Err: err}
 		}
@@ -109,9 +116,13 @@
 }
 
 // connect gives a connection, or what to wait for while the link is stalled.
-func (n *Network) connect(machine string, to Addr) (*conn, <-chan struct{}, error) {
+func (n *Network) connect(d *dialer, to Addr) (*conn, <-chan struct{}, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	machine := d.machine
+	if d.life != n.lives[machine] {
+		return nil, nil, syscall.ENETUNREACH
+	}
 	if n.isStalled(machine, to.Machine()) || n.isStalled(to.Machine(), machine) {
 		return nil, n.healed, nil
 	}
@@ -176,9 +187,11 @@
 	return sync.OnceFunc(func() { n.setStalled(left, right, -1) })
 }
 
-// Kill closes the listeners of a machine and resets its connections.
+// Kill ends the process on a machine: its listeners close, its connections are
+// reset and its dialers work no more. Another process may start there.
 func (n *Network) Kill(machine string) {
 	n.mu.Lock()
+	n.lives[machine]++
 	var dead []*listener
 	for addr, l := range n.listeners {
 		if addr.Machine() == machine {
--- a/fakes/platf/platf.go
+++ b/fakes/platf/platf.go
@@ -29,6 +29,8 @@
 	value   []byte
 	version uint64
 	changed chan struct{}
+	// before is the value that the present one replaced.
+	before pinnedEntry
 	// pinned is what a stale service serves; nil while it is not stale.
 	pinned *pinnedEntry
 }
@@ -93,6 +95,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.entry(key)
+	e.before = pinnedEntry{value: e.value, version: e.version}
 	e.value = value
 	e.version++
 	close(e.changed)
@@ -144,6 +147,19 @@
 	}
 }
 
+// ServeOld makes the service serve the values before the present ones, as one
+// does that was restored from a copy. SetStale(false) ends it.
+func (p *Platform) ServeOld() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.entries {
+		old := e.before
+		e.pinned = &old
+		close(e.changed)
+		e.changed = make(chan struct{})
+	}
+}
+
 // SetHosts changes the host list; readers see it after the lag.
 func (p *Platform) SetHosts(hosts []core.ListedHost) {
 	p.mu.Lock()
