--- a/core/procs/decide/apply.go
+++ b/core/procs/decide/apply.go
@@ -59,6 +59,7 @@
 	d.budget.SetShare(config.Limits.RetryShare)
 	d.reviseRoster(now, former)
 	d.reviseServices(now)
+	d.expire(now)
 	return d.finish(now)
 }
 
@@ -141,7 +142,7 @@
 		if s == nil {
 			s = &service{queue: queue.New[*request]()}
 		}
-		s.index, s.config, s.endpoints, s.dueAt = i, config, s.endpoints[:0], time.Time{}
+		s.index, s.config, s.endpoints, s.dueAt, s.asking = i, config, s.endpoints[:0], time.Time{}, 0
 		d.services = append(d.services, s)
 		d.byService[config.Name] = s
 	}
@@ -151,6 +152,9 @@
 			e.place = len(e.service.endpoints)
 			e.service.endpoints = append(e.service.endpoints, e)
 		}
+		if e.service != nil && !e.pendingUntil.IsZero() {
+			e.service.asking++
+		}
 		d.track(e)
 	}
 	for _, s := range d.services {
@@ -202,9 +206,11 @@
 
 // Acknowledged tells that a roster position has a revision in force.
 func (d *Decider) Acknowledged(now time.Time, host core.HostID, revision core.Revision) core.Actions {
+	if host.Host == d.self.Host && host.Incarnation > d.self.Incarnation {
+		d.superseded = true
+	}
 	d.begin(now)
 	if host.Host == d.self.Host {
-		d.superseded = d.superseded || host.Incarnation > d.self.Incarnation
 		return d.finish(now)
 	}
 	known := d.positions[host.Host]
--- /dev/null
+++ b/io/fleet/fleet_move_test.go
@@ -0,0 +1,82 @@
+package fleet_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/io/load"
+)
+
+var _measure = flag.Bool("measure", false, "measure data centre moves under load; takes minutes")
+
+// Running generations above which an engine slows down.
+const _knee = 8
+
+// The sizes of the two deployments: drafting engines and entry hosts.
+var _deployments = []struct {
+	name string
+	out  string
+	size size
+}{
+	{"rota", "laidley", size{centres: _centres, engines: 4, hosts: 3, knee: _knee}},
+	{"cards", "waco", size{centres: []string{"austin-a", "austin-b", "sanmarcos", "waco"}, engines: 5, hosts: 2, knee: _knee}},
+}
+
+// TestMeasureDataCentreMove measures what callers see before a data centre is
+// taken out, while it is out and after it is back, at shares of the capacity
+// that remains.
+func TestMeasureDataCentreMove(t *testing.T) {
+	if !*_measure {
+		t.Skip("run with -args -measure")
+	}
+	for _, deployment := range _deployments {
+		for _, share := range []float64{0.6, 0.9} {
+			t.Run(fmt.Sprintf("%s at %.1f of what remains", deployment.name, share), func(t *testing.T) {
+				t.Parallel()
+				wholeSite(t, deployment.size, func(t *testing.T, s *site) { s.measureMove(share, deployment.out) })
+			})
+		}
+	}
+}
+
+// measureMove loads the site with a share of the tokens a second that the
+// engines make at the knee without the data centre that is taken out.
+func (s *site) measureMove(share float64, out string) {
+	// Mean tokens of a request of this load, calls included.
+	const meanTokens = 61
+	engines := (len(s.size.centres) - 1) * s.size.engines
+	rate := share * float64(engines) * _knee / 0.027 / meanTokens
+	phase := func(name string, revision core.Revision, out ...string) {
+		if revision > 0 {
+			s.publish(revision, out...)
+		}
+		cold := s.coldOverloads()
+		s.logPhase(name, s.load(rate, 40*time.Second, uint64(revision)+9))
+		if more := s.coldOverloads() - cold; more > 0 {
+			s.t.Errorf("%s: %d cold overloads", name, more)
+		}
+	}
+	phase("before", 0)
+	phase("out", 2, out)
+	phase("back in", 3)
+	phase("after", 0)
+}
+
+func (s *site) logPhase(name string, result load.Result) {
+	var preemptions uint64
+	for _, engines := range s.engines {
+		for _, e := range engines {
+			preemptions += e.Preemptions()
+		}
+	}
+	for _, kind := range result.Kinds {
+		s.t.Logf("%-8s %-7s sent %4d done %4d not run %3d interrupted %d; tokens %d; first token p50 %5.0f p99 %5.0f ms, "+
+			"between p99 %3.0f max %5.0f ms; whole p99 %5.0f ms; preemptions so far %d",
+			name, kind.Kind, kind.Sent, kind.Done, kind.NotRun, kind.Interrupted, kind.Tokens,
+			kind.FirstToken.P50Millis, kind.FirstToken.P99Millis,
+			kind.Between.P99Millis, kind.Between.MaxMillis, kind.Whole.P99Millis, preemptions)
+	}
+}
