fakes/memnet: Kill leaves the dialers alone again; Isolate ends them

Cause: io/fleet's TestOldIncarnationIsRefused lets an old process live on after its listener went to another, and failed when Kill also ended its dialers. Change: Kill is as before; Isolate does both, for a host that dies. After: io/fleet passes.

--- a/fakes/memnet/memnet.go
+++ b/fakes/memnet/memnet.go
@@ -51,8 +51,8 @@
 	listeners map[Addr]*listener
 	conns     map[*conn]struct{}
 	stalled   map[link]int
-	// lives counts the deaths of each machine: a dialer of an earlier life is
-	// that of a dead process.
+	// lives counts the isolations of each machine: a dialer of an earlier life
+	// is that of a dead process.
 	lives  map[string]int
 	healed chan struct{}
 	ports  int
@@ -187,11 +187,18 @@
 	return sync.OnceFunc(func() { n.setStalled(left, right, -1) })
 }
 
-// Kill ends the process on a machine: its listeners close, its connections are
-// reset and its dialers work no more. Another process may start there.
-func (n *Network) Kill(machine string) {
+// Isolate kills a machine, and the process that ran on it can dial no more,
+// should anything of it be left. Another process may start there.
+func (n *Network) Isolate(machine string) {
 	n.mu.Lock()
 	n.lives[machine]++
+	n.mu.Unlock()
+	n.Kill(machine)
+}
+
+// Kill closes the listeners of a machine and resets its connections.
+func (n *Network) Kill(machine string) {
+	n.mu.Lock()
 	var dead []*listener
 	for addr, l := range n.listeners {
 		if addr.Machine() == machine {
