core/procs/decide: a retry goes back to the only open endpoint

Cause: a retry avoids the endpoint that failed last for good. With no other endpoint of its service open it was never placed again, and as the head of its class it held up every request behind it until its deadline.

Ruled out: avoidance as a mere preference; a retry would then go back to a sick endpoint as soon as the others were full for a moment.

Before: after a refusal (429) by the only endpoint, nothing was placed on the idle endpoint (TestARetryGoesBackToTheOnlyOpenEndpoint failed). After: the retry is placed once its pause is over.

Conclusion: an endpoint is avoided while another one is open.

--- a/core/procs/decide/place.go
+++ b/core/procs/decide/place.go
@@ -74,7 +74,7 @@
 	d.demand.PromptTokens = float32(r.PromptTokens)
 	d.demand.ExpectedTokens = float32(r.expected)
 	d.demand.Avoid = -1
-	if r.avoid != nil && r.avoid.service == r.service {
+	if r.avoid != nil && r.avoid.service == r.service && r.service.opensOther(r.avoid.place) {
 		d.demand.Avoid = r.avoid.place
 	}
 	d.demand.Hints = d.demand.Hints[:0]
@@ -83,6 +83,16 @@
 	}
 }
 
+// opensOther tells whether an endpoint of the service is open besides one.
+func (s *service) opensOther(place int) bool {
+	for i := range s.candidates {
+		if i != place && s.candidates[i].Open {
+			return true
+		}
+	}
+	return false
+}
+
 // hint looks up where the prompt's longest known prefix seems to be cached.
 func (d *Decider) hint(now time.Time, r *request) {
 	for i := len(r.Prefixes) - 1; i >= 0; i-- {
