io/shell: Finish ends a request for good, and a late Confirm takes no wait

Cause, first: Dispatcher.Finish promises to end a try for good, but the core tries a refused or lost request again. Each completion, call or order that an endpoint refused as it is (4xx), and each repeatable call whose caller had left, was queued again with nobody waiting, and its placement held a slot for ever. Cause, second: a Confirm of a placement that had been given up replaced the channel on which the request's goroutine waited, which then waited for ever.

Ruled out: another result for such refusals; a lost call would still be queued. The core still counts the end as a retry in its budget.

Before: one request waiting after the end, in each of three cases; Replace did not return. After: none, and it does.

Conclusion: the shell withdraws what the core queues again at Finish, and leaves a wait alone that is there.

--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -277,6 +277,11 @@
 	if s.decider.Confirm(time.Now(), placement) {
 		return true
 	}
+	if _, waits := s.waiting[placement.Request]; waits {
+		// The try was given up before: its goroutine waits for the next
+		// placement by a channel that must stay the one that is answered.
+		return false
+	}
 	s.retaken[placement.Request] = s.wait(placement.Request)
 	s.setWake(time.Now())
 	return false
@@ -300,7 +305,13 @@
 		return
 	}
 	s.decide(func(now time.Time) core.Actions {
-		return s.decider.Finish(now, placement, result, tokens)
+		actions := s.decider.Finish(now, placement, result, tokens)
+		// The core tries again what was refused or lost. Nobody waits for that
+		// here: the placement would hold its slot for ever.
+		if _, waits := s.waiting[placement.Request]; !waits {
+			s.decider.Withdraw(now, placement.Request)
+		}
+		return actions
 	})
 }
 
