io/engine: a request that was given up before its first byte stays unsent

Cause: a try counts as not run when no byte had passed the gate as RoundTrip returned. The connection's writer may ask the gate just after that: the order was then marked as not sent, the permission asked again for an old placement. Only the closed connection kept the byte back.

Ruled out: reliance on net/http's order of closing, which it does not promise.

Before: the gate let a byte through after the request was given up. After: the check seals it in the same step.

Conclusion: NotRun rests on the gate alone.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -274,7 +274,7 @@
 	res, err := transport.RoundTrip(req.WithContext(withGate(req.Context(), g)))
 	if err != nil {
 		result := core.ResultLost
-		if !g.written() {
+		if g.seal() {
 			result = core.ResultDialFailed
 		}
 		return nil, failed(endpoint, result, fmt.Errorf("%s %s: %w", req.Method, req.URL.Path, err))
--- a/io/engine/gate.go
+++ b/io/engine/gate.go
@@ -13,6 +13,7 @@
 
 var (
 	errNotConfirmed     = errors.New("the permission to dispatch has ended")
+	errGivenUp          = errors.New("the request was given up before its first byte")
 	errSecondConnection = errors.New("the request has been written to another connection before")
 )
 
@@ -28,6 +29,8 @@
 	mu sync.Mutex
 	// opened is set before the first byte goes to the network.
 	opened bool
+	// sealed is set when the request was given up before its first byte.
+	sealed bool
 }
 
 type gateKey struct{}
@@ -48,6 +51,9 @@
 	if g.opened {
 		return errSecondConnection
 	}
+	if g.sealed {
+		return errGivenUp
+	}
 	if g.confirm != nil && !g.confirm() {
 		return errNotConfirmed
 	}
@@ -62,6 +68,17 @@
 	return g.opened
 }
 
+// seal keeps the first byte from leaving from now on; false when a byte may have
+// left already. A request whose context ends while its connection comes up
+// returns before net/http's writer has asked: what is said of the request from
+// then on must hold for that writer too.
+func (g *gate) seal() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sealed = !g.opened
+	return g.sealed
+}
+
 // link is a connection to an endpoint that asks its gate before the first byte
 // and closes when the endpoint is silent for too long. Read is called by one
 // goroutine at a time, as net/http does.
