io/runs: the successor decides on an order that it had forwarded

Cause: an order that came to the successor while the ledger was still with the leaving host was forwarded there. The leaving host then named the successor, which asked nobody further and told Unknown, with the order never run.

Ruled out: the same name of an earlier incarnation, which took its ledger with it: Unknown stays right there.

Before: of three orders during a handover two ran and one was told Unknown (TestOrderThatTheSuccessorForwardsDuringAHandover). After: all three run once.

Conclusion: a host that is named as the holder looks into its own ledger again.

--- a/io/caller/order_test.go
+++ b/io/caller/order_test.go
@@ -369,6 +369,32 @@
 	})
 }
 
+// An order may come to the very host that is about to take the ledger over: the
+// leaving host names it as the holder, and it then decides itself.
+func TestOrderThatTheSuccessorForwardsDuringAHandover(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		tickets := r.tickets("entry-0", 3)
+		done := make(chan string, len(tickets))
+		send := func(host, ticket string) {
+			status, answer := r.order(host, ticket)
+			done <- fmt.Sprint(status, answer)
+		}
+		go send("entry-0", tickets[0])
+		time.Sleep(8 * time.Millisecond)
+		time.AfterFunc(time.Millisecond, func() { send("entry-1", tickets[1]) })
+		time.AfterFunc(time.Millisecond, func() { send("entry-2", tickets[2]) })
+		if err := r.leave("entry-0"); err != nil {
+			t.Fatal(err)
+		}
+		for range tickets {
+			if got := <-done; !strings.HasPrefix(got, "200") {
+				t.Errorf("answer %s; want status 200", got)
+			}
+		}
+		r.wantRuns(3)
+	})
+}
+
 // A successor that dies before the commit is replaced by another.
 func TestSuccessorThatTakesTheCopyAndDies(t *testing.T) {
 	for _, step := range []string{"Prepare", "Commit"} {
--- a/io/runs/desk.go
+++ b/io/runs/desk.go
@@ -139,18 +139,31 @@
 	if err != nil {
 		return nil, d.refused(order, core.NotRun(core.CauseTicketInvalid, err.Error(), time.Time{}))
 	}
-	answer, err := d.settle(ctx, t, order)
-	var elsewhere *elsewhereError
-	if errors.As(err, &elsewhere) {
-		_forwarded.Add(1)
-		answer, err = d.forward(ctx, t, order, elsewhere.holder)
-	}
+	answer, err := d.settleAnywhere(ctx, t, order)
 	if err != nil {
 		return nil, d.refused(order, err)
 	}
 	return answer, nil
 }
 
+// settleAnywhere settles an order here or at the host that decides on it. The
+// ledger may come to this host while the order is with the one that leaves.
+func (d *Desk) settleAnywhere(ctx context.Context, t ticket.Ticket, order Order) ([]byte, error) {
+	for range _hops {
+		answer, err := d.settle(ctx, t, order)
+		var elsewhere *elsewhereError
+		if !errors.As(err, &elsewhere) {
+			return answer, err
+		}
+		_forwarded.Add(1)
+		answer, err = d.forward(ctx, t, order, elsewhere.holder)
+		if !errors.Is(err, errHere) {
+			return answer, err
+		}
+	}
+	return nil, issuerGone(t)
+}
+
 // elsewhereError tells that another host decides on a ticket.
 type elsewhereError struct {
 	holder core.HostID
--- a/io/runs/forward.go
+++ b/io/runs/forward.go
@@ -99,7 +99,10 @@
 	defer cancel()
 	wait := _firstPause
 	for range _searchRounds {
-		reply, missing := d.search(ctx, t, order, holder)
+		reply, err := d.search(ctx, t, order, holder)
+		if errors.Is(err, errHere) {
+			return nil, err
+		}
 		if reply != nil {
 			return answerOf(ticket.Outcome{
 				Outcome: core.Outcome(reply.GetOutcome()),
@@ -108,32 +111,44 @@
 				Answer:  reply.GetAnswer(),
 			})
 		}
-		if !missing || !pause(ctx, wait) {
+		if err == nil || !pause(ctx, wait) {
 			break
 		}
 		wait *= 4
 	}
+	return nil, issuerGone(t)
+}
+
+// errHere tells that another host names this one as the holder of a ledger.
+var errHere = errors.New("this host decides on the ticket by now")
+
+// issuerGone is what is said when no host decides on a ticket.
+func issuerGone(t ticket.Ticket) error {
 	gone := unknown(core.CauseIssuerGone,
 		fmt.Sprintf("host %s, which issued the ticket, is gone or out of reach; the order may have run", t.ID.Issuer.Host), nil)
 	var outcome *core.OutcomeError
 	if errors.As(gone, &outcome) {
 		outcome.RetryAt = time.Now().Add(_longestPause)
 	}
-	return nil, gone
+	return gone
 }
 
-// search asks each host that may decide, once. missing tells that one of them
-// did not answer.
-func (d *Desk) search(ctx context.Context, t ticket.Ticket, order Order, holder core.HostID) (reply *wire.ForwardOrderReply, missing bool) {
+// search asks each host that may decide, once. Without a reply the error tells
+// that one of them did not answer, or errHere.
+func (d *Desk) search(ctx context.Context, t ticket.Ticket, order Order, holder core.HostID) (*wire.ForwardOrderReply, error) {
+	var missing error
 	for _, name := range d.candidates(t.ID.Issuer, holder) {
 		reply, err := d.ask(ctx, name, order)
+		if errors.Is(err, errHere) {
+			return nil, err
+		}
 		if err != nil {
 			d.logger.V(1).Info("A forwarded order was not answered.", "host", name, "error", err.Error())
-			missing = true
+			missing = err
 			continue
 		}
 		if reply != nil {
-			return reply, false
+			return reply, nil
 		}
 	}
 	return nil, missing
@@ -160,12 +175,10 @@
 }
 
 // ask asks one host, and those that it names, until there is an outcome. A nil
-// reply means that none of them decides on the ticket.
+// reply means that none of them decides on the ticket; errHere that one of them
+// names this host.
 func (d *Desk) ask(ctx context.Context, name core.HostName, order Order) (*wire.ForwardOrderReply, error) {
 	for hops := 0; hops < _hops; {
-		if name == d.config.Self.Host {
-			return nil, nil
-		}
 		reply, err := d.askOnce(ctx, name, order)
 		if err != nil {
 			return nil, err
@@ -173,14 +186,18 @@
 		if reply.GetOutcome() != 0 {
 			return reply, nil
 		}
-		next := core.HostName(reply.GetHolder().GetName())
-		if next == "" {
+		next := wire.ToHostID(reply.GetHolder())
+		if next == d.config.Self {
+			return nil, errHere
+		}
+		// An earlier incarnation of this host took the ledger with it.
+		if next.Host == "" || next.Host == d.config.Self.Host {
 			return nil, nil
 		}
-		if next != name {
+		if next.Host != name {
 			hops++
 		}
-		name = next
+		name = next.Host
 	}
 	return nil, nil
 }
