decide: a class without a slot in hand is not scored; owner: scores allocate nothing

With all slots in use the head of a line was scored against every endpoint in vain. The slots in hand are summed per service and class.

--- a/core/procs/decide/apply.go
+++ b/core/procs/decide/apply.go
@@ -159,6 +159,7 @@
 	}
 	for _, s := range d.services {
 		s.candidates = make([]core.Candidate, len(s.endpoints))
+		s.free = [queue.Classes]int{}
 		for _, e := range s.endpoints {
 			d.update(now, e)
 		}
--- a/core/procs/decide/bench_test.go
+++ b/core/procs/decide/bench_test.go
@@ -127,3 +127,22 @@
 		running = append(running, d.Finish(now, oldest, core.ResultCompleted, 300).Placements...)
 	}
 }
+
+// BenchmarkApply measures a change of revision, during which the host decides
+// nothing.
+func BenchmarkApply(b *testing.B) {
+	for _, size := range [][2]int{{9, 24}, {360, 600}} {
+		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
+			config := benchSite(size[1], 7500)
+			config.Hosts = nil
+			for i := range size[0] {
+				config.Hosts = append(config.Hosts, core.Host{Name: core.HostName(fmt.Sprintf("h%d", i+1)), DataCentre: "a"})
+			}
+			d, now := warmDecider(config)
+			for b.Loop() {
+				config = config.WithRevision(config.Revision + 1)
+				d.Apply(now, config)
+			}
+		})
+	}
+}
--- a/core/procs/decide/decide.go
+++ b/core/procs/decide/decide.go
@@ -88,7 +88,9 @@
 	blocked [queue.Classes]bool
 	// unwanted is set when there was no slot to ask other hosts for either.
 	unwanted [queue.Classes]bool
-	rates    [queue.Classes]queue.Rate
+	// free sums the slots in hand that each class may take.
+	free  [queue.Classes]int
+	rates [queue.Classes]queue.Rate
 	// residual is the usual remainder of a request in progress, in tokens.
 	residual float64
 	asking   int
--- a/core/procs/decide/endpoint.go
+++ b/core/procs/decide/endpoint.go
@@ -89,6 +89,8 @@
 	c := &s.candidates[e.place]
 	limit := d.limit(now, e)
 	report := &e.view.Report
+	s.free[queue.ClassShort] -= int(c.Free)
+	s.free[queue.ClassLong] -= int(c.FreeLong)
 	*c = core.Candidate{
 		Open:            d.open(now, e),
 		Remote:          e.remote,
@@ -105,6 +107,8 @@
 		UsedTokens:      float32(float64(report.TotalTokens-report.FreeTokens) + e.unreportedTokens),
 		RemainingTokens: float32(e.remaining + float64(e.foreign)*s.residual),
 	}
+	s.free[queue.ClassShort] += int(c.Free)
+	s.free[queue.ClassLong] += int(c.FreeLong)
 	due := e.view.NextChange(now, e.config, d.viewTerms)
 	due = earlier(due, e.pool.NextExpiry())
 	for _, at := range []time.Time{e.blockedUntil, e.pendingUntil, e.askAt} {
--- a/core/procs/decide/place.go
+++ b/core/procs/decide/place.go
@@ -49,6 +49,9 @@
 
 // placeHead tries to place the head of a class.
 func (d *Decider) placeHead(now time.Time, s *service, class queue.Class) bool {
+	if s.free[class] == 0 && d.needsSlot() {
+		return false
+	}
 	item := s.queue.Head(class)
 	r := item.Value
 	d.ask(now, r)
@@ -98,9 +101,15 @@
 	}
 }
 
+// needsSlot tells whether the policy places by slots.
+func (d *Decider) needsSlot() bool {
+	mode := d.policy.Mode()
+	return mode == core.LimitLeases || mode == core.LimitShare
+}
+
 // take takes a slot. A policy that goes by reports alone needs none.
 func (d *Decider) take(now time.Time, e *endpoint, r *request) (core.SlotID, time.Time, bool) {
-	if mode := d.policy.Mode(); mode == core.LimitReports || mode == core.LimitNone {
+	if !d.needsSlot() {
 		return core.SlotID{Endpoint: e.config.Name, Position: -1}, time.Time{}, true
 	}
 	limit := d.limit(now, e)
--- a/core/versn/owner/owner.go
+++ b/core/versn/owner/owner.go
@@ -112,14 +112,13 @@
 
 // Score is the rendezvous score of a host for a position of an endpoint.
 func Score(host, endpoint string, position int) uint64 {
-	var number [8]byte
-	binary.LittleEndian.PutUint64(number[:], uint64(position))
-	digest := xxhash.New()
-	_, _ = digest.WriteString(host)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(endpoint)
-	_, _ = digest.Write(number[:])
-	return digest.Sum64()
+	// The usual names fit into the buffer, so that nothing is allocated.
+	var buffer [128]byte
+	text := append(buffer[:0], host...)
+	text = append(text, 0)
+	text = append(text, endpoint...)
+	text = binary.LittleEndian.AppendUint64(text, uint64(position))
+	return xxhash.Sum64(text)
 }
 
 // rankHosts orders the roster by score for a name, highest first.
--- a/core/versn/owner/owner_test.go
+++ b/core/versn/owner/owner_test.go
@@ -135,3 +135,14 @@
 		}
 	}
 }
+
+func BenchmarkBuild(b *testing.B) {
+	for _, size := range [][2]int{{9, 24}, {360, 600}} {
+		config := site(size[0], size[1], 32)
+		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
+			for b.Loop() {
+				owner.Build(config)
+			}
+		})
+	}
+}
