io/host: a planned stop seals the order ledger before it stops admission

Cause: between the dispatcher's drain and the start of the handover an order could still begin; the draining core refused it and its ticket was spent. Change: the ledger is sealed first (Desk.Seal), so that such orders wait and are answered by the ledger's next holder.

--- a/io/host/stop.go
+++ b/io/host/stop.go
@@ -17,9 +17,11 @@
 
 var _ fleet.Stopper = stopper{}
 
-// Refuse refuses new and waiting requests from now on.
+// Refuse refuses new and waiting requests from now on. Orders that come from
+// now on wait for the ledger's next holder.
 func (s stopper) Refuse(context.Context) {
 	s.host.refusing.Store(true)
+	s.host.desk.Seal()
 	s.host.shell.Drain()
 }
 
--- a/io/runs/leave.go
+++ b/io/runs/leave.go
@@ -15,13 +15,21 @@
 
 var errNoSuccessor = errors.New("no other host took the order ledger; its orders are Unknown from now on")
 
+// Seal stops the start of orders and the issue of tickets at a planned stop.
+// Orders that come from now on wait for the handover: without it, those that
+// come between the stop of admission and Leave would be refused and their
+// tickets spent.
+func (d *Desk) Seal() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ledger.Seal()
+}
+
 // Leave hands the ledger to another host at a planned stop. It waits until no
 // order runs, and tries hosts until one has it or ctx ends. Orders that come
 // meanwhile wait, and are then answered by the successor.
 func (d *Desk) Leave(ctx context.Context) error {
-	d.mu.Lock()
-	d.ledger.Seal()
-	d.mu.Unlock()
+	d.Seal()
 	d.awaitIdle(ctx)
 	if d.Held() == 0 {
 		return nil
