core/procs/member: a large fleet's hosts keep partners, so that connections last

Cause: with 360 hosts each heartbeat went to a host whose connection had been closed as idle, so each one dialled; with TLS that costs more than the heartbeat. Change: of more than 16 others a host has 16 partners, one of which changes in each round.

--- a/core/procs/member/member.go
+++ b/core/procs/member/member.go
@@ -31,6 +31,10 @@
 	_tellFactor = 2
 	// Failures in a row after which a host is dead rather than suspected.
 	_deadFailures = 3
+	// Of a larger roster a host exchanges heartbeats with this many partners, so
+	// that their connections are used again. Dialling anew each time would cost
+	// more than the heartbeats themselves, with TLS above all.
+	_partners = 16
 	// Intervals between two heartbeats to a host believed dead.
 	_deadProbeIntervals = 8
 )
@@ -142,6 +146,7 @@
 	positions  map[core.HostName]*position
 	names      []core.HostName // of positions, in name order
 	rotation   []core.HostName // shuffled; whom to send heartbeats next
+	partners   []core.HostName // of a large roster
 	fresh      []*position     // with news that was not told often enough
 	ledgers    []*ledger       // in the order of arrival
 	superseded core.HostID
@@ -217,6 +222,7 @@
 	slices.Sort(names)
 	if !slices.Equal(names, m.names) {
 		m.rotation = nil
+		m.partners = slices.DeleteFunc(m.partners, func(name core.HostName) bool { return !wanted[name] })
 	}
 	m.positions, m.names = positions, names
 	m.fresh = slices.DeleteFunc(m.fresh, func(p *position) bool { return positions[p.id.Host] != p })
@@ -265,16 +271,40 @@
 // that each host is reached once a round but in another order.
 func (m *Member) turn() core.HostName {
 	if len(m.rotation) == 0 {
-		m.rotation = slices.Clone(m.names)
-		m.random.Shuffle(len(m.rotation), func(i, j int) {
-			m.rotation[i], m.rotation[j] = m.rotation[j], m.rotation[i]
-		})
+		m.rotation = m.round()
+		m.shuffle(m.rotation)
 	}
 	name := m.rotation[0]
 	m.rotation = m.rotation[1:]
 	return name
 }
 
+func (m *Member) shuffle(hosts []core.HostName) {
+	m.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+}
+
+// round gives the hosts of the next round: all of a small roster, or the
+// partners. In each round one partner, and each that is believed dead, gives
+// way to another host drawn at random, so that in time everybody is met.
+func (m *Member) round() []core.HostName {
+	if len(m.names) <= _partners {
+		return slices.Clone(m.names)
+	}
+	m.partners = slices.DeleteFunc(m.partners, func(name core.HostName) bool {
+		return m.Standing(name) == StandingDead
+	})
+	if len(m.partners) == _partners {
+		m.partners = slices.Delete(m.partners, 0, 1)
+	}
+	for tries := 0; len(m.partners) < _partners && tries < 2*len(m.names); tries++ {
+		drawn := m.names[m.random.IntN(len(m.names))]
+		if !slices.Contains(m.partners, drawn) {
+			m.partners = append(m.partners, drawn)
+		}
+	}
+	return slices.Clone(m.partners)
+}
+
 // Message gives what a heartbeat or an answer to one says.
 func (m *Member) Message(now time.Time) Message {
 	return Message{
@@ -475,7 +505,7 @@
 // in random order, so that askers spread over the fleet.
 func (m *Member) Ask(count int) []core.HostName {
 	hosts := slices.Clone(m.names)
-	m.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	m.shuffle(hosts)
 	slices.SortStableFunc(hosts, func(a, b core.HostName) int { return cmp.Compare(m.askRank(a), m.askRank(b)) })
 	return hosts[:min(count, len(hosts))]
 }
--- a/core/procs/spread/scale_test.go
+++ b/core/procs/spread/scale_test.go
@@ -37,12 +37,13 @@
 		n.start()
 	}
 	s.run(settled)
-	s.exchanges, s.bytes, s.service.calls = 0, 0, 0
+	s.exchanges, s.bytes, s.dials, s.service.calls = 0, 0, 0, 0
 	s.run(measured)
 	hosts := float64(len(s.nodes))
 	// A host is at both ends of exchanges.
 	messages := 2 * float64(s.exchanges) / (measured.Seconds() * hosts)
 	traffic := 2 * float64(s.bytes) / (measured.Seconds() * hosts)
+	dials := float64(s.dials) / (measured.Seconds() * hosts)
 	reads := float64(s.service.calls) / measured.Seconds()
 
 	published := s.now
@@ -53,8 +54,8 @@
 	inForce := s.latest().Sub(published)
 	peak := 2 * float64(s.bytes) / (acknowledged.Seconds() * hosts)
 	t.Logf("in force after %v, acknowledged everywhere after %v; %.1f messages/s and %.0f bytes/s a host, "+
-		"%.0f bytes/s until then; %.2f reads/s at the service",
-		inForce.Round(time.Millisecond), acknowledged, messages, traffic, peak, reads)
+		"%.0f bytes/s until then; %.2f dials/s a host; %.2f reads/s at the service",
+		inForce.Round(time.Millisecond), acknowledged, messages, traffic, peak, dials, reads)
 	if at != alive || inForce > inForceWithin {
 		t.Errorf("%d of %d hosts have revision 8 in force after %v, want all in %v", at, alive, inForce, inForceWithin)
 	}
--- a/core/procs/spread/sim_test.go
+++ b/core/procs/spread/sim_test.go
@@ -22,6 +22,7 @@
 	_timeout  = time.Second
 	_interval = time.Second
 	_budget   = 20.0
+	_idleTerm = 30 * time.Second // as in io/peers
 	// Bytes of the HTTP headers of one exchange, both ways.
 	_headerBytes = 420
 )
@@ -68,6 +69,10 @@
 
 	exchanges int
 	bytes     int
+	// dials counts exchanges between hosts whose connection has been idle for
+	// longer than it is kept.
+	dials  int
+	talked map[[2]core.HostName]time.Time
 }
 
 type simService struct {
@@ -102,6 +107,7 @@
 func newSim(t *testing.T, count int, seed uint64, loss float64) *sim {
 	s := &sim{t: t, now: _epoch, random: rand.New(rand.NewPCG(seed, 7)), loss: loss}
 	s.byName = make(map[core.HostName]*node)
+	s.talked = make(map[[2]core.HostName]time.Time)
 	for i := range count {
 		n := &node{sim: s, name: core.HostName(fmt.Sprintf("entry-%03d", i+1))}
 		s.nodes = append(s.nodes, n)
@@ -259,6 +265,7 @@
 		}
 	}, func(*node) {
 		s.exchanges++
+		s.countDial(n.name, peer)
 		s.bytes += _headerBytes + size(s.now, request, stamp) + size(s.now, reply, replyStamp)
 		n.heard(reply, replyStamp)
 		n.spread.PeerAnswered(peer)
@@ -268,6 +275,14 @@
 	})
 }
 
+func (s *sim) countDial(from, to core.HostName) {
+	pair := [2]core.HostName{from, to}
+	if s.now.Sub(s.talked[pair]) > _idleTerm {
+		s.dials++
+	}
+	s.talked[pair] = s.now
+}
+
 func size(now time.Time, message member.Message, stamp spread.Stamp) int {
 	encoded := &wire.HeartbeatRequest{
 		From: wire.FromHostID(message.From), Revision: uint64(message.Revision), Digest: stamp.Digest,
