--- a/core/procs/decide/apply.go
+++ b/core/procs/decide/apply.go
@@ -95,6 +95,7 @@
 	e := d.byName[config.Name]
 	if e == nil {
 		e = &endpoint{pool: slots.New(d.self, d.weakness)}
+		e.view.Inherit(d.inherited[config.Name])
 	}
 	e.index = index
 	e.config = config
--- a/core/procs/decide/decide.go
+++ b/core/procs/decide/decide.go
@@ -59,7 +59,10 @@
 	returns  []pendingReturn
 	lengths  *length.Estimates
 	hints    *view.Hints[*endpoint]
-	budget   *budget.Budget
+	// inherited holds the warm incarnations of a snapshot, which may come before
+	// the first revision.
+	inherited map[core.EndpointName]core.Incarnation
+	budget    *budget.Budget
 
 	positions  map[core.HostName]position
 	present    map[core.HostName]bool // on the roster
@@ -120,6 +123,7 @@
 		requests:  make(map[core.RequestID]*request),
 		lengths:   length.New(_histogramsAtMost),
 		hints:     view.NewHints[*endpoint](),
+		inherited: make(map[core.EndpointName]core.Incarnation),
 		budget:    budget.New(0),
 		positions: make(map[core.HostName]position),
 		present:   make(map[core.HostName]bool),
--- a/core/procs/decide/decide_test.go
+++ b/core/procs/decide/decide_test.go
@@ -117,10 +117,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	placed := func(restore bool) int {
+	placed := func(before, after bool) int {
 		d := newDecider("h1")
+		if before {
+			if err := d.Restore(now, encoded); err != nil {
+				t.Fatal(err)
+			}
+		}
 		d.Apply(now, config)
-		if restore {
+		if after {
 			if err := d.Restore(now, encoded); err != nil {
 				t.Fatal(err)
 			}
@@ -140,11 +145,11 @@
 		}
 		return count
 	}
-	if got := placed(false); got != 4 {
+	if got := placed(false, false); got != 4 {
 		t.Errorf("%d placed at the second step of the ramp, twice the 2 cold slots wanted", got)
 	}
-	if got := placed(true); got != 8 {
-		t.Errorf("%d placed after taking over a long warm spell", got)
+	if before, after := placed(true, false), placed(false, true); before != 8 || after != 8 {
+		t.Errorf("%d and %d placed with a snapshot before and after the revision, 8 warm slots wanted", before, after)
 	}
 	if newDecider("h1").Restore(now, []byte("{")) == nil {
 		t.Error("a broken snapshot is accepted")
--- a/core/procs/decide/snapshot.go
+++ b/core/procs/decide/snapshot.go
@@ -52,12 +52,11 @@
 		d.acknowledge(now, d.self.Host)
 	}
 	for _, warm := range s.Endpoints {
-		e := d.byName[warm.Name]
-		if e == nil {
-			continue
+		d.inherited[warm.Name] = warm.Incarnation
+		if e := d.byName[warm.Name]; e != nil {
+			e.view.Inherit(warm.Incarnation)
+			d.update(now, e)
 		}
-		e.view.Inherit(warm.Incarnation)
-		d.update(now, e)
 	}
 	return nil
 }
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -176,8 +176,8 @@
 		seed = uint64(h.settings.Self.Incarnation)
 	}
 	options := h.settings.Switches.Decider
-	options.Policy = &route.Product{}
 	options.Random = rand.New(rand.NewPCG(seed, 1))
+	options.Policy = route.NewProduct(options.Random)
 	return decide.New(h.settings.Self, options)
 }
 
