io/load: a target that cannot be dialled is passed over

Cause: without a balancer in front, requests to a host that has stopped counted as Unreached, although nothing was sent; the platform's balancer would have passed them to another host. Change: only a failed dial goes on to the next target; any other failure counts. Conclusion: a test names a closed target, alone and beside an open one.

--- a/io/load/load.go
+++ b/io/load/load.go
@@ -45,7 +45,8 @@
 
 // Settings describe one run.
 type Settings struct {
-	// Targets are addresses of entry hosts, taken in turn.
+	// Targets are addresses of entry hosts, taken in turn; one that cannot be
+	// dialled is passed over.
 	Targets []string
 	// TLS is how to meet entry hosts with caller TLS; nil for plain HTTP.
 	TLS *tls.Config
--- a/io/load/load_test.go
+++ b/io/load/load_test.go
@@ -157,6 +157,23 @@
 	})
 }
 
+// TestClosedTargetIsPassedOver names a target that nobody listens on.
+func TestClosedTargetIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := newSettings()
+		settings.Targets, settings.OrderShare = []string{"10.0.0.2:8080", _target}, 1
+		result := run(t.Context(), t, settings, &scriptedHost{status: http.StatusOK, first: "{}"}, nil)
+		if orders := result.Kinds[0]; orders.Done != orders.Sent {
+			t.Errorf("got %+v, %v", orders, result.Details)
+		}
+		settings.Targets = settings.Targets[:1]
+		result = run(t.Context(), t, settings, &scriptedHost{}, nil)
+		if orders := result.Kinds[0]; orders.Unreached != orders.Sent {
+			t.Errorf("got %+v, %v", orders, result.Details)
+		}
+	})
+}
+
 func TestInterruptAndBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		settings := newSettings()
--- a/io/load/plan.go
+++ b/io/load/plan.go
@@ -13,7 +13,6 @@
 	Offset    time.Duration // from the start of the run
 	Kind      Kind
 	Workspace core.WorkspaceName
-	Target    string
 }
 
 // plan draws arrivals: independent requests at a mean rate, which is a Poisson
@@ -41,7 +40,6 @@
 		Offset:    offset,
 		Kind:      p.kind(),
 		Workspace: p.settings.Workspaces[p.random.IntN(len(p.settings.Workspaces))],
-		Target:    p.settings.Targets[serial%len(p.settings.Targets)],
 	}
 	return p.last, true
 }
--- a/io/load/stream.go
+++ b/io/load/stream.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -93,14 +95,14 @@
 
 // resume asks for the rest of a stream at another target.
 func (x *exchange) resume(ctx context.Context, reader *streamReader, resumes int) (*http.Response, answer) {
-	target := x.settings.Targets[(x.arrival.Serial+resumes)%len(x.settings.Targets)]
-	address := x.settings.scheme() + target + "/v1/completions/" + url.PathEscape(reader.generation)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
-	if err != nil {
-		return nil, answer{Outcome: Unreached, Detail: err.Error()}
-	}
-	request.Header.Set("Last-Event-ID", fmt.Sprintf("%s.%d", reader.generation, reader.count-1))
-	return x.do(request)
+	return x.send(resumes, func(target string) (*http.Request, error) {
+		address := target + "/v1/completions/" + url.PathEscape(reader.generation)
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
+		if err == nil {
+			request.Header.Set("Last-Event-ID", fmt.Sprintf("%s.%d", reader.generation, reader.count-1))
+		}
+		return request, err
+	})
 }
 
 // post sends a JSON body. Without a response, the answer tells why.
@@ -109,21 +111,38 @@
 	if err != nil {
 		return nil, answer{Outcome: Unreached, Detail: err.Error()}
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, x.settings.scheme()+x.arrival.Target+path, bytes.NewReader(encoded))
-	if err != nil {
-		return nil, answer{Outcome: Unreached, Detail: err.Error()}
-	}
-	request.Header.Set("Content-Type", "application/json")
-	return x.do(request)
+	return x.send(0, func(target string) (*http.Request, error) {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, target+path, bytes.NewReader(encoded))
+		if err == nil {
+			request.Header.Set("Content-Type", "application/json")
+		}
+		return request, err
+	})
 }
 
-func (x *exchange) do(request *http.Request) (*http.Response, answer) {
-	request.Header.Set("Workspace", string(x.arrival.Workspace))
-	response, err := x.client.Do(request)
-	if err != nil {
-		return nil, answer{Outcome: Unreached, Detail: err.Error()}
+// send sends a request to the arrival's target, skipping some of the targets.
+// A target that cannot be dialled is passed over, as a balancer would: nothing
+// was sent to it.
+func (x *exchange) send(skipped int, build func(target string) (*http.Request, error)) (*http.Response, answer) {
+	var failed error
+	for i := range x.settings.Targets {
+		place := (x.arrival.Serial + skipped + i) % len(x.settings.Targets)
+		request, err := build(x.settings.scheme() + x.settings.Targets[place])
+		if err != nil {
+			return nil, answer{Outcome: Unreached, Detail: err.Error()}
+		}
+		request.Header.Set("Workspace", string(x.arrival.Workspace))
+		response, err := x.client.Do(request)
+		if err == nil {
+			return response, answer{}
+		}
+		failed = err
+		var dial *net.OpError
+		if !errors.As(err, &dial) || dial.Op != "dial" {
+			break
+		}
 	}
-	return response, answer{}
+	return nil, answer{Outcome: Unreached, Detail: failed.Error()}
 }
 
 // closeBody reads what is left of a short body, so that the connection can be
