--- a/io/fleet/fleet_whole_test.go
+++ b/io/fleet/fleet_whole_test.go
@@ -75,6 +75,7 @@
 	size     size
 	version  string // of the model that the configuration asks for
 	switches fleet.Switches
+	leaving  string // the machine of an engine that operators remove
 
 	mu        sync.Mutex
 	processes map[core.HostName]*life
@@ -174,6 +175,9 @@
 	b.WriteString("\n[Service desk]\nKind = Plain\nRepeatableCalls = look\nUnrepeatableCalls = book\n")
 	for i, centre := range s.size.centres {
 		fmt.Fprintf(&b, "\n[Endpoints draft.%s]\nAddresses = 10.%d.2.[1-%d]\n", centre, i+1, s.size.engines)
+		if strings.HasPrefix(s.leaving, fmt.Sprintf("10.%d.", i+1)) {
+			fmt.Fprintf(&b, "Leaving = %s\n", s.leaving)
+		}
 		fmt.Fprintf(&b, "\n[Endpoints desk.%s]\nAddresses = 10.%d.3.1\n", centre, i+1)
 	}
 	b.WriteString("\n[Workspaces all]\nNames = w-1, w-2\nServices = draft, desk\n")
@@ -530,6 +534,32 @@
 	})
 }
 
+// An endpoint that operators remove gets no new work after 3 s, and what runs
+// there finishes.
+func TestEndpointLeaves(t *testing.T) {
+	t.Parallel()
+	wholeSite(t, size{engines: 1, hosts: 3}, func(t *testing.T, s *site) {
+		var result load.Result
+		loaded := make(chan struct{})
+		go func() {
+			defer close(loaded)
+			result = s.load(2, time.Minute, 6)
+		}()
+		time.Sleep(20 * time.Second)
+		left := time.Now()
+		s.leaving = "10.2.2.1"
+		s.publish(2)
+		<-loaded
+		if before := s.startsIn("laidley", time.Time{}, left); before == 0 {
+			t.Error("the endpoint had no work before it left")
+		}
+		if late := s.startsIn("laidley", left.Add(3*time.Second), time.Now()); late > 0 {
+			t.Errorf("%d generations started on the endpoint later than 3 s after it was leaving", late)
+		}
+		s.checkWhole(result)
+	})
+}
+
 // The service is down for ten minutes under load, and a host is replaced
 // meanwhile.
 func TestWholeSiteWithoutService(t *testing.T) {
