--- a/core/procs/decide/apply.go
+++ b/core/procs/decide/apply.go
@@ -95,6 +95,7 @@
 	e := d.byName[config.Name]
 	if e == nil {
 		e = &endpoint{pool: slots.New(d.self, d.weakness)}
+		e.view.Inherit(d.inherited[config.Name])
 	}
 	e.index = index
 	e.config = config
@@ -159,6 +160,7 @@
 	}
 	for _, s := range d.services {
 		s.candidates = make([]core.Candidate, len(s.endpoints))
+		s.free = [queue.Classes]int{}
 		for _, e := range s.endpoints {
 			d.update(now, e)
 		}
