io/runs: a host does not cancel what another host reads for the caller

Cause, first: the host to which a caller had come back stopped renewing the adoption for good when one call was lost. Cause, second: the first host cancelled an adopted generation when only its own link to the engine broke. Either cut the caller's stream off at the second host.

Ruled out: never cancelling from the first host; a generation that nobody reads would keep its engine busy.

Conclusion: a call without an answer is repeated, and the first host cancels once the term of the adoption is over.

--- a/io/caller/order_test.go
+++ b/io/caller/order_test.go
@@ -200,6 +200,10 @@
 	return around(p, method, func() (*wire.HandOverReply, error) { return p.Peer.HandOver(ctx, q) })
 }
 
+func (p brokenPeer) Adopt(ctx context.Context, q *wire.AdoptRequest) (*wire.AdoptReply, error) {
+	return around(p, "Adopt", func() (*wire.AdoptReply, error) { return p.Peer.Adopt(ctx, q) })
+}
+
 func around[T any](p brokenPeer, method string, call func() (*T, error)) (*T, error) {
 	if p.before != nil {
 		if err := p.before(method); err != nil {
--- a/io/caller/resume_test.go
+++ b/io/caller/resume_test.go
@@ -9,6 +9,7 @@
 
 	"apricotproxy/core"
 	fakeengine "apricotproxy/fakes/engine"
+	"apricotproxy/io/wire"
 	"apricotproxy/io/runs"
 )
 
@@ -80,6 +81,53 @@
 	})
 }
 
+// One adoption that is lost on its way does not end the adoption.
+func TestAdoptionOutlivesALostMessage(t *testing.T) {
+	config := testConfig()
+	config.Limits.AbandonGrace = 400 * time.Millisecond
+	inRig(t, config, func(r *rig) {
+		calls := 0
+		r.wrap = func(_, _ core.HostName, peer wire.Peer) wire.Peer {
+			return brokenPeer{Peer: peer, before: func(method string) error {
+				if method != "Adopt" {
+					return nil
+				}
+				if calls++; calls%2 == 1 {
+					return errBroken
+				}
+				return nil
+			}}
+		}
+		s := r.startAndLeave("entry-0", 100*time.Millisecond)
+		if err := r.comeBack("entry-1", s); err != nil {
+			t.Fatal(err)
+		}
+		r.wantWhole(s)
+	})
+}
+
+// The host that started a generation loses its own link to the engine. It does
+// not cancel what another host goes on reading for the caller.
+func TestAdoptionOutlivesTheFirstHostsLink(t *testing.T) {
+	config := testConfig()
+	config.Limits.AbandonGrace = 400 * time.Millisecond
+	config.Limits.SilenceTimeout = 100 * time.Millisecond
+	inRig(t, config, func(r *rig) {
+		s := r.startAndLeave("entry-0", 100*time.Millisecond)
+		r.network.Stall("entry-0", "engine-0")
+		r.network.Stall("entry-0", "engine-1")
+		heal := time.AfterFunc(600*time.Millisecond, func() {
+			r.network.Heal("entry-0", "engine-0")
+			r.network.Heal("entry-0", "engine-1")
+		})
+		defer heal.Stop()
+		if err := r.comeBack("entry-1", s); err != nil {
+			t.Fatal(err)
+		}
+		r.wantWhole(s)
+	})
+}
+
 func TestAbandonedGenerationIsCancelledAfterTheGrace(t *testing.T) {
 	config := testConfig()
 	config.Limits.AbandonGrace = 200 * time.Millisecond
--- a/io/runs/abandon.go
+++ b/io/runs/abandon.go
@@ -96,6 +96,23 @@
 	g.endLife(errExpired)
 }
 
+// awaitCaller waits while the generation is kept for a caller that left or has
+// come back at another host. This host has lost the stream, but the other one's
+// link to the engine may work: a cancel would cut off what the caller reads there.
+func (g *run) awaitCaller(lost error) {
+	if _, result := resultOf(lost); result == core.ResultRefused || !g.owned {
+		return
+	}
+	for {
+		g.mu.Lock()
+		left := time.Until(g.keepUntil)
+		g.mu.Unlock()
+		if left <= 0 || !pause(g.life, left) {
+			return
+		}
+	}
+}
+
 // keep lets a generation go on until at least the deadline: its caller has come
 // back elsewhere.
 func (g *run) keep(until time.Time) {
--- a/io/runs/resume.go
+++ b/io/runs/resume.go
@@ -59,9 +59,20 @@
 // on output. It is not cancelled from here, since its caller may have come back
 // at a third host, which this one cannot know.
 func (r *Runner) keepAdopted(ctx context.Context, host core.HostID, generation core.GenerationID) {
-	for {
-		known, term := r.askAdoption(ctx, host, generation)
-		if !known || !pause(ctx, max(term/_renewals, _firstPause)) {
+	for wait := _firstPause; ; {
+		known, term, err := r.askAdoption(ctx, host, generation)
+		next := max(term/_renewals, _firstPause)
+		switch {
+		case err != nil:
+			// A link that stalls for a moment says nothing of the host.
+			r.logger.V(1).Info("An adoption was not answered.", "host", host.Host, "error", err.Error())
+			next, wait = wait, min(2*wait, _longestPause)
+		case !known:
+			return
+		default:
+			wait = _firstPause
+		}
+		if !pause(ctx, next) {
 			return
 		}
 	}
@@ -70,22 +81,22 @@
 // _renewals is how often an adoption is renewed in its term.
 const _renewals = 3
 
-func (r *Runner) askAdoption(ctx context.Context, host core.HostID, generation core.GenerationID) (known bool, term time.Duration) {
+func (r *Runner) askAdoption(ctx context.Context, host core.HostID, generation core.GenerationID) (known bool, term time.Duration, err error) {
 	if host == r.config.Self {
-		return r.adopt(generation)
+		known, term = r.adopt(generation)
+		return known, term, nil
 	}
 	peer := r.peer(host.Host)
 	if peer == nil {
-		return false, 0
+		return false, 0, fmt.Errorf("no address of host %s is known", host.Host)
 	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(_peerTry))
 	defer cancel()
 	reply, err := peer.Adopt(ctx, &wire.AdoptRequest{From: wire.FromHostID(r.config.Self), Generation: string(generation)})
 	if err != nil {
-		r.logger.V(1).Info("An adoption was not answered.", "host", host.Host, "error", err.Error())
-		return false, 0
+		return false, 0, fmt.Errorf("ask %s to keep a generation: %w", host.Host, err)
 	}
-	return reply.GetKnown(), time.Duration(reply.GetTermMillis()) * time.Millisecond
+	return reply.GetKnown(), time.Duration(reply.GetTermMillis()) * time.Millisecond, nil
 }
 
 func (r *Runner) peer(host core.HostName) wire.Peer {
--- a/io/runs/stream.go
+++ b/io/runs/stream.go
@@ -299,6 +299,7 @@
 		g.cancelThenFinish(core.ResultLost)
 		return ending{err: unknown(core.CauseDeadline, err.Error(), nil)}
 	case g.callerHasTokens():
+		g.awaitCaller(err)
 		g.cancelThenFinish(core.ResultCut)
 		return ending{err: interrupted(g.sent, "the generation is lost after it had begun; ask again for a new one", err)}
 	case errors.Is(err, errTooLong):
