io/runs: the grace of a caller that left starts anew after a sleep

Cause: a process that slept found the grace over as it woke up and cancelled the generation before it could hear of the adoption by another host.

Ruled out: asking all hosts for an adoption; the other host renews it within two seconds by itself.

Before: given up at the wake-up (TestGraceStartsAnewAfterASleep failed). After: given up one grace later if nobody renews.

Conclusion: a timer that fires late proves nothing of the caller.

--- a/io/runs/abandon.go
+++ b/io/runs/abandon.go
@@ -14,6 +14,8 @@
 	_cancelTerm = 2 * time.Minute
 	// _cancelTry bounds one attempt.
 	_cancelTry = 2 * time.Second
+	// _sleepAtLeast is how late a timer fires in a process that has slept.
+	_sleepAtLeast = time.Second
 	// _peerTry bounds one call to another entry host.
 	_peerTry = 2 * time.Second
 )
@@ -89,7 +91,13 @@
 func (g *run) expire() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if left := time.Until(g.keepUntil); left > 0 {
+	left := time.Until(g.keepUntil)
+	if left < -_sleepAtLeast {
+		// The process slept, and could not hear of an adoption meanwhile.
+		left = g.grace
+		g.keepUntil = time.Now().Add(left)
+	}
+	if left > 0 {
 		g.keeper.Reset(left)
 		return
 	}
