--- a/io/caller/resume_test.go
+++ b/io/caller/resume_test.go
@@ -9,8 +9,8 @@
 
 	"apricotproxy/core"
 	fakeengine "apricotproxy/fakes/engine"
-	"apricotproxy/io/wire"
 	"apricotproxy/io/runs"
+	"apricotproxy/io/wire"
 )
 
 // startAndLeave streams until a time has passed and then closes the caller's
