core/procs/decide: a placement that was never confirmed leaves no doubt

Cause: a caller that left as its placement came gave the slot back in doubt, as if the endpoint might go on with the work. On a cold endpoint such a slot stays shut until a report shows the endpoint idle.

Ruled out: freeing a confirmed one; it may have sent its bytes, and its slot stays shut as before (TestAConfirmedPlacementLeavesItsSlotInDoubt).

Before: the next request was not placed on a cold endpoint of two slots with one busy. After: it is, at once.

Conclusion: only what was confirmed can be in doubt.

--- a/core/procs/decide/request.go
+++ b/core/procs/decide/request.go
@@ -281,7 +281,7 @@
 	r.tokens = max(r.tokens, tokens)
 	e := r.endpoint
 	d.learn(now, r, result)
-	d.endTry(now, r, mayGoOn(result))
+	d.endTry(now, r, mayGoOn(result) && r.state == stateDispatched)
 	switch result {
 	case core.ResultDialFailed, core.ResultRefused:
 		d.retry(now, r, core.CauseEndpointDenied)
