decide: dials that fail together pause an endpoint once

Eight dials that failed at the same moment doubled the pause eight times, to 5 s. A script shows a fleet that takes no dials: the saved retries, then refusals.

--- a/core/procs/decide/endpoint.go
+++ b/core/procs/decide/endpoint.go
@@ -139,8 +139,12 @@
 	}
 }
 
-// block leaves an endpoint alone for a while after a failed dial.
+// block leaves an endpoint alone for a while after a failed dial. Dials that were
+// on their way when the pause began tell nothing new.
 func (e *endpoint) block(now time.Time) {
+	if now.Before(e.blockedUntil) {
+		return
+	}
 	e.blockPause = min(max(2*e.blockPause, _blockPause), _blockPauseAtMost)
 	e.blockedUntil = now.Add(e.blockPause)
 }
--- a/core/procs/decide/request.go
+++ b/core/procs/decide/request.go
@@ -72,6 +72,12 @@
 func (d *Decider) Submit(now time.Time, submitted core.Request) core.Actions {
 	d.begin(now)
 	r := d.newRequest(&submitted)
+	if r.Arrived.IsZero() {
+		r.Arrived = now
+	}
+	if r.QueueDeadline.IsZero() && d.config.Limits.QueueTimeout > 0 {
+		r.QueueDeadline = r.Arrived.Add(d.config.Limits.QueueTimeout)
+	}
 	r.service = d.byService[submitted.Service]
 	switch {
 	case d.draining || d.superseded:
--- a/core/procs/decide/script_test.go
+++ b/core/procs/decide/script_test.go
@@ -29,7 +29,7 @@
 //	start cold=N warm=N hosts=h1,h2 queue=N share=F
 //	report endpoint=E phase=cold|warm running=N incarnation=N leaving
 //	submit count=N short once workspace=W    once: not repeatable
-//	confirm request=N, finish request=N result=completed|lost|...
+//	confirm request=N, finish request=N count=N result=completed|lost|...
 //	revise out leaving, acknowledge host=H incarnation=N, drain, tick
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -153,8 +153,13 @@
 		"lost": core.ResultLost, "cut": core.ResultCut, "cancelled": core.ResultCancelled,
 	}
 	var result string
+	count := 1
 	d.ScanArgs(s.t, "result", &result)
-	s.show(s.decider.Finish(s.now, s.placed[s.request(d)], results[result], 100))
+	d.MaybeScanArgs(s.t, "count", &count)
+	for i := range count {
+		placement := s.placed[s.request(d)+core.RequestID(i)]
+		s.show(s.decider.Finish(s.now, placement, results[result], 100))
+	}
 }
 
 func (s *script) revise(d *datadriven.TestData) {
