io/host, proof: the order ledger can be switched off under test

Cause: a run has to fail without the ledger, and no seam led to it. Change: Switches.Ledger reaches the order desk; TestChecksNotice switches it off.

--- a/io/host/host.go
+++ b/io/host/host.go
@@ -20,6 +20,7 @@
 	"apricotproxy/core/procs/audit"
 	"apricotproxy/core/procs/decide"
 	"apricotproxy/core/procs/route"
+	"apricotproxy/core/procs/ticket"
 	"apricotproxy/core/versn/confg"
 	"apricotproxy/io/caller"
 	"apricotproxy/io/certs"
@@ -72,6 +73,7 @@
 	Fleet   fleet.Switches
 	Decider decide.Options
 	Runs    runs.Weakness
+	Ledger  ticket.Weakness
 }
 
 // Host is one entry host.
@@ -151,12 +153,13 @@
 		Weakness:   settings.Switches.Runs,
 	})
 	h.desk, err = runs.NewDesk(runs.DeskConfig{
-		Runner:  h.runner,
-		Site:    settings.Site,
-		Self:    settings.Self,
-		Holder:  h.ledgerHolder,
-		Auditor: h.trail,
-		Logger:  settings.Logger,
+		Runner:   h.runner,
+		Site:     settings.Site,
+		Self:     settings.Self,
+		Holder:   h.ledgerHolder,
+		Weakness: settings.Switches.Ledger,
+		Auditor:  h.trail,
+		Logger:   settings.Logger,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("make the order desk: %w", err)
--- a/proof/bites_test.go
+++ b/proof/bites_test.go
@@ -6,6 +6,7 @@
 	"apricotproxy/core/procs/decide"
 	"apricotproxy/core/procs/slots"
 	"apricotproxy/core/procs/spread"
+	"apricotproxy/core/procs/ticket"
 	"apricotproxy/io/fleet"
 	"apricotproxy/io/host"
 	"apricotproxy/io/runs"
@@ -25,6 +26,11 @@
 			switches: host.Switches{Decider: decide.Options{Weakness: slots.Weakness{NoOwnership: true}}},
 			fault:    fault{name: "engine dies", do: engineDies},
 		},
+		{
+			name:     "order ledger",
+			switches: host.Switches{Ledger: ticket.Weakness{NoLedgerCheck: true}},
+			fault:    fault{name: "connections go silent", do: connectionsGoSilent},
+		},
 		{
 			name:     "resume filter",
 			switches: host.Switches{Runs: runs.Weakness{NoResumeFilter: true}},
