--- a/io/host/host.go
+++ b/io/host/host.go
@@ -73,7 +73,7 @@
 	Fleet   fleet.Switches
 	Decider decide.Options
 	Runs    runs.Weakness
-	Ledger  ticket.Weakness
+	Tickets ticket.Weakness
 }
 
 // Host is one entry host.
@@ -157,9 +157,9 @@
 		Site:     settings.Site,
 		Self:     settings.Self,
 		Holder:   h.ledgerHolder,
-		Weakness: settings.Switches.Ledger,
 		Auditor:  h.trail,
 		Logger:   settings.Logger,
+		Weakness: settings.Switches.Tickets,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("make the order desk: %w", err)
@@ -176,8 +176,8 @@
 		seed = uint64(h.settings.Self.Incarnation)
 	}
 	options := h.settings.Switches.Decider
-	options.Policy = &route.Product{}
 	options.Random = rand.New(rand.NewPCG(seed, 1))
+	options.Policy = route.NewProduct(options.Random)
 	return decide.New(h.settings.Self, options)
 }
 
--- a/proof/bites_test.go
+++ b/proof/bites_test.go
@@ -28,7 +28,7 @@
 		},
 		{
 			name:     "order ledger",
-			switches: host.Switches{Ledger: ticket.Weakness{NoLedgerCheck: true}},
+			switches: host.Switches{Tickets: ticket.Weakness{NoLedgerCheck: true}},
 			fault:    fault{name: "connections go silent", do: connectionsGoSilent},
 		},
 		{
