core/procs/ticket, io/runs: a handover that fails answers the orders that waited for it

Cause: orders that come between the seal and the handover wait. When no host took the ledger, or its commit had no answer, they went on waiting as long as their callers stayed, and the planned stop waited for them without end.

Ruled out: a deadline for each waiting order; it would have to be Unknown, though a sealed ledger that was given to nobody proves that it did not run.

Before: no answer a minute after the handover had failed (TestOrderThatWaitsForAHandoverThatFails, TestOrderThatWaitsForACommitWithoutAnAnswer). After: NotRun with the ticket burned, or Unknown once a commit was sent.

Conclusion: a stop without a successor ends, and its answers hold.

--- a/core/procs/ticket/explore_test.go
+++ b/core/procs/ticket/explore_test.go
@@ -112,7 +112,7 @@
 func (w *world) fingerprint() string {
 	var b strings.Builder
 	for _, l := range w.ledgers {
-		fmt.Fprintf(&b, "%v %d %v %d %d %v %v|", l.settings.Self, l.stage, l.holder, l.attempt, l.running, l.issuers, l.settled)
+		fmt.Fprintf(&b, "%v %d%t %v %d %d %v %v|", l.settings.Self, l.stage, l.closed, l.holder, l.attempt, l.running, l.issuers, l.settled)
 		for _, host := range slices.SortedFunc(maps.Keys(l.prepared), compareHosts) {
 			fmt.Fprintf(&b, "p%v:%d ", host, l.prepared[host].attempt)
 		}
@@ -179,12 +179,15 @@
 // any moment: the host then tries another successor, or sends the commit again.
 func (w *world) leaving(h int, act func(string, func(*world))) {
 	l := w.ledgers[h]
+	if l.sealed() && !l.moved() && !l.closed {
+		act(fmt.Sprintf("%d gives up the handover", h), func(c *world) { c.ledgers[h].Close() })
+	}
 	switch l.stage {
 	case stageOpen:
 		act(fmt.Sprintf("%d seals", h), func(c *world) { c.ledgers[h].Seal() })
 	case stageSealed:
 		for to := range w.ledgers {
-			if to != h && l.attempt < 2 {
+			if to != h && l.attempt < 2 && !l.closed {
 				act(fmt.Sprintf("%d prepares %d", h, to), func(c *world) { c.prepare(h, to) })
 			}
 		}
--- a/core/procs/ticket/handover.go
+++ b/core/procs/ticket/handover.go
@@ -38,6 +38,8 @@
 type handover struct {
 	stage  stage
 	holder core.HostID
+	// closed is set when no handover is tried any more.
+	closed bool
 	// attempt numbers the prepares of this ledger.
 	attempt uint64
 	// prepared holds copies from leaving hosts that are not committed yet.
@@ -97,11 +99,35 @@
 	}
 }
 
+// Close ends a handover that failed: no attempt follows. Orders that waited for
+// it are judged from now on, and none of them runs here.
+func (l *Ledger) Close() { l.closed = l.sealed() }
+
+// judgeClosed judges an order that has not run when the handover failed. While
+// no commit was sent no other host decides, so that the order certainly did not
+// run; its ticket is burned. After one the successor may have run it.
+func (l *Ledger) judgeClosed(r *record, digest Digest) Step {
+	if l.sent() {
+		return Step{Kind: StepRecorded, ID: r.ticket.ID, Recorded: Outcome{
+			Outcome: core.OutcomeUnknown,
+			Cause:   core.CauseIssuerGone,
+			Detail:  fmt.Sprintf("the host is stopping and %s did not confirm that it has the ledger; the order may have run", l.holder),
+		}}
+	}
+	r.digest = digest
+	l.record(r, Outcome{
+		Outcome: core.OutcomeNotRun,
+		Cause:   core.CauseDraining,
+		Detail:  "the host is stopping and no other host took its ledger; get a new ticket",
+	})
+	return Step{Kind: StepRecorded, ID: r.ticket.ID, Recorded: r.outcome}
+}
+
 // Prepare gives a copy of the sealed ledger and the number of the attempt. An
 // order that still runs is Unknown in the copy: the successor cannot learn its
 // outcome. Whoever can wait for Running to be 0 avoids that.
 func (l *Ledger) Prepare(now time.Time) (data []byte, attempt uint64, err error) {
-	if l.stage != stageSealed {
+	if l.stage != stageSealed || l.closed {
 		return nil, 0, fmt.Errorf("prepare a handover: the ledger is not sealed, or is given away")
 	}
 	l.forget(now)
@@ -158,7 +184,7 @@
 	switch {
 	case l.stage == stageCommitting && l.holder == successor && l.attempt == attempt:
 		return nil
-	case l.stage != stageSealed:
+	case l.stage != stageSealed || l.closed:
 		return fmt.Errorf("commit to %s: the ledger is not sealed, or is given away", successor)
 	case attempt != l.attempt:
 		return fmt.Errorf("commit to %s: attempt %d is not the latest, %d", successor, attempt, l.attempt)
--- a/core/procs/ticket/ledger.go
+++ b/core/procs/ticket/ledger.go
@@ -234,7 +234,10 @@
 	case phaseRunning:
 		return Step{Kind: StepWait, ID: id}
 	}
-	if l.sealed() && !l.settings.Weakness.OpenWhileMoving {
+	switch {
+	case l.closed:
+		return l.judgeClosed(r, digest)
+	case l.sealed() && !l.settings.Weakness.OpenWhileMoving:
 		return Step{Kind: StepWait, ID: id}
 	}
 	r.digest = digest
--- a/io/caller/order_test.go
+++ b/io/caller/order_test.go
@@ -399,6 +399,70 @@
 	})
 }
 
+// A planned stop that finds no other host does not leave the orders that waited
+// for the handover without an answer.
+func TestOrderThatWaitsForAHandoverThatFails(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		ticket := r.tickets("entry-0", 1)[0]
+		r.mu.Lock()
+		delete(r.hosts, "entry-1")
+		delete(r.hosts, "entry-2")
+		desk := r.hosts["entry-0"].desk
+		r.mu.Unlock()
+		desk.Seal()
+		done := make(chan string, 1)
+		go func() {
+			status, answer := r.order("entry-0", ticket)
+			done <- fmt.Sprint(status, answer)
+		}()
+		if err := r.leave("entry-0"); err == nil {
+			t.Fatal("the ledger was handed over to nobody")
+		}
+		select {
+		case got := <-done:
+			if !strings.Contains(got, `"Outcome":"NotRun"`) || !strings.Contains(got, `"Cause":"Draining"`) {
+				t.Errorf("answer %s; want NotRun, Draining", got)
+			}
+		case <-time.After(time.Minute):
+			t.Fatal("the order has no answer a minute after the handover failed")
+		}
+		r.wantOrder("entry-0", ticket, http.StatusServiceUnavailable, `"Cause":"Draining"`)
+		r.wantRuns(0)
+	})
+}
+
+// One whose commit has no answer may be decided on elsewhere.
+func TestOrderThatWaitsForACommitWithoutAnAnswer(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		ticket := r.tickets("entry-0", 1)[0]
+		r.wrap = func(_, _ core.HostName, peer wire.Peer) wire.Peer {
+			return brokenPeer{Peer: peer, after: func(method string) error {
+				if method == "Commit" {
+					return errBroken
+				}
+				return nil
+			}}
+		}
+		done := make(chan string, 1)
+		r.hosts["entry-0"].desk.Seal()
+		go func() {
+			status, answer := r.order("entry-0", ticket)
+			done <- fmt.Sprint(status, answer)
+		}()
+		if err := r.leave("entry-0"); err == nil {
+			t.Fatal("a commit without an answer counts as a handover")
+		}
+		select {
+		case got := <-done:
+			if !strings.Contains(got, `"Outcome":"Unknown"`) {
+				t.Errorf("answer %s; want Unknown", got)
+			}
+		case <-time.After(time.Minute):
+			t.Fatal("the order has no answer a minute after the handover failed")
+		}
+	})
+}
+
 // A successor that dies before the commit is replaced by another.
 func TestSuccessorThatTakesTheCopyAndDies(t *testing.T) {
 	for _, step := range []string{"Prepare", "Commit"} {
--- a/io/runs/leave.go
+++ b/io/runs/leave.go
@@ -27,10 +27,28 @@
 
 // Leave hands the ledger to another host at a planned stop. It waits until no
 // order runs, and tries hosts until one has it or ctx ends. Orders that come
-// meanwhile wait, and are then answered by the successor.
+// meanwhile wait, and are then answered by the successor, or refused when there
+// is none: the stop waits for their callers.
 func (d *Desk) Leave(ctx context.Context) error {
 	d.Seal()
 	d.awaitIdle(ctx)
+	err := d.handOver(ctx)
+	if err != nil {
+		d.close()
+	}
+	return err
+}
+
+// close ends a handover that failed.
+func (d *Desk) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ledger.Close()
+	d.wake()
+}
+
+// handOver tries hosts until one has the ledger or ctx ends.
+func (d *Desk) handOver(ctx context.Context) error {
 	if d.Held() == 0 {
 		return nil
 	}
