io/fleet: tests read what callbacks write under its lock

Cause: the race detector found two unlocked reads in a test. Change: an accessor that takes the lock.

--- a/io/fleet/fleet_basic_test.go
+++ b/io/fleet/fleet_basic_test.go
@@ -41,10 +41,11 @@
 			if h.revision() != 8 || h.ackedAt(8) != 8 {
 				t.Errorf("host %s is at revision %d and knows it of %d others", name, h.revision(), h.ackedAt(8))
 			}
-			if h.inForce.After(latest) {
-				latest = h.inForce
+			inForce := locked(h, &h.inForce)
+			if inForce.After(latest) {
+				latest = inForce
 			}
-			if late := h.inForce.Sub(published); late > 3*time.Second {
+			if late := inForce.Sub(published); late > 3*time.Second {
 				t.Errorf("host %s had revision 8 in force after %v, want 3 s at most", name, late)
 			}
 			if h.fleet.Ready() {
@@ -70,8 +71,8 @@
 		}
 		<-late.fleet.Started()
 		t.Logf("ready after %v", time.Since(begun))
-		if late.revision() != 7 || len(late.snapshot) == 0 {
-			t.Errorf("entry-3 started at revision %d with snapshot %q", late.revision(), late.snapshot)
+		if snapshot := locked(late, &late.snapshot); late.revision() != 7 || len(snapshot) == 0 {
+			t.Errorf("entry-3 started at revision %d with snapshot %q", late.revision(), snapshot)
 		}
 	})
 }
@@ -151,8 +152,8 @@
 		w.network.Kill("entry-3") // its listener goes to the new process
 		fresh := w.start("entry-3")
 		time.Sleep(5 * time.Second)
-		if old.newer != fresh.fleet.Self() || old.fleet.Ready() {
-			t.Errorf("the old incarnation knows %v and is ready %v", old.newer, old.fleet.Ready())
+		if newer := locked(old, &old.newer); newer != fresh.fleet.Self() || old.fleet.Ready() {
+			t.Errorf("the old incarnation knows %v and is ready %v", newer, old.fleet.Ready())
 		}
 		if err := w.hosts["entry-1"].fleet.CheckSender(old.fleet.Self()); err == nil {
 			t.Error("entry-1 takes messages of the old incarnation of entry-3")
@@ -251,7 +252,7 @@
 			if h.revision() != 8 || !h.fleet.Ready() {
 				t.Errorf("host %s: ready %v at revision %d, want ready at 8", name, h.fleet.Ready(), h.revision())
 			}
-			if late := h.inForce.Sub(up); late > 14*time.Second {
+			if late := locked(h, &h.inForce).Sub(up); late > 14*time.Second {
 				t.Errorf("host %s had revision 8 in force after %v", name, late)
 			}
 		}
--- a/io/fleet/fleet_world_test.go
+++ b/io/fleet/fleet_world_test.go
@@ -250,6 +250,13 @@
 	return h.applied.Revision
 }
 
+// locked reads a field that callbacks write.
+func locked[T any](h *entry, field *T) T {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return *field
+}
+
 // ackedAt counts the other hosts known to have a revision in force.
 func (h *entry) ackedAt(revision core.Revision) int {
 	h.mu.Lock()
