--- a/io/runs/abandon.go
+++ b/io/runs/abandon.go
@@ -14,6 +14,8 @@
 	_cancelTerm = 2 * time.Minute
 	// _cancelTry bounds one attempt.
 	_cancelTry = 2 * time.Second
+	// _sleepAtLeast is how late a timer fires in a process that has slept.
+	_sleepAtLeast = time.Second
 	// _peerTry bounds one call to another entry host.
 	_peerTry = 2 * time.Second
 )
@@ -89,13 +91,36 @@
 func (g *run) expire() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if left := time.Until(g.keepUntil); left > 0 {
+	left := time.Until(g.keepUntil)
+	if left < -_sleepAtLeast {
+		// The process slept, and could not hear of an adoption meanwhile.
+		left = g.grace
+		g.keepUntil = time.Now().Add(left)
+	}
+	if left > 0 {
 		g.keeper.Reset(left)
 		return
 	}
 	g.endLife(errExpired)
 }
 
+// awaitCaller waits while the generation is kept for a caller that left or has
+// come back at another host. This host has lost the stream, but the other one's
+// link to the engine may work: a cancel would cut off what the caller reads there.
+func (g *run) awaitCaller(lost error) {
+	if _, result := resultOf(lost); result == core.ResultRefused || !g.owned {
+		return
+	}
+	for {
+		g.mu.Lock()
+		left := time.Until(g.keepUntil)
+		g.mu.Unlock()
+		if left <= 0 || !pause(g.life, left) {
+			return
+		}
+	}
+}
+
 // keep lets a generation go on until at least the deadline: its caller has come
 // back elsewhere.
 func (g *run) keep(until time.Time) {
