--- a/core/procs/decide/endpoint.go
+++ b/core/procs/decide/endpoint.go
@@ -89,6 +89,8 @@
 	c := &s.candidates[e.place]
 	limit := d.limit(now, e)
 	report := &e.view.Report
+	s.free[queue.ClassShort] -= int(c.Free)
+	s.free[queue.ClassLong] -= int(c.FreeLong)
 	*c = core.Candidate{
 		Open:            d.open(now, e),
 		Remote:          e.remote,
@@ -105,6 +107,8 @@
 		UsedTokens:      float32(float64(report.TotalTokens-report.FreeTokens) + e.unreportedTokens),
 		RemainingTokens: float32(e.remaining + float64(e.foreign)*s.residual),
 	}
+	s.free[queue.ClassShort] += int(c.Free)
+	s.free[queue.ClassLong] += int(c.FreeLong)
 	due := e.view.NextChange(now, e.config, d.viewTerms)
 	due = earlier(due, e.pool.NextExpiry())
 	for _, at := range []time.Time{e.blockedUntil, e.pendingUntil, e.askAt} {
@@ -135,8 +139,12 @@
 	}
 }
 
-// block leaves an endpoint alone for a while after a failed dial.
+// block leaves an endpoint alone for a while after a failed dial. Dials that were
+// on their way when the pause began tell nothing new.
 func (e *endpoint) block(now time.Time) {
+	if now.Before(e.blockedUntil) {
+		return
+	}
 	e.blockPause = min(max(2*e.blockPause, _blockPause), _blockPauseAtMost)
 	e.blockedUntil = now.Add(e.blockPause)
 }
--- a/core/procs/decide/place.go
+++ b/core/procs/decide/place.go
@@ -49,6 +49,9 @@
 
 // placeHead tries to place the head of a class.
 func (d *Decider) placeHead(now time.Time, s *service, class queue.Class) bool {
+	if s.free[class] == 0 && d.needsSlot() {
+		return false
+	}
 	item := s.queue.Head(class)
 	r := item.Value
 	d.ask(now, r)
@@ -74,7 +77,7 @@
 	d.demand.PromptTokens = float32(r.PromptTokens)
 	d.demand.ExpectedTokens = float32(r.expected)
 	d.demand.Avoid = -1
-	if r.avoid != nil && r.avoid.service == r.service {
+	if r.avoid != nil && r.avoid.service == r.service && r.service.opensOther(r.avoid.place) {
 		d.demand.Avoid = r.avoid.place
 	}
 	d.demand.Hints = d.demand.Hints[:0]
@@ -83,6 +86,16 @@
 	}
 }
 
+// opensOther tells whether an endpoint of the service is open besides one.
+func (s *service) opensOther(place int) bool {
+	for i := range s.candidates {
+		if i != place && s.candidates[i].Open {
+			return true
+		}
+	}
+	return false
+}
+
 // hint looks up where the prompt's longest known prefix seems to be cached.
 func (d *Decider) hint(now time.Time, r *request) {
 	for i := len(r.Prefixes) - 1; i >= 0; i-- {
@@ -98,9 +111,15 @@
 	}
 }
 
+// needsSlot tells whether the policy places by slots.
+func (d *Decider) needsSlot() bool {
+	mode := d.policy.Mode()
+	return mode == core.LimitLeases || mode == core.LimitShare
+}
+
 // take takes a slot. A policy that goes by reports alone needs none.
 func (d *Decider) take(now time.Time, e *endpoint, r *request) (core.SlotID, time.Time, bool) {
-	if mode := d.policy.Mode(); mode == core.LimitReports || mode == core.LimitNone {
+	if !d.needsSlot() {
 		return core.SlotID{Endpoint: e.config.Name, Position: -1}, time.Time{}, true
 	}
 	limit := d.limit(now, e)
--- a/core/procs/decide/request.go
+++ b/core/procs/decide/request.go
@@ -72,6 +72,12 @@
 func (d *Decider) Submit(now time.Time, submitted core.Request) core.Actions {
 	d.begin(now)
 	r := d.newRequest(&submitted)
+	if r.Arrived.IsZero() {
+		r.Arrived = now
+	}
+	if r.QueueDeadline.IsZero() && d.config.Limits.QueueTimeout > 0 {
+		r.QueueDeadline = r.Arrived.Add(d.config.Limits.QueueTimeout)
+	}
 	r.service = d.byService[submitted.Service]
 	switch {
 	case d.draining || d.superseded:
@@ -281,7 +287,7 @@
 	r.tokens = max(r.tokens, tokens)
 	e := r.endpoint
 	d.learn(now, r, result)
-	d.endTry(now, r, mayGoOn(result))
+	d.endTry(now, r, mayGoOn(result) && r.state == stateDispatched)
 	switch result {
 	case core.ResultDialFailed, core.ResultRefused:
 		d.retry(now, r, core.CauseEndpointDenied)
