io/fleet, io/host: a host that is not ready says why

Problem: a host started under a name that is not on the roster said that it was ready, owned no slot and warned nowhere; one with a wrong site name was silent. The experiment prints to the command's own output.

--- a/io/cmds/experiment.go
+++ b/io/cmds/experiment.go
@@ -21,13 +21,13 @@
 }
 
 // Run does the study's runs and prints the table.
-func (c *ExperimentCommand) Run() error {
+func (c *ExperimentCommand) Run(console *Console) error {
 	study, err := exper.NewStudy(c.Study, c.Length, c.Seeds)
 	if err != nil {
 		return fmt.Errorf("prepare the experiment: %w", err)
 	}
 	results := study.Run(c.Workers)
-	if err := exper.WriteTable(os.Stdout, results); err != nil {
+	if err := exper.WriteTable(console.Out, results); err != nil {
 		return fmt.Errorf("print the results: %w", err)
 	}
 	if err := c.writeJSON(results); err != nil {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -180,19 +180,37 @@
 	return fmt.Errorf("run the fleet: %w", ctx.Err())
 }
 
-// Ready tells whether the balancer is to send callers here: the start is over,
-// no stop has begun, no newer incarnation stands at this position, and the
-// host's data centre is in service.
-func (f *Fleet) Ready() bool {
+// Ready tells whether the balancer is to send callers here.
+func (f *Fleet) Ready() bool { return f.NotReady() == nil }
+
+// NotReady tells why the balancer is to send no callers here; nil when it is
+// to send them: the start is over, no stop has begun, no newer incarnation
+// stands at this position, and the position is on the roster and its data
+// centre in service.
+func (f *Fleet) NotReady() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.ready || f.draining {
-		return false
+	if f.draining {
+		return errors.New("this host is stopping")
 	}
-	if _, superseded := f.member.Superseded(); superseded {
-		return false
+	if !f.ready {
+		return fmt.Errorf("no configuration is in force yet; expected the key %s at the platform, or a peer that has it", f.key)
+	}
+	if newer, superseded := f.member.Superseded(); superseded {
+		return fmt.Errorf("this process was replaced by %s; stop it", newer)
+	}
+	if !f.onRoster() {
+		return fmt.Errorf("the roster of revision %d has no position %s; correct the host's name, or add the position",
+			f.config.Revision, f.settings.Self.Host)
 	}
-	return f.inService()
+	if !f.inService() {
+		return errors.New("the data centre of this host is out of service")
+	}
+	return nil
+}
+
+func (f *Fleet) onRoster() bool {
+	return slices.ContainsFunc(f.config.Hosts, func(host core.Host) bool { return host.Name == f.settings.Self.Host })
 }
 
 func (f *Fleet) inService() bool {
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -295,14 +295,7 @@
 	return holder, holder != of
 }
 
-var errNotReady = errors.New("this host has not learned the configuration, is stopping, was replaced, or its data centre is out of service")
-
-func (h *Host) ready() error {
-	if !h.fleet.Ready() {
-		return errNotReady
-	}
-	return nil
-}
+func (h *Host) ready() error { return h.fleet.NotReady() }
 
 // _notReadyRetry is when a caller refused by a host without a configuration
 // does well to ask again.
@@ -341,6 +334,7 @@
 	group.Go(func() { h.shell.Run(working) })
 	group.Go(func() { _ = h.fleet.Run(working) })
 	group.Go(func() { h.orders.Run(working) })
+	group.Go(func() { h.warnWhileNotReady(working) })
 	group.Go(func() { h.certs.Watch(working, _certificateCheck) })
 	h.log.Info("This host serves.", "host", h.settings.Self, "site", h.settings.Site)
 	var err error
@@ -359,6 +353,26 @@
 	return err
 }
 
+// _notReadyWarning is how often a host that is not ready says why in the log.
+const _notReadyWarning = 10 * time.Second
+
+// warnWhileNotReady logs why the host is not ready: a wrong name of the site or
+// of the host would otherwise show nowhere but in the balancer.
+func (h *Host) warnWhileNotReady(ctx context.Context) {
+	ticker := time.NewTicker(_notReadyWarning)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := h.ready(); err != nil && !h.refusing.Load() {
+			h.log.Info("This host is not ready.", "cause", err.Error())
+		}
+	}
+}
+
 func (h *Host) serve(s server, failed chan<- error) {
 	err := s.http.Serve(s.listener)
 	if !errors.Is(err, http.ErrServerClosed) {
