core/procs/decide: a retry that is withdrawn is paid back

Cause: an endpoint's refusal of a request as it is, and the departure of a caller during the pause, took a retry from the budget that was never made. One caller's faulty requests could so use up the retries of all others.

Ruled out: a result of its own for such refusals; the departure of a caller would still be charged.

Before: after 10 refused requests the eleventh was told RetryBudgetSpent (TestWithdrawnRetriesLeaveTheBudgetAlone). After: 100 in a row are not.

Conclusion: the budget counts retries that are made.

--- a/core/procs/budget/budget.go
+++ b/core/procs/budget/budget.go
@@ -41,6 +41,9 @@
 	return true
 }
 
+// Refund takes back a retry that was not made.
+func (b *Budget) Refund() { b.saved = min(b.saved+1, _burst) }
+
 // Pause gives the jittered pause before a retry: between half and one and a
 // half of a mean that doubles with each try.
 func Pause(random *rand.Rand, try int) time.Duration {
--- a/core/procs/decide/place.go
+++ b/core/procs/decide/place.go
@@ -133,6 +133,7 @@
 func (d *Decider) start(now time.Time, r *request, e *endpoint, slot core.SlotID, validUntil time.Time) {
 	e.check()
 	r.try++
+	r.charged = false
 	r.state = statePlaced
 	r.endpoint = e
 	r.dispatched = now
--- a/core/procs/decide/request.go
+++ b/core/procs/decide/request.go
@@ -40,6 +40,8 @@
 	// mayHaveRun is true once a try was lost that may have run: the request
 	// can no longer be refused as not run.
 	mayHaveRun bool
+	// charged is true while a retry is paid for and not yet made.
+	charged bool
 	// avoid is the endpoint that failed last.
 	avoid *endpoint
 	next  *request // in the list of spares
@@ -335,6 +337,9 @@
 	default:
 		return false
 	}
+	if r.charged {
+		d.budget.Refund()
+	}
 	d.forget(r)
 	return true
 }
--- a/core/procs/decide/retry.go
+++ b/core/procs/decide/retry.go
@@ -23,6 +23,7 @@
 	case !d.budget.Retry():
 		d.refuse(r, core.CauseRetryBudget, "too many requests are being retried", now.Add(_retryPause))
 	default:
+		r.charged = true
 		r.state = stateDelayed
 		r.notBefore = now.Add(budget.Pause(d.random, r.try))
 		d.delayed = append(d.delayed, r)
