io/runs: a busy engine's refusal is no loss of the generation

Cause: 429 or 503 in answer to a resumption was taken as proof that the engine holds the generation no more: the caller was told Interrupted and a running generation cancelled. In answer to a cancel it ended the attempts, with the engine still at work.

Ruled out: the same for other 4xx; 404 is how an engine says that it holds nothing, and no further attempt changes the rest.

Before: lost at the first 503; the cancel counted as answered. After: resumed by the third attempt (TestBusyEngineIsAskedAgainToResume), and the cancel goes on (TestBusyEngineHasNotCancelled).

Conclusion: only a final refusal proves that a generation is gone.

--- a/io/runs/abandon.go
+++ b/io/runs/abandon.go
@@ -108,7 +108,7 @@
 // come back at another host. This host has lost the stream, but the other one's
 // link to the engine may work: a cancel would cut off what the caller reads there.
 func (g *run) awaitCaller(lost error) {
-	if _, result := resultOf(lost); result == core.ResultRefused || !g.owned {
+	if holdsNoMore(lost) || !g.owned {
 		return
 	}
 	for {
@@ -187,9 +187,5 @@
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(_cancelTry))
 	defer cancel()
 	err := g.runner.config.Client.Cancel(ctx, g.endpoint, g.generation)
-	if err == nil {
-		return true
-	}
-	_, result := resultOf(err)
-	return result == core.ResultRefused
+	return err == nil || holdsNoMore(err)
 }
--- a/io/runs/link.go
+++ b/io/runs/link.go
@@ -33,7 +33,7 @@
 		}
 		opened()
 		cause = err
-		if _, result := resultOf(err); result == core.ResultRefused {
+		if holdsNoMore(err) {
 			return nil, fmt.Errorf("the engine does not hold the generation any more: %w", err)
 		}
 	}
@@ -43,6 +43,18 @@
 	return nil, fmt.Errorf("the generation could not be resumed before its deadline: %w", cause)
 }
 
+// holdsNoMore tells whether an engine's answer to a resumption or a cancel proves
+// that it does not hold the generation. A busy engine's refusal does not: the
+// generation goes on.
+func holdsNoMore(err error) bool {
+	failed, result := resultOf(err)
+	if result != core.ResultRefused {
+		return false
+	}
+	_, final := endpointRefusal(failed)
+	return final
+}
+
 // boundStream releases its context when it is closed.
 type boundStream struct {
 	core.EngineStream
--- a/io/runs/resume.go
+++ b/io/runs/resume.go
@@ -47,8 +47,8 @@
 	go r.keepAdopted(g.life, origin.Host, resumption.Generation)
 	stream, err := r.config.Client.Resume(g.life, endpoint, resumption.Generation, resumption.Next)
 	if err != nil {
-		if failed, result := resultOf(err); result == core.ResultRefused {
-			return g.end(fmt.Errorf("the engine does not hold the generation any more: %w", failed)).err
+		if holdsNoMore(err) {
+			return g.end(fmt.Errorf("the engine does not hold the generation any more: %w", err)).err
 		}
 	}
 	return g.end(g.relayAll(stream, err)).err
