core/procs/decide: a retry never goes back to the endpoint that failed

Cause: with no other endpoint open, a retry went back to the endpoint that had just failed, which the retry policy rules out, because it held up its class until its deadline otherwise. Change: a retry that has no other endpoint in service is refused at once as NotRun, or Unknown if it may have run, with a time to come back; one whose other endpoints only pause after a failed dial waits for them. Before: request 1 placed again on e; after: refused, request 2 placed.

--- a/core/procs/decide/avoid_test.go
+++ b/core/procs/decide/avoid_test.go
@@ -7,9 +7,10 @@
 	"apricotproxy/core"
 )
 
-// A retry goes to another endpoint. Where no other is open it goes to the same
-// one again: it would hold up its whole class until its deadline otherwise.
-func TestARetryGoesBackToTheOnlyOpenEndpoint(t *testing.T) {
+// A retry never goes back to the endpoint that failed last. Where no other is
+// open it is refused at once: it would hold up its whole class until its deadline
+// otherwise. The request behind it is placed.
+func TestARetryNeverGoesBackToTheEndpointThatFailed(t *testing.T) {
 	d := newDecider("h1")
 	now := _start
 	config := site("h1")
@@ -23,8 +24,14 @@
 	}
 	d.Finish(now, first[0], core.ResultRefused, 0)
 	now = now.Add(time.Second)
-	placed := d.Observe(now, core.Report{Endpoint: "e", Incarnation: 1, Phase: core.PhaseCold, AskedAt: now}).Placements
-	if len(placed) != 1 || placed[0].Request != 1 {
-		t.Fatalf("placed %v after the pause; want the retry of request 1", placed)
+	actions := d.Observe(now, core.Report{Endpoint: "e", Incarnation: 1, Phase: core.PhaseCold, AskedAt: now})
+	if len(actions.Placements) != 0 {
+		t.Fatalf("placed %v after the pause; want no retry on the endpoint that failed", actions.Placements)
+	}
+	if len(actions.Refusals) != 1 || actions.Refusals[0].Err.Outcome != core.OutcomeNotRun || actions.Refusals[0].Err.RetryAt.IsZero() {
+		t.Fatalf("refusals %v; want request 1 as NotRun with a time to come back", actions.Refusals)
+	}
+	if behind := d.Submit(now, ask(2, now)).Placements; len(behind) != 1 || behind[0].Request != 2 {
+		t.Fatalf("placed %v; want request 2", behind)
 	}
 }
--- a/core/procs/decide/endpoint.go
+++ b/core/procs/decide/endpoint.go
@@ -63,10 +63,14 @@
 // longLimit is the number of slots that long requests may take.
 func longLimit(limit int) int { return limit - limit/_longReserve }
 
-// open tells whether an endpoint takes new work at all.
+// open tells whether an endpoint takes new work at this moment.
 func (d *Decider) open(now time.Time, e *endpoint) bool {
-	return e.index >= 0 && e.inService && !e.config.Leaving && !e.view.Report.Leaving &&
-		e.view.Valid(now) && !now.Before(e.blockedUntil)
+	return d.serves(now, e) && !now.Before(e.blockedUntil)
+}
+
+// serves tells whether an endpoint takes new work at all, if not at this moment.
+func (d *Decider) serves(now time.Time, e *endpoint) bool {
+	return e.index >= 0 && e.inService && !e.config.Leaving && !e.view.Report.Leaving && e.view.Valid(now)
 }
 
 // limit brings the pool's phase up to the view's and gives the slot limit.
--- a/core/procs/decide/place.go
+++ b/core/procs/decide/place.go
@@ -54,6 +54,11 @@
 	}
 	item := s.queue.Head(class)
 	r := item.Value
+	if d.stranded(now, r) {
+		d.leave(r)
+		d.refuse(r, core.CauseNoEndpoint, "no endpoint is open besides the one that failed", now.Add(_retryPause))
+		return true
+	}
 	d.ask(now, r)
 	picked := d.policy.Pick(now, &d.demand, s.candidates)
 	if picked < 0 {
@@ -77,7 +82,7 @@
 	d.demand.PromptTokens = float32(r.PromptTokens)
 	d.demand.ExpectedTokens = float32(r.expected)
 	d.demand.Avoid = -1
-	if r.avoid != nil && r.avoid.service == r.service && r.service.opensOther(r.avoid.place) {
+	if r.avoids() {
 		d.demand.Avoid = r.avoid.place
 	}
 	d.demand.Hints = d.demand.Hints[:0]
@@ -86,14 +91,23 @@
 	}
 }
 
-// opensOther tells whether an endpoint of the service is open besides one.
-func (s *service) opensOther(place int) bool {
-	for i := range s.candidates {
-		if i != place && s.candidates[i].Open {
-			return true
+// avoids tells whether one of the service's endpoints failed the request last.
+func (r *request) avoids() bool { return r.avoid != nil && r.avoid.service == r.service }
+
+// stranded tells whether a retry has nowhere to go: it never goes back to the
+// endpoint that failed last, and as the head of its class it would hold up every
+// request behind it until its deadline. An endpoint that is left alone for a
+// moment after a failed dial is worth the wait.
+func (d *Decider) stranded(now time.Time, r *request) bool {
+	if !r.avoids() {
+		return false
+	}
+	for _, e := range r.service.endpoints {
+		if e != r.avoid && d.serves(now, e) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // hint looks up where the prompt's longest known prefix seems to be cached.
