io/host, io/fleet: callers part from a stopping host; audit events under the revision in force

Cause: callers' kept-alive connections brought requests to a host past its notice, which refused them. Change: from the start of a planned stop answers ask for the connection to be closed. Steps of a stop, moved ledgers and newer incarnations are recorded under the revision in force, with a cause; they had revision 0.

--- a/core/procs/drain/drain.go
+++ b/core/procs/drain/drain.go
@@ -39,6 +39,22 @@
 	return names[s]
 }
 
+// Cause tells why the step has come, for the audit trail.
+func (s Step) Cause() string {
+	switch s {
+	case StepNotice:
+		return "a planned stop was asked for"
+	case StepRefuse:
+		return "the host list has had time to catch up"
+	case StepFinish:
+		return "the order ledger is settled"
+	case StepExit:
+		return "nothing runs any more"
+	default:
+		return ""
+	}
+}
+
 // Progress is what the host tells of its work.
 type Progress struct {
 	// Running counts accepted requests without an outcome, streams included.
--- a/io/fleet/beat.go
+++ b/io/fleet/beat.go
@@ -212,7 +212,7 @@
 func (f *Fleet) tell(change member.Change) {
 	calls := f.settings.Callbacks
 	for _, replaced := range change.Replaced {
-		f.audit(core.AuditIncarnation, 0, replaced.String(), "")
+		f.auditNow(core.AuditIncarnation, replaced.String(), "a newer process at its position")
 	}
 	if calls.Acknowledged != nil {
 		for _, acknowledged := range change.Acknowledged {
@@ -224,7 +224,7 @@
 	}
 	f.log.Info("A newer incarnation stands at this position. This host stops admitting.",
 		"Newer", change.Superseded.String())
-	f.audit(core.AuditIncarnation, 0, change.Superseded.String(), "this host stops admitting")
+	f.auditNow(core.AuditIncarnation, change.Superseded.String(), "this host stops admitting")
 	if calls.Superseded != nil {
 		calls.Superseded(change.Superseded)
 	}
--- a/io/fleet/drain.go
+++ b/io/fleet/drain.go
@@ -54,10 +54,9 @@
 	f.mu.Lock()
 	f.draining = true
 	f.member.SetSelf(f.applied.Revision, true)
-	revision := f.applied.Revision
 	f.mu.Unlock()
 	f.log.Info("This host is stopping. It accepts until the list has caught up.")
-	f.audit(core.AuditDrain, revision, drain.StepNotice.String(), "")
+	f.auditNow(core.AuditDrain, drain.StepNotice.String(), drain.StepNotice.Cause())
 	poke(f.kick)
 }
 
@@ -82,7 +81,7 @@
 		s.observe()
 		step, wakeAt := s.machine.Advance(time.Now(), s.progress)
 		if step != before {
-			s.fleet.audit(core.AuditDrain, 0, step.String(), "")
+			s.fleet.auditNow(core.AuditDrain, step.String(), step.Cause())
 			before = step
 		}
 		if step == drain.StepExit {
@@ -143,7 +142,7 @@
 	holder, err := s.host.HandOver(ctx)
 	if err != nil {
 		f.log.Info("No host took the order ledger. Its orders are Unknown from now on.", "Cause", err.Error())
-		f.audit(core.AuditLedgerMoved, 0, "none", err.Error())
+		f.auditNow(core.AuditLedgerMoved, "none", err.Error())
 		return core.HostID{}
 	}
 	if holder.Incarnation == 0 {
@@ -159,7 +158,7 @@
 	f.mu.Lock()
 	f.member.LedgerMoved(now, of, holder, now)
 	f.mu.Unlock()
-	f.audit(core.AuditLedgerMoved, 0, of.String(), "to "+holder.String())
+	f.auditNow(core.AuditLedgerMoved, of.String(), "to "+holder.String())
 }
 
 // tell exchanges heartbeats until enough peers know where the ledger is.
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -408,7 +408,7 @@
 
 func (f *Fleet) auditAccepted(source string, before, config core.Config) {
 	f.log.Info("Put a revision in force.", "Revision", config.Revision, "Source", source)
-	f.audit(core.AuditRevisionAccepted, config.Revision, source, "")
+	f.audit(core.AuditRevisionAccepted, config.Revision, source, "valid, and higher than the one before")
 	for _, centre := range config.DataCentres {
 		was, known := before.DataCentre(centre.Name)
 		if known && was.InService == centre.InService {
@@ -444,6 +444,12 @@
 	})
 }
 
+// auditNow records an event under the revision in force.
+func (f *Fleet) auditNow(kind core.AuditKind, subject, cause string) {
+	revision, _ := f.Revision()
+	f.audit(kind, revision, subject, cause)
+}
+
 // poke asks a loop for a turn; one pending turn is enough.
 func poke(loop chan struct{}) {
 	select {
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -91,7 +91,9 @@
 	desk     *runs.Desk
 	orders   *fleet.Orders
 
-	// refusing is set once a planned stop refuses new requests.
+	// stopping is set when a planned stop begins, refusing once it refuses new
+	// requests.
+	stopping atomic.Bool
 	refusing atomic.Bool
 	servers  []server
 }
@@ -235,7 +237,7 @@
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
-		{name: "callers", address: h.settings.CallerAddress, server: caller.NewServer(meter.Callers(callers)), wrap: h.secured(certs.RoleCaller)},
+		{name: "callers", address: h.settings.CallerAddress, server: caller.NewServer(h.partingCallers(meter.Callers(callers))), wrap: h.secured(certs.RoleCaller)},
 		{name: "peers", address: h.settings.PeerAddress, server: peers.NewServer(h.peerHandler()), wrap: h.secured(certs.RolePeer)},
 		{name: "operators", address: h.settings.OperatorAddress, server: opers.NewServer(h.operators())},
 	}
@@ -267,6 +269,18 @@
 	}
 }
 
+// partingCallers has callers close their connections while the host stops: one
+// that was kept alive would bring its next request here after the balancer
+// sends new connections elsewhere.
+func (h *Host) partingCallers(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (h *Host) peerHandler() http.Handler {
 	return peers.NewHandler(peers.Guard(&peerService{host: h}, h.fleet.CheckSender))
 }
--- a/io/host/status.go
+++ b/io/host/status.go
@@ -38,7 +38,7 @@
 		Incarnation:  h.settings.Self.Incarnation,
 		Revision:     config.Revision,
 		Ready:        h.ready() == nil,
-		Stopping:     h.refusing.Load(),
+		Stopping:     h.stopping.Load(),
 		InHand:       h.runner.Running(),
 		Tickets:      h.desk.Held(),
 		Waiting:      decisions.Waiting,
--- a/io/host/stop.go
+++ b/io/host/stop.go
@@ -86,6 +86,7 @@
 
 // stop carries a planned stop out.
 func (h *Host) stop(ctx context.Context) error {
+	h.stopping.Store(true)
 	if err := h.fleet.Drain(ctx, stopper{host: h}); err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
