io/engine: a closed connection drops its unsent bytes

Cause: the system goes on sending what a closed connection has in its buffer. A request that was given up on a stalled link could start minutes later, when the link recovered, with its slot shown idle by a report in between and in use by another request: more than a cold endpoint bears.

Ruled out: a longer doubt on the slot; the system retries for minutes, as long as a cold endpoint would stay shut. Bytes that are under way already remain.

Before: the connection lingered as the system has it.

Conclusion: what was given up before it left the host does not leave any more.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -109,9 +109,26 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
+	if err := dropUnsent(conn); err != nil {
+		return nil, errors.Join(fmt.Errorf("set up the connection to %s: %w", address, err), conn.Close())
+	}
 	return conn, nil
 }
 
+// dropUnsent has the system drop unsent bytes when a TCP connection is closed. It
+// would go on sending them for minutes otherwise: a request that was given up on
+// a stalled link would start when the link recovers, with its slot in use by
+// another one.
+func dropUnsent(conn net.Conn) error {
+	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = secured.NetConn()
+	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		return tcp.SetLinger(0)
+	}
+	return nil
+}
+
 // The handshake is done here, so that the gate sits above it and counts the
 // request's own bytes only.
 func (c *Client) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
