io/shell: the seam tests have a second endpoint for a retry

Cause: since a retry never goes back to the endpoint that failed, the tests' one endpoint had no place for it.

Ruled out: waiting for a refusal instead; the late Confirm is about a placement.

--- a/io/shell/seam_test.go
+++ b/io/shell/seam_test.go
@@ -14,8 +14,8 @@
 	"apricotproxy/core/procs/route"
 )
 
-// newCoreShell gives a shell over the real decision core, with one endpoint of
-// one slot that a report has just shown idle.
+// newCoreShell gives a shell over the real decision core, with two endpoints of
+// one slot each that a report has just shown idle.
 func newCoreShell(t *testing.T) *Shell {
 	t.Helper()
 	self := core.HostID{Host: "entry-1", Incarnation: 1}
@@ -30,9 +30,12 @@
 		Site: "test", Revision: 1,
 		Hosts:       []core.Host{{Name: "entry-1", DataCentre: "a"}},
 		DataCentres: []core.DataCentre{{Name: "a", InService: true}},
-		Endpoints:   []core.Endpoint{{Name: "e", Service: "s", DataCentre: "a", ColdSlots: 1, WarmSlots: 1, MemoryTokens: 1000}},
-		Services:    []core.Service{{Name: "s", Kind: core.ServiceEngine}},
-		Workspaces:  []core.Workspace{{Name: "w", Weight: 1}},
+		Endpoints: []core.Endpoint{
+			{Name: "e", Service: "s", DataCentre: "a", ColdSlots: 1, WarmSlots: 1, MemoryTokens: 1000},
+			{Name: "f", Service: "s", DataCentre: "a", ColdSlots: 1, WarmSlots: 1, MemoryTokens: 1000},
+		},
+		Services:   []core.Service{{Name: "s", Kind: core.ServiceEngine}},
+		Workspaces: []core.Workspace{{Name: "w", Weight: 1}},
 		Limits: core.Limits{
 			QueueTimeout: 10 * time.Second, QueueLength: 100, LeaseTerm: 2 * time.Second, RetryShare: 0.1,
 			ConfigSpread: 3 * time.Second, ReportInterval: time.Second, WarmProof: 3,
@@ -44,9 +47,11 @@
 }
 
 func (s *Shell) reportIdle() {
-	s.decide(func(now time.Time) core.Actions {
-		return s.decider.Observe(now, core.Report{Endpoint: "e", Incarnation: 1, Phase: core.PhaseCold, AskedAt: now})
-	})
+	for _, endpoint := range []core.EndpointName{"e", "f"} {
+		s.decide(func(now time.Time) core.Actions {
+			return s.decider.Observe(now, core.Report{Endpoint: endpoint, Incarnation: 1, Phase: core.PhaseCold, AskedAt: now})
+		})
+	}
 }
 
 func askOne(id core.RequestID, repeatable bool) core.Request {
@@ -85,8 +90,10 @@
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
-				if _, err := s.Place(ctx, askOne(2, true)); err != nil {
-					t.Fatalf("the next request is not placed: %v", err)
+				for id := core.RequestID(2); id <= 3; id++ {
+					if _, err := s.Place(ctx, askOne(id, true)); err != nil {
+						t.Fatalf("request %d is not placed on one of two free slots: %v", id, err)
+					}
 				}
 			})
 		})
