io/runs: a long order does not cost the other tickets their ledger

Cause: the time for a handover, 30 s, went on the wait for running orders first. With one that ran for longer no successor was asked any more, and every ticket of the host was lost, used or not.

Ruled out: a copy while the order runs; its outcome would be Unknown at the successor though this host learns it. A longer time for all; a stop without a successor would take as long.

Before: errNoSuccessor after an order that a silent worker held for 20 s, with 10 s for the handover (TestLedgerIsHandedOverAfterAnOrderThatTakesLong). After: the ledger moves when the order has ended, and the other ticket runs at the successor. The test rig's link fails now when its context has ended, as a real one does.

Conclusion: the stop waits for running orders anyway; the successors then get 10 s of their own.

--- a/io/caller/order_test.go
+++ b/io/caller/order_test.go
@@ -399,6 +399,30 @@
 	})
 }
 
+// An order that runs for longer than a handover may take does not cost the other
+// tickets their ledger.
+func TestLedgerIsHandedOverAfterAnOrderThatTakesLong(t *testing.T) {
+	inRig(t, testConfig(), func(r *rig) {
+		tickets := r.tickets("entry-0", 2)
+		r.failNext(plain.FaultSilent)
+		done := make(chan string, 1)
+		go func() {
+			status, answer := r.order("entry-0", tickets[0])
+			done <- fmt.Sprint(status, answer)
+		}()
+		time.Sleep(time.Second)
+		r.failNext(plain.FaultNone)
+		if err := r.leave("entry-0"); err != nil {
+			t.Fatal(err)
+		}
+		if got := <-done; !strings.Contains(got, `"Outcome":"Unknown"`) {
+			t.Errorf("the silent order has the answer %s; want Unknown", got)
+		}
+		r.wantOrder("entry-1", tickets[1], http.StatusOK, "")
+		r.wantRuns(2)
+	})
+}
+
 // A planned stop that finds no other host does not leave the orders that waited
 // for the handover without an answer.
 func TestOrderThatWaitsForAHandoverThatFails(t *testing.T) {
--- a/io/caller/rig_test.go
+++ b/io/caller/rig_test.go
@@ -235,6 +235,9 @@
 }
 
 func (p peerLink) HandOver(ctx context.Context, q *wire.HandOverRequest) (*wire.HandOverReply, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	return p.host.desk.HandOver(ctx, q)
 }
 
--- a/io/runs/leave.go
+++ b/io/runs/leave.go
@@ -13,6 +13,9 @@
 // _handOverTry bounds one step of a handover.
 const _handOverTry = 3 * time.Second
 
+// _lateHandOver bounds a handover whose time has gone to the orders that ran.
+const _lateHandOver = 10 * time.Second
+
 var errNoSuccessor = errors.New("no other host took the order ledger; its orders are Unknown from now on")
 
 // Seal stops the start of orders and the issue of tickets at a planned stop.
@@ -31,7 +34,14 @@
 // is none: the stop waits for their callers.
 func (d *Desk) Leave(ctx context.Context) error {
 	d.Seal()
-	d.awaitIdle(ctx)
+	d.awaitIdle()
+	if ctx.Err() != nil {
+		// The stop waits for running orders anyway. The time that they took is
+		// not the successors'.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), time.Now().Add(_lateHandOver))
+		defer cancel()
+	}
 	err := d.handOver(ctx)
 	if err != nil {
 		d.close()
@@ -66,8 +76,8 @@
 	}
 }
 
-// awaitIdle waits until no order runs, or ctx ends.
-func (d *Desk) awaitIdle(ctx context.Context) {
+// awaitIdle waits until no order runs. Each ends by its deadline.
+func (d *Desk) awaitIdle() {
 	for {
 		d.mu.Lock()
 		running := d.ledger.Running()
@@ -76,11 +86,7 @@
 		if running == 0 {
 			return
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
+		<-changed
 	}
 }
 
