--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -180,19 +180,37 @@
 	return fmt.Errorf("run the fleet: %w", ctx.Err())
 }
 
-// Ready tells whether the balancer is to send callers here: the start is over,
-// no stop has begun, no newer incarnation stands at this position, and the
-// host's data centre is in service.
-func (f *Fleet) Ready() bool {
+// Ready tells whether the balancer is to send callers here.
+func (f *Fleet) Ready() bool { return f.NotReady() == nil }
+
+// NotReady tells why the balancer is to send no callers here; nil when it is
+// to send them: the start is over, no stop has begun, no newer incarnation
+// stands at this position, and the position is on the roster and its data
+// centre in service.
+func (f *Fleet) NotReady() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.ready || f.draining {
-		return false
+	if f.draining {
+		return errors.New("this host is stopping")
 	}
-	if _, superseded := f.member.Superseded(); superseded {
-		return false
+	if !f.ready {
+		return fmt.Errorf("no configuration is in force yet; expected the key %s at the platform, or a peer that has it", f.key)
+	}
+	if newer, superseded := f.member.Superseded(); superseded {
+		return fmt.Errorf("this process was replaced by %s; stop it", newer)
+	}
+	if !f.onRoster() {
+		return fmt.Errorf("the roster of revision %d has no position %s; correct the host's name, or add the position",
+			f.config.Revision, f.settings.Self.Host)
+	}
+	if !f.inService() {
+		return errors.New("the data centre of this host is out of service")
 	}
-	return f.inService()
+	return nil
+}
+
+func (f *Fleet) onRoster() bool {
+	return slices.ContainsFunc(f.config.Hosts, func(host core.Host) bool { return host.Name == f.settings.Self.Host })
 }
 
 func (f *Fleet) inService() bool {
@@ -390,7 +408,7 @@
 
 func (f *Fleet) auditAccepted(source string, before, config core.Config) {
 	f.log.Info("Put a revision in force.", "Revision", config.Revision, "Source", source)
-	f.audit(core.AuditRevisionAccepted, config.Revision, source, "")
+	f.audit(core.AuditRevisionAccepted, config.Revision, source, "valid, and higher than the one before")
 	for _, centre := range config.DataCentres {
 		was, known := before.DataCentre(centre.Name)
 		if known && was.InService == centre.InService {
@@ -426,6 +444,12 @@
 	})
 }
 
+// auditNow records an event under the revision in force.
+func (f *Fleet) auditNow(kind core.AuditKind, subject, cause string) {
+	revision, _ := f.Revision()
+	f.audit(kind, revision, subject, cause)
+}
+
 // poke asks a loop for a turn; one pending turn is enough.
 func poke(loop chan struct{}) {
 	select {
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -91,7 +91,9 @@
 	desk     *runs.Desk
 	orders   *fleet.Orders
 
-	// refusing is set once a planned stop refuses new requests.
+	// stopping is set when a planned stop begins, refusing once it refuses new
+	// requests.
+	stopping atomic.Bool
 	refusing atomic.Bool
 	servers  []server
 }
@@ -235,7 +237,7 @@
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
-		{name: "callers", address: h.settings.CallerAddress, server: caller.NewServer(meter.Callers(callers)), wrap: h.secured(certs.RoleCaller)},
+		{name: "callers", address: h.settings.CallerAddress, server: caller.NewServer(h.partingCallers(meter.Callers(callers))), wrap: h.secured(certs.RoleCaller)},
 		{name: "peers", address: h.settings.PeerAddress, server: peers.NewServer(h.peerHandler()), wrap: h.secured(certs.RolePeer)},
 		{name: "operators", address: h.settings.OperatorAddress, server: opers.NewServer(h.operators())},
 	}
@@ -267,6 +269,18 @@
 	}
 }
 
+// partingCallers has callers close their connections while the host stops: one
+// that was kept alive would bring its next request here after the balancer
+// sends new connections elsewhere.
+func (h *Host) partingCallers(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (h *Host) peerHandler() http.Handler {
 	return peers.NewHandler(peers.Guard(&peerService{host: h}, h.fleet.CheckSender))
 }
@@ -295,14 +309,7 @@
 	return holder, holder != of
 }
 
-var errNotReady = errors.New("this host has not learned the configuration, is stopping, was replaced, or its data centre is out of service")
-
-func (h *Host) ready() error {
-	if !h.fleet.Ready() {
-		return errNotReady
-	}
-	return nil
-}
+func (h *Host) ready() error { return h.fleet.NotReady() }
 
 // _notReadyRetry is when a caller refused by a host without a configuration
 // does well to ask again.
@@ -341,6 +348,7 @@
 	group.Go(func() { h.shell.Run(working) })
 	group.Go(func() { _ = h.fleet.Run(working) })
 	group.Go(func() { h.orders.Run(working) })
+	group.Go(func() { h.warnWhileNotReady(working) })
 	group.Go(func() { h.certs.Watch(working, _certificateCheck) })
 	h.log.Info("This host serves.", "host", h.settings.Self, "site", h.settings.Site)
 	var err error
@@ -359,6 +367,26 @@
 	return err
 }
 
+// _notReadyWarning is how often a host that is not ready says why in the log.
+const _notReadyWarning = 10 * time.Second
+
+// warnWhileNotReady logs why the host is not ready: a wrong name of the site or
+// of the host would otherwise show nowhere but in the balancer.
+func (h *Host) warnWhileNotReady(ctx context.Context) {
+	ticker := time.NewTicker(_notReadyWarning)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := h.ready(); err != nil && !h.refusing.Load() {
+			h.log.Info("This host is not ready.", "cause", err.Error())
+		}
+	}
+}
+
 func (h *Host) serve(s server, failed chan<- error) {
 	err := s.http.Serve(s.listener)
 	if !errors.Is(err, http.ErrServerClosed) {
