--- a/core/procs/decide/commands_test.go
+++ b/core/procs/decide/commands_test.go
@@ -127,8 +127,8 @@
 
 func anyFault(commands.State) gopter.Gen {
 	hosts := len(newFleet(nil, 0, slots.Weakness{}, fleetConfigs(6, true)).hosts)
-	command := func(make func(int) faultCommand, most int) gopter.Gen {
-		return gen.IntRange(0, most).Map(func(i int) commands.Command { return make(i) })
+	command := func(build func(int) faultCommand, most int) gopter.Gen {
+		return gen.IntRange(0, most).Map(func(i int) commands.Command { return build(i) })
 	}
 	return gen.OneGenOf(
 		command(pauseHost, hosts-1),
