--- a/core/procs/decide/commands_test.go
+++ b/core/procs/decide/commands_test.go
@@ -11,6 +11,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/slots"
+	"apricotproxy/exper/chaos"
 )
 
 // Faults of a fleet as gopter's commands: a failing sequence is shrunk to a
@@ -22,30 +23,17 @@
 	_commandSettling = 8 * time.Second
 )
 
-// commandedFleet is a fleet whose faults come from commands.
-type commandedFleet struct {
-	*fleet
-	published int
-}
-
-func newCommandedFleet(weakness slots.Weakness) *commandedFleet {
-	f := newFleet(nil, _commandSeed, weakness, fleetConfigs(6, true))
-	f.loss = 0.05
-	f.publish()
-	for _, h := range f.hosts {
-		if contains(f.configs[0], h.name) {
-			f.start(h, f.configs[0])
-		}
-		f.arrivals(h, 2)
-	}
-	f.run(15 * time.Second)
-	return &commandedFleet{fleet: f}
+func newCommandedFleet(weakness slots.Weakness) *chaos.Fleet {
+	f := chaos.New(_commandSeed, weakness, chaos.Configs(6, true))
+	f.Begin()
+	f.Run(15 * time.Second)
+	return f
 }
 
 // faultCommand is one fault; the fleet runs on for a while after it.
 type faultCommand struct {
 	name string
-	do   func(*commandedFleet)
+	do   func(*chaos.Fleet)
 }
 
 // outcome is what a command shows of the fleet.
@@ -58,10 +46,10 @@
 func (c faultCommand) NextState(state commands.State) commands.State { return state }
 
 func (c faultCommand) Run(system commands.SystemUnderTest) commands.Result {
-	f := system.(*commandedFleet)
+	f := system.(*chaos.Fleet)
 	c.do(f)
-	f.run(_commandSettling)
-	return outcome{violation: f.broken()}
+	f.Run(_commandSettling)
+	return outcome{violation: f.Broken()}
 }
 
 func (c faultCommand) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
@@ -71,62 +59,37 @@
 	return gopter.NewPropResult(true, "")
 }
 
-// broken names a broken promise; empty for none.
-func (f *commandedFleet) broken() string {
-	if f.coldOver > 0 {
-		return f.violation
-	}
-	for id := range core.RequestID(f.nextID + 1) {
-		if f.answered[id] > 1 {
-			return fmt.Sprintf("request %d was answered %d times", id, f.answered[id])
-		}
-	}
-	return ""
-}
-
 func pauseHost(index int) faultCommand {
-	return faultCommand{name: fmt.Sprintf("Pause(%d)", index), do: func(f *commandedFleet) {
-		f.hosts[index].pausedUntil = f.now.Add(60 * time.Second)
+	return faultCommand{name: fmt.Sprintf("Pause(%d)", index), do: func(f *chaos.Fleet) {
+		f.Pause(index, 60*time.Second)
 	}}
 }
 
 func crashHost(index int) faultCommand {
-	return faultCommand{name: fmt.Sprintf("Crash(%d)", index), do: func(f *commandedFleet) {
-		f.crashAndRestart(f.hosts[index])
+	return faultCommand{name: fmt.Sprintf("Crash(%d)", index), do: func(f *chaos.Fleet) {
+		f.Crash(index)
 	}}
 }
 
 // partitionHosts puts host i on the side of bit i.
 func partitionHosts(sides int) faultCommand {
-	return faultCommand{name: fmt.Sprintf("Partition(%b)", sides), do: func(f *commandedFleet) {
-		for i, h := range f.hosts {
-			h.side = sides >> i & 1
-		}
+	return faultCommand{name: fmt.Sprintf("Partition(%b)", sides), do: func(f *chaos.Fleet) {
+		f.Partition(sides)
 	}}
 }
 
 func publishNext() faultCommand {
-	return faultCommand{name: "Publish", do: func(f *commandedFleet) {
-		if f.published+1 < len(f.configs) {
-			f.published++
-			f.publishRevision(f.published)
-		}
-	}}
+	return faultCommand{name: "Publish", do: (*chaos.Fleet).Publish}
 }
 
 func changePhase(index int, phase core.Phase, restart bool) faultCommand {
-	return faultCommand{name: fmt.Sprintf("Phase(e%d, %s, restart %t)", index, phase, restart), do: func(f *commandedFleet) {
-		e := f.endpoints[f.configs[0].Endpoints[index].Name]
-		if phase == core.PhaseWarm {
-			e.phase = phase
-			return
-		}
-		f.turnCold(e, restart)
+	return faultCommand{name: fmt.Sprintf("Phase(e%d, %s, restart %t)", index, phase, restart), do: func(f *chaos.Fleet) {
+		f.SetPhase(index, phase, restart)
 	}}
 }
 
 func anyFault(commands.State) gopter.Gen {
-	hosts := len(newFleet(nil, 0, slots.Weakness{}, fleetConfigs(6, true)).hosts)
+	hosts := chaos.New(0, slots.Weakness{}, chaos.Configs(6, true)).Hosts()
 	command := func(build func(int) faultCommand, most int) gopter.Gen {
 		return gen.IntRange(0, most).Map(func(i int) commands.Command { return build(i) })
 	}
@@ -136,9 +99,9 @@
 		command(partitionHosts, 1<<hosts-1),
 		command(func(int) faultCommand { return partitionHosts(0) }, 0),
 		command(func(int) faultCommand { return publishNext() }, 0),
-		command(func(i int) faultCommand { return changePhase(i, core.PhaseWarm, false) }, _fleetEndpoints-1),
-		command(func(i int) faultCommand { return changePhase(i, core.PhaseCold, false) }, _fleetEndpoints-1),
-		command(func(i int) faultCommand { return changePhase(i, core.PhaseCold, true) }, _fleetEndpoints-1),
+		command(func(i int) faultCommand { return changePhase(i, core.PhaseWarm, false) }, chaos.Endpoints-1),
+		command(func(i int) faultCommand { return changePhase(i, core.PhaseCold, false) }, chaos.Endpoints-1),
+		command(func(i int) faultCommand { return changePhase(i, core.PhaseCold, true) }, chaos.Endpoints-1),
 	)
 }
 
--- a/core/procs/decide/decide_test.go
+++ b/core/procs/decide/decide_test.go
@@ -8,27 +8,12 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/decide"
 	"apricotproxy/core/procs/route"
+	"apricotproxy/exper/chaos"
 )
 
 var _start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func site(hosts ...core.HostName) core.Config {
-	config := core.Config{
-		Site: "test", Revision: 1,
-		DataCentres: []core.DataCentre{{Name: "a", InService: true}},
-		Endpoints:   []core.Endpoint{{Name: "e", Service: "s", DataCentre: "a", ColdSlots: 2, WarmSlots: 8, MemoryTokens: 1000}},
-		Services:    []core.Service{{Name: "s", Kind: core.ServiceEngine}},
-		Workspaces:  []core.Workspace{{Name: "w", Weight: 1}},
-		Limits: core.Limits{
-			QueueTimeout: 10 * time.Second, QueueLength: 100, LeaseTerm: 2 * time.Second,
-			ConfigSpread: 3 * time.Second, ReportInterval: time.Second, WarmProof: 3,
-		},
-	}
-	for _, host := range hosts {
-		config.Hosts = append(config.Hosts, core.Host{Name: host, DataCentre: "a"})
-	}
-	return config
-}
+func site(hosts ...core.HostName) core.Config { return chaos.Site(hosts...) }
 
 func newDecider(host core.HostName) *decide.Decider {
 	return decide.New(core.HostID{Host: host, Incarnation: 1}, decide.Options{
@@ -36,12 +21,7 @@
 	})
 }
 
-func ask(id int, now time.Time) core.Request {
-	return core.Request{
-		ID: core.RequestID(id), Workspace: "w", Service: "s", Repeatable: true,
-		Arrived: now, QueueDeadline: now.Add(10 * time.Second), Deadline: now.Add(30 * time.Second),
-	}
-}
+func ask(id int, now time.Time) core.Request { return chaos.Request(id, now) }
 
 func TestColdEndpointTakesNoMoreThanItsColdSlots(t *testing.T) {
 	d := newDecider("h1")
--- /dev/null
+++ b/core/procs/decide/retry_test.go
@@ -0,0 +1,87 @@
+package decide_test
+
+import (
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/decide"
+)
+
+// onColdEndpoint gives a decider at a moment at which its one cold endpoint has
+// been seen idle.
+func onColdEndpoint(config core.Config) (*decide.Decider, time.Time) {
+	d := newDecider("h1")
+	d.Apply(_start, config)
+	now := _start.Add(6 * time.Second)
+	d.Observe(now, coldReport(now))
+	return d, now
+}
+
+func coldReport(now time.Time) core.Report {
+	return core.Report{Endpoint: "e", Incarnation: 1, Phase: core.PhaseCold, AskedAt: now}
+}
+
+// dispatch submits a request that must be placed at once and confirms it.
+func dispatch(t *testing.T, d *decide.Decider, now time.Time, id int) core.Placement {
+	t.Helper()
+	placed := d.Submit(now, ask(id, now)).Placements
+	if len(placed) != 1 || !d.Confirm(now, placed[0]) {
+		t.Fatalf("request %d: %v; want one placement that is confirmed", id, placed)
+	}
+	return placed[0]
+}
+
+// A retry never goes back to the endpoint that failed last. Where no other is
+// open it is refused at once: it would hold up its whole class until its deadline
+// otherwise. The request behind it is placed.
+func TestARetryNeverGoesBackToTheEndpointThatFailed(t *testing.T) {
+	config := site("h1")
+	config.Limits.RetryShare = 0.1
+	d, now := onColdEndpoint(config)
+	d.Finish(now, dispatch(t, d, now, 1), core.ResultRefused, 0)
+	now = now.Add(time.Second)
+	actions := d.Observe(now, coldReport(now))
+	if len(actions.Placements) != 0 {
+		t.Fatalf("placed %v after the pause; want no retry on the endpoint that failed", actions.Placements)
+	}
+	if len(actions.Refusals) != 1 || actions.Refusals[0].Err.Outcome != core.OutcomeNotRun || actions.Refusals[0].Err.RetryAt.IsZero() {
+		t.Fatalf("refusals %v; want request 1 as NotRun with a time to come back", actions.Refusals)
+	}
+	dispatch(t, d, now, 2)
+}
+
+// Requests that an endpoint refuses as they are take nothing from the retries
+// of others: they are withdrawn before they are tried again.
+func TestWithdrawnRetriesLeaveTheBudgetAlone(t *testing.T) {
+	d, now := onColdEndpoint(site("h1"))
+	for i := range 100 {
+		if refused := d.Finish(now, dispatch(t, d, now, i), core.ResultRefused, 0).Refusals; len(refused) != 0 {
+			t.Fatalf("request %d: %v; want the retry that is withdrawn", i, refused[0].Err)
+		}
+		if !d.Withdraw(now, core.RequestID(i)) {
+			t.Fatalf("request %d does not wait", i)
+		}
+	}
+}
+
+// A placement that was never confirmed has sent nothing: its slot is free at
+// once, also on a cold endpoint that is never seen idle.
+func TestAnUnconfirmedPlacementLeavesItsSlotFree(t *testing.T) {
+	d, now := onColdEndpoint(site("h1"))
+	dispatch(t, d, now, 1)
+	left := d.Submit(now, ask(2, now)).Placements[0]
+	d.Finish(now, left, core.ResultCancelled, 0)
+	dispatch(t, d, now, 3)
+}
+
+// One that was confirmed may go on on the endpoint.
+func TestAConfirmedPlacementLeavesItsSlotInDoubt(t *testing.T) {
+	d, now := onColdEndpoint(site("h1"))
+	for i := range 2 {
+		d.Finish(now, dispatch(t, d, now, i), core.ResultCancelled, 0)
+	}
+	if placed := d.Submit(now, ask(3, now)).Placements; len(placed) != 0 {
+		t.Fatalf("%d placed on slots whose work may go on; want none", len(placed))
+	}
+}
--- a/core/procs/spread/fault_test.go
+++ b/core/procs/spread/fault_test.go
@@ -38,7 +38,7 @@
 // endpoints are met by the decision core.
 var _faults = []fault{
 	{"host dies", func(s *sim) { s.host(3).alive = false }, func(s *sim) { s.host(3).start() }},
-	{"host pauses", func(s *sim) { s.host(4).pausedUntil = s.now.Add(time.Minute) }, func(*sim) {}},
+	{"host pauses", func(s *sim) { s.host(4).pausedUntil = s.Now.Add(time.Minute) }, func(*sim) {}},
 	{"one way silent", func(s *sim) { s.host(5).mute = true }, func(s *sim) { s.host(5).mute = false }},
 	{"messages lost", func(s *sim) { s.loss = 0.3 }, func(s *sim) { s.loss = 0 }},
 	{"service down", func(s *sim) { s.setDown(true) }, func(s *sim) { s.setDown(false) }},
@@ -191,7 +191,7 @@
 			continue
 		}
 		ready := "not ready"
-		if n.spread.Ready(s.now, n.member.Hosts()) {
+		if n.spread.Ready(s.Now, n.member.Hosts()) {
 			ready = "ready"
 		}
 		lines = append(lines, fmt.Sprintf("%s: revision %d, %s", n.name, n.highest, ready))
--- a/core/procs/spread/scale_test.go
+++ b/core/procs/spread/scale_test.go
@@ -46,7 +46,7 @@
 	dials := float64(s.dials) / (measured.Seconds() * hosts)
 	reads := float64(s.service.calls) / measured.Seconds()
 
-	published := s.now
+	published := s.Now
 	s.bytes = 0
 	s.publish(s.bundle(8))
 	acknowledged := s.untilAcknowledged(8)
@@ -70,9 +70,9 @@
 // untilAcknowledged runs until every host knows that every other one has the
 // revision in force.
 func (s *sim) untilAcknowledged(revision core.Revision) time.Duration {
-	begun := s.now
-	for !s.allAcknowledged(revision) && s.now.Sub(begun) < 5*time.Minute {
+	begun := s.Now
+	for !s.allAcknowledged(revision) && s.Now.Sub(begun) < 5*time.Minute {
 		s.run(time.Second)
 	}
-	return s.now.Sub(begun)
+	return s.Now.Sub(begun)
 }
--- a/core/procs/spread/sim_test.go
+++ b/core/procs/spread/sim_test.go
@@ -1,7 +1,6 @@
 package spread_test
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/member"
 	"apricotproxy/core/procs/spread"
+	"apricotproxy/exper/vtime"
 	"apricotproxy/io/wire"
 )
 
@@ -29,43 +29,16 @@
 
 var _epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// event is something that happens at a time; the sequence keeps the order of
-// events of one time.
-type event struct {
-	at       time.Time
-	sequence int
-	run      func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].sequence < e[j].sequence
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // sim runs the state machines of many hosts over a network that loses, delays
 // and partitions, with a configuration service that fails.
 type sim struct {
-	t        *testing.T
-	now      time.Time
-	pending  events
-	sequence int
-	random   *rand.Rand
-	loss     float64
-	nodes    []*node
-	byName   map[core.HostName]*node
-	service  simService
+	*vtime.Clock
+	t       *testing.T
+	random  *rand.Rand
+	loss    float64
+	nodes   []*node
+	byName  map[core.HostName]*node
+	service simService
 
 	exchanges int
 	bytes     int
@@ -105,7 +78,7 @@
 }
 
 func newSim(t *testing.T, count int, seed uint64, loss float64) *sim {
-	s := &sim{t: t, now: _epoch, random: rand.New(rand.NewPCG(seed, 7)), loss: loss}
+	s := &sim{Clock: vtime.NewClock(_epoch), t: t, random: rand.New(rand.NewPCG(seed, 7)), loss: loss}
 	s.byName = make(map[core.HostName]*node)
 	s.talked = make(map[[2]core.HostName]time.Time)
 	for i := range count {
@@ -116,20 +89,7 @@
 	return s
 }
 
-func (s *sim) after(wait time.Duration, run func()) {
-	s.sequence++
-	heap.Push(&s.pending, event{at: s.now.Add(wait), sequence: s.sequence, run: run})
-}
-
-func (s *sim) run(span time.Duration) {
-	until := s.now.Add(span)
-	for len(s.pending) > 0 && !s.pending[0].at.After(until) {
-		next := heap.Pop(&s.pending).(event)
-		s.now = next.at
-		next.run()
-	}
-	s.now = until
-}
+func (s *sim) run(span time.Duration) { s.RunUntil(s.Now.Add(span)) }
 
 func (s *sim) bundle(revision core.Revision) core.Bundle {
 	var names []string
@@ -149,7 +109,7 @@
 	woken := s.service.watchers
 	s.service.watchers = nil
 	for _, wake := range woken {
-		s.after(_latency, wake)
+		s.After(_latency, wake)
 	}
 }
 
@@ -170,12 +130,12 @@
 	n.life++
 	n.alive = true
 	n.highest, n.version = 0, 0
-	n.id = core.HostID{Host: n.name, Incarnation: core.Incarnation(s.now.UnixNano()) + core.Incarnation(n.life)}
+	n.id = core.HostID{Host: n.name, Incarnation: core.Incarnation(s.Now.UnixNano()) + core.Incarnation(n.life)}
 	random := rand.New(rand.NewPCG(s.random.Uint64(), 1))
 	n.member = member.New(member.Settings{Self: n.id, Interval: _interval}, random)
 	n.spread = spread.New(spread.Settings{Self: n.name, Parse: s.parse}, random)
 	n.reads = spread.NewReads(n.name, random)
-	n.spread.Begin(s.now)
+	n.spread.Begin(s.Now)
 	var listed []core.ListedHost
 	for _, other := range s.nodes {
 		listed = append(listed, core.ListedHost{Host: other.name})
@@ -193,17 +153,17 @@
 	turn = func() {
 		switch {
 		case n.life != life || !n.alive:
-		case n.pausedUntil.After(n.sim.now):
-			n.sim.after(n.pausedUntil.Sub(n.sim.now), turn)
+		case n.pausedUntil.After(n.sim.Now):
+			n.sim.After(n.pausedUntil.Sub(n.sim.Now), turn)
 		default:
-			activity(func(pause time.Duration) { n.sim.after(pause, turn) })
+			activity(func(pause time.Duration) { n.sim.After(pause, turn) })
 		}
 	}
-	n.sim.after(first, turn)
+	n.sim.After(first, turn)
 }
 
 func (n *node) beat(again func(time.Duration)) {
-	for _, peer := range n.member.Beat(n.sim.now) {
+	for _, peer := range n.member.Beat(n.sim.Now) {
 		n.exchange(peer)
 	}
 	again(_interval)
@@ -212,10 +172,10 @@
 // send carries a message with its latency, or loses it.
 func (s *sim) send(from, to *node, arrive func()) bool {
 	lost := s.random.Float64() < s.loss
-	if lost || from.mute || from.side != to.side || !to.alive || to.pausedUntil.After(s.now) {
+	if lost || from.mute || from.side != to.side || !to.alive || to.pausedUntil.After(s.Now) {
 		return false
 	}
-	s.after(_latency+time.Duration(s.random.Int64N(int64(_latency))), arrive)
+	s.After(_latency+time.Duration(s.random.Int64N(int64(_latency))), arrive)
 	return true
 }
 
@@ -228,14 +188,14 @@
 	s, life := n.sim, n.life
 	guard := func(then func()) func() {
 		return func() {
-			if n.life == life && n.alive && !n.pausedUntil.After(s.now) {
+			if n.life == life && n.alive && !n.pausedUntil.After(s.Now) {
 				then()
 			}
 		}
 	}
 	other := s.find(peer)
 	otherLife := other.life
-	fail := func() { s.after(_timeout, guard(failed)) }
+	fail := func() { s.After(_timeout, guard(failed)) }
 	sent := s.send(n, other, func() {
 		if other.life != otherLife || !other.alive {
 			fail()
@@ -253,12 +213,12 @@
 
 func (n *node) exchange(peer core.HostName) {
 	s := n.sim
-	request := n.member.Message(s.now)
+	request := n.member.Message(s.Now)
 	stamp := n.spread.InForce()
 	var reply member.Message
 	var replyStamp spread.Stamp
 	n.call(peer, func(other *node) {
-		reply = other.member.Message(s.now)
+		reply = other.member.Message(s.Now)
 		replyStamp = other.spread.InForce()
 		if !other.member.Old(request.From) {
 			other.heard(request, stamp)
@@ -266,21 +226,21 @@
 	}, func(*node) {
 		s.exchanges++
 		s.countDial(n.name, peer)
-		s.bytes += _headerBytes + size(s.now, request, stamp) + size(s.now, reply, replyStamp)
+		s.bytes += _headerBytes + size(s.Now, request, stamp) + size(s.Now, reply, replyStamp)
 		n.heard(reply, replyStamp)
 		n.spread.PeerAnswered(peer)
 	}, func() {
-		n.member.Failed(s.now, peer)
+		n.member.Failed(s.Now, peer)
 		n.spread.PeerFailed(peer)
 	})
 }
 
 func (s *sim) countDial(from, to core.HostName) {
 	pair := [2]core.HostName{from, to}
-	if s.now.Sub(s.talked[pair]) > _idleTerm {
+	if s.Now.Sub(s.talked[pair]) > _idleTerm {
 		s.dials++
 	}
-	s.talked[pair] = s.now
+	s.talked[pair] = s.Now
 }
 
 func size(now time.Time, message member.Message, stamp spread.Stamp) int {
@@ -297,7 +257,7 @@
 }
 
 func (n *node) heard(message member.Message, stamp spread.Stamp) {
-	change := n.member.Heard(n.sim.now, message)
+	change := n.member.Heard(n.sim.Now, message)
 	for _, acknowledged := range change.Acknowledged {
 		truth := n.sim.find(acknowledged.Host.Host)
 		if truth.id == acknowledged.Host && truth.highest < acknowledged.Revision {
@@ -311,7 +271,7 @@
 
 func (n *node) fetch() {
 	s := n.sim
-	peer, ok := n.spread.Fetch(s.now)
+	peer, ok := n.spread.Fetch(s.Now)
 	if !ok {
 		return
 	}
@@ -333,11 +293,11 @@
 		n.sim.t.Errorf("%s went from revision %d to %d", n.name, n.highest, decision.Stamp.Revision)
 	}
 	n.highest = decision.Stamp.Revision
-	n.inForceAt = n.sim.now
+	n.inForceAt = n.sim.Now
 	n.roster = len(decision.Config.Hosts)
 	n.member.SetRoster(decision.Config.Hosts)
 	n.member.SetSelf(decision.Stamp.Revision, false)
-	for _, peer := range n.member.Beat(n.sim.now) {
+	for _, peer := range n.member.Beat(n.sim.Now) {
 		n.exchange(peer)
 	}
 }
@@ -355,8 +315,8 @@
 // read makes the next call of the service as planned.
 func (n *node) read(again func(time.Duration)) {
 	s := n.sim
-	plan := n.reads.Next(s.now, n.believedAlive(), max(n.roster, 1), _budget)
-	s.after(plan.At.Sub(s.now), func() {
+	plan := n.reads.Next(s.Now, n.believedAlive(), max(n.roster, 1), _budget)
+	s.After(plan.At.Sub(s.Now), func() {
 		s.service.calls++
 		if plan.Kind == spread.ReadWatch && !s.service.down && s.served().version <= n.version {
 			n.watch(plan, again)
@@ -386,7 +346,7 @@
 			n.answer(again)
 		}
 	})
-	n.sim.after(plan.HoldUntil.Sub(n.sim.now), func() {
+	n.sim.After(plan.HoldUntil.Sub(n.sim.Now), func() {
 		if !done {
 			done = true
 			again(0)
@@ -397,8 +357,8 @@
 // answer takes what the service serves now. Hosts cut off from it fail.
 func (n *node) answer(again func(time.Duration)) {
 	s := n.sim
-	if n.pausedUntil.After(s.now) {
-		s.after(n.pausedUntil.Sub(s.now), func() { n.answer(again) })
+	if n.pausedUntil.After(s.Now) {
+		s.After(n.pausedUntil.Sub(s.Now), func() { n.answer(again) })
 		return
 	}
 	value := s.served()
--- /dev/null
+++ b/exper/chaos/config.go
@@ -0,0 +1,69 @@
+package chaos
+
+import (
+	"fmt"
+	"time"
+
+	"apricotproxy/core"
+)
+
+// Hosts and endpoints of a revision.
+const (
+	_fleetHosts = 9
+	Endpoints   = 4
+)
+
+// Configs gives revisions that move slots. One host leaves the roster and
+// comes back; with replace set, every second revision replaces all hosts.
+func Configs(revisions int, replace bool) []core.Config {
+	var configs []core.Config
+	for r := range revisions {
+		var hosts []core.HostName
+		for i := range _fleetHosts {
+			number := i + 1
+			if replace {
+				number += (r + i) % 2 * 10
+			}
+			hosts = append(hosts, core.HostName(fmt.Sprintf("h%d", number)))
+		}
+		config := Site(hosts[:_fleetHosts-r%2]...)
+		config.Revision = core.Revision(r + 1)
+		config.Endpoints = nil
+		for i := range Endpoints {
+			config.Endpoints = append(config.Endpoints, core.Endpoint{
+				Name: core.EndpointName(fmt.Sprintf("e%d", i)), Service: "s", DataCentre: "a",
+				ColdSlots: 2, WarmSlots: 12, MemoryTokens: 1000,
+			})
+		}
+		configs = append(configs, config)
+	}
+	return configs
+}
+
+// Site gives a configuration of one service with one endpoint, for the given
+// hosts.
+func Site(hosts ...core.HostName) core.Config {
+	config := core.Config{
+		Site: "test", Revision: 1,
+		DataCentres: []core.DataCentre{{Name: "a", InService: true}},
+		Endpoints:   []core.Endpoint{{Name: "e", Service: "s", DataCentre: "a", ColdSlots: 2, WarmSlots: 8, MemoryTokens: 1000}},
+		Services:    []core.Service{{Name: "s", Kind: core.ServiceEngine}},
+		Workspaces:  []core.Workspace{{Name: "w", Weight: 1}},
+		Limits: core.Limits{
+			QueueTimeout: 10 * time.Second, QueueLength: 100, LeaseTerm: 2 * time.Second,
+			ConfigSpread: 3 * time.Second, ReportInterval: _reportEvery, WarmProof: 3,
+		},
+	}
+	for _, host := range hosts {
+		config.Hosts = append(config.Hosts, core.Host{Name: host, DataCentre: "a"})
+	}
+	return config
+}
+
+// Request gives a request to the service of Site.
+func Request(id int, now time.Time) core.Request {
+	return core.Request{
+		ID: core.RequestID(id), Workspace: "w", Service: "s", Repeatable: true,
+		Arrived: now, QueueDeadline: now.Add(10 * time.Second), Deadline: now.Add(30 * time.Second),
+	}
+}
--- a/exper/engine.go
+++ b/exper/engine.go
@@ -78,14 +78,14 @@
 		Waiting:     len(e.waiting),
 		Preemptions: e.preemptions,
 	}
-	e.run.after(_publishEvery, e.publish)
+	e.run.After(_publishEvery, e.publish)
 }
 
 // receive takes a request in. A cold engine falls over under more than its
 // cold slots.
 func (e *engine) receive(w *work) {
 	if e.down {
-		e.run.after(_networkDelay, func() { w.host.failed(w, core.ResultDialFailed) })
+		e.run.After(_networkDelay, func() { w.host.failed(w, core.ResultDialFailed) })
 		return
 	}
 	inFlight := len(e.running) + len(e.waiting) + 1
@@ -121,9 +121,9 @@
 		if w.produced > 0 {
 			result = core.ResultCut
 		}
-		e.run.after(_networkDelay, func() { w.host.failed(w, result) })
+		e.run.After(_networkDelay, func() { w.host.failed(w, result) })
 	}
-	e.run.after(_restartTime, func() { e.down = false })
+	e.run.After(_restartTime, func() { e.down = false })
 }
 
 // step runs one batch step unless one is running.
@@ -142,7 +142,7 @@
 		duration *= _coldFactor
 	}
 	incarnation := e.incarnation
-	e.run.after(duration, func() {
+	e.run.After(duration, func() {
 		e.stepping = false
 		if e.incarnation == incarnation {
 			e.produce()
@@ -194,9 +194,9 @@
 		return
 	}
 	event := core.CacheEvent{Endpoint: e.config.Name, Sequence: e.sequence, Prefix: prefix, Stored: stored}
-	e.run.after(_cacheEventLag, func() {
+	e.run.After(_cacheEventLag, func() {
 		for _, h := range e.run.hosts {
-			h.decider.ObserveCache(e.run.now, []core.CacheEvent{event})
+			h.decider.ObserveCache(e.run.Now, []core.CacheEvent{event})
 		}
 	})
 }
@@ -229,7 +229,7 @@
 		}
 		e.used -= w.prompt + w.produced
 		e.completed()
-		e.run.after(_networkDelay, func() { w.host.completed(w) })
+		e.run.After(_networkDelay, func() { w.host.completed(w) })
 	}
 	clear(e.running[len(kept):])
 	e.running = kept
--- a/exper/run.go
+++ b/exper/run.go
@@ -4,13 +4,13 @@
 package exper
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/decide"
 	"apricotproxy/core/procs/route"
+	"apricotproxy/exper/vtime"
 )
 
 const (
@@ -43,48 +43,12 @@
 	Roles decide.RolePlan
 }
 
-type event struct {
-	at       time.Time
-	sequence int
-	do       func()
-}
-
-type events []event
-
-// Len is part of heap.Interface.
-func (q events) Len() int { return len(q) }
-
-// Less is part of heap.Interface.
-func (q events) Less(a, b int) bool {
-	if !q[a].at.Equal(q[b].at) {
-		return q[a].at.Before(q[b].at)
-	}
-	return q[a].sequence < q[b].sequence
-}
-
-// Swap is part of heap.Interface.
-func (q events) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
-
-// Push is part of heap.Interface.
-func (q *events) Push(x any) { *q = append(*q, x.(event)) }
-
-// Pop is part of heap.Interface.
-func (q *events) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*q = old[:len(old)-1]
-	return last
-}
-
 // run is one run in progress.
 type run struct {
+	*vtime.Clock
 	setting  Setting
 	config   core.Config
 	rng      *rand.Rand
-	now      time.Time
-	queue    events
-	sequence int
 	hosts    []*host
 	byName   map[core.HostName]*host
 	engines  map[core.EndpointName]*engine
@@ -99,7 +63,7 @@
 		setting: setting,
 		config:  setting.Site.Config(),
 		rng:     rand.New(rand.NewPCG(setting.Seed, 1)),
-		now:     _epoch,
+		Clock:   vtime.NewClock(_epoch),
 		byName:  make(map[core.HostName]*host),
 		engines: make(map[core.EndpointName]*engine),
 		result:  newResult(setting),
@@ -114,13 +78,8 @@
 	if setting.Fault != nil {
 		setting.Fault(r)
 	}
-	r.after(_settleTime, r.arrive)
-	end := _epoch.Add(setting.Length)
-	for len(r.queue) > 0 && r.queue[0].at.Before(end) {
-		next := heap.Pop(&r.queue).(event)
-		r.now = next.at
-		next.do()
-	}
+	r.After(_settleTime, r.arrive)
+	r.RunUntil(_epoch.Add(setting.Length))
 	r.result.finish(setting.Length - setting.WarmUp)
 	return r.result
 }
@@ -128,31 +87,26 @@
 // _settleTime is how long hosts and reports settle before the first arrival.
 const _settleTime = 15 * time.Second
 
-func (r *run) after(delay time.Duration, do func()) {
-	r.sequence++
-	heap.Push(&r.queue, event{at: r.now.Add(delay), sequence: r.sequence, do: do})
-}
-
 // arrive submits a request at a random host and plans the next arrival.
 func (r *run) arrive() {
 	rate := r.setting.Load * r.setting.Site.Capacity()
-	r.after(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), r.arrive)
+	r.After(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), r.arrive)
 	r.nextID++
-	a := r.setting.Site.draw(r.rng, r.nextID, r.now)
+	a := r.setting.Site.draw(r.rng, r.nextID, r.Now)
 	r.hosts[r.rng.IntN(len(r.hosts))].submit(a)
 }
 
-func (r *run) measuring() bool { return !r.now.Before(r.measured) }
+func (r *run) measuring() bool { return !r.Now.Before(r.measured) }
 
 // token takes in a token of a request.
 func (r *run) token(w *work) {
 	first := w.produced == 1
 	if r.measuring() {
-		r.result.token(r.now, w, first)
+		r.result.token(r.Now, w, first)
 	}
-	w.lastToken = r.now
+	w.lastToken = r.Now
 	if first || w.produced%_progressEvery == 0 {
-		w.host.decider.Progress(r.now, w.request.ID, w.produced)
+		w.host.decider.Progress(r.Now, w.request.ID, w.produced)
 	}
 }
 
@@ -211,27 +165,27 @@
 	})
 	r.hosts = append(r.hosts, h)
 	r.byName[id.Host] = h
-	h.act(h.decider.Apply(r.now, r.config))
+	h.act(h.decider.Apply(r.Now, r.config))
 	for j := range r.config.Hosts {
 		other := core.HostID{Host: r.config.Hosts[j].Name, Incarnation: 1}
-		h.act(h.decider.Acknowledged(r.now, other, r.config.Revision))
+		h.act(h.decider.Acknowledged(r.Now, other, r.config.Revision))
 	}
 	for _, config := range r.config.Endpoints {
 		e := r.engines[config.Name]
-		r.after(time.Duration(r.rng.Int64N(int64(_reportEvery))), func() { h.poll(e) })
+		r.After(time.Duration(r.rng.Int64N(int64(_reportEvery))), func() { h.poll(e) })
 	}
 }
 
 // poll asks an engine for its report, again and again.
 func (h *host) poll(e *engine) {
-	asked := h.run.now
-	h.run.after(_reportEvery, func() { h.poll(e) })
+	asked := h.run.Now
+	h.run.After(_reportEvery, func() { h.poll(e) })
 	if e.down {
 		return
 	}
 	report := e.report
 	report.AskedAt = asked
-	h.run.after(2*_networkDelay, func() { h.act(h.decider.Observe(h.run.now, report)) })
+	h.run.After(2*_networkDelay, func() { h.act(h.decider.Observe(h.run.Now, report)) })
 }
 
 func (h *host) submit(a *arrival) {
@@ -239,14 +193,14 @@
 	if h.run.measuring() {
 		h.run.result.Submitted++
 	}
-	h.act(h.decider.Submit(h.run.now, a.Request))
+	h.act(h.decider.Submit(h.run.Now, a.Request))
 }
 
 // act carries out a decision.
 func (h *host) act(actions core.Actions) {
 	r := h.run
 	for _, placement := range actions.Placements {
-		r.after(0, func() { h.dispatch(placement) })
+		r.After(0, func() { h.dispatch(placement) })
 	}
 	for _, refusal := range actions.Refusals {
 		if r.measuring() {
@@ -262,11 +216,11 @@
 	}
 	for _, returning := range actions.Returnings {
 		owner := r.byName[returning.Lease.Owner.Host]
-		r.after(_networkDelay, func() { owner.act(owner.decider.Returned(r.now, returning.Lease)) })
+		r.After(_networkDelay, func() { owner.act(owner.decider.Returned(r.Now, returning.Lease)) })
 	}
-	if at := actions.WakeAt; !at.IsZero() && (!h.wakeAt.After(r.now) || at.Before(h.wakeAt)) {
+	if at := actions.WakeAt; !at.IsZero() && (!h.wakeAt.After(r.Now) || at.Before(h.wakeAt)) {
 		h.wakeAt = at
-		r.after(max(at.Sub(r.now), time.Millisecond), func() { h.act(h.decider.Tick(r.now)) })
+		r.After(max(at.Sub(r.Now), time.Millisecond), func() { h.act(h.decider.Tick(r.Now)) })
 	}
 }
 
@@ -274,26 +228,26 @@
 	r := h.run
 	r.result.Borrowings++
 	owner := r.byName[borrowing.Owner]
-	r.after(_networkDelay, func() {
-		owner.decider.Reconcile(r.now, h.id, borrowing.Holding)
-		lease, granted := owner.decider.Lend(r.now, h.id, borrowing.Endpoint, borrowing.Seen)
+	r.After(_networkDelay, func() {
+		owner.decider.Reconcile(r.Now, h.id, borrowing.Holding)
+		lease, granted := owner.decider.Lend(r.Now, h.id, borrowing.Endpoint, borrowing.Seen)
 		if granted {
 			r.result.Leases++
 		}
-		r.after(_networkDelay, func() { h.act(h.decider.Borrowed(r.now, borrowing, lease, granted)) })
+		r.After(_networkDelay, func() { h.act(h.decider.Borrowed(r.Now, borrowing, lease, granted)) })
 	})
 }
 
 func (h *host) dispatch(placement core.Placement) {
 	r := h.run
-	if !h.decider.Confirm(r.now, placement) {
-		h.act(h.decider.Tick(r.now))
+	if !h.decider.Confirm(r.Now, placement) {
+		h.act(h.decider.Tick(r.Now))
 		return
 	}
 	a := h.waiting[placement.Request]
 	e := r.engines[placement.Endpoint]
 	w := &work{request: a, placement: placement, host: h, prompt: a.PromptTokens}
-	r.after(_networkDelay, func() { e.receive(w) })
+	r.After(_networkDelay, func() { e.receive(w) })
 }
 
 func (h *host) completed(w *work) {
@@ -301,7 +255,7 @@
 	if h.run.measuring() {
 		h.run.result.completed(w)
 	}
-	h.act(h.decider.Finish(h.run.now, w.placement, core.ResultCompleted, w.produced))
+	h.act(h.decider.Finish(h.run.Now, w.placement, core.ResultCompleted, w.produced))
 }
 
 func (h *host) failed(w *work, result core.Result) {
@@ -311,5 +265,5 @@
 	if result == core.ResultCut {
 		delete(h.waiting, w.request.ID)
 	}
-	h.act(h.decider.Finish(h.run.now, w.placement, result, w.produced))
+	h.act(h.decider.Finish(h.run.Now, w.placement, result, w.produced))
 }
--- a/exper/study.go
+++ b/exper/study.go
@@ -133,9 +133,9 @@
 		if !e.down {
 			e.fall()
 		}
-		r.after(_fallEvery, again)
+		r.After(_fallEvery, again)
 	}
-	r.after(2*_settleTime, again)
+	r.After(2*_settleTime, again)
 }
 
 // Run does the study's runs. Runs that differ by the seed alone are merged into
--- a/io/cmds/experiment.go
+++ b/io/cmds/experiment.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"apricotproxy/exper"
+	"apricotproxy/exper/chaos"
 )
 
 // ExperimentCommand measures the decision core against small fake engines in
 // virtual time. The same seeds give the same figures.
 type ExperimentCommand struct {
-	Study    string        `default:"policies" help:"What to compare: policies, roles, herding or cold."`
+	Study    string        `default:"policies" help:"What to compare: policies, roles, herding or cold; faults runs fleets of deciders through random faults and counts work above the limits."`
 	Length   time.Duration `default:"240s" help:"Virtual time of a run; the first third is not measured."`
 	Seeds    uint64        `default:"2" help:"Runs per row, merged into one."`
 	Workers  int           `default:"4" help:"Runs at the same time."`
@@ -22,6 +23,9 @@
 
 // Run does the study's runs and prints the table.
 func (c *ExperimentCommand) Run(console *Console) error {
+	if c.Study == _studyFaults {
+		return c.runFaults(console)
+	}
 	study, err := exper.NewStudy(c.Study, c.Length, c.Seeds)
 	if err != nil {
 		return fmt.Errorf("prepare the experiment: %w", err)
@@ -45,6 +49,21 @@
 	return nil
 }
 
+// _studyFaults is the study that looks for broken promises instead of comparing.
+const _studyFaults = "faults"
+
+// runFaults runs a fleet for each seed; a broken promise is a fault found.
+func (c *ExperimentCommand) runFaults(console *Console) error {
+	results := chaos.RunSeeds(c.Seeds, c.Length)
+	if err := chaos.WriteTable(console.Out, results); err != nil {
+		return fmt.Errorf("print the results: %w", err)
+	}
+	if broken, ok := chaos.FirstBroken(results); ok {
+		return found(fmt.Errorf("seed %d: %s", broken.Seed, broken.Broken))
+	}
+	return nil
+}
+
 func (c *ExperimentCommand) writeJSON(results []*exper.Result) error {
 	if c.JSON == "" {
 		return nil
--- a/io/fleet/fleet_basic_test.go
+++ b/io/fleet/fleet_basic_test.go
@@ -94,11 +94,7 @@
 			t.Errorf("entry-5 is ready at revision %d, want 8", late.revision())
 		}
 		time.Sleep(20 * time.Second)
-		for name, h := range w.hosts {
-			if h.revision() != 8 {
-				t.Errorf("host %s is at revision %d, want 8", name, h.revision())
-			}
-		}
+		w.wantRevision(8)
 	})
 }
 
@@ -116,11 +112,7 @@
 		}
 		heal()
 		time.Sleep(14 * time.Second)
-		for name, h := range w.hosts {
-			if h.revision() != 8 {
-				t.Errorf("host %s is at revision %d after the partition, want 8", name, h.revision())
-			}
-		}
+		w.wantRevision(8)
 	})
 }
 
@@ -214,11 +206,7 @@
 		}
 		w.publish(8, "")
 		time.Sleep(14 * time.Second)
-		for name, h := range w.hosts {
-			if h.revision() != 8 {
-				t.Errorf("host %s is at revision %d, want 8", name, h.revision())
-			}
-		}
+		w.wantRevision(8)
 	})
 }
 
--- a/io/fleet/fleet_whole_test.go
+++ b/io/fleet/fleet_whole_test.go
@@ -328,6 +328,14 @@
 	}
 }
 
+// startLoad loads the site in the background. The function that it returns waits
+// for the result.
+func (s *site) startLoad(rate float64, length time.Duration, seed uint64) func() load.Result {
+	result := make(chan load.Result, 1)
+	go func() { result <- s.load(rate, length, seed) }()
+	return func() load.Result { return <-result }
+}
+
 // post sends a call to one host as a caller would.
 func (s *site) post(position core.Host, path string, body any) (int, map[string]any) {
 	encoded, err := json.Marshal(body)
@@ -382,12 +390,7 @@
 func TestRollingReplacement(t *testing.T) {
 	t.Parallel()
 	wholeSite(t, size{engines: 1, hosts: 3}, func(t *testing.T, s *site) {
-		var result load.Result
-		loaded := make(chan struct{})
-		go func() {
-			defer close(loaded)
-			result = s.load(2, 4*time.Minute, 1)
-		}()
+		loaded := s.startLoad(2, 4*time.Minute, 1)
 		for i, position := range s.config.Hosts {
 			next := s.config.Hosts[(i+1)%len(s.config.Hosts)]
 			ticket := s.ticket(position)
@@ -400,7 +403,7 @@
 				}
 			}
 		}
-		<-loaded
+		result := loaded()
 		s.checkWhole(result)
 	})
 }
@@ -510,12 +513,7 @@
 func TestDataCentreOutAndIn(t *testing.T) {
 	t.Parallel()
 	wholeSite(t, size{engines: 1, hosts: 3}, func(t *testing.T, s *site) {
-		var result load.Result
-		loaded := make(chan struct{})
-		go func() {
-			defer close(loaded)
-			result = s.load(2, 2*time.Minute, 2)
-		}()
+		loaded := s.startLoad(2, 2*time.Minute, 2)
 		time.Sleep(30 * time.Second)
 		out := time.Now()
 		s.publish(2, "laidley")
@@ -525,7 +523,7 @@
 			t.Errorf("%d generations started in laidley later than 3 s after it was out", late)
 		}
 		s.publish(3)
-		<-loaded
+		result := loaded()
 		if again := s.startsIn("laidley", in, time.Now()); again == 0 {
 			t.Error("laidley got no work after it was back")
 		}
@@ -541,17 +539,12 @@
 func TestEndpointLeaves(t *testing.T) {
 	t.Parallel()
 	wholeSite(t, size{engines: 1, hosts: 3}, func(t *testing.T, s *site) {
-		var result load.Result
-		loaded := make(chan struct{})
-		go func() {
-			defer close(loaded)
-			result = s.load(2, time.Minute, 6)
-		}()
+		loaded := s.startLoad(2, time.Minute, 6)
 		time.Sleep(20 * time.Second)
 		left := time.Now()
 		s.leaving = "10.2.2.1"
 		s.publish(2)
-		<-loaded
+		result := loaded()
 		if before := s.startsIn("laidley", time.Time{}, left); before == 0 {
 			t.Error("the endpoint had no work before it left")
 		}
@@ -568,17 +561,12 @@
 	t.Parallel()
 	wholeSite(t, size{engines: 1, hosts: 1}, func(t *testing.T, s *site) {
 		s.platform.SetDown(true)
-		var result load.Result
-		loaded := make(chan struct{})
-		go func() {
-			defer close(loaded)
-			result = s.load(0.5, 10*time.Minute, 3)
-		}()
+		loaded := s.startLoad(0.5, 10*time.Minute, 3)
 		time.Sleep(5 * time.Minute)
 		position := s.config.Hosts[1]
 		s.stop(position)
 		<-s.start(position).host.Started()
-		<-loaded
+		result := loaded()
 		s.platform.SetDown(false)
 		s.checkWhole(result)
 	})
@@ -591,12 +579,7 @@
 func TestPartitionUnderLoad(t *testing.T) {
 	t.Parallel()
 	wholeSite(t, size{engines: 1, hosts: 3}, func(t *testing.T, s *site) {
-		var result load.Result
-		loaded := make(chan struct{})
-		go func() {
-			defer close(loaded)
-			result = s.load(2, 3*time.Minute, 4)
-		}()
+		loaded := s.startLoad(2, 3*time.Minute, 4)
 		time.Sleep(20 * time.Second)
 		left := []string{"10.2.1.1", "10.2.1.2", "10.2.1.3", "10.2.2.1", "10.2.3.1"}
 		right := []string{_platform}
@@ -617,7 +600,7 @@
 				t.Errorf("%s is at revision %d after the partition, want 2", position.Name, got)
 			}
 		}
-		<-loaded
+		result := loaded()
 		if cold := s.coldOverloads(); cold > 0 {
 			t.Errorf("%d times a cold engine got more than it can bear", cold)
 		}
@@ -630,16 +613,11 @@
 func TestEngineOrdersFollowConfiguration(t *testing.T) {
 	t.Parallel()
 	wholeSite(t, size{engines: 1, hosts: 3}, func(t *testing.T, s *site) {
-		var result load.Result
-		loaded := make(chan struct{})
-		go func() {
-			defer close(loaded)
-			result = s.load(0.5, 4*time.Minute, 5)
-		}()
+		loaded := s.startLoad(0.5, 4*time.Minute, 5)
 		time.Sleep(time.Minute)
 		s.version = "2"
 		s.publish(2)
-		<-loaded
+		result := loaded()
 		var loads []time.Time
 		for centre, engines := range s.engines {
 			for _, e := range engines {
--- a/io/fleet/fleet_world_test.go
+++ b/io/fleet/fleet_world_test.go
@@ -298,3 +298,13 @@
 func (h *entry) HandOver(context.Context) (core.HostID, error) { return h.holder, nil }
 
 func (h *entry) ReturnLeases(context.Context) {}
+
+// wantRevision checks what every host has in force.
+func (w *world) wantRevision(want core.Revision) {
+	w.t.Helper()
+	for name, h := range w.hosts {
+		if got := h.revision(); got != want {
+			w.t.Errorf("host %s is at revision %d, want %d", name, got, want)
+		}
+	}
+}
