--- a/core/procs/decide/bench_test.go
+++ b/core/procs/decide/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -59,6 +60,7 @@
 }
 
 func benchmarkDecision(b *testing.B, kind string, config core.Config) {
+	before := heapBytes()
 	d, now := warmDecider(config)
 	request := core.Request{
 		Service: "s", Repeatable: true, PromptTokens: 300, Prefixes: []uint64{1, 2, 3},
@@ -79,11 +81,21 @@
 	for i := range config.Workspaces {
 		cycle(i) // the first request of a workspace makes its records
 	}
+	held := heapBytes() - before
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
 		cycle(i)
 	}
+	// Endpoints' views and slots, and the records of all workspaces.
+	b.ReportMetric(float64(held), "held-bytes")
+}
+
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
 }
 
 // BenchmarkQueued measures the decisions of one request while every slot is in
