--- a/core/conn/pulse/pulse.go
+++ b/core/conn/idle/idle.go
@@ -1,13 +1,13 @@
-// Package pulse decides whether a connection has gone silent. The peer of a
+// Package idle decides whether a connection has gone silent. The peer of a
 // live connection sends something, if only a comment, within a known time; a
 // connection without a byte for longer is replaced, since nothing else tells
 // when a device between the two ends has lost track of it.
-package pulse
+package idle
 
 import "time"
 
-// Pulse is the state of one connection. The zero value is never silent.
-type Pulse struct {
+// Timeout is the state of one connection. The zero value is never silent.
+type Timeout struct {
 	// deadline is when the connection counts as silent.
 	deadline time.Time
 	// armed is the deadline that the shell last set on the connection. It may
@@ -18,9 +18,9 @@
 // WithHeard returns the state after a byte was read, or after the connection
 // was opened, given the longest silence of the settings. A limit of zero or
 // less means that the connection may be silent for ever.
-func (p Pulse) WithHeard(now time.Time, limit time.Duration) Pulse {
+func (p Timeout) WithHeard(now time.Time, limit time.Duration) Timeout {
 	if limit <= 0 {
-		return Pulse{}
+		return Timeout{}
 	}
 	p.deadline = now.Add(limit)
 	return p
@@ -28,10 +28,10 @@
 
 // Deadline gives the time at which the connection counts as silent; zero for
 // never.
-func (p Pulse) Deadline() time.Time { return p.deadline }
+func (p Timeout) Deadline() time.Time { return p.deadline }
 
 // Silent tells whether the connection counts as silent at now.
-func (p Pulse) Silent(now time.Time) bool {
+func (p Timeout) Silent(now time.Time) bool {
 	return !p.deadline.IsZero() && !now.Before(p.deadline)
 }
 
@@ -41,7 +41,7 @@
 //
 // With a limit of 4 s and a token every 27 ms, the timer of the connection is
 // changed once in 37 tokens instead of with each.
-func (p Pulse) NeedsArming(limit time.Duration) bool {
+func (p Timeout) NeedsArming(limit time.Duration) bool {
 	if p.deadline.IsZero() {
 		return false
 	}
@@ -50,7 +50,7 @@
 
 // WithArmed returns the state after the shell has set Deadline on the
 // connection.
-func (p Pulse) WithArmed() Pulse {
+func (p Timeout) WithArmed() Timeout {
 	p.armed = p.deadline
 	return p
 }
--- a/core/conn/pulse/pulse_test.go
+++ b/core/conn/idle/idle_test.go
@@ -1,4 +1,4 @@
-package pulse_test
+package idle_test
 
 import (
 	"fmt"
@@ -9,16 +9,16 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"apricotproxy/core/conn/pulse"
+	"apricotproxy/core/conn/idle"
 )
 
 const _limit = 4 * time.Second
 
 var _start = time.Unix(1_700_000_000, 0)
 
-func ExamplePulse() {
+func ExampleTimeout() {
 	opened := time.Unix(100, 0)
-	p := pulse.Pulse{}.WithHeard(opened, 4*time.Second)
+	p := idle.Timeout{}.WithHeard(opened, 4*time.Second)
 	fmt.Println(p.Silent(opened.Add(3 * time.Second)))
 	fmt.Println(p.Silent(opened.Add(4 * time.Second)))
 	p = p.WithHeard(opened.Add(3*time.Second), 4*time.Second)
@@ -30,7 +30,7 @@
 }
 
 func TestZeroIsNeverSilent(t *testing.T) {
-	p := pulse.Pulse{}.WithHeard(_start, 0)
+	p := idle.Timeout{}.WithHeard(_start, 0)
 	if p.Silent(_start.Add(24*time.Hour)) || p.NeedsArming(0) {
 		t.Fatal("a connection without a limit counts as silent")
 	}
@@ -46,7 +46,7 @@
 	properties.Property("found at the limit", prop.ForAll(func(gapsMillis []int) bool {
 		now := _start
 		alarm := time.Time{}
-		p := pulse.Pulse{}.WithHeard(now, _limit)
+		p := idle.Timeout{}.WithHeard(now, _limit)
 		arm := func() {
 			if p.NeedsArming(_limit) {
 				p = p.WithArmed()
--- a/core/procs/decide/apply.go
+++ b/core/procs/decide/apply.go
@@ -94,7 +94,7 @@
 	config := d.config.Endpoints[index]
 	e := d.byName[config.Name]
 	if e == nil {
-		e = &endpoint{pool: slots.New(d.self, d.weakness)}
+		e = &endpoint{pool: slots.New(d.self, d.switches)}
 		e.view.Inherit(d.inherited[config.Name])
 	}
 	e.index = index
--- a/core/procs/decide/commands_test.go
+++ b/core/procs/decide/commands_test.go
@@ -23,8 +23,8 @@
 	_commandSettling = 8 * time.Second
 )
 
-func newCommandedFleet(weakness slots.Weakness) *chaos.Fleet {
-	f := chaos.New(_commandSeed, weakness, chaos.Configs(6, true))
+func newCommandedFleet(switches slots.Switches) *chaos.Fleet {
+	f := chaos.New(_commandSeed, switches, chaos.Configs(6, true))
 	f.Begin()
 	f.Run(15 * time.Second)
 	return f
@@ -89,7 +89,7 @@
 }
 
 func anyFault(commands.State) gopter.Gen {
-	hosts := chaos.New(0, slots.Weakness{}, chaos.Configs(6, true)).Hosts()
+	hosts := chaos.New(0, slots.Switches{}, chaos.Configs(6, true)).Hosts()
 	command := func(build func(int) faultCommand, most int) gopter.Gen {
 		return gen.IntRange(0, most).Map(func(i int) commands.Command { return build(i) })
 	}
@@ -106,13 +106,13 @@
 }
 
 // runCommands runs random sequences of faults and gives the result.
-func runCommands(weakness slots.Weakness, sequences int) *gopter.TestResult {
+func runCommands(switches slots.Switches, sequences int) *gopter.TestResult {
 	parameters := gopter.DefaultTestParametersWithSeed(_commandSeed)
 	parameters.MinSuccessfulTests = sequences
 	parameters.MaxSize = _commandMost
 	parameters.Workers = 1
 	property := commands.Prop(&commands.ProtoCommands{
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newCommandedFleet(weakness) },
+		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newCommandedFleet(switches) },
 		InitialStateGen:        gen.Const(0),
 		GenCommandFunc:         anyFault,
 	})
@@ -120,15 +120,15 @@
 }
 
 func TestCommandedFleetKeepsTheColdLimit(t *testing.T) {
-	result := runCommands(slots.Weakness{}, seedCount(6))
+	result := runCommands(slots.Switches{}, seedCount(6))
 	if !result.Passed() {
 		t.Errorf("seed %d: %s %v", _commandSeed, result.Status, result.Args)
 	}
 	t.Logf("%d sequences", result.Succeeded)
 }
 
-func TestCommandsNoticeAWeakness(t *testing.T) {
-	result := runCommands(slots.Weakness{NoOwnership: true}, 6)
+func TestCommandsNoticeWhatIsSwitchedOff(t *testing.T) {
+	result := runCommands(slots.Switches{NoOwnership: true}, 6)
 	if result.Passed() {
 		t.Fatal("no sequence broke the cold limit without slot ownership")
 	}
--- a/core/procs/decide/decide.go
+++ b/core/procs/decide/decide.go
@@ -19,8 +19,8 @@
 type Options struct {
 	Policy core.RoutePolicy
 	Random *rand.Rand
-	// Weakness is set by tests only.
-	Weakness slots.Weakness
+	// Switches is set by tests only.
+	Switches slots.Switches
 	// Roles separates short and long requests when set; see RolePlan.
 	Roles RolePlan
 }
@@ -31,7 +31,7 @@
 	self     core.HostID
 	policy   core.RoutePolicy
 	random   *rand.Rand
-	weakness slots.Weakness
+	switches slots.Switches
 	roles    RolePlan
 
 	config    core.Config
@@ -116,7 +116,7 @@
 		self:      self,
 		policy:    options.Policy,
 		random:    options.Random,
-		weakness:  options.Weakness,
+		switches:  options.Switches,
 		roles:     options.Roles,
 		byName:    make(map[core.EndpointName]*endpoint),
 		byService: make(map[core.ServiceName]*service),
--- a/core/procs/decide/random_test.go
+++ b/core/procs/decide/random_test.go
@@ -22,7 +22,7 @@
 func TestRandomisedFleetKeepsTheColdLimit(t *testing.T) {
 	for seed := range seedCount(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			f := chaos.New(uint64(seed), slots.Weakness{}, chaos.Configs(3, seed%2 == 1))
+			f := chaos.New(uint64(seed), slots.Switches{}, chaos.Configs(3, seed%2 == 1))
 			f.Chaos()
 			f.Run(4 * time.Minute)
 			t.Logf("%+v", f.Counts)
@@ -39,18 +39,18 @@
 // TestFleetChecksBite shows that the count at the endpoints notices each
 // safeguard that is switched off.
 func TestFleetChecksBite(t *testing.T) {
-	weaknesses := []struct {
+	cases := []struct {
 		name     string
-		weakness slots.Weakness
+		switches slots.Switches
 	}{
-		{"NoOwnership", slots.Weakness{NoOwnership: true}},
-		{"NoLeaseDeadline", slots.Weakness{NoLeaseDeadline: true}},
-		{"NoGainDeadline", slots.Weakness{NoGainDeadline: true}},
+		{"NoOwnership", slots.Switches{NoOwnership: true}},
+		{"NoLeaseDeadline", slots.Switches{NoLeaseDeadline: true}},
+		{"NoGainDeadline", slots.Switches{NoGainDeadline: true}},
 	}
-	for _, w := range weaknesses {
+	for _, w := range cases {
 		t.Run(w.name, func(t *testing.T) {
 			for seed := range 8 {
-				f := chaos.New(uint64(seed), w.weakness, chaos.Configs(3, true))
+				f := chaos.New(uint64(seed), w.switches, chaos.Configs(3, true))
 				f.Chaos()
 				f.Run(4 * time.Minute)
 				if f.ColdOver > 0 {
--- a/core/procs/decide/retry.go
+++ b/core/procs/decide/retry.go
@@ -67,7 +67,7 @@
 
 // expire refuses what is due and lets pausing retries go on.
 func (d *Decider) expire(now time.Time) {
-	if d.weakness.NoLeaseDeadline {
+	if d.switches.NoLeaseDeadline {
 		for _, e := range d.endpoints {
 			e.pool.Expire(now)
 		}
--- a/core/procs/slots/lease.go
+++ b/core/procs/slots/lease.go
@@ -140,11 +140,11 @@
 	return list
 }
 
-// Expire takes lent slots back at their deadline, under the weakness that does
+// Expire takes lent slots back at their deadline, under the switch that does
 // so. Otherwise a slot whose lease ran out without a return stays lent: the
 // borrower may still have work on it.
 func (p *Pool) Expire(now time.Time) {
-	if !p.weakness.NoLeaseDeadline {
+	if !p.switches.NoLeaseDeadline {
 		return
 	}
 	for i := range p.slots {
--- a/core/procs/slots/revise.go
+++ b/core/procs/slots/revise.go
@@ -38,7 +38,7 @@
 	before := p.slots
 	p.slots = make([]slot, 0, len(share.Owned))
 	owned := share.Owned
-	if p.weakness.NoOwnership {
+	if p.switches.NoOwnership {
 		owned = all(max(share.Endpoint.WarmSlots, share.Endpoint.ColdSlots))
 	}
 	for _, position := range owned {
@@ -76,7 +76,7 @@
 // leaves room for the revision to reach the former owner, and then for the
 // leases that it gave out before to end.
 func (p *Pool) gained(now time.Time, share Share, position int) gate {
-	if p.weakness.NoGainDeadline {
+	if p.switches.NoGainDeadline {
 		return gate{}
 	}
 	if share.First {
--- a/core/procs/slots/slots.go
+++ b/core/procs/slots/slots.go
@@ -14,9 +14,9 @@
 	"apricotproxy/core/invar"
 )
 
-// Weakness switches off single safeguards, so that a test can show that its
+// Switches turn single safeguards off, so that a test can show that its
 // checks notice. Production code leaves it zero.
-type Weakness struct {
+type Switches struct {
 	// NoOwnership lets a host use every slot of an endpoint as its own.
 	NoOwnership bool
 	// NoLeaseDeadline lets a borrower use a lease after its deadline, and an
@@ -117,7 +117,7 @@
 	self     core.HostID
 	endpoint core.Endpoint
 	terms    Terms
-	weakness Weakness
+	switches Switches
 	slots    []slot // ascending by position
 	borrowed []borrowed
 	serial   uint64
@@ -138,10 +138,10 @@
 // New builds the pool of an endpoint that this process has not met before. Its
 // own slots are shut, since a predecessor's work may still run on the endpoint,
 // and as long as it is cold nothing is given out until it was seen idle.
-func New(self core.HostID, weakness Weakness) *Pool {
+func New(self core.HostID, switches Switches) *Pool {
 	return &Pool{
 		self:     self,
-		weakness: weakness,
+		switches: switches,
 		// A later incarnation starts above all serials of an earlier one,
 		// which gives out fewer than one lease a nanosecond.
 		serial:   uint64(self.Incarnation),
@@ -232,7 +232,7 @@
 }
 
 func (p *Pool) expired(b *borrowed, now time.Time) bool {
-	return !p.weakness.NoLeaseDeadline && !now.Before(b.lease.Deadline)
+	return !p.switches.NoLeaseDeadline && !now.Before(b.lease.Deadline)
 }
 
 // usable tells whether a lease still allows a dispatch.
--- a/core/procs/slots/slots_test.go
+++ b/core/procs/slots/slots_test.go
@@ -31,7 +31,7 @@
 // warmPool gives the pool of a host that owns some slots of a warm endpoint, all
 // open.
 func warmPool(host core.HostID, owned ...int) (*slots.Pool, time.Time) {
-	p := slots.New(host, slots.Weakness{})
+	p := slots.New(host, slots.Switches{})
 	p.Revise(_start, _terms, share(1, host.Host, "", owned...))
 	p.Acknowledge(_start, host.Host, true)
 	now := _start.Add(10 * time.Second)
--- a/core/procs/ticket/explore_test.go
+++ b/core/procs/ticket/explore_test.go
@@ -56,7 +56,7 @@
 	runs       int
 	toldNotRun bool
 	trail      []string
-	weakness   Weakness
+	switches   Switches
 	ticket     Ticket
 }
 
@@ -64,9 +64,9 @@
 	return core.HostID{Host: core.HostName(fmt.Sprintf("h%d", host)), Incarnation: core.Incarnation(incarnation)}
 }
 
-func newWorld(t *testing.T, weakness Weakness) *world {
+func newWorld(t *testing.T, switches Switches) *world {
 	t.Helper()
-	w := &world{weakness: weakness}
+	w := &world{switches: switches}
 	for i := range w.ledgers {
 		w.ledgers[i] = w.newLedger(exploreID(i, 1))
 	}
@@ -81,7 +81,7 @@
 var _exploreNow = time.Unix(1_700_000_000, 0).UTC()
 
 func (w *world) newLedger(id core.HostID) *Ledger {
-	return New(Settings{Site: "s", Self: id, Key: Key{byte(id.Incarnation), id.Host[1]}, Size: 4, Term: time.Hour, AnswerBytes: 10, AnswersBytes: 100, Weakness: w.weakness})
+	return New(Settings{Site: "s", Self: id, Key: Key{byte(id.Incarnation), id.Host[1]}, Size: 4, Term: time.Hour, AnswerBytes: 10, AnswersBytes: 100, Switches: w.switches})
 }
 
 func (w *world) clone() *world {
@@ -332,16 +332,16 @@
 
 // starts are the points from which the exploration goes to its depth: a fresh
 // ledger, and the steps of a handover that take many actions to reach.
-func starts(t *testing.T, weakness Weakness) map[string]*world {
+func starts(t *testing.T, switches Switches) map[string]*world {
 	t.Helper()
-	fresh := newWorld(t, weakness)
+	fresh := newWorld(t, switches)
 	prepared := fresh.clone()
 	prepared.ledgers[0].Seal()
 	prepared.prepare(0, 1)
 	prepared.arrive(0)
 	committing := prepared.clone()
 	committing.arrive(1)
-	running := newWorld(t, weakness)
+	running := newWorld(t, switches)
 	running.order(0)
 	running.ledgers[0].Seal()
 	running.prepare(0, 1)
@@ -407,7 +407,7 @@
 }
 
 func TestExploreLedgerAndHandover(t *testing.T) {
-	for name, start := range starts(t, Weakness{}) {
+	for name, start := range starts(t, Switches{}) {
 		t.Run(name, func(t *testing.T) {
 			states, fault, trail := explore(t, start, exploreDepth(t))
 			if fault != "" {
@@ -419,15 +419,15 @@
 }
 
 // Each mechanism that is switched off must be noticed.
-func TestExploreNoticesWeaknesses(t *testing.T) {
-	for name, weakness := range map[string]Weakness{
+func TestExploreNoticesSwitchedOff(t *testing.T) {
+	for name, switches := range map[string]Switches{
 		"fresh":       {NoLedgerCheck: true},
 		"commit sent": {OpenWhileMoving: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, fault, trail := explore(t, starts(t, weakness)[name], _exploreDepth)
+			_, fault, trail := explore(t, starts(t, switches)[name], _exploreDepth)
 			if fault == "" {
-				t.Fatalf("no fault was found with %+v; want one", weakness)
+				t.Fatalf("no fault was found with %+v; want one", switches)
 			}
 			t.Logf("%s after %d actions", fault, len(trail))
 		})
--- a/core/procs/ticket/ledger.go
+++ b/core/procs/ticket/ledger.go
@@ -24,12 +24,12 @@
 	// AnswersBytes bounds all of them together.
 	AnswerBytes  int
 	AnswersBytes int
-	Weakness     Weakness
+	Switches     Switches
 }
 
-// Weakness switches mechanisms off, so that a test can show that the checks
+// Switches turn mechanisms off, so that a test can show that the checks
 // notice. Only tests set it.
-type Weakness struct {
+type Switches struct {
 	// NoLedgerCheck runs an order for each copy that arrives while it runs.
 	NoLedgerCheck bool
 	// OpenWhileMoving goes on running orders after the ledger was sent.
@@ -225,7 +225,7 @@
 	if r.phase != phaseIssued && r.digest != digest {
 		return refuse(r.ticket, core.CauseTicketInvalid, "the ticket was used for another order; get a new ticket")
 	}
-	if l.settings.Weakness.NoLedgerCheck && r.phase == phaseRunning {
+	if l.settings.Switches.NoLedgerCheck && r.phase == phaseRunning {
 		return Step{Kind: StepRun, ID: id}
 	}
 	switch r.phase {
@@ -237,7 +237,7 @@
 	switch {
 	case l.closed:
 		return l.judgeClosed(r, digest)
-	case l.sealed() && !l.settings.Weakness.OpenWhileMoving:
+	case l.sealed() && !l.settings.Switches.OpenWhileMoving:
 		return Step{Kind: StepWait, ID: id}
 	}
 	r.digest = digest
@@ -264,9 +264,9 @@
 func (l *Ledger) MayDispatch(now time.Time, id ID) bool {
 	r, ok := l.records[id]
 	if !ok || r.phase != phaseRunning {
-		return l.settings.Weakness.NoLedgerCheck && ok
+		return l.settings.Switches.NoLedgerCheck && ok
 	}
-	if l.sent() && !l.settings.Weakness.OpenWhileMoving {
+	if l.sent() && !l.settings.Switches.OpenWhileMoving {
 		return false
 	}
 	if !now.Before(r.forgetAt) {
--- a/exper/chaos/fleet.go
+++ b/exper/chaos/fleet.go
@@ -74,17 +74,17 @@
 	configs   []core.Config
 	published int // index of the last revision published
 	loss      float64
-	weakness  slots.Weakness
+	switches  slots.Switches
 	nextWork  int
 	nextID    int
 	answered  map[core.RequestID]int
 }
 
 // New builds a fleet over the given revisions, the first of which is in force at
-// the start. A weakness switches a safeguard off.
-func New(seed uint64, weakness slots.Weakness, configs []core.Config) *Fleet {
+// the start. Switches turn safeguards off.
+func New(seed uint64, switches slots.Switches, configs []core.Config) *Fleet {
 	f := &Fleet{
-		Clock: vtime.NewClock(_epoch), rng: rand.New(rand.NewPCG(seed, 7)), configs: configs, weakness: weakness,
+		Clock: vtime.NewClock(_epoch), rng: rand.New(rand.NewPCG(seed, 7)), configs: configs, switches: switches,
 		endpoints: map[core.EndpointName]*simEndpoint{}, answered: map[core.RequestID]int{},
 	}
 	names := map[core.HostName]bool{}
@@ -157,7 +157,7 @@
 	h.wake = time.Time{}
 	h.id = core.HostID{Host: h.name, Incarnation: core.Incarnation(f.Now.UnixNano())}
 	h.decider = decide.New(h.id, decide.Options{
-		Policy: route.NewProduct(nil), Random: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Weakness: f.weakness,
+		Policy: route.NewProduct(nil), Random: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), Switches: f.switches,
 	})
 	h.revision = 0
 	f.apply(h, config)
--- a/exper/chaos/report.go
+++ b/exper/chaos/report.go
@@ -25,7 +25,7 @@
 func RunSeeds(seeds uint64, length time.Duration) []Result {
 	var results []Result
 	for seed := range seeds {
-		f := New(seed, slots.Weakness{}, Configs(_revisions, seed%2 == 1))
+		f := New(seed, slots.Switches{}, Configs(_revisions, seed%2 == 1))
 		f.Chaos()
 		f.Run(length)
 		results = append(results, Result{Seed: seed, Counts: f.Counts, Broken: f.Broken()})
--- a/io/caller/bench_test.go
+++ b/io/caller/bench_test.go
@@ -96,7 +96,7 @@
 	client := engine.New(engine.Config{Dialer: &net.Dialer{}, Limits: func() core.Limits { return config.Limits }})
 	b.Cleanup(client.Close)
 	runner := runs.New(runs.Config{Dispatcher: dispatcher, Client: client, Logger: logr.Discard()})
-	desk, err := runs.NewDesk(runs.DeskConfig{Runner: runner, Logger: logr.Discard()})
+	orders, err := runs.NewOrders(runs.OrdersConfig{Runner: runner, Logger: logr.Discard()})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -104,7 +104,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	server := caller.NewServer(caller.New(caller.Config{Dispatcher: dispatcher, Runner: runner, Desk: desk, Logger: logr.Discard()}))
+	server := caller.NewServer(caller.New(caller.Config{Dispatcher: dispatcher, Runner: runner, Orders: orders, Logger: logr.Discard()}))
 	go func() { _ = server.Serve(listener) }()
 	b.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -29,7 +29,7 @@
 	Self       core.HostID
 	Dispatcher core.Dispatcher
 	Runner     *runs.Runner
-	Desk       *runs.Desk
+	Orders     *runs.Orders
 	// Ready gives the refusal of new work while the host cannot take any; nil
 	// result when it can. Orders and resumptions are always taken.
 	Ready  func() *core.OutcomeError
--- a/io/caller/order_test.go
+++ b/io/caller/order_test.go
@@ -156,7 +156,7 @@
 	other := rig{t: r.t, network: r.network, config: config, hosts: map[core.HostName]*host{}}
 	h := other.startHost("entry-far", 1)
 	r.servers = append(r.servers, other.servers...)
-	texts, _, err := h.desk.Issue(_workspace, 1)
+	texts, _, err := h.orders.Issue(_workspace, 1)
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -318,7 +318,7 @@
 func (r *rig) leave(name core.HostName) error {
 	ctx, cancel := context.WithDeadline(r.t.Context(), time.Now().Add(10*time.Second))
 	defer cancel()
-	err := r.hosts[name].desk.Leave(ctx)
+	err := r.hosts[name].orders.Leave(ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.hosts, name)
@@ -431,9 +431,9 @@
 		r.mu.Lock()
 		delete(r.hosts, "entry-1")
 		delete(r.hosts, "entry-2")
-		desk := r.hosts["entry-0"].desk
+		orders := r.hosts["entry-0"].orders
 		r.mu.Unlock()
-		desk.Seal()
+		orders.Seal()
 		done := make(chan string, 1)
 		go func() {
 			status, answer := r.order("entry-0", ticket)
@@ -468,7 +468,7 @@
 			}}
 		}
 		done := make(chan string, 1)
-		r.hosts["entry-0"].desk.Seal()
+		r.hosts["entry-0"].orders.Seal()
 		go func() {
 			status, answer := r.order("entry-0", ticket)
 			done <- fmt.Sprint(status, answer)
--- a/io/caller/output.go
+++ b/io/caller/output.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"apricotproxy/core/conn/pulse"
+	"apricotproxy/core/conn/idle"
 	"apricotproxy/core/invar"
 	"apricotproxy/io/runs"
 )
@@ -188,7 +188,7 @@
 type bound struct {
 	// limit is the setting at the start of the answer.
 	limit time.Duration
-	beat  pulse.Pulse
+	beat  idle.Timeout
 }
 
 // renew sets the write deadline when the present one has come too near.
--- a/io/caller/rig_test.go
+++ b/io/caller/rig_test.go
@@ -47,8 +47,8 @@
 	servers  []*http.Server
 	draining bool
 	// Mechanisms that are switched off, for tests of the checks.
-	weakness       runs.Weakness
-	ledgerWeakness ticket.Weakness
+	switches       runs.Switches
+	ledgerWeakness ticket.Switches
 
 	// mu guards hosts and clients.
 	mu      sync.Mutex
@@ -64,7 +64,7 @@
 	dispatcher *place.Dispatcher
 	client     *engine.Client
 	runner     *runs.Runner
-	desk       *runs.Desk
+	orders     *runs.Orders
 	handler    *caller.Handler
 }
 
@@ -193,21 +193,21 @@
 		Auditor:    audits{},
 		Logger:     logr.Discard(),
 		Random:     newSeeded(name, incarnation),
-		Weakness:   r.weakness,
+		Switches:   r.switches,
 	})
-	desk, err := runs.NewDesk(runs.DeskConfig{
+	orders, err := runs.NewOrders(runs.OrdersConfig{
 		Runner:   h.runner,
 		Site:     r.config.Site,
 		Self:     h.id,
 		Auditor:  audits{},
 		Logger:   logr.Discard(),
 		Random:   newSeeded(name, incarnation),
-		Weakness: r.ledgerWeakness,
+		Switches: r.ledgerWeakness,
 	})
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	h.desk = desk
+	h.orders = orders
 	r.mu.Lock()
 	r.hosts[name] = h
 	r.mu.Unlock()
@@ -215,7 +215,7 @@
 		Self:       h.id,
 		Dispatcher: h.dispatcher,
 		Runner:     h.runner,
-		Desk:       h.desk,
+		Orders:     h.orders,
 		Ready:      r.ready,
 		Logger:     logr.Discard(),
 	})
@@ -231,14 +231,14 @@
 }
 
 func (p peerLink) ForwardOrder(ctx context.Context, q *wire.ForwardOrderRequest) (*wire.ForwardOrderReply, error) {
-	return p.host.desk.ForwardOrder(ctx, q)
+	return p.host.orders.ForwardOrder(ctx, q)
 }
 
 func (p peerLink) HandOver(ctx context.Context, q *wire.HandOverRequest) (*wire.HandOverReply, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	return p.host.desk.HandOver(ctx, q)
+	return p.host.orders.HandOver(ctx, q)
 }
 
 func (p peerLink) Adopt(ctx context.Context, q *wire.AdoptRequest) (*wire.AdoptReply, error) {
--- a/io/caller/weakness_test.go
+++ b/io/caller/switches_test.go
@@ -48,7 +48,7 @@
 		t.Run(string(promise), func(t *testing.T) {
 			seen := collectViolations(t)
 			inRig(t, testConfig(), func(r *rig) {
-				r.weakness = runs.Weakness{NoResumeFilter: true}
+				r.switches = runs.Switches{NoResumeFilter: true}
 				h := r.startHost("entry-weak", 1)
 				time.AfterFunc(200*time.Millisecond, func() {
 					for _, e := range r.engines {
@@ -73,7 +73,7 @@
 func TestChecksNoticeAMissingLedgerCheck(t *testing.T) {
 	seen := collectViolations(t)
 	inRig(t, testConfig(), func(r *rig) {
-		r.ledgerWeakness = ticket.Weakness{NoLedgerCheck: true}
+		r.ledgerWeakness = ticket.Switches{NoLedgerCheck: true}
 		h := r.startHost("entry-weak", 1)
 		tickets := r.tickets("entry-weak", 1)
 		var group sync.WaitGroup
@@ -83,7 +83,7 @@
 		group.Wait()
 		h.runner.Wait()
 		if ran := r.orderRuns(); ran < 2 {
-			t.Errorf("the order ran %d times; want the weakness to show", ran)
+			t.Errorf("the order ran %d times; want the switches to show", ran)
 		}
 	})
 	seen.want(t, invar.OrderAtMostOnce)
@@ -92,14 +92,14 @@
 // A whole answer whose only try was lost may have run; the dispatcher's refusal of
 // another try must not be told as NotRun.
 func TestRefusalAfterALostTryIsUnknown(t *testing.T) {
-	for name, weakness := range map[string]runs.Weakness{
+	for name, switches := range map[string]runs.Switches{
 		"as built":      {},
 		"no try memory": {NoTryMemory: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			seen := collectViolations(t)
 			inRig(t, testConfig(), func(r *rig) {
-				r.weakness = weakness
+				r.switches = switches
 				h := r.startHost("entry-weak", 1)
 				h.dispatcher.Tries = 1
 				time.AfterFunc(300*time.Millisecond, func() {
@@ -109,14 +109,14 @@
 					}
 				})
 				status, answer := r.post("http://entry-weak:80/v1/completions", `{"model":"m","prompt":"[[tokens=60]]"}`)
-				if weakness.NoTryMemory {
+				if switches.NoTryMemory {
 					return
 				}
 				if status != http.StatusBadGateway || !strings.Contains(answer, `"Outcome":"Unknown"`) {
 					t.Errorf("status %d: %s; want 502 Unknown", status, answer)
 				}
 			})
-			if weakness.NoTryMemory {
+			if switches.NoTryMemory {
 				seen.want(t, invar.NotRunMeansNotRun)
 			}
 		})
--- a/io/caller/unary.go
+++ b/io/caller/unary.go
@@ -131,7 +131,7 @@
 	if err := h.ready(); err != nil {
 		return nil, err
 	}
-	texts, expires, err := h.config.Desk.Issue(workspaceFrom(ctx), asked.Count)
+	texts, expires, err := h.config.Orders.Issue(workspaceFrom(ctx), asked.Count)
 	if err != nil {
 		return nil, err
 	}
@@ -167,7 +167,7 @@
 
 func (h *Handler) order(ctx context.Context, request any) (any, error) {
 	asked, _ := request.(orderRequest)
-	answer, err := h.config.Desk.Order(ctx, runs.Order{
+	answer, err := h.config.Orders.Order(ctx, runs.Order{
 		Workspace: workspaceFrom(ctx),
 		Ticket:    asked.Ticket,
 		Service:   asked.Service,
--- a/io/engine/gate.go
+++ b/io/engine/gate.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"apricotproxy/core/conn/pulse"
+	"apricotproxy/core/conn/idle"
 	"apricotproxy/core/invar"
 )
 
@@ -87,7 +87,7 @@
 	gate    *gate
 	passed  bool
 	silence time.Duration
-	beat    pulse.Pulse
+	beat    idle.Timeout
 }
 
 func newLink(conn net.Conn, g *gate, silence time.Duration) *link {
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -68,24 +68,24 @@
 	Decider decide.Options
 	// Policy builds a baseline in place of the product's routing policy.
 	Policy  func() core.RoutePolicy
-	Runs    runs.Weakness
-	Tickets ticket.Weakness
+	Runs    runs.Switches
+	Tickets ticket.Switches
 }
 
 // Host is one entry host.
 type Host struct {
-	settings Settings
-	log      logr.Logger
-	trail    *audit.Trail
-	certs    *certs.Store
-	pool     *peers.Pool
-	platform *platf.Client
-	client   *engine.Client
-	shell    *shell.Shell
-	fleet    *fleet.Fleet
-	runner   *runs.Runner
-	desk     *runs.Desk
-	orders   *fleet.Orders
+	settings     Settings
+	log          logr.Logger
+	trail        *audit.Trail
+	certs        *certs.Store
+	pool         *peers.Pool
+	platform     *platf.Client
+	client       *engine.Client
+	shell        *shell.Shell
+	fleet        *fleet.Fleet
+	runner       *runs.Runner
+	orders       *runs.Orders
+	engineOrders *fleet.Orders
 
 	// stopping is set when a planned stop begins, refusing once it refuses new
 	// requests.
@@ -119,13 +119,13 @@
 		Client:   h.client,
 		Peer:     h.peer,
 		Current:  func(now time.Time) bool { return h.fleet.Current(now) },
-		Steward:  func(endpoint core.EndpointName) bool { return h.orders.Steward(endpoint) },
-		Reported: func(report core.Report) { h.orders.Observe(report) },
+		Steward:  func(endpoint core.EndpointName) bool { return h.engineOrders.Steward(endpoint) },
+		Reported: func(report core.Report) { h.engineOrders.Observe(report) },
 		Auditor:  h.trail,
 		Logger:   settings.Logger,
 	})
 	h.fleet = fleet.New(h.fleetSettings())
-	h.orders = fleet.NewOrders(fleet.OrderSettings{
+	h.engineOrders = fleet.NewOrders(fleet.OrderSettings{
 		Self:           settings.Self,
 		Client:         h.client,
 		ViewUntil:      h.fleet.ViewUntil,
@@ -141,19 +141,19 @@
 		Peer:       h.peer,
 		Auditor:    h.trail,
 		Logger:     settings.Logger,
-		Weakness:   settings.Switches.Runs,
+		Switches:   settings.Switches.Runs,
 	})
-	h.desk, err = runs.NewDesk(runs.DeskConfig{
+	h.orders, err = runs.NewOrders(runs.OrdersConfig{
 		Runner:   h.runner,
 		Site:     settings.Site,
 		Self:     settings.Self,
 		Holder:   h.ledgerHolder,
 		Auditor:  h.trail,
 		Logger:   settings.Logger,
-		Weakness: settings.Switches.Tickets,
+		Switches: settings.Switches.Tickets,
 	})
 	if err != nil {
-		return nil, fmt.Errorf("make the order desk: %w", err)
+		return nil, fmt.Errorf("make the orders: %w", err)
 	}
 	if err := h.listen(); err != nil {
 		return nil, err
@@ -209,7 +209,7 @@
 		h.log.Error(err, "Certificates of a revision cannot be used. The last good ones stay in use.", "revision", config.Revision)
 	}
 	// The shell asks the orders which endpoints this host is the steward of.
-	h.orders.Apply(config)
+	h.engineOrders.Apply(config)
 	h.shell.Apply(config)
 }
 
@@ -266,7 +266,7 @@
 	}
 	group.Go(func() { h.shell.Run(working) })
 	group.Go(func() { _ = h.fleet.Run(working) })
-	group.Go(func() { h.orders.Run(working) })
+	group.Go(func() { h.engineOrders.Run(working) })
 	group.Go(func() { h.warnWhileNotReady(working) })
 	group.Go(func() { h.certs.Watch(working, _certificateCheck) })
 	h.log.Info("This host serves.", "host", h.settings.Self, "site", h.settings.Site)
--- a/io/host/listen.go
+++ b/io/host/listen.go
@@ -26,7 +26,7 @@
 		Self:       h.settings.Self,
 		Dispatcher: h.shell,
 		Runner:     h.runner,
-		Desk:       h.desk,
+		Orders:     h.orders,
 		Ready:      h.refusal,
 		Logger:     h.settings.Logger,
 	})
--- a/io/host/peer.go
+++ b/io/host/peer.go
@@ -39,7 +39,7 @@
 
 // ForwardOrder implements wire.Peer.
 func (p *peerService) ForwardOrder(ctx context.Context, request *wire.ForwardOrderRequest) (*wire.ForwardOrderReply, error) {
-	return p.host.desk.ForwardOrder(ctx, request)
+	return p.host.orders.ForwardOrder(ctx, request)
 }
 
 // HandOver implements wire.Peer. A host that is leaving takes no copy, but
@@ -50,7 +50,7 @@
 			return nil, twirp.WrapError(twirp.Unavailable.Error("no ledger is taken here"), err)
 		}
 	}
-	reply, err := p.host.desk.HandOver(ctx, request)
+	reply, err := p.host.orders.HandOver(ctx, request)
 	if err != nil {
 		return nil, fmt.Errorf("take a ledger: %w", err)
 	}
--- a/io/host/status.go
+++ b/io/host/status.go
@@ -40,7 +40,7 @@
 		Ready:        h.ready() == nil,
 		Stopping:     h.stopping.Load(),
 		InHand:       h.runner.Running(),
-		Tickets:      h.desk.Held(),
+		Tickets:      h.orders.Held(),
 		Waiting:      decisions.Waiting,
 		Running:      decisions.Running,
 		Certificates: h.certs.Expiries(),
--- a/io/host/stop.go
+++ b/io/host/stop.go
@@ -21,7 +21,7 @@
 // now on wait for the ledger's next holder.
 func (s stopper) Refuse(context.Context) {
 	s.host.refusing.Store(true)
-	s.host.desk.Seal()
+	s.host.orders.Seal()
 	s.host.shell.Drain()
 }
 
@@ -30,10 +30,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.giveUpAlone(ctx, cancel)
-	if err := s.host.desk.Leave(ctx); err != nil {
+	if err := s.host.orders.Leave(ctx); err != nil {
 		return core.HostID{}, fmt.Errorf("hand the ledger over: %w", err)
 	}
-	holder, _ := s.host.desk.Holder()
+	holder, _ := s.host.orders.Holder()
 	return holder, nil
 }
 
--- a/io/runs/forward.go
+++ b/io/runs/forward.go
@@ -55,7 +55,7 @@
 }
 
 // ForwardOrder answers another entry host to which an order came.
-func (d *Desk) ForwardOrder(ctx context.Context, request *wire.ForwardOrderRequest) (*wire.ForwardOrderReply, error) {
+func (d *Orders) ForwardOrder(ctx context.Context, request *wire.ForwardOrderRequest) (*wire.ForwardOrderReply, error) {
 	t, err := ticket.Parse(request.GetTicket())
 	if err != nil {
 		return replyOf(nil, core.NotRun(core.CauseTicketInvalid, err.Error(), time.Time{})), nil
@@ -93,7 +93,7 @@
 
 // forward asks the host that decides on the ticket, wherever its ledger went.
 // Asking twice does no harm: the ledger runs the order once.
-func (d *Desk) forward(ctx context.Context, t ticket.Ticket, order Order, holder core.HostID) ([]byte, error) {
+func (d *Orders) forward(ctx context.Context, t ticket.Ticket, order Order, holder core.HostID) ([]byte, error) {
 	limits := d.limits()
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(limits.QueueTimeout+limits.RequestTimeout+_forwardTry))
 	defer cancel()
@@ -135,7 +135,7 @@
 
 // search asks each host that may decide, once. Without a reply the error tells
 // that one of them did not answer, or errHere.
-func (d *Desk) search(ctx context.Context, t ticket.Ticket, order Order, holder core.HostID) (*wire.ForwardOrderReply, error) {
+func (d *Orders) search(ctx context.Context, t ticket.Ticket, order Order, holder core.HostID) (*wire.ForwardOrderReply, error) {
 	var missing error
 	for _, name := range d.candidates(t.ID.Issuer, holder) {
 		reply, err := d.ask(ctx, name, order)
@@ -154,7 +154,7 @@
 	return nil, missing
 }
 
-func (d *Desk) candidates(issuer, holder core.HostID) []core.HostName {
+func (d *Orders) candidates(issuer, holder core.HostID) []core.HostName {
 	var names []core.HostName
 	add := func(name core.HostName) {
 		if name != "" && name != d.config.Self.Host && !slices.Contains(names, name) {
@@ -177,7 +177,7 @@
 // ask asks one host, and those that it names, until there is an outcome. A nil
 // reply means that none of them decides on the ticket; errHere that one of them
 // names this host.
-func (d *Desk) ask(ctx context.Context, name core.HostName, order Order) (*wire.ForwardOrderReply, error) {
+func (d *Orders) ask(ctx context.Context, name core.HostName, order Order) (*wire.ForwardOrderReply, error) {
 	for hops := 0; hops < _hops; {
 		reply, err := d.askOnce(ctx, name, order)
 		if err != nil {
@@ -202,7 +202,7 @@
 	return nil, nil
 }
 
-func (d *Desk) askOnce(ctx context.Context, name core.HostName, order Order) (*wire.ForwardOrderReply, error) {
+func (d *Orders) askOnce(ctx context.Context, name core.HostName, order Order) (*wire.ForwardOrderReply, error) {
 	peer := d.config.Runner.peer(name)
 	if peer == nil {
 		return nil, fmt.Errorf("no address of host %s is known", name)
--- a/io/runs/leave.go
+++ b/io/runs/leave.go
@@ -22,7 +22,7 @@
 // Orders that come from now on wait for the handover: without it, those that
 // come between the stop of admission and Leave would be refused and their
 // tickets spent.
-func (d *Desk) Seal() {
+func (d *Orders) Seal() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ledger.Seal()
@@ -32,7 +32,7 @@
 // order runs, and tries hosts until one has it or ctx ends. Orders that come
 // meanwhile wait, and are then answered by the successor, or refused when there
 // is none: the stop waits for their callers.
-func (d *Desk) Leave(ctx context.Context) error {
+func (d *Orders) Leave(ctx context.Context) error {
 	d.Seal()
 	d.awaitIdle()
 	if ctx.Err() != nil {
@@ -50,7 +50,7 @@
 }
 
 // close ends a handover that failed.
-func (d *Desk) close() {
+func (d *Orders) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ledger.Close()
@@ -58,7 +58,7 @@
 }
 
 // handOver tries hosts until one has the ledger or ctx ends.
-func (d *Desk) handOver(ctx context.Context) error {
+func (d *Orders) handOver(ctx context.Context) error {
 	if d.Held() == 0 {
 		return nil
 	}
@@ -77,7 +77,7 @@
 }
 
 // awaitIdle waits until no order runs. Each ends by its deadline.
-func (d *Desk) awaitIdle() {
+func (d *Orders) awaitIdle() {
 	for {
 		d.mu.Lock()
 		running := d.ledger.Running()
@@ -92,7 +92,7 @@
 
 // handOverTo makes one attempt. It returns an error only when the ledger can go
 // to no other host any more: the commit was sent and has no answer.
-func (d *Desk) handOverTo(ctx context.Context, name core.HostName) (moved bool, err error) {
+func (d *Orders) handOverTo(ctx context.Context, name core.HostName) (moved bool, err error) {
 	peer := d.config.Runner.peer(name)
 	if peer == nil {
 		return false, nil
@@ -113,7 +113,7 @@
 
 // commit gives up the right to decide and tells the successor, with retries
 // until it answers or ctx ends.
-func (d *Desk) commit(ctx context.Context, peer wire.Peer, successor core.HostID, attempt uint64) (moved bool, err error) {
+func (d *Orders) commit(ctx context.Context, peer wire.Peer, successor core.HostID, attempt uint64) (moved bool, err error) {
 	d.mu.Lock()
 	err = d.ledger.Commit(successor, attempt)
 	d.mu.Unlock()
@@ -140,7 +140,7 @@
 	}
 }
 
-func (d *Desk) committed(successor core.HostID, attempt uint64, accepted bool) bool {
+func (d *Orders) committed(successor core.HostID, attempt uint64, accepted bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ledger.Committed(successor, attempt, accepted)
@@ -149,7 +149,7 @@
 	return accepted
 }
 
-func (d *Desk) sendStep(ctx context.Context, peer wire.Peer, request *wire.HandOverRequest) (*wire.HandOverReply, error) {
+func (d *Orders) sendStep(ctx context.Context, peer wire.Peer, request *wire.HandOverRequest) (*wire.HandOverReply, error) {
 	request.From = wire.FromHostID(d.config.Self)
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(_handOverTry))
 	defer cancel()
--- a/io/runs/desk.go
+++ b/io/runs/orders.go
@@ -29,8 +29,8 @@
 	_ticketsAtOnce = 1000
 )
 
-// DeskConfig is what a Desk is built from.
-type DeskConfig struct {
+// OrdersConfig is what a Orders is built from.
+type OrdersConfig struct {
 	Runner *Runner
 	Site   core.SiteName
 	Self   core.HostID
@@ -41,13 +41,13 @@
 	Logger  logr.Logger
 	// Random is the source of the key; nil for the system's.
 	Random   io.Reader
-	Weakness ticket.Weakness
+	Switches ticket.Switches
 }
 
-// Desk issues order tickets and runs orders, each at most once. It is safe for
+// Orders issues order tickets and runs orders, each at most once. It is safe for
 // concurrent use.
-type Desk struct {
-	config DeskConfig
+type Orders struct {
+	config OrdersConfig
 	logger logr.Logger
 
 	mu     sync.Mutex
@@ -68,8 +68,8 @@
 	Body      []byte
 }
 
-// NewDesk draws the incarnation's key.
-func NewDesk(config DeskConfig) (*Desk, error) {
+// NewOrders draws the incarnation's key.
+func NewOrders(config OrdersConfig) (*Orders, error) {
 	if config.Random == nil {
 		config.Random = rand.Reader
 	}
@@ -77,7 +77,7 @@
 	if _, err := io.ReadFull(config.Random, key[:]); err != nil {
 		return nil, fmt.Errorf("draw the key of order tickets: %w", err)
 	}
-	return &Desk{
+	return &Orders{
 		config:  config,
 		logger:  config.Logger.WithName("orders"),
 		changed: make(chan struct{}),
@@ -88,29 +88,29 @@
 			Key:          key,
 			AnswerBytes:  _answerBytes,
 			AnswersBytes: _answersBytes,
-			Weakness:     config.Weakness,
+			Switches:     config.Switches,
 		}),
 	}, nil
 }
 
 // Held gives the number of tickets in the ledger.
-func (d *Desk) Held() int {
+func (d *Orders) Held() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.ledger.Held()
 }
 
 // Holder gives the host that has this host's ledger after a handover.
-func (d *Desk) Holder() (core.HostID, bool) {
+func (d *Orders) Holder() (core.HostID, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.ledger.Holder()
 }
 
-func (d *Desk) limits() core.Limits { return d.config.Runner.config.Dispatcher.Config().Limits }
+func (d *Orders) limits() core.Limits { return d.config.Runner.config.Dispatcher.Config().Limits }
 
 // Issue makes tickets for a workspace.
-func (d *Desk) Issue(workspace core.WorkspaceName, count int) (texts []string, expires time.Time, err error) {
+func (d *Orders) Issue(workspace core.WorkspaceName, count int) (texts []string, expires time.Time, err error) {
 	if count < 1 || count > _ticketsAtOnce {
 		return nil, time.Time{}, core.NotRun(core.CauseBadRequest,
 			fmt.Sprintf("Count is %d; expected 1 to %d", count, _ticketsAtOnce), time.Time{})
@@ -134,7 +134,7 @@
 
 // Order runs an order or gives the outcome that it has already. Errors are
 // *core.OutcomeError.
-func (d *Desk) Order(ctx context.Context, order Order) ([]byte, error) {
+func (d *Orders) Order(ctx context.Context, order Order) ([]byte, error) {
 	t, err := ticket.Parse(order.Ticket)
 	if err != nil {
 		return nil, d.refused(order, core.NotRun(core.CauseTicketInvalid, err.Error(), time.Time{}))
@@ -148,7 +148,7 @@
 
 // settleAnywhere settles an order here or at the host that decides on it. The
 // ledger may come to this host while the order is with the one that leaves.
-func (d *Desk) settleAnywhere(ctx context.Context, t ticket.Ticket, order Order) ([]byte, error) {
+func (d *Orders) settleAnywhere(ctx context.Context, t ticket.Ticket, order Order) ([]byte, error) {
 	for range _hops {
 		answer, err := d.settle(ctx, t, order)
 		var elsewhere *elsewhereError
@@ -179,7 +179,7 @@
 // the order if it has not run. It returns an *elsewhereError when this host does
 // not decide, and errPending joined to Unknown when ctx ends first: the order
 // goes on.
-func (d *Desk) settle(ctx context.Context, t ticket.Ticket, order Order) ([]byte, error) {
+func (d *Orders) settle(ctx context.Context, t ticket.Ticket, order Order) ([]byte, error) {
 	digest := ticket.DigestOf(order.Service, order.Call, order.Body)
 	for {
 		d.mu.Lock()
@@ -232,7 +232,7 @@
 
 // run carries an order to its outcome. It does not depend on any caller: one
 // that left can ask for the outcome with the same ticket.
-func (d *Desk) run(id ticket.ID, order Order) {
+func (d *Orders) run(id ticket.ID, order Order) {
 	answer, err := d.dispatch(id, order)
 	outcome := outcomeOf(answer, counted(err))
 	d.mu.Lock()
@@ -245,14 +245,14 @@
 	d.wake()
 }
 
-func (d *Desk) dropLong(id ticket.ID) {
+func (d *Orders) dropLong(id ticket.ID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.long, id)
 }
 
 // wake lets waiting orders look again. The caller holds the lock.
-func (d *Desk) wake() {
+func (d *Orders) wake() {
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
@@ -271,7 +271,7 @@
 // dispatch places an order and sends it. The names are checked only now that the
 // ticket is taken: the refusal burns it, so that a copy of the order that comes
 // after a change of configuration cannot run.
-func (d *Desk) dispatch(id ticket.ID, order Order) ([]byte, error) {
+func (d *Orders) dispatch(id ticket.ID, order Order) ([]byte, error) {
 	request, _, refusal := d.config.Runner.Admit(time.Now(), Wanted{
 		Workspace: order.Workspace,
 		Service:   order.Service,
@@ -301,7 +301,7 @@
 }
 
 // refused notes an order that did not end well in the audit trail.
-func (d *Desk) refused(order Order, err error) error {
+func (d *Orders) refused(order Order, err error) error {
 	var outcome *core.OutcomeError
 	if !errors.As(err, &outcome) {
 		return err
@@ -320,7 +320,7 @@
 }
 
 // HandOver takes the ledger of a leaving host, in two steps.
-func (d *Desk) HandOver(_ context.Context, request *wire.HandOverRequest) (*wire.HandOverReply, error) {
+func (d *Orders) HandOver(_ context.Context, request *wire.HandOverRequest) (*wire.HandOverReply, error) {
 	from := wire.ToHostID(request.GetFrom())
 	limits := d.limits()
 	d.mu.Lock()
@@ -341,7 +341,7 @@
 	return reply, nil
 }
 
-func (d *Desk) noteMove(subject string, accepted bool) {
+func (d *Orders) noteMove(subject string, accepted bool) {
 	if d.config.Auditor == nil {
 		return
 	}
--- a/io/runs/runs.go
+++ b/io/runs/runs.go
@@ -6,7 +6,7 @@
 // used by the goroutine of its caller; what timers and other goroutines touch is
 // guarded by run.mu.
 //
-// Lock order: Runner.mu before run.mu. Desk.mu is taken alone. No lock is held
+// Lock order: Runner.mu before run.mu. Orders.mu is taken alone. No lock is held
 // over a call to an endpoint, a peer or a caller, but for the check right before
 // the first byte of a request.
 package runs
@@ -38,12 +38,12 @@
 	Logger  logr.Logger
 	// Random is the source of nonces; nil for the system's.
 	Random   io.Reader
-	Weakness Weakness
+	Switches Switches
 }
 
-// Weakness switches mechanisms off, so that a test can show that the checks
+// Switches turn mechanisms off, so that a test can show that the checks
 // notice. Only tests set it.
-type Weakness struct {
+type Switches struct {
 	// NoResumeFilter passes on whatever an engine sends.
 	NoResumeFilter bool
 	// NoTryMemory forgets that an earlier try may have run.
@@ -180,7 +180,7 @@
 	if !errors.As(err, &outcome) {
 		return internal(err)
 	}
-	if outcome.Outcome == core.OutcomeNotRun && mayHaveRun && !r.config.Weakness.NoTryMemory {
+	if outcome.Outcome == core.OutcomeNotRun && mayHaveRun && !r.config.Switches.NoTryMemory {
 		changed := *outcome
 		changed.Outcome = core.OutcomeUnknown
 		changed.Detail = "an earlier try may have run; then: " + outcome.Detail
--- a/io/runs/stream.go
+++ b/io/runs/stream.go
@@ -216,7 +216,7 @@
 // take judges one token; done tells that the answer is whole.
 func (g *run) take(token core.Token) (done bool, err error) {
 	next, verdict := g.relay.Accept(token)
-	if g.runner.config.Weakness.NoResumeFilter && !token.Final {
+	if g.runner.config.Switches.NoResumeFilter && !token.Final {
 		verdict = relay.Deliver
 	}
 	switch verdict {
--- a/proof/bites_test.go
+++ b/proof/bites_test.go
@@ -23,17 +23,17 @@
 	}{
 		{
 			name:     "slot ownership",
-			switches: host.Switches{Decider: decide.Options{Weakness: slots.Weakness{NoOwnership: true}}},
+			switches: host.Switches{Decider: decide.Options{Switches: slots.Switches{NoOwnership: true}}},
 			fault:    fault{name: "engine dies", do: engineDies},
 		},
 		{
 			name:     "order ledger",
-			switches: host.Switches{Tickets: ticket.Weakness{NoLedgerCheck: true}},
+			switches: host.Switches{Tickets: ticket.Switches{NoLedgerCheck: true}},
 			fault:    fault{name: "connections go silent", do: connectionsGoSilent},
 		},
 		{
 			name:     "resume filter",
-			switches: host.Switches{Runs: runs.Weakness{NoResumeFilter: true}},
+			switches: host.Switches{Runs: runs.Switches{NoResumeFilter: true}},
 			fault:    fault{name: "wrong tokens", do: wrongTokens},
 		},
 		{
--- a/proof/slots_test.go
+++ b/proof/slots_test.go
@@ -66,7 +66,7 @@
 
 // slotScenario picks the actions of an exploration, so that each goes deep.
 type slotScenario struct {
-	weakness slots.Weakness
+	switches slots.Switches
 	// leases allows borrowing and returning.
 	leases bool
 	// deaths allows one process to die and to be replaced.
@@ -116,7 +116,7 @@
 		incarnation = w.hosts[i].id.Incarnation + 1
 	}
 	h := &slotHost{id: core.HostID{Host: slotHostName(i), Incarnation: incarnation}, alive: true, position: -1}
-	h.pool = slots.New(h.id, w.scenario.weakness)
+	h.pool = slots.New(h.id, w.scenario.switches)
 	w.hosts[i] = h
 	w.learn(i, revision)
 }
@@ -389,16 +389,16 @@
 	}
 }
 
-func TestSlotModelNoticesWeaknesses(t *testing.T) {
+func TestSlotModelNoticesSwitchedOff(t *testing.T) {
 	defer invar.Handle(func(*invar.Violation) {})()
 	for _, c := range []struct {
 		name     string
 		scenario slotScenario
 		depth    int
 	}{
-		{"NoOwnership", slotScenario{weakness: slots.Weakness{NoOwnership: true}}, 4},
-		{"NoGainDeadline", slotScenario{weakness: slots.Weakness{NoGainDeadline: true}}, 5},
-		{"NoLeaseDeadline", slotScenario{weakness: slots.Weakness{NoLeaseDeadline: true}, leases: true}, 7},
+		{"NoOwnership", slotScenario{switches: slots.Switches{NoOwnership: true}}, 4},
+		{"NoGainDeadline", slotScenario{switches: slots.Switches{NoGainDeadline: true}}, 5},
+		{"NoLeaseDeadline", slotScenario{switches: slots.Switches{NoLeaseDeadline: true}, leases: true}, 7},
 		{"later revision acknowledges", slotScenario{higher: true, deaths: true, settled: true}, 9},
 	} {
 		t.Run(c.name, func(t *testing.T) {
