Log keys and metric names in Pascal case

They are formats of the project's own, and differed between parts: 'Cause', 'cause', 'error' and 'reason'; 'runs.Done' and 'callers.answered'. The log prefix of engine orders is 'steward'; 'orders' stood for two parts.

--- a/core/invar/invar.go
+++ b/core/invar/invar.go
@@ -38,7 +38,7 @@
 }
 
 var (
-	_broken  = expvar.NewMap("apricotproxy.promises.broken")
+	_broken  = expvar.NewMap("apricotproxy.Promises.Broken")
 	_handler atomic.Pointer[func(*Violation)]
 )
 
--- a/io/caller/errors.go
+++ b/io/caller/errors.go
@@ -129,7 +129,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if _, err := w.Write(data); err != nil {
-		h.logger.V(1).Info("An answer was not taken.", "error", err.Error())
+		h.logger.V(1).Info("An answer was not taken.", "Cause", err.Error())
 	}
 }
 
--- a/io/caller/output.go
+++ b/io/caller/output.go
@@ -75,7 +75,7 @@
 	if violation, ok := reason.(*invar.Violation); ok {
 		panic(violation)
 	}
-	h.logger.Error(errPanic, "A stream failed.", "reason", fmt.Sprint(reason))
+	h.logger.Error(errPanic, "A stream failed.", "Cause", fmt.Sprint(reason))
 }
 
 var errPanic = errors.New("panic")
--- a/io/caller/sink.go
+++ b/io/caller/sink.go
@@ -125,7 +125,7 @@
 	s.buffer = append(s.buffer, data...)
 	s.buffer = append(s.buffer, "\n\n"...)
 	if err := s.Flush(); err != nil {
-		s.handler.logger.V(1).Info("An error was not taken.", "error", err.Error())
+		s.handler.logger.V(1).Info("An error was not taken.", "Cause", err.Error())
 	}
 }
 
--- a/io/fleet/orders.go
+++ b/io/fleet/orders.go
@@ -54,7 +54,7 @@
 	random := rand.New(rand.NewPCG(settings.Seed, _ordersStream))
 	return &Orders{
 		settings: settings,
-		log:      settings.Logger.WithName("orders"),
+		log:      settings.Logger.WithName("steward"),
 		keeper:   fence.New(settings.Self.Host, random),
 	}
 }
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -206,7 +206,7 @@
 // read leave the old ones in use: the rest of the revision does not wait.
 func (h *Host) apply(config core.Config) {
 	if _, err := h.certs.Apply(config.TLS); err != nil {
-		h.log.Error(err, "Certificates of a revision cannot be used. The last good ones stay in use.", "revision", config.Revision)
+		h.log.Error(err, "Certificates of a revision cannot be used. The last good ones stay in use.", "Revision", config.Revision)
 	}
 	// The shell asks the orders which endpoints this host is the steward of.
 	h.engineOrders.Apply(config)
@@ -269,7 +269,7 @@
 	group.Go(func() { h.engineOrders.Run(working) })
 	group.Go(func() { h.warnWhileNotReady(working) })
 	group.Go(func() { h.certs.Watch(working, _certificateCheck) })
-	h.log.Info("This host serves.", "host", h.settings.Self, "site", h.settings.Site)
+	h.log.Info("This host serves.", "Host", h.settings.Self, "Site", h.settings.Site)
 	var err error
 	select {
 	case <-ctx.Done():
@@ -282,7 +282,7 @@
 	h.pool.Close()
 	h.platform.Close()
 	h.client.Close()
-	h.log.Info("This host has stopped.", "host", h.settings.Self)
+	h.log.Info("This host has stopped.", "Host", h.settings.Self)
 	return err
 }
 
@@ -301,7 +301,7 @@
 		case <-ticker.C:
 		}
 		if err := h.ready(); err != nil && !h.refusing.Load() {
-			h.log.Info("This host is not ready.", "cause", err.Error())
+			h.log.Info("This host is not ready.", "Cause", err.Error())
 		}
 	}
 }
--- a/io/meter/callers.go
+++ b/io/meter/callers.go
@@ -11,19 +11,19 @@
 
 // Callers counts what passes through the callers' handler:
 //
-//	callers.open               requests in hand, without streams that have begun
-//	callers.answered           status 2xx; a stream may still be interrupted
-//	callers.refused            status 4xx or 503: nothing ran
-//	callers.unknown            status 500, 502, 504: it may have run
-//	callers.first_byte_millis  from the request to the first byte of a 2xx answer
+//	Callers.Open               requests in hand, without streams that have begun
+//	Callers.Answered           status 2xx; a stream may still be interrupted
+//	Callers.Refused            status 4xx or 503: nothing ran
+//	Callers.Unknown            status 500, 502, 504: it may have run
+//	Callers.FirstByteMillis    from the request to the first byte of a 2xx answer
 func Callers(next http.Handler) http.Handler {
 	return &callers{
 		next:      next,
-		open:      Gauge("callers.open"),
-		answered:  Counter("callers.answered"),
-		refused:   Counter("callers.refused"),
-		unknown:   Counter("callers.unknown"),
-		firstByte: Histogram("callers.first_byte_millis"),
+		open:      Gauge("Callers.Open"),
+		answered:  Counter("Callers.Answered"),
+		refused:   Counter("Callers.Refused"),
+		unknown:   Counter("Callers.Unknown"),
+		firstByte: Histogram("Callers.FirstByteMillis"),
 	}
 }
 
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -35,7 +35,7 @@
 	statuses := []int{0, http.StatusOK, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest, http.StatusBadGateway}
 	for _, status := range statuses {
 		handler := meter.Callers(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			if got := value(t, "callers.open"); got != "1" {
+			if got := value(t, "Callers.Open"); got != "1" {
 				t.Errorf("%s open, want 1", got)
 			}
 			if status != 0 {
@@ -50,7 +50,7 @@
 		}))
 		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
 	}
-	for name, want := range map[string]string{"callers.open": "0", "callers.answered": "2", "callers.refused": "3", "callers.unknown": "1"} {
+	for name, want := range map[string]string{"Callers.Open": "0", "Callers.Answered": "2", "Callers.Refused": "3", "Callers.Unknown": "1"} {
 		if got := value(t, name); got != want {
 			t.Errorf("%s is %s, want %s", name, got, want)
 		}
--- a/io/opers/opers.go
+++ b/io/opers/opers.go
@@ -122,7 +122,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if _, err := w.Write(append(encoded, '\n')); err != nil {
-		s.Logger.V(1).Info("The reader went away.", "cause", err.Error())
+		s.Logger.V(1).Info("The reader went away.", "Cause", err.Error())
 	}
 }
 
@@ -138,7 +138,7 @@
 	if err != nil {
 		s.Logger.Error(err, "The audit counts did not encode.")
 	}
-	body["apricotproxy.audit"] = counts
+	body["apricotproxy.Audit"] = counts
 	s.write(w, http.StatusOK, body)
 }
 
@@ -173,7 +173,7 @@
 
 func (s *surface) logGone(err error) {
 	if err != nil {
-		s.Logger.V(1).Info("The audit reader went away.", "cause", err.Error())
+		s.Logger.V(1).Info("The audit reader went away.", "Cause", err.Error())
 	}
 }
 
--- a/io/opers/opers_test.go
+++ b/io/opers/opers_test.go
@@ -99,7 +99,7 @@
 	opers.NewHandler(newDependencies()).ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/debug/vars", nil))
 	var variables struct {
 		Memory struct{ HeapAlloc uint64 } `json:"memstats"`
-		Audit  map[core.AuditKind]uint64  `json:"apricotproxy.audit"`
+		Audit  map[core.AuditKind]uint64  `json:"apricotproxy.Audit"`
 	}
 	if err := json.Unmarshal(answer.Body.Bytes(), &variables); err != nil {
 		t.Fatal(err)
--- a/io/runs/abandon.go
+++ b/io/runs/abandon.go
@@ -176,7 +176,7 @@
 func (g *run) cancelUntil(until time.Time) {
 	for wait := _firstPause; !g.tryCancel(); wait = min(2*wait, _longestPause) {
 		if time.Now().Add(wait).After(until) {
-			g.runner.logger.Info("A generation could not be cancelled.", "endpoint", g.endpoint.Name)
+			g.runner.logger.Info("A generation could not be cancelled.", "Endpoint", g.endpoint.Name)
 			return
 		}
 		time.Sleep(wait)
--- a/io/runs/forward.go
+++ b/io/runs/forward.go
@@ -143,7 +143,7 @@
 			return nil, err
 		}
 		if err != nil {
-			d.logger.V(1).Info("A forwarded order was not answered.", "host", name, "error", err.Error())
+			d.logger.V(1).Info("A forwarded order was not answered.", "Host", name, "Cause", err.Error())
 			missing = err
 			continue
 		}
--- a/io/runs/leave.go
+++ b/io/runs/leave.go
@@ -105,7 +105,7 @@
 	}
 	reply, err := d.sendStep(ctx, peer, &wire.HandOverRequest{Serial: attempt, Ledger: data})
 	if err != nil || !reply.GetAccepted() {
-		d.logger.Info("A host did not take the order ledger.", "host", name)
+		d.logger.Info("A host did not take the order ledger.", "Host", name)
 		return false, nil
 	}
 	return d.commit(ctx, peer, wire.ToHostID(reply.GetHolder()), attempt)
--- a/io/runs/link.go
+++ b/io/runs/link.go
@@ -28,7 +28,7 @@
 				break
 			}
 			_resumed.Add(1)
-			g.runner.logger.V(1).Info("A generation was resumed.", "endpoint", g.endpoint.Name, "index", g.relay.Next())
+			g.runner.logger.V(1).Info("A generation was resumed.", "Endpoint", g.endpoint.Name, "Index", g.relay.Next())
 			return &boundStream{EngineStream: stream, release: opened}, nil
 		}
 		opened()
--- a/io/runs/meter.go
+++ b/io/runs/meter.go
@@ -9,21 +9,21 @@
 
 // What the runner counts:
 //
-//	runs.Done, runs.NotRun, runs.Interrupted, runs.Unknown   outcomes
+//	Runs.Done, runs.NotRun, runs.Interrupted, runs.Unknown   outcomes
 //	runs.resumed     connections opened to continue a generation
 //	runs.replaced    tries after the first
 //	runs.abandoned   generations given up without their caller
-//	orders.forwarded orders sent on to another host
+//	Orders.Forwarded orders sent on to another host
 var (
-	_resumed   = meter.Counter("runs.resumed")
-	_replaced  = meter.Counter("runs.replaced")
-	_abandoned = meter.Counter("runs.abandoned")
-	_forwarded = meter.Counter("orders.forwarded")
+	_resumed   = meter.Counter("Runs.Resumed")
+	_replaced  = meter.Counter("Runs.Replaced")
+	_abandoned = meter.Counter("Runs.Abandoned")
+	_forwarded = meter.Counter("Orders.Forwarded")
 	_outcomes  = [...]interface{ Add(delta float64) }{
-		core.OutcomeDone:        meter.Counter("runs.Done"),
-		core.OutcomeNotRun:      meter.Counter("runs.NotRun"),
-		core.OutcomeInterrupted: meter.Counter("runs.Interrupted"),
-		core.OutcomeUnknown:     meter.Counter("runs.Unknown"),
+		core.OutcomeDone:        meter.Counter("Runs.Done"),
+		core.OutcomeNotRun:      meter.Counter("Runs.NotRun"),
+		core.OutcomeInterrupted: meter.Counter("Runs.Interrupted"),
+		core.OutcomeUnknown:     meter.Counter("Runs.Unknown"),
 	}
 )
 
--- a/io/runs/orders.go
+++ b/io/runs/orders.go
@@ -335,7 +335,7 @@
 	}
 	accepted, err := d.ledger.AcceptPrepare(from, request.GetSerial(), request.GetLedger())
 	if err != nil {
-		d.logger.Error(err, "A ledger was not readable.", "from", from.String())
+		d.logger.Error(err, "A ledger was not readable.", "From", from.String())
 	}
 	reply.Accepted = accepted
 	return reply, nil
--- a/io/runs/resume.go
+++ b/io/runs/resume.go
@@ -65,7 +65,7 @@
 		switch {
 		case err != nil:
 			// A link that stalls for a moment says nothing of the host.
-			r.logger.V(1).Info("An adoption was not answered.", "host", host.Host, "error", err.Error())
+			r.logger.V(1).Info("An adoption was not answered.", "Host", host.Host, "Cause", err.Error())
 			next, wait = wait, min(2*wait, _longestPause)
 		case !known:
 			return
--- a/io/runs/runs.go
+++ b/io/runs/runs.go
@@ -151,7 +151,7 @@
 func (r *Runner) try(ctx context.Context, c *Completion, placement core.Placement, sink Sink) ending {
 	g, err := r.newRun(ctx, c, placement, sink)
 	if err != nil {
-		r.logger.Error(err, "A try was not built.", "endpoint", placement.Endpoint)
+		r.logger.Error(err, "A try was not built.", "Endpoint", placement.Endpoint)
 		return ending{again: true, result: core.ResultDialFailed}
 	}
 	return g.carry()
--- a/io/runs/stream.go
+++ b/io/runs/stream.go
@@ -150,7 +150,7 @@
 			return ending{err: refusal}
 		}
 	}
-	g.runner.logger.V(1).Info("A try did not start.", "endpoint", g.endpoint.Name, "error", failed.Error())
+	g.runner.logger.V(1).Info("A try did not start.", "Endpoint", g.endpoint.Name, "Cause", failed.Error())
 	return ending{again: true, result: result}
 }
 
@@ -164,7 +164,7 @@
 		if stream != nil {
 			err = g.pump(stream)
 			if closeErr := stream.Close(); closeErr != nil {
-				g.runner.logger.V(1).Info("Closing a stream failed.", "error", closeErr.Error())
+				g.runner.logger.V(1).Info("Closing a stream failed.", "Cause", closeErr.Error())
 			}
 		}
 		if err == nil {
--- a/io/shell/lease.go
+++ b/io/shell/lease.go
@@ -37,7 +37,7 @@
 		Held:     borrowing.Holding.Held,
 	})
 	if err != nil {
-		s.log.V(1).Info("Borrowing failed.", "owner", borrowing.Owner, "endpoint", borrowing.Endpoint, "error", err.Error())
+		s.log.V(1).Info("Borrowing failed.", "Owner", borrowing.Owner, "Endpoint", borrowing.Endpoint, "Cause", err.Error())
 		s.borrowed(borrowing, core.Lease{}, false)
 		return
 	}
@@ -91,7 +91,7 @@
 		Serial:   lease.Serial,
 	})
 	if err != nil {
-		s.log.V(1).Info("Returning a lease failed.", "owner", lease.Owner.Host, "error", err.Error())
+		s.log.V(1).Info("Returning a lease failed.", "Owner", lease.Owner.Host, "Cause", err.Error())
 	}
 }
 
--- a/io/shell/poll.go
+++ b/io/shell/poll.go
@@ -134,7 +134,7 @@
 	asked := time.Now()
 	report, err := s.settings.Client.Report(ctx, p.endpoint)
 	if err != nil {
-		s.log.V(1).Info("No report.", "endpoint", name, "error", err.Error())
+		s.log.V(1).Info("No report.", "Endpoint", name, "Cause", err.Error())
 		s.decide(func(now time.Time) core.Actions { return s.decider.ObserveUnreachable(now, name) })
 		return
 	}
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -188,7 +188,7 @@
 		// A placement without a waiting goroutine would hold its slot for
 		// ever.
 		if a.err == nil {
-			s.log.Error(errUnknownRequest, "Placement for an unknown request.", "request", request)
+			s.log.Error(errUnknownRequest, "Placement for an unknown request.", "Request", request)
 		}
 		return
 	}
