--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 # The way in: `make demo`, `make test`, `make ci`.
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEEDS ?= 20
+FUZZTIME ?= 10s
 
-.PHONY: demo test build lint format generate soak random capacity ci
+.PHONY: demo test build lint format generate soak random fuzz capacity ci
 
 demo:
 	go run ./cmd/apricotproxy demo
@@ -30,6 +31,12 @@
 soak:
 	SEEDS=$(SEEDS) go test ./proof -count=1 -timeout 24h -run 'TestFleetUnderPairs' -v
 
+# Each fuzz target for a while: make fuzz FUZZTIME=1m.
+fuzz:
+	@grep -rHoE '^func Fuzz[A-Za-z]+' --include=*_test.go core io | sed 's/func //' | while IFS=: read -r file target; do \
+		go test ./$$(dirname $$file) -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) || exit 1; \
+	done
+
 # The figures of docs/CAPACITY.md.
 capacity:
 	go test -run '^$$' -bench . -benchtime 300ms ./proof ./core/procs/member ./core/procs/decide ./core/versn/confg ./core/procs/audit ./io/fleet
