--- a/core/procs/queue/queue.go
+++ b/core/procs/queue/queue.go
@@ -224,22 +224,6 @@
 	return q.deadlines[0].Deadline
 }
 
-// Oldest gives the item of a class that has waited longest among the heads of
-// the workspaces' lines.
-func (q *Queue[T]) Oldest(class Class) *Item[T] {
-	first := q.turn[class]
-	if first == nil {
-		return nil
-	}
-	oldest := first.head
-	for f := first.right; f != first; f = f.right {
-		if f.head.Entered.Before(oldest.Entered) {
-			oldest = f.head
-		}
-	}
-	return oldest
-}
-
 // Longest gives the newest item of the workspace with the longest line of a
 // class relative to its weight: the one to push out of a full queue.
 func (q *Queue[T]) Longest(class Class) *Item[T] {
--- a/core/versn/owner/group.go
+++ b/core/versn/owner/group.go
@@ -44,58 +44,6 @@
 	return min(size, hosts)
 }
 
-// SubsetGroups gives each endpoint the hosts with the highest scores for it.
-func SubsetGroups(hosts []core.Host, endpoints []string, size int) [][]int {
-	groups := make([][]int, len(endpoints))
-	for i, name := range endpoints {
-		groups[i] = rankHosts(hosts, name)[:size]
-	}
-	return groups
-}
-
-// BoundedGroups gives each endpoint the hosts with the highest scores for it,
-// passing over hosts that are in their share of the groups already.
-func BoundedGroups(hosts []core.Host, endpoints []string, size int) [][]int {
-	groups := make([][]int, len(endpoints))
-	if len(hosts) == 0 {
-		return groups
-	}
-	share := (len(endpoints)*size + len(hosts) - 1) / len(hosts)
-	held := make([]int, len(hosts))
-	for i, name := range endpoints {
-		ranked := rankHosts(hosts, name)
-		groups[i] = takeBounded(ranked, held, share, size)
-	}
-	return groups
-}
-
-// takeBounded takes the first hosts below their share; when too few are left,
-// the share gives way.
-func takeBounded(ranked, held []int, share, size int) []int {
-	group := make([]int, 0, size)
-	for _, full := range []bool{false, true} {
-		for _, host := range ranked {
-			if len(group) == size {
-				return group
-			}
-			if (held[host] >= share) == full && !contains(group, host) {
-				held[host]++
-				group = append(group, host)
-			}
-		}
-	}
-	return group
-}
-
-func contains(group []int, host int) bool {
-	for _, member := range group {
-		if member == host {
-			return true
-		}
-	}
-	return false
-}
-
 // BalancedGroups divides the hosts into as many sets of equal size as a group
 // has members, and gives each endpoint one host of every set so that all hosts
 // of a set are taken equally often. It is the construction of overlapping
--- a/core/versn/owner/owner.go
+++ b/core/versn/owner/owner.go
@@ -5,7 +5,6 @@
 
 import (
 	"encoding/binary"
-	"sort"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -120,15 +119,3 @@
 	text = binary.LittleEndian.AppendUint64(text, uint64(position))
 	return xxhash.Sum64(text)
 }
-
-// rankHosts orders the roster by score for a name, highest first.
-func rankHosts(hosts []core.Host, name string) []int {
-	ranked := make([]int, len(hosts))
-	scores := make([]uint64, len(hosts))
-	for i, host := range hosts {
-		ranked[i] = i
-		scores[i] = Score(string(host.Name), name, 0)
-	}
-	sort.SliceStable(ranked, func(a, b int) bool { return scores[ranked[a]] > scores[ranked[b]] })
-	return ranked
-}
--- a/core/versn/owner/owner_test.go
+++ b/core/versn/owner/owner_test.go
@@ -56,8 +56,8 @@
 	name  string
 	build func([]core.Host, []string, int) [][]int
 }{
-	{"subset", owner.SubsetGroups},
-	{"bounded", owner.BoundedGroups},
+	{"subset", subsetGroups},
+	{"bounded", boundedGroups},
 	{"balanced", owner.BalancedGroups},
 }
 
