--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEEDS ?= 20
 FUZZTIME ?= 10s
 
-.PHONY: demo test build lint format generate soak random fuzz capacity ci
+.PHONY: demo test build lint format format-check generate soak random fuzz capacity ci
 
 demo:
 	go run ./cmd/apricotproxy demo
@@ -17,6 +17,9 @@
 format:
 	$(LINT) fmt
 
+format-check:
+	$(LINT) fmt --diff
+
 lint:
 	$(LINT) run ./...
 
