Routed requests: a thin path on the users' platform

Cause: the product served its own caller interface only, and nothing of it ran on the platform.

Change: routes by host and longest prefix (core/versn/table), knowledge of published documents (core/procs/know), placement by the work that this host knows of (core/procs/place), what follows a try (core/reqst/tries), whole events (core/reqst/event), connections that carry one request (io/links), the caller side (io/front), the host (io/entry) and the translation (platform/).

--- /dev/null
+++ b/core/procs/know/know.go
@@ -0,0 +1,307 @@
+// Package know holds what a host believes of the published documents: the
+// routing table in force, the data centres out of service and the endpoints.
+// Documents come from the store or from other hosts, in any order and more than
+// once. Nothing ever goes back: for each name the highest revision counts, and a
+// group is complete up to a revision that only rises.
+package know
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/versn/table"
+)
+
+// _tombstones is how many deleted documents a group remembers for hosts that
+// ask what changed. A host that is further behind gets the whole group.
+const _tombstones = 512
+
+// Fact is what one document says. It is empty for a document that concerns
+// nothing here.
+type Fact struct {
+	Table        *table.Table
+	OutOfService core.DataCentreName
+	Endpoint     *core.RoutedEndpoint
+}
+
+// Decode tells what a document says.
+type Decode func(core.Document) (Fact, error)
+
+// Endpoint is an endpoint with what follows from when it was heard of.
+type Endpoint struct {
+	core.RoutedEndpoint
+	// ColdUntil is when the endpoint's own estimate of its cold phase ends.
+	ColdUntil time.Time
+	// Heard is when this host first heard of this incarnation.
+	Heard time.Time
+	// DropAt is when an endpoint whose document lapsed counts as gone; zero
+	// while its document stands.
+	DropAt time.Time
+}
+
+// View is everything known at one moment. It is never written after it was made.
+type View struct {
+	Table     *table.Table
+	Out       map[core.DataCentreName]bool
+	Endpoints []Endpoint
+}
+
+// Level tells how far a group is known.
+type Level struct {
+	// AsOf is the revision up to which the group is complete.
+	AsOf uint64
+	// Changed is the highest revision at which anything but a heartbeat changed.
+	Changed uint64
+	// FreshAt is when the store was last known to have nothing newer than AsOf.
+	FreshAt time.Time
+}
+
+type item struct {
+	document core.Document
+	fact     Fact
+	endpoint Endpoint
+}
+
+type group struct {
+	items map[string]*item
+	level Level
+	// horizon is the highest revision of a forgotten tombstone.
+	horizon uint64
+}
+
+// State is what a host believes. It is not safe for concurrent use.
+type State struct {
+	decode Decode
+	groups map[core.DocumentGroup]*group
+	// lapseGrace is how long an endpoint outlives a document that went missing
+	// while the store was in trouble; trouble lasts until troubleUntil.
+	lapseGrace   time.Duration
+	troubleUntil time.Time
+	table        *table.Table
+	view         *View
+}
+
+// New builds a state that knows nothing.
+func New(decode Decode, lapseGrace time.Duration) *State {
+	s := &State{decode: decode, lapseGrace: lapseGrace, groups: make(map[core.DocumentGroup]*group)}
+	for _, g := range []core.DocumentGroup{core.GroupPolicy, core.GroupEndpoints} {
+		s.groups[g] = &group{items: make(map[string]*item)}
+	}
+	return s
+}
+
+// Level tells how far a group is known.
+func (s *State) Level(g core.DocumentGroup) Level { return s.groups[g].level }
+
+// Trouble tells that the store is in trouble until a moment: documents of
+// endpoints may lapse though the endpoints are well.
+func (s *State) Trouble(until time.Time) {
+	if until.After(s.troubleUntil) {
+		s.troubleUntil = until
+	}
+}
+
+// Confirm takes in that a group is complete up to a revision and had nothing
+// newer at a moment.
+func (s *State) Confirm(g core.DocumentGroup, asOf uint64, freshAt time.Time) {
+	level := &s.groups[g].level
+	if asOf < level.AsOf {
+		return
+	}
+	level.AsOf = asOf
+	if freshAt.After(level.FreshAt) {
+		level.FreshAt = freshAt
+	}
+}
+
+// Update takes in documents that changed. It reports whether anything but
+// heartbeats changed, and what could not be read.
+func (s *State) Update(now time.Time, g core.DocumentGroup, documents core.Documents, freshAt time.Time) (bool, error) {
+	changed := false
+	var faults []error
+	for _, d := range documents.Documents {
+		did, err := s.take(now, d)
+		changed = changed || did
+		if err != nil {
+			faults = append(faults, fmt.Errorf("document %s: %w", d.Name, err))
+		}
+	}
+	s.Confirm(g, documents.AsOf, freshAt)
+	s.forget(s.groups[g])
+	if changed {
+		s.view = nil
+	}
+	return changed, errors.Join(faults...)
+}
+
+// Replace takes in a whole group: what is not among the documents and is not
+// newer was deleted.
+func (s *State) Replace(now time.Time, g core.DocumentGroup, documents core.Documents, freshAt time.Time) (bool, error) {
+	listed := make(map[string]bool, len(documents.Documents))
+	for _, d := range documents.Documents {
+		listed[d.Name] = true
+	}
+	for name, it := range s.groups[g].items {
+		if !listed[name] && !it.document.Deleted && it.document.Revision <= documents.AsOf {
+			documents.Documents = append(documents.Documents, core.Document{Group: g, Name: name, Revision: documents.AsOf, Deleted: true})
+		}
+	}
+	return s.Update(now, g, documents, freshAt)
+}
+
+// Since gives what changed in a group after a revision. Whole tells that the
+// documents are the whole group instead.
+func (s *State) Since(g core.DocumentGroup, after uint64) (documents core.Documents, whole bool) {
+	gr := s.groups[g]
+	whole = after < gr.horizon || after == 0
+	for _, it := range gr.items {
+		if (whole && !it.document.Deleted) || (!whole && it.document.Revision > after) {
+			documents.Documents = append(documents.Documents, it.document)
+		}
+	}
+	documents.AsOf = gr.level.AsOf
+	return documents, whole
+}
+
+// take takes in one document and reports whether it changed what is believed.
+func (s *State) take(now time.Time, d core.Document) (bool, error) {
+	gr := s.groups[d.Group]
+	if gr == nil {
+		return false, fmt.Errorf("group %d is not known", d.Group)
+	}
+	before := gr.items[d.Name]
+	if before != nil && d.Revision <= before.document.Revision {
+		return false, nil
+	}
+	if d.Deleted && before == nil {
+		return false, nil
+	}
+	fact, err := s.decode(d)
+	if err != nil {
+		return false, err
+	}
+	if d.Group == core.GroupEndpoints {
+		return s.takeEndpoint(now, gr, before, d, fact), nil
+	}
+	gr.items[d.Name] = &item{document: d, fact: fact}
+	gr.level.Changed = max(gr.level.Changed, d.Revision)
+	if fact.Table != nil && (s.table == nil || fact.Table.Version() > s.table.Version()) {
+		s.table = fact.Table
+	}
+	return true, nil
+}
+
+func (s *State) takeEndpoint(now time.Time, gr *group, before *item, d core.Document, fact Fact) bool {
+	if d.Deleted {
+		gr.level.Changed = max(gr.level.Changed, d.Revision)
+		if before.document.Deleted {
+			before.document = d
+			return false
+		}
+		gone := &item{document: d, endpoint: before.endpoint}
+		if now.Before(s.troubleUntil) && !before.endpoint.Draining {
+			gone.endpoint.DropAt = now.Add(s.lapseGrace)
+		}
+		gr.items[d.Name] = gone
+		return true
+	}
+	if fact.Endpoint == nil {
+		return false
+	}
+	e := *fact.Endpoint
+	next := &item{document: d, fact: fact, endpoint: Endpoint{RoutedEndpoint: e, Heard: now}}
+	if e.Cold > 0 {
+		next.endpoint.ColdUntil = now.Add(e.Cold)
+	}
+	if before == nil {
+		gr.items[d.Name] = next
+		gr.level.Changed = max(gr.level.Changed, d.Revision)
+		return true
+	}
+	known := before.endpoint
+	if e.Born.Before(known.Born) || (e.Born.Equal(known.Born) && !before.document.Deleted && e.Sequence < known.Sequence) {
+		return false // a late copy of an earlier heartbeat
+	}
+	same := e.Born.Equal(known.Born)
+	if same {
+		next.endpoint.Heard = known.Heard
+	}
+	if same && !before.document.Deleted && sameBelief(known.RoutedEndpoint, e) {
+		// A heartbeat: the document that made the difference is kept for others.
+		before.endpoint.Sequence = e.Sequence
+		return false
+	}
+	gr.items[d.Name] = next
+	gr.level.Changed = max(gr.level.Changed, d.Revision)
+	return true
+}
+
+// sameBelief tells whether two documents of one incarnation differ in heartbeats
+// only. The cold phase runs out by itself, so that only its start counts.
+func sameBelief(known, heard core.RoutedEndpoint) bool {
+	coldAgain := heard.Cold > known.Cold
+	heard.Sequence, heard.Cold = known.Sequence, known.Cold
+	return heard == known && !coldAgain
+}
+
+// forget drops the oldest tombstones beyond the bound.
+func (s *State) forget(gr *group) {
+	var dead []string
+	for name, it := range gr.items {
+		if it.document.Deleted {
+			dead = append(dead, name)
+		}
+	}
+	if len(dead) <= _tombstones {
+		return
+	}
+	slices.SortFunc(dead, func(a, b string) int {
+		return int(int64(gr.items[a].document.Revision) - int64(gr.items[b].document.Revision))
+	})
+	for _, name := range dead[:len(dead)-_tombstones/2] {
+		gr.horizon = max(gr.horizon, gr.items[name].document.Revision)
+		delete(gr.items, name)
+	}
+}
+
+// Expire drops endpoints whose documents lapsed and did not come back. It
+// reports whether there were any.
+func (s *State) Expire(now time.Time) bool {
+	changed := false
+	for _, it := range s.groups[core.GroupEndpoints].items {
+		if drop := it.endpoint.DropAt; !drop.IsZero() && !now.Before(drop) {
+			it.endpoint.DropAt = time.Time{}
+			changed = true
+		}
+	}
+	if changed {
+		s.view = nil
+	}
+	return changed
+}
+
+// View gives everything known. The same view is given until something changes.
+func (s *State) View() *View {
+	if s.view != nil {
+		return s.view
+	}
+	v := &View{Table: s.table, Out: make(map[core.DataCentreName]bool)}
+	for _, it := range s.groups[core.GroupPolicy].items {
+		if it.fact.OutOfService != "" && !it.document.Deleted {
+			v.Out[it.fact.OutOfService] = true
+		}
+	}
+	items := s.groups[core.GroupEndpoints].items
+	for _, id := range slices.Sorted(maps.Keys(items)) {
+		it := items[id]
+		if !it.document.Deleted || !it.endpoint.DropAt.IsZero() {
+			v.Endpoints = append(v.Endpoints, it.endpoint)
+		}
+	}
+	s.view = v
+	return v
+}
--- /dev/null
+++ b/core/procs/place/place.go
@@ -0,0 +1,367 @@
+// Package place decides on which endpoint a routed request runs. It counts the
+// work of this host itself and takes in what other hosts say of theirs, so that
+// it needs no load reports: all work of an endpoint comes from entry hosts.
+//
+// An engine's memory is what runs out first: a run takes its prompt and all that
+// it will have produced. A request is placed where its prompt is read soonest
+// and where everything still fits when it is at its largest. What fits nowhere
+// waits here, where it can still go anywhere, and not at an engine that may
+// leave.
+package place
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
+	"apricotproxy/core/versn/table"
+)
+
+const (
+	// _runTokens is what a running generation costs another one's first token,
+	// in tokens of prompt: its share of each step.
+	_runTokens = 60
+	// _remoteTokens is what another data centre costs, in tokens of prompt: a
+	// few milliseconds of prefill, so that it only breaks ties.
+	_remoteTokens = 60
+	// _memoryMargin is the part of an engine's memory that is planned with.
+	// Lengths are estimates.
+	_memoryMargin = 0.95
+	// _copyMargin is the part of an engine's memory up to which it is given
+	// copies of other engines' runs: runs go first.
+	_copyMargin = 0.8
+	// _peerTerm is how long another host's word on its load counts.
+	_peerTerm = 2 * time.Second
+)
+
+// Load is work in flight at an endpoint.
+type Load struct {
+	Runs int
+	// Tokens is the memory that the runs take at their largest, copies of other
+	// engines' runs included.
+	Tokens int
+	// Prefill counts the prompt tokens that are not known to have been read.
+	Prefill int
+}
+
+func (l *Load) add(o Load) {
+	l.Runs += o.Runs
+	l.Tokens += o.Tokens
+	l.Prefill += o.Prefill
+}
+
+func (l *Load) remove(o Load) {
+	l.Runs -= o.Runs
+	l.Tokens -= o.Tokens
+	l.Prefill -= o.Prefill
+}
+
+// Want is what is to be placed.
+type Want struct {
+	Request core.RoutedRequest
+	// Exclude names endpoints that are not to be used.
+	Exclude []string
+	// Near is an endpoint to be preferred; empty for none.
+	Near string
+}
+
+// Run is a request placed on an endpoint, or a copy of its memory there. End
+// must be called once.
+type Run struct {
+	Endpoint know.Endpoint
+	load     Load
+	ended    bool
+}
+
+// Verdict tells how placing went.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Placed Verdict = iota + 1
+	// Full: endpoints exist and none has room now.
+	Full
+	// None: no endpoint takes work.
+	None
+)
+
+type endpoint struct {
+	know.Endpoint
+	engine  *core.EngineShape
+	service core.ServiceName
+	own     Load
+	peers   Load
+	health  health
+	cold    window
+}
+
+type peerLoad struct {
+	loads map[string]Load
+	until time.Time
+}
+
+// Placer places the requests of one host. It is not safe for concurrent use.
+type Placer struct {
+	dataCentre core.DataCentreName
+	bounds     core.EntryBounds
+	random     *rand.Rand
+	endpoints  map[string]*endpoint
+	services   map[core.ServiceName][]*endpoint
+	table      *table.Table
+	out        map[core.DataCentreName]bool
+	peers      map[core.HostName]peerLoad
+	hosts      int
+	budgets    map[core.ServiceName]*budget
+	lengths    lengths
+	waiting    []*Waiter
+}
+
+// New builds a placer that knows no endpoint.
+func New(dataCentre core.DataCentreName, bounds core.EntryBounds, random *rand.Rand) *Placer {
+	return &Placer{
+		dataCentre: dataCentre,
+		bounds:     bounds,
+		random:     random,
+		endpoints:  make(map[string]*endpoint),
+		services:   make(map[core.ServiceName][]*endpoint),
+		peers:      make(map[core.HostName]peerLoad),
+		budgets:    make(map[core.ServiceName]*budget),
+		hosts:      _hostsUnknown,
+	}
+}
+
+// Apply takes in a view. Runs on endpoints that are gone stay counted until
+// they end.
+func (p *Placer) Apply(view *know.View) {
+	p.table, p.out = view.Table, view.Out
+	known := make(map[string]*endpoint, len(view.Endpoints))
+	services := make(map[core.ServiceName][]*endpoint)
+	for _, e := range view.Endpoints {
+		state := p.endpoints[e.ID]
+		if state == nil || !state.Born.Equal(e.Born) {
+			state = &endpoint{}
+		}
+		state.Endpoint, state.service, state.engine = e, e.Service, nil
+		if p.table != nil {
+			if s, ok := p.table.Service(e.Service); ok {
+				state.engine = s.Engine
+			}
+		}
+		known[e.ID] = state
+		services[e.Service] = append(services[e.Service], state)
+	}
+	p.endpoints, p.services = known, services
+	p.sumPeers()
+}
+
+// Hear takes in another host's loads, by endpoint.
+func (p *Placer) Hear(now time.Time, host core.HostName, loads map[string]Load) {
+	p.peers[host] = peerLoad{loads: loads, until: now.Add(_peerTerm)}
+	p.sumPeers()
+}
+
+// Expire forgets what other hosts said too long ago.
+func (p *Placer) Expire(now time.Time) {
+	changed := false
+	for host, said := range p.peers {
+		if !now.Before(said.until) {
+			delete(p.peers, host)
+			changed = true
+		}
+	}
+	if changed {
+		p.sumPeers()
+	}
+}
+
+func (p *Placer) sumPeers() {
+	for _, e := range p.endpoints {
+		e.peers = Load{}
+	}
+	for _, said := range p.peers {
+		for id, load := range said.loads {
+			if e := p.endpoints[id]; e != nil {
+				e.peers.add(load)
+			}
+		}
+	}
+}
+
+// Own calls f with this host's load on each endpoint that has any.
+func (p *Placer) Own(f func(id string, load Load)) {
+	for id, e := range p.endpoints {
+		if e.own != (Load{}) {
+			f(id, e.own)
+		}
+	}
+}
+
+// need is the load that a request will be.
+func (p *Placer) need(request *core.RoutedRequest) Load {
+	prompt := request.Prompt
+	if prompt.Tokens == 0 {
+		return Load{Runs: 1}
+	}
+	return Load{Runs: 1, Tokens: prompt.Tokens + p.lengths.expect(request), Prefill: prompt.Tokens}
+}
+
+// Place picks the endpoint that serves a request soonest.
+func (p *Placer) Place(now time.Time, want *Want) (*Run, Verdict) {
+	need := p.need(&want.Request)
+	var best *endpoint
+	bestCost, found := 0.0, false
+	for _, e := range p.services[want.Request.Service] {
+		if !p.open(now, e, want.Exclude) {
+			continue
+		}
+		found = true
+		if !p.fits(now, e, need) {
+			continue
+		}
+		cost := p.cost(now, e, want)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	switch {
+	case best != nil:
+		return p.begin(now, best, need), Placed
+	case found:
+		return nil, Full
+	default:
+		return nil, None
+	}
+}
+
+func (p *Placer) begin(now time.Time, e *endpoint, need Load) *Run {
+	e.own.add(need)
+	if now.Before(e.ColdUntil) {
+		e.cold.add(now, _coldWindow)
+	}
+	return &Run{Endpoint: e.Endpoint, load: need}
+}
+
+// open tells whether an endpoint takes new work.
+func (p *Placer) open(now time.Time, e *endpoint, exclude []string) bool {
+	if e.Draining || p.out[e.DataCentre] || e.health.barred(now) {
+		return false
+	}
+	for _, id := range exclude {
+		if id == e.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// fits tells whether an endpoint has room.
+func (p *Placer) fits(now time.Time, e *endpoint, need Load) bool {
+	if now.Before(e.ColdUntil) && !p.coldAllows(now, e) {
+		return false
+	}
+	runs := e.own.Runs + e.peers.Runs
+	if e.Slots > 0 && runs >= e.Slots {
+		return false
+	}
+	if e.engine == nil || e.engine.MemoryTokens == 0 {
+		return true
+	}
+	room := int(float64(e.engine.MemoryTokens)*_memoryMargin) - e.own.Tokens - e.peers.Tokens
+	return need.Tokens <= room || runs == 0
+}
+
+// cost estimates what a request would wait at an endpoint, in tokens of prompt
+// for an engine and in shares of its slots otherwise.
+func (p *Placer) cost(now time.Time, e *endpoint, want *Want) float64 {
+	runs := e.own.Runs + e.peers.Runs
+	if e.engine == nil {
+		cost := float64(runs) / float64(max(e.Slots, 1))
+		if e.DataCentre != p.dataCentre {
+			cost += 0.05
+		}
+		return (cost+0.1)*e.health.slowdown() + p.random.Float64()*0.02
+	}
+	cost := float64(e.own.Prefill+e.peers.Prefill) + float64(runs)*_runTokens
+	cost += _runTokens + p.random.Float64()*_runTokens
+	if e.DataCentre != p.dataCentre {
+		cost += _remoteTokens
+	}
+	if now.Before(e.ColdUntil) {
+		cost += float64(e.engine.MemoryTokens)
+	}
+	used := float64(e.own.Tokens+e.peers.Tokens) / float64(max(e.engine.MemoryTokens, 1))
+	return (cost + used*_runTokens*4) * e.health.slowdown()
+}
+
+// Copy picks the endpoint to which a run's memory is sent as it grows; nil when
+// none has room. Draining endpoints and those named are left out.
+func (p *Placer) Copy(now time.Time, want *Want) *Run {
+	need := p.need(&want.Request)
+	need.Runs, need.Prefill = 0, 0
+	var best *endpoint
+	bestCost := 0.0
+	for _, e := range p.services[want.Request.Service] {
+		if e.engine == nil || !p.open(now, e, want.Exclude) || now.Before(e.ColdUntil) {
+			continue
+		}
+		used := float64(e.own.Tokens + e.peers.Tokens + need.Tokens)
+		cost := used/float64(max(e.engine.MemoryTokens, 1)) + p.random.Float64()*0.1
+		if used > float64(e.engine.MemoryTokens)*_copyMargin {
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.own.add(need)
+	return &Run{Endpoint: best.Endpoint, load: need}
+}
+
+// Take counts a run at an endpoint that was picked otherwise: where a copy of
+// its memory is. It is false when the endpoint is gone or takes nothing.
+func (p *Placer) Take(now time.Time, id string, request *core.RoutedRequest) (*Run, bool) {
+	e := p.endpoints[id]
+	if e == nil || p.out[e.DataCentre] || e.Draining || e.health.barred(now) {
+		return nil, false
+	}
+	need := p.need(request)
+	need.Prefill = 0
+	return p.begin(now, e, need), true
+}
+
+// Usable tells whether an endpoint still takes work.
+func (p *Placer) Usable(now time.Time, id string) bool {
+	e := p.endpoints[id]
+	return e != nil && p.open(now, e, nil)
+}
+
+// Read tells that a run's prompt has been read: its first event came.
+func (p *Placer) Read(run *Run) {
+	if e := p.state(run); e != nil && !run.ended {
+		e.own.Prefill -= run.load.Prefill
+	}
+	run.load.Prefill = 0
+}
+
+// End ends a run.
+func (p *Placer) End(run *Run) {
+	if run == nil || run.ended {
+		return
+	}
+	run.ended = true
+	if e := p.state(run); e != nil {
+		e.own.remove(run.load)
+	}
+}
+
+func (p *Placer) state(run *Run) *endpoint {
+	e := p.endpoints[run.Endpoint.ID]
+	if e == nil || !e.Born.Equal(run.Endpoint.Born) {
+		return nil
+	}
+	return e
+}
--- /dev/null
+++ b/core/versn/table/table.go
@@ -0,0 +1,158 @@
+// Package table holds one version of the routing configuration: routes by host
+// name and longest path prefix, services, and the workspaces' keys. A table is
+// never written after it was built.
+package table
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"apricotproxy/core"
+)
+
+// Workspace is one customer with its keys.
+type Workspace struct {
+	Name core.WorkspaceName
+	Keys []string
+	// Priority goes before a route's, when HasPriority.
+	Priority    int
+	HasPriority bool
+}
+
+// Source is what a table is built from.
+type Source struct {
+	Version    uint64
+	Routes     []core.Route
+	Services   []core.RoutedService
+	Workspaces []Workspace
+	Limits     core.CallerLimits
+}
+
+// Table is one version of the routing configuration.
+type Table struct {
+	version    uint64
+	limits     core.CallerLimits
+	hosts      map[string][]*core.Route
+	services   map[core.ServiceName]*core.RoutedService
+	workspaces []Workspace
+	keys       map[string]*Workspace
+}
+
+// FieldError names what is wrong with a configuration.
+type FieldError struct {
+	Place  string
+	Detail string
+	Remedy string
+}
+
+// Error gives place, expectation and remedy.
+func (e *FieldError) Error() string { return e.Place + ": " + e.Detail + "; " + e.Remedy }
+
+// Build checks a source and gives its table.
+func Build(source Source) (*Table, error) {
+	t := &Table{
+		version:    source.Version,
+		limits:     source.Limits,
+		hosts:      make(map[string][]*core.Route),
+		services:   make(map[core.ServiceName]*core.RoutedService, len(source.Services)),
+		workspaces: slices.Clone(source.Workspaces),
+		keys:       make(map[string]*Workspace),
+	}
+	for i := range source.Services {
+		s := source.Services[i]
+		t.services[s.Name] = &s
+	}
+	for i := range source.Routes {
+		r := source.Routes[i]
+		if err := t.check(&r); err != nil {
+			return nil, err
+		}
+		t.hosts[r.HostName] = append(t.hosts[r.HostName], &r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(a, b *core.Route) int { return strings.Compare(a.Prefix, b.Prefix) })
+	}
+	for i := range t.workspaces {
+		for _, key := range t.workspaces[i].Keys {
+			t.keys[key] = &t.workspaces[i]
+		}
+	}
+	return t, nil
+}
+
+func (t *Table) check(r *core.Route) error {
+	place := "route " + r.Name
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return &FieldError{Place: place, Detail: fmt.Sprintf("prefix %q does not begin and end with a slash", r.Prefix), Remedy: "write it as /name/"}
+	}
+	if len(r.Services) == 0 {
+		return &FieldError{Place: place, Detail: "no service", Remedy: "name one"}
+	}
+	for _, s := range r.Services {
+		if t.services[s.Service] == nil {
+			return &FieldError{Place: place, Detail: fmt.Sprintf("service %q is not listed", s.Service), Remedy: "list it, or name another"}
+		}
+	}
+	return nil
+}
+
+// Version gives the configuration's version.
+func (t *Table) Version() uint64 { return t.version }
+
+// Limits gives the bounds on callers.
+func (t *Table) Limits() core.CallerLimits { return t.limits }
+
+// Service finds a service.
+func (t *Table) Service(name core.ServiceName) (*core.RoutedService, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Services calls f with each service.
+func (t *Table) Services(f func(*core.RoutedService)) {
+	for _, s := range t.services {
+		f(s)
+	}
+}
+
+// Match finds the route with the longest prefix that begins the path.
+func (t *Table) Match(hostName, path string) (*core.Route, bool) {
+	routes := t.hosts[hostName]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		prefix := path[:end+1]
+		i, ok := slices.BinarySearchFunc(routes, prefix, func(r *core.Route, p string) int { return strings.Compare(r.Prefix, p) })
+		if ok {
+			return routes[i], true
+		}
+	}
+	return nil, false
+}
+
+// HasKeys tells whether callers need a key.
+func (t *Table) HasKeys() bool { return len(t.workspaces) > 0 }
+
+// Workspace finds the workspace that holds a key.
+func (t *Table) Workspace(key string) (*Workspace, bool) {
+	w, ok := t.keys[key]
+	return w, ok
+}
+
+// Pick gives the service of a route for a number drawn from [0, 1).
+func Pick(route *core.Route, drawn float64) core.ServiceName {
+	if len(route.Services) == 1 {
+		return route.Services[0].Service
+	}
+	total := 0.0
+	for _, s := range route.Services {
+		total += max(s.Weight, 0)
+	}
+	left := drawn * total
+	for _, s := range route.Services {
+		left -= max(s.Weight, 0)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	return route.Services[len(route.Services)-1].Service
+}
--- /dev/null
+++ b/io/front/desk.go
@@ -0,0 +1,113 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
+	"apricotproxy/core/procs/place"
+)
+
+// Desk gives the requests' goroutines access to one placer. It is safe for
+// concurrent use.
+type Desk struct {
+	mu     sync.Mutex
+	placer *place.Placer
+}
+
+// NewDesk wraps a placer.
+func NewDesk(placer *place.Placer) *Desk { return &Desk{placer: placer} }
+
+// Update calls f with the placer and grants what has room afterwards.
+func (d *Desk) Update(f func(*place.Placer)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(d.placer)
+	d.placer.Release(time.Now())
+}
+
+// Apply takes in a view.
+func (d *Desk) Apply(view *know.View) { d.Update(func(p *place.Placer) { p.Apply(view) }) }
+
+// place gives a run, waiting for room until a deadline. The verdict is Placed,
+// or why there is none.
+func (d *Desk) place(ctx context.Context, want *place.Want, until time.Time) (*place.Run, place.Verdict) {
+	now := time.Now()
+	d.mu.Lock()
+	run, verdict := d.placer.Place(now, want)
+	if verdict == place.Placed || !now.Before(until) {
+		d.mu.Unlock()
+		return run, verdict
+	}
+	granted := make(chan *place.Run, 1)
+	waiter := &place.Waiter{Want: want, Until: until, Granted: func(run *place.Run) { granted <- run }}
+	d.placer.Enqueue(waiter)
+	d.mu.Unlock()
+	timer := time.NewTimer(until.Sub(now))
+	defer timer.Stop()
+	select {
+	case run := <-granted:
+		return run, place.Placed
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	withdrawn := d.placer.Withdraw(waiter)
+	d.mu.Unlock()
+	if withdrawn {
+		return nil, verdict
+	}
+	return <-granted, place.Placed
+}
+
+func (d *Desk) copyFor(want *place.Want) *place.Run {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.Copy(time.Now(), want)
+}
+
+func (d *Desk) take(id string, request *core.RoutedRequest) (*place.Run, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.Take(time.Now(), id, request)
+}
+
+func (d *Desk) first(service core.ServiceName) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placer.First(time.Now(), service)
+}
+
+func (d *Desk) again(service core.ServiceName) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.Again(time.Now(), service)
+}
+
+func (d *Desk) read(run *place.Run) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placer.Read(run)
+}
+
+// end ends a run and takes in how it went; an outcome of 0 says nothing of the
+// endpoint.
+func (d *Desk) end(run *place.Run, outcome place.Outcome) {
+	if run == nil {
+		return
+	}
+	d.Update(func(p *place.Placer) {
+		if outcome != 0 {
+			p.Judge(time.Now(), run, outcome)
+		}
+		p.End(run)
+	})
+}
+
+func (d *Desk) produced(request *core.RoutedRequest, tokens int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placer.Produced(request, tokens)
+}
--- /dev/null
+++ b/io/front/exchange.go
@@ -0,0 +1,364 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/place"
+	"apricotproxy/core/reqst/event"
+	"apricotproxy/core/reqst/tries"
+	"apricotproxy/io/links"
+)
+
+const (
+	// _leastTime is the time left below which no further try is made.
+	_leastTime = 10 * time.Millisecond
+	// _silences is how many times the longest timely pause a stream may be
+	// silent before its engine counts as lost.
+	_silences = 4
+	// _shortestSilence bounds that from below: a retransmission on a lossy link
+	// takes some hundred milliseconds.
+	_shortestSilence = 500 * time.Millisecond
+)
+
+var (
+	errTimeout = errors.New("the request's time is over")
+	errSlow    = errors.New("the endpoint did not answer in time")
+)
+
+// exchange carries one request from its caller to endpoints and back.
+type exchange struct {
+	front    *Front
+	writer   http.ResponseWriter
+	control  *http.ResponseController
+	incoming *http.Request
+	request  *request
+	tries    *tries.Tries
+
+	// used names the endpoints that failed this request.
+	used []string
+	// run is the try under way, copy where a copy of its memory grows.
+	run  *place.Run
+	copy *place.Run
+
+	position  event.Position
+	splitter  event.Splitter
+	events    int
+	delivered bool
+	// continued is true once the stream went on elsewhere.
+	continued bool
+}
+
+func newExchange(f *Front, w http.ResponseWriter, r *http.Request, req *request) *exchange {
+	return &exchange{
+		front: f, writer: w, control: http.NewResponseController(w), incoming: r, request: req,
+		tries: tries.New(req.Route),
+	}
+}
+
+// ended is how one try ended.
+type ended struct {
+	// done is true when the caller has its answer.
+	done   bool
+	result tries.Result
+	// failure is the endpoint's own answer to a request that failed there.
+	failure *whole
+	health  place.Outcome
+	err     error
+}
+
+func (e *exchange) desk() *Desk { return e.front.config.Desk }
+
+// serve makes tries until the request has its answer.
+func (e *exchange) serve(ctx context.Context) {
+	defer e.dropCopy()
+	e.desk().first(e.request.Service)
+	step := tries.Again
+	for {
+		end := e.step(ctx, step)
+		if end.done || e.incoming.Context().Err() != nil {
+			return
+		}
+		if ctx.Err() != nil {
+			e.timeout()
+			return
+		}
+		next := e.tries.Next(end.result, e.situation())
+		e.log("A try ended.", "Result", end.result.String(), "Cause", text(end.err), "Next", next.String())
+		switch next {
+		case tries.Relay:
+			e.relay(end.failure)
+			return
+		case tries.Refuse:
+			e.answer(http.StatusServiceUnavailable, "no endpoint took the request", _retryAfter)
+			return
+		case tries.Fail:
+			e.answer(http.StatusBadGateway, "the endpoint was lost; the request may have run", 0)
+			return
+		case tries.Cut:
+			e.cut("the generation was lost")
+		default:
+			step = next
+		}
+	}
+}
+
+func (e *exchange) situation() tries.Situation {
+	return tries.Situation{
+		Delivered: e.delivered,
+		Copy:      e.copy != nil,
+		Budget:    func() bool { return e.desk().again(e.request.Service) },
+		TimeLeft:  time.Until(e.request.Deadline) > _leastTime,
+	}
+}
+
+// step places the request and makes one try.
+func (e *exchange) step(ctx context.Context, step tries.Step) ended {
+	if step == tries.Continue {
+		run, ok := e.desk().take(e.copy.Endpoint.ID, &e.request.RoutedRequest)
+		e.dropCopy()
+		if !ok {
+			return ended{result: tries.NotSent, err: errors.New("the endpoint with the copy takes no work")}
+		}
+		e.run = run
+	} else if end := e.place(ctx); end != nil {
+		return *end
+	}
+	e.continued = e.continued || step != tries.Again
+	end := e.try(ctx, step)
+	e.front.counters.tried(end.result.String())
+	if !end.done {
+		e.used = append(e.used, e.run.Endpoint.ID)
+	}
+	e.desk().end(e.run, end.health)
+	return end
+}
+
+// place waits for a run; it gives the end when there is none.
+func (e *exchange) place(ctx context.Context) *ended {
+	request := &e.request.RoutedRequest
+	until := request.Arrived.Add(request.Route.Goal)
+	if now := time.Now(); e.delivered || until.Before(now) {
+		until = now.Add(request.Route.GapGoal)
+	}
+	if request.Deadline.Before(until) {
+		until = request.Deadline
+	}
+	run, verdict := e.desk().place(ctx, &place.Want{Request: *request, Exclude: e.used}, until)
+	if verdict == place.Placed {
+		e.run = run
+		return nil
+	}
+	if ctx.Err() != nil {
+		return &ended{}
+	}
+	e.log("No endpoint has room.", "Verdict", int(verdict), "Waited", time.Since(request.Arrived).Milliseconds())
+	switch {
+	case e.delivered:
+		e.cut("no endpoint has room to go on")
+	case e.tries.MayHaveRun():
+		e.answer(http.StatusBadGateway, "the endpoint was lost; the request may have run", 0)
+	default:
+		e.answer(http.StatusServiceUnavailable, "no endpoint has room", _retryAfter)
+	}
+	return &ended{done: true}
+}
+
+// try sends the request to the endpoint of the run and passes the answer on.
+func (e *exchange) try(ctx context.Context, step tries.Step) ended {
+	endpoint := e.run.Endpoint
+	e.chooseCopy()
+	trying, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	slow := time.AfterFunc(time.Until(e.firstBy()), func() { cancel(errSlow) })
+	defer slow.Stop()
+	e.log("A try begins.", "Endpoint", endpoint.ID, "Address", endpoint.Address, "Step", step.String(), "Copy", e.copyID())
+	answer, err := e.front.config.Links.Do(trying, endpoint.RoutedEndpoint, e.outgoing(step))
+	var failed *links.Error
+	if errors.As(err, &failed) && failed.Stage == links.StageDial {
+		return ended{result: tries.NotSent, health: e.blame(ctx, place.Unreachable), err: err}
+	}
+	e.tries.Sent(step == tries.Continue)
+	if err != nil {
+		return ended{result: e.lost(), health: e.blame(ctx, unanswered(err)), err: err}
+	}
+	defer answer.Close()
+	return e.receive(ctx, answer, slow)
+}
+
+// blame is what a failed try says of the endpoint: nothing when it was the
+// caller who left or the time that ran out.
+func (e *exchange) blame(ctx context.Context, outcome place.Outcome) place.Outcome {
+	if ctx.Err() != nil {
+		return 0
+	}
+	return outcome
+}
+
+func unanswered(err error) place.Outcome {
+	if errors.Is(err, errSlow) {
+		return place.Unreachable
+	}
+	return place.Bad
+}
+
+func (e *exchange) lost() tries.Result {
+	if e.delivered {
+		return tries.Broken
+	}
+	return tries.Lost
+}
+
+// firstBy is when the first event or the answer must have come for this try not
+// to count as lost.
+func (e *exchange) firstBy() time.Time {
+	route := e.request.Route
+	now := time.Now()
+	limit := e.request.Deadline
+	var patience time.Duration
+	switch {
+	case e.continued:
+		patience = e.silence()
+	case route.Kind == core.RouteStreaming && e.copy != nil:
+		patience = 2 * route.Goal
+	case route.Kind == core.RouteIdempotent || route.Resumable:
+		patience = route.Goal
+	}
+	if patience > 0 && now.Add(patience).Before(limit) {
+		return now.Add(patience)
+	}
+	return limit
+}
+
+// silence is how long a stream that can go on elsewhere may be silent.
+func (e *exchange) silence() time.Duration {
+	return max(_silences*e.request.Route.GapGoal, _shortestSilence)
+}
+
+// canGoOn tells whether a stream could go on elsewhere if it broke now.
+func (e *exchange) canGoOn() bool { return e.copy != nil || e.request.Route.Resumable }
+
+// chooseCopy picks where a copy of the run's memory is to grow, for a stream that
+// cannot be resumed otherwise.
+func (e *exchange) chooseCopy() {
+	e.dropCopy()
+	route := e.request.Route
+	if route.Kind != core.RouteStreaming || route.Resumable || !e.engineBackups() {
+		return
+	}
+	exclude := append([]string{e.run.Endpoint.ID}, e.used...)
+	e.copy = e.desk().copyFor(&place.Want{Request: e.request.RoutedRequest, Exclude: exclude})
+}
+
+func (e *exchange) engineBackups() bool {
+	view := e.front.config.View()
+	service, ok := view.Table.Service(e.request.Service)
+	return ok && service.Engine != nil && service.Engine.Backups
+}
+
+func (e *exchange) copyID() string {
+	if e.copy == nil {
+		return ""
+	}
+	return e.copy.Endpoint.ID
+}
+
+func (e *exchange) dropCopy() {
+	e.desk().end(e.copy, 0)
+	e.copy = nil
+}
+
+// outgoing is the request as the endpoint gets it.
+func (e *exchange) outgoing(step tries.Step) *links.Request {
+	names := e.front.config.Names
+	header := passedOn(e.incoming.Header, names)
+	header.Set(names.RequestID, e.request.ID)
+	header.Set(names.Deadline, strconv.FormatInt(max(time.Until(e.request.Deadline).Milliseconds(), 1), 10))
+	header.Set(names.ExpectedEndpoint, e.run.Endpoint.ID)
+	if e.request.Workspace != "" {
+		header.Set(names.Workspace, string(e.request.Workspace))
+	}
+	if e.copy != nil {
+		header.Set(names.Backup, e.copy.Endpoint.Address)
+	}
+	if step == tries.Continue {
+		header.Set(names.ContinueFrom, e.run.Endpoint.Address+"/"+e.request.ID)
+	}
+	if e.position.Started() && e.delivered {
+		header.Set(names.LastEventID, strconv.Itoa(e.position.Last()))
+	}
+	return &links.Request{
+		Method:   e.incoming.Method,
+		Target:   e.incoming.RequestURI,
+		HostName: e.incoming.Host,
+		Header:   header,
+		Body:     e.request.body,
+		Own:      e.own,
+		Careful:  e.request.Route.Kind != core.RouteIdempotent,
+	}
+}
+
+// own tells whether an answer belongs to this request.
+func (e *exchange) own(res *http.Response) bool {
+	names := e.front.config.Names
+	echo := res.Header.Get(names.RequestID)
+	if echo == "" {
+		return res.StatusCode == http.StatusMisdirectedRequest || res.Header.Get(names.NotRun) != ""
+	}
+	return echo == e.request.ID
+}
+
+// receive sorts an answer and passes it on if it is the caller's.
+func (e *exchange) receive(ctx context.Context, answer *links.Answer, slow *time.Timer) ended {
+	names := e.front.config.Names
+	status := answer.StatusCode
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		e.skip(answer)
+		return ended{result: tries.Refused, health: place.Gone, err: errors.New("another endpoint has the address")}
+	case answer.Header.Get(names.NotRun) != "":
+		e.skip(answer)
+		return ended{result: tries.Refused, err: errors.New("the endpoint refused with status " + strconv.Itoa(status))}
+	case status >= http.StatusOK && status < http.StatusMultipleChoices:
+		if answer.Header.Get(names.Seal) == "" || answer.Header.Get("Content-Encoding") != "" {
+			return ended{result: e.lost(), health: place.Bad, err: errors.New("the answer is not the endpoint's")}
+		}
+		if e.request.Route.Kind == core.RouteStreaming {
+			return e.stream(ctx, answer, slow)
+		}
+	}
+	body, err := readWhole(answer)
+	if err != nil {
+		return ended{result: e.lost(), health: e.blame(ctx, place.Bad), err: err}
+	}
+	if status < http.StatusInternalServerError && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests {
+		e.relay(body)
+		return ended{done: true, health: place.Good}
+	}
+	return ended{result: tries.Failed, failure: body, health: place.Bad, err: errors.New("the endpoint failed with status " + strconv.Itoa(status))}
+}
+
+// skip reads a refusal to its end, so that its connection can be used again.
+func (e *exchange) skip(answer *links.Answer) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer, _skipBytes)); err != nil {
+		e.log("A refusal could not be read.", "Cause", err.Error())
+	}
+}
+
+const _skipBytes = 16 << 10
+
+func (e *exchange) log(message string, values ...any) {
+	e.front.log.Info(message, append([]any{"Request", e.request.ID}, values...)...)
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
