Hosts find each other through seeds and carry documents to each other

SIGHUP ended processes.

Change: heartbeats as datagrams with how far each group of documents is known (core/procs/gossip, io/news); a host that lacks something asks for it. Two hosts read the endpoints' documents for all. The settings file is read again.

--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -155,6 +155,9 @@
 	p.sumPeers()
 }
 
+// SetBounds replaces the deployment's bounds.
+func (p *Placer) SetBounds(bounds core.EntryBounds) { p.bounds = bounds }
+
 // Hear takes in another host's loads, by endpoint.
 func (p *Placer) Hear(now time.Time, host core.HostName, loads map[string]Load) {
 	p.peers[host] = peerLoad{loads: loads, until: now.Add(_peerTerm)}
--- a/core/routed.go
+++ b/core/routed.go
@@ -237,8 +237,11 @@
 	Regions       map[DataCentreName]RegionName
 	CallerAddress string
 	ReadyAddress  string
-	PeerAddress   string
-	// Seeds are peer addresses that may be stale.
+	// PeerAddress is where other hosts ask for documents, HeartbeatAddress
+	// where they send heartbeats.
+	PeerAddress      string
+	HeartbeatAddress string
+	// Seeds are heartbeat addresses of other hosts; they may be stale.
 	Seeds []string
 	// Store is the address of the platform's document store.
 	Store string
--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -1,13 +1,16 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -42,6 +45,7 @@
 	store := platform.NewStore(settings.Store, &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true,
 	})
+	logger := c.logger(console)
 	h, err := entry.New(entry.Settings{
 		EntrySettings: settings,
 		Names:         platform.Headers(),
@@ -50,11 +54,13 @@
 		Decode:        platform.Decode,
 		Dialer:        dialer,
 		Listen:        net.Listen,
-		Logger:        c.logger(console),
+		ListenPacket:  net.ListenPacket,
+		Logger:        logger,
 	})
 	if err != nil {
 		return fmt.Errorf("start the host: %w", err)
 	}
+	go follow(ctx, path, h, logger)
 	if err := h.Run(ctx); err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
@@ -68,3 +74,45 @@
 	}
 	return logr.FromSlogHandler(slog.NewJSONHandler(console.Out, &slog.HandlerOptions{Level: level}))
 }
+
+// _settingsCheck is how often the settings file is looked at: it may change
+// without a signal.
+const _settingsCheck = time.Second
+
+// follow reads the settings file again after SIGHUP and when it changes. One that
+// cannot be used leaves the settings as they are.
+func follow(ctx context.Context, path string, h *entry.Host, logger logr.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(_settingsCheck)
+	defer ticker.Stop()
+	read, err := os.ReadFile(path)
+	if err != nil {
+		logger.Error(err, "The settings file cannot be read.")
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			logger.Error(err, "The settings file cannot be read.")
+			continue
+		}
+		if bytes.Equal(text, read) {
+			continue
+		}
+		read = text
+		settings, err := platform.ParseSettings(path, text)
+		if err != nil {
+			logger.Error(err, "The settings file cannot be used; the settings stay as they are.")
+			continue
+		}
+		logger.Info("The settings changed.", "Path", path)
+		h.Reload(settings)
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -21,6 +21,7 @@
 	"apricotproxy/core/procs/place"
 	"apricotproxy/io/front"
 	"apricotproxy/io/links"
+	"apricotproxy/io/news"
 )
 
 const (
@@ -52,7 +53,9 @@
 	Decode know.Decode
 	Dialer core.Dialer
 	Listen core.Listen
-	Logger logr.Logger
+	// ListenPacket opens a socket for datagrams.
+	ListenPacket func(network, address string) (net.PacketConn, error)
+	Logger       logr.Logger
 	// Seed makes random choices repeatable; 0 draws one.
 	Seed uint64
 }
@@ -65,6 +68,7 @@
 	desk     *front.Desk
 	front    *front.Front
 	links    *links.Pool
+	peers    *peers
 	idle     idleLimit
 	stopping atomic.Bool
 	servers  []*http.Server
@@ -88,6 +92,10 @@
 	h.front = front.New(front.Config{
 		Names: settings.Names, Desk: h.desk, Links: h.links, View: h.facts.View, Logger: settings.Logger,
 	})
+	var err error
+	if h.peers, err = newPeers(h, rand.New(rand.NewPCG(seed, 2))); err != nil {
+		return nil, err
+	}
 	return h, h.listen()
 }
 
@@ -103,6 +111,7 @@
 			IdleTimeout: _idleCeiling, ConnState: h.idle.connState,
 		}},
 		{h.settings.ReadyAddress, &http.Server{Handler: ready, ReadHeaderTimeout: _headerRead}},
+		{h.settings.PeerAddress, &http.Server{Handler: news.Handler(h.peers.give), ReadHeaderTimeout: _headerRead}},
 	} {
 		socket, err := h.settings.Listen("tcp", l.address)
 		if err != nil {
@@ -121,6 +130,7 @@
 		h.idle.set(view.Table.Limits().IdleTimeout)
 	}
 	h.desk.Apply(view)
+	h.peers.spread()
 }
 
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -142,7 +152,7 @@
 	working, halt := context.WithCancel(context.WithoutCancel(ctx))
 	defer halt()
 	var group sync.WaitGroup
-	failed := make(chan error, len(h.servers))
+	failed := make(chan error, len(h.servers)+1)
 	for i, server := range h.servers {
 		group.Go(func() {
 			if err := server.Serve(h.sockets[i]); !errors.Is(err, http.ErrServerClosed) {
@@ -153,6 +163,12 @@
 	group.Go(func() { h.readPolicy(working) })
 	group.Go(func() { h.readEndpoints(working) })
 	group.Go(func() { h.tick(working) })
+	group.Go(func() { h.peers.run(working) })
+	group.Go(func() {
+		if err := news.Receive(h.peers.socket, func(b []byte) { h.peers.heard(working, b) }); !errors.Is(err, net.ErrClosed) {
+			failed <- err
+		}
+	})
 	h.log.Info("This host serves.", "Host", h.settings.Name, "DataCentre", h.settings.DataCentre)
 	var err error
 	select {
@@ -164,6 +180,7 @@
 	for _, server := range h.servers {
 		err = errors.Join(err, server.Close())
 	}
+	err = errors.Join(err, h.peers.socket.Close())
 	group.Wait()
 	h.links.Close()
 	h.log.Info("This host has stopped.", "Host", h.settings.Name)
@@ -198,3 +215,10 @@
 	}
 	return func(key string) bool { return keys[key] }
 }
+
+// Reload takes in settings that changed while the process runs: the seeds and
+// the bounds. Addresses are those of the start.
+func (h *Host) Reload(settings core.EntrySettings) {
+	h.peers.setSeeds(settings.Seeds)
+	h.desk.Update(func(p *place.Placer) { p.SetBounds(settings.Bounds) })
+}
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -19,6 +19,9 @@
 	// each watch at once.
 	_endpointsWatch = time.Second
 	_endpointsPace  = 300 * time.Millisecond
+	// _endpointsAge is how old a host's knowledge may get by what others tell it
+	// before it reads for itself.
+	_endpointsAge = time.Second
 	// A failed call is made again after a pause.
 	_pauseFirst  = 100 * time.Millisecond
 	_pauseAtMost = 800 * time.Millisecond
@@ -43,7 +46,11 @@
 func (h *Host) readEndpoints(ctx context.Context) {
 	r := &reader{host: h, group: core.GroupEndpoints, wait: _endpointsWatch}
 	for ctx.Err() == nil {
-		r.read(ctx)
+		now := time.Now()
+		level := h.facts.level(core.GroupEndpoints)
+		if level.AsOf == 0 || now.Sub(level.FreshAt) > _endpointsAge || h.peers.reader(now) {
+			r.read(ctx)
+		}
 		sleep(ctx, _endpointsPace)
 	}
 }
@@ -54,6 +61,7 @@
 	switch {
 	case err == nil:
 		r.pause = 0
+		r.host.peers.setReads(true)
 		return
 	case errors.Is(err, core.ErrHistoryLost):
 		r.listed = false
@@ -65,6 +73,7 @@
 	if r.pause == 0 {
 		r.host.log.Info("The store cannot be read.", "Group", r.group.String(), "Cause", err.Error())
 	}
+	r.host.peers.setReads(false)
 	bounds := r.host.settings.Bounds
 	r.host.facts.with(func(s *know.State) {
 		s.Trouble(time.Now().Add(_lapseBeats*bounds.EndpointInterval + _lapseGrace))
--- /dev/null
+++ b/io/news/news.go
@@ -0,0 +1,141 @@
+// Package news carries heartbeats and documents between hosts: heartbeats as
+// datagrams, since one that is lost is soon followed by another, and documents by
+// HTTP. Both are CBOR.
+package news
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/gossip"
+	"apricotproxy/core/procs/place"
+)
+
+const (
+	// _datagramBytes bounds a heartbeat.
+	_datagramBytes = 16 << 10
+	// _documentsBytes bounds an answer with documents.
+	_documentsBytes = 32 << 20
+	_documentsPath  = "/documents"
+	// _pullTimeout bounds one pull of documents from another host.
+	_pullTimeout = 700 * time.Millisecond
+)
+
+// Message is a heartbeat with the sender's loads.
+type Message struct {
+	gossip.Heartbeat
+	Loads map[string]place.Load
+}
+
+// Encode gives a message's bytes.
+func Encode(m *Message) ([]byte, error) {
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode a heartbeat: %w", err)
+	}
+	return b, nil
+}
+
+// Decode reads a message.
+func Decode(b []byte) (*Message, error) {
+	var m Message
+	if err := cbor.Unmarshal(b, &m); err != nil {
+		return nil, fmt.Errorf("decode a heartbeat: %w", err)
+	}
+	if m.From.Host == "" {
+		return nil, fmt.Errorf("decode a heartbeat: the sender has no name")
+	}
+	return &m, nil
+}
+
+// Receive hands each datagram on until the socket is closed.
+func Receive(socket net.PacketConn, take func([]byte)) error {
+	buffer := make([]byte, _datagramBytes)
+	for {
+		n, _, err := socket.ReadFrom(buffer)
+		if err != nil {
+			return fmt.Errorf("receive heartbeats: %w", err)
+		}
+		take(buffer[:n])
+	}
+}
+
+// Pulled is what a host answers when it is asked for documents.
+type Pulled struct {
+	Documents []core.Document
+	AsOf      uint64
+	// Whole is true when the documents are the whole group.
+	Whole bool
+	// Age is how long ago the store was known to have nothing newer.
+	Age time.Duration
+}
+
+// Source gives the documents of a group after a revision.
+type Source func(group core.DocumentGroup, after uint64) Pulled
+
+// Handler serves documents to other hosts.
+func Handler(source Source) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+_documentsPath, func(w http.ResponseWriter, r *http.Request) {
+		group, err := strconv.ParseUint(r.URL.Query().Get("group"), 10, 8)
+		if err != nil {
+			http.Error(w, "group: not a number", http.StatusBadRequest)
+			return
+		}
+		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		if err != nil {
+			http.Error(w, "after: not a number", http.StatusBadRequest)
+			return
+		}
+		body, err := cbor.Marshal(source(core.DocumentGroup(group), after))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/cbor")
+		_, _ = w.Write(body)
+	})
+	return mux
+}
+
+// Client asks other hosts for documents.
+type Client struct{ client *http.Client }
+
+// NewClient builds a client.
+func NewClient(transport http.RoundTripper) *Client {
+	return &Client{client: &http.Client{Transport: transport, Timeout: _pullTimeout}}
+}
+
+// Pull asks one host.
+func (c *Client) Pull(ctx context.Context, address string, group core.DocumentGroup, after uint64) (Pulled, error) {
+	url := fmt.Sprintf("http://%s%s?group=%d&after=%d", address, _documentsPath, group, after)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return Pulled{}, fmt.Errorf("make the call: %w", err)
+	}
+	res, err := c.client.Do(req)
+	if err != nil {
+		return Pulled{}, fmt.Errorf("ask %s for documents: %w", address, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, _documentsBytes))
+	if err != nil {
+		return Pulled{}, fmt.Errorf("read documents of %s: %w", address, err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return Pulled{}, fmt.Errorf("ask %s for documents: status %d", address, res.StatusCode)
+	}
+	var p Pulled
+	if err := cbor.Unmarshal(body, &p); err != nil {
+		return Pulled{}, fmt.Errorf("decode documents of %s: %w", address, err)
+	}
+	return p, nil
+}
