Documents are read by one short watch of two hosts

Change: one group of documents, watched in one call of at most 1 s by the hosts that read for all; the others hear of it.

Conclusion: the wait of a watch has to be short of the bounds.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -31,7 +31,7 @@
 	_heardFor = time.Minute
 	// _sample is how many other hosts a heartbeat names.
 	_sample = 8
-	// _readers is how many hosts read the endpoints' documents for all: one may
+	// _readers is how many hosts read the documents for all: one may
 	// be lost without a gap.
 	_readers = 2
 )
@@ -44,7 +44,7 @@
 	Centre    core.DataCentreName
 }
 
-// Level is how far a host knows a group of documents.
+// Level is how far a host knows the documents.
 type Level struct {
 	AsOf    uint64
 	Changed uint64
@@ -58,8 +58,8 @@
 	Incarnation int64
 	Stopping    bool
 	// Reads is true when the host can read the store.
-	Reads  bool
-	Levels map[core.DocumentGroup]Level
+	Reads bool
+	Level Level
 	// Others are hosts that the sender has heard of.
 	Others []Contact
 }
@@ -206,7 +206,7 @@
 	return addresses
 }
 
-// Reader tells whether this host is one of those that read the endpoints'
+// Reader tells whether this host is one of those that read the
 // documents for all. Each host works it out from whom it hears; when views
 // differ, a few more or fewer read for a while, and a host whose knowledge grows
 // old reads for itself.
--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -50,9 +50,9 @@
 	Endpoints []Endpoint
 }
 
-// Level tells how far a group is known.
+// Level tells how far the documents are known.
 type Level struct {
-	// AsOf is the revision up to which the group is complete.
+	// AsOf is the revision up to which nothing is missing.
 	AsOf uint64
 	// Changed is the highest revision at which anything but a heartbeat changed.
 	Changed uint64
@@ -66,17 +66,13 @@
 	endpoint Endpoint
 }
 
-type group struct {
-	items map[string]*item
-	level Level
-	// horizon is the highest revision of a forgotten tombstone.
-	horizon uint64
-}
-
 // State is what a host believes. It is not safe for concurrent use.
 type State struct {
 	decode Decode
-	groups map[core.DocumentGroup]*group
+	items  map[string]*item
+	level  Level
+	// horizon is the highest revision of a forgotten tombstone.
+	horizon uint64
 	// lapseGrace is how long an endpoint outlives a document that went missing
 	// while the store was in trouble; trouble lasts until troubleUntil.
 	lapseGrace   time.Duration
@@ -87,15 +83,11 @@
 
 // New builds a state that knows nothing.
 func New(decode Decode, lapseGrace time.Duration) *State {
-	s := &State{decode: decode, lapseGrace: lapseGrace, groups: make(map[core.DocumentGroup]*group)}
-	for _, g := range []core.DocumentGroup{core.GroupPolicy, core.GroupEndpoints} {
-		s.groups[g] = &group{items: make(map[string]*item)}
-	}
-	return s
+	return &State{decode: decode, lapseGrace: lapseGrace, items: make(map[string]*item)}
 }
 
-// Level tells how far a group is known.
-func (s *State) Level(g core.DocumentGroup) Level { return s.groups[g].level }
+// Level tells how far the documents are known.
+func (s *State) Level() Level { return s.level }
 
 // Trouble tells that the store is in trouble until a moment: documents of
 // endpoints may lapse though the endpoints are well.
@@ -105,10 +97,10 @@
 	}
 }
 
-// Confirm takes in that a group is complete up to a revision and had nothing
-// newer at a moment.
-func (s *State) Confirm(g core.DocumentGroup, asOf uint64, freshAt time.Time) {
-	level := &s.groups[g].level
+// Confirm takes in that nothing is missing up to a revision, and that there was
+// nothing newer at a moment.
+func (s *State) Confirm(asOf uint64, freshAt time.Time) {
+	level := &s.level
 	if asOf < level.AsOf {
 		return
 	}
@@ -120,7 +112,7 @@
 
 // Update takes in documents that changed. It reports whether anything but
 // heartbeats changed, and what could not be read.
-func (s *State) Update(now time.Time, g core.DocumentGroup, documents core.Documents, freshAt time.Time) (bool, error) {
+func (s *State) Update(now time.Time, documents core.Documents, freshAt time.Time) (bool, error) {
 	changed := false
 	var faults []error
 	for _, d := range documents.Documents {
@@ -130,50 +122,45 @@
 			faults = append(faults, fmt.Errorf("document %s: %w", d.Name, err))
 		}
 	}
-	s.Confirm(g, documents.AsOf, freshAt)
-	s.forget(s.groups[g])
+	s.Confirm(documents.AsOf, freshAt)
+	s.forget()
 	if changed {
 		s.view = nil
 	}
 	return changed, errors.Join(faults...)
 }
 
-// Replace takes in a whole group: what is not among the documents and is not
+// Replace takes in all documents: what is not among the documents and is not
 // newer was deleted.
-func (s *State) Replace(now time.Time, g core.DocumentGroup, documents core.Documents, freshAt time.Time) (bool, error) {
+func (s *State) Replace(now time.Time, documents core.Documents, freshAt time.Time) (bool, error) {
 	listed := make(map[string]bool, len(documents.Documents))
 	for _, d := range documents.Documents {
 		listed[d.Name] = true
 	}
-	for name, it := range s.groups[g].items {
+	for name, it := range s.items {
 		if !listed[name] && !it.document.Deleted && it.document.Revision <= documents.AsOf {
-			documents.Documents = append(documents.Documents, core.Document{Group: g, Name: name, Revision: documents.AsOf, Deleted: true})
+			documents.Documents = append(documents.Documents, core.Document{Name: name, Revision: documents.AsOf, Deleted: true})
 		}
 	}
-	return s.Update(now, g, documents, freshAt)
+	return s.Update(now, documents, freshAt)
 }
 
-// Since gives what changed in a group after a revision. Whole tells that the
-// documents are the whole group instead.
-func (s *State) Since(g core.DocumentGroup, after uint64) (documents core.Documents, whole bool) {
-	gr := s.groups[g]
-	whole = after < gr.horizon || after == 0
-	for _, it := range gr.items {
+// Since gives what changed after a revision. Whole tells that the documents are
+// all there are instead.
+func (s *State) Since(after uint64) (documents core.Documents, whole bool) {
+	whole = after < s.horizon || after == 0
+	for _, it := range s.items {
 		if (whole && !it.document.Deleted) || (!whole && it.document.Revision > after) {
 			documents.Documents = append(documents.Documents, it.document)
 		}
 	}
-	documents.AsOf = gr.level.AsOf
+	documents.AsOf = s.level.AsOf
 	return documents, whole
 }
 
 // take takes in one document and reports whether it changed what is believed.
 func (s *State) take(now time.Time, d core.Document) (bool, error) {
-	gr := s.groups[d.Group]
-	if gr == nil {
-		return false, fmt.Errorf("group %d is not known", d.Group)
-	}
-	before := gr.items[d.Name]
+	before := s.items[d.Name]
 	if before != nil && d.Revision <= before.document.Revision {
 		return false, nil
 	}
@@ -184,20 +171,20 @@
 	if err != nil {
 		return false, err
 	}
-	if d.Group == core.GroupEndpoints {
-		return s.takeEndpoint(now, gr, before, d, fact), nil
+	if fact.Endpoint != nil || (before != nil && before.endpoint.ID != "") {
+		return s.takeEndpoint(now, before, d, fact), nil
 	}
-	gr.items[d.Name] = &item{document: d, fact: fact}
-	gr.level.Changed = max(gr.level.Changed, d.Revision)
+	s.items[d.Name] = &item{document: d, fact: fact}
+	s.level.Changed = max(s.level.Changed, d.Revision)
 	if fact.Table != nil && (s.table == nil || fact.Table.Version() > s.table.Version()) {
 		s.table = fact.Table
 	}
 	return true, nil
 }
 
-func (s *State) takeEndpoint(now time.Time, gr *group, before *item, d core.Document, fact Fact) bool {
+func (s *State) takeEndpoint(now time.Time, before *item, d core.Document, fact Fact) bool {
 	if d.Deleted {
-		gr.level.Changed = max(gr.level.Changed, d.Revision)
+		s.level.Changed = max(s.level.Changed, d.Revision)
 		if before.document.Deleted {
 			before.document = d
 			return false
@@ -206,7 +193,7 @@
 		if now.Before(s.troubleUntil) && !before.endpoint.Draining {
 			gone.endpoint.DropAt = now.Add(s.lapseGrace)
 		}
-		gr.items[d.Name] = gone
+		s.items[d.Name] = gone
 		return true
 	}
 	if fact.Endpoint == nil {
@@ -218,8 +205,8 @@
 		next.endpoint.ColdUntil = now.Add(e.Cold)
 	}
 	if before == nil {
-		gr.items[d.Name] = next
-		gr.level.Changed = max(gr.level.Changed, d.Revision)
+		s.items[d.Name] = next
+		s.level.Changed = max(s.level.Changed, d.Revision)
 		return true
 	}
 	known := before.endpoint
@@ -235,8 +222,8 @@
 		before.endpoint.Sequence = e.Sequence
 		return false
 	}
-	gr.items[d.Name] = next
-	gr.level.Changed = max(gr.level.Changed, d.Revision)
+	s.items[d.Name] = next
+	s.level.Changed = max(s.level.Changed, d.Revision)
 	return true
 }
 
@@ -249,9 +236,9 @@
 }
 
 // forget drops the oldest tombstones beyond the bound.
-func (s *State) forget(gr *group) {
+func (s *State) forget() {
 	var dead []string
-	for name, it := range gr.items {
+	for name, it := range s.items {
 		if it.document.Deleted {
 			dead = append(dead, name)
 		}
@@ -260,11 +247,11 @@
 		return
 	}
 	slices.SortFunc(dead, func(a, b string) int {
-		return int(int64(gr.items[a].document.Revision) - int64(gr.items[b].document.Revision))
+		return int(int64(s.items[a].document.Revision) - int64(s.items[b].document.Revision))
 	})
 	for _, name := range dead[:len(dead)-_tombstones/2] {
-		gr.horizon = max(gr.horizon, gr.items[name].document.Revision)
-		delete(gr.items, name)
+		s.horizon = max(s.horizon, s.items[name].document.Revision)
+		delete(s.items, name)
 	}
 }
 
@@ -272,7 +259,7 @@
 // reports whether there were any.
 func (s *State) Expire(now time.Time) bool {
 	changed := false
-	for _, it := range s.groups[core.GroupEndpoints].items {
+	for _, it := range s.items {
 		if drop := it.endpoint.DropAt; !drop.IsZero() && !now.Before(drop) {
 			it.endpoint.DropAt = time.Time{}
 			changed = true
@@ -290,14 +277,16 @@
 		return s.view
 	}
 	v := &View{Table: s.table, Out: make(map[core.DataCentreName]bool)}
-	for _, it := range s.groups[core.GroupPolicy].items {
+	for _, it := range s.items {
 		if it.fact.OutOfService != "" && !it.document.Deleted {
 			v.Out[it.fact.OutOfService] = true
 		}
 	}
-	items := s.groups[core.GroupEndpoints].items
-	for _, id := range slices.Sorted(maps.Keys(items)) {
-		it := items[id]
+	for _, name := range slices.Sorted(maps.Keys(s.items)) {
+		it := s.items[name]
+		if it.endpoint.ID == "" {
+			continue
+		}
 		if !it.document.Deleted || !it.endpoint.DropAt.IsZero() {
 			v.Endpoints = append(v.Endpoints, it.endpoint)
 		}
--- a/core/routed.go
+++ b/core/routed.go
@@ -146,32 +146,9 @@
 	Tokens int
 }
 
-// DocumentGroup names one of the two groups of documents that the platform
-// publishes.
-type DocumentGroup uint8
-
-// Groups of documents.
-const (
-	// GroupPolicy has the operators' configuration and the data centres that
-	// are out of service. It changes seldom.
-	GroupPolicy DocumentGroup = iota + 1
-	// GroupEndpoints has one document for each endpoint. It changes with each
-	// heartbeat of an endpoint.
-	GroupEndpoints
-)
-
-// String gives the name that logs use.
-func (g DocumentGroup) String() string {
-	if g == GroupPolicy {
-		return "Policy"
-	}
-	return "Endpoints"
-}
-
 // Document is one published item, as bytes. Hosts relay documents to each other
 // as they are.
 type Document struct {
-	Group    DocumentGroup
 	Name     string
 	Revision uint64
 	Deleted  bool
@@ -188,15 +165,15 @@
 // DocumentStore reads published documents. Each call counts against the store's
 // rate, a waiting watch as one.
 type DocumentStore interface {
-	// List gives all documents of a group.
-	List(ctx context.Context, group DocumentGroup) (Documents, error)
-	// Watch waits until a document of the group has a revision above after, or
-	// until wait has passed. It fails with ErrHistoryLost when the store no
-	// longer knows what changed since.
-	Watch(ctx context.Context, group DocumentGroup, after uint64, wait time.Duration) (Documents, error)
+	// List gives all documents.
+	List(ctx context.Context) (Documents, error)
+	// Watch waits until a document has a revision above after, or until wait has
+	// passed. It fails with ErrHistoryLost when the store no longer knows what
+	// changed since.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Documents, error)
 }
 
-// ErrHistoryLost says that a group has to be listed again.
+// ErrHistoryLost says that all documents have to be listed again.
 var ErrHistoryLost = errors.New("the store no longer has this history")
 
 // HeaderNames spells the headers of routed requests.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -160,8 +160,7 @@
 			}
 		})
 	}
-	group.Go(func() { h.readPolicy(working) })
-	group.Go(func() { h.readEndpoints(working) })
+	group.Go(func() { h.readStore(working) })
 	group.Go(func() { h.tick(working) })
 	group.Go(func() { h.peers.run(working) })
 	group.Go(func() {
--- a/io/entry/facts.go
+++ b/io/entry/facts.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-logr/logr"
 
-	"apricotproxy/core"
 	"apricotproxy/core/procs/know"
 )
 
@@ -29,20 +28,20 @@
 
 // update calls a method that takes documents in and spreads what changed. It
 // reports whether anything but heartbeats changed.
-func (f *facts) update(source string, group core.DocumentGroup, take func(*know.State) (bool, error)) bool {
+func (f *facts) update(source string, take func(*know.State) (bool, error)) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed, err := take(f.state)
 	if err != nil {
-		f.log.Error(err, "A document cannot be read and was left out.", "Group", group.String(), "Source", source)
+		f.log.Error(err, "A document cannot be read and was left out.", "Source", source)
 	}
 	if !changed {
 		return false
 	}
 	view := f.state.View()
 	f.view.Store(view)
-	level := f.state.Level(group)
-	f.log.Info("Knowledge changed.", "Group", group.String(), "Source", source, "AsOf", level.AsOf, "Version", version(view), "Endpoints", len(view.Endpoints), "Out", len(view.Out))
+	level := f.state.Level()
+	f.log.Info("Knowledge changed.", "Source", source, "AsOf", level.AsOf, "Version", version(view), "Endpoints", len(view.Endpoints), "Out", len(view.Out))
 	f.changed(view)
 	return true
 }
@@ -54,15 +53,15 @@
 	call(f.state)
 }
 
-func (f *facts) level(group core.DocumentGroup) know.Level {
+func (f *facts) level() know.Level {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Level(group)
+	return f.state.Level()
 }
 
 // expire drops endpoints whose documents lapsed for too long.
 func (f *facts) expire(now time.Time) {
-	f.update("time", core.GroupEndpoints, func(s *know.State) (bool, error) { return s.Expire(now), nil })
+	f.update("time", func(s *know.State) (bool, error) { return s.Expire(now), nil })
 }
 
 func version(view *know.View) uint64 {
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -36,7 +36,8 @@
 	mu    sync.Mutex
 	state *gossip.State
 	reads bool
-	pulls map[core.DocumentGroup]bool
+	// pulling is true while another host is asked for documents.
+	pulling bool
 }
 
 // heard takes in one datagram.
@@ -58,28 +59,26 @@
 		placer.SetHosts(hosts)
 		placer.Hear(now, message.From.Host, message.Loads)
 	})
-	for group, level := range message.Levels {
-		p.compare(ctx, now, group, level, message.From.Documents)
-	}
+	p.compare(ctx, now, message.Level, message.From.Documents)
 }
 
-// compare takes in how far another host knows a group: it has nothing that this
+// compare takes in how far another host knows the documents: it has nothing that this
 // host lacks, or it is asked for it.
-func (p *peers) compare(ctx context.Context, now time.Time, group core.DocumentGroup, theirs gossip.Level, address string) {
+func (p *peers) compare(ctx context.Context, now time.Time, theirs gossip.Level, address string) {
 	behind := false
 	p.facts.with(func(s *know.State) {
-		mine := s.Level(group)
+		mine := s.Level()
 		behind = theirs.Changed > mine.AsOf || (mine.AsOf == 0 && theirs.AsOf > 0)
 		if !behind && theirs.AsOf >= mine.AsOf && mine.AsOf > 0 {
-			s.Confirm(group, theirs.AsOf, now.Add(-theirs.Age))
+			s.Confirm(theirs.AsOf, now.Add(-theirs.Age))
 		}
 	})
 	if !behind {
 		return
 	}
 	p.mu.Lock()
-	busy := p.pulls[group]
-	p.pulls[group] = true
+	busy := p.pulling
+	p.pulling = true
 	p.mu.Unlock()
 	if busy {
 		return
@@ -87,38 +86,38 @@
 	go func() {
 		defer func() {
 			p.mu.Lock()
-			p.pulls[group] = false
+			p.pulling = false
 			p.mu.Unlock()
 		}()
-		if err := p.pull(ctx, group, address); err != nil {
+		if err := p.pull(ctx, address); err != nil {
 			p.log.Info("Documents could not be pulled from another host.", "Cause", err.Error())
 		}
 	}()
 }
 
-// pull asks another host for what this one lacks of a group.
-func (p *peers) pull(ctx context.Context, group core.DocumentGroup, address string) error {
+// pull asks another host for what this one lacks.
+func (p *peers) pull(ctx context.Context, address string) error {
 	asked := time.Now()
-	pulled, err := p.client.Pull(ctx, address, group, p.facts.level(group).AsOf)
+	pulled, err := p.client.Pull(ctx, address, p.facts.level().AsOf)
 	if err != nil {
-		return fmt.Errorf("pull %s: %w", group, err)
+		return fmt.Errorf("pull documents: %w", err)
 	}
 	documents := core.Documents{Documents: pulled.Documents, AsOf: pulled.AsOf}
-	p.facts.update(address, group, func(s *know.State) (bool, error) {
+	p.facts.update(address, func(s *know.State) (bool, error) {
 		if pulled.Whole {
-			return s.Replace(time.Now(), group, documents, asked.Add(-pulled.Age))
+			return s.Replace(time.Now(), documents, asked.Add(-pulled.Age))
 		}
-		return s.Update(time.Now(), group, documents, asked.Add(-pulled.Age))
+		return s.Update(time.Now(), documents, asked.Add(-pulled.Age))
 	})
 	return nil
 }
 
 // give answers another host's pull.
-func (p *peers) give(group core.DocumentGroup, after uint64) news.Pulled {
+func (p *peers) give(after uint64) news.Pulled {
 	var out news.Pulled
 	p.facts.with(func(s *know.State) {
-		documents, whole := s.Since(group, after)
-		out = news.Pulled{Documents: documents.Documents, AsOf: documents.AsOf, Whole: whole, Age: time.Since(s.Level(group).FreshAt)}
+		documents, whole := s.Since(after)
+		out = news.Pulled{Documents: documents.Documents, AsOf: documents.AsOf, Whole: whole, Age: time.Since(s.Level().FreshAt)}
 	})
 	return out
 }
@@ -153,14 +152,12 @@
 	targets := p.state.Targets(now)
 	message := news.Message{Heartbeat: gossip.Heartbeat{
 		From: p.self, Incarnation: p.incarnation, Stopping: p.stopping(), Reads: p.reads,
-		Levels: make(map[core.DocumentGroup]gossip.Level), Others: p.state.Others(now),
+		Others: p.state.Others(now),
 	}, Loads: make(map[string]place.Load)}
 	p.mu.Unlock()
 	p.facts.with(func(s *know.State) {
-		for _, group := range []core.DocumentGroup{core.GroupPolicy, core.GroupEndpoints} {
-			if level := s.Level(group); level.AsOf > 0 {
-				message.Levels[group] = gossip.Level{AsOf: level.AsOf, Changed: level.Changed, Age: now.Sub(level.FreshAt)}
-			}
+		if level := s.Level(); level.AsOf > 0 {
+			message.Level = gossip.Level{AsOf: level.AsOf, Changed: level.Changed, Age: now.Sub(level.FreshAt)}
 		}
 	})
 	p.desk.Update(func(placer *place.Placer) {
@@ -182,7 +179,7 @@
 	}
 }
 
-// reader tells whether this host is to read the endpoints' documents.
+// reader tells whether this host is to read the documents.
 func (p *peers) reader(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -215,7 +212,6 @@
 		stopping:    h.stopping.Load,
 		urgent:      make(chan struct{}, 1),
 		state:       gossip.New(self, s.Seeds, random),
-		pulls:       make(map[core.DocumentGroup]bool),
 	}, nil
 }
 
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -11,47 +11,38 @@
 )
 
 const (
-	// _policyWatch is how long a watch of the policy waits. It changes seldom,
-	// and other hosts tell of a change too.
-	_policyWatch = 10 * time.Second
-	// _endpointsWatch is how long a watch of the endpoints waits, and
-	// _endpointsPace how long after one the next begins: heartbeats would end
-	// each watch at once.
-	_endpointsWatch = time.Second
-	_endpointsPace  = 300 * time.Millisecond
-	// _endpointsAge is how old a host's knowledge may get by what others tell it
+	// _watchWait is how long a watch waits. It is short of the bounds within
+	// which a change must be in force: a watch may be told nothing of it.
+	_watchWait = time.Second
+	// _watchPace is how long after a watch the next begins: heartbeats of
+	// endpoints would end each watch at once.
+	_watchPace = 300 * time.Millisecond
+	// _ageAtMost is how old a host's knowledge may get by what others tell it
 	// before it reads for itself.
-	_endpointsAge = time.Second
+	_ageAtMost = time.Second
 	// A failed call is made again after a pause.
 	_pauseFirst  = 100 * time.Millisecond
 	_pauseAtMost = 800 * time.Millisecond
 )
 
-// reader follows one group of documents at the store.
+// reader follows the documents at the store.
 type reader struct {
 	host   *Host
-	group  core.DocumentGroup
 	listed bool
-	wait   time.Duration
 	pause  time.Duration
 }
 
-func (h *Host) readPolicy(ctx context.Context) {
-	r := &reader{host: h, group: core.GroupPolicy, wait: _policyWatch}
-	for ctx.Err() == nil {
-		r.read(ctx)
-	}
-}
-
-func (h *Host) readEndpoints(ctx context.Context) {
-	r := &reader{host: h, group: core.GroupEndpoints, wait: _endpointsWatch}
+// readStore reads the store while this host is one of those that read it for all,
+// or while what it knows grows old.
+func (h *Host) readStore(ctx context.Context) {
+	r := &reader{host: h}
 	for ctx.Err() == nil {
 		now := time.Now()
-		level := h.facts.level(core.GroupEndpoints)
-		if level.AsOf == 0 || now.Sub(level.FreshAt) > _endpointsAge || h.peers.reader(now) {
+		level := h.facts.level()
+		if level.AsOf == 0 || now.Sub(level.FreshAt) > _ageAtMost || h.peers.reader(now) {
 			r.read(ctx)
 		}
-		sleep(ctx, _endpointsPace)
+		sleep(ctx, _watchPace)
 	}
 }
 
@@ -65,13 +56,13 @@
 		return
 	case errors.Is(err, core.ErrHistoryLost):
 		r.listed = false
-		r.host.log.Info("The store has lost its history; listing.", "Group", r.group.String())
+		r.host.log.Info("The store has lost its history; listing.")
 		return
 	case ctx.Err() != nil:
 		return
 	}
 	if r.pause == 0 {
-		r.host.log.Info("The store cannot be read.", "Group", r.group.String(), "Cause", err.Error())
+		r.host.log.Info("The store cannot be read.", "Cause", err.Error())
 	}
 	r.host.peers.setReads(false)
 	bounds := r.host.settings.Bounds
@@ -86,22 +77,22 @@
 	h := r.host
 	asked := time.Now()
 	if !r.listed {
-		documents, err := h.settings.Store.List(ctx, r.group)
+		documents, err := h.settings.Store.List(ctx)
 		if err != nil {
 			return err
 		}
 		r.listed = true
-		h.facts.update("store", r.group, func(s *know.State) (bool, error) {
-			return s.Replace(time.Now(), r.group, documents, asked)
+		h.facts.update("store", func(s *know.State) (bool, error) {
+			return s.Replace(time.Now(), documents, asked)
 		})
 		return nil
 	}
-	documents, err := h.settings.Store.Watch(ctx, r.group, h.facts.level(r.group).AsOf, r.wait)
+	documents, err := h.settings.Store.Watch(ctx, h.facts.level().AsOf, _watchWait)
 	if err != nil {
 		return err
 	}
-	h.facts.update("store", r.group, func(s *know.State) (bool, error) {
-		return s.Update(time.Now(), r.group, documents, asked)
+	h.facts.update("store", func(s *know.State) (bool, error) {
+		return s.Update(time.Now(), documents, asked)
 	})
 	return nil
 }
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -72,30 +72,25 @@
 type Pulled struct {
 	Documents []core.Document
 	AsOf      uint64
-	// Whole is true when the documents are the whole group.
+	// Whole is true when the documents are all there are.
 	Whole bool
 	// Age is how long ago the store was known to have nothing newer.
 	Age time.Duration
 }
 
-// Source gives the documents of a group after a revision.
-type Source func(group core.DocumentGroup, after uint64) Pulled
+// Source gives the documents that changed after a revision.
+type Source func(after uint64) Pulled
 
 // Handler serves documents to other hosts.
 func Handler(source Source) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+_documentsPath, func(w http.ResponseWriter, r *http.Request) {
-		group, err := strconv.ParseUint(r.URL.Query().Get("group"), 10, 8)
-		if err != nil {
-			http.Error(w, "group: not a number", http.StatusBadRequest)
-			return
-		}
 		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 		if err != nil {
 			http.Error(w, "after: not a number", http.StatusBadRequest)
 			return
 		}
-		body, err := cbor.Marshal(source(core.DocumentGroup(group), after))
+		body, err := cbor.Marshal(source(after))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -115,8 +110,8 @@
 }
 
 // Pull asks one host.
-func (c *Client) Pull(ctx context.Context, address string, group core.DocumentGroup, after uint64) (Pulled, error) {
-	url := fmt.Sprintf("http://%s%s?group=%d&after=%d", address, _documentsPath, group, after)
+func (c *Client) Pull(ctx context.Context, address string, after uint64) (Pulled, error) {
+	url := fmt.Sprintf("http://%s%s?after=%d", address, _documentsPath, after)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return Pulled{}, fmt.Errorf("make the call: %w", err)
