--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -73,30 +73,33 @@
 	level  Level
 	// horizon is the highest revision of a forgotten tombstone.
 	horizon uint64
-	// lapseGrace is how long an endpoint outlives a document that went missing
-	// while the store was in trouble; trouble lasts until troubleUntil.
-	lapseGrace   time.Duration
-	troubleUntil time.Time
-	table        *table.Table
-	view         *View
+	lapse   Lapse
+	// lapsing is until when a missing document may mean that the store was down
+	// and not that the endpoint is gone.
+	lapsing time.Time
+	table   *table.Table
+	view    *View
+}
+
+// Lapse says how documents of live endpoints go missing: an endpoint renews its
+// document, and cannot while the store is down.
+type Lapse struct {
+	// Outage is the shortest outage after which documents may be missing.
+	Outage time.Duration
+	// Term is how long after an outage they may still go missing.
+	Term time.Duration
+	// Grace is how long an endpoint may take to renew one that went missing.
+	Grace time.Duration
 }
 
 // New builds a state that knows nothing.
-func New(decode Decode, lapseGrace time.Duration) *State {
-	return &State{decode: decode, lapseGrace: lapseGrace, items: make(map[string]*item)}
+func New(decode Decode, lapse Lapse) *State {
+	return &State{decode: decode, lapse: lapse, items: make(map[string]*item)}
 }
 
 // Level tells how far the documents are known.
 func (s *State) Level() Level { return s.level }
 
-// Trouble tells that the store is in trouble until a moment: documents of
-// endpoints may lapse though the endpoints are well.
-func (s *State) Trouble(until time.Time) {
-	if until.After(s.troubleUntil) {
-		s.troubleUntil = until
-	}
-}
-
 // Confirm takes in that nothing is missing up to a revision, and that there was
 // nothing newer at a moment.
 func (s *State) Confirm(asOf uint64, freshAt time.Time) {
@@ -105,9 +108,13 @@
 		return
 	}
 	level.AsOf = asOf
-	if freshAt.After(level.FreshAt) {
-		level.FreshAt = freshAt
+	if !freshAt.After(level.FreshAt) {
+		return
+	}
+	if !level.FreshAt.IsZero() && freshAt.Sub(level.FreshAt) > s.lapse.Outage {
+		s.lapsing = freshAt.Add(s.lapse.Term)
 	}
+	level.FreshAt = freshAt
 }
 
 // Update takes in documents that changed. It reports whether anything but
@@ -115,6 +122,7 @@
 func (s *State) Update(now time.Time, documents core.Documents, freshAt time.Time) (bool, error) {
 	changed := false
 	var faults []error
+	s.Confirm(documents.AsOf, freshAt)
 	for _, d := range documents.Documents {
 		did, err := s.take(now, d)
 		changed = changed || did
@@ -122,7 +130,6 @@
 			faults = append(faults, fmt.Errorf("document %s: %w", d.Name, err))
 		}
 	}
-	s.Confirm(documents.AsOf, freshAt)
 	s.forget()
 	if changed {
 		s.view = nil
@@ -190,8 +197,8 @@
 			return false
 		}
 		gone := &item{document: d, endpoint: before.endpoint}
-		if now.Before(s.troubleUntil) && !before.endpoint.Draining {
-			gone.endpoint.DropAt = now.Add(s.lapseGrace)
+		if now.Before(s.lapsing) && !before.endpoint.Draining {
+			gone.endpoint.DropAt = now.Add(s.lapse.Grace)
 		}
 		s.items[d.Name] = gone
 		return true
--- /dev/null
+++ b/core/procs/know/know_test.go
@@ -0,0 +1,205 @@
+package know_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
+	"apricotproxy/core/versn/table"
+)
+
+var _start = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+
+// at gives the moment so many seconds after the start.
+func at(seconds float64) time.Time {
+	return _start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// facts decodes documents of a small form: the test puts the fact in by name and
+// revision.
+type facts map[string]know.Fact
+
+func (f facts) decode(d core.Document) (know.Fact, error) {
+	if string(d.Value) == "unreadable" {
+		return know.Fact{}, errors.New("unreadable")
+	}
+	return f[d.Name+string(d.Value)], nil
+}
+
+func newState(f facts) *know.State {
+	return know.New(f.decode, know.Lapse{Outage: 2 * time.Second, Term: 5 * time.Second, Grace: 2 * time.Second})
+}
+
+func endpoint(id string, sequence uint64) know.Fact {
+	return know.Fact{Endpoint: &core.RoutedEndpoint{ID: id, Service: "drafting", Address: "10.0.0.1:80", Sequence: sequence}}
+}
+
+func update(t *testing.T, s *know.State, seconds float64, asOf uint64, documents ...core.Document) bool {
+	t.Helper()
+	changed, err := s.Update(at(seconds), core.Documents{Documents: documents, AsOf: asOf}, at(seconds))
+	if err != nil {
+		t.Fatalf("at %v s: %v", seconds, err)
+	}
+	return changed
+}
+
+func ids(s *know.State) string {
+	out := ""
+	for _, e := range s.View().Endpoints {
+		out += e.ID
+		if e.Draining {
+			out += "(leaving)"
+		}
+		out += " "
+	}
+	return out
+}
+
+// A host that the store turned away, while others told it the news all along, has
+// no reason to believe that documents lapsed: an entry that goes missing is gone.
+// Found by hunt on lsoncc-router, trouble-1 seed 41131402264: DRAIN, 2.1 s.
+func TestEntryThatGoesMissingWhileTheStoreServesOthersIsGone(t *testing.T) {
+	s := newState(facts{"a1": endpoint("a", 1)})
+	update(t, s, 0, 1, core.Document{Name: "a", Revision: 1, Value: []byte("1")})
+	for second := 1.0; second < 10; second++ {
+		s.Confirm(uint64(second), at(second)) // told by another host
+	}
+	update(t, s, 10, 20, core.Document{Name: "a", Revision: 20, Deleted: true})
+	if got := ids(s); got != "" {
+		t.Errorf("endpoints %q, want none: the store was up all the while", got)
+	}
+}
+
+// After an outage documents of live endpoints go missing and come back.
+func TestEntryThatLapsesAfterAnOutageIsKeptForAWhile(t *testing.T) {
+	s := newState(facts{"a1": endpoint("a", 1)})
+	update(t, s, 0, 1, core.Document{Name: "a", Revision: 1, Value: []byte("1")})
+	update(t, s, 5, 2)
+	update(t, s, 5.1, 3, core.Document{Name: "a", Revision: 3, Deleted: true})
+	if got := ids(s); got != "a " {
+		t.Errorf("endpoints %q right after the outage, want a", got)
+	}
+	if s.Expire(at(7)); ids(s) != "a " {
+		t.Errorf("endpoints %q within the grace, want a", ids(s))
+	}
+	if s.Expire(at(7.2)); ids(s) != "" {
+		t.Errorf("endpoints %q after the grace, want none", ids(s))
+	}
+}
+
+// An endpoint that said that it leaves is not kept.
+func TestLeavingEntryIsNotKept(t *testing.T) {
+	leaving := endpoint("a", 2)
+	leaving.Endpoint.Draining = true
+	s := newState(facts{"a1": endpoint("a", 1), "a2": leaving})
+	update(t, s, 0, 1, core.Document{Name: "a", Revision: 1, Value: []byte("1")})
+	update(t, s, 5, 2, core.Document{Name: "a", Revision: 2, Value: []byte("2")})
+	if got := ids(s); got != "a(leaving) " {
+		t.Errorf("endpoints %q, want a leaving", got)
+	}
+	update(t, s, 5.1, 3, core.Document{Name: "a", Revision: 3, Deleted: true})
+	if got := ids(s); got != "" {
+		t.Errorf("endpoints %q, want none", got)
+	}
+}
+
+func TestHeartbeatsAreNoNews(t *testing.T) {
+	s := newState(facts{"a1": endpoint("a", 1), "a2": endpoint("a", 2)})
+	if !update(t, s, 0, 1, core.Document{Name: "a", Revision: 1, Value: []byte("1")}) {
+		t.Error("a new endpoint is news")
+	}
+	if update(t, s, 1, 2, core.Document{Name: "a", Revision: 2, Value: []byte("2")}) {
+		t.Error("a heartbeat is no news")
+	}
+	if level := s.Level(); level.Changed != 1 || level.AsOf != 2 {
+		t.Errorf("level %+v, want changed 1 as of 2", level)
+	}
+}
+
+// A late copy of an earlier heartbeat does not bring a leaving endpoint back.
+func TestLateCopyOfAHeartbeatIsIgnored(t *testing.T) {
+	leaving := endpoint("a", 5)
+	leaving.Endpoint.Draining = true
+	s := newState(facts{"a5": leaving, "a4": endpoint("a", 4)})
+	update(t, s, 0, 1, core.Document{Name: "a", Revision: 1, Value: []byte("5")})
+	update(t, s, 1, 2, core.Document{Name: "a", Revision: 2, Value: []byte("4")})
+	if got := ids(s); got != "a(leaving) " {
+		t.Errorf("endpoints %q, want a leaving", got)
+	}
+}
+
+func TestNothingGoesBack(t *testing.T) {
+	build := func(version uint64) know.Fact {
+		built, err := table.Build(table.Source{Version: version})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return know.Fact{Table: built}
+	}
+	s := newState(facts{"c7": build(7), "c8": build(8)})
+	update(t, s, 0, 20, core.Document{Name: "c", Revision: 20, Value: []byte("8")})
+	update(t, s, 1, 10, core.Document{Name: "c", Revision: 10, Value: []byte("7")})
+	update(t, s, 2, 30, core.Document{Name: "c", Revision: 30, Value: []byte("7")})
+	if got := s.View().Table.Version(); got != 8 {
+		t.Errorf("version %d, want 8", got)
+	}
+	if got := s.Level().AsOf; got != 30 {
+		t.Errorf("as of %d, want 30", got)
+	}
+}
+
+// What cannot be read names no endpoint and harms no other.
+func TestUnreadableDocumentHarmsNoOther(t *testing.T) {
+	s := newState(facts{"a1": endpoint("a", 1), "b1": endpoint("b", 1)})
+	changed, err := s.Update(at(0), core.Documents{AsOf: 3, Documents: []core.Document{
+		{Name: "a", Revision: 1, Value: []byte("1")},
+		{Name: "x", Revision: 2, Value: []byte("unreadable")},
+		{Name: "b", Revision: 3, Value: []byte("1")},
+	}}, at(0))
+	if !changed || err == nil {
+		t.Errorf("changed %v, error %v; want both", changed, err)
+	}
+	if got := ids(s); got != "a b " {
+		t.Errorf("endpoints %q, want a and b", got)
+	}
+}
+
+// A host that asks another one for what it lacks ends with the same view.
+func TestSinceBringsAnotherHostUpToDate(t *testing.T) {
+	f := facts{"a1": endpoint("a", 1), "b1": endpoint("b", 1), "o1": {OutOfService: "waco"}}
+	s, other := newState(f), newState(f)
+	update(t, s, 0, 1, core.Document{Name: "a", Revision: 1, Value: []byte("1")})
+	documents, whole := s.Since(0)
+	if !whole {
+		t.Error("a host that knows nothing gets everything")
+	}
+	if _, err := other.Replace(at(0), documents, at(0)); err != nil {
+		t.Fatal(err)
+	}
+	update(t, s, 1, 4, core.Document{Name: "b", Revision: 2, Value: []byte("1")},
+		core.Document{Name: "a", Revision: 3, Deleted: true}, core.Document{Name: "o", Revision: 4, Value: []byte("1")})
+	documents, whole = s.Since(other.Level().AsOf)
+	if whole || len(documents.Documents) != 3 {
+		t.Errorf("%d documents, whole %v; want 3 that changed", len(documents.Documents), whole)
+	}
+	if _, err := other.Update(at(1), documents, at(1)); err != nil {
+		t.Fatal(err)
+	}
+	if got := ids(other); got != "b " || !other.View().Out["waco"] {
+		t.Errorf("endpoints %q, out %v; want b and waco out", got, other.View().Out)
+	}
+}
+
+// What a listing lacks was deleted; what is newer than it was not.
+func TestListingDeletesWhatItLacks(t *testing.T) {
+	s := newState(facts{"a1": endpoint("a", 1), "b1": endpoint("b", 1)})
+	update(t, s, 0, 2, core.Document{Name: "a", Revision: 1, Value: []byte("1")}, core.Document{Name: "b", Revision: 9, Value: []byte("1")})
+	if _, err := s.Replace(at(1), core.Documents{AsOf: 5}, at(1)); err != nil {
+		t.Fatal(err)
+	}
+	if got := ids(s); got != "b " {
+		t.Errorf("endpoints %q, want b", got)
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -37,9 +37,9 @@
 	_headerBytes = 64 << 10
 	// _tick is how often what runs out by time is looked at.
 	_tick = 200 * time.Millisecond
-	// _lapseBeats is how many heartbeat intervals after trouble with the store an
-	// endpoint's document may still lapse, and _lapseGrace how long after its
-	// return it may take to be back.
+	// _lapseBeats is how many heartbeat intervals without a renewal end an
+	// endpoint's document, and _lapseGrace how long after the store's return it
+	// may take to be back: docs/platform.md.
 	_lapseBeats = 3
 	_lapseGrace = 2 * time.Second
 )
@@ -88,7 +88,7 @@
 	}
 	placer := place.New(settings.DataCentre, settings.Bounds, rand.New(rand.NewPCG(seed, 1)))
 	h.desk = front.NewDesk(placer)
-	h.facts = newFacts(know.New(settings.Decode, _lapseGrace), settings.Logger, h.apply)
+	h.facts = newFacts(know.New(settings.Decode, lapse(settings.Bounds)), settings.Logger, h.apply)
 	h.front = front.New(front.Config{
 		Names: settings.Names, Desk: h.desk, Links: h.links, View: h.facts.View, Logger: settings.Logger,
 	})
@@ -99,6 +99,14 @@
 	return h, h.listen()
 }
 
+func lapse(bounds core.EntryBounds) know.Lapse {
+	return know.Lapse{
+		Outage: (_lapseBeats - 1) * bounds.EndpointInterval,
+		Term:   _lapseBeats*bounds.EndpointInterval + _lapseGrace,
+		Grace:  _lapseGrace,
+	}
+}
+
 func (h *Host) listen() error {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+h.settings.Paths.Ready, h.serveReady)
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -65,10 +65,6 @@
 		r.host.log.Info("The store cannot be read.", "Cause", err.Error())
 	}
 	r.host.peers.setReads(false)
-	bounds := r.host.settings.Bounds
-	r.host.facts.with(func(s *know.State) {
-		s.Trouble(time.Now().Add(_lapseBeats*bounds.EndpointInterval + _lapseGrace))
-	})
 	r.pause = min(max(2*r.pause, _pauseFirst), _pauseAtMost)
 	sleep(ctx, r.pause/2+rand.N(r.pause))
 }
