--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -30,7 +30,10 @@
 	_memoryMargin = 0.95
 	// _copyMargin is the part of an engine's memory up to which it is given
 	// copies of other engines' runs: runs go first.
-	_copyMargin = 0.8
+	_copyMargin = 0.6
+	// _remoteCopy is what a copy to another data centre costs, as a share of an
+	// engine's memory: it takes twice as long.
+	_remoteCopy = 0.15
 	// _peerTerm is how long another host's word on its load counts.
 	_peerTerm = 2 * time.Second
 )
@@ -62,8 +65,8 @@
 	Request core.RoutedRequest
 	// Exclude names endpoints that are not to be used.
 	Exclude []string
-	// Near is an endpoint to be preferred; empty for none.
-	Near string
+	// Near is the data centre that a copy comes from: links within one are faster.
+	Near core.DataCentreName
 }
 
 // Run is a request placed on an endpoint, or a copy of its memory there. End
@@ -209,6 +212,12 @@
 	return Load{Runs: 1, Tokens: prompt.Tokens + p.lengths.expect(request), Prefill: prompt.Tokens}
 }
 
+// copyNeed is the load that a copy of a run's memory will be, on average over the
+// run: it grows with the run and is gone when the run ends.
+func (p *Placer) copyNeed(request *core.RoutedRequest) Load {
+	return Load{Tokens: request.Prompt.Tokens + p.lengths.expect(request)/2}
+}
+
 // Place picks the endpoint that serves a request soonest.
 func (p *Placer) Place(now time.Time, want *Want) (*Run, Verdict) {
 	need := p.need(&want.Request)
@@ -300,8 +309,7 @@
 // Copy picks the endpoint to which a run's memory is sent as it grows; nil when
 // none has room. Draining endpoints and those named are left out.
 func (p *Placer) Copy(now time.Time, want *Want) *Run {
-	need := p.need(&want.Request)
-	need.Runs, need.Prefill = 0, 0
+	need := p.copyNeed(&want.Request)
 	var best *endpoint
 	bestCost := 0.0
 	for _, e := range p.services[want.Request.Service] {
@@ -310,6 +318,9 @@
 		}
 		used := float64(e.own.Tokens + e.peers.Tokens + need.Tokens)
 		cost := used/float64(max(e.engine.MemoryTokens, 1)) + p.random.Float64()*0.1
+		if want.Near != "" && e.DataCentre != want.Near {
+			cost += _remoteCopy
+		}
 		if used > float64(e.engine.MemoryTokens)*_copyMargin {
 			continue
 		}
@@ -342,6 +353,12 @@
 	return e != nil && p.open(now, e, nil)
 }
 
+// Leaving tells whether a run's endpoint is leaving or gone.
+func (p *Placer) Leaving(run *Run) bool {
+	e := p.state(run)
+	return e == nil || e.Draining
+}
+
 // Read tells that a run's prompt has been read: its first event came.
 func (p *Placer) Read(run *Run) {
 	if e := p.state(run); e != nil && !run.ended {
--- a/core/reqst/tries/tries.go
+++ b/core/reqst/tries/tries.go
@@ -72,6 +72,10 @@
 // MayHaveRun tells whether a try may have run.
 func (t *Tries) MayHaveRun() bool { return t.ran > 0 }
 
+// MayRunAgain tells whether the request may run on one more endpoint after the
+// present one.
+func (t *Tries) MayRunAgain() bool { return t.repeatable() && t.ran+1 < t.route.MaxAttempts }
+
 // Sent takes in that a try was sent. It counts as run until the endpoint says
 // that it did not run it. Going on from a copy is the same run, not another.
 func (t *Tries) Sent(sameRun bool) {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -90,7 +90,7 @@
 	h.desk = front.NewDesk(placer)
 	h.facts = newFacts(know.New(settings.Decode, lapse(settings.Bounds)), settings.Logger, h.apply)
 	h.front = front.New(front.Config{
-		Names: settings.Names, Desk: h.desk, Links: h.links, View: h.facts.View, Logger: settings.Logger,
+		Names: settings.Names, Paths: settings.Paths, Desk: h.desk, Links: h.links, View: h.facts.View, Logger: settings.Logger,
 	})
 	var err error
 	if h.peers, err = newPeers(h, rand.New(rand.NewPCG(seed, 2))); err != nil {
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -82,7 +82,6 @@
 func (e *exchange) cut(reason string) {
 	e.log("A stream was cut.", "Reason", reason, "Events", e.events, "Took", time.Since(e.request.Arrived).Milliseconds())
 	e.front.counters.answered(0)
-	e.dropCopy()
 	panic(http.ErrAbortHandler)
 }
 
@@ -114,6 +113,7 @@
 
 // finished ends a stream that is whole.
 func (e *exchange) finished(answer *links.Answer) {
+	e.freeBackup()
 	e.front.counters.answered(answer.StatusCode)
 	e.log("Streamed.", "Events", e.events, "Continued", e.continued, "Took", time.Since(e.request.Arrived).Milliseconds())
 	if view := e.front.config.View(); view.Table != nil {
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -15,10 +15,14 @@
 type Desk struct {
 	mu     sync.Mutex
 	placer *place.Placer
+	// changed is closed when a view is applied.
+	changed chan struct{}
 }
 
 // NewDesk wraps a placer.
-func NewDesk(placer *place.Placer) *Desk { return &Desk{placer: placer} }
+func NewDesk(placer *place.Placer) *Desk {
+	return &Desk{placer: placer, changed: make(chan struct{})}
+}
 
 // Update calls f with the placer and grants what has room afterwards.
 func (d *Desk) Update(f func(*place.Placer)) {
@@ -29,7 +33,27 @@
 }
 
 // Apply takes in a view.
-func (d *Desk) Apply(view *know.View) { d.Update(func(p *place.Placer) { p.Apply(view) }) }
+func (d *Desk) Apply(view *know.View) {
+	d.Update(func(p *place.Placer) {
+		p.Apply(view)
+		close(d.changed)
+		d.changed = make(chan struct{})
+	})
+}
+
+// changes gives a channel that is closed when the next view is applied.
+func (d *Desk) changes() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// leaving tells whether a run's endpoint is leaving or gone.
+func (d *Desk) leaving(run *place.Run) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.Leaving(run)
+}
 
 // place gives a run, waiting for room until a deadline. The verdict is Placed,
 // or why there is none.
@@ -68,6 +92,12 @@
 	return d.placer.Copy(time.Now(), want)
 }
 
+func (d *Desk) usable(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.Usable(time.Now(), id)
+}
+
 func (d *Desk) take(id string, request *core.RoutedRequest) (*place.Run, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -42,9 +42,11 @@
 
 	// used names the endpoints that failed this request.
 	used []string
-	// run is the try under way, copy where a copy of its memory grows.
-	run  *place.Run
-	copy *place.Run
+	// refused names those that had no room for a copy.
+	refused []string
+	// run is the try under way, backup the copy of its memory elsewhere.
+	run    *place.Run
+	backup backup
 
 	position  event.Position
 	splitter  event.Splitter
@@ -76,7 +78,7 @@
 
 // serve makes tries until the request has its answer.
 func (e *exchange) serve(ctx context.Context) {
-	defer e.dropCopy()
+	defer e.backup.drop(e.desk())
 	e.desk().first(e.request.Service)
 	step := tries.Again
 	for {
@@ -111,7 +113,7 @@
 func (e *exchange) situation() tries.Situation {
 	return tries.Situation{
 		Delivered: e.delivered,
-		Copy:      e.copy != nil,
+		Copy:      e.backup.exists(),
 		Budget:    func() bool { return e.desk().again(e.request.Service) },
 		TimeLeft:  time.Until(e.request.Deadline) > _leastTime,
 	}
@@ -119,9 +121,12 @@
 
 // step places the request and makes one try.
 func (e *exchange) step(ctx context.Context, step tries.Step) ended {
+	from := ""
 	if step == tries.Continue {
-		run, ok := e.desk().take(e.copy.Endpoint.ID, &e.request.RoutedRequest)
-		e.dropCopy()
+		var id string
+		id, from = e.backup.source()
+		e.backup.drop(e.desk())
+		run, ok := e.desk().take(id, &e.request.RoutedRequest)
 		if !ok {
 			return ended{result: tries.NotSent, err: errors.New("the endpoint with the copy takes no work")}
 		}
@@ -130,7 +135,10 @@
 		return *end
 	}
 	e.continued = e.continued || step != tries.Again
-	end := e.try(ctx, step)
+	end := e.try(ctx, from)
+	if end.result == tries.NotSent || end.result == tries.Refused {
+		e.backup.drop(e.desk()) // it was to come from this try
+	}
 	e.front.counters.tried(end.result.String())
 	if !end.done {
 		e.used = append(e.used, e.run.Endpoint.ID)
@@ -170,24 +178,27 @@
 }
 
 // try sends the request to the endpoint of the run and passes the answer on.
-func (e *exchange) try(ctx context.Context, step tries.Step) ended {
+// from names the copy that the run goes on from, if any.
+func (e *exchange) try(ctx context.Context, from string) ended {
 	endpoint := e.run.Endpoint
-	e.chooseCopy()
+	e.chooseBackup()
 	trying, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	slow := time.AfterFunc(time.Until(e.firstBy()), func() { cancel(errSlow) })
 	defer slow.Stop()
-	e.log("A try begins.", "Endpoint", endpoint.ID, "Address", endpoint.Address, "Step", step.String(), "Copy", e.copyID())
-	answer, err := e.front.config.Links.Do(trying, endpoint.RoutedEndpoint, e.outgoing(step))
+	e.log("A try begins.", "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.id(),
+		"Prompt", e.request.Prompt.Tokens, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput)
+	answer, err := e.front.config.Links.Do(trying, endpoint.RoutedEndpoint, e.outgoing(from))
 	var failed *links.Error
 	if errors.As(err, &failed) && failed.Stage == links.StageDial {
 		return ended{result: tries.NotSent, health: e.blame(ctx, place.Unreachable), err: err}
 	}
-	e.tries.Sent(step == tries.Continue)
+	e.tries.Sent(from != "")
 	if err != nil {
 		return ended{result: e.lost(), health: e.blame(ctx, unanswered(err)), err: err}
 	}
 	defer answer.Close()
+	defer e.keepBackup(trying)()
 	return e.receive(ctx, answer, slow)
 }
 
@@ -224,9 +235,9 @@
 	switch {
 	case e.continued:
 		patience = e.silence()
-	case route.Kind == core.RouteStreaming && e.copy != nil:
+	case route.Kind == core.RouteStreaming && e.backup.exists():
 		patience = 2 * route.Goal
-	case route.Kind == core.RouteIdempotent || route.Resumable:
+	case e.tries.MayRunAgain():
 		patience = route.Goal
 	}
 	if patience > 0 && now.Add(patience).Before(limit) {
@@ -241,40 +252,10 @@
 }
 
 // canGoOn tells whether a stream could go on elsewhere if it broke now.
-func (e *exchange) canGoOn() bool { return e.copy != nil || e.request.Route.Resumable }
-
-// chooseCopy picks where a copy of the run's memory is to grow, for a stream that
-// cannot be resumed otherwise.
-func (e *exchange) chooseCopy() {
-	e.dropCopy()
-	route := e.request.Route
-	if route.Kind != core.RouteStreaming || route.Resumable || !e.engineBackups() {
-		return
-	}
-	exclude := append([]string{e.run.Endpoint.ID}, e.used...)
-	e.copy = e.desk().copyFor(&place.Want{Request: e.request.RoutedRequest, Exclude: exclude})
-}
-
-func (e *exchange) engineBackups() bool {
-	view := e.front.config.View()
-	service, ok := view.Table.Service(e.request.Service)
-	return ok && service.Engine != nil && service.Engine.Backups
-}
-
-func (e *exchange) copyID() string {
-	if e.copy == nil {
-		return ""
-	}
-	return e.copy.Endpoint.ID
-}
-
-func (e *exchange) dropCopy() {
-	e.desk().end(e.copy, 0)
-	e.copy = nil
-}
+func (e *exchange) canGoOn() bool { return e.backup.exists() || e.request.Route.Resumable }
 
 // outgoing is the request as the endpoint gets it.
-func (e *exchange) outgoing(step tries.Step) *links.Request {
+func (e *exchange) outgoing(from string) *links.Request {
 	names := e.front.config.Names
 	header := passedOn(e.incoming.Header, names)
 	header.Set(names.RequestID, e.request.ID)
@@ -283,11 +264,11 @@
 	if e.request.Workspace != "" {
 		header.Set(names.Workspace, string(e.request.Workspace))
 	}
-	if e.copy != nil {
-		header.Set(names.Backup, e.copy.Endpoint.Address)
+	if address := e.backup.address(); address != "" {
+		header.Set(names.Backup, address)
 	}
-	if step == tries.Continue {
-		header.Set(names.ContinueFrom, e.run.Endpoint.Address+"/"+e.request.ID)
+	if from != "" {
+		header.Set(names.ContinueFrom, from)
 	}
 	if e.position.Started() && e.delivered {
 		header.Set(names.LastEventID, strconv.Itoa(e.position.Last()))
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -37,6 +37,7 @@
 // Config is what a Front is built from.
 type Config struct {
 	Names  core.HeaderNames
+	Paths  core.CallPaths
 	Desk   *Desk
 	Links  *links.Pool
 	View   func() *know.View
