Copies on notice fill an engine as runs do; engines are asked while the store is silent

Copies to be made on notice found no room within the margin for copies in advance; renewals took the links from first copies; dials went to dead engines again and again.

Change: a refuge may fill an engine; a moved copy is renewed every 4 s; a refused connection bars the endpoint; while no host reads the store, and for an entry that lapsed, one host asks each engine for its report and tells the others.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -60,6 +60,8 @@
 	// Reads is true when the host can read the store.
 	Reads bool
 	Level Level
+	// Leaving are endpoints that told the sender that they are leaving.
+	Leaving []string
 	// Others are hosts that the sender has heard of.
 	Others []Contact
 }
@@ -224,4 +226,16 @@
 	return before < _readers
 }
 
+// Asks tells whether it is for this host to ask an endpoint for its state: one
+// live host does for all.
+func (s *State) Asks(now time.Time, endpoint string) bool {
+	own := rank(s.self.Host + core.HostName(endpoint))
+	for name, m := range s.members {
+		if m.live(now) && !m.stopping && rank(name+core.HostName(endpoint)) < own {
+			return false
+		}
+	}
+	return true
+}
+
 func rank(host core.HostName) uint64 { return xxhash.Sum64String(string(host)) }
--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -301,3 +301,25 @@
 	s.view = v
 	return v
 }
+
+// Compare tells which endpoints of a view are new, which began to leave and which
+// are gone since an earlier one; the earlier one may be nil.
+func Compare(before, after *View) (joined, leaving, gone []string) {
+	known := make(map[string]bool)
+	if before != nil {
+		for _, e := range before.Endpoints {
+			known[e.ID] = e.Draining
+		}
+	}
+	for _, e := range after.Endpoints {
+		left, ok := known[e.ID]
+		switch {
+		case !ok:
+			joined = append(joined, e.ID)
+		case e.Draining && !left:
+			leaving = append(leaving, e.ID)
+		}
+		delete(known, e.ID)
+	}
+	return joined, leaving, slices.Sorted(maps.Keys(known))
+}
--- a/core/procs/place/health.go
+++ b/core/procs/place/health.go
@@ -38,12 +38,12 @@
 	Bad
 	// Unreachable: it could not be connected to, or went silent.
 	Unreachable
-	// Gone: its address answers for another incarnation.
+	// Gone: nothing listens at its address, or another incarnation does.
 	Gone
 )
 
-// _goneBar is how long an endpoint is left alone whose address answers for
-// another incarnation: its document is removed meanwhile.
+// _goneBar is how long an endpoint is left alone that is not at its address any
+// more: its document is removed meanwhile.
 const _goneBar = 10 * time.Second
 
 // Judge takes in how a run's try went.
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -34,6 +34,10 @@
 	// _remoteCopy is what a copy to another data centre costs, as a share of an
 	// engine's memory: it takes twice as long.
 	_remoteCopy = 0.15
+	// _copySpread is by how much chance moves copies between engines, as a share
+	// of their memory: when an engine leaves, all hosts copy its runs at once and
+	// do not know yet what the others picked.
+	_copySpread = 0.4
 	// _peerTerm is how long another host's word on its load counts.
 	_peerTerm = 2 * time.Second
 )
@@ -97,6 +101,8 @@
 	peers   Load
 	health  health
 	cold    window
+	// leaving is what the endpoint's own report said.
+	leaving bool
 }
 
 type peerLoad struct {
@@ -256,7 +262,7 @@
 
 // open tells whether an endpoint takes new work.
 func (p *Placer) open(now time.Time, e *endpoint, exclude []string) bool {
-	if e.Draining || p.out[e.DataCentre] || e.health.barred(now) {
+	if e.Draining || e.leaving || p.out[e.DataCentre] || e.health.barred(now) {
 		return false
 	}
 	for _, id := range exclude {
@@ -289,6 +295,9 @@
 	runs := e.own.Runs + e.peers.Runs
 	if e.engine == nil {
 		cost := float64(runs) / float64(max(e.Slots, 1))
+		if e.doubtful() {
+			cost++
+		}
 		if e.DataCentre != p.dataCentre {
 			cost += 0.05
 		}
@@ -299,7 +308,7 @@
 	if e.DataCentre != p.dataCentre {
 		cost += _remoteTokens
 	}
-	if now.Before(e.ColdUntil) {
+	if now.Before(e.ColdUntil) || e.doubtful() {
 		cost += float64(e.engine.MemoryTokens)
 	}
 	used := float64(e.own.Tokens+e.peers.Tokens) / float64(max(e.engine.MemoryTokens, 1))
@@ -307,21 +316,34 @@
 }
 
 // Copy picks the endpoint to which a run's memory is sent as it grows; nil when
-// none has room. Draining endpoints and those named are left out.
+// none has room to spare.
 func (p *Placer) Copy(now time.Time, want *Want) *Run {
-	need := p.copyNeed(&want.Request)
+	return p.target(now, want, p.copyNeed(&want.Request), _copyMargin)
+}
+
+// Refuge picks the endpoint to which a run's memory is copied because its own is
+// leaving; nil when none has room. The run will go on there, so that it may fill
+// the endpoint as any run.
+func (p *Placer) Refuge(now time.Time, want *Want) *Run {
+	need := p.need(&want.Request)
+	need.Runs, need.Prefill = 0, 0
+	return p.target(now, want, need, 1)
+}
+
+// target picks the endpoint for a copy that may fill it up to a margin.
+func (p *Placer) target(now time.Time, want *Want, need Load, margin float64) *Run {
 	var best *endpoint
 	bestCost := 0.0
 	for _, e := range p.services[want.Request.Service] {
-		if e.engine == nil || !p.open(now, e, want.Exclude) || now.Before(e.ColdUntil) {
+		if e.engine == nil || e.doubtful() || !p.open(now, e, want.Exclude) || now.Before(e.ColdUntil) {
 			continue
 		}
 		used := float64(e.own.Tokens + e.peers.Tokens + need.Tokens)
-		cost := used/float64(max(e.engine.MemoryTokens, 1)) + p.random.Float64()*0.1
+		cost := used/float64(max(e.engine.MemoryTokens, 1)) + p.random.Float64()*_copySpread
 		if want.Near != "" && e.DataCentre != want.Near {
 			cost += _remoteCopy
 		}
-		if used > float64(e.engine.MemoryTokens)*_copyMargin {
+		if used > float64(e.engine.MemoryTokens)*margin {
 			continue
 		}
 		if best == nil || cost < bestCost {
@@ -339,7 +361,7 @@
 // its memory is. It is false when the endpoint is gone or takes nothing.
 func (p *Placer) Take(now time.Time, id string, request *core.RoutedRequest) (*Run, bool) {
 	e := p.endpoints[id]
-	if e == nil || p.out[e.DataCentre] || e.Draining || e.health.barred(now) {
+	if e == nil || p.out[e.DataCentre] || e.Draining || e.leaving || e.health.barred(now) {
 		return nil, false
 	}
 	need := p.need(request)
@@ -353,10 +375,36 @@
 	return e != nil && p.open(now, e, nil)
 }
 
-// Leaving tells whether a run's endpoint is leaving or gone.
+// Leaving tells whether a run's endpoint is leaving, gone or in doubt.
 func (p *Placer) Leaving(run *Run) bool {
 	e := p.state(run)
-	return e == nil || e.Draining
+	return e == nil || e.Draining || e.leaving || e.doubtful()
+}
+
+// doubtful is true for an endpoint whose document lapsed after an outage: it may
+// be well, or gone without a word.
+func (e *endpoint) doubtful() bool { return !e.DropAt.IsZero() }
+
+// Leave takes in that an endpoint said itself that it is leaving. It tells
+// whether that is news.
+func (p *Placer) Leave(id string) bool {
+	e := p.endpoints[id]
+	if e == nil || e.leaving {
+		return false
+	}
+	e.leaving = true
+	return true
+}
+
+// Left lists the endpoints that said themselves that they are leaving.
+func (p *Placer) Left() []string {
+	var ids []string
+	for id, e := range p.endpoints {
+		if e.leaving {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // Read tells that a run's prompt has been read: its first event came.
--- a/core/routed.go
+++ b/core/routed.go
@@ -176,6 +176,11 @@
 // ErrHistoryLost says that all documents have to be listed again.
 var ErrHistoryLost = errors.New("the store no longer has this history")
 
+// EngineState is what an engine reports of itself.
+type EngineState struct {
+	Leaving bool
+}
+
 // HeaderNames spells the headers of routed requests.
 type HeaderNames struct {
 	RequestID        string
--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -52,6 +52,7 @@
 		Paths:         platform.Paths(),
 		Store:         store,
 		Decode:        platform.Decode,
+		DecodeReport:  platform.DecodeReport,
 		Dialer:        dialer,
 		Listen:        net.Listen,
 		ListenPacket:  net.ListenPacket,
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -51,8 +51,10 @@
 	Paths  core.CallPaths
 	Store  core.DocumentStore
 	Decode know.Decode
-	Dialer core.Dialer
-	Listen core.Listen
+	// DecodeReport reads an engine's report.
+	DecodeReport func([]byte) (core.EngineState, error)
+	Dialer       core.Dialer
+	Listen       core.Listen
 	// ListenPacket opens a socket for datagrams.
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	Logger       logr.Logger
@@ -170,6 +172,7 @@
 	}
 	group.Go(func() { h.readStore(working) })
 	group.Go(func() { h.tick(working) })
+	group.Go(func() { h.askEngines(working) })
 	group.Go(func() { h.peers.run(working) })
 	group.Go(func() {
 		if err := news.Receive(h.peers.socket, func(b []byte) { h.peers.heard(working, b) }); !errors.Is(err, net.ErrClosed) {
--- a/io/entry/facts.go
+++ b/io/entry/facts.go
@@ -39,9 +39,11 @@
 		return false
 	}
 	view := f.state.View()
-	f.view.Store(view)
+	before := f.view.Swap(view)
 	level := f.state.Level()
-	f.log.Info("Knowledge changed.", "Source", source, "AsOf", level.AsOf, "Version", version(view), "Endpoints", len(view.Endpoints), "Out", len(view.Out))
+	joined, leaving, gone := know.Compare(before, view)
+	f.log.Info("Knowledge changed.", "Source", source, "AsOf", level.AsOf, "Version", version(view), "Endpoints", len(view.Endpoints),
+		"Out", len(view.Out), "Joined", joined, "Leaving", leaving, "Gone", gone)
 	f.changed(view)
 	return true
 }
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -59,6 +59,9 @@
 		placer.SetHosts(hosts)
 		placer.Hear(now, message.From.Host, message.Loads)
 	})
+	if len(message.Leaving) > 0 && p.desk.Leave(message.Leaving...) {
+		p.spread()
+	}
 	p.compare(ctx, now, message.Level, message.From.Documents)
 }
 
@@ -162,6 +165,7 @@
 	})
 	p.desk.Update(func(placer *place.Placer) {
 		placer.Own(func(id string, load place.Load) { message.Loads[id] = load })
+		message.Leaving = placer.Left()
 	})
 	datagram, err := news.Encode(&message)
 	if err != nil {
@@ -186,6 +190,13 @@
 	return p.state.Reader(now, p.reads)
 }
 
+// asks tells whether it is for this host to ask an endpoint for its state.
+func (p *peers) asks(endpoint string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Asks(time.Now(), endpoint)
+}
+
 // setReads takes in whether the store can be read.
 func (p *peers) setReads(reads bool) {
 	p.mu.Lock()
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -20,10 +20,11 @@
 	// _backupRetry is when a copy that was not made is tried again, elsewhere.
 	_backupRetry = 100 * time.Millisecond
 	// _moveTimeout bounds one copy of a run's memory to another engine.
-	_moveTimeout = 1500 * time.Millisecond
+	_moveTimeout = 3 * time.Second
 	// _movedRenewal is how often a moved copy is brought up to date. An engine
-	// drops one that is not renewed for its handle's term.
-	_movedRenewal = 2 * time.Second
+	// drops one that is not renewed for its handle's term, 5 s; more often would
+	// take the links from copies that are made for the first time.
+	_movedRenewal = 4 * time.Second
 )
 
 // backup is where a copy of a run's memory is. It is safe for concurrent use: one
@@ -34,8 +35,9 @@
 	// from names the copy to the endpoint that is to go on from it.
 	from string
 	// handle names a copy that was made by a move; empty for one that the engine
-	// sends by itself.
-	handle string
+	// sends by itself. renewAt is when such a copy is to be brought up to date.
+	handle  string
+	renewAt time.Time
 }
 
 func (b *backup) exists() bool { return b.id() != "" }
@@ -68,6 +70,7 @@
 	b.mu.Lock()
 	before := b.run
 	b.run, b.from, b.handle = run, from, handle
+	b.renewAt = time.Now().Add(_movedRenewal)
 	b.mu.Unlock()
 	if before != run {
 		desk.end(before, 0)
@@ -83,7 +86,11 @@
 	return b.handle
 }
 
-func (b *backup) moving() bool { return b.moved() != "" }
+func (b *backup) renewal() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.renewAt
+}
 
 func (b *backup) current() *place.Run {
 	b.mu.Lock()
@@ -113,14 +120,14 @@
 	if !e.needsBackup() || !e.engineShape().Backups {
 		return
 	}
-	if run := e.pickBackup(); run != nil {
+	if run := e.desk().copyFor(e.backupWant()); run != nil {
 		e.backup.set(e.desk(), run, run.Endpoint.Address+"/"+e.request.ID, "")
 	}
 }
 
-func (e *exchange) pickBackup() *place.Run {
+func (e *exchange) backupWant() *place.Want {
 	exclude := slices.Concat([]string{e.run.Endpoint.ID}, e.used, e.refused)
-	return e.desk().copyFor(&place.Want{Request: e.request.RoutedRequest, Exclude: exclude, Near: e.run.Endpoint.DataCentre})
+	return &place.Want{Request: e.request.RoutedRequest, Exclude: exclude, Near: e.run.Endpoint.DataCentre}
 }
 
 // keepBackup has the run's memory copied to another endpoint when its own is
@@ -160,11 +167,18 @@
 	if !stands {
 		e.backup.drop(e.desk())
 	}
-	if !e.desk().leaving(e.run) || (stands && !e.backup.moving()) {
+	if !e.desk().leaving(e.run) || (stands && e.backup.moved() == "") {
 		return 0
 	}
+	if due := time.Until(e.backup.renewal()); stands && due > 0 {
+		return due
+	}
 	if !stands {
-		if target = e.pickBackup(); target == nil {
+		if target = e.desk().refugeFor(e.backupWant()); target == nil {
+			if !e.homeless {
+				e.log("No engine has room for a leaving run's memory.", "Endpoint", e.run.Endpoint.ID)
+			}
+			e.homeless = true
 			return _backupRetry
 		}
 	}
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -15,7 +15,7 @@
 type Desk struct {
 	mu     sync.Mutex
 	placer *place.Placer
-	// changed is closed when a view is applied.
+	// changed is closed when endpoints come, leave or go.
 	changed chan struct{}
 }
 
@@ -41,7 +41,23 @@
 	})
 }
 
-// changes gives a channel that is closed when the next view is applied.
+// Leave takes in that endpoints said themselves that they are leaving. It tells
+// whether that is news.
+func (d *Desk) Leave(ids ...string) bool {
+	news := false
+	d.Update(func(p *place.Placer) {
+		for _, id := range ids {
+			news = p.Leave(id) || news
+		}
+		if news {
+			close(d.changed)
+			d.changed = make(chan struct{})
+		}
+	})
+	return news
+}
+
+// changes gives a channel that is closed when endpoints come, leave or go.
 func (d *Desk) changes() <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -92,6 +108,12 @@
 	return d.placer.Copy(time.Now(), want)
 }
 
+func (d *Desk) refugeFor(want *place.Want) *place.Run {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.Refuge(time.Now(), want)
+}
+
 func (d *Desk) usable(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"apricotproxy/core"
@@ -44,6 +45,8 @@
 	used []string
 	// refused names those that had no room for a copy.
 	refused []string
+	// homeless is true once no engine had room for a copy that was needed.
+	homeless bool
 	// run is the try under way, backup the copy of its memory elsewhere.
 	run    *place.Run
 	backup backup
@@ -191,7 +194,7 @@
 	answer, err := e.front.config.Links.Do(trying, endpoint.RoutedEndpoint, e.outgoing(from))
 	var failed *links.Error
 	if errors.As(err, &failed) && failed.Stage == links.StageDial {
-		return ended{result: tries.NotSent, health: e.blame(ctx, place.Unreachable), err: err}
+		return ended{result: tries.NotSent, health: e.blame(ctx, unreached(err)), err: err}
 	}
 	e.tries.Sent(from != "")
 	if err != nil {
@@ -211,6 +214,13 @@
 	return outcome
 }
 
+func unreached(err error) place.Outcome {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return place.Gone
+	}
+	return place.Unreachable
+}
+
 func unanswered(err error) place.Outcome {
 	if errors.Is(err, errSlow) {
 		return place.Unreachable
