A stream that went on and failed is cut; age of knowledge by the deployment's bound

Test first (core/reqst/tries).

Change: a failure after events were delivered is a lost stream. Knowledge may be 0.6 of the drain bound old before a host reads for itself: at 87 hosts news take 0.9 s, and many hosts read.

--- a/core/reqst/tries/tries.go
+++ b/core/reqst/tries/tries.go
@@ -118,6 +118,9 @@
 		if t.repeatable() && now.TimeLeft && t.ran < t.route.MaxAttempts && now.Budget() {
 			return t.elsewhere(now)
 		}
+		if now.Delivered {
+			return t.lost(now)
+		}
 		return Relay
 	default:
 		return t.lost(now)
--- /dev/null
+++ b/core/reqst/tries/tries_test.go
@@ -0,0 +1,92 @@
+package tries_test
+
+import (
+	"testing"
+
+	"apricotproxy/core"
+	"apricotproxy/core/reqst/tries"
+)
+
+var (
+	_lookup = &core.Route{Kind: core.RouteIdempotent, MaxAttempts: 2}
+	_order  = &core.Route{Kind: core.RouteNonIdempotent, MaxAttempts: 1}
+	_draft  = &core.Route{Kind: core.RouteStreaming, MaxAttempts: 1}
+	_check  = &core.Route{Kind: core.RouteStreaming, MaxAttempts: 2, Resumable: true}
+)
+
+// one try: whether its request left, whether it went on from a copy, and how it
+// ended.
+type try struct {
+	sent   bool
+	copied bool
+	result tries.Result
+	// What holds after it.
+	delivered bool
+	copy      bool
+	noBudget  bool
+	noTime    bool
+}
+
+func TestNext(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		route *core.Route
+		tries []try
+		want  tries.Step
+	}{
+		{"an order that never left goes elsewhere", _order, []try{{result: tries.NotSent}}, tries.Again},
+		{"an order that was refused goes elsewhere", _order, []try{{sent: true, result: tries.Refused}}, tries.Again},
+		{"an order that was refused, without budget", _order, []try{{sent: true, result: tries.Refused, noBudget: true}}, tries.Refuse},
+		{"an order that was lost may have run", _order, []try{{sent: true, result: tries.Lost}}, tries.Fail},
+		{"an order that failed keeps the endpoint's answer", _order, []try{{sent: true, result: tries.Failed}}, tries.Relay},
+		{"an order refused, then lost", _order, []try{{sent: true, result: tries.Refused}, {sent: true, result: tries.Lost}}, tries.Fail},
+		{"a lookup that was lost runs again", _lookup, []try{{sent: true, result: tries.Lost}}, tries.Again},
+		{"a lookup that failed runs again", _lookup, []try{{sent: true, result: tries.Failed}}, tries.Again},
+		{"a lookup runs no more often than its route allows", _lookup, []try{{sent: true, result: tries.Failed}, {sent: true, result: tries.Failed}}, tries.Relay},
+		{"a lookup lost twice", _lookup, []try{{sent: true, result: tries.Lost}, {sent: true, result: tries.Lost}}, tries.Fail},
+		{"a lookup lost, then refused", _lookup, []try{{sent: true, result: tries.Lost}, {sent: true, result: tries.Refused}}, tries.Again},
+		{"a lookup lost, then refused without budget, may have run", _lookup, []try{{sent: true, result: tries.Lost}, {sent: true, result: tries.Refused, noBudget: true}}, tries.Fail},
+		{"a lookup without time left", _lookup, []try{{sent: true, result: tries.Lost, noTime: true}}, tries.Fail},
+		{"nothing was sent and time is over", _lookup, []try{{result: tries.NotSent, noTime: true}}, tries.Refuse},
+		{"a draft that was lost before its first event may have run", _draft, []try{{sent: true, result: tries.Lost}}, tries.Fail},
+		{"a draft goes on from a copy", _draft, []try{{sent: true, result: tries.Broken, delivered: true, copy: true}}, tries.Continue},
+		{"a draft without a copy is cut", _draft, []try{{sent: true, result: tries.Broken, delivered: true}}, tries.Cut},
+		{"a draft whose copy was refused is cut", _draft, []try{{sent: true, result: tries.Broken, delivered: true, copy: true}, {sent: true, copied: true, result: tries.Refused, delivered: true}}, tries.Cut},
+		{"a draft that may have run never runs anew", _draft, []try{{sent: true, result: tries.Lost, copy: true}, {sent: true, copied: true, result: tries.Refused}}, tries.Fail},
+		// Found on lsoncc-router-grown, fresh-021f: ORDER, the endpoint's 500 was
+		// written into the stream and ended it as complete.
+		{"a draft that went on and failed is cut", _draft, []try{{sent: true, result: tries.Broken, delivered: true, copy: true}, {sent: true, copied: true, result: tries.Failed, delivered: true}}, tries.Cut},
+		{"a draft that went on and failed, with another copy", _draft, []try{{sent: true, result: tries.Broken, delivered: true, copy: true}, {sent: true, copied: true, result: tries.Failed, delivered: true, copy: true}}, tries.Continue},
+		{"a check is resumed after what was delivered", _check, []try{{sent: true, result: tries.Broken, delivered: true}}, tries.Resume},
+		{"a check resumed and failed is cut", _check, []try{{sent: true, result: tries.Broken, delivered: true}, {sent: true, result: tries.Failed, delivered: true}}, tries.Cut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			history := tries.New(c.route)
+			var got tries.Step
+			for _, one := range c.tries {
+				if one.sent {
+					history.Sent(one.copied)
+				}
+				got = history.Next(one.result, tries.Situation{
+					Delivered: one.delivered, Copy: one.copy, TimeLeft: !one.noTime,
+					Budget: func() bool { return !one.noBudget },
+				})
+			}
+			if got != c.want {
+				t.Errorf("next step %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// An endpoint that cannot be reached is not dialled for ever.
+func TestUnreachableEndpointsAreGivenUp(t *testing.T) {
+	history := tries.New(_lookup)
+	for n := range 100 {
+		if step := history.Next(tries.NotSent, tries.Situation{TimeLeft: true}); step == tries.Refuse {
+			t.Logf("refused after %d tries", n+1)
+			return
+		}
+	}
+	t.Error("no end after 100 tries that reached no endpoint")
+}
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -17,9 +17,10 @@
 	// _watchPace is how long after a watch the next begins: heartbeats of
 	// endpoints would end each watch at once.
 	_watchPace = 300 * time.Millisecond
-	// _ageAtMost is how old a host's knowledge may get by what others tell it
-	// before it reads for itself.
-	_ageAtMost = time.Second
+	// _ageShare is how old a host's knowledge may get by what others tell it before
+	// it reads for itself, as a share of the time within which it has to know that
+	// an endpoint is leaving.
+	_ageShare = 0.6
 	// A failed call is made again after a pause.
 	_pauseFirst  = 100 * time.Millisecond
 	_pauseAtMost = 800 * time.Millisecond
@@ -39,13 +40,17 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		level := h.facts.level()
-		if level.AsOf == 0 || now.Sub(level.FreshAt) > _ageAtMost || h.peers.reader(now) {
+		if level.AsOf == 0 || now.Sub(level.FreshAt) > h.ageAtMost() || h.peers.reader(now) {
 			r.read(ctx)
 		}
 		sleep(ctx, _watchPace)
 	}
 }
 
+func (h *Host) ageAtMost() time.Duration {
+	return time.Duration(_ageShare * float64(h.settings.Bounds.LeavingSpread))
+}
+
 // read makes one call and takes in what it brings.
 func (r *reader) read(ctx context.Context) {
 	err := r.call(ctx)
--- a/io/entry/report.go
+++ b/io/entry/report.go
@@ -30,7 +30,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, _reportPace)
 		level := h.facts.level()
-		blind := level.AsOf > 0 && time.Since(level.FreshAt) > _ageAtMost
+		blind := level.AsOf > 0 && time.Since(level.FreshAt) > h.ageAtMost()
 		var group sync.WaitGroup
 		for _, endpoint := range h.engines(blind) {
 			if !h.peers.asks(endpoint.ID) {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -323,6 +323,9 @@
 			return e.stream(ctx, answer, slow)
 		}
 	}
+	if e.delivered {
+		return ended{result: tries.Broken, health: place.Bad, err: errors.New("the endpoint answered with status " + strconv.Itoa(status))}
+	}
 	body, err := readWhole(answer)
 	if err != nil {
 		return ended{result: e.lost(), health: e.blame(ctx, place.Bad), err: err}
