Hosts of one data centre tell each other of each placed generation at once

Cause: at 87 hosts a host heard of another's load every 2.2 s on average and forgot it after 2 s; engines were picked by several hosts at once, first events took 0.9 s (p50) and 780 of 3435 arrivals were rejected.

Change: all hosts of a data centre tell each other, with a heartbeat for each generation placed; between data centres one host tells one host what its whole data centre does. The own data centre is preferred by what the others may have placed unseen. A host that was not known is named others at once.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -1,11 +1,15 @@
 // Package gossip decides which hosts a host keeps in touch with and what it does
 // with what they say. There is no roster: hosts find each other through seeds
-// and through the hosts that they hear of. Nothing rests on agreement; a host
-// that is gone is forgotten and leaves no trace.
+// and through the hosts that they hear of. Within a data centre each host tells
+// each other one; between data centres each host tells one host of each other data
+// centre what its own data centre does as a whole, so that bytes between them grow
+// with the hosts and not with their square. Nothing rests on agreement; a host that
+// is gone is forgotten and leaves no trace.
 package gossip
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,19 +22,19 @@
 const (
 	// Interval is how often a host sends heartbeats.
 	Interval = 250 * time.Millisecond
-	// _fanout is to how many hosts a heartbeat goes.
-	_fanout = 10
-	// _near is how many of them are in the host's own data centre, where bytes
-	// cost nothing.
-	_near = 4
+	// _near bounds the hosts of its own data centre that a host tells at once;
+	// in a larger one it tells a part of them each time.
+	_near = 32
 	// _liveFor is how long a host counts as live after it was heard.
 	_liveFor = 6 * Interval
 	// _knownFor is how long a silent host is still sent heartbeats.
 	_knownFor = 15 * time.Second
 	// _heardFor is how long a host counts among those that may live.
 	_heardFor = time.Minute
-	// _sample is how many other hosts a heartbeat names.
-	_sample = 8
+	// _sample is how many other hosts a heartbeat names, _welcome how many the
+	// first one to a host that was not known.
+	_sample  = 4
+	_welcome = 24
 	// _readers is how many hosts read the documents for all: one may
 	// be lost without a gap.
 	_readers = 2
@@ -92,27 +96,26 @@
 // SetSeeds replaces the seeds.
 func (s *State) SetSeeds(seeds []string) { s.seeds = seeds }
 
-// Hear takes in a heartbeat. It is false for one of this host's own or of an
-// earlier incarnation.
-func (s *State) Hear(now time.Time, h *Heartbeat) bool {
+// Hear takes in a heartbeat. Accepted is false for one of this host's own or of an
+// earlier incarnation; first is true when the sender was not known.
+func (s *State) Hear(now time.Time, h *Heartbeat) (accepted, first bool) {
 	if h.From.Host == s.self.Host {
-		return false
+		return false, false
 	}
 	m := s.members[h.From.Host]
-	if m == nil {
-		m = &member{}
-		s.members[h.From.Host] = m
+	first = m == nil || m.heard.IsZero() || h.Incarnation > m.incarnation
+	if m != nil && h.Incarnation < m.incarnation {
+		return false, false
 	}
-	if h.Incarnation < m.incarnation {
-		return false
+	s.members[h.From.Host] = &member{
+		contact: h.From, incarnation: h.Incarnation, heard: now, reads: h.Reads, stopping: h.Stopping, until: now.Add(_knownFor),
 	}
-	*m = member{contact: h.From, incarnation: h.Incarnation, heard: now, reads: h.Reads, stopping: h.Stopping, until: now.Add(_knownFor)}
 	for _, other := range h.Others {
 		if other.Host != s.self.Host && s.members[other.Host] == nil {
 			s.members[other.Host] = &member{contact: other, until: now.Add(_knownFor)}
 		}
 	}
-	return true
+	return true, first
 }
 
 // Forget drops hosts that have been silent for long.
@@ -148,34 +151,41 @@
 	return n
 }
 
-// Targets gives the heartbeat addresses to send to: hosts near by first, the
-// rest at random, and seeds while hardly anybody is known.
-func (s *State) Targets(now time.Time) []string {
-	var near, far []string
+// Near gives the heartbeat addresses of the hosts of the own data centre.
+func (s *State) Near(now time.Time) []string {
+	var near []string
 	for _, m := range s.members {
-		switch {
-		case now.After(m.until):
-		case m.contact.Centre == s.self.Centre:
+		if m.contact.Centre == s.self.Centre && !now.After(m.until) {
 			near = append(near, m.contact.Heartbeat)
-		default:
-			far = append(far, m.contact.Heartbeat)
 		}
 	}
 	s.shuffle(near)
-	s.shuffle(far)
-	if len(near)+len(far) > _fanout {
-		near = near[:min(len(near), max(_near, _fanout-len(far)))]
-		far = far[:min(len(far), _fanout-len(near))]
+	return near[:min(len(near), _near)]
+}
+
+// Far gives the heartbeat address of one host of each other data centre, and the
+// seeds while hardly anybody is known.
+func (s *State) Far(now time.Time) []string {
+	centres := make(map[core.DataCentreName][]string)
+	for _, m := range s.members {
+		if m.contact.Centre != s.self.Centre && !now.After(m.until) {
+			centres[m.contact.Centre] = append(centres[m.contact.Centre], m.contact.Heartbeat)
+		}
+	}
+	var far []string
+	for _, centre := range slices.Sorted(maps.Keys(centres)) {
+		hosts := centres[centre]
+		s.shuffle(hosts)
+		far = append(far, hosts[0])
 	}
-	targets := append(near, far...)
 	if s.Live(now) <= len(s.seeds) {
 		for _, seed := range s.seeds {
-			if seed != s.self.Heartbeat && !slices.Contains(targets, seed) {
-				targets = append(targets, seed)
+			if seed != s.self.Heartbeat && !slices.Contains(far, seed) {
+				far = append(far, seed)
 			}
 		}
 	}
-	return targets
+	return far
 }
 
 func (s *State) shuffle(addresses []string) {
@@ -185,27 +195,26 @@
 
 // Others gives a sample of the live hosts, to be named in a heartbeat.
 func (s *State) Others(now time.Time) []Contact {
+	return s.live(now, func(Contact) bool { return true }, _sample)
+}
+
+// Welcome gives hosts to be named to one that was not known: those of its own data
+// centre, and one or two of each other.
+func (s *State) Welcome(now time.Time, centre core.DataCentreName) []Contact {
+	named := s.live(now, func(c Contact) bool { return c.Centre == centre }, _welcome)
+	return append(named, s.live(now, func(c Contact) bool { return c.Centre != centre }, _sample)...)
+}
+
+func (s *State) live(now time.Time, wanted func(Contact) bool, most int) []Contact {
 	var live []Contact
 	for _, m := range s.members {
-		if m.live(now) && !m.stopping {
+		if m.live(now) && !m.stopping && wanted(m.contact) {
 			live = append(live, m.contact)
 		}
 	}
 	slices.SortFunc(live, func(a, b Contact) int { return cmp.Compare(a.Host, b.Host) })
 	s.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return live[:min(len(live), _sample)]
-}
-
-// Documents gives the address at which a live host gives out documents.
-func (s *State) Documents(now time.Time) []string {
-	var addresses []string
-	for _, m := range s.members {
-		if m.live(now) {
-			addresses = append(addresses, m.contact.Documents)
-		}
-	}
-	s.shuffle(addresses)
-	return addresses
+	return live[:min(len(live), most)]
 }
 
 // Reader tells whether this host is one of those that read the
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -22,9 +22,9 @@
 	// _runTokens is what a running generation costs another one's first token,
 	// in tokens of prompt: its share of each step.
 	_runTokens = 60
-	// _remoteTokens is what another data centre costs, in tokens of prompt: a
-	// few milliseconds of prefill, so that it only breaks ties.
-	_remoteTokens = 60
+	// _remoteTokens is what another data centre costs, in tokens of prompt: what
+	// its hosts may have placed since they last told of it.
+	_remoteTokens = 600
 	// _memoryMargin is the part of an engine's memory that is planned with.
 	// Lengths are estimates.
 	_memoryMargin = 0.95
@@ -105,6 +105,12 @@
 	leaving bool
 }
 
+// Source is whose loads were heard: a host's, or those of a whole data centre.
+type Source struct {
+	Host   core.HostName
+	Centre core.DataCentreName
+}
+
 type peerLoad struct {
 	loads map[string]Load
 	until time.Time
@@ -119,7 +125,7 @@
 	services   map[core.ServiceName][]*endpoint
 	table      *table.Table
 	out        map[core.DataCentreName]bool
-	peers      map[core.HostName]peerLoad
+	peers      map[Source]peerLoad
 	hosts      int
 	budgets    map[core.ServiceName]*budget
 	lengths    lengths
@@ -134,7 +140,7 @@
 		random:     random,
 		endpoints:  make(map[string]*endpoint),
 		services:   make(map[core.ServiceName][]*endpoint),
-		peers:      make(map[core.HostName]peerLoad),
+		peers:      make(map[Source]peerLoad),
 		budgets:    make(map[core.ServiceName]*budget),
 		hosts:      _hostsUnknown,
 	}
@@ -167,9 +173,10 @@
 // SetBounds replaces the deployment's bounds.
 func (p *Placer) SetBounds(bounds core.EntryBounds) { p.bounds = bounds }
 
-// Hear takes in another host's loads, by endpoint.
-func (p *Placer) Hear(now time.Time, host core.HostName, loads map[string]Load) {
-	p.peers[host] = peerLoad{loads: loads, until: now.Add(_peerTerm)}
+// Hear takes in the loads of another host of the own data centre, or of another
+// data centre as a whole, by endpoint.
+func (p *Placer) Hear(now time.Time, from Source, loads map[string]Load) {
+	p.peers[from] = peerLoad{loads: loads, until: now.Add(_peerTerm)}
 	p.sumPeers()
 }
 
@@ -209,6 +216,26 @@
 	}
 }
 
+// Centre calls f with the load that the own data centre as a whole has on each
+// endpoint.
+func (p *Placer) Centre(f func(id string, load Load)) {
+	sum := make(map[string]Load)
+	p.Own(func(id string, load Load) { sum[id] = load })
+	for from, said := range p.peers {
+		if from.Host == "" {
+			continue
+		}
+		for id, load := range said.loads {
+			total := sum[id]
+			total.add(load)
+			sum[id] = total
+		}
+	}
+	for id, load := range sum {
+		f(id, load)
+	}
+}
+
 // need is the load that a request will be.
 func (p *Placer) need(request *core.RoutedRequest) Load {
 	prompt := request.Prompt
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -93,6 +93,7 @@
 	h.facts = newFacts(know.New(settings.Decode, lapse(settings.Bounds)), settings.Logger, h.apply)
 	h.front = front.New(front.Config{
 		Names: settings.Names, Paths: settings.Paths, Desk: h.desk, Links: h.links, View: h.facts.View, Logger: settings.Logger,
+		Placed: func() { h.peers.tellNear() },
 	})
 	var err error
 	if h.peers, err = newPeers(h, rand.New(rand.NewPCG(seed, 2))); err != nil {
@@ -140,7 +141,6 @@
 		h.idle.set(view.Table.Limits().IdleTimeout)
 	}
 	h.desk.Apply(view)
-	h.peers.spread()
 }
 
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -30,8 +30,9 @@
 	facts       *facts
 	desk        *front.Desk
 	stopping    func() bool
-	// urgent asks for a heartbeat at once.
+	// urgent asks for a heartbeat at once, near for one to the own data centre.
 	urgent chan struct{}
+	near   chan struct{}
 
 	mu    sync.Mutex
 	state *gossip.State
@@ -49,25 +50,43 @@
 	}
 	now := time.Now()
 	p.mu.Lock()
-	known := p.state.Hear(now, &message.Heartbeat)
+	accepted, first := p.state.Hear(now, &message.Heartbeat)
 	hosts := p.state.Heard(now)
 	p.mu.Unlock()
-	if !known {
+	if !accepted {
 		return
 	}
+	if first {
+		p.welcome(now, message.From)
+	}
+	from := place.Source{Host: message.From.Host}
+	if message.From.Centre != p.self.Centre {
+		from = place.Source{Centre: message.From.Centre}
+	}
 	p.desk.Update(func(placer *place.Placer) {
 		placer.SetHosts(hosts)
-		placer.Hear(now, message.From.Host, message.Loads)
+		if message.Loads != nil {
+			placer.Hear(now, from, message.Loads)
+		}
 	})
 	if len(message.Leaving) > 0 && p.desk.Leave(message.Leaving...) {
 		p.spread()
 	}
-	p.compare(ctx, now, message.Level, message.From.Documents)
+	p.compare(ctx, now, message.Level, message.From)
+}
+
+// welcome answers a host that was not known, naming others.
+func (p *peers) welcome(now time.Time, to gossip.Contact) {
+	message := p.message(now)
+	p.mu.Lock()
+	message.Others = p.state.Welcome(now, to.Centre)
+	p.mu.Unlock()
+	p.sendTo(message, []string{to.Heartbeat})
 }
 
 // compare takes in how far another host knows the documents: it has nothing that this
 // host lacks, or it is asked for it.
-func (p *peers) compare(ctx context.Context, now time.Time, theirs gossip.Level, address string) {
+func (p *peers) compare(ctx context.Context, now time.Time, theirs gossip.Level, from gossip.Contact) {
 	behind := false
 	p.facts.with(func(s *know.State) {
 		mine := s.Level()
@@ -92,26 +111,29 @@
 			p.pulling = false
 			p.mu.Unlock()
 		}()
-		if err := p.pull(ctx, address); err != nil {
+		if err := p.pull(ctx, from); err != nil {
 			p.log.Info("Documents could not be pulled from another host.", "Cause", err.Error())
 		}
 	}()
 }
 
 // pull asks another host for what this one lacks.
-func (p *peers) pull(ctx context.Context, address string) error {
+func (p *peers) pull(ctx context.Context, from gossip.Contact) error {
 	asked := time.Now()
-	pulled, err := p.client.Pull(ctx, address, p.facts.level().AsOf)
+	pulled, err := p.client.Pull(ctx, from.Documents, p.facts.level().AsOf)
 	if err != nil {
 		return fmt.Errorf("pull documents: %w", err)
 	}
 	documents := core.Documents{Documents: pulled.Documents, AsOf: pulled.AsOf}
-	p.facts.update(address, func(s *know.State) (bool, error) {
+	changed := p.facts.update(string(from.Host), func(s *know.State) (bool, error) {
 		if pulled.Whole {
 			return s.Replace(time.Now(), documents, asked.Add(-pulled.Age))
 		}
 		return s.Update(time.Now(), documents, asked.Add(-pulled.Age))
 	})
+	if changed && from.Centre != p.self.Centre {
+		p.spread() // the first of its data centre to hear of it, perhaps
+	}
 	return nil
 }
 
@@ -130,16 +152,30 @@
 	ticker := time.NewTicker(gossip.Interval)
 	defer ticker.Stop()
 	for {
-		p.send()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-p.urgent:
+		p.send(true)
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				waiting = false
+			case <-p.urgent:
+				waiting = false
+			case <-p.near:
+				p.send(false)
+			}
 		}
 	}
 }
 
+// tellNear asks for a heartbeat to the own data centre at once.
+func (p *peers) tellNear() {
+	select {
+	case p.near <- struct{}{}:
+	default:
+	}
+}
+
 // spread asks for a heartbeat at once.
 func (p *peers) spread() {
 	select {
@@ -148,26 +184,49 @@
 	}
 }
 
-func (p *peers) send() {
+// send tells the hosts of the own data centre this host's loads, and others those
+// of the whole data centre.
+func (p *peers) send(everywhere bool) {
 	now := time.Now()
 	p.mu.Lock()
 	p.state.Forget(now)
-	targets := p.state.Targets(now)
-	message := news.Message{Heartbeat: gossip.Heartbeat{
-		From: p.self, Incarnation: p.incarnation, Stopping: p.stopping(), Reads: p.reads,
-		Others: p.state.Others(now),
-	}, Loads: make(map[string]place.Load)}
+	near, far := p.state.Near(now), p.state.Far(now)
+	p.mu.Unlock()
+	message := p.message(now)
+	message.Loads = make(map[string]place.Load)
+	p.desk.Update(func(placer *place.Placer) {
+		placer.Own(func(id string, load place.Load) { message.Loads[id] = load })
+	})
+	p.sendTo(message, near)
+	if !everywhere {
+		return
+	}
+	message.Loads = make(map[string]place.Load)
+	p.desk.Update(func(placer *place.Placer) {
+		placer.Centre(func(id string, load place.Load) { message.Loads[id] = load })
+	})
+	p.sendTo(message, far)
+}
+
+// message is a heartbeat without loads.
+func (p *peers) message(now time.Time) *news.Message {
+	var message news.Message
+	p.mu.Lock()
+	message.Heartbeat = gossip.Heartbeat{
+		From: p.self, Incarnation: p.incarnation, Stopping: p.stopping(), Reads: p.reads, Others: p.state.Others(now),
+	}
 	p.mu.Unlock()
 	p.facts.with(func(s *know.State) {
 		if level := s.Level(); level.AsOf > 0 {
 			message.Level = gossip.Level{AsOf: level.AsOf, Changed: level.Changed, Age: now.Sub(level.FreshAt)}
 		}
 	})
-	p.desk.Update(func(placer *place.Placer) {
-		placer.Own(func(id string, load place.Load) { message.Loads[id] = load })
-		message.Leaving = placer.Left()
-	})
-	datagram, err := news.Encode(&message)
+	p.desk.Update(func(placer *place.Placer) { message.Leaving = placer.Left() })
+	return &message
+}
+
+func (p *peers) sendTo(message *news.Message, targets []string) {
+	datagram, err := news.Encode(message)
 	if err != nil {
 		p.log.Error(err, "A heartbeat cannot be sent.")
 		return
@@ -222,6 +281,7 @@
 		desk:        h.desk,
 		stopping:    h.stopping.Load,
 		urgent:      make(chan struct{}, 1),
+		near:        make(chan struct{}, 1),
 		state:       gossip.New(self, s.Seeds, random),
 	}, nil
 }
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -83,21 +83,24 @@
 			return err
 		}
 		r.listed = true
-		h.facts.update("store", func(s *know.State) (bool, error) {
-			return s.Replace(time.Now(), documents, asked)
-		})
+		r.take(func(s *know.State) (bool, error) { return s.Replace(time.Now(), documents, asked) })
 		return nil
 	}
 	documents, err := h.settings.Store.Watch(ctx, h.facts.level().AsOf, _watchWait)
 	if err != nil {
 		return err
 	}
-	h.facts.update("store", func(s *know.State) (bool, error) {
-		return s.Update(time.Now(), documents, asked)
-	})
+	r.take(func(s *know.State) (bool, error) { return s.Update(time.Now(), documents, asked) })
 	return nil
 }
 
+// take takes documents in and tells other hosts at once if anything changed.
+func (r *reader) take(take func(*know.State) (bool, error)) {
+	if r.host.facts.update("store", take) {
+		r.host.peers.spread()
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -163,6 +163,9 @@
 	run, verdict := e.desk().place(ctx, &place.Want{Request: *request, Exclude: e.used}, until)
 	if verdict == place.Placed {
 		e.run = run
+		if request.Prompt.Tokens > 0 {
+			e.front.config.Placed()
+		}
 		return nil
 	}
 	if ctx.Err() != nil {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -42,6 +42,8 @@
 	Links  *links.Pool
 	View   func() *know.View
 	Logger logr.Logger
+	// Placed is called when a generation was placed: other hosts are to know.
+	Placed func()
 }
 
 // Front is the handler of routed requests.
