--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -312,8 +312,8 @@
 	if e.engine == nil || e.engine.MemoryTokens == 0 {
 		return true
 	}
-	room := int(float64(e.engine.MemoryTokens)*_memoryMargin) - e.own.Tokens - e.peers.Tokens
-	return need.Tokens <= room || runs == 0
+	used := e.own.Tokens + e.peers.Tokens
+	return used == 0 || used+need.Tokens <= int(float64(e.engine.MemoryTokens)*_memoryMargin)
 }
 
 // cost estimates what a request would wait at an endpoint, in tokens of prompt
--- /dev/null
+++ b/core/procs/place/place_test.go
@@ -0,0 +1,337 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
+	"apricotproxy/core/procs/place"
+	"apricotproxy/core/versn/table"
+)
+
+var _start = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+
+func after(d time.Duration) time.Time { return _start.Add(d) }
+
+const _engineMemory = 30_000
+
+// site builds a placer before engines and plain endpoints, half of them in each
+// of two data centres.
+type site struct {
+	*place.Placer
+	view *know.View
+}
+
+func newSite(t *testing.T, engines, plain int) *site {
+	t.Helper()
+	built, err := table.Build(table.Source{Version: 1, Services: []core.RoutedService{
+		{Name: "drafting", ColdPerSecond: 26, Engine: &core.EngineShape{Slots: 24, MemoryTokens: _engineMemory, Backups: true, Moves: true}},
+		{Name: "desk"},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	bounds := core.EntryBounds{
+		RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 58, ColdFactor: 1.5, ColdExtra: 5,
+	}
+	s := &site{Placer: place.New("a", bounds, rand.New(rand.NewPCG(1, 1))), view: &know.View{Table: built, Out: map[core.DataCentreName]bool{}}}
+	centres := []core.DataCentreName{"a", "b"}
+	for i := range engines {
+		s.view.Endpoints = append(s.view.Endpoints, know.Endpoint{RoutedEndpoint: core.RoutedEndpoint{
+			ID: fmt.Sprintf("engine-%d", i), Service: "drafting", Slots: 24, DataCentre: centres[i%2],
+		}})
+	}
+	for i := range plain {
+		s.view.Endpoints = append(s.view.Endpoints, know.Endpoint{RoutedEndpoint: core.RoutedEndpoint{
+			ID: fmt.Sprintf("desk-%d", i), Service: "desk", Slots: 6, DataCentre: centres[i%2],
+		}})
+	}
+	s.Apply(s.view)
+	return s
+}
+
+func (s *site) change(id string, f func(*know.Endpoint)) {
+	for i := range s.view.Endpoints {
+		if s.view.Endpoints[i].ID == id {
+			f(&s.view.Endpoints[i])
+		}
+	}
+	s.Apply(s.view)
+}
+
+var _draftRoute = &core.Route{Prefix: "/draft/", Kind: core.RouteStreaming}
+
+func draft() *place.Want {
+	return &place.Want{Request: core.RoutedRequest{
+		Service: "drafting", Route: _draftRoute, Prompt: core.Prompt{Tokens: 3000, MaxOutput: 2200, Expected: 700},
+	}}
+}
+
+func order() *place.Want {
+	return &place.Want{Request: core.RoutedRequest{Service: "desk", Route: &core.Route{Prefix: "/order/"}}}
+}
+
+// Prompts spread over the engines: no engine gets a second one while another has
+// none.
+func TestPromptsSpread(t *testing.T) {
+	s := newSite(t, 6, 0)
+	seen := make(map[string]int)
+	for range 6 {
+		run, verdict := s.Place(_start, draft())
+		if verdict != place.Placed {
+			t.Fatalf("verdict %v, want placed", verdict)
+		}
+		seen[run.Endpoint.ID]++
+	}
+	if len(seen) != 6 {
+		t.Errorf("six prompts went to %v, want one to each engine", seen)
+	}
+}
+
+// What other hosts said they placed counts like one's own.
+func TestOtherHostsLoadsCount(t *testing.T) {
+	s := newSite(t, 2, 0)
+	busy := map[string]place.Load{"engine-0": {Runs: 3, Tokens: 11_000, Prefill: 6000}}
+	s.Hear(_start, place.Source{Host: "other"}, busy)
+	for range 3 {
+		run, _ := s.Place(_start, draft())
+		if run.Endpoint.ID != "engine-1" {
+			t.Errorf("placed on %s, which another host keeps busy", run.Endpoint.ID)
+		}
+		s.End(run)
+	}
+	// A host that is silent for long is forgotten.
+	s.Expire(after(3 * time.Second))
+	ids := make(map[string]bool)
+	for range 20 {
+		run, _ := s.Place(after(3*time.Second), draft())
+		ids[run.Endpoint.ID] = true
+		s.End(run)
+	}
+	if !ids["engine-0"] {
+		t.Error("an engine is avoided for what a silent host said")
+	}
+}
+
+// An engine's memory bounds what it is given; what does not fit waits, and is
+// granted by priority when something ends.
+func TestMemoryBoundsAndWaiting(t *testing.T) {
+	s := newSite(t, 1, 0)
+	var runs []*place.Run
+	for {
+		run, verdict := s.Place(_start, draft())
+		if verdict != place.Placed {
+			break
+		}
+		runs = append(runs, run)
+	}
+	if n := len(runs); n < 5 || n*3000 > _engineMemory {
+		t.Fatalf("%d prompts of 3000 tokens in a memory of %d", n, _engineMemory)
+	}
+	var granted []int
+	for priority := 2; priority >= 0; priority-- {
+		want := draft()
+		want.Request.Priority = priority
+		s.Enqueue(&place.Waiter{Want: want, Granted: func(*place.Run) { granted = append(granted, priority) }})
+	}
+	s.Release(_start)
+	if len(granted) != 0 {
+		t.Errorf("granted %v while nothing has ended", granted)
+	}
+	s.End(runs[0])
+	s.Release(_start)
+	if len(granted) != 1 || granted[0] != 0 {
+		t.Errorf("granted %v, want the most urgent one", granted)
+	}
+}
+
+func TestLeavingEndpointsTakeNothingNew(t *testing.T) {
+	s := newSite(t, 2, 0)
+	run, _ := s.Place(_start, &place.Want{Request: draft().Request, Exclude: []string{"engine-1"}})
+	if s.Leaving(run) {
+		t.Error("a run's endpoint counts as leaving too early")
+	}
+	s.change("engine-0", func(e *know.Endpoint) { e.Draining = true })
+	if !s.Leaving(run) {
+		t.Error("a run's endpoint is leaving and does not count so")
+	}
+	for range 20 {
+		run, verdict := s.Place(_start, draft())
+		if verdict != place.Placed || run.Endpoint.ID == "engine-0" {
+			t.Fatalf("verdict %v, on a leaving endpoint or nowhere", verdict)
+		}
+		s.End(run)
+	}
+	if copied := s.Refuge(_start, draft()); copied != nil && copied.Endpoint.ID == "engine-0" {
+		t.Error("a refuge on a leaving endpoint")
+	}
+}
+
+func TestDataCentreOutTakesNothing(t *testing.T) {
+	s := newSite(t, 2, 2)
+	s.view.Out["a"] = true
+	s.Apply(s.view)
+	for range 10 {
+		run, verdict := s.Place(_start, order())
+		if verdict != place.Placed || run.Endpoint.DataCentre == "a" {
+			t.Fatalf("verdict %v, in a data centre that is out of service or nowhere", verdict)
+		}
+		s.End(run)
+	}
+	if _, ok := s.Take(_start, "engine-0", &draft().Request); ok {
+		t.Error("a run goes on in a data centre that is out of service")
+	}
+}
+
+// A cold endpoint gets no more than this host's part of what it bears in any
+// second, whatever waits, and however few other hosts are heard of.
+func TestColdShareHoldsInASlidingSecond(t *testing.T) {
+	const bears = 26*1.5 + 5
+	for _, hosts := range []int{1, 9, 87} {
+		s := newSite(t, 1, 0)
+		s.SetHosts(hosts)
+		s.change("engine-0", func(e *know.Endpoint) { e.ColdUntil = after(10 * time.Second) })
+		var arrivals []time.Time
+		for ms := 0; ms < 3000; ms += 10 {
+			now := after(time.Duration(ms) * time.Millisecond)
+			if run, verdict := s.Place(now, draft()); verdict == place.Placed {
+				arrivals = append(arrivals, now)
+				s.End(run)
+			}
+		}
+		for i := range arrivals {
+			n := 0
+			for _, a := range arrivals[i:] {
+				if a.Sub(arrivals[i]) < time.Second {
+					n++
+				}
+			}
+			if n*hosts > bears {
+				t.Fatalf("%d hosts: %d arrivals of one host within a second, all together bear %v", hosts, n, bears)
+			}
+		}
+	}
+}
+
+// The bound on hosts does not fall when others go silent: they may work on the
+// other side of a partition.
+func TestHostsBoundDoesNotFall(t *testing.T) {
+	allowed := func(heard ...int) int {
+		s := newSite(t, 0, 1)
+		for _, n := range heard {
+			s.SetHosts(n)
+		}
+		n := 0
+		for s.Again(_start, "desk") {
+			n++
+		}
+		return n
+	}
+	if before, later := allowed(9), allowed(9, 1); later > before {
+		t.Errorf("%d retries after the others went silent, %d before", later, before)
+	}
+}
+
+// Retries of all hosts together stay within the deployment's bound.
+func TestRetryBudget(t *testing.T) {
+	const hosts = 9
+	s := newSite(t, 0, 1)
+	s.SetHosts(hosts)
+	requests, retries := 0, 0
+	for ms := 0; ms < 10_000; ms += 5 {
+		now := after(time.Duration(ms) * time.Millisecond)
+		s.First(now, "desk")
+		requests++
+		if s.Again(now, "desk") {
+			retries++
+		}
+	}
+	if bound := 0.2*float64(requests) + 58.0/hosts; float64(retries) > bound {
+		t.Errorf("%d retries of %d requests, bound %v", retries, requests, bound)
+	}
+	if retries < requests/10 {
+		t.Errorf("only %d retries of %d requests", retries, requests)
+	}
+}
+
+// An endpoint that fails its requests gets few of them; one that cannot be
+// reached gets none for a while and then another try.
+func TestFailingEndpoints(t *testing.T) {
+	s := newSite(t, 0, 3)
+	counts := make(map[string]int)
+	for range 300 {
+		run, _ := s.Place(_start, order())
+		counts[run.Endpoint.ID]++
+		outcome := place.Good
+		if run.Endpoint.ID == "desk-0" {
+			outcome = place.Bad
+		}
+		s.Judge(_start, run, outcome)
+		s.End(run)
+	}
+	if counts["desk-0"] > 60 {
+		t.Errorf("an endpoint that fails everything got %d of 300", counts["desk-0"])
+	}
+	run, _ := s.Place(_start, order())
+	s.Judge(_start, run, place.Unreachable)
+	s.End(run)
+	if s.Usable(_start, run.Endpoint.ID) {
+		t.Error("an unreachable endpoint is used at once")
+	}
+	if !s.Usable(after(4*time.Second), run.Endpoint.ID) {
+		t.Error("an unreachable endpoint is not tried again")
+	}
+}
+
+// Copies leave room for runs; a refuge may fill an engine.
+func TestCopiesLeaveRoomForRuns(t *testing.T) {
+	s := newSite(t, 1, 0)
+	copies := 0
+	for s.Copy(_start, draft()) != nil {
+		copies++
+	}
+	refuges := 0
+	for s.Refuge(_start, draft()) != nil {
+		refuges++
+	}
+	if copies == 0 || refuges == 0 {
+		t.Errorf("%d copies and %d refuges, want some of both", copies, refuges)
+	}
+	if _, verdict := s.Place(_start, draft()); verdict != place.Full {
+		t.Errorf("verdict %v, want full", verdict)
+	}
+}
+
+// Callers' estimates that are worth nothing are given up; those that are exact
+// are followed.
+func TestLengthsAreLearnt(t *testing.T) {
+	for _, exact := range []bool{true, false} {
+		s := newSite(t, 1, 0)
+		random := rand.New(rand.NewPCG(2, 2))
+		for range 400 {
+			want := draft()
+			tokens := 200 + random.IntN(1000)
+			want.Request.Prompt.Expected = tokens
+			if !exact {
+				want.Request.Prompt.Expected = 1 + random.IntN(20_000)
+			}
+			s.Produced(&want.Request, tokens)
+		}
+		wild := draft()
+		wild.Request.Prompt.Expected = 2000
+		fits := 0
+		for {
+			if _, verdict := s.Place(_start, wild); verdict != place.Placed {
+				break
+			}
+			fits++
+		}
+		// 3000 of prompt and 2000 of output, or about 700.
+		if exact && fits > 6 || !exact && fits < 7 {
+			t.Errorf("exact %v: %d runs fit in %d tokens", exact, fits, _engineMemory)
+		}
+	}
+}
--- /dev/null
+++ b/core/reqst/event/event_test.go
@@ -0,0 +1,97 @@
+package event_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"apricotproxy/core/reqst/event"
+)
+
+func TestSplitterGivesWholeEvents(t *testing.T) {
+	const stream = "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\nda"
+	for step := 1; step <= len(stream); step++ {
+		var s event.Splitter
+		var got []string
+		for rest := []byte(stream); len(rest) > 0; rest = rest[min(step, len(rest)):] {
+			if err := s.Add(rest[:min(step, len(rest))]); err != nil {
+				t.Fatal(err)
+			}
+			for e, ok := s.Next(); ok; e, ok = s.Next() {
+				got = append(got, string(e))
+			}
+		}
+		if want := "id: 0\ndata: a\n\n|id: 1\ndata: b\n\n"; strings.Join(got, "|") != want {
+			t.Errorf("in steps of %d: %q, want %q", step, strings.Join(got, "|"), want)
+		}
+		if s.Rest() != len("id: 2\nda") {
+			t.Errorf("in steps of %d: %d bytes left", step, s.Rest())
+		}
+	}
+}
+
+func TestSplitterBoundsAnEvent(t *testing.T) {
+	var s event.Splitter
+	var err error
+	for range 2 * event.LongestEvent / 1024 {
+		if err = s.Add(bytes.Repeat([]byte("x"), 1024)); err != nil {
+			break
+		}
+	}
+	if err == nil {
+		t.Error("an event without end is kept")
+	}
+}
+
+// A stream that goes on elsewhere: nothing is missing, nothing comes twice.
+func TestPosition(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		delivered []string
+		next      string
+		continued bool
+		want      event.Verdict
+	}{
+		{"the first event", nil, "id: 5\ndata: x\n\n", false, event.Deliver},
+		{"the next one", []string{"id: 5\n\n"}, "id: 6\n\n", true, event.Deliver},
+		{"one that was delivered", []string{"id: 5\n\n"}, "id: 5\n\n", true, event.Skip},
+		{"one too far", []string{"id: 5\n\n"}, "id: 7\n\n", true, event.Gap},
+		{"one without an id", []string{"id: 5\n\n"}, "data: x\n\n", false, event.Deliver},
+		{"one without an id, elsewhere", []string{"id: 5\n\n"}, "data: x\n\n", true, event.Gap},
+		{"an id after another field", []string{"id: 5\n\n"}, "versions: 2\nid: 6\n\n", true, event.Deliver},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var p event.Position
+			for _, e := range c.delivered {
+				p.Take([]byte(e), false)
+			}
+			if got := p.Take([]byte(c.next), c.continued); got != c.want {
+				t.Errorf("verdict %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte("id: 1\n\nid: 2\n\n"), 3)
+	f.Fuzz(func(t *testing.T, stream []byte, step int) {
+		if step <= 0 {
+			return
+		}
+		var s event.Splitter
+		var p event.Position
+		var out []byte
+		for rest := stream; len(rest) > 0; rest = rest[min(step, len(rest)):] {
+			if err := s.Add(rest[:min(step, len(rest))]); err != nil {
+				return
+			}
+			for e, ok := s.Next(); ok; e, ok = s.Next() {
+				p.Take(e, true)
+				out = append(out, e...)
+			}
+		}
+		if !bytes.HasPrefix(stream, out) || len(stream)-len(out) != s.Rest() {
+			t.Errorf("%q came out as %q with %d left", stream, out, s.Rest())
+		}
+	})
+}
