--- a/core/procs/place/limits.go
+++ b/core/procs/place/limits.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"apricotproxy/core"
 )
 
@@ -28,6 +30,22 @@
 	}
 }
 
+// _staggerStep is how long after one host the next begins to use an endpoint that
+// has just become warm: a heartbeat within the data centre takes a few
+// milliseconds.
+const _staggerStep = 10 * time.Millisecond
+
+// stagger is how long after an endpoint became warm this host begins to use it.
+// When memory is short, requests wait at all hosts for the next engine; all of
+// them would go there at the same moment, before any host hears of another's.
+func (p *Placer) stagger(e *endpoint) time.Duration {
+	if e.ColdUntil.IsZero() {
+		return 0
+	}
+	turn := xxhash.Sum64String(string(p.self)+" "+e.ID) % uint64(p.hosts)
+	return time.Duration(turn) * _staggerStep
+}
+
 // window counts events within a sliding span.
 type window struct{ times []time.Time }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -88,7 +88,7 @@
 		log:      settings.Logger.WithName("entry"),
 		links:    links.New(links.Settings{Dialer: settings.Dialer, DialTimeout: _endpointDial, MaxIdle: _endpointIdle}),
 	}
-	placer := place.New(settings.DataCentre, settings.Bounds, rand.New(rand.NewPCG(seed, 1)))
+	placer := place.New(settings.Name, settings.DataCentre, settings.Bounds, rand.New(rand.NewPCG(seed, 1)))
 	h.desk = front.NewDesk(placer)
 	h.facts = newFacts(know.New(settings.Decode, lapse(settings.Bounds)), settings.Logger, h.apply)
 	h.front = front.New(front.Config{
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -193,7 +193,8 @@
 	slow := time.AfterFunc(time.Until(e.firstBy()), func() { cancel(errSlow) })
 	defer slow.Stop()
 	e.log("A try begins.", "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.id(),
-		"Prompt", e.request.Prompt.Tokens, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput)
+		"Prompt", e.request.Prompt.Tokens, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
+		"Runs", e.run.Found.Runs, "Tokens", e.run.Found.Tokens, "Prefill", e.run.Found.Prefill)
 	answer, err := e.front.config.Links.Do(trying, endpoint.RoutedEndpoint, e.outgoing(from))
 	var failed *links.Error
 	if errors.As(err, &failed) && failed.Stage == links.StageDial {
