Stand-in endpoints; tests of connections and of the caller side

Each rule of answers has a case: at most once, not run, whole or visibly cut, own answers only, copies, resumption, silence, callers who leave.

--- /dev/null
+++ b/fakes/routed/routed.go
@@ -0,0 +1,149 @@
+// Package routed is a stand-in for the endpoints of routed requests: it answers
+// HTTP/1.1 over real connections as a test tells it to, byte by byte where the
+// test wants what no honest server sends.
+package routed
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Call is one request as the endpoint got it.
+type Call struct {
+	*http.Request
+	Text string
+	conn net.Conn
+	// Number counts the endpoint's calls from 0.
+	Number int
+}
+
+// Handler answers a call by writing to its connection. False closes it.
+type Handler func(c *Call) bool
+
+// Endpoint is one stand-in.
+type Endpoint struct {
+	Address string
+
+	listener net.Listener
+	mu       sync.Mutex
+	calls    []*Call
+	conns    []net.Conn
+}
+
+// Start listens on a loopback port.
+func Start(handle Handler) (*Endpoint, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	e := &Endpoint{Address: listener.Addr().String(), listener: listener}
+	go e.accept(handle)
+	return e, nil
+}
+
+// Close stops listening and closes all connections.
+func (e *Endpoint) Close() {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, conn := range e.conns {
+		_ = conn.Close()
+	}
+}
+
+// Calls gives the calls so far.
+func (e *Endpoint) Calls() []*Call {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]*Call(nil), e.calls...)
+}
+
+// Connections counts the connections so far.
+func (e *Endpoint) Connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.conns)
+}
+
+func (e *Endpoint) accept(handle Handler) {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns = append(e.conns, conn)
+		e.mu.Unlock()
+		go e.serve(conn, handle)
+	}
+}
+
+func (e *Endpoint) serve(conn net.Conn, handle Handler) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		call := &Call{Request: request, Text: string(body), conn: conn}
+		e.mu.Lock()
+		call.Number = len(e.calls)
+		e.calls = append(e.calls, call)
+		e.mu.Unlock()
+		if !handle(call) {
+			return
+		}
+	}
+}
+
+// Write writes raw bytes.
+func (c *Call) Write(text string) { _, _ = io.WriteString(c.conn, text) }
+
+// Reset closes the connection with a reset.
+func (c *Call) Reset() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.conn.Close()
+}
+
+// Gone waits until the other end has closed the connection, or for a while.
+func (c *Call) Gone(limit time.Duration) bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(limit))
+	_, err := c.conn.Read(make([]byte, 1))
+	timeout, ok := err.(net.Error)
+	return err != nil && (!ok || !timeout.Timeout())
+}
+
+// Answer writes a whole answer with a length and the given headers, "Name: value".
+func (c *Call) Answer(status int, body string, headers ...string) {
+	lines := append(headers, "Content-Length: "+strconv.Itoa(len(body)))
+	c.Write(fmt.Sprintf("HTTP/1.1 %d %s\r\n%s\r\n\r\n%s", status, http.StatusText(status), strings.Join(lines, "\r\n"), body))
+}
+
+// Begin writes the header of a stream.
+func (c *Call) Begin(headers ...string) {
+	lines := append(headers, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+	c.Write("HTTP/1.1 200 OK\r\n" + strings.Join(lines, "\r\n") + "\r\n\r\n")
+}
+
+// Chunk writes one chunk of a stream.
+func (c *Call) Chunk(text string) { c.Write(fmt.Sprintf("%x\r\n%s\r\n", len(text), text)) }
+
+// End ends a stream.
+func (c *Call) End() { c.Write("0\r\n\r\n") }
+
+// Event is the text of an event.
+func Event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
--- /dev/null
+++ b/io/front/front_test.go
@@ -0,0 +1,438 @@
+package front_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
+	"apricotproxy/core/procs/place"
+	"apricotproxy/core/versn/table"
+	"apricotproxy/fakes/routed"
+	"apricotproxy/io/front"
+	"apricotproxy/io/links"
+)
+
+var _names = core.HeaderNames{
+	RequestID: "Request-Id", Deadline: "Deadline-Ms", Key: "Key", Workspace: "Workspace", ExpectedEndpoint: "Expect-Endpoint",
+	NotRun: "Not-Run", Seal: "Seal", Model: "Model", Tokens: "Tokens", Parts: "Parts", ExpectedTokens: "Expected-Tokens",
+	LastEventID: "Last-Event-Id", Backup: "Backup", ContinueFrom: "Continue-From",
+	Reserved: []string{"Backup", "Continue-From", "Workspace", "Expect-Endpoint", "Key"},
+}
+
+// rig is a front before endpoints that a test tells what to answer.
+type rig struct {
+	t         *testing.T
+	server    *httptest.Server
+	endpoints []*routed.Endpoint
+	desk      *front.Desk
+	view      *know.View
+}
+
+func newRig(t *testing.T, handlers ...routed.Handler) *rig {
+	t.Helper()
+	one := func(service core.ServiceName) []core.WeightedService {
+		return []core.WeightedService{{Service: service, Weight: 1}}
+	}
+	built, err := table.Build(table.Source{
+		Version: 1,
+		Services: []core.RoutedService{{Name: "all", Engine: &core.EngineShape{
+			Slots: 8, MemoryTokens: 100_000, Backups: true, Moves: true, EventTokens: 4,
+		}}},
+		Routes: []core.Route{
+			{Name: "lookup", HostName: "h", Prefix: "/lookup/", Kind: core.RouteIdempotent, MaxAttempts: 2, Timeout: time.Second, Goal: 200 * time.Millisecond, Services: one("all")},
+			{Name: "order", HostName: "h", Prefix: "/order/", Kind: core.RouteNonIdempotent, MaxAttempts: 1, Timeout: time.Second, Goal: 200 * time.Millisecond, Services: one("all")},
+			{Name: "draft", HostName: "h", Prefix: "/draft/", Kind: core.RouteStreaming, MaxAttempts: 1, Timeout: 5 * time.Second, Goal: 500 * time.Millisecond, GapGoal: 50 * time.Millisecond, Services: one("all")},
+			{Name: "check", HostName: "h", Prefix: "/check/", Kind: core.RouteStreaming, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Goal: 500 * time.Millisecond, GapGoal: 50 * time.Millisecond, Services: one("all")},
+			{Name: "open", HostName: "h", Prefix: "/open/", Kind: core.RouteIdempotent, Anonymous: true, MaxAttempts: 1, Services: one("all")},
+		},
+		Workspaces: []table.Workspace{{Name: "travis", Keys: []string{"k"}}},
+		Limits:     core.CallerLimits{BodyBytes: 1 << 16, HeaderBytes: 1 << 13},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, view: &know.View{Table: built, Out: map[core.DataCentreName]bool{}}}
+	for i, handle := range handlers {
+		e, err := routed.Start(handle)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Close)
+		r.endpoints = append(r.endpoints, e)
+		r.view.Endpoints = append(r.view.Endpoints, know.Endpoint{RoutedEndpoint: core.RoutedEndpoint{
+			ID: fmt.Sprint("e", i), Service: "all", Address: e.Address, Slots: 8,
+		}})
+	}
+	bounds := core.EntryBounds{RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000}
+	r.desk = front.NewDesk(place.New("self", "", bounds, rand.New(rand.NewPCG(1, 1))))
+	r.desk.Apply(r.view)
+	pool := links.New(links.Settings{Dialer: &net.Dialer{}, DialTimeout: time.Second, MaxIdle: 2})
+	t.Cleanup(pool.Close)
+	r.server = httptest.NewServer(front.New(front.Config{
+		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, Desk: r.desk, Links: pool,
+		View: func() *know.View { return r.view }, Logger: logr.Discard(), Placed: func() {},
+	}))
+	t.Cleanup(r.server.Close)
+	return r
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r *rig) ask(method, path, body string, headers ...string) answer {
+	r.t.Helper()
+	req, err := http.NewRequestWithContext(r.t.Context(), method, r.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Request-Id", "r1")
+	req.Header.Set("Key", "k")
+	req.Header.Set("Deadline-Ms", "4000")
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		req.Header.Set(name, value)
+	}
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	return answer{status: res.StatusCode, header: res.Header, body: string(text), err: err}
+}
+
+func (r *rig) calls() int {
+	n := 0
+	for _, e := range r.endpoints {
+		n += len(e.Calls())
+	}
+	return n
+}
+
+const _seal = "Seal: s"
+
+func echo(c *routed.Call) string { return "Request-Id: " + c.Header.Get("Request-Id") }
+
+func fine(c *routed.Call) bool { c.Answer(200, "fine "+c.Text, echo(c), _seal); return true }
+
+func refuse(c *routed.Call) bool { c.Answer(503, "", "Not-Run: 1"); return true }
+
+func fail(c *routed.Call) bool { c.Answer(500, "failed", echo(c), _seal); return true }
+
+func reset(c *routed.Call) bool { c.Reset(); return false }
+
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	r := newRig(t, fine)
+	got := r.ask("POST", "/order/a%2Fb?x=1&y=%20", "body", "Custom: value", "Workspace: forged", "Backup: forged", "Connection: Tokens", "Tokens: 10,20")
+	if got.status != 200 || got.body != "fine body" || got.header.Get("Seal") != "s" || got.header.Get("Request-Id") != "r1" {
+		t.Errorf("answer %+v", got)
+	}
+	call := r.endpoints[0].Calls()[0]
+	if call.Method != "POST" || call.RequestURI != "/order/a%2Fb?x=1&y=%20" || call.Host != "h" || call.Text != "body" {
+		t.Errorf("the endpoint got %s %s of %s with %q", call.Method, call.RequestURI, call.Host, call.Text)
+	}
+	for name, want := range map[string]string{
+		"Custom": "value", "Request-Id": "r1", "Workspace": "travis", "Expect-Endpoint": "e0", "Tokens": "10,20", "Key": "", "Backup": "",
+	} {
+		if got := call.Header.Get(name); got != want {
+			t.Errorf("header %s is %q, want %q", name, got, want)
+		}
+	}
+}
+
+// What the caller gets, by kind of request and by what endpoints do. e0 is asked
+// for the first try and e1 for another one, whichever they are.
+func TestAnswers(t *testing.T) {
+	first := func(a, b routed.Handler) []routed.Handler {
+		// Whichever endpoint is asked first does a; the other one b.
+		taken := make(chan struct{}, 1)
+		h := func(c *routed.Call) bool {
+			select {
+			case taken <- struct{}{}:
+				return a(c)
+			default:
+				return b(c)
+			}
+		}
+		return []routed.Handler{h, h}
+	}
+	cut := func(c *routed.Call) bool {
+		c.Write("HTTP/1.1 200 OK\r\n" + echo(c) + "\r\n" + _seal + "\r\nContent-Length: 100\r\n\r\nshort")
+		return false
+	}
+	encoded := func(c *routed.Call) bool { c.Answer(200, "x", echo(c), _seal, "Content-Encoding: gzip"); return true }
+	unsealed := func(c *routed.Call) bool { c.Answer(200, "x", echo(c)); return true }
+	foreign := func(c *routed.Call) bool { c.Answer(200, "x", "Request-Id: other", _seal); return false }
+	busy := func(c *routed.Call) bool { c.Answer(503, "busy", echo(c), _seal); return true }
+	moved := func(c *routed.Call) bool { c.Answer(421, ""); return true }
+	missing := func(c *routed.Call) bool { c.Answer(404, "no such card", echo(c), _seal); return true }
+	for _, c := range []struct {
+		name   string
+		path   string
+		a, b   routed.Handler
+		status int
+		body   string
+		calls  int
+	}{
+		{"a lookup is tried again after a failure", "/lookup/x", fail, fine, 200, "fine ", 2},
+		{"a lookup is tried again after a reset", "/lookup/x", reset, fine, 200, "fine ", 2},
+		{"a lookup is tried again after a cut answer", "/lookup/x", cut, fine, 200, "fine ", 2},
+		{"a lookup is tried again after an encoded answer", "/lookup/x", encoded, fine, 200, "fine ", 2},
+		{"a lookup is tried again after an unsealed answer", "/lookup/x", unsealed, fine, 200, "fine ", 2},
+		{"a lookup is tried again after another's answer", "/lookup/x", foreign, fine, 200, "fine ", 2},
+		{"a lookup that fails everywhere", "/lookup/x", fail, fail, 500, "failed", 2},
+		{"an order is not tried again after a failure", "/order/x", fail, fine, 500, "failed", 1},
+		{"an order is not tried again after a reset", "/order/x", reset, fine, 502, "", 1},
+		{"an order is not tried again after a cut answer", "/order/x", cut, fine, 502, "", 1},
+		{"an order that was refused goes elsewhere", "/order/x", refuse, fine, 200, "fine ", 2},
+		{"an order at another endpoint's address goes elsewhere", "/order/x", moved, fine, 200, "fine ", 2},
+		{"an order that all refuse did not run", "/order/x", refuse, refuse, 503, "", 2},
+		{"a busy answer without the mark may have run", "/order/x", busy, fine, 502, "", 1},
+		{"the endpoint's own 404 is the answer", "/lookup/x", missing, fine, 404, "no such card", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, first(c.a, c.b)...)
+			got := r.ask("GET", c.path, "")
+			if got.status != c.status || (c.body != "" && got.body != c.body) || got.err != nil {
+				t.Errorf("answer %d %q %v, want %d %q", got.status, got.body, got.err, c.status, c.body)
+			}
+			if got.status == 503 && got.header.Get("Retry-After") == "" {
+				t.Error("a refusal does not say when to come back")
+			}
+			if n := r.calls(); n != c.calls {
+				t.Errorf("endpoints got %d calls, want %d", n, c.calls)
+			}
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	r := newRig(t, fine)
+	for _, c := range []struct {
+		name, path, body string
+		headers          []string
+		status           int
+	}{
+		{"no route", "/none/", "", nil, 404},
+		{"an unknown key", "/lookup/x", "", []string{"Key: other"}, 401},
+		{"an open route needs no key", "/open/x", "", []string{"Key: other"}, 200},
+		{"no id", "/lookup/x", "", []string{"Request-Id: "}, 400},
+		{"a body too long", "/lookup/x", strings.Repeat("x", 1<<17), nil, 413},
+		{"a header too long", "/lookup/x", "", []string{"Long: " + strings.Repeat("x", 1<<13)}, 431},
+	} {
+		if got := r.ask("POST", c.path, c.body, c.headers...); got.status != c.status {
+			t.Errorf("%s: status %d, want %d", c.name, got.status, c.status)
+		}
+	}
+}
+
+// events writes a stream's events from one id to another.
+func events(c *routed.Call, from, to int) {
+	for id := from; id <= to; id++ {
+		c.Chunk(routed.Event(id))
+	}
+}
+
+func wanted(to int) string {
+	text := ""
+	for id := range to + 1 {
+		text += routed.Event(id)
+	}
+	return text
+}
+
+// A draft goes on at the engine that has the copy, after the last whole event.
+func TestDraftGoesOnFromItsCopy(t *testing.T) {
+	handle := func(c *routed.Call) bool {
+		if from := c.Header.Get("Continue-From"); from != "" {
+			if c.Header.Get("Last-Event-Id") != "2" || !strings.HasSuffix(from, "/r1") {
+				c.Answer(400, "")
+				return true
+			}
+			c.Begin(echo(c), _seal)
+			events(c, 3, 5)
+			c.End()
+			return true
+		}
+		c.Begin(echo(c), _seal)
+		events(c, 0, 2)
+		c.Chunk("id: 3\ndata: pie")
+		return false
+	}
+	r := newRig(t, handle, handle)
+	got := r.ask("POST", "/draft/x", "", "Tokens: 100,400")
+	if got.err != nil || got.body != wanted(5) {
+		t.Errorf("stream %q, %v; want %q", got.body, got.err, wanted(5))
+	}
+	if n := r.calls(); n != 2 {
+		t.Errorf("%d calls, want 2", n)
+	}
+}
+
+// A stream that cannot go on is visibly incomplete.
+func TestDraftWithoutACopyIsCut(t *testing.T) {
+	for name, second := range map[string]routed.Handler{
+		"the copy is refused":  refuse,
+		"the engine fails":     fail,
+		"events are missing":   func(c *routed.Call) bool { c.Begin(echo(c), _seal); events(c, 4, 5); c.End(); return true },
+		"the copy is lost too": reset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			handle := func(c *routed.Call) bool {
+				if c.Header.Get("Continue-From") != "" {
+					return second(c)
+				}
+				c.Begin(echo(c), _seal)
+				events(c, 0, 2)
+				return false
+			}
+			got := newRig(t, handle, handle).ask("POST", "/draft/x", "", "Tokens: 100,400")
+			if got.err == nil {
+				t.Errorf("a cut stream looks complete: %q", got.body)
+			}
+			if !strings.HasPrefix(wanted(5), got.body) {
+				t.Errorf("stream %q is not a part of the generation", got.body)
+			}
+		})
+	}
+}
+
+// A check is run anew after its last event, without a copy.
+func TestCheckIsResumed(t *testing.T) {
+	handle := func(c *routed.Call) bool {
+		c.Begin(echo(c), _seal)
+		if c.Header.Get("Last-Event-Id") == "1" {
+			events(c, 1, 3) // one too early: it was delivered
+			c.End()
+			return true
+		}
+		events(c, 0, 1)
+		return false
+	}
+	r := newRig(t, handle, handle)
+	if got := r.ask("POST", "/check/x", "", "Tokens: 100,400"); got.err != nil || got.body != wanted(3) {
+		t.Errorf("stream %q, %v; want %q", got.body, got.err, wanted(3))
+	}
+}
+
+// A stream whose engine goes silent goes on elsewhere.
+func TestSilentEngineIsLeft(t *testing.T) {
+	handle := func(c *routed.Call) bool {
+		c.Begin(echo(c), _seal)
+		if c.Header.Get("Last-Event-Id") != "" {
+			events(c, 1, 2)
+			c.End()
+			return true
+		}
+		events(c, 0, 0)
+		c.Gone(4 * time.Second)
+		return false
+	}
+	began := time.Now()
+	got := newRig(t, handle, handle).ask("POST", "/check/x", "", "Tokens: 100,400")
+	if got.err != nil || got.body != wanted(2) {
+		t.Errorf("stream %q, %v; want %q", got.body, got.err, wanted(2))
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("it took %v to leave a silent engine", took)
+	}
+}
+
+// When the engine is leaving, the run's memory is copied and the stream goes on
+// from that copy.
+func TestMemoryIsCopiedOnNotice(t *testing.T) {
+	var r *rig
+	noticed := make(chan struct{})
+	handle := func(c *routed.Call) bool {
+		switch {
+		case c.URL.Path == "/move":
+			c.Answer(200, `{"handle":"h7","created":3}`)
+			close(noticed)
+		case c.Header.Get("Continue-From") != "":
+			if !strings.HasSuffix(c.Header.Get("Continue-From"), "/h7") {
+				c.Answer(400, "")
+				return true
+			}
+			c.Begin(echo(c), _seal)
+			events(c, 2, 3)
+			c.End()
+		default:
+			c.Begin(echo(c), _seal)
+			events(c, 0, 1)
+			r.leave(c.Header.Get("Expect-Endpoint"))
+			<-noticed
+			time.Sleep(50 * time.Millisecond)
+			return false
+		}
+		return true
+	}
+	r = newRig(t, handle, handle)
+	// Without backups in advance only the copy made on notice is left.
+	service, _ := r.view.Table.Service("all")
+	service.Engine.Backups = false
+	if got := r.ask("POST", "/draft/x", "", "Tokens: 100,400"); got.err != nil || got.body != wanted(3) {
+		t.Errorf("stream %q, %v; want %q", got.body, got.err, wanted(3))
+	}
+}
+
+func (r *rig) leave(id string) { r.desk.Leave(id) }
+
+// The endpoint's work ends when its caller leaves.
+func TestCallerWhoLeavesIsFollowed(t *testing.T) {
+	gone := make(chan bool, 1)
+	r := newRig(t, func(c *routed.Call) bool {
+		c.Begin(echo(c), _seal)
+		events(c, 0, 0)
+		gone <- c.Gone(3 * time.Second)
+		return false
+	})
+	conn, err := net.Dial("tcp", r.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(conn, "POST /draft/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nKey: k\r\nContent-Length: 0\r\n\r\n")
+	if _, err := bufio.NewReader(conn).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+	if !<-gone {
+		t.Error("the endpoint goes on after its caller has left")
+	}
+}
+
+// A request whose time is over gets its final answer then, and not before it is
+// known or long after.
+func TestTimeout(t *testing.T) {
+	r := newRig(t, func(c *routed.Call) bool { c.Gone(5 * time.Second); return false })
+	began := time.Now()
+	got := r.ask("POST", "/order/x", "")
+	if took := time.Since(began); got.status != 504 || took < time.Second || took > 1400*time.Millisecond {
+		t.Errorf("status %d after %v, want 504 after the route's second", got.status, took)
+	}
+}
+
+// With no endpoint at all a request is refused, not held to its end.
+func TestNoEndpoint(t *testing.T) {
+	r := newRig(t)
+	began := time.Now()
+	got := r.ask("POST", "/order/x", "")
+	if took := time.Since(began); got.status != 503 || took > 500*time.Millisecond {
+		t.Errorf("status %d after %v, want 503 soon", got.status, took)
+	}
+}
--- /dev/null
+++ b/io/links/links_test.go
@@ -0,0 +1,203 @@
+package links_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/fakes/routed"
+	"apricotproxy/io/links"
+)
+
+func start(t *testing.T, handle routed.Handler) *routed.Endpoint {
+	t.Helper()
+	e, err := routed.Start(handle)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+func newPool(t *testing.T) *links.Pool {
+	p := links.New(links.Settings{Dialer: &net.Dialer{}, DialTimeout: time.Second, MaxIdle: 2})
+	t.Cleanup(p.Close)
+	return p
+}
+
+func request(id string) *links.Request {
+	return &links.Request{
+		Method: http.MethodPost, Target: "/a?b=%2F", HostName: "h", Header: http.Header{"Id": {id}}, Body: []byte("body " + id),
+		Own: func(res *http.Response) bool { return res.Header.Get("Id") == id },
+	}
+}
+
+func ask(t *testing.T, p *links.Pool, e *routed.Endpoint, id string) (string, error) {
+	t.Helper()
+	answer, err := p.Do(t.Context(), core.RoutedEndpoint{ID: "e", Address: e.Address}, request(id))
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return string(body), err
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	e := start(t, func(c *routed.Call) bool { c.Answer(200, c.Text, "Id: "+c.Header.Get("Id")); return true })
+	p := newPool(t)
+	for _, id := range []string{"1", "2", "3"} {
+		if body, err := ask(t, p, e, id); err != nil || body != "body "+id {
+			t.Fatalf("request %s: %q, %v", id, body, err)
+		}
+	}
+	if n := e.Connections(); n != 1 {
+		t.Errorf("%d connections for three requests, want 1", n)
+	}
+	if got := e.Calls()[0].RequestURI; got != "/a?b=%2F" {
+		t.Errorf("target %q changed on the way", got)
+	}
+}
+
+// Answers after which a connection is not to be used again.
+func TestConnectionIsNotUsedAgain(t *testing.T) {
+	for name, answer := range map[string]func(c *routed.Call, id string) bool{
+		"it says so": func(c *routed.Call, id string) bool {
+			c.Answer(200, "x", "Id: "+id, "Connection: close")
+			return true
+		},
+		"the answer has no length": func(c *routed.Call, id string) bool {
+			c.Write("HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nx")
+			return false
+		},
+		"a second answer follows at once": func(c *routed.Call, id string) bool {
+			c.Answer(200, "x", "Id: "+id)
+			c.Answer(200, "stray", "Id: other")
+			return true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := start(t, func(c *routed.Call) bool { return answer(c, c.Header.Get("Id")) })
+			p := newPool(t)
+			for _, id := range []string{"1", "2"} {
+				if body, err := ask(t, p, e, id); err != nil || body != "x" {
+					t.Fatalf("request %s: %q, %v", id, body, err)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			if n := e.Connections(); n != 2 {
+				t.Errorf("%d connections for two requests, want 2", n)
+			}
+		})
+	}
+}
+
+// A late answer to an earlier request never reaches the next one.
+func TestLateAnswerIsSkipped(t *testing.T) {
+	e := start(t, func(c *routed.Call) bool {
+		if c.Number == 1 {
+			c.Answer(200, "late", "Id: 1")
+		}
+		c.Answer(200, c.Text, "Id: "+c.Header.Get("Id"))
+		return true
+	})
+	p := newPool(t)
+	for _, id := range []string{"1", "2"} {
+		if body, err := ask(t, p, e, id); err != nil || body != "body "+id {
+			t.Fatalf("request %s: %q, %v", id, body, err)
+		}
+	}
+}
+
+// A request is written once, on whatever connection: a kept one that the endpoint
+// closes under it fails, and is not repeated.
+func TestRequestIsWrittenOnce(t *testing.T) {
+	e := start(t, func(c *routed.Call) bool {
+		if c.Number == 0 {
+			c.Answer(200, "x", "Id: "+c.Header.Get("Id"))
+			return true
+		}
+		c.Reset()
+		return false
+	})
+	p := newPool(t)
+	if _, err := ask(t, p, e, "1"); err != nil {
+		t.Fatal(err)
+	}
+	_, err := ask(t, p, e, "2")
+	var failed *links.Error
+	if !errors.As(err, &failed) || failed.Stage != links.StageSent {
+		t.Errorf("error %v, want one after sending", err)
+	}
+	if n := len(e.Calls()); n != 2 {
+		t.Errorf("the endpoint got %d requests, want 2", n)
+	}
+}
+
+func TestRefusedConnectionSentNothing(t *testing.T) {
+	e := start(t, func(*routed.Call) bool { return false })
+	e.Close()
+	_, err := ask(t, newPool(t), e, "1")
+	var failed *links.Error
+	if !errors.As(err, &failed) || failed.Stage != links.StageDial {
+		t.Errorf("error %v, want one before sending", err)
+	}
+}
+
+// An answer that is cut short is never whole.
+func TestCutAnswerIsAnError(t *testing.T) {
+	for name, write := range map[string]func(c *routed.Call){
+		"with a length": func(c *routed.Call) { c.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nshort") },
+		"in chunks":     func(c *routed.Call) { c.Begin("Id: 1"); c.Chunk("piece") },
+		"no answer":     func(c *routed.Call) { c.Write("nonsense\r\n\r\n") },
+	} {
+		e := start(t, func(c *routed.Call) bool { write(c); return false })
+		if body, err := ask(t, newPool(t), e, "1"); err == nil {
+			t.Errorf("%s: body %q without an error", name, body)
+		}
+	}
+}
+
+// The endpoint hears at once that the caller has left.
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	gone := make(chan bool, 1)
+	e := start(t, func(c *routed.Call) bool { gone <- c.Gone(5 * time.Second); return false })
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if _, err := newPool(t).Do(ctx, core.RoutedEndpoint{ID: "e", Address: e.Address}, request("1")); !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v, want the context's", err)
+	}
+	if !<-gone {
+		t.Error("the endpoint did not hear that the caller left")
+	}
+}
+
+// An endpoint may answer before it has read a long body.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadAtLeast(conn, make([]byte, 64), 64)
+		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+	}()
+	long := request("1")
+	long.Body = []byte(strings.Repeat("x", 32<<20))
+	answer, err := newPool(t).Do(t.Context(), core.RoutedEndpoint{ID: "e", Address: listener.Addr().String()}, long)
+	if err != nil || answer.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Fatalf("answer %v, error %v", answer, err)
+	}
+	answer.Close()
+}
