--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// _watchWait is how long a watch waits. It is short of the bounds within
-	// which a change must be in force: a watch may be told nothing of it.
-	_watchWait = time.Second
+	// _watchShare is how long a watch waits, as a share of the time within which a
+	// host has to know that an endpoint is leaving: a watch may be told nothing of
+	// it, and other hosts must not take the silence for age.
+	_watchShare = 0.15
 	// _watchPace is how long after a watch the next begins: heartbeats of
 	// endpoints would end each watch at once.
 	_watchPace = 300 * time.Millisecond
@@ -47,8 +48,12 @@
 	}
 }
 
-func (h *Host) ageAtMost() time.Duration {
-	return time.Duration(_ageShare * float64(h.settings.Bounds.LeavingSpread))
+func (h *Host) ageAtMost() time.Duration { return h.ofSpread(_ageShare) }
+
+// ofSpread gives a share of the time within which a host has to know that an
+// endpoint is leaving.
+func (h *Host) ofSpread(share float64) time.Duration {
+	return time.Duration(share * float64(h.settings.Bounds.LeavingSpread))
 }
 
 // read makes one call and takes in what it brings.
@@ -86,7 +91,7 @@
 		r.take(func(s *know.State) (bool, error) { return s.Replace(time.Now(), documents, asked) })
 		return nil
 	}
-	documents, err := h.settings.Store.Watch(ctx, h.facts.level().AsOf, _watchWait)
+	documents, err := h.settings.Store.Watch(ctx, h.facts.level().AsOf, h.ofSpread(_watchShare))
 	if err != nil {
 		return err
 	}
