--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 SEEDS ?= 20
 FUZZTIME ?= 10s
 
-.PHONY: demo test build lint format format-check generate soak random fuzz capacity ci
+# The platform's names stand in platform/ and deploy/ only.
+names:
+	@! git grep -nE 'X-Apricotproxy-|Kv-From|op/config|op/evacuate|/-/kv-|"servers/' -- '*.go' ':!platform'
+
+.PHONY: names demo test build lint format format-check generate soak random fuzz capacity ci
 
 demo:
 	go run ./cmd/apricotproxy demo
--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"expvar"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -16,6 +18,7 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/io/entry"
+	"apricotproxy/io/logs"
 	"apricotproxy/platform"
 )
 
@@ -23,6 +26,8 @@
 type RouteCommand struct {
 	Boot     string `help:"Path of the platform's settings file; by default, where the platform's environment variable points."`
 	LogLevel string `enum:"info,error" default:"info" help:"Least level to log: info or error."`
+
+	MetricsAddress string `default:":9464" help:"Where to show metrics, under /metrics; empty for nowhere."`
 }
 
 // _memoryShare is the part of the host's memory that the collector aims for.
@@ -45,7 +50,9 @@
 	store := platform.NewStore(settings.Store, &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true,
 	})
-	logger := c.logger(console)
+	lines := logs.New(console.Out)
+	defer lines.Close()
+	logger := c.logger(lines)
 	h, err := entry.New(entry.Settings{
 		EntrySettings: settings,
 		Names:         platform.Headers(),
@@ -62,18 +69,30 @@
 		return fmt.Errorf("start the host: %w", err)
 	}
 	go follow(ctx, path, h, logger)
+	go c.showMetrics(logger)
 	if err := h.Run(ctx); err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
 }
 
-func (c *RouteCommand) logger(console *Console) logr.Logger {
+func (c *RouteCommand) logger(out io.Writer) logr.Logger {
 	level := slog.LevelInfo
 	if c.LogLevel == "error" {
 		level = slog.LevelError
 	}
-	return logr.FromSlogHandler(slog.NewJSONHandler(console.Out, &slog.HandlerOptions{Level: level}))
+	return logr.FromSlogHandler(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level}))
+}
+
+// showMetrics serves the process's metrics. A host serves without them too.
+func (c *RouteCommand) showMetrics(logger logr.Logger) {
+	if c.MetricsAddress == "" {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", expvar.Handler())
+	server := &http.Server{Addr: c.MetricsAddress, Handler: mux, ReadHeaderTimeout: time.Second}
+	logger.Error(server.ListenAndServe(), "Metrics cannot be shown.", "Address", c.MetricsAddress)
 }
 
 // _settingsCheck is how often the settings file is looked at: it may change
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -52,6 +52,7 @@
 		return
 	}
 	e.front.counters.answered(a.status)
+	e.front.counters.whole.took(time.Since(e.request.Arrived))
 	e.log("Answered.", "Status", a.status, "Bytes", len(a.body), "Took", time.Since(e.request.Arrived).Milliseconds())
 	header := e.writer.Header()
 	copyAnswerHeader(header, a.header)
@@ -115,6 +116,7 @@
 func (e *exchange) finished(answer *links.Answer) {
 	e.freeBackup()
 	e.front.counters.answered(answer.StatusCode)
+	e.front.counters.whole.took(time.Since(e.request.Arrived))
 	e.log("Streamed.", "Events", e.events, "Continued", e.continued, "Took", time.Since(e.request.Arrived).Milliseconds())
 	if view := e.front.config.View(); view.Table != nil {
 		if s, ok := view.Table.Service(e.request.Service); ok && s.Engine != nil {
@@ -161,6 +163,7 @@
 func (e *exchange) begin(answer *links.Answer) {
 	e.desk().read(e.run)
 	e.delivered = true
+	e.front.counters.first.took(time.Since(e.request.Arrived))
 	copyAnswerHeader(e.writer.Header(), answer.Header)
 	e.writer.WriteHeader(answer.StatusCode)
 	e.log("The first event came.", "Endpoint", e.run.Endpoint.ID, "Took", time.Since(e.request.Arrived).Milliseconds())
