--- a/io/links/links.go
+++ b/io/links/links.go
@@ -1,6 +1,6 @@
 // Package links keeps connections to endpoints and carries one request at a
 // time over each. A request is written to one connection at most once: nothing
-// below this package repeats it. See docs/decisions/0040-endpoint-connections.md
+// below this package repeats it. See docs/decisions/0041-endpoint-connections.md
 // for why net/http's own transport is not used here.
 package links
 
@@ -212,6 +212,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			return nil, errors.Join(fmt.Errorf("set up the connection to %s: %w", address, err), conn.Close())
+		}
+	}
 	p.count(&p.dialed)
 	return &link{conn: conn, reader: bufio.NewReaderSize(conn, _readBufferBytes)}, nil
 }
