A leaving run is handed over when the links are idle

Copies that engines send as they grow lack nothing and go on within 30 ms.

Change: a second after the notice the copy is brought up to date; when that takes less than 50 ms the run is stopped and its copy made whole, and the stream goes on from there.

Trials: stopping the run without asking whether the links are idle: 11 of 41 waited behind other copies for up to 0.5 s. Waiting for the engine to close the stream: it did not within 0.7 s.

--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -145,7 +145,13 @@
 		if !e.delivered {
 			e.begin(answer)
 		}
+		if !e.resumed {
+			e.resumed = true
+			e.desk().read(e.run)
+			e.log("The stream went on.", "Endpoint", e.run.Endpoint.ID, "Pause", time.Since(e.lastEvent).Milliseconds())
+		}
 		e.events++
+		e.lastEvent = time.Now()
 		if _, err := e.writer.Write(next); err != nil {
 			return &ended{done: true, err: err}
 		}
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -21,10 +21,18 @@
 	_backupRetry = 100 * time.Millisecond
 	// _moveTimeout bounds one copy of a run's memory to another engine.
 	_moveTimeout = 3 * time.Second
-	// _movedRenewal is how often a moved copy is brought up to date. An engine
-	// drops one that is not renewed for its handle's term, 5 s; more often would
-	// take the links from copies that are made for the first time.
-	_movedRenewal = 4 * time.Second
+	// _handoverAfter is when, after its engine was seen to leave, a run is stopped
+	// there and goes on from its copy: before the engine ends, which it does 1.5 s
+	// and more after its notice, and after the first copies of its other runs, behind
+	// which the last part of this one would wait. A run that is not stopped lacks its
+	// last tokens at the other engine and waits there behind whole prompts.
+	_handoverAfter = 1000 * time.Millisecond
+	// _quickMove is how long bringing a copy up to date takes when the links are idle:
+	// a few megabytes and a round trip.
+	_quickMove = 50 * time.Millisecond
+	// _handoverTimeout bounds the last part of a copy, during which the run stands
+	// still.
+	_handoverTimeout = 150 * time.Millisecond
 )
 
 // backup is where a copy of a run's memory is. It is safe for concurrent use: one
@@ -35,9 +43,10 @@
 	// from names the copy to the endpoint that is to go on from it.
 	from string
 	// handle names a copy that was made by a move; empty for one that the engine
-	// sends by itself. renewAt is when such a copy is to be brought up to date.
-	handle  string
-	renewAt time.Time
+	// sends by itself.
+	handle string
+	// final is true once the run is being stopped for its copy to be whole.
+	final bool
 }
 
 func (b *backup) exists() bool { return b.id() != "" }
@@ -68,9 +77,11 @@
 
 func (b *backup) set(desk *Desk, run *place.Run, from, handle string) {
 	b.mu.Lock()
+	if run == nil {
+		b.final = false
+	}
 	before := b.run
 	b.run, b.from, b.handle = run, from, handle
-	b.renewAt = time.Now().Add(_movedRenewal)
 	b.mu.Unlock()
 	if before != run {
 		desk.end(before, 0)
@@ -86,10 +97,19 @@
 	return b.handle
 }
 
-func (b *backup) renewal() time.Time {
+// finish marks that the run is being stopped; false when it was before.
+func (b *backup) finish() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first := !b.final
+	b.final = true
+	return first
+}
+
+func (b *backup) finishing() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.renewAt
+	return b.final
 }
 
 func (b *backup) current() *place.Run {
@@ -131,8 +151,9 @@
 }
 
 // keepBackup has the run's memory copied to another endpoint when its own is
-// leaving and no copy stands. It returns the function that ends it.
-func (e *exchange) keepBackup(ctx context.Context) (stop func()) {
+// leaving and no copy stands, and ends the try once the run is stopped there. It
+// returns the function that ends it.
+func (e *exchange) keepBackup(ctx context.Context, end context.CancelCauseFunc) (stop func()) {
 	if !e.needsBackup() || !e.engineShape().Moves {
 		return func() {}
 	}
@@ -142,7 +163,12 @@
 		for {
 			changed := e.desk().changes()
 			var again <-chan time.Time
-			if pause := e.renewBackup(ctx); pause > 0 {
+			pause := e.renewBackup(ctx)
+			if e.backup.finishing() {
+				end(errHanded)
+				return
+			}
+			if pause > 0 {
 				again = time.After(pause)
 			}
 			select {
@@ -154,8 +180,12 @@
 		}
 	})
 	return func() {
-		cancel()
+		// A stream that is stopped for its copy may end before the copy is whole.
+		if !e.backup.finishing() {
+			cancel()
+		}
 		group.Wait()
+		cancel()
 	}
 }
 
@@ -167,35 +197,72 @@
 	if !stands {
 		e.backup.drop(e.desk())
 	}
-	if !e.desk().leaving(e.run) || (stands && e.backup.moved() == "") {
+	if !e.desk().leaving(e.run) || e.backup.finishing() || (stands && e.backup.moved() == "") {
 		return 0
 	}
-	if due := time.Until(e.backup.renewal()); stands && due > 0 {
-		return due
+	if e.leaving.IsZero() {
+		e.leaving = time.Now()
 	}
-	if !stands {
-		if target = e.desk().refugeFor(e.backupWant()); target == nil {
-			if !e.homeless {
-				e.log("No engine has room for a leaving run's memory.", "Endpoint", e.run.Endpoint.ID)
-			}
-			e.homeless = true
-			return _backupRetry
+	if stands {
+		if due := time.Until(e.leaving.Add(_handoverAfter)); due > 0 {
+			return due
+		}
+		return e.tryHandOver(ctx, target)
+	}
+	if target = e.desk().refugeFor(e.backupWant()); target == nil {
+		if !e.homeless {
+			e.log("No engine has room for a leaving run's memory.", "Endpoint", e.run.Endpoint.ID)
 		}
+		e.homeless = true
+		return _backupRetry
 	}
-	handle, err := e.move(ctx, target.Endpoint.Address)
+	handle, err := e.move(ctx, target.Endpoint.Address, false)
 	if err != nil {
 		if ctx.Err() == nil {
 			e.log("A run's memory could not be copied.", "To", target.Endpoint.ID, "Cause", err.Error())
 		}
-		if !stands {
-			e.desk().end(target, 0)
-			e.refused = append(e.refused, target.Endpoint.ID)
-		}
+		e.desk().end(target, 0)
+		e.refused = append(e.refused, target.Endpoint.ID)
 		return _backupRetry
 	}
-	e.log("A run's memory was copied.", "To", target.Endpoint.ID, "Renewed", stands)
+	e.log("A run's memory was copied.", "To", target.Endpoint.ID)
+	e.backup.set(e.desk(), target, e.run.Endpoint.Address+"/"+handle, handle)
+	return max(time.Until(e.leaving.Add(_handoverAfter)), _backupRetry)
+}
+
+// tryHandOver brings the copy up to date and, when that was quick, stops the run and
+// makes the copy whole: a slow one shows that the links are busy with other copies,
+// behind which the stream would stand still.
+func (e *exchange) tryHandOver(ctx context.Context, target *place.Run) time.Duration {
+	began := time.Now()
+	handle, err := e.move(ctx, target.Endpoint.Address, false)
+	if err != nil {
+		return _backupRetry
+	}
+	e.backup.set(e.desk(), target, e.run.Endpoint.Address+"/"+handle, handle)
+	if time.Since(began) > _quickMove {
+		return _backupRetry
+	}
+	e.handOver(ctx, target)
+	return 0
+}
+
+// handOver stops the run at its engine and makes its copy whole. The engine closes
+// the stream without its end; it goes on from the copy, from the earlier one if this
+// fails.
+func (e *exchange) handOver(ctx context.Context, target *place.Run) {
+	if !e.backup.finish() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, _handoverTimeout)
+	defer cancel()
+	handle, err := e.move(ctx, target.Endpoint.Address, true)
+	if err != nil {
+		e.log("A run could not be handed over whole.", "To", target.Endpoint.ID, "Cause", err.Error())
+		return
+	}
+	e.log("A run was handed over.", "To", target.Endpoint.ID)
 	e.backup.set(e.desk(), target, e.run.Endpoint.Address+"/"+handle, handle)
-	return _movedRenewal
 }
 
 // freeBackup frees a moved copy that is not needed any more, which would hold
@@ -219,10 +286,10 @@
 	answer.Close()
 }
 
-// move asks the engine that runs the request to copy its memory to another one
-// and go on.
-func (e *exchange) move(ctx context.Context, to string) (handle string, err error) {
-	body, err := json.Marshal(map[string]any{"id": e.request.ID, "to": to, "last": false})
+// move asks the engine that runs the request to copy its memory to another one, and
+// to go on meanwhile or, with last, to stop first.
+func (e *exchange) move(ctx context.Context, to string, last bool) (handle string, err error) {
+	body, err := json.Marshal(map[string]any{"id": e.request.ID, "to": to, "last": last})
 	if err != nil {
 		return "", fmt.Errorf("encode the move: %w", err)
 	}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -30,6 +30,7 @@
 var (
 	errTimeout = errors.New("the request's time is over")
 	errSlow    = errors.New("the endpoint did not answer in time")
+	errHanded  = errors.New("the run was handed over")
 )
 
 // exchange carries one request from its caller to endpoints and back.
@@ -45,6 +46,8 @@
 	used []string
 	// refused names those that had no room for a copy.
 	refused []string
+	// leaving is when the endpoint of the present try was seen to leave.
+	leaving time.Time
 	// homeless is true once no engine had room for a copy that was needed.
 	homeless bool
 	// run is the try under way, backup the copy of its memory elsewhere.
@@ -57,6 +60,10 @@
 	delivered bool
 	// continued is true once the stream went on elsewhere.
 	continued bool
+	// lastEvent is when an event was last delivered.
+	lastEvent time.Time
+	// resumed is false from a break of the stream to the next event.
+	resumed bool
 }
 
 func newExchange(f *Front, w http.ResponseWriter, r *http.Request, req *request) *exchange {
@@ -138,6 +145,8 @@
 		return *end
 	}
 	e.continued = e.continued || step != tries.Again
+	e.resumed = !e.delivered
+	e.leaving, e.homeless, e.refused = time.Time{}, false, nil
 	end := e.try(ctx, from)
 	if end.result == tries.NotSent || end.result == tries.Refused {
 		e.backup.drop(e.desk()) // it was to come from this try
@@ -205,8 +214,12 @@
 		return ended{result: e.lost(), health: e.blame(ctx, unanswered(err)), err: err}
 	}
 	defer answer.Close()
-	defer e.keepBackup(trying)()
-	return e.receive(ctx, answer, slow)
+	defer e.keepBackup(trying, cancel)()
+	end := e.receive(ctx, answer, slow)
+	if cause := context.Cause(trying); end.err != nil && cause != nil {
+		end.err, end.health = cause, e.blame(ctx, unanswered(cause))
+	}
+	return end
 }
 
 // blame is what a failed try says of the endpoint: nothing when it was the
@@ -226,8 +239,11 @@
 }
 
 func unanswered(err error) place.Outcome {
-	if errors.Is(err, errSlow) {
+	switch {
+	case errors.Is(err, errSlow):
 		return place.Unreachable
+	case errors.Is(err, errHanded):
+		return 0
 	}
 	return place.Bad
 }
