One host of each of two data centres reads the store

Cause: at 87 hosts each host hears a part of the others of other data centres, and about seven took themselves for one of the two readers.

Change: readers are the first of two data centres, which every host agrees on; a host that the store turned away does not count while another can read; while nobody can, all but those two ask every 3 s.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -217,22 +217,49 @@
 	return live[:min(len(live), most)]
 }
 
-// Reader tells whether this host is one of those that read the
-// documents for all. Each host works it out from whom it hears; when views
-// differ, a few more or fewer read for a while, and a host whose knowledge grows
-// old reads for itself.
+// Reader tells whether this host is one of those that read the documents for all:
+// one host in each of two data centres, or two where there is one. Every host hears
+// of all hosts of its own data centre, and of some of each other one, so that all
+// agree in calm times. When views differ, a few more or fewer read for a while, and
+// a host whose knowledge grows old reads for itself. reads tells whether this host
+// could read the store lately; those that could not count only if nobody could.
 func (s *State) Reader(now time.Time, reads bool) bool {
-	if !reads {
-		return true // it has to try, to find out
+	centres := make(map[core.DataCentreName]bool) // whether a host there reads
+	centres[s.self.Centre] = reads
+	for _, m := range s.members {
+		if m.live(now) && !m.stopping {
+			centres[m.contact.Centre] = centres[m.contact.Centre] || m.reads
+		}
+	}
+	nobody := true
+	for _, any := range centres {
+		nobody = nobody && !any
+	}
+	if !reads && !nobody {
+		return false
 	}
 	before := 0
-	own := rank(s.self.Host)
+	for centre, any := range centres {
+		if (any || nobody) && rank(core.HostName(centre)) < rank(core.HostName(s.self.Centre)) {
+			before++
+		}
+	}
+	hosts := _readers
+	if len(centres) > 1 {
+		hosts = 1
+	}
+	return before < _readers && s.readersBefore(now, nobody) < hosts
+}
+
+// readersBefore counts the hosts of the own data centre that read before this one.
+func (s *State) readersBefore(now time.Time, nobody bool) int {
+	before, own := 0, rank(s.self.Host)
 	for name, m := range s.members {
-		if m.live(now) && m.reads && !m.stopping && rank(name) < own {
+		if m.contact.Centre == s.self.Centre && m.live(now) && !m.stopping && (m.reads || nobody) && rank(name) < own {
 			before++
 		}
 	}
-	return before < _readers
+	return before
 }
 
 // Asks tells whether it is for this host to ask an endpoint for its state: one
--- a/core/procs/gossip/gossip_test.go
+++ b/core/procs/gossip/gossip_test.go
@@ -101,7 +101,7 @@
 		if most := size.hosts * (size.hosts/size.centres + size.centres + 5); f.sent > most {
 			t.Errorf("%d hosts send %d heartbeats an interval, want %d at most", size.hosts, f.sent, most)
 		}
-		if readers := f.readers(); readers < 1 || readers > 2+size.hosts/10 {
+		if readers := f.readers(); readers < 1 || readers > 2 {
 			t.Errorf("%d hosts: %d read the store", size.hosts, readers)
 		}
 	}
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -86,8 +86,8 @@
 	// Found is the load that the endpoint was believed to have when it was picked,
 	// by this host's own runs and by those that others told of.
 	Found Load
-	load     Load
-	ended    bool
+	load  Load
+	ended bool
 }
 
 // Verdict tells how placing went.
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -36,7 +36,10 @@
 
 	mu    sync.Mutex
 	state *gossip.State
-	reads bool
+	// reads is false while the store cannot be read; failed is when it last could
+	// not.
+	reads  bool
+	failed time.Time
 	// pulling is true while another host is asked for documents.
 	pulling bool
 }
@@ -246,6 +249,8 @@
 func (p *peers) reader(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// A store that turned this host away may take it back.
+	p.reads = p.reads || now.Sub(p.failed) > _readsAgain
 	return p.state.Reader(now, p.reads)
 }
 
@@ -261,8 +266,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reads = reads
+	if !reads {
+		p.failed = time.Now()
+	}
 }
 
+// _readsAgain is when a host that could not read the store counts again among those
+// that can: another one reads for it meanwhile.
+const _readsAgain = 5 * time.Second
+
 // newPeers opens the socket for heartbeats.
 func newPeers(h *Host, random *rand.Rand) (*peers, error) {
 	s := h.settings
@@ -280,6 +292,7 @@
 		facts:       h.facts,
 		desk:        h.desk,
 		stopping:    h.stopping.Load,
+		reads:       true,
 		urgent:      make(chan struct{}, 1),
 		near:        make(chan struct{}, 1),
 		state:       gossip.New(self, s.Seeds, random),
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -25,6 +25,9 @@
 	// A failed call is made again after a pause.
 	_pauseFirst  = 100 * time.Millisecond
 	_pauseAtMost = 800 * time.Millisecond
+	// _pauseOthers is the same for a host for which others read: while the store is
+	// down, a few hosts are enough to notice its return.
+	_pauseOthers = 3 * time.Second
 )
 
 // reader follows the documents at the store.
@@ -41,8 +44,9 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		level := h.facts.level()
-		if level.AsOf == 0 || now.Sub(level.FreshAt) > h.ageAtMost() || h.peers.reader(now) {
-			r.read(ctx)
+		reader := h.peers.reader(now)
+		if level.AsOf == 0 || now.Sub(level.FreshAt) > h.ageAtMost() || reader {
+			r.read(ctx, reader)
 		}
 		sleep(ctx, _watchPace)
 	}
@@ -56,8 +60,9 @@
 	return time.Duration(share * float64(h.settings.Bounds.LeavingSpread))
 }
 
-// read makes one call and takes in what it brings.
-func (r *reader) read(ctx context.Context) {
+// read makes one call and takes in what it brings. first tells whether this host is
+// one of those that read for all.
+func (r *reader) read(ctx context.Context, first bool) {
 	err := r.call(ctx)
 	switch {
 	case err == nil:
@@ -75,7 +80,11 @@
 		r.host.log.Info("The store cannot be read.", "Cause", err.Error())
 	}
 	r.host.peers.setReads(false)
-	r.pause = min(max(2*r.pause, _pauseFirst), _pauseAtMost)
+	longest := _pauseAtMost
+	if !first {
+		longest = _pauseOthers
+	}
+	r.pause = min(max(2*r.pause, _pauseFirst), longest)
 	sleep(ctx, r.pause/2+rand.N(r.pause))
 }
 
