--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -152,6 +152,9 @@
 		}
 		e.events++
 		e.lastEvent = time.Now()
+		if e.began.IsZero() {
+			e.began = e.lastEvent
+		}
 		if _, err := e.writer.Write(next); err != nil {
 			return &ended{done: true, err: err}
 		}
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -17,6 +17,9 @@
 )
 
 const (
+	// _backupGrown is how long after a run's first event its engine has sent its
+	// memory to the backup: it does so several times a second.
+	_backupGrown = time.Second
 	// _backupRetry is when a copy that was not made is tried again, elsewhere.
 	_backupRetry = 100 * time.Millisecond
 	// _moveTimeout bounds one copy of a run's memory to another engine.
@@ -49,8 +52,6 @@
 	final bool
 }
 
-func (b *backup) exists() bool { return b.id() != "" }
-
 func (b *backup) id() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -118,6 +119,16 @@
 	return b.run
 }
 
+// backupStands tells whether there is a copy from which the run can go on. One that
+// the engine sends as the run grows is taken to stand a while after the run's first
+// event: an engine that has none might run the request anew.
+func (e *exchange) backupStands() bool {
+	if e.backup.id() == "" {
+		return false
+	}
+	return e.backup.moved() != "" || (!e.began.IsZero() && time.Since(e.began) > _backupGrown)
+}
+
 // engineShape gives the engines of the request's service; nil for a plain one.
 func (e *exchange) engineShape() *core.EngineShape {
 	view := e.front.config.View()
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -60,6 +60,8 @@
 	delivered bool
 	// continued is true once the stream went on elsewhere.
 	continued bool
+	// began is when the present try's first event came; zero before.
+	began time.Time
 	// lastEvent is when an event was last delivered.
 	lastEvent time.Time
 	// resumed is false from a break of the stream to the next event.
@@ -123,7 +125,7 @@
 func (e *exchange) situation() tries.Situation {
 	return tries.Situation{
 		Delivered: e.delivered,
-		Copy:      e.backup.exists(),
+		Copy:      e.backupStands(),
 		Budget:    func() bool { return e.desk().again(e.request.Service) },
 		TimeLeft:  time.Until(e.request.Deadline) > _leastTime,
 	}
@@ -147,8 +149,9 @@
 	e.continued = e.continued || step != tries.Again
 	e.resumed = !e.delivered
 	e.leaving, e.homeless, e.refused = time.Time{}, false, nil
+	e.began = time.Time{}
 	end := e.try(ctx, from)
-	if end.result == tries.NotSent || end.result == tries.Refused {
+	if !end.done && !e.backupStands() {
 		e.backup.drop(e.desk()) // it was to come from this try
 	}
 	e.front.counters.tried(end.result.String())
@@ -263,10 +266,8 @@
 	limit := e.request.Deadline
 	var patience time.Duration
 	switch {
-	case e.continued:
+	case e.continued && route.Resumable:
 		patience = e.silence()
-	case route.Kind == core.RouteStreaming && e.backup.exists():
-		patience = 2 * route.Goal
 	case e.tries.MayRunAgain():
 		patience = route.Goal
 	}
@@ -282,7 +283,7 @@
 }
 
 // canGoOn tells whether a stream could go on elsewhere if it broke now.
-func (e *exchange) canGoOn() bool { return e.backup.exists() || e.request.Route.Resumable }
+func (e *exchange) canGoOn() bool { return e.backupStands() || e.request.Route.Resumable }
 
 // outgoing is the request as the endpoint gets it.
 func (e *exchange) outgoing(from string) *links.Request {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -273,6 +273,7 @@
 		c.Begin(echo(c), _seal)
 		events(c, 0, 2)
 		c.Chunk("id: 3\ndata: pie")
+		time.Sleep(_copied)
 		return false
 	}
 	r := newRig(t, handle, handle)
@@ -285,6 +286,43 @@
 	}
 }
 
+// _copied is how long a run has to go on before its copy is taken to stand.
+const _copied = 1100 * time.Millisecond
+
+// A draft whose copy failed, or that broke before a copy can have been made, is not
+// sent anywhere else: an engine without a copy may run it anew. Found on
+// lsoncc-router-grown, hunt-048b-3: TWICE, a copy's engine answered 500, and the next
+// engine ran the draft again.
+func TestDraftNeverRunsAnew(t *testing.T) {
+	for name, c := range map[string]struct {
+		second routed.Handler
+		goes   time.Duration
+		calls  int
+	}{
+		"the engine of the copy fails": {fail, _copied, 2},
+		"it broke at once":             {fine, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			handle := func(call *routed.Call) bool {
+				if call.Number > 0 || call.Header.Get("Continue-From") != "" {
+					return c.second(call)
+				}
+				call.Begin(echo(call), _seal)
+				events(call, 0, 0)
+				time.Sleep(c.goes)
+				return false
+			}
+			r := newRig(t, handle, handle, handle)
+			if got := r.ask("POST", "/draft/x", "", "Tokens: 100,400"); got.err == nil {
+				t.Errorf("a cut stream looks complete: %q", got.body)
+			}
+			if n := r.calls(); n != c.calls {
+				t.Errorf("engines got %d calls, want %d", n, c.calls)
+			}
+		})
+	}
+}
+
 // A stream that cannot go on is visibly incomplete.
 func TestDraftWithoutACopyIsCut(t *testing.T) {
 	for name, second := range map[string]routed.Handler{
@@ -300,6 +338,7 @@
 				}
 				c.Begin(echo(c), _seal)
 				events(c, 0, 2)
+				time.Sleep(_copied)
 				return false
 			}
 			got := newRig(t, handle, handle).ask("POST", "/draft/x", "", "Tokens: 100,400")
