--- /dev/null
+++ b/core/procs/place/copies.go
@@ -0,0 +1,112 @@
+package place
+
+import (
+	"time"
+
+	"apricotproxy/core"
+)
+
+const (
+	// _copyMargin is the part of an engine's memory up to which it is given
+	// copies of other engines' runs: runs go first.
+	_copyMargin = 0.6
+	// _remoteCopy is what a copy to another data centre costs, as a share of an
+	// engine's memory: it takes twice as long.
+	_remoteCopy = 0.15
+	// _copySpread is by how much chance moves copies between engines, as a share
+	// of their memory: when an engine leaves, all hosts copy its runs at once and
+	// do not know yet what the others picked.
+	_copySpread = 0.4
+)
+
+// copyNeed is the load that a copy of a run's memory will be, on average over the
+// run: it grows with the run and is gone when the run ends.
+func (p *Placer) copyNeed(request *core.RoutedRequest) Load {
+	return Load{Tokens: request.Prompt.Tokens + int(_grownShare*float64(p.lengths.expect(request)))}
+}
+
+// Copy picks the endpoint to which a run's memory is sent as it grows; nil when
+// none has room to spare.
+func (p *Placer) Copy(now time.Time, want *Want) *Run {
+	return p.target(now, want, p.copyNeed(&want.Request), _copyMargin)
+}
+
+// Refuge picks the endpoint to which a run's memory is copied because its own is
+// leaving; nil when none has room. The run will go on there, so that it may fill
+// the endpoint as any run.
+func (p *Placer) Refuge(now time.Time, want *Want) *Run {
+	need := p.need(&want.Request)
+	need.Runs, need.Prefill = 0, 0
+	return p.target(now, want, need, 1)
+}
+
+// target picks the endpoint for a copy that may fill it up to a margin.
+func (p *Placer) target(now time.Time, want *Want, need Load, margin float64) *Run {
+	var best *endpoint
+	bestCost := 0.0
+	for _, e := range p.services[want.Request.Service] {
+		if e.engine == nil || e.doubtful() || !p.open(now, e, want.Exclude) || now.Before(e.ColdUntil) {
+			continue
+		}
+		used := float64(e.own.Tokens + e.peers.Tokens + need.Tokens)
+		cost := used/float64(max(e.engine.MemoryTokens, 1)) + p.random.Float64()*_copySpread
+		if want.Near != "" && e.DataCentre != want.Near {
+			cost += _remoteCopy
+		}
+		if used > float64(e.engine.MemoryTokens)*margin {
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.own.add(need)
+	return &Run{Endpoint: best.Endpoint, load: need}
+}
+
+// Take counts a run at an endpoint that was picked otherwise: where a copy of
+// its memory is. It is false when the endpoint is gone or takes nothing.
+func (p *Placer) Take(now time.Time, id string, request *core.RoutedRequest) (*Run, bool) {
+	e := p.endpoints[id]
+	if e == nil || p.out[e.DataCentre] || e.Draining || e.leaving || e.health.barred(now) {
+		return nil, false
+	}
+	need := p.need(request)
+	need.Prefill = 0
+	return p.begin(now, e, need), true
+}
+
+// Leaving tells whether a run's endpoint is leaving, gone or in doubt.
+func (p *Placer) Leaving(run *Run) bool {
+	e := p.state(run)
+	return e == nil || e.Draining || e.leaving || e.doubtful()
+}
+
+// doubtful is true for an endpoint whose document lapsed after an outage: it may
+// be well, or gone without a word.
+func (e *endpoint) doubtful() bool { return !e.DropAt.IsZero() }
+
+// Leave takes in that an endpoint said itself that it is leaving. It tells
+// whether that is news.
+func (p *Placer) Leave(id string) bool {
+	e := p.endpoints[id]
+	if e == nil || e.leaving {
+		return false
+	}
+	e.leaving = true
+	return true
+}
+
+// Left lists the endpoints that said themselves that they are leaving.
+func (p *Placer) Left() []string {
+	var ids []string
+	for id, e := range p.endpoints {
+		if e.leaving {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/core/procs/place/peers.go
@@ -0,0 +1,84 @@
+package place
+
+import (
+	"time"
+
+	"apricotproxy/core"
+)
+
+// _peerTerm is how long another host's word on its load counts.
+const _peerTerm = 2 * time.Second
+
+// Source is whose loads were heard: a host's, or those of a whole data centre.
+type Source struct {
+	Host   core.HostName
+	Centre core.DataCentreName
+}
+
+type peerLoad struct {
+	loads map[string]Load
+	until time.Time
+}
+
+// Hear takes in the loads of another host of the own data centre, or of another
+// data centre as a whole, by endpoint.
+func (p *Placer) Hear(now time.Time, from Source, loads map[string]Load) {
+	p.peers[from] = peerLoad{loads: loads, until: now.Add(_peerTerm)}
+	p.sumPeers()
+}
+
+// Expire forgets what other hosts said too long ago.
+func (p *Placer) Expire(now time.Time) {
+	changed := false
+	for host, said := range p.peers {
+		if !now.Before(said.until) {
+			delete(p.peers, host)
+			changed = true
+		}
+	}
+	if changed {
+		p.sumPeers()
+	}
+}
+
+func (p *Placer) sumPeers() {
+	for _, e := range p.endpoints {
+		e.peers = Load{}
+	}
+	for _, said := range p.peers {
+		for id, load := range said.loads {
+			if e := p.endpoints[id]; e != nil {
+				e.peers.add(load)
+			}
+		}
+	}
+}
+
+// Own calls f with this host's load on each endpoint that has any.
+func (p *Placer) Own(f func(id string, load Load)) {
+	for id, e := range p.endpoints {
+		if e.own != (Load{}) {
+			f(id, e.own)
+		}
+	}
+}
+
+// Centre calls f with the load that the own data centre as a whole has on each
+// endpoint.
+func (p *Placer) Centre(f func(id string, load Load)) {
+	sum := make(map[string]Load)
+	p.Own(func(id string, load Load) { sum[id] = load })
+	for from, said := range p.peers {
+		if from.Host == "" {
+			continue
+		}
+		for id, load := range said.loads {
+			total := sum[id]
+			total.add(load)
+			sum[id] = total
+		}
+	}
+	for id, load := range sum {
+		f(id, load)
+	}
+}
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -34,18 +34,6 @@
 	// _remoteMargin is the same for another data centre's engines, whose hosts may
 	// have placed more since they last told of it.
 	_remoteMargin = 0.8
-	// _copyMargin is the part of an engine's memory up to which it is given
-	// copies of other engines' runs: runs go first.
-	_copyMargin = 0.6
-	// _remoteCopy is what a copy to another data centre costs, as a share of an
-	// engine's memory: it takes twice as long.
-	_remoteCopy = 0.15
-	// _copySpread is by how much chance moves copies between engines, as a share
-	// of their memory: when an engine leaves, all hosts copy its runs at once and
-	// do not know yet what the others picked.
-	_copySpread = 0.4
-	// _peerTerm is how long another host's word on its load counts.
-	_peerTerm = 2 * time.Second
 )
 
 // Load is work in flight at an endpoint.
@@ -114,17 +102,6 @@
 	leaving bool
 }
 
-// Source is whose loads were heard: a host's, or those of a whole data centre.
-type Source struct {
-	Host   core.HostName
-	Centre core.DataCentreName
-}
-
-type peerLoad struct {
-	loads map[string]Load
-	until time.Time
-}
-
 // Placer places the requests of one host. It is not safe for concurrent use.
 type Placer struct {
 	self       core.HostName
@@ -184,69 +161,6 @@
 // SetBounds replaces the deployment's bounds.
 func (p *Placer) SetBounds(bounds core.EntryBounds) { p.bounds = bounds }
 
-// Hear takes in the loads of another host of the own data centre, or of another
-// data centre as a whole, by endpoint.
-func (p *Placer) Hear(now time.Time, from Source, loads map[string]Load) {
-	p.peers[from] = peerLoad{loads: loads, until: now.Add(_peerTerm)}
-	p.sumPeers()
-}
-
-// Expire forgets what other hosts said too long ago.
-func (p *Placer) Expire(now time.Time) {
-	changed := false
-	for host, said := range p.peers {
-		if !now.Before(said.until) {
-			delete(p.peers, host)
-			changed = true
-		}
-	}
-	if changed {
-		p.sumPeers()
-	}
-}
-
-func (p *Placer) sumPeers() {
-	for _, e := range p.endpoints {
-		e.peers = Load{}
-	}
-	for _, said := range p.peers {
-		for id, load := range said.loads {
-			if e := p.endpoints[id]; e != nil {
-				e.peers.add(load)
-			}
-		}
-	}
-}
-
-// Own calls f with this host's load on each endpoint that has any.
-func (p *Placer) Own(f func(id string, load Load)) {
-	for id, e := range p.endpoints {
-		if e.own != (Load{}) {
-			f(id, e.own)
-		}
-	}
-}
-
-// Centre calls f with the load that the own data centre as a whole has on each
-// endpoint.
-func (p *Placer) Centre(f func(id string, load Load)) {
-	sum := make(map[string]Load)
-	p.Own(func(id string, load Load) { sum[id] = load })
-	for from, said := range p.peers {
-		if from.Host == "" {
-			continue
-		}
-		for id, load := range said.loads {
-			total := sum[id]
-			total.add(load)
-			sum[id] = total
-		}
-	}
-	for id, load := range sum {
-		f(id, load)
-	}
-}
-
 // need is the load that a request will be.
 func (p *Placer) need(request *core.RoutedRequest) Load {
 	prompt := request.Prompt
@@ -256,12 +170,6 @@
 	return Load{Runs: 1, Tokens: prompt.Tokens + int(_grownShare*float64(p.lengths.expect(request))), Prefill: prompt.Tokens}
 }
 
-// copyNeed is the load that a copy of a run's memory will be, on average over the
-// run: it grows with the run and is gone when the run ends.
-func (p *Placer) copyNeed(request *core.RoutedRequest) Load {
-	return Load{Tokens: request.Prompt.Tokens + int(_grownShare*float64(p.lengths.expect(request)))}
-}
-
 // Place picks the endpoint that serves a request soonest.
 func (p *Placer) Place(now time.Time, want *Want) (*Run, Verdict) {
 	need := p.need(&want.Request)
@@ -362,98 +270,12 @@
 	return (cost + used*_runTokens*4) * e.health.slowdown()
 }
 
-// Copy picks the endpoint to which a run's memory is sent as it grows; nil when
-// none has room to spare.
-func (p *Placer) Copy(now time.Time, want *Want) *Run {
-	return p.target(now, want, p.copyNeed(&want.Request), _copyMargin)
-}
-
-// Refuge picks the endpoint to which a run's memory is copied because its own is
-// leaving; nil when none has room. The run will go on there, so that it may fill
-// the endpoint as any run.
-func (p *Placer) Refuge(now time.Time, want *Want) *Run {
-	need := p.need(&want.Request)
-	need.Runs, need.Prefill = 0, 0
-	return p.target(now, want, need, 1)
-}
-
-// target picks the endpoint for a copy that may fill it up to a margin.
-func (p *Placer) target(now time.Time, want *Want, need Load, margin float64) *Run {
-	var best *endpoint
-	bestCost := 0.0
-	for _, e := range p.services[want.Request.Service] {
-		if e.engine == nil || e.doubtful() || !p.open(now, e, want.Exclude) || now.Before(e.ColdUntil) {
-			continue
-		}
-		used := float64(e.own.Tokens + e.peers.Tokens + need.Tokens)
-		cost := used/float64(max(e.engine.MemoryTokens, 1)) + p.random.Float64()*_copySpread
-		if want.Near != "" && e.DataCentre != want.Near {
-			cost += _remoteCopy
-		}
-		if used > float64(e.engine.MemoryTokens)*margin {
-			continue
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	best.own.add(need)
-	return &Run{Endpoint: best.Endpoint, load: need}
-}
-
-// Take counts a run at an endpoint that was picked otherwise: where a copy of
-// its memory is. It is false when the endpoint is gone or takes nothing.
-func (p *Placer) Take(now time.Time, id string, request *core.RoutedRequest) (*Run, bool) {
-	e := p.endpoints[id]
-	if e == nil || p.out[e.DataCentre] || e.Draining || e.leaving || e.health.barred(now) {
-		return nil, false
-	}
-	need := p.need(request)
-	need.Prefill = 0
-	return p.begin(now, e, need), true
-}
-
 // Usable tells whether an endpoint still takes work.
 func (p *Placer) Usable(now time.Time, id string) bool {
 	e := p.endpoints[id]
 	return e != nil && p.open(now, e, nil)
 }
 
-// Leaving tells whether a run's endpoint is leaving, gone or in doubt.
-func (p *Placer) Leaving(run *Run) bool {
-	e := p.state(run)
-	return e == nil || e.Draining || e.leaving || e.doubtful()
-}
-
-// doubtful is true for an endpoint whose document lapsed after an outage: it may
-// be well, or gone without a word.
-func (e *endpoint) doubtful() bool { return !e.DropAt.IsZero() }
-
-// Leave takes in that an endpoint said itself that it is leaving. It tells
-// whether that is news.
-func (p *Placer) Leave(id string) bool {
-	e := p.endpoints[id]
-	if e == nil || e.leaving {
-		return false
-	}
-	e.leaving = true
-	return true
-}
-
-// Left lists the endpoints that said themselves that they are leaving.
-func (p *Placer) Left() []string {
-	var ids []string
-	for id, e := range p.endpoints {
-		if e.leaving {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // Read tells that a run's prompt has been read: its first event came.
 func (p *Placer) Read(run *Run) {
 	if e := p.state(run); e != nil && !run.ended {
