Heartbeats as arrays, bounded to a datagram; benchmarks of messages and placing

A heartbeat with the loads of 600 endpoints was 25 KB, more than a datagram is read (found by the benchmark); now 5.7 KB, of the 256 busiest.

--- /dev/null
+++ b/core/procs/place/bench_test.go
@@ -0,0 +1,42 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/place"
+)
+
+// The cost of a placement and of hearing another host, against endpoints and hosts.
+func BenchmarkPlace(b *testing.B) {
+	for _, engines := range []int{18, 72, 600} {
+		b.Run(fmt.Sprint(engines, "Engines"), func(b *testing.B) {
+			s := newSite(b, engines, 0)
+			want := draft()
+			for b.Loop() {
+				run, _ := s.Place(_start, want)
+				s.End(run)
+			}
+		})
+	}
+}
+
+func BenchmarkHear(b *testing.B) {
+	for _, size := range []struct{ hosts, engines int }{{9, 18}, {22, 72}, {33, 600}} {
+		b.Run(fmt.Sprint(size.hosts, "Hosts", size.engines, "Engines"), func(b *testing.B) {
+			s := newSite(b, size.engines, 0)
+			loads := make(map[string]place.Load)
+			for i := range 8 {
+				loads[fmt.Sprint("engine-", i)] = place.Load{Runs: 1, Tokens: 3500, Prefill: 1000}
+			}
+			hosts := make([]core.HostName, size.hosts)
+			for i := range hosts {
+				hosts[i] = core.HostName(fmt.Sprint("host-", i))
+			}
+			for i := 0; b.Loop(); i++ {
+				s.Hear(_start, place.Source{Host: hosts[i%size.hosts]}, loads)
+			}
+		})
+	}
+}
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -25,7 +25,7 @@
 	view *know.View
 }
 
-func newSite(t *testing.T, engines, plain int) *site {
+func newSite(t testing.TB, engines, plain int) *site {
 	t.Helper()
 	built, err := table.Build(table.Source{Version: 1, Services: []core.RoutedService{
 		{Name: "drafting", ColdPerSecond: 26, Engine: &core.EngineShape{Slots: 24, MemoryTokens: _engineMemory, Backups: true, Moves: true}},
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -29,7 +30,8 @@
 	_pullTimeout = 700 * time.Millisecond
 )
 
-// Message is a heartbeat with the sender's loads.
+// Message is a heartbeat with the sender's loads, or with those of its data centre;
+// Loads is nil in one that tells none.
 type Message struct {
 	gossip.Heartbeat
 	Loads map[string]place.Load
@@ -37,7 +39,7 @@
 
 // Encode gives a message's bytes.
 func Encode(m *Message) ([]byte, error) {
-	b, err := cbor.Marshal(m)
+	b, err := cbor.Marshal(toWire(m))
 	if err != nil {
 		return nil, fmt.Errorf("encode a heartbeat: %w", err)
 	}
@@ -46,14 +48,14 @@
 
 // Decode reads a message.
 func Decode(b []byte) (*Message, error) {
-	var m Message
-	if err := cbor.Unmarshal(b, &m); err != nil {
+	var w wireMessage
+	if err := cbor.Unmarshal(b, &w); err != nil {
 		return nil, fmt.Errorf("decode a heartbeat: %w", err)
 	}
-	if m.From.Host == "" {
-		return nil, fmt.Errorf("decode a heartbeat: the sender has no name")
+	if w.From.Host == "" {
+		return nil, errors.New("decode a heartbeat: the sender has no name")
 	}
-	return &m, nil
+	return fromWire(&w), nil
 }
 
 // Receive hands each datagram on until the socket is closed.
--- /dev/null
+++ b/io/news/news_test.go
@@ -0,0 +1,112 @@
+package news_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/gossip"
+	"apricotproxy/core/procs/place"
+	"apricotproxy/io/news"
+)
+
+func message(others, loads int) *news.Message {
+	m := &news.Message{
+		Heartbeat: gossip.Heartbeat{
+			From:        gossip.Contact{Host: "edge-austin-a-1", Heartbeat: "10.1.0.19:7200", Documents: "10.1.0.19:8748", Centre: "austin-a"},
+			Incarnation: 1_760_000_000_000_000_000, Reads: true,
+			Level: gossip.Level{AsOf: 4012, Changed: 4000, Age: 300 * time.Millisecond},
+		},
+		Loads: make(map[string]place.Load),
+	}
+	for range others {
+		m.Others = append(m.Others, m.From)
+	}
+	for i := range loads {
+		m.Loads[fmt.Sprintf("i-%010x", i)] = place.Load{Runs: 3, Tokens: 11_000, Prefill: 2900}
+	}
+	return m
+}
+
+func TestMessageRoundTrip(t *testing.T) {
+	want := message(4, 7)
+	b, err := news.Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := news.Decode(b)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, %v; want %+v", got, err, want)
+	}
+}
+
+// A heartbeat fits a datagram at any number of endpoints, and tells of the busiest.
+func TestMessageFitsADatagram(t *testing.T) {
+	m := message(4, 2000)
+	m.Loads["i-busy"] = place.Load{Runs: 1, Prefill: 1 << 20}
+	b, err := news.Encode(m)
+	if err != nil || len(b) > 16<<10 {
+		t.Fatalf("%d bytes, %v", len(b), err)
+	}
+	if got, err := news.Decode(b); err != nil || got.Loads["i-busy"].Prefill != 1<<20 {
+		t.Errorf("the busiest endpoint is left out: %v", err)
+	}
+}
+
+func TestPull(t *testing.T) {
+	document := core.Document{Name: "op", Revision: 7, Value: []byte("text")}
+	server := httptest.NewServer(news.Handler(func(after uint64) news.Pulled {
+		return news.Pulled{Documents: []core.Document{document}, AsOf: after + 1, Whole: true, Age: time.Second}
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	client := news.NewClient(http.DefaultTransport)
+	got, err := client.Pull(context.Background(), address, 41)
+	if err != nil || got.AsOf != 42 || !got.Whole || got.Age != time.Second || !reflect.DeepEqual(got.Documents[0], document) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	res, err := http.Get(server.URL + "/documents?after=x")
+	if err != nil || res.StatusCode != http.StatusBadRequest {
+		t.Errorf("a bad call gets %v, %v", res, err)
+	}
+	_ = res.Body.Close()
+}
+
+func FuzzDecode(f *testing.F) {
+	b, err := news.Encode(message(2, 2))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if m, err := news.Decode(b); err == nil && m.From.Host == "" {
+			t.Error("a heartbeat without a sender is taken")
+		}
+	})
+}
+
+// The bytes and the cost of a heartbeat, against what it tells.
+func BenchmarkMessage(b *testing.B) {
+	for _, size := range []struct{ others, loads int }{{4, 2}, {4, 8}, {4, 72}, {4, 600}} {
+		b.Run(fmt.Sprint(size.loads, "Loads"), func(b *testing.B) {
+			m := message(size.others, size.loads)
+			var text []byte
+			for b.Loop() {
+				var err error
+				if text, err = news.Encode(m); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := news.Decode(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "bytes")
+		})
+	}
+}
--- /dev/null
+++ b/io/news/wire.go
@@ -0,0 +1,94 @@
+package news
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/gossip"
+	"apricotproxy/core/procs/place"
+)
+
+// A heartbeat as it is sent: CBOR arrays, since names of fields would be most of its
+// bytes, and bytes between data centres are dear.
+type (
+	wireMessage struct {
+		_           struct{} `cbor:",toarray"`
+		From        wireContact
+		Incarnation int64
+		Stopping    bool
+		Reads       bool
+		AsOf        uint64
+		Changed     uint64
+		AgeMs       int64
+		Leaving     []string
+		Others      []wireContact
+		HasLoads    bool
+		Loads       []wireLoad
+	}
+
+	wireContact struct {
+		_         struct{} `cbor:",toarray"`
+		Host      string
+		Heartbeat string
+		Documents string
+		Centre    string
+	}
+
+	wireLoad struct {
+		_        struct{} `cbor:",toarray"`
+		Endpoint string
+		Runs     int
+		Tokens   int
+		Prefill  int
+	}
+)
+
+// _loadsAtMost bounds the endpoints whose loads one heartbeat tells, so that it fits
+// a datagram: those with the longest queues of prompts, which matter most.
+const _loadsAtMost = 256
+
+func toWire(m *Message) *wireMessage {
+	w := &wireMessage{
+		From: contactToWire(m.From), Incarnation: m.Incarnation, Stopping: m.Stopping, Reads: m.Reads,
+		AsOf: m.Level.AsOf, Changed: m.Level.Changed, AgeMs: m.Level.Age.Milliseconds(), Leaving: m.Leaving, HasLoads: m.Loads != nil,
+	}
+	for _, c := range m.Others {
+		w.Others = append(w.Others, contactToWire(c))
+	}
+	for id, l := range m.Loads {
+		w.Loads = append(w.Loads, wireLoad{Endpoint: id, Runs: l.Runs, Tokens: l.Tokens, Prefill: l.Prefill})
+	}
+	slices.SortFunc(w.Loads, func(a, b wireLoad) int {
+		return cmp.Or(b.Prefill-a.Prefill, b.Tokens-a.Tokens, cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	w.Loads = w.Loads[:min(len(w.Loads), _loadsAtMost)]
+	return w
+}
+
+func fromWire(w *wireMessage) *Message {
+	m := &Message{Heartbeat: gossip.Heartbeat{
+		From: contactFromWire(w.From), Incarnation: w.Incarnation, Stopping: w.Stopping, Reads: w.Reads,
+		Level:   gossip.Level{AsOf: w.AsOf, Changed: w.Changed, Age: time.Duration(w.AgeMs) * time.Millisecond},
+		Leaving: w.Leaving,
+	}}
+	for _, c := range w.Others {
+		m.Others = append(m.Others, contactFromWire(c))
+	}
+	if w.HasLoads {
+		m.Loads = make(map[string]place.Load, len(w.Loads))
+	}
+	for _, l := range w.Loads {
+		m.Loads[l.Endpoint] = place.Load{Runs: l.Runs, Tokens: l.Tokens, Prefill: l.Prefill}
+	}
+	return m
+}
+
+func contactToWire(c gossip.Contact) wireContact {
+	return wireContact{Host: string(c.Host), Heartbeat: c.Heartbeat, Documents: c.Documents, Centre: string(c.Centre)}
+}
+
+func contactFromWire(w wireContact) gossip.Contact {
+	return gossip.Contact{Host: core.HostName(w.Host), Heartbeat: w.Heartbeat, Documents: w.Documents, Centre: core.DataCentreName(w.Centre)}
+}
