--- a/core/procs/place/copies.go
+++ b/core/procs/place/copies.go
@@ -19,10 +19,9 @@
 	_copySpread = 0.4
 )
 
-// copyNeed is the load that a copy of a run's memory will be, on average over the
-// run: it grows with the run and is gone when the run ends.
+// copyNeed is the load of a copy of a run's memory.
 func (p *Placer) copyNeed(request *core.RoutedRequest) Load {
-	return Load{Tokens: request.Prompt.Tokens + int(_grownShare*float64(p.lengths.expect(request)))}
+	return Load{Tokens: p.need(request).Tokens}
 }
 
 // Copy picks the endpoint to which a run's memory is sent as it grows; nil when
@@ -35,9 +34,7 @@
 // leaving; nil when none has room. The run will go on there, so that it may fill
 // the endpoint as any run.
 func (p *Placer) Refuge(now time.Time, want *Want) *Run {
-	need := p.need(&want.Request)
-	need.Runs, need.Prefill = 0, 0
-	return p.target(now, want, need, 1)
+	return p.target(now, want, p.copyNeed(&want.Request), 1)
 }
 
 // target picks the endpoint for a copy that may fill it up to a margin.
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -34,6 +34,21 @@
 	// _remoteMargin is the same for another data centre's engines, whose hosts may
 	// have placed more since they last told of it.
 	_remoteMargin = 0.8
+	// _fullTokens is what an engine whose memory is taken costs more than an empty
+	// one, in tokens of prompt.
+	_fullTokens = 240
+)
+
+// Costs of a plain endpoint, in shares of its slots.
+const (
+	// _idleCost is the cost of an idle endpoint, which its failures multiply.
+	_idleCost = 0.1
+	// _remoteCost is what another data centre costs: it breaks ties.
+	_remoteCost = 0.05
+	// _doubtCost puts an endpoint in doubt behind all others.
+	_doubtCost = 1
+	// _chanceCost is by how much chance moves requests between equal endpoints.
+	_chanceCost = 0.02
 )
 
 // Load is work in flight at an endpoint.
@@ -183,7 +198,7 @@
 		if !p.fits(now, e, need) {
 			continue
 		}
-		cost := p.cost(now, e, want)
+		cost := p.cost(now, e)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -246,17 +261,17 @@
 
 // cost estimates what a request would wait at an endpoint, in tokens of prompt
 // for an engine and in shares of its slots otherwise.
-func (p *Placer) cost(now time.Time, e *endpoint, want *Want) float64 {
+func (p *Placer) cost(now time.Time, e *endpoint) float64 {
 	runs := e.own.Runs + e.peers.Runs
 	if e.engine == nil {
-		cost := float64(runs) / float64(max(e.Slots, 1))
+		cost := _idleCost + float64(runs)/float64(max(e.Slots, 1))
 		if e.doubtful() {
-			cost++
+			cost += _doubtCost
 		}
 		if e.DataCentre != p.dataCentre {
-			cost += 0.05
+			cost += _remoteCost
 		}
-		return (cost+0.1)*e.health.slowdown() + p.random.Float64()*0.02
+		return cost*e.health.slowdown() + p.random.Float64()*_chanceCost
 	}
 	cost := float64(e.own.Prefill+e.peers.Prefill) + float64(runs)*_runTokens
 	cost += _runTokens + p.random.Float64()*_runTokens
@@ -267,7 +282,7 @@
 		cost += float64(e.engine.MemoryTokens)
 	}
 	used := float64(e.own.Tokens+e.peers.Tokens) / float64(max(e.engine.MemoryTokens, 1))
-	return (cost + used*_runTokens*4) * e.health.slowdown()
+	return (cost + used*_fullTokens) * e.health.slowdown()
 }
 
 // Usable tells whether an endpoint still takes work.
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -227,8 +227,7 @@
 		e.homeless = true
 		return _backupRetry
 	}
-	handle, err := e.move(ctx, target.Endpoint.Address, false)
-	if err != nil {
+	if err := e.moveTo(ctx, target, false); err != nil {
 		if ctx.Err() == nil {
 			e.log("A run's memory could not be copied.", "To", target.Endpoint.ID, "Cause", err.Error())
 		}
@@ -237,7 +236,6 @@
 		return _backupRetry
 	}
 	e.log("A run's memory was copied.", "To", target.Endpoint.ID)
-	e.backup.set(e.desk(), target, e.run.Endpoint.Address+"/"+handle, handle)
 	return max(time.Until(e.leaving.Add(_handoverAfter)), _backupRetry)
 }
 
@@ -246,11 +244,9 @@
 // behind which the stream would stand still.
 func (e *exchange) tryHandOver(ctx context.Context, target *place.Run) time.Duration {
 	began := time.Now()
-	handle, err := e.move(ctx, target.Endpoint.Address, false)
-	if err != nil {
+	if err := e.moveTo(ctx, target, false); err != nil {
 		return _backupRetry
 	}
-	e.backup.set(e.desk(), target, e.run.Endpoint.Address+"/"+handle, handle)
 	if time.Since(began) > _quickMove {
 		return _backupRetry
 	}
@@ -267,13 +263,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, _handoverTimeout)
 	defer cancel()
-	handle, err := e.move(ctx, target.Endpoint.Address, true)
-	if err != nil {
+	if err := e.moveTo(ctx, target, true); err != nil {
 		e.log("A run could not be handed over whole.", "To", target.Endpoint.ID, "Cause", err.Error())
 		return
 	}
 	e.log("A run was handed over.", "To", target.Endpoint.ID)
+}
+
+// moveTo has the run's memory copied to a target and takes the copy for the backup.
+func (e *exchange) moveTo(ctx context.Context, target *place.Run, last bool) error {
+	handle, err := e.move(ctx, target.Endpoint.Address, last)
+	if err != nil {
+		return err
+	}
 	e.backup.set(e.desk(), target, e.run.Endpoint.Address+"/"+handle, handle)
+	return nil
 }
 
 // freeBackup frees a moved copy that is not needed any more, which would hold
