--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -232,15 +232,15 @@
 		}
 	}
 	nobody := true
-	for _, any := range centres {
-		nobody = nobody && !any
+	for _, read := range centres {
+		nobody = nobody && !read
 	}
 	if !reads && !nobody {
 		return false
 	}
 	before := 0
-	for centre, any := range centres {
-		if (any || nobody) && rank(core.HostName(centre)) < rank(core.HostName(s.self.Centre)) {
+	for centre, read := range centres {
+		if (read || nobody) && rank(core.HostName(centre)) < rank(core.HostName(s.self.Centre)) {
 			before++
 		}
 	}
--- a/fakes/routed/routed.go
+++ b/fakes/routed/routed.go
@@ -5,10 +5,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -123,19 +125,19 @@
 func (c *Call) Gone(limit time.Duration) bool {
 	_ = c.conn.SetReadDeadline(time.Now().Add(limit))
 	_, err := c.conn.Read(make([]byte, 1))
-	timeout, ok := err.(net.Error)
-	return err != nil && (!ok || !timeout.Timeout())
+	var timeout net.Error
+	return err != nil && (!errors.As(err, &timeout) || !timeout.Timeout())
 }
 
 // Answer writes a whole answer with a length and the given headers, "Name: value".
 func (c *Call) Answer(status int, body string, headers ...string) {
-	lines := append(headers, "Content-Length: "+strconv.Itoa(len(body)))
+	lines := slices.Concat(headers, []string{"Content-Length: " + strconv.Itoa(len(body))})
 	c.Write(fmt.Sprintf("HTTP/1.1 %d %s\r\n%s\r\n\r\n%s", status, http.StatusText(status), strings.Join(lines, "\r\n"), body))
 }
 
 // Begin writes the header of a stream.
 func (c *Call) Begin(headers ...string) {
-	lines := append(headers, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+	lines := slices.Concat(headers, []string{"Content-Type: text/event-stream", "Transfer-Encoding: chunked"})
 	c.Write("HTTP/1.1 200 OK\r\n" + strings.Join(lines, "\r\n") + "\r\n\r\n")
 }
 
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -116,7 +116,7 @@
 }
 
 func (s *site) get(address, path string) (int, string) {
-	req, err := http.NewRequestWithContext(s.t.Context(), "GET", "http://"+address+path, nil)
+	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -144,7 +144,7 @@
 		t.Errorf("answer %+v", got)
 	}
 	call := r.endpoints[0].Calls()[0]
-	if call.Method != "POST" || call.RequestURI != "/order/a%2Fb?x=1&y=%20" || call.Host != "h" || call.Text != "body" {
+	if call.Method != http.MethodPost || call.RequestURI != "/order/a%2Fb?x=1&y=%20" || call.Host != "h" || call.Text != "body" {
 		t.Errorf("the endpoint got %s %s of %s with %q", call.Method, call.RequestURI, call.Host, call.Text)
 	}
 	for name, want := range map[string]string{
