--- a/io/cmds/demo.go
+++ b/io/cmds/demo.go
@@ -120,10 +120,10 @@
 	return nil
 }
 
-// show sends the three requests, each to another host.
+// show sends the three requests, each to another host, and a routed one.
 func (d *demo) show(ctx context.Context) error {
 	d.printf("Three entry hosts, four engines and one plain service run on loopback.\n\n")
-	steps := []func(context.Context) error{d.lookup, d.draft, d.order}
+	steps := []func(context.Context) error{d.lookup, d.draft, d.order, d.showRouted}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			return err
