--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -38,7 +38,7 @@
 // interrupt, and a *Console.
 type commandLine struct {
 	Serve   ServeCommand   `cmd:"" help:"Run an entry host."`
-	Route   RouteCommand   `cmd:"" help:"Run an entry host for routed requests on the users' platform."`
+	Route   RouteCommand   `cmd:"" help:"Run an entry host for routed requests."`
 	Demo    DemoCommand    `cmd:"" help:"Show the whole path on loopback: three entry hosts before fakes."`
 	Fakes   FakesCommand   `cmd:"" help:"Run the demo's platform and back ends alone, for hosts in processes of their own."`
 	Config  configCommand  `cmd:"" help:"Check, show, compare and bundle configuration files."`
--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -18,13 +18,15 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/io/entry"
+	"apricotproxy/io/local"
 	"apricotproxy/io/logs"
 	"apricotproxy/platform"
 )
 
-// RouteCommand runs an entry host for routed requests on the users' platform.
+// RouteCommand runs an entry host for routed requests.
 type RouteCommand struct {
 	Boot     string `help:"Path of the platform's settings file; by default, where the platform's environment variable points."`
+	SiteFile string `help:"INI file with the host, routes and endpoints, for a site without the platform; see examples/routes.ini."`
 	LogLevel string `enum:"info,error" default:"info" help:"Least level to log: info or error."`
 
 	MetricsAddress string `default:":9464" help:"Where to show metrics, under /metrics; empty for nowhere."`
@@ -35,47 +37,64 @@
 
 // Run serves until SIGTERM.
 func (c *RouteCommand) Run(ctx context.Context, console *Console) error {
-	path := c.Boot
-	if path == "" {
-		path = os.Getenv(platform.SettingsVariable)
-	}
-	settings, err := platform.ReadSettings(path)
+	settings, err := c.settings()
 	if err != nil {
 		return fmt.Errorf("read the settings: %w", err)
 	}
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * _memoryShare))
 	}
-	dialer := entry.NewDialer()
-	store := platform.NewStore(settings.Store, &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true,
-	})
 	lines := logs.New(console.Out)
 	defer lines.Close()
-	logger := c.logger(lines)
-	h, err := entry.New(entry.Settings{
-		EntrySettings: settings,
-		Names:         platform.Headers(),
-		Paths:         platform.Paths(),
-		Store:         store,
-		Decode:        platform.Decode,
-		DecodeReport:  platform.DecodeReport,
-		Dialer:        dialer,
-		Listen:        net.Listen,
-		ListenPacket:  net.ListenPacket,
-		Logger:        logger,
-	})
+	settings.Logger = c.logger(lines)
+	h, err := entry.New(settings)
 	if err != nil {
 		return fmt.Errorf("start the host: %w", err)
 	}
-	go follow(ctx, path, h, logger)
-	go c.showMetrics(logger)
+	if c.SiteFile == "" {
+		go follow(ctx, c.bootPath(), h, settings.Logger)
+	}
+	go c.showMetrics(settings.Logger)
 	if err := h.Run(ctx); err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
 }
 
+// settings gives what the host is built from: the site's own file, or the users'
+// platform.
+func (c *RouteCommand) settings() (entry.Settings, error) {
+	dialer := entry.NewDialer()
+	settings := entry.Settings{Dialer: dialer, Listen: net.Listen, ListenPacket: net.ListenPacket}
+	if c.SiteFile != "" {
+		store, site, err := local.Open(c.SiteFile)
+		if err != nil {
+			return entry.Settings{}, fmt.Errorf("open the site's file: %w", err)
+		}
+		settings.EntrySettings, settings.Store, settings.Decode = site.Host, store, local.Decode
+		settings.Names, settings.Paths, settings.DecodeReport = local.Headers(), local.Paths(), local.DecodeReport
+		return settings, nil
+	}
+	own, err := platform.ReadSettings(c.bootPath())
+	if err != nil {
+		return entry.Settings{}, fmt.Errorf("read the platform's settings: %w", err)
+	}
+	settings.EntrySettings, settings.Decode = own, platform.Decode
+	settings.Store = platform.NewStore(own.Store, &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true,
+	})
+	settings.Names, settings.Paths, settings.DecodeReport = platform.Headers(), platform.Paths(), platform.DecodeReport
+	return settings, nil
+}
+
+// bootPath gives the path of the platform's settings file.
+func (c *RouteCommand) bootPath() string {
+	if c.Boot != "" {
+		return c.Boot
+	}
+	return os.Getenv(platform.SettingsVariable)
+}
+
 func (c *RouteCommand) logger(out io.Writer) logr.Logger {
 	level := slog.LevelInfo
 	if c.LogLevel == "error" {
