--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -26,7 +26,7 @@
 // RouteCommand runs an entry host for routed requests.
 type RouteCommand struct {
 	Boot     string `help:"Path of the platform's settings file; by default, where the platform's environment variable points."`
-	SiteFile string `help:"INI file with the host, routes and endpoints, for a site without the platform; see examples/routes.ini."`
+	SiteFile string `help:"INI file with the host, routes and endpoints, for a site without the platform; see examples/routed/routes.ini."`
 	LogLevel string `enum:"info,error" default:"info" help:"Least level to log: info or error."`
 
 	MetricsAddress string `default:":9464" help:"Where to show metrics, under /metrics; empty for nowhere."`
--- a/io/local/local_test.go
+++ b/io/local/local_test.go
@@ -13,7 +13,7 @@
 	"apricotproxy/io/local"
 )
 
-const _example = "../../examples/routes.ini"
+const _example = "../../examples/routed/routes.ini"
 
 func example(t *testing.T) string {
 	t.Helper()
