What nothing reads is left out: counters, bounds and fields of routed requests

Found by reading the change once more: io/links counted connections under its lock for nobody, six bounds of the settings and a deadline were stored and never read, a waiter's end stood beside the timer that ends it. Behaviour as before.

--- a/core/procs/place/wait.go
+++ b/core/procs/place/wait.go
@@ -9,8 +9,6 @@
 type Waiter struct {
 	Want    *Want
 	Granted func(*Run)
-	// Until is when waiting no longer pays.
-	Until time.Time
 }
 
 // Enqueue lets a request wait: more urgent ones first, then in order of arrival.
@@ -34,9 +32,6 @@
 	return true
 }
 
-// Waiting counts the requests that wait.
-func (p *Placer) Waiting() int { return len(p.waiting) }
-
 // Release grants what waits and has room now.
 func (p *Placer) Release(now time.Time) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Waiter) bool {
--- a/core/routed.go
+++ b/core/routed.go
@@ -226,22 +226,15 @@
 	// Seeds are heartbeat addresses of other hosts; they may be stale.
 	Seeds []string
 	// Store is the address of the platform's document store.
-	Store string
-	// HeartbeatInterval is how often an endpoint renews its document.
-	HeartbeatInterval time.Duration
-	MemoryBytes       int64
-	Bounds            EntryBounds
+	Store       string
+	MemoryBytes int64
+	Bounds      EntryBounds
 }
 
 // EntryBounds are the deployment's bounds, which its settings give.
 type EntryBounds struct {
-	// Contact is how long a host must have been undisturbed to count as in touch.
-	Contact time.Duration
-	// LeavingSpread, ConfigSpread and OutOfService are how soon a published
-	// change must be in force on every host.
+	// LeavingSpread is how soon every host must know that an endpoint is leaving.
 	LeavingSpread time.Duration
-	ConfigSpread  time.Duration
-	OutOfService  time.Duration
 	// StopGrace is how long a process may run on after SIGTERM.
 	StopGrace time.Duration
 	// Retries of a service, all hosts together, within RetryWindow: at most
@@ -253,10 +246,6 @@
 	// requests a second, all hosts together.
 	ColdFactor float64
 	ColdExtra  float64
-	// PrefixReuse is how long an engine is expected to keep a prompt part.
-	PrefixReuse time.Duration
-	// StoreHistory is how long the store remembers changes.
-	StoreHistory time.Duration
 	// EndpointInterval is how often an endpoint renews its document.
 	EndpointInterval time.Duration
 }
--- a/core/versn/table/table.go
+++ b/core/versn/table/table.go
@@ -109,13 +109,6 @@
 	return s, ok
 }
 
-// Services calls f with each service.
-func (t *Table) Services(f func(*core.RoutedService)) {
-	for _, s := range t.services {
-		f(s)
-	}
-}
-
 // Match finds the route with the longest prefix that begins the path.
 func (t *Table) Match(hostName, path string) (*core.Route, bool) {
 	routes := t.hosts[hostName]
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -82,7 +82,7 @@
 		return run, verdict
 	}
 	granted := make(chan *place.Run, 1)
-	waiter := &place.Waiter{Want: want, Until: until, Granted: func(run *place.Run) { granted <- run }}
+	waiter := &place.Waiter{Want: want, Granted: func(run *place.Run) { granted <- run }}
 	d.placer.Enqueue(waiter)
 	d.mu.Unlock()
 	timer := time.NewTimer(until.Sub(now))
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -99,8 +99,6 @@
 type request struct {
 	core.RoutedRequest
 	body []byte
-	// callerDeadline is when the caller gives up.
-	callerDeadline time.Time
 }
 
 // admit finds route, workspace and deadline, or says why not.
@@ -168,7 +166,6 @@
 	if ms, err := strconv.ParseFloat(r.Header.Get(f.config.Names.Deadline), 64); err == nil && ms >= 0 {
 		deadline = req.Arrived.Add(time.Duration(ms * float64(time.Millisecond)))
 	}
-	req.callerDeadline = deadline
 	if limit := req.Route.Timeout; limit > 0 && req.Arrived.Add(limit).Before(deadline) {
 		deadline = req.Arrived.Add(limit)
 	}
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -46,9 +46,7 @@
 // Error is a failed exchange.
 type Error struct {
 	Stage Stage
-	// Reused is true when the connection had carried another request before.
-	Reused bool
-	Err    error
+	Err   error
 }
 
 // Error names the stage and the cause.
@@ -102,14 +100,11 @@
 	settings Settings
 	mu       sync.Mutex
 	idle     map[string][]*link
-	dialed   uint64
-	reused   uint64
 }
 
 type link struct {
 	conn      net.Conn
 	reader    *bufio.Reader
-	used      bool
 	idleSince time.Time
 	idleUntil time.Time
 }
@@ -119,13 +114,6 @@
 	return &Pool{settings: settings, idle: make(map[string][]*link)}
 }
 
-// Counts gives how many connections were opened and how often one was used again.
-func (p *Pool) Counts() (dialed, reused uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dialed, p.reused
-}
-
 // Close closes idle connections.
 func (p *Pool) Close() { p.Keep(func(string) bool { return false }) }
 
@@ -172,8 +160,6 @@
 		return nil, &Error{Stage: StageDial, Err: context.Cause(ctx)}
 	}
 	stop := context.AfterFunc(ctx, l.close)
-	reused := l.used
-	l.used = true
 	written := l.write(request)
 	res, err := l.readAnswer(request)
 	if err != nil {
@@ -182,7 +168,7 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		return nil, &Error{Stage: StageSent, Reused: reused, Err: err}
+		return nil, &Error{Stage: StageSent, Err: err}
 	}
 	return &Answer{Response: res, link: l, written: written, stop: stop, pool: p, key: key}, nil
 }
@@ -201,7 +187,6 @@
 			fresh = now.Before(l.idleSince.Add(l.idleUntil.Sub(l.idleSince) / 2))
 		}
 		if fresh && quiet(l.conn) {
-			p.count(&p.reused)
 			return l, nil
 		}
 		l.close()
@@ -217,16 +202,9 @@
 			return nil, errors.Join(fmt.Errorf("set up the connection to %s: %w", address, err), conn.Close())
 		}
 	}
-	p.count(&p.dialed)
 	return &link{conn: conn, reader: bufio.NewReaderSize(conn, _readBufferBytes)}, nil
 }
 
-func (p *Pool) count(counter *uint64) {
-	p.mu.Lock()
-	*counter++
-	p.mu.Unlock()
-}
-
 func (p *Pool) take(key string) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
