Connections to an endpoint and log lines are bounded

Cause: what one endpoint accepts from all hosts (maxConns) bounded nothing but the idle connections of one host (4 each), and log lines only by a buffer, which a slow reader fills and a fast one does not.

Change: a host gives an endpoint no more runs than its part of the accepted connections (by the bound on hosts that may live), and keeps idle ones only while busy and idle ones together stay within it. Tests of both.

--- a/core/procs/place/limits.go
+++ b/core/procs/place/limits.go
@@ -30,6 +30,20 @@
 	}
 }
 
+// maxConnections is this host's part of the connections that an endpoint accepts
+// from all hosts; 0 when it names no bound. One is always allowed: with more hosts
+// than connections, chance has to keep them apart.
+func (p *Placer) maxConnections(service core.ServiceName) int {
+	if p.table == nil {
+		return 0
+	}
+	s, ok := p.table.Service(service)
+	if !ok || s.MaxConnections <= 0 {
+		return 0
+	}
+	return max(s.MaxConnections/p.hosts, 1)
+}
+
 // _staggerStep is how long after one host the next begins to use an endpoint that
 // has just become warm: a heartbeat within the data centre takes a few
 // milliseconds.
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -89,6 +89,10 @@
 	// Found is the load that the endpoint was believed to have when it was picked,
 	// by this host's own runs and by those that others told of.
 	Found Load
+	// MaxConnections is how many connections this host may keep to the endpoint;
+	// 0 for no bound.
+	MaxConnections int
+
 	load  Load
 	ended bool
 }
@@ -220,7 +224,7 @@
 	if now.Before(e.ColdUntil) {
 		e.cold.add(now, _coldWindow)
 	}
-	return &Run{Endpoint: e.Endpoint, Found: found, load: need}
+	return &Run{Endpoint: e.Endpoint, Found: found, MaxConnections: p.maxConnections(e.Service), load: need}
 }
 
 // open tells whether an endpoint takes new work.
@@ -248,6 +252,9 @@
 	if e.Slots > 0 && runs >= e.Slots {
 		return false
 	}
+	if most := p.maxConnections(e.Service); most > 0 && e.own.Runs >= most {
+		return false
+	}
 	if e.engine == nil || e.engine.MemoryTokens == 0 {
 		return true
 	}
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -216,6 +216,34 @@
 	}
 }
 
+// All hosts together open no more connections than an endpoint accepts, however
+// many slots it has.
+func TestConnectionsAreShared(t *testing.T) {
+	const hosts, accepted = 9, 45
+	built, err := table.Build(table.Source{Version: 1, Services: []core.RoutedService{{Name: "desk", MaxConnections: accepted}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSite(t, 0, 1)
+	s.SetHosts(hosts)
+	s.view.Table = built
+	s.change("desk-0", func(e *know.Endpoint) { e.Slots = 1000 })
+	runs := 0
+	for {
+		run, verdict := s.Place(_start, order())
+		if verdict != place.Placed {
+			break
+		}
+		runs++
+		if run.MaxConnections*hosts > accepted {
+			t.Fatalf("%d hosts may keep %d connections each, the endpoint accepts %d", hosts, run.MaxConnections, accepted)
+		}
+	}
+	if runs == 0 || runs*hosts > accepted {
+		t.Errorf("%d hosts with %d runs each, the endpoint accepts %d connections", hosts, runs, accepted)
+	}
+}
+
 // The bound on hosts does not fall when others go silent: they may work on the
 // other side of a partition.
 func TestHostsBoundDoesNotFall(t *testing.T) {
--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -29,6 +29,8 @@
 	SiteFile string `help:"INI file with the host, routes and endpoints, for a site without the platform; see examples/routed/routes.ini."`
 	LogLevel string `enum:"info,error" default:"info" help:"Least level to log: info or error."`
 
+	LogLines int `default:"1000" help:"Most log lines a second; more are dropped, and a line says how many. 0 for no bound."`
+
 	MetricsAddress string `default:":9464" help:"Where to show metrics, under /metrics; empty for nowhere."`
 }
 
@@ -44,7 +46,7 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * _memoryShare))
 	}
-	lines := logs.New(console.Out)
+	lines := logs.New(logs.Settings{Out: console.Out, LinesPerSecond: c.LogLines, Notice: droppedNotice})
 	defer lines.Close()
 	settings.Logger = c.logger(lines)
 	h, err := entry.New(settings)
@@ -103,6 +105,13 @@
 	return logr.FromSlogHandler(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level}))
 }
 
+// droppedNotice is the log line that tells that lines are missing.
+func droppedNotice(dropped int64) []byte {
+	var line bytes.Buffer
+	slog.New(slog.NewJSONHandler(&line, nil)).Warn("Log lines were dropped.", "Lines", dropped)
+	return line.Bytes()
+}
+
 // showMetrics serves the process's metrics. A host serves without them too.
 func (c *RouteCommand) showMetrics(logger logr.Logger) {
 	if c.MetricsAddress == "" {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -312,6 +312,8 @@
 		Body:     e.request.body,
 		Own:      e.own,
 		Careful:  e.request.Route.Kind != core.RouteIdempotent,
+
+		MaxConnections: e.run.MaxConnections,
 	}
 }
 
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -72,6 +72,9 @@
 	Own func(*http.Response) bool
 	// Careful asks for a connection that is certainly not about to be closed.
 	Careful bool
+	// MaxConnections is how many connections to the endpoint, idle ones included,
+	// may be kept; 0 for no bound.
+	MaxConnections int
 }
 
 // Answer is an endpoint's answer. Its body must be closed.
@@ -84,6 +87,8 @@
 	stop     func() bool
 	pool     *Pool
 	key      string
+	// most is the request's MaxConnections.
+	most int
 }
 
 // Settings are what a Pool is built from.
@@ -100,6 +105,8 @@
 	settings Settings
 	mu       sync.Mutex
 	idle     map[string][]*link
+	// busy counts the connections in use by endpoint.
+	busy map[string]int
 }
 
 type link struct {
@@ -111,7 +118,7 @@
 
 // New builds a pool. It opens no connection.
 func New(settings Settings) *Pool {
-	return &Pool{settings: settings, idle: make(map[string][]*link)}
+	return &Pool{settings: settings, idle: make(map[string][]*link), busy: make(map[string]int)}
 }
 
 // Close closes idle connections.
@@ -151,12 +158,14 @@
 // closed as soon as ctx ends. Errors are *Error.
 func (p *Pool) Do(ctx context.Context, endpoint core.RoutedEndpoint, request *Request) (*Answer, error) {
 	key := Key(endpoint)
+	p.count(key, 1)
 	l, err := p.link(ctx, key, endpoint.Address, request.Careful)
 	if err != nil {
+		p.count(key, -1)
 		return nil, &Error{Stage: StageDial, Err: err}
 	}
 	if err := ctx.Err(); err != nil {
-		l.close()
+		p.discard(key, l)
 		return nil, &Error{Stage: StageDial, Err: context.Cause(ctx)}
 	}
 	stop := context.AfterFunc(ctx, l.close)
@@ -164,13 +173,28 @@
 	res, err := l.readAnswer(request)
 	if err != nil {
 		stop()
-		l.close()
+		p.discard(key, l)
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
 		return nil, &Error{Stage: StageSent, Err: err}
 	}
-	return &Answer{Response: res, link: l, written: written, stop: stop, pool: p, key: key}, nil
+	return &Answer{Response: res, link: l, written: written, stop: stop, pool: p, key: key, most: request.MaxConnections}, nil
+}
+
+func (p *Pool) count(key string, change int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy[key] += change
+	if p.busy[key] == 0 {
+		delete(p.busy, key)
+	}
+}
+
+// discard closes a connection that was in use.
+func (p *Pool) discard(key string, l *link) {
+	p.count(key, -1)
+	l.close()
 }
 
 // link takes an idle connection or opens one.
@@ -217,9 +241,13 @@
 	return l
 }
 
-func (p *Pool) put(key string, l *link) {
+// put takes back a connection that was in use and keeps it, unless there are most
+// others to the endpoint already; 0 for no such bound.
+func (p *Pool) put(key string, l *link, most int) {
+	p.count(key, -1)
 	p.mu.Lock()
-	keep := len(p.idle[key]) < p.settings.MaxIdle
+	idle := len(p.idle[key])
+	keep := idle < p.settings.MaxIdle && (most == 0 || idle+p.busy[key] < most)
 	if keep {
 		p.idle[key] = append(p.idle[key], l)
 	}
@@ -304,12 +332,12 @@
 func (a *Answer) Close() {
 	owned := a.stop()
 	if !owned || !a.reusable() {
-		a.link.close()
+		a.pool.discard(a.key, a.link)
 		return
 	}
 	now := time.Now()
 	a.link.idleSince, a.link.idleUntil = now, now.Add(idleTime(a.Header))
-	a.pool.put(a.key, a.link)
+	a.pool.put(a.key, a.link, a.most)
 }
 
 func (a *Answer) reusable() bool {
--- a/io/links/links_test.go
+++ b/io/links/links_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -201,3 +202,34 @@
 	}
 	answer.Close()
 }
+
+// No more connections are kept than the host may have to the endpoint.
+func TestConnectionsAreBounded(t *testing.T) {
+	const most, together = 2, 3
+	e := start(t, func(c *routed.Call) bool { c.Answer(200, "ok", "Id: "+c.Header.Get("Id")); return true })
+	p := links.New(links.Settings{Dialer: &net.Dialer{}, DialTimeout: time.Second, MaxIdle: together})
+	t.Cleanup(p.Close)
+	round := func() {
+		var answers []*links.Answer
+		for i := range together {
+			one := request(strconv.Itoa(i))
+			one.MaxConnections = most
+			answer, err := p.Do(t.Context(), core.RoutedEndpoint{ID: "e", Address: e.Address}, one)
+			if err != nil {
+				t.Fatal(err)
+			}
+			answers = append(answers, answer)
+		}
+		for _, answer := range answers {
+			if _, err := io.ReadAll(answer); err != nil {
+				t.Fatal(err)
+			}
+			answer.Close()
+		}
+	}
+	round()
+	round()
+	if opened := e.Connections(); opened != together+together-most {
+		t.Errorf("%d connections were opened, want %d: %d of the first %d are kept", opened, together+together-most, most, together)
+	}
+}
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 
 func TestLinesArriveInOrder(t *testing.T) {
 	var out bytes.Buffer
-	w := logs.New(&out)
+	w := logs.New(logs.Settings{Out: &out})
 	want := ""
 	for i := range 1000 {
 		line := fmt.Sprintf("line %d\n", i)
@@ -37,7 +38,7 @@
 // A reader of the log that does not read holds up nobody.
 func TestFullBufferDropsAndDoesNotBlock(t *testing.T) {
 	s := stuck{release: make(chan struct{})}
-	w := logs.New(s)
+	w := logs.New(logs.Settings{Out: s})
 	began := time.Now()
 	for range 100_000 {
 		_, _ = w.Write([]byte("line\n"))
@@ -48,3 +49,33 @@
 	close(s.release)
 	w.Close()
 }
+
+// More lines a second than the bound are dropped, and the log says how many.
+func TestLinesAreBoundedBySecond(t *testing.T) {
+	const bound, written = 100, 10_000
+	var out bytes.Buffer
+	w := logs.New(logs.Settings{Out: &out, LinesPerSecond: bound, Notice: func(n int64) []byte {
+		return fmt.Appendf(nil, "dropped %d\n", n)
+	}})
+	began := time.Now()
+	for range written {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	took := time.Since(began)
+	w.Close()
+	lines, told := 0, 0
+	for line := range strings.Lines(out.String()) {
+		var n int
+		if _, err := fmt.Sscanf(line, "dropped %d", &n); err == nil {
+			told += n
+			continue
+		}
+		lines++
+	}
+	if most := bound * (5 + int(took.Seconds())); lines > most {
+		t.Errorf("%d lines in %v, want no more than %d", lines, took, most)
+	}
+	if lines+told != written {
+		t.Errorf("%d lines and %d told as dropped, want %d together", lines, told, written)
+	}
+}
