--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -54,14 +54,18 @@
 // _leavingSpread is within what time hosts have to know that an endpoint leaves.
 const _leavingSpread = 2 * time.Second
 
+// _stopGrace is how long a process may run on after SIGTERM.
+const _stopGrace = 4 * time.Second
+
 type site struct {
-	t       *testing.T
-	store   *store.Store
-	clients []*store.Client
-	front   []string
-	ready   []string
-	stop    []context.CancelFunc
-	ended   []chan error
+	t        *testing.T
+	settings []entry.Settings
+	store    *store.Store
+	clients  []*store.Client
+	front    []string
+	ready    []string
+	stop     []context.CancelFunc
+	ended    []chan error
 }
 
 // newSite starts hosts on loopback before one store.
@@ -69,7 +73,6 @@
 	t.Helper()
 	s := &site{t: t, store: store.New()}
 	var beats []string
-	var settings []entry.Settings
 	for i := range hosts {
 		address := func() string {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -85,7 +88,7 @@
 				Name: core.HostName(fmt.Sprint("host-", i)), DataCentre: "a", CallerAddress: address(), ReadyAddress: address(),
 				PeerAddress: address(), HeartbeatAddress: address(),
 				Bounds: core.EntryBounds{
-					LeavingSpread: _leavingSpread, StopGrace: 4 * time.Second, RetryWindow: 10 * time.Second, RetryExtra: 58,
+					LeavingSpread: _leavingSpread, StopGrace: _stopGrace, RetryWindow: 10 * time.Second, RetryExtra: 58,
 					EndpointInterval: time.Second,
 				},
 			},
@@ -100,24 +103,30 @@
 		s.front = append(s.front, one.CallerAddress)
 		s.ready = append(s.ready, one.ReadyAddress)
 		beats = append(beats, one.HeartbeatAddress)
-		settings = append(settings, one)
+		s.settings = append(s.settings, one)
 	}
-	for _, one := range settings {
-		one.Seeds = beats[:min(len(beats), 2)]
-		h, err := entry.New(one)
-		if err != nil {
-			t.Fatal(err)
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		ended := make(chan error, 1)
-		go func() { ended <- h.Run(ctx) }()
-		s.stop = append(s.stop, cancel)
-		s.ended = append(s.ended, ended)
-		t.Cleanup(cancel)
+	s.stop, s.ended = make([]context.CancelFunc, hosts), make([]chan error, hosts)
+	for i := range s.settings {
+		s.settings[i].Seeds = beats[:min(len(beats), 2)]
+		s.start(i)
 	}
 	return s
 }
 
+// start starts one host's process, at first or anew.
+func (s *site) start(i int) {
+	s.t.Helper()
+	h, err := entry.New(s.settings[i])
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(ctx) }()
+	s.stop[i], s.ended[i] = cancel, ended
+	s.t.Cleanup(cancel)
+}
+
 func (s *site) get(address, path string) (int, string) {
 	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
