core/procs/place: what waits takes freed room in turns

The hosts' logs show why: a run ends, all hosts of the data centre hear so at the same moment, and seven of them place what waits on that engine, which had room for one (i-a85f5704be, second 21.802 to 21.808).

Change: room that a host's own run left is taken at once; room that others told of is taken at the host's turn, 5 ms for each host before it in an order that differs by engine and second. A request that arrives does not pass those that wait for their turn. The test with 22 hosts placed 21 in the room of one before, 1 or 2 now.

--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -136,6 +136,8 @@
 	budgets    map[core.ServiceName]*budget
 	lengths    lengths
 	waiting    []*Waiter
+	// freed are endpoints on which runs of this host ended since the last Release.
+	freed []*endpoint
 }
 
 // New builds a placer that knows no endpoint.
@@ -191,6 +193,19 @@
 
 // Place picks the endpoint that serves a request soonest.
 func (p *Placer) Place(now time.Time, want *Want) (*Run, Verdict) {
+	e, verdict := p.pick(now, want)
+	if e == nil {
+		return nil, verdict
+	}
+	if p.outranked(want) {
+		return nil, Full
+	}
+	return p.begin(now, e, p.need(&want.Request)), Placed
+}
+
+// pick gives the endpoint that serves a request soonest; nil, and why, when there is
+// none.
+func (p *Placer) pick(now time.Time, want *Want) (*endpoint, Verdict) {
 	need := p.need(&want.Request)
 	var best *endpoint
 	bestCost, found := 0.0, false
@@ -209,7 +224,7 @@
 	}
 	switch {
 	case best != nil:
-		return p.begin(now, best, need), Placed
+		return best, Placed
 	case found:
 		return nil, Full
 	default:
@@ -314,6 +329,7 @@
 	run.ended = true
 	if e := p.state(run); e != nil {
 		e.own.remove(run.load)
+		p.freed = append(p.freed, e)
 	}
 }
 
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -14,6 +14,8 @@
 
 var _start = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
 
+func randomOf(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
 func after(d time.Duration) time.Time { return _start.Add(d) }
 
 const _engineMemory = 30_000
--- a/core/procs/place/wait.go
+++ b/core/procs/place/wait.go
@@ -2,13 +2,22 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
+// _turnStep is how long one host's turn lasts: a heartbeat within a data centre takes
+// a few milliseconds.
+const _turnStep = 5 * time.Millisecond
+
 // Waiter is a request that waits for room. Granted gets its run.
 type Waiter struct {
 	Want    *Want
 	Granted func(*Run)
+	// turn is when it may take the room that is there; zero while there is none.
+	turn time.Time
 }
 
 // Enqueue lets a request wait: more urgent ones first, then in order of arrival.
@@ -32,14 +41,59 @@
 	return true
 }
 
-// Release grants what waits and has room now.
+// Release grants what waits and has room now. Room that a run of this host's own
+// left is taken at once: no other host knows of it yet. Room that others told of is
+// seen by all hosts at the same moment; each takes it at a turn of its own, by which
+// it has heard of those before it.
 func (p *Placer) Release(now time.Time) {
+	freed := p.freed
+	p.freed = nil
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Waiter) bool {
-		run, verdict := p.Place(now, w.Want)
-		if verdict != Placed {
+		e, _ := p.pick(now, w.Want)
+		switch {
+		case e == nil:
+			w.turn = time.Time{}
 			return false
+		case slices.Contains(freed, e), !w.turn.IsZero() && !now.Before(w.turn):
+			w.Granted(p.begin(now, e, p.need(&w.Want.Request)))
+			return true
+		case w.turn.IsZero():
+			w.turn = now.Add(p.turnDelay(now, e))
 		}
-		w.Granted(run)
-		return true
+		return false
 	})
 }
+
+// outranked tells whether the room that is there is for requests that wait for their
+// turn already.
+func (p *Placer) outranked(want *Want) bool {
+	return slices.ContainsFunc(p.waiting, func(w *Waiter) bool {
+		return !w.turn.IsZero() && w.Want.Request.Service == want.Request.Service && w.Want.Request.Priority <= want.Request.Priority
+	})
+}
+
+// NextTurn gives the first moment at which Release may grant something that waits
+// for its turn; zero when nothing does.
+func (p *Placer) NextTurn() time.Time {
+	var next time.Time
+	for _, w := range p.waiting {
+		if !w.turn.IsZero() && (next.IsZero() || w.turn.Before(next)) {
+			next = w.turn
+		}
+	}
+	return next
+}
+
+// turnDelay is how long a request leaves an endpoint's room to others: the place of
+// this host among those of its data centre, which differs by endpoint and changes each
+// second, so that no host always comes first.
+func (p *Placer) turnDelay(now time.Time, e *endpoint) time.Duration {
+	round := e.ID + " " + strconv.FormatInt(now.Unix(), 10) + " "
+	own, before := xxhash.Sum64String(round+string(p.self)), 0
+	for from := range p.peers {
+		if from.Host != "" && xxhash.Sum64String(round+string(from.Host)) < own {
+			before++
+		}
+	}
+	return time.Duration(before) * _turnStep
+}
--- /dev/null
+++ b/core/procs/place/wait_test.go
@@ -0,0 +1,163 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/place"
+)
+
+// crowd is the hosts of one data centre before one engine. What one host places, the
+// others hear a few milliseconds later.
+type crowd struct {
+	hosts []*site
+	now   time.Time
+	news  []told
+}
+
+type told struct {
+	at   time.Time
+	host int
+	load place.Load
+}
+
+// _hear is how long a heartbeat takes within a data centre.
+const _hear = 3 * time.Millisecond
+
+func newCrowd(t *testing.T, hosts int) *crowd {
+	c := &crowd{now: _start}
+	for i := range hosts {
+		s := newSite(t, 1, 0)
+		s.Placer = place.New(core.HostName(fmt.Sprint("host-", i)), "a", core.EntryBounds{}, randomOf(uint64(i)))
+		s.Apply(s.view)
+		c.hosts = append(c.hosts, s)
+		for other := range hosts {
+			if other != i {
+				s.Hear(c.now, c.source(other), nil)
+			}
+		}
+	}
+	return c
+}
+
+func (c *crowd) source(host int) place.Source {
+	return place.Source{Host: core.HostName(fmt.Sprint("host-", host))}
+}
+
+// tell has the other hosts hear of a host's load.
+func (c *crowd) tell(host int) {
+	var load place.Load
+	c.hosts[host].Own(func(_ string, l place.Load) { load = l })
+	c.news = append(c.news, told{at: c.now.Add(_hear), host: host, load: load})
+}
+
+// step lets a millisecond pass.
+func (c *crowd) step() {
+	c.now = c.now.Add(time.Millisecond)
+	for len(c.news) > 0 && !c.now.Before(c.news[0].at) {
+		n := c.news[0]
+		c.news = c.news[1:]
+		for i, s := range c.hosts {
+			if i != n.host {
+				s.Hear(c.now, c.source(n.host), map[string]place.Load{"engine-0": n.load})
+			}
+		}
+	}
+	for _, s := range c.hosts {
+		s.Release(c.now)
+	}
+}
+
+// Found by the bench, rota grown, quiet-1: a run ended, all hosts of its data centre
+// heard so at the same moment, and seven of them placed what waited on its engine, which
+// had room for one.
+func TestFreedRoomIsNotTakenByAllAtOnce(t *testing.T) {
+	const hosts, runs = 22, 6
+	c := newCrowd(t, hosts)
+	var held []*place.Run
+	for range runs {
+		run, verdict := c.hosts[0].Place(c.now, draft())
+		if verdict != place.Placed {
+			t.Fatalf("verdict %v for the first runs", verdict)
+		}
+		held = append(held, run)
+	}
+	c.tell(0)
+	for range 5 {
+		c.step()
+	}
+	placed := 0
+	for i := 1; i < hosts; i++ {
+		want := draft()
+		want.Request.Arrived = c.now
+		want.Request.Route = &core.Route{Prefix: "/draft/", Kind: core.RouteStreaming, Goal: 1500 * time.Millisecond}
+		c.hosts[i].Enqueue(&place.Waiter{Want: want, Granted: func(*place.Run) {
+			placed++
+			c.tell(i)
+		}})
+	}
+	for range 100 {
+		c.step()
+	}
+	if placed > 1 { // the engine's margin may have room for one
+		t.Fatalf("%d placed on a full engine", placed)
+	}
+	before := placed
+	c.hosts[0].End(held[0])
+	c.tell(0)
+	for range 300 {
+		c.step()
+	}
+	if got := placed - before; got < 1 || got > 2 {
+		t.Errorf("%d placed in the room of one run, want 1, or 2 at most", got)
+	}
+}
+
+// What waits for its turn comes before a request that has just arrived, and room that
+// this host's own run left is taken at once.
+func TestTurnsBeforeNewRequests(t *testing.T) {
+	c := newCrowd(t, 9)
+	s := c.hosts[1]
+	s.Hear(c.now, c.source(0), map[string]place.Load{"engine-0": {Runs: 24}})
+	granted := 0
+	s.Enqueue(&place.Waiter{Want: draft(), Granted: func(*place.Run) { granted++ }})
+	s.Hear(c.now, c.source(0), map[string]place.Load{"engine-0": {}})
+	s.Release(c.now)
+	if granted > 0 {
+		t.Fatal("room that others told of was taken before its turn")
+	}
+	if _, verdict := s.Place(c.now, draft()); verdict != place.Full {
+		t.Errorf("verdict %v for a request that arrives while another waits for its turn, want full", verdict)
+	}
+	next := s.NextTurn()
+	if next.IsZero() || next.After(c.now.Add(100*time.Millisecond)) {
+		t.Errorf("the next turn is at %v", next)
+	}
+	s.Release(next)
+	if granted != 1 {
+		t.Error("what waited was not granted at its turn")
+	}
+	if run, verdict := s.Place(next, draft()); verdict == place.Placed {
+		s.End(run)
+	} else {
+		t.Errorf("verdict %v once nothing waits", verdict)
+	}
+
+	full := c.hosts[2]
+	var runs []*place.Run
+	for {
+		run, verdict := full.Place(c.now, draft())
+		if verdict != place.Placed {
+			break
+		}
+		runs = append(runs, run)
+	}
+	full.Enqueue(&place.Waiter{Want: draft(), Granted: func(*place.Run) { granted++ }})
+	full.End(runs[0])
+	full.Release(c.now)
+	if granted != 2 {
+		t.Error("room that an own run left was not taken at once")
+	}
+}
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -17,6 +17,9 @@
 	placer *place.Placer
 	// changed is closed when endpoints come, leave or go.
 	changed chan struct{}
+	// turn fires at the next turn of a request that waits, due at turnAt.
+	turn   *time.Timer
+	turnAt time.Time
 }
 
 // NewDesk wraps a placer.
@@ -29,7 +32,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f(d.placer)
+	d.release()
+}
+
+// release grants what has room, now and when the next turn comes. The caller holds
+// the lock.
+func (d *Desk) release() {
 	d.placer.Release(time.Now())
+	next := d.placer.NextTurn()
+	if next.IsZero() || next.Equal(d.turnAt) {
+		return
+	}
+	d.turnAt = next
+	if d.turn != nil {
+		d.turn.Stop()
+	}
+	d.turn = time.AfterFunc(time.Until(next), func() { d.Update(func(*place.Placer) {}) })
 }
 
 // Apply takes in a view.
