core/procs/place: cold engines take their part, warm ones no turns of all hosts

Cause: on rota grown an engine lives 14 s before it leaves and is first used 1.2 s after it joined: its part of what a cold engine bears (32 requests a second) is less than one request for each of 131 hosts that may live, so that it got none for its cold second, and hosts then began in turns of 10 ms each. Of 72 engines 51 to 60 had work.

Change: where the hosts are more than the requests, each is one of those that may send one by chance, with a mean that exceeds the bound once in 1e9 (Chernoff). The count of hosts that may live takes in those that others named (87 hosts: each knew of under 58 after 2 s before), and a host that has just started takes no part of what all share for 2 s.

Memory still binds: copies take a fifth of it.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -140,11 +140,12 @@
 	return n
 }
 
-// Heard counts the hosts that may live, this one included.
-func (s *State) Heard(now time.Time) int {
+// MayLive counts the hosts that may live, this one included: those heard lately and
+// those that others named. In a large deployment it takes long to hear each host.
+func (s *State) MayLive(now time.Time) int {
 	n := 1
 	for _, m := range s.members {
-		if !m.heard.IsZero() && now.Sub(m.heard) < _heardFor {
+		if now.Sub(m.heard) < _heardFor || m.heard.IsZero() && !now.After(m.until) {
 			n++
 		}
 	}
--- a/core/procs/place/limits.go
+++ b/core/procs/place/limits.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,22 +13,38 @@
 	// _coldWindow is the span in which a cold endpoint's requests are counted:
 	// its rate is given per second.
 	_coldWindow = time.Second
+	// _coldChance bounds the chance that more hosts than a cold endpoint bears send
+	// to it in one second, where the hosts are more than the requests it bears.
+	_coldChance = 1e-9
 	// _hostsUnknown is how many hosts are assumed before any was heard of.
 	_hostsUnknown = 16
-	// _hostsMargin is how many hosts may live for each one that was heard of:
+	// _hostsMargin is how many hosts may live for each one that is known of:
 	// hosts are added, and hosts on the other side of a partition still work.
 	_hostsMargin = 1.5
+	// _settle is how long after its start, and after it first heard of others, a host
+	// takes no part of what all share: until then it does not know how many there are.
+	_settle = 2 * time.Second
+	// _remoteStagger is how long after an endpoint became warm the hosts of other
+	// data centres begin to use it: they hear of what its own data centre places
+	// there within about two heartbeats.
+	_remoteStagger = 500 * time.Millisecond
 )
 
-// SetHosts tells how many hosts were heard of lately. Limits that all hosts
-// share are divided by a bound on the hosts that may live. The bound does not
-// fall when hosts go silent: they may be working on the other side of a
-// partition.
-func (p *Placer) SetHosts(heard int) {
-	p.hosts = max(int(float64(heard)*_hostsMargin)+1, p.hosts)
-	if p.hosts == _hostsUnknown && heard > 1 {
-		p.hosts = int(float64(heard)*_hostsMargin) + 1
+// SetHosts tells how many hosts may live by what is heard now. Limits that all hosts
+// share are divided by a bound on them. The bound does not fall when hosts go silent:
+// they may be working on the other side of a partition.
+func (p *Placer) SetHosts(now time.Time, known int) {
+	bound := int(float64(known)*_hostsMargin) + 1
+	if !p.heard && known > 1 {
+		p.heard, p.settled = true, now.Add(_settle)
+		p.hosts = bound
 	}
+	p.hosts = max(p.hosts, bound)
+}
+
+// sharing tells whether this host knows its part of what all hosts share.
+func (p *Placer) sharing(now time.Time) bool {
+	return !p.settled.IsZero() && !now.Before(p.settled)
 }
 
 // maxConnections is this host's part of the connections that an endpoint accepts
@@ -44,22 +61,6 @@
 	return max(s.MaxConnections/p.hosts, 1)
 }
 
-// _staggerStep is how long after one host the next begins to use an endpoint that
-// has just become warm: a heartbeat within the data centre takes a few
-// milliseconds.
-const _staggerStep = 10 * time.Millisecond
-
-// stagger is how long after an endpoint became warm this host begins to use it.
-// When memory is short, requests wait at all hosts for the next engine; all of
-// them would go there at the same moment, before any host hears of another's.
-func (p *Placer) stagger(e *endpoint) time.Duration {
-	if e.ColdUntil.IsZero() {
-		return 0
-	}
-	turn := xxhash.Sum64String(string(p.self)+" "+e.ID) % uint64(p.hosts)
-	return time.Duration(turn) * _staggerStep
-}
-
 // window counts events within a sliding span.
 type window struct{ times []time.Time }
 
@@ -87,8 +88,42 @@
 	if !ok || s.ColdPerSecond <= 0 {
 		return true
 	}
+	if !p.sharing(now) {
+		return false
+	}
 	bound := s.ColdPerSecond*p.bounds.ColdFactor + p.bounds.ColdExtra
-	return float64(e.cold.count(now, _coldWindow)+1) <= bound/float64(p.hosts)
+	share := bound / float64(p.hosts)
+	if share < 1 {
+		share = p.coldTurn(e, bound)
+	}
+	return float64(e.cold.count(now, _coldWindow)+1) <= share
+}
+
+// coldTurn gives 1 to a few of the hosts and 0 to the others, where the hosts are more
+// than the requests that a cold endpoint bears: each host is one of them by chance, so
+// seldom that all together stay within the bound.
+func (p *Placer) coldTurn(e *endpoint, bound float64) float64 {
+	drawn := float64(xxhash.Sum64String(string(p.self)+" "+e.ID)) / math.MaxUint64
+	if drawn < safeMean(bound)/float64(p.hosts) {
+		return 1
+	}
+	return 0
+}
+
+// safeMean gives the highest mean of many independent events of which more than bound
+// happen with no more than _coldChance, by Chernoff's bound.
+func safeMean(bound float64) float64 {
+	over := math.Floor(bound) + 1
+	low, high := 0.0, over
+	for range 40 {
+		mean := (low + high) / 2
+		if over-mean+over*math.Log(mean/over) > math.Log(_coldChance) {
+			high = mean
+		} else {
+			low = mean
+		}
+	}
+	return low
 }
 
 // budget counts a service's requests and retries within the window of the
@@ -116,7 +151,10 @@
 func (p *Placer) Again(now time.Time, service core.ServiceName) bool {
 	b := p.budget(service)
 	window := p.bounds.RetryWindow
-	allowed := p.bounds.RetryShare*float64(b.requests.count(now, window)) + p.bounds.RetryExtra/float64(p.hosts)
+	allowed := p.bounds.RetryShare * float64(b.requests.count(now, window))
+	if p.sharing(now) {
+		allowed += p.bounds.RetryExtra / float64(p.hosts)
+	}
 	if float64(b.retries.count(now, window)+1) > allowed {
 		return false
 	}
--- a/core/procs/place/peers.go
+++ b/core/procs/place/peers.go
@@ -29,6 +29,9 @@
 
 // Expire forgets what other hosts said too long ago.
 func (p *Placer) Expire(now time.Time) {
+	if p.settled.IsZero() {
+		p.settled = now.Add(_settle)
+	}
 	changed := false
 	for host, said := range p.peers {
 		if !now.Before(said.until) {
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -133,9 +133,12 @@
 	out        map[core.DataCentreName]bool
 	peers      map[Source]peerLoad
 	hosts      int
-	budgets    map[core.ServiceName]*budget
-	lengths    lengths
-	waiting    []*Waiter
+	// heard is true once other hosts are known, settled when their number is.
+	heard   bool
+	settled time.Time
+	budgets map[core.ServiceName]*budget
+	lengths lengths
+	waiting []*Waiter
 	// freed are endpoints on which runs of this host ended since the last Release.
 	freed []*endpoint
 }
@@ -260,7 +263,7 @@
 	if now.Before(e.ColdUntil) && !p.coldAllows(now, e) {
 		return false
 	}
-	if !now.Before(e.ColdUntil) && now.Before(e.ColdUntil.Add(p.stagger(e))) {
+	if e.DataCentre != p.dataCentre && !e.ColdUntil.IsZero() && now.Before(e.ColdUntil.Add(_remoteStagger)) {
 		return false
 	}
 	runs := e.own.Runs + e.peers.Runs
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -54,7 +54,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	accepted, first := p.state.Hear(now, &message.Heartbeat)
-	hosts := p.state.Heard(now)
+	hosts := p.state.MayLive(now)
 	p.mu.Unlock()
 	if !accepted {
 		return
@@ -67,7 +67,7 @@
 		from = place.Source{Centre: message.From.Centre}
 	}
 	p.desk.Update(func(placer *place.Placer) {
-		placer.SetHosts(hosts)
+		placer.SetHosts(now, hosts)
 		if message.Loads != nil {
 			placer.Hear(now, from, message.Loads)
 		}
