core/procs/place: few prompts wait at an engine; a host alone settles at once

Cause: prompts of 300,000 tokens waited at 55 engines of rota grown, up to 15,000 at one, and could not go anywhere else any more; an engine that had just become warm got all that waited.

Change: an engine before which 3,500 prompt tokens wait gets no more (what it reads at 14 a millisecond within a heartbeat); a prompt that was read lets what waits go on, and the data centre's hosts are told at once. A host whose settings name no other takes its part at once.

--- a/core/procs/place/limits.go
+++ b/core/procs/place/limits.go
@@ -30,10 +30,14 @@
 	_remoteStagger = 500 * time.Millisecond
 )
 
-// SetHosts tells how many hosts may live by what is heard now. Limits that all hosts
+// SetHosts tells how many hosts may live by what is heard now; 1 only where the settings
+// name no other. Limits that all hosts
 // share are divided by a bound on them. The bound does not fall when hosts go silent:
 // they may be working on the other side of a partition.
 func (p *Placer) SetHosts(now time.Time, known int) {
+	if known == 1 && p.settled.IsZero() {
+		p.settled = now // alone by its settings
+	}
 	bound := int(float64(known)*_hostsMargin) + 1
 	if !p.heard && known > 1 {
 		p.heard, p.settled = true, now.Add(_settle)
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -34,6 +34,10 @@
 	// _remoteMargin is the same for another data centre's engines, whose hosts may
 	// have placed more since they last told of it.
 	_remoteMargin = 0.8
+	// _prefillAhead is how many prompt tokens may wait at an engine before it gets no
+	// more: what it reads, at 14 a millisecond (docs/platform.md), until this host
+	// hears that it has read them. What waits here can still go anywhere.
+	_prefillAhead = 3500
 	// _fullTokens is what an engine whose memory is taken costs more than an empty
 	// one, in tokens of prompt.
 	_fullTokens = 240
@@ -139,7 +143,7 @@
 	budgets map[core.ServiceName]*budget
 	lengths lengths
 	waiting []*Waiter
-	// freed are endpoints on which runs of this host ended since the last Release.
+	// freed are endpoints on which runs of this host made room since the last Release.
 	freed []*endpoint
 }
 
@@ -276,6 +280,9 @@
 	if e.engine == nil || e.engine.MemoryTokens == 0 {
 		return true
 	}
+	if e.own.Prefill+e.peers.Prefill >= _prefillAhead {
+		return false
+	}
 	used := e.own.Tokens + e.peers.Tokens
 	margin := _memoryMargin
 	if e.DataCentre != p.dataCentre {
@@ -320,6 +327,7 @@
 func (p *Placer) Read(run *Run) {
 	if e := p.state(run); e != nil && !run.ended {
 		e.own.Prefill -= run.load.Prefill
+		p.freed = append(p.freed, e)
 	}
 	run.load.Prefill = 0
 }
--- a/core/procs/place/wait.go
+++ b/core/procs/place/wait.go
@@ -41,26 +41,27 @@
 	return true
 }
 
-// Release grants what waits and has room now. Room that a run of this host's own
-// left is taken at once: no other host knows of it yet. Room that others told of is
-// seen by all hosts at the same moment; each takes it at a turn of its own, by which
-// it has heard of those before it.
+// Release grants what waits and has room now. Room that a run of this host's own made,
+// by its end or with its prompt read, is taken at once: no other host knows of it yet.
+// Room that others told of is seen by all hosts at the same moment; each takes it at a
+// turn of its own, by which it has heard of those before it.
 func (p *Placer) Release(now time.Time) {
 	freed := p.freed
 	p.freed = nil
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Waiter) bool {
 		e, _ := p.pick(now, w.Want)
-		switch {
-		case e == nil:
+		if e == nil {
 			w.turn = time.Time{}
 			return false
-		case slices.Contains(freed, e), !w.turn.IsZero() && !now.Before(w.turn):
-			w.Granted(p.begin(now, e, p.need(&w.Want.Request)))
-			return true
-		case w.turn.IsZero():
+		}
+		if w.turn.IsZero() {
 			w.turn = now.Add(p.turnDelay(now, e))
 		}
-		return false
+		if now.Before(w.turn) && !slices.Contains(freed, e) {
+			return false
+		}
+		w.Granted(p.begin(now, e, p.need(&w.Want.Request)))
+		return true
 	})
 }
 
--- a/core/procs/place/wait_test.go
+++ b/core/procs/place/wait_test.go
@@ -82,6 +82,7 @@
 		if verdict != place.Placed {
 			t.Fatalf("verdict %v for the first runs", verdict)
 		}
+		c.hosts[0].Read(run)
 		held = append(held, run)
 	}
 	c.tell(0)
@@ -152,6 +153,7 @@
 		if verdict != place.Placed {
 			break
 		}
+		full.Read(run)
 		runs = append(runs, run)
 	}
 	full.Enqueue(&place.Waiter{Want: draft(), Granted: func(*place.Run) { granted++ }})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,11 +90,14 @@
 		links:    links.New(links.Settings{Dialer: settings.Dialer, DialTimeout: _endpointDial, MaxIdle: _endpointIdle}),
 	}
 	placer := place.New(settings.Name, settings.DataCentre, settings.Bounds, rand.New(rand.NewPCG(seed, 1)))
+	if alone(settings.EntrySettings) {
+		placer.SetHosts(time.Now(), 1)
+	}
 	h.desk = front.NewDesk(placer)
 	h.facts = newFacts(know.New(settings.Decode, lapse(settings.Bounds)), settings.Logger, h.apply)
 	h.front = front.New(front.Config{
 		Names: settings.Names, Paths: settings.Paths, Desk: h.desk, Links: h.links, View: h.facts.View, Logger: settings.Logger,
-		Placed: func() { h.peers.tellNear() },
+		LoadChanged: func() { h.peers.tellNear() },
 	})
 	var err error
 	if h.peers, err = newPeers(h, rand.New(rand.NewPCG(seed, 2))); err != nil {
@@ -102,6 +106,11 @@
 	return h, h.listen()
 }
 
+// alone tells whether the settings name no other host.
+func alone(settings core.EntrySettings) bool {
+	return !slices.ContainsFunc(settings.Seeds, func(seed string) bool { return seed != settings.HeartbeatAddress })
+}
+
 func lapse(bounds core.EntryBounds) know.Lapse {
 	return know.Lapse{
 		Outage: (_lapseBeats - 1) * bounds.EndpointInterval,
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -171,6 +171,7 @@
 // begin passes the header on, with the first event.
 func (e *exchange) begin(answer *links.Answer) {
 	e.desk().read(e.run)
+	e.loadChanged()
 	e.delivered = true
 	e.front.counters.first.took(time.Since(e.request.Arrived))
 	copyAnswerHeader(e.writer.Header(), answer.Header)
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -160,6 +160,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.placer.Read(run)
+	d.release()
 }
 
 // end ends a run and takes in how it went; an outcome of 0 says nothing of the
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -162,6 +162,13 @@
 	return end
 }
 
+// loadChanged has other hosts told of a generation's load.
+func (e *exchange) loadChanged() {
+	if e.request.Prompt.Tokens > 0 {
+		e.front.config.LoadChanged()
+	}
+}
+
 // place waits for a run; it gives the end when there is none.
 func (e *exchange) place(ctx context.Context) *ended {
 	request := &e.request.RoutedRequest
@@ -175,9 +182,7 @@
 	run, verdict := e.desk().place(ctx, &place.Want{Request: *request, Exclude: e.used}, until)
 	if verdict == place.Placed {
 		e.run = run
-		if request.Prompt.Tokens > 0 {
-			e.front.config.Placed()
-		}
+		e.loadChanged()
 		return nil
 	}
 	if ctx.Err() != nil {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -42,8 +42,9 @@
 	Links  *links.Pool
 	View   func() *know.View
 	Logger logr.Logger
-	// Placed is called when a generation was placed: other hosts are to know.
-	Placed func()
+	// LoadChanged is called when a generation was placed or its prompt was read: the
+	// hosts of the data centre are to know at once.
+	LoadChanged func()
 }
 
 // Front is the handler of routed requests.
