--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/invar"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/versn/table"
 )
@@ -145,8 +146,21 @@
 	waiting []*Waiter
 	// freed are endpoints on which runs of this host made room since the last Release.
 	freed []*endpoint
+
+	switches Switches
+}
+
+// Switches turn safeguards off, to show that tests notice.
+type Switches struct {
+	// UseLeaving gives work to endpoints that are leaving, UseOut to those of data
+	// centres that are out of service.
+	UseLeaving bool
+	UseOut     bool
 }
 
+// SetSwitches turns safeguards off.
+func (p *Placer) SetSwitches(switches Switches) { p.switches = switches }
+
 // New builds a placer that knows no endpoint.
 func New(self core.HostName, dataCentre core.DataCentreName, bounds core.EntryBounds, random *rand.Rand) *Placer {
 	return &Placer{
@@ -240,6 +254,8 @@
 }
 
 func (p *Placer) begin(now time.Time, e *endpoint, need Load) *Run {
+	invar.Check(invar.DataCentreOut, !p.out[e.DataCentre], "a run on %s in %s, which is out of service", e.ID, e.DataCentre)
+	invar.Check(invar.EndpointLeaving, !e.Draining && !e.leaving, "a run on %s, which is leaving", e.ID)
 	found := e.own
 	found.add(e.peers)
 	e.own.add(need)
@@ -251,7 +267,7 @@
 
 // open tells whether an endpoint takes new work.
 func (p *Placer) open(now time.Time, e *endpoint, exclude []string) bool {
-	if e.Draining || e.leaving || p.out[e.DataCentre] || e.health.barred(now) {
+	if (e.Draining || e.leaving) && !p.switches.UseLeaving || p.out[e.DataCentre] && !p.switches.UseOut || e.health.barred(now) {
 		return false
 	}
 	for _, id := range exclude {
--- a/core/reqst/tries/tries.go
+++ b/core/reqst/tries/tries.go
@@ -3,7 +3,10 @@
 // run" only while no try may have run.
 package tries
 
-import "apricotproxy/core"
+import (
+	"apricotproxy/core"
+	"apricotproxy/core/invar"
+)
 
 // Result is how one try ended.
 type Result uint8
@@ -56,9 +59,16 @@
 // _notSentAtMost bounds the endpoints that are tried without reaching one.
 const _notSentAtMost = 6
 
+// Switches turn safeguards off, to show that tests notice.
+type Switches struct {
+	// RepeatAnything takes every request for one that may run more than once.
+	RepeatAnything bool
+}
+
 // Tries is the history of one request.
 type Tries struct {
-	route *core.Route
+	route    *core.Route
+	switches Switches
 	// ran counts the endpoints on which the request may have run.
 	ran     int
 	notSent int
@@ -67,7 +77,9 @@
 }
 
 // New begins a request's history.
-func New(route *core.Route) *Tries { return &Tries{route: route} }
+func New(route *core.Route, switches Switches) *Tries {
+	return &Tries{route: route, switches: switches}
+}
 
 // MayHaveRun tells whether a try may have run.
 func (t *Tries) MayHaveRun() bool { return t.ran > 0 }
@@ -83,6 +95,8 @@
 	if t.counted {
 		t.ran++
 	}
+	invar.Check(invar.OrderAtMostOnce, t.ran <= 1 || repeatable(t.route),
+		"a request of kind %v may have run on %d endpoints", t.route.Kind, t.ran)
 }
 
 // Situation is what a decision needs to know besides the history.
@@ -165,6 +179,8 @@
 }
 
 // repeatable tells whether the request may run on one more endpoint.
-func (t *Tries) repeatable() bool {
-	return t.route.Kind == core.RouteIdempotent || (t.route.Kind == core.RouteStreaming && t.route.Resumable)
+func (t *Tries) repeatable() bool { return t.switches.RepeatAnything || repeatable(t.route) }
+
+func repeatable(route *core.Route) bool {
+	return route.Kind == core.RouteIdempotent || (route.Kind == core.RouteStreaming && route.Resumable)
 }
--- a/core/reqst/tries/tries_test.go
+++ b/core/reqst/tries/tries_test.go
@@ -61,7 +61,7 @@
 		{"a check resumed and failed is cut", _check, []try{{sent: true, result: tries.Broken, delivered: true}, {sent: true, result: tries.Failed, delivered: true}}, tries.Cut},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			history := tries.New(c.route)
+			history := tries.New(c.route, tries.Switches{})
 			var got tries.Step
 			for _, one := range c.tries {
 				if one.sent {
@@ -81,7 +81,7 @@
 
 // An endpoint that cannot be reached is not dialled for ever.
 func TestUnreachableEndpointsAreGivenUp(t *testing.T) {
-	history := tries.New(_lookup)
+	history := tries.New(_lookup, tries.Switches{})
 	for n := range 100 {
 		if step := history.Next(tries.NotSent, tries.Situation{TimeLeft: true}); step == tries.Refuse {
 			t.Logf("refused after %d tries", n+1)
--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -17,6 +17,7 @@
 
 	"github.com/go-logr/logr"
 
+	"apricotproxy/core/invar"
 	"apricotproxy/io/entry"
 	"apricotproxy/io/local"
 	"apricotproxy/io/logs"
@@ -49,6 +50,9 @@
 	lines := logs.New(logs.Settings{Out: console.Out, LinesPerSecond: c.LogLines, Notice: droppedNotice})
 	defer lines.Close()
 	settings.Logger = c.logger(lines)
+	defer invar.Handle(func(violation *invar.Violation) {
+		settings.Logger.WithName("promise").Error(violation, "A promise is broken.")
+	})()
 	h, err := entry.New(settings)
 	if err != nil {
 		return fmt.Errorf("start the host: %w", err)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -59,10 +59,18 @@
 	// ListenPacket opens a socket for datagrams.
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	Logger       logr.Logger
+	// Switches turn safeguards off, to show that tests notice.
+	Switches Switches
 	// Seed makes random choices repeatable; 0 draws one.
 	Seed uint64
 }
 
+// Switches turn safeguards off.
+type Switches struct {
+	Front front.Switches
+	Place place.Switches
+}
+
 // Host is one entry host.
 type Host struct {
 	settings Settings
@@ -90,6 +98,7 @@
 		links:    links.New(links.Settings{Dialer: settings.Dialer, DialTimeout: _endpointDial, MaxIdle: _endpointIdle}),
 	}
 	placer := place.New(settings.Name, settings.DataCentre, settings.Bounds, rand.New(rand.NewPCG(seed, 1)))
+	placer.SetSwitches(settings.Switches.Place)
 	if alone(settings.EntrySettings) {
 		placer.SetHosts(time.Now(), 1)
 	}
@@ -97,7 +106,7 @@
 	h.facts = newFacts(know.New(settings.Decode, lapse(settings.Bounds)), settings.Logger, h.apply)
 	h.front = front.New(front.Config{
 		Names: settings.Names, Paths: settings.Paths, Desk: h.desk, Links: h.links, View: h.facts.View, Logger: settings.Logger,
-		LoadChanged: func() { h.peers.tellNear() },
+		LoadChanged: func() { h.peers.tellNear() }, Switches: settings.Switches.Front,
 	})
 	var err error
 	if h.peers, err = newPeers(h, rand.New(rand.NewPCG(seed, 2))); err != nil {
--- a/io/entry/facts.go
+++ b/io/entry/facts.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"apricotproxy/core/invar"
 	"apricotproxy/core/procs/know"
 )
 
@@ -40,6 +41,7 @@
 	}
 	view := f.state.View()
 	before := f.view.Swap(view)
+	invar.Check(invar.RevisionNeverLower, version(view) >= version(before), "version %d in force after %d", version(view), version(before))
 	level := f.state.Level()
 	joined, leaving, gone := know.Compare(before, view)
 	f.log.Info("Knowledge changed.", "Source", source, "AsOf", level.AsOf, "Version", version(view), "Endpoints", len(view.Endpoints),
@@ -67,7 +69,7 @@
 }
 
 func version(view *know.View) uint64 {
-	if view.Table == nil {
+	if view == nil || view.Table == nil {
 		return 0
 	}
 	return view.Table.Version()
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/invar"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/reqst/event"
 	"apricotproxy/io/links"
@@ -46,14 +47,15 @@
 // did not run is the endpoint's to give with its own mark only; without it, the
 // request may have run.
 func (e *exchange) relay(a *whole) {
-	switch a.status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+	if saysNotRun(a.status) {
 		e.answer(http.StatusBadGateway, "the endpoint failed; the request may have run", 0)
 		return
 	}
 	e.front.counters.answered(a.status)
 	e.front.counters.whole.took(time.Since(e.request.Arrived))
 	e.log("Answered.", "Status", a.status, "Bytes", len(a.body), "Took", time.Since(e.request.Arrived).Milliseconds())
+	echo := a.header.Get(e.front.config.Names.RequestID)
+	invar.Check(invar.AnswerToOwnRequest, echo == "" || echo == e.request.ID, "request %s gets the answer to %s", e.request.ID, echo)
 	header := e.writer.Header()
 	copyAnswerHeader(header, a.header)
 	header.Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -63,8 +65,20 @@
 	}
 }
 
+// saysNotRun tells whether a status promises that the request did not run.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // answer gives an answer of the host's own.
 func (e *exchange) answer(status int, reason string, retryAfter time.Duration) {
+	invar.Check(invar.NotRunMeansNotRun, !saysNotRun(status) || !e.tries.MayHaveRun(),
+		"request %s is refused with status %d and may have run", e.request.ID, status)
 	e.front.refuse(e.writer, e.incoming, e.request, &refusal{status: status, reason: reason, retryAfter: retryAfter})
 }
 
@@ -136,12 +150,21 @@
 		if !ok {
 			break
 		}
-		switch e.position.Take(next, e.continued) {
+		before := e.position
+		verdict := e.position.Take(next, e.continued)
+		if e.front.config.Switches.AnyEvent {
+			verdict = event.Deliver
+		}
+		switch verdict {
 		case event.Skip:
 			continue
 		case event.Gap:
 			return &ended{result: e.lost(), health: place.Bad, err: errors.New("events are missing")}
 		}
+		if id, ok := event.ID(next); ok {
+			invar.Check(invar.TokensOnceInOrder, !before.Started() || id == before.Last()+1,
+				"request %s: event %d after event %d", e.request.ID, id, before.Last())
+		}
 		if !e.delivered {
 			e.begin(answer)
 		}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -71,7 +71,7 @@
 func newExchange(f *Front, w http.ResponseWriter, r *http.Request, req *request) *exchange {
 	return &exchange{
 		front: f, writer: w, control: http.NewResponseController(w), incoming: r, request: req,
-		tries: tries.New(req.Route),
+		tries: tries.New(req.Route, f.config.Switches.Tries),
 	}
 }
 
@@ -324,6 +324,9 @@
 
 // own tells whether an answer belongs to this request.
 func (e *exchange) own(res *http.Response) bool {
+	if e.front.config.Switches.AnyAnswer {
+		return true
+	}
 	names := e.front.config.Names
 	echo := res.Header.Get(names.RequestID)
 	if echo == "" {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -18,6 +18,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/know"
+	"apricotproxy/core/reqst/tries"
 	"apricotproxy/core/versn/table"
 	"apricotproxy/io/links"
 )
@@ -45,6 +46,17 @@
 	// LoadChanged is called when a generation was placed or its prompt was read: the
 	// hosts of the data centre are to know at once.
 	LoadChanged func()
+	// Switches turn safeguards off, to show that tests notice.
+	Switches Switches
+}
+
+// Switches turn safeguards off.
+type Switches struct {
+	Tries tries.Switches
+	// AnyAnswer takes every answer on a connection for the request's own.
+	AnyAnswer bool
+	// AnyEvent passes every event on, delivered before or not.
+	AnyEvent bool
 }
 
 // Front is the handler of routed requests.
