io/news: what changed of a host's loads, in place of all of them

Change: between heartbeats a host sends what changed, under 80 bytes for one load. A change that is lost is mended by the next heartbeat; one of a host that is not known is left out. Tests: round trip and size, changes that follow, precede and replace each other; FuzzDecode takes both kinds.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -118,6 +118,12 @@
 	return true, first
 }
 
+// Knows tells whether a host was heard in this incarnation.
+func (s *State) Knows(host core.HostName, incarnation int64) bool {
+	m := s.members[host]
+	return m != nil && m.incarnation == incarnation && !m.heard.IsZero()
+}
+
 // Forget drops hosts that have been silent for long.
 func (s *State) Forget(now time.Time) {
 	for name, m := range s.members {
--- a/core/procs/place/copies.go
+++ b/core/procs/place/copies.go
@@ -79,6 +79,7 @@
 		return nil
 	}
 	target.own.add(need)
+	p.changed[target.ID] = true
 	return &Run{Endpoint: target.Endpoint, load: need}
 }
 
--- a/core/procs/place/peers.go
+++ b/core/procs/place/peers.go
@@ -21,12 +21,40 @@
 }
 
 // Hear takes in the loads of another host of the own data centre, or of another
-// data centre as a whole, by endpoint.
+// data centre as a whole, by endpoint. It keeps the map.
 func (p *Placer) Hear(now time.Time, from Source, loads map[string]Load) {
 	p.peers[from] = peerLoad{loads: loads, until: now.Add(_peerTerm)}
 	p.sumPeers()
 }
 
+// HearChange takes in what changed of another host's loads since it told them all.
+func (p *Placer) HearChange(now time.Time, from Source, loads map[string]Load) {
+	said := p.peers[from]
+	if said.loads == nil {
+		said.loads = make(map[string]Load)
+	}
+	for id, load := range loads {
+		if e := p.endpoints[id]; e != nil {
+			e.peers.remove(said.loads[id])
+			e.peers.add(load)
+		}
+		said.loads[id] = load
+	}
+	said.until = now.Add(_peerTerm)
+	p.peers[from] = said
+}
+
+// Changes calls f with this host's load on each endpoint where it changed since the
+// last call.
+func (p *Placer) Changes(f func(id string, load Load)) {
+	for id := range p.changed {
+		if e := p.endpoints[id]; e != nil {
+			f(id, e.own)
+		}
+	}
+	clear(p.changed)
+}
+
 // Expire forgets what other hosts said too long ago.
 func (p *Placer) Expire(now time.Time) {
 	if p.settled.IsZero() {
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -146,6 +146,8 @@
 	waiting []*Waiter
 	// freed are endpoints on which runs of this host made room since the last Release.
 	freed []*endpoint
+	// changed are the endpoints on which this host's load changed since Changes.
+	changed map[string]bool
 
 	switches Switches
 }
@@ -172,6 +174,7 @@
 		services:   make(map[core.ServiceName][]*endpoint),
 		peers:      make(map[Source]peerLoad),
 		budgets:    make(map[core.ServiceName]*budget),
+		changed:    make(map[string]bool),
 		hosts:      _hostsUnknown,
 	}
 }
@@ -259,6 +262,7 @@
 	found := e.own
 	found.add(e.peers)
 	e.own.add(need)
+	p.changed[e.ID] = true
 	if now.Before(e.ColdUntil) {
 		e.cold.add(now, _coldWindow)
 	}
@@ -343,6 +347,7 @@
 func (p *Placer) Read(run *Run) {
 	if e := p.state(run); e != nil && !run.ended {
 		e.own.Prefill -= run.load.Prefill
+		p.changed[e.ID] = true
 		p.freed = append(p.freed, e)
 	}
 	run.load.Prefill = 0
@@ -356,6 +361,7 @@
 	run.ended = true
 	if e := p.state(run); e != nil {
 		e.own.remove(run.load)
+		p.changed[e.ID] = true
 		p.freed = append(p.freed, e)
 	}
 }
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -121,6 +121,46 @@
 	}
 }
 
+// Changes that follow a host's loads count at once; a lost one is mended by the next
+// heartbeat, which tells all.
+func TestChangesOfLoads(t *testing.T) {
+	teller, s := newSite(t, 2, 0), newSite(t, 2, 0)
+	other := place.Source{Host: "other"}
+	changes := func() map[string]place.Load {
+		loads := make(map[string]place.Load)
+		teller.Changes(func(id string, load place.Load) { loads[id] = load })
+		return loads
+	}
+	found := func() int {
+		run, verdict := s.Place(_start, &place.Want{Request: draft().Request, Exclude: []string{"engine-1"}})
+		if verdict != place.Placed {
+			t.Fatalf("verdict %v", verdict)
+		}
+		s.End(run)
+		return run.Found.Runs
+	}
+	s.Hear(_start, other, map[string]place.Load{"engine-1": {Runs: 1}})
+	run, _ := teller.Place(_start, &place.Want{Request: draft().Request, Exclude: []string{"engine-1"}})
+	s.HearChange(_start, other, changes())
+	if n := found(); n != 1 {
+		t.Errorf("%d runs after a run was told, want 1", n)
+	}
+	if again := changes(); len(again) > 0 {
+		t.Errorf("told twice: %v", again)
+	}
+	teller.Read(run)
+	teller.End(run)
+	s.HearChange(_start, other, changes())
+	if n := found(); n != 0 {
+		t.Errorf("%d runs after its end was told, want 0", n)
+	}
+	s.HearChange(_start, other, map[string]place.Load{"engine-0": {Runs: 5}})
+	s.Hear(_start, other, map[string]place.Load{})
+	if n := found(); n != 0 {
+		t.Errorf("%d runs after a heartbeat that tells of none", n)
+	}
+}
+
 // An engine's memory bounds what it is given; what does not fit waits, and is
 // granted by priority when something ends.
 func TestMemoryBoundsAndWaiting(t *testing.T) {
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -46,12 +46,16 @@
 
 // heard takes in one datagram.
 func (p *peers) heard(ctx context.Context, datagram []byte) {
-	message, err := news.Decode(datagram)
+	message, change, err := news.Decode(datagram)
 	if err != nil {
 		p.log.Error(err, "A heartbeat cannot be read.")
 		return
 	}
 	now := time.Now()
+	if change != nil {
+		p.heardChange(now, change)
+		return
+	}
 	p.mu.Lock()
 	accepted, first := p.state.Hear(now, &message.Heartbeat)
 	hosts := p.state.MayLive(now)
@@ -78,13 +82,25 @@
 	p.compare(ctx, now, message.Level, message.From)
 }
 
+// heardChange takes in what changed of another host's loads. One of a host that is not
+// known, or of an earlier incarnation, is left out: its heartbeat tells them all.
+func (p *peers) heardChange(now time.Time, change *news.Change) {
+	p.mu.Lock()
+	known := p.state.Knows(change.Host, change.Incarnation)
+	p.mu.Unlock()
+	if !known {
+		return
+	}
+	p.desk.Update(func(placer *place.Placer) { placer.HearChange(now, place.Source{Host: change.Host}, change.Loads) })
+}
+
 // welcome answers a host that was not known, naming others.
 func (p *peers) welcome(now time.Time, to gossip.Contact) {
 	message := p.message(now)
 	p.mu.Lock()
 	message.Others = p.state.Welcome(now, to.Centre)
 	p.mu.Unlock()
-	p.sendTo(message, []string{to.Heartbeat})
+	p.sendMessage(message, []string{to.Heartbeat})
 }
 
 // compare takes in how far another host knows the documents: it has nothing that this
@@ -155,7 +171,7 @@
 	ticker := time.NewTicker(gossip.Interval)
 	defer ticker.Stop()
 	for {
-		p.send(true)
+		p.send()
 		for waiting := true; waiting; {
 			select {
 			case <-ctx.Done():
@@ -165,7 +181,7 @@
 			case <-p.urgent:
 				waiting = false
 			case <-p.near:
-				p.send(false)
+				p.sendChange()
 			}
 		}
 	}
@@ -187,9 +203,26 @@
 	}
 }
 
+// sendChange tells the hosts of the own data centre what changed of this host's loads.
+func (p *peers) sendChange() {
+	now := time.Now()
+	p.mu.Lock()
+	near := p.state.Near(now)
+	p.mu.Unlock()
+	change := news.Change{Host: p.self.Host, Incarnation: p.incarnation, Loads: make(map[string]place.Load)}
+	p.desk.Update(func(placer *place.Placer) {
+		placer.Changes(func(id string, load place.Load) { change.Loads[id] = load })
+	})
+	if len(change.Loads) == 0 {
+		return
+	}
+	datagram, err := news.EncodeChange(&change)
+	p.sendTo(datagram, err, near)
+}
+
 // send tells the hosts of the own data centre this host's loads, and others those
 // of the whole data centre.
-func (p *peers) send(everywhere bool) {
+func (p *peers) send() {
 	now := time.Now()
 	p.mu.Lock()
 	p.state.Forget(now)
@@ -199,16 +232,14 @@
 	message.Loads = make(map[string]place.Load)
 	p.desk.Update(func(placer *place.Placer) {
 		placer.Own(func(id string, load place.Load) { message.Loads[id] = load })
+		placer.Changes(func(string, place.Load) {}) // told with the others
 	})
-	p.sendTo(message, near)
-	if !everywhere {
-		return
-	}
+	p.sendMessage(message, near)
 	message.Loads = make(map[string]place.Load)
 	p.desk.Update(func(placer *place.Placer) {
 		placer.Centre(func(id string, load place.Load) { message.Loads[id] = load })
 	})
-	p.sendTo(message, far)
+	p.sendMessage(message, far)
 }
 
 // message is a heartbeat without loads.
@@ -228,8 +259,13 @@
 	return &message
 }
 
-func (p *peers) sendTo(message *news.Message, targets []string) {
+func (p *peers) sendMessage(message *news.Message, targets []string) {
 	datagram, err := news.Encode(message)
+	p.sendTo(datagram, err, targets)
+}
+
+// sendTo sends a datagram, if it could be encoded.
+func (p *peers) sendTo(datagram []byte, err error, targets []string) {
 	if err != nil {
 		p.log.Error(err, "A heartbeat cannot be sent.")
 		return
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -37,25 +37,60 @@
 	Loads map[string]place.Load
 }
 
+// Change is what changed of a host's loads since its last heartbeat: it is sent often
+// and stays small.
+type Change struct {
+	Host        core.HostName
+	Incarnation int64
+	Loads       map[string]place.Load
+}
+
+// A datagram's first byte tells what follows.
+const (
+	_kindMessage = 1
+	_kindChange  = 2
+)
+
 // Encode gives a message's bytes.
-func Encode(m *Message) ([]byte, error) {
-	b, err := cbor.Marshal(toWire(m))
+func Encode(m *Message) ([]byte, error) { return encode(_kindMessage, toWire(m)) }
+
+// EncodeChange gives a change's bytes.
+func EncodeChange(c *Change) ([]byte, error) {
+	return encode(_kindChange, &wireChange{Host: string(c.Host), Incarnation: c.Incarnation, Loads: loadsToWire(c.Loads)})
+}
+
+func encode(kind byte, wire any) ([]byte, error) {
+	b, err := cbor.Marshal(wire)
 	if err != nil {
 		return nil, fmt.Errorf("encode a heartbeat: %w", err)
 	}
-	return b, nil
+	return append([]byte{kind}, b...), nil
 }
 
-// Decode reads a message.
-func Decode(b []byte) (*Message, error) {
-	var w wireMessage
-	if err := cbor.Unmarshal(b, &w); err != nil {
-		return nil, fmt.Errorf("decode a heartbeat: %w", err)
+// Decode reads a datagram: a message or a change, the other one is nil.
+func Decode(b []byte) (*Message, *Change, error) {
+	if len(b) == 0 {
+		return nil, nil, errors.New("decode a heartbeat: it is empty")
 	}
-	if w.From.Host == "" {
-		return nil, errors.New("decode a heartbeat: the sender has no name")
+	switch kind := b[0]; kind {
+	case _kindMessage:
+		var w wireMessage
+		if err := cbor.Unmarshal(b[1:], &w); err != nil {
+			return nil, nil, fmt.Errorf("decode a heartbeat: %w", err)
+		}
+		if w.From.Host == "" {
+			return nil, nil, errors.New("decode a heartbeat: the sender has no name")
+		}
+		return fromWire(&w), nil, nil
+	case _kindChange:
+		var w wireChange
+		if err := cbor.Unmarshal(b[1:], &w); err != nil {
+			return nil, nil, fmt.Errorf("decode a change of loads: %w", err)
+		}
+		return nil, &Change{Host: core.HostName(w.Host), Incarnation: w.Incarnation, Loads: loadsFromWire(w.Loads)}, nil
+	default:
+		return nil, nil, fmt.Errorf("decode a heartbeat: kind %d is not known", kind)
 	}
-	return fromWire(&w), nil
 }
 
 // Receive hands each datagram on until the socket is closed.
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -40,12 +40,30 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := news.Decode(b)
+	got, _, err := news.Decode(b)
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, %v; want %+v", got, err, want)
 	}
 }
 
+// A change of one load is small: it is sent for each generation, twice, to each host of
+// the data centre.
+func TestChangeRoundTrip(t *testing.T) {
+	const atMost = 80 // bytes
+	want := &news.Change{
+		Host: "edge-austin-a-1", Incarnation: 1_760_000_000_000_000_000,
+		Loads: map[string]place.Load{"i-845a0314c1": {Runs: 3, Tokens: 11_000, Prefill: 2900}},
+	}
+	b, err := news.EncodeChange(want)
+	if err != nil || len(b) > atMost {
+		t.Fatalf("%d bytes, %v; want %d at most", len(b), err, atMost)
+	}
+	message, got, err := news.Decode(b)
+	if err != nil || message != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, %v; want %+v", got, err, want)
+	}
+}
+
 // A heartbeat fits a datagram at any number of endpoints, and tells of the busiest.
 func TestMessageFitsADatagram(t *testing.T) {
 	m := message(4, 2000)
@@ -54,7 +72,7 @@
 	if err != nil || len(b) > 16<<10 {
 		t.Fatalf("%d bytes, %v", len(b), err)
 	}
-	if got, err := news.Decode(b); err != nil || got.Loads["i-busy"].Prefill != 1<<20 {
+	if got, _, err := news.Decode(b); err != nil || got.Loads["i-busy"].Prefill != 1<<20 {
 		t.Errorf("the busiest endpoint is left out: %v", err)
 	}
 }
@@ -84,8 +102,17 @@
 		f.Fatal(err)
 	}
 	f.Add(b)
+	change, err := news.EncodeChange(&news.Change{Host: "h", Incarnation: 1, Loads: map[string]place.Load{"e": {Runs: 1}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(change)
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if m, err := news.Decode(b); err == nil && m.From.Host == "" {
+		m, c, err := news.Decode(b)
+		if err == nil && (m == nil) == (c == nil) {
+			t.Errorf("a datagram is %v and %v", m, c)
+		}
+		if m != nil && m.From.Host == "" {
 			t.Error("a heartbeat without a sender is taken")
 		}
 	})
@@ -102,7 +129,7 @@
 				if text, err = news.Encode(m); err != nil {
 					b.Fatal(err)
 				}
-				if _, err := news.Decode(text); err != nil {
+				if _, _, err := news.Decode(text); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -28,6 +28,13 @@
 		Loads       []wireLoad
 	}
 
+	wireChange struct {
+		_           struct{} `cbor:",toarray"`
+		Host        string
+		Incarnation int64
+		Loads       []wireLoad
+	}
+
 	wireContact struct {
 		_         struct{} `cbor:",toarray"`
 		Host      string
@@ -57,14 +64,27 @@
 	for _, c := range m.Others {
 		w.Others = append(w.Others, contactToWire(c))
 	}
-	for id, l := range m.Loads {
-		w.Loads = append(w.Loads, wireLoad{Endpoint: id, Runs: l.Runs, Tokens: l.Tokens, Prefill: l.Prefill})
+	w.Loads = loadsToWire(m.Loads)
+	return w
+}
+
+func loadsToWire(loads map[string]place.Load) []wireLoad {
+	var wire []wireLoad
+	for id, l := range loads {
+		wire = append(wire, wireLoad{Endpoint: id, Runs: l.Runs, Tokens: l.Tokens, Prefill: l.Prefill})
 	}
-	slices.SortFunc(w.Loads, func(a, b wireLoad) int {
+	slices.SortFunc(wire, func(a, b wireLoad) int {
 		return cmp.Or(b.Prefill-a.Prefill, b.Tokens-a.Tokens, cmp.Compare(a.Endpoint, b.Endpoint))
 	})
-	w.Loads = w.Loads[:min(len(w.Loads), _loadsAtMost)]
-	return w
+	return wire[:min(len(wire), _loadsAtMost)]
+}
+
+func loadsFromWire(wire []wireLoad) map[string]place.Load {
+	loads := make(map[string]place.Load, len(wire))
+	for _, l := range wire {
+		loads[l.Endpoint] = place.Load{Runs: l.Runs, Tokens: l.Tokens, Prefill: l.Prefill}
+	}
+	return loads
 }
 
 func fromWire(w *wireMessage) *Message {
@@ -77,10 +97,7 @@
 		m.Others = append(m.Others, contactFromWire(c))
 	}
 	if w.HasLoads {
-		m.Loads = make(map[string]place.Load, len(w.Loads))
-	}
-	for _, l := range w.Loads {
-		m.Loads[l.Endpoint] = place.Load{Runs: l.Runs, Tokens: l.Tokens, Prefill: l.Prefill}
+		m.Loads = loadsFromWire(w.Loads)
 	}
 	return m
 }
