--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -210,7 +210,7 @@
 	near := p.state.Near(now)
 	p.mu.Unlock()
 	change := news.Change{Host: p.self.Host, Incarnation: p.incarnation, Loads: make(map[string]place.Load)}
-	p.desk.Update(func(placer *place.Placer) {
+	p.desk.Look(func(placer *place.Placer) {
 		placer.Changes(func(id string, load place.Load) { change.Loads[id] = load })
 	})
 	if len(change.Loads) == 0 {
@@ -230,13 +230,13 @@
 	p.mu.Unlock()
 	message := p.message(now)
 	message.Loads = make(map[string]place.Load)
-	p.desk.Update(func(placer *place.Placer) {
+	p.desk.Look(func(placer *place.Placer) {
 		placer.Own(func(id string, load place.Load) { message.Loads[id] = load })
 		placer.Changes(func(string, place.Load) {}) // told with the others
 	})
 	p.sendMessage(message, near)
 	message.Loads = make(map[string]place.Load)
-	p.desk.Update(func(placer *place.Placer) {
+	p.desk.Look(func(placer *place.Placer) {
 		placer.Centre(func(id string, load place.Load) { message.Loads[id] = load })
 	})
 	p.sendMessage(message, far)
@@ -255,7 +255,7 @@
 			message.Level = gossip.Level{AsOf: level.AsOf, Changed: level.Changed, Age: now.Sub(level.FreshAt)}
 		}
 	})
-	p.desk.Update(func(placer *place.Placer) { message.Leaving = placer.Left() })
+	p.desk.Look(func(placer *place.Placer) { message.Leaving = placer.Left() })
 	return &message
 }
 
--- a/io/entry/report.go
+++ b/io/entry/report.go
@@ -23,9 +23,9 @@
 	_reportBytes   = 64 << 10
 )
 
-// askEngines asks engines whether they are leaving, while no host learns it from
-// the store, and those whose documents lapsed. One host asks an engine for all. Reports cost probes, so that they
-// are not asked for otherwise.
+// askEngines asks engines whether they are leaving, while no host learns it from the
+// store, and those whose documents lapsed. One host asks an engine for all. Reports cost
+// probes, so that they are not asked for otherwise.
 func (h *Host) askEngines(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, _reportPace)
@@ -59,7 +59,7 @@
 		return nil
 	}
 	leaving := make(map[string]bool)
-	h.desk.Update(func(p *place.Placer) {
+	h.desk.Look(func(p *place.Placer) {
 		for _, id := range p.Left() {
 			leaving[id] = true
 		}
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -35,6 +35,13 @@
 	d.release()
 }
 
+// Look calls f with the placer; f changes nothing that waiting requests hang on.
+func (d *Desk) Look(f func(*place.Placer)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(d.placer)
+}
+
 // release grants what has room, now and when the next turn comes. The caller holds
 // the lock.
 func (d *Desk) release() {
