--- a/core/procs/place/bench_test.go
+++ b/core/procs/place/bench_test.go
@@ -22,6 +22,16 @@
 	}
 }
 
+func BenchmarkHearChange(b *testing.B) {
+	s := newSite(b, 600, 0)
+	from := place.Source{Host: "other"}
+	s.Hear(_start, from, make(map[string]place.Load))
+	change := map[string]place.Load{"engine-7": {Runs: 1, Tokens: 3500, Prefill: 1000}}
+	for b.Loop() {
+		s.HearChange(_start, from, change)
+	}
+}
+
 func BenchmarkHear(b *testing.B) {
 	for _, size := range []struct{ hosts, engines int }{{9, 18}, {22, 72}, {33, 600}} {
 		b.Run(fmt.Sprint(size.hosts, "Hosts", size.engines, "Engines"), func(b *testing.B) {
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -118,6 +118,25 @@
 	})
 }
 
+// The cost of telling what changed of one load, both ends.
+func BenchmarkChange(b *testing.B) {
+	change := &news.Change{
+		Host: "edge-austin-a-1", Incarnation: 1_760_000_000_000_000_000,
+		Loads: map[string]place.Load{"i-845a0314c1": {Runs: 3, Tokens: 11_000, Prefill: 2900}},
+	}
+	var text []byte
+	for b.Loop() {
+		var err error
+		if text, err = news.EncodeChange(change); err != nil {
+			b.Fatal(err)
+		}
+		if _, _, err := news.Decode(text); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(text)), "bytes")
+}
+
 // The bytes and the cost of a heartbeat, against what it tells.
 func BenchmarkMessage(b *testing.B) {
 	for _, size := range []struct{ others, loads int }{{4, 2}, {4, 8}, {4, 72}, {4, 600}} {
