core/procs/place: requests without a prompt take no turns

Cause, found in the read-through: turns wait for what other hosts tell at once, and only generations are told at once. A lookup or an order that waited for a slot gave it up to 110 ms away for nothing, of a goal of 300 ms.

Change: no turns for plain services. The test was red before.

--- a/core/procs/place/limits.go
+++ b/core/procs/place/limits.go
@@ -31,9 +31,9 @@
 )
 
 // SetHosts tells how many hosts may live by what is heard now; 1 only where the settings
-// name no other. Limits that all hosts
-// share are divided by a bound on them. The bound does not fall when hosts go silent:
-// they may be working on the other side of a partition.
+// name no other. Limits that all hosts share are divided by a bound on them. The bound
+// does not fall when hosts go silent: they may be working on the other side of a
+// partition.
 func (p *Placer) SetHosts(now time.Time, known int) {
 	if known == 1 && p.settled.IsZero() {
 		p.settled = now // alone by its settings
--- a/core/procs/place/wait.go
+++ b/core/procs/place/wait.go
@@ -111,8 +111,12 @@
 
 // turnDelay is how long a request leaves an endpoint's room to others: the place of
 // this host among those of its data centre, which differs by endpoint and changes each
-// second, so that no host always comes first.
+// second, so that no host always comes first. Requests without a prompt are told of with
+// the next heartbeat only, so that turns would be for nothing.
 func (p *Placer) turnDelay(now time.Time, e *endpoint) time.Duration {
+	if e.engine == nil {
+		return 0
+	}
 	round := e.ID + " " + strconv.FormatInt(now.Unix(), 10) + " "
 	own, before := xxhash.Sum64String(round+string(p.self)), 0
 	for from := range p.peers {
--- a/core/procs/place/wait_test.go
+++ b/core/procs/place/wait_test.go
@@ -152,6 +152,30 @@
 	s.Release(after(900 * time.Millisecond))
 }
 
+// A request without a prompt takes room as soon as it is heard of: others are not told of
+// it at once anyway.
+func TestPlainRequestsTakeNoTurns(t *testing.T) {
+	const hosts = 9
+	s := newSite(t, 0, 1)
+	hear := func(load place.Load) {
+		for i := range hosts {
+			s.Hear(_start, place.Source{Host: core.HostName(fmt.Sprint("host-", i))}, map[string]place.Load{"desk-0": load})
+		}
+	}
+	hear(place.Load{Runs: 1})
+	granted := false
+	s.Enqueue(&place.Waiter{Want: order(), Granted: func(*place.Run) { granted = true }})
+	s.Release(_start)
+	if granted {
+		t.Fatal("granted without room")
+	}
+	hear(place.Load{})
+	s.Release(_start)
+	if !granted {
+		t.Error("not granted at once")
+	}
+}
+
 // What waits for its turn comes before a request that has just arrived, and room that
 // this host's own run left is taken at once.
 func TestTurnsBeforeNewRequests(t *testing.T) {
