fakes/addrs: loopback addresses that no connection can take

Change: addresses of 127.0.0.0/8 other than 127.0.0.1, from which nothing connects, by process and count. A host that does not start ends the run with its error. What is left of the pattern: fakes/site (fakes command, demo), which takes ports just before it starts.

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -16,6 +16,7 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/versn/table"
+	"apricotproxy/fakes/addrs"
 	"apricotproxy/fakes/routed"
 	"apricotproxy/fakes/store"
 	"apricotproxy/io/entry"
@@ -74,19 +75,11 @@
 	s := &site{t: t, store: store.New()}
 	var beats []string
 	for i := range hosts {
-		address := func() string {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = l.Close() }()
-			return l.Addr().String()
-		}
 		client := s.store.Client()
 		one := entry.Settings{
 			EntrySettings: core.EntrySettings{
-				Name: core.HostName(fmt.Sprint("host-", i)), DataCentre: "a", CallerAddress: address(), ReadyAddress: address(),
-				PeerAddress: address(), HeartbeatAddress: address(),
+				Name: core.HostName(fmt.Sprint("host-", i)), DataCentre: "a", CallerAddress: addrs.Next(), ReadyAddress: addrs.Next(),
+				PeerAddress: addrs.Next(), HeartbeatAddress: addrs.Next(),
 				Bounds: core.EntryBounds{
 					LeavingSpread: _leavingSpread, StopGrace: _stopGrace, RetryWindow: 10 * time.Second, RetryExtra: 58,
 					EndpointInterval: time.Second,
--- a/proof/program_test.go
+++ b/proof/program_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +15,8 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+
+	"apricotproxy/fakes/addrs"
 )
 
 // The whole program is run as operators run it, by scripts under
@@ -172,12 +173,7 @@
 }
 
 func (p *program) startHost(arguments []string) *entry {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	e := &entry{operator: l.Addr().String()}
-	_ = l.Close()
+	e := &entry{operator: addrs.Next()}
 	for i, argument := range arguments {
 		switch argument {
 		case "--caller-address":
--- a/proof/routed_test.go
+++ b/proof/routed_test.go
@@ -23,6 +23,7 @@
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/reqst/tries"
 	"apricotproxy/core/versn/table"
+	"apricotproxy/fakes/addrs"
 	"apricotproxy/fakes/routed"
 	"apricotproxy/fakes/store"
 	routes "apricotproxy/io/entry"
@@ -287,15 +288,6 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func (r *routedRun) startHost(i int) {
 	h, err := routes.New(r.settings[i])
 	if err != nil {
@@ -378,8 +370,8 @@
 		r.clients = append(r.clients, client)
 		r.settings = append(r.settings, routes.Settings{
 			EntrySettings: core.EntrySettings{
-				Name: core.HostName(fmt.Sprint("host-", i)), DataCentre: "a", CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t),
-				PeerAddress: freeAddress(t), HeartbeatAddress: freeAddress(t),
+				Name: core.HostName(fmt.Sprint("host-", i)), DataCentre: "a", CallerAddress: addrs.Next(), ReadyAddress: addrs.Next(),
+				PeerAddress: addrs.Next(), HeartbeatAddress: addrs.Next(),
 				Bounds: core.EntryBounds{
 					LeavingSpread: _routedSpread, StopGrace: _routedGrace, RetryWindow: 10 * time.Second, RetryShare: 0.5, RetryExtra: 500,
 					EndpointInterval: time.Minute,
@@ -395,6 +387,9 @@
 		r.settings[i].Seeds = seeds
 		r.startHost(i)
 	}
+	if len(r.broken) > 0 {
+		t.Fatal(r.broken)
+	}
 	r.play(addresses)
 	r.mu.Lock()
 	defer r.mu.Unlock()
