Reading the whole change: what was done twice on the routed path

Behaviour stays as it is.

- core/procs/place: hearing a host summed all hosts' loads anew, and hearing a change of loads did the same sum piece by piece beside it.
Loads are given as maps in place of callbacks that every caller copied into maps; a load that has become zero is not kept to be told again.
Release ends at once while nothing waits.
The draw for cold engines spares most hosts a bisection.
- io/front: the engine's shape is looked up once where it was three times; a copy's endpoint is one method in place of two of the same form; which statuses say that nothing ran stands in one place.
- io/local: a document of an endpoint held the whole file, which each decoding parsed again; it holds the endpoint.
- io/runs: two comments named counters and types wrongly.

--- a/core/procs/place/limits.go
+++ b/core/procs/place/limits.go
@@ -107,8 +107,8 @@
 // than the requests that a cold endpoint bears: each host is one of them by chance, so
 // seldom that all together stay within the bound.
 func (p *Placer) coldTurn(e *endpoint, bound float64) float64 {
-	drawn := float64(xxhash.Sum64String(string(p.self)+" "+e.ID)) / math.MaxUint64
-	if drawn < safeMean(bound)/float64(p.hosts) {
+	drawn := float64(xxhash.Sum64String(string(p.self)+" "+e.ID)) / math.MaxUint64 * float64(p.hosts)
+	if drawn < bound && drawn < safeMean(bound) { // the first spares most hosts the second
 		return 1
 	}
 	return 0
--- a/core/procs/place/peers.go
+++ b/core/procs/place/peers.go
@@ -23,8 +23,11 @@
 // Hear takes in the loads of another host of the own data centre, or of another
 // data centre as a whole, by endpoint. It keeps the map.
 func (p *Placer) Hear(now time.Time, from Source, loads map[string]Load) {
+	p.forget(from)
+	for id, load := range loads {
+		p.count(id, Load{}, load)
+	}
 	p.peers[from] = peerLoad{loads: loads, until: now.Add(_peerTerm)}
-	p.sumPeers()
 }
 
 // HearChange takes in what changed of another host's loads since it told them all.
@@ -34,25 +37,31 @@
 		said.loads = make(map[string]Load)
 	}
 	for id, load := range loads {
-		if e := p.endpoints[id]; e != nil {
-			e.peers.remove(said.loads[id])
-			e.peers.add(load)
+		p.count(id, said.loads[id], load)
+		if load == (Load{}) {
+			delete(said.loads, id)
+		} else {
+			said.loads[id] = load
 		}
-		said.loads[id] = load
 	}
 	said.until = now.Add(_peerTerm)
 	p.peers[from] = said
 }
 
-// Changes calls f with this host's load on each endpoint where it changed since the
-// last call.
-func (p *Placer) Changes(f func(id string, load Load)) {
-	for id := range p.changed {
-		if e := p.endpoints[id]; e != nil {
-			f(id, e.own)
-		}
+// count puts what another host says of an endpoint in place of what it said before.
+func (p *Placer) count(id string, before, after Load) {
+	if e := p.endpoints[id]; e != nil {
+		e.peers.remove(before)
+		e.peers.add(after)
 	}
-	clear(p.changed)
+}
+
+// forget drops what another host said.
+func (p *Placer) forget(from Source) {
+	for id, load := range p.peers[from].loads {
+		p.count(id, load, Load{})
+	}
+	delete(p.peers, from)
 }
 
 // Expire forgets what other hosts said too long ago.
@@ -60,45 +69,58 @@
 	if p.settled.IsZero() {
 		p.settled = now.Add(_settle)
 	}
-	changed := false
-	for host, said := range p.peers {
+	for from, said := range p.peers {
 		if !now.Before(said.until) {
-			delete(p.peers, host)
-			changed = true
+			p.forget(from)
 		}
 	}
-	if changed {
-		p.sumPeers()
-	}
 }
 
+// sumPeers counts what other hosts said anew, for endpoints that have changed.
 func (p *Placer) sumPeers() {
 	for _, e := range p.endpoints {
 		e.peers = Load{}
 	}
 	for _, said := range p.peers {
 		for id, load := range said.loads {
-			if e := p.endpoints[id]; e != nil {
-				e.peers.add(load)
-			}
+			p.count(id, Load{}, load)
 		}
 	}
 }
 
-// Own calls f with this host's load on each endpoint that has any.
-func (p *Placer) Own(f func(id string, load Load)) {
+// Own gives this host's load on each endpoint that has any. Nothing of it is among the
+// next Changes.
+func (p *Placer) Own() map[string]Load {
+	clear(p.changed)
+	return p.own()
+}
+
+func (p *Placer) own() map[string]Load {
+	loads := make(map[string]Load)
 	for id, e := range p.endpoints {
 		if e.own != (Load{}) {
-			f(id, e.own)
+			loads[id] = e.own
 		}
 	}
+	return loads
 }
 
-// Centre calls f with the load that the own data centre as a whole has on each
-// endpoint.
-func (p *Placer) Centre(f func(id string, load Load)) {
-	sum := make(map[string]Load)
-	p.Own(func(id string, load Load) { sum[id] = load })
+// Changes gives this host's load on each endpoint where it changed since the last call,
+// or since Own.
+func (p *Placer) Changes() map[string]Load {
+	loads := make(map[string]Load, len(p.changed))
+	for id := range p.changed {
+		if e := p.endpoints[id]; e != nil {
+			loads[id] = e.own
+		}
+	}
+	clear(p.changed)
+	return loads
+}
+
+// Centre gives the load that the own data centre as a whole has on each endpoint.
+func (p *Placer) Centre() map[string]Load {
+	sum := p.own()
 	for from, said := range p.peers {
 		if from.Host == "" {
 			continue
@@ -109,7 +131,5 @@
 			sum[id] = total
 		}
 	}
-	for id, load := range sum {
-		f(id, load)
-	}
+	return sum
 }
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -146,7 +146,7 @@
 	waiting []*Waiter
 	// freed are endpoints on which runs of this host made room since the last Release.
 	freed []*endpoint
-	// changed are the endpoints on which this host's load changed since Changes.
+	// changed are the endpoints whose change of this host's load was not told.
 	changed map[string]bool
 
 	switches Switches
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -126,11 +126,6 @@
 func TestChangesOfLoads(t *testing.T) {
 	teller, s := newSite(t, 2, 0), newSite(t, 2, 0)
 	other := place.Source{Host: "other"}
-	changes := func() map[string]place.Load {
-		loads := make(map[string]place.Load)
-		teller.Changes(func(id string, load place.Load) { loads[id] = load })
-		return loads
-	}
 	found := func() int {
 		run, verdict := s.Place(_start, &place.Want{Request: draft().Request, Exclude: []string{"engine-1"}})
 		if verdict != place.Placed {
@@ -141,16 +136,16 @@
 	}
 	s.Hear(_start, other, map[string]place.Load{"engine-1": {Runs: 1}})
 	run, _ := teller.Place(_start, &place.Want{Request: draft().Request, Exclude: []string{"engine-1"}})
-	s.HearChange(_start, other, changes())
+	s.HearChange(_start, other, teller.Changes())
 	if n := found(); n != 1 {
 		t.Errorf("%d runs after a run was told, want 1", n)
 	}
-	if again := changes(); len(again) > 0 {
+	if again := teller.Changes(); len(again) > 0 {
 		t.Errorf("told twice: %v", again)
 	}
 	teller.Read(run)
 	teller.End(run)
-	s.HearChange(_start, other, changes())
+	s.HearChange(_start, other, teller.Changes())
 	if n := found(); n != 0 {
 		t.Errorf("%d runs after its end was told, want 0", n)
 	}
--- a/core/procs/place/wait.go
+++ b/core/procs/place/wait.go
@@ -53,6 +53,9 @@
 func (p *Placer) Release(now time.Time) {
 	freed := p.freed
 	p.freed = nil
+	if len(p.waiting) == 0 {
+		return
+	}
 	blocked := make(map[core.ServiceName]bool)
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Waiter) bool {
 		service := w.Want.Request.Service
--- a/core/procs/place/wait_test.go
+++ b/core/procs/place/wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -18,9 +19,9 @@
 }
 
 type told struct {
-	at   time.Time
-	host int
-	load place.Load
+	at    time.Time
+	host  int
+	loads map[string]place.Load
 }
 
 // _hear is how long a heartbeat takes within a data centre.
@@ -48,9 +49,7 @@
 
 // tell has the other hosts hear of a host's load.
 func (c *crowd) tell(host int) {
-	var load place.Load
-	c.hosts[host].Own(func(_ string, l place.Load) { load = l })
-	c.news = append(c.news, told{at: c.now.Add(_hear), host: host, load: load})
+	c.news = append(c.news, told{at: c.now.Add(_hear), host: host, loads: c.hosts[host].Own()})
 }
 
 // step lets a millisecond pass.
@@ -61,7 +60,7 @@
 		c.news = c.news[1:]
 		for i, s := range c.hosts {
 			if i != n.host {
-				s.Hear(c.now, c.source(n.host), map[string]place.Load{"engine-0": n.load})
+				s.Hear(c.now, c.source(n.host), maps.Clone(n.loads))
 			}
 		}
 	}
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -209,10 +209,8 @@
 	p.mu.Lock()
 	near := p.state.Near(now)
 	p.mu.Unlock()
-	change := news.Change{Host: p.self.Host, Incarnation: p.incarnation, Loads: make(map[string]place.Load)}
-	p.desk.Look(func(placer *place.Placer) {
-		placer.Changes(func(id string, load place.Load) { change.Loads[id] = load })
-	})
+	change := news.Change{Host: p.self.Host, Incarnation: p.incarnation}
+	p.desk.Look(func(placer *place.Placer) { change.Loads = placer.Changes() })
 	if len(change.Loads) == 0 {
 		return
 	}
@@ -229,16 +227,9 @@
 	near, far := p.state.Near(now), p.state.Far(now)
 	p.mu.Unlock()
 	message := p.message(now)
-	message.Loads = make(map[string]place.Load)
-	p.desk.Look(func(placer *place.Placer) {
-		placer.Own(func(id string, load place.Load) { message.Loads[id] = load })
-		placer.Changes(func(string, place.Load) {}) // told with the others
-	})
+	p.desk.Look(func(placer *place.Placer) { message.Loads = placer.Own() })
 	p.sendMessage(message, near)
-	message.Loads = make(map[string]place.Load)
-	p.desk.Look(func(placer *place.Placer) {
-		placer.Centre(func(id string, load place.Load) { message.Loads[id] = load })
-	})
+	p.desk.Look(func(placer *place.Placer) { message.Loads = placer.Centre() })
 	p.sendMessage(message, far)
 }
 
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -132,10 +132,8 @@
 	e.front.counters.answered(answer.StatusCode)
 	e.front.counters.whole.took(time.Since(e.request.Arrived))
 	e.log("Streamed.", "Events", e.events, "Continued", e.continued, "Took", time.Since(e.request.Arrived).Milliseconds())
-	if view := e.front.config.View(); view.Table != nil {
-		if s, ok := view.Table.Service(e.request.Service); ok && s.Engine != nil {
-			e.desk().produced(&e.request.RoutedRequest, e.events*s.Engine.EventTokens)
-		}
+	if shape := e.engineShape(); shape != nil {
+		e.desk().produced(&e.request.RoutedRequest, e.events*shape.EventTokens)
 	}
 }
 
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -52,22 +52,12 @@
 	final bool
 }
 
-func (b *backup) id() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.run == nil {
-		return ""
-	}
-	return b.run.Endpoint.ID
-}
-
-func (b *backup) address() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.run == nil {
-		return ""
+// endpoint is where the copy is; zero while there is none.
+func (b *backup) endpoint() core.RoutedEndpoint {
+	if run := b.current(); run != nil {
+		return run.Endpoint.RoutedEndpoint
 	}
-	return b.run.Endpoint.Address
+	return core.RoutedEndpoint{}
 }
 
 func (b *backup) source() (id, from string) {
@@ -123,7 +113,7 @@
 // the engine sends as the run grows is taken to stand a while after the run's first
 // event: an engine that has none might run the request anew.
 func (e *exchange) backupStands() bool {
-	if e.backup.id() == "" {
+	if e.backup.current() == nil {
 		return false
 	}
 	return e.backup.moved() != "" || (!e.began.IsZero() && time.Since(e.began) > _backupGrown)
@@ -138,17 +128,20 @@
 	return nil
 }
 
-// needsBackup is true for a stream that cannot be resumed from its events alone.
-func (e *exchange) needsBackup() bool {
-	route := e.request.Route
-	return route.Kind == core.RouteStreaming && !route.Resumable && e.engineShape() != nil
+// backupShape gives the engines of a stream that cannot be resumed from its events
+// alone, so that it needs a backup; nil for any other request.
+func (e *exchange) backupShape() *core.EngineShape {
+	if route := e.request.Route; route.Kind != core.RouteStreaming || route.Resumable {
+		return nil
+	}
+	return e.engineShape()
 }
 
 // chooseBackup picks the endpoint to which the engine sends the run's memory as
 // it grows.
 func (e *exchange) chooseBackup() {
 	e.backup.drop(e.desk())
-	if !e.needsBackup() || !e.engineShape().Backups {
+	if shape := e.backupShape(); shape == nil || !shape.Backups {
 		return
 	}
 	if run := e.desk().copyFor(e.backupWant()); run != nil {
@@ -165,7 +158,7 @@
 // leaving and no copy stands, and ends the try once the run is stopped there. It
 // returns the function that ends it.
 func (e *exchange) keepBackup(ctx context.Context, end context.CancelCauseFunc) (stop func()) {
-	if !e.needsBackup() || !e.engineShape().Moves {
+	if shape := e.backupShape(); shape == nil || !shape.Moves {
 		return func() {}
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -218,7 +218,7 @@
 	defer cancel(nil)
 	slow := time.AfterFunc(time.Until(e.firstBy()), func() { cancel(errSlow) })
 	defer slow.Stop()
-	e.log("A try begins.", "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.id(),
+	e.log("A try begins.", "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.endpoint().ID,
 		"Prompt", e.request.Prompt.Tokens, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
 		"Runs", e.run.Found.Runs, "Tokens", e.run.Found.Tokens, "Prefill", e.run.Found.Prefill)
 	answer, err := e.front.config.Links.Do(trying, endpoint.RoutedEndpoint, e.outgoing(from))
@@ -309,7 +309,7 @@
 	if e.request.Workspace != "" {
 		header.Set(names.Workspace, string(e.request.Workspace))
 	}
-	if address := e.backup.address(); address != "" {
+	if address := e.backup.endpoint().Address; address != "" {
 		header.Set(names.Backup, address)
 	}
 	if from != "" {
@@ -370,7 +370,7 @@
 	if err != nil {
 		return ended{result: e.lost(), health: e.blame(ctx, place.Bad), err: err}
 	}
-	if status < http.StatusInternalServerError && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests {
+	if status < http.StatusInternalServerError && !saysNotRun(status) {
 		e.relay(body)
 		return ended{done: true, health: place.Good}
 	}
--- a/io/local/local.go
+++ b/io/local/local.go
@@ -314,15 +314,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := core.Documents{AsOf: s.revision}
-	add := func(name string) {
-		out.Documents = append(out.Documents, core.Document{Name: name, Revision: s.revision, Value: []byte(s.text)})
+	add := func(name string, value []byte) {
+		out.Documents = append(out.Documents, core.Document{Name: name, Revision: s.revision, Value: value})
 	}
-	add(_routesName)
+	add(_routesName, []byte(s.text))
 	for _, centre := range s.site.Out {
-		add(_outPrefix + string(centre))
+		add(_outPrefix+string(centre), nil)
 	}
 	for _, e := range s.site.Endpoints {
-		add(_endpointsPrefix + e.ID)
+		value, err := json.Marshal(e)
+		if err != nil {
+			return core.Documents{}, fmt.Errorf("encode endpoint %s: %w", e.ID, err)
+		}
+		add(_endpointsPrefix+e.ID, value)
 	}
 	return out, nil
 }
@@ -359,18 +363,17 @@
 	if document.Deleted {
 		return know.Fact{}, nil
 	}
+	if id, ok := strings.CutPrefix(document.Name, _endpointsPrefix); ok {
+		var e core.RoutedEndpoint
+		if err := json.Unmarshal(document.Value, &e); err != nil {
+			return know.Fact{}, fmt.Errorf("decode endpoint %s: %w", id, err)
+		}
+		return know.Fact{Endpoint: &e}, nil
+	}
 	site, err := Parse(document.Name, document.Value)
 	if err != nil {
 		return know.Fact{}, err
 	}
-	if id, ok := strings.CutPrefix(document.Name, _endpointsPrefix); ok {
-		for i := range site.Endpoints {
-			if site.Endpoints[i].ID == id {
-				return know.Fact{Endpoint: &site.Endpoints[i]}, nil
-			}
-		}
-		return know.Fact{}, nil
-	}
 	site.Source.Version = document.Revision
 	built, err := table.Build(site.Source)
 	if err != nil {
--- a/io/runs/meter.go
+++ b/io/runs/meter.go
@@ -9,7 +9,7 @@
 
 // What the runner counts:
 //
-//	Runs.Done, runs.NotRun, runs.Interrupted, runs.Unknown   outcomes
+//	Runs.Done, Runs.NotRun, Runs.Interrupted, Runs.Unknown   outcomes
 //	runs.resumed     connections opened to continue a generation
 //	runs.replaced    tries after the first
 //	runs.abandoned   generations given up without their caller
--- a/io/runs/orders.go
+++ b/io/runs/orders.go
@@ -29,7 +29,7 @@
 	_ticketsAtOnce = 1000
 )
 
-// OrdersConfig is what a Orders is built from.
+// OrdersConfig is what an Orders is built from.
 type OrdersConfig struct {
 	Runner *Runner
 	Site   core.SiteName
