--- a/io/local/local.go
+++ b/io/local/local.go
@@ -5,31 +5,18 @@
 package local
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
-	"os"
 	"reflect"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"gopkg.in/ini.v1"
 
 	"apricotproxy/core"
-	"apricotproxy/core/procs/know"
 	"apricotproxy/core/versn/table"
 )
 
-const (
-	_routesName      = "routes"
-	_outPrefix       = "out/"
-	_endpointsPrefix = "endpoints/"
-	// _poll is how often the file is looked at while a watch waits.
-	_poll = 200 * time.Millisecond
-)
-
 // FileError names what is wrong in a file.
 type FileError struct {
 	File    string
@@ -261,148 +248,3 @@
 	})
 	return nil
 }
-
-// Store gives a file's content as documents: the routes, the data centres out of
-// service and the endpoints, with a revision that rises with each change.
-type Store struct {
-	path string
-
-	mu       sync.Mutex
-	text     string
-	site     *Site
-	revision uint64
-}
-
-var _ core.DocumentStore = (*Store)(nil)
-
-// Open reads a file.
-func Open(path string) (*Store, *Site, error) {
-	s := &Store{path: path}
-	if err := s.refresh(); err != nil {
-		return nil, nil, err
-	}
-	return s, s.site, nil
-}
-
-// refresh reads the file again. One that cannot be used leaves the last good one.
-func (s *Store) refresh() error {
-	text, err := os.ReadFile(s.path)
-	if err != nil {
-		return fmt.Errorf("read the site's file: %w", err)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if string(text) == s.text {
-		return nil
-	}
-	site, err := Parse(s.path, text)
-	if err != nil {
-		return err
-	}
-	// The clock makes revisions rise from one process to the next.
-	s.revision = max(s.revision+1, uint64(time.Now().UnixMilli()))
-	site.Source.Version = s.revision
-	s.text, s.site = string(text), site
-	return nil
-}
-
-// List gives all documents.
-func (s *Store) List(context.Context) (core.Documents, error) {
-	if err := s.refresh(); err != nil {
-		return core.Documents{}, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := core.Documents{AsOf: s.revision}
-	add := func(name string, value []byte) {
-		out.Documents = append(out.Documents, core.Document{Name: name, Revision: s.revision, Value: value})
-	}
-	add(_routesName, []byte(s.text))
-	for _, centre := range s.site.Out {
-		add(_outPrefix+string(centre), nil)
-	}
-	for _, e := range s.site.Endpoints {
-		value, err := json.Marshal(e)
-		if err != nil {
-			return core.Documents{}, fmt.Errorf("encode endpoint %s: %w", e.ID, err)
-		}
-		add(_endpointsPrefix+e.ID, value)
-	}
-	return out, nil
-}
-
-// Watch waits for the file to change. What changed is listed anew.
-func (s *Store) Watch(ctx context.Context, after uint64, wait time.Duration) (core.Documents, error) {
-	deadline := time.Now().Add(wait)
-	for {
-		if err := s.refresh(); err != nil {
-			return core.Documents{}, err
-		}
-		s.mu.Lock()
-		revision := s.revision
-		s.mu.Unlock()
-		if revision > after {
-			return core.Documents{}, core.ErrHistoryLost
-		}
-		if !time.Now().Before(deadline) {
-			return core.Documents{AsOf: revision}, nil
-		}
-		select {
-		case <-ctx.Done():
-			return core.Documents{}, fmt.Errorf("watch the site's file: %w", ctx.Err())
-		case <-time.After(_poll):
-		}
-	}
-}
-
-// Decode tells what a document of a Store says.
-func Decode(document core.Document) (know.Fact, error) {
-	if centre, ok := strings.CutPrefix(document.Name, _outPrefix); ok {
-		return know.Fact{OutOfService: core.DataCentreName(centre)}, nil
-	}
-	if document.Deleted {
-		return know.Fact{}, nil
-	}
-	if id, ok := strings.CutPrefix(document.Name, _endpointsPrefix); ok {
-		var e core.RoutedEndpoint
-		if err := json.Unmarshal(document.Value, &e); err != nil {
-			return know.Fact{}, fmt.Errorf("decode endpoint %s: %w", id, err)
-		}
-		return know.Fact{Endpoint: &e}, nil
-	}
-	site, err := Parse(document.Name, document.Value)
-	if err != nil {
-		return know.Fact{}, err
-	}
-	site.Source.Version = document.Revision
-	built, err := table.Build(site.Source)
-	if err != nil {
-		return know.Fact{}, fmt.Errorf("build the routing table: %w", err)
-	}
-	return know.Fact{Table: built}, nil
-}
-
-// Headers spells the product's own headers of routed requests.
-func Headers() core.HeaderNames {
-	return core.HeaderNames{
-		RequestID: "Request-Id", Deadline: "Deadline-Ms", Key: "Workspace-Key", Workspace: "Workspace",
-		ExpectedEndpoint: "Expect-Endpoint", EndpointID: "Endpoint-Id", NotRun: "Not-Run", Seal: "Endpoint-Seal",
-		Model: "Model", Tokens: "Tokens", Parts: "Prompt-Parts", ExpectedTokens: "Expected-Tokens", Priority: "Priority",
-		LastEventID: "Last-Event-Id", Backup: "Backup-To", ContinueFrom: "Continue-From",
-		Reserved: []string{"Workspace", "Workspace-Key", "Expect-Endpoint", "Backup-To", "Continue-From", "Priority"},
-	}
-}
-
-// Paths spells the product's own paths.
-func Paths() core.CallPaths {
-	return core.CallPaths{Ready: "/readyz", Report: "/v1/report", Move: "/v1/moves", Handle: "/v1/moves/"}
-}
-
-// DecodeReport reads an engine's report of its own state, {"Leaving":true}.
-func DecodeReport(body []byte) (core.EngineState, error) {
-	var state core.EngineState
-	if err := json.Unmarshal(body, &state); err != nil {
-		return core.EngineState{}, fmt.Errorf("decode an engine's report: %w", err)
-	}
-	return state, nil
-}
--- /dev/null
+++ b/io/local/names.go
@@ -0,0 +1,33 @@
+package local
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"apricotproxy/core"
+)
+
+// Headers spells the product's own headers of routed requests.
+func Headers() core.HeaderNames {
+	return core.HeaderNames{
+		RequestID: "Request-Id", Deadline: "Deadline-Ms", Key: "Workspace-Key", Workspace: "Workspace",
+		ExpectedEndpoint: "Expect-Endpoint", EndpointID: "Endpoint-Id", NotRun: "Not-Run", Seal: "Endpoint-Seal",
+		Model: "Model", Tokens: "Tokens", Parts: "Prompt-Parts", ExpectedTokens: "Expected-Tokens", Priority: "Priority",
+		LastEventID: "Last-Event-Id", Backup: "Backup-To", ContinueFrom: "Continue-From",
+		Reserved: []string{"Workspace", "Workspace-Key", "Expect-Endpoint", "Backup-To", "Continue-From", "Priority"},
+	}
+}
+
+// Paths spells the product's own paths.
+func Paths() core.CallPaths {
+	return core.CallPaths{Ready: "/readyz", Report: "/v1/report", Move: "/v1/moves", Handle: "/v1/moves/"}
+}
+
+// DecodeReport reads an engine's report of its own state, {"Leaving":true}.
+func DecodeReport(body []byte) (core.EngineState, error) {
+	var state core.EngineState
+	if err := json.Unmarshal(body, &state); err != nil {
+		return core.EngineState{}, fmt.Errorf("decode an engine's report: %w", err)
+	}
+	return state, nil
+}
--- /dev/null
+++ b/io/local/store.go
@@ -0,0 +1,143 @@
+package local
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
+	"apricotproxy/core/versn/table"
+)
+
+const (
+	_routesName      = "routes"
+	_outPrefix       = "out/"
+	_endpointsPrefix = "endpoints/"
+	// _poll is how often the file is looked at while a watch waits.
+	_poll = 200 * time.Millisecond
+)
+
+// Store gives a file's content as documents: the routes, the data centres out of
+// service and the endpoints, with a revision that rises with each change.
+type Store struct {
+	path string
+
+	mu       sync.Mutex
+	text     string
+	site     *Site
+	revision uint64
+}
+
+var _ core.DocumentStore = (*Store)(nil)
+
+// Open reads a file.
+func Open(path string) (*Store, *Site, error) {
+	s := &Store{path: path}
+	if err := s.refresh(); err != nil {
+		return nil, nil, err
+	}
+	return s, s.site, nil
+}
+
+// refresh reads the file again. One that cannot be used leaves the last good one.
+func (s *Store) refresh() error {
+	text, err := os.ReadFile(s.path)
+	if err != nil {
+		return fmt.Errorf("read the site's file: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if string(text) == s.text {
+		return nil
+	}
+	site, err := Parse(s.path, text)
+	if err != nil {
+		return err
+	}
+	// The clock makes revisions rise from one process to the next.
+	s.revision = max(s.revision+1, uint64(time.Now().UnixMilli()))
+	site.Source.Version = s.revision
+	s.text, s.site = string(text), site
+	return nil
+}
+
+// List gives all documents.
+func (s *Store) List(context.Context) (core.Documents, error) {
+	if err := s.refresh(); err != nil {
+		return core.Documents{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := core.Documents{AsOf: s.revision}
+	add := func(name string, value []byte) {
+		out.Documents = append(out.Documents, core.Document{Name: name, Revision: s.revision, Value: value})
+	}
+	add(_routesName, []byte(s.text))
+	for _, centre := range s.site.Out {
+		add(_outPrefix+string(centre), nil)
+	}
+	for _, e := range s.site.Endpoints {
+		value, err := json.Marshal(e)
+		if err != nil {
+			return core.Documents{}, fmt.Errorf("encode endpoint %s: %w", e.ID, err)
+		}
+		add(_endpointsPrefix+e.ID, value)
+	}
+	return out, nil
+}
+
+// Watch waits for the file to change. What changed is listed anew.
+func (s *Store) Watch(ctx context.Context, after uint64, wait time.Duration) (core.Documents, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		if err := s.refresh(); err != nil {
+			return core.Documents{}, err
+		}
+		s.mu.Lock()
+		revision := s.revision
+		s.mu.Unlock()
+		if revision > after {
+			return core.Documents{}, core.ErrHistoryLost
+		}
+		if !time.Now().Before(deadline) {
+			return core.Documents{AsOf: revision}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return core.Documents{}, fmt.Errorf("watch the site's file: %w", ctx.Err())
+		case <-time.After(_poll):
+		}
+	}
+}
+
+// Decode tells what a document of a Store says.
+func Decode(document core.Document) (know.Fact, error) {
+	if centre, ok := strings.CutPrefix(document.Name, _outPrefix); ok {
+		return know.Fact{OutOfService: core.DataCentreName(centre)}, nil
+	}
+	if document.Deleted {
+		return know.Fact{}, nil
+	}
+	if id, ok := strings.CutPrefix(document.Name, _endpointsPrefix); ok {
+		var e core.RoutedEndpoint
+		if err := json.Unmarshal(document.Value, &e); err != nil {
+			return know.Fact{}, fmt.Errorf("decode endpoint %s: %w", id, err)
+		}
+		return know.Fact{Endpoint: &e}, nil
+	}
+	site, err := Parse(document.Name, document.Value)
+	if err != nil {
+		return know.Fact{}, err
+	}
+	site.Source.Version = document.Revision
+	built, err := table.Build(site.Source)
+	if err != nil {
+		return know.Fact{}, fmt.Errorf("build the routing table: %w", err)
+	}
+	return know.Fact{Table: built}, nil
+}
