fakes/hosts: one way to start entry hosts in tests and the demo

io/entry's tests, proof's randomised runs and the demo each made the same settings, took ports, started a host and kept how it ends. The demo also still took ports that were free a moment before. What differs, the documents' form and the bounds, stays with each.

--- a/io/cmds/routed.go
+++ b/io/cmds/routed.go
@@ -5,16 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"apricotproxy/core"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/versn/table"
+	"apricotproxy/fakes/hosts"
 	"apricotproxy/fakes/routed"
 	"apricotproxy/fakes/store"
 	"apricotproxy/io/entry"
@@ -47,20 +45,20 @@
 		documents.Put(name, engine.Address)
 	}
 	documents.Put("routes", "1")
-	settings, err := routedSettings(documents.Client())
-	if err != nil {
-		return fmt.Errorf("find ports: %w", err)
-	}
-	h, err := entry.New(settings)
+	all := hosts.New(1, documents, entry.Settings{
+		EntrySettings: core.EntrySettings{
+			DataCentre: "austin-a",
+			Bounds:     core.EntryBounds{LeavingSpread: 2 * time.Second, RetryWindow: 10 * time.Second, RetryExtra: 100},
+		},
+		Names: _routedNames, Paths: core.CallPaths{Ready: "/ready"}, Decode: decodeRouted,
+	})
+	h, err := all.Start(0)
 	if err != nil {
 		return fmt.Errorf("make a host for routed requests: %w", err)
 	}
-	serving, cancel := context.WithCancel(ctx)
-	ended := make(chan error, 1)
-	go func() { ended <- h.Run(serving) }()
 	defer func() {
-		cancel()
-		err = errors.Join(err, <-ended)
+		all.Stop(0)
+		err = errors.Join(err, <-all.Ended(0))
 	}()
 	for !h.Ready() {
 		select {
@@ -69,7 +67,7 @@
 		case <-time.After(_routedPoll):
 		}
 	}
-	return d.askRouted(ctx, settings.CallerAddress)
+	return d.askRouted(ctx, all.Settings[0].CallerAddress)
 }
 
 func (d *demo) askRouted(ctx context.Context, address string) error {
@@ -134,27 +132,3 @@
 	})
 	return know.Fact{Table: built}, err
 }
-
-// routedSettings finds free ports on loopback.
-func routedSettings(documents core.DocumentStore) (entry.Settings, error) {
-	var addresses [4]string
-	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return entry.Settings{}, fmt.Errorf("listen: %w", err)
-		}
-		addresses[i] = listener.Addr().String()
-		if err := listener.Close(); err != nil {
-			return entry.Settings{}, fmt.Errorf("free a port: %w", err)
-		}
-	}
-	return entry.Settings{
-		EntrySettings: core.EntrySettings{
-			Name: "host-1", DataCentre: "austin-a", CallerAddress: addresses[0], ReadyAddress: addresses[1],
-			PeerAddress: addresses[2], HeartbeatAddress: addresses[3],
-			Bounds: core.EntryBounds{LeavingSpread: 2 * time.Second, RetryWindow: 10 * time.Second, RetryExtra: 100},
-		},
-		Names: _routedNames, Paths: core.CallPaths{Ready: "/ready"}, Store: documents, Decode: decodeRouted,
-		Dialer: entry.NewDialer(), Listen: net.Listen, ListenPacket: net.ListenPacket, Logger: logr.Discard(),
-	}, nil
-}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -1,22 +1,18 @@
 package entry_test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"apricotproxy/core"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/versn/table"
-	"apricotproxy/fakes/addrs"
+	"apricotproxy/fakes/hosts"
 	"apricotproxy/fakes/routed"
 	"apricotproxy/fakes/store"
 	"apricotproxy/io/entry"
@@ -59,48 +55,34 @@
 const _stopGrace = 4 * time.Second
 
 type site struct {
-	t        *testing.T
-	settings []entry.Settings
-	store    *store.Store
-	clients  []*store.Client
-	front    []string
-	ready    []string
-	stop     []context.CancelFunc
-	ended    []chan error
+	*hosts.Hosts
+
+	t     *testing.T
+	store *store.Store
+	front []string
+	ready []string
 }
 
 // newSite starts hosts on loopback before one store.
-func newSite(t *testing.T, hosts int) *site {
+func newSite(t *testing.T, n int) *site {
 	t.Helper()
-	s := &site{t: t, store: store.New()}
-	var beats []string
-	for i := range hosts {
-		client := s.store.Client()
-		one := entry.Settings{
-			EntrySettings: core.EntrySettings{
-				Name: core.HostName(fmt.Sprint("host-", i)), DataCentre: "a", CallerAddress: addrs.Next(), ReadyAddress: addrs.Next(),
-				PeerAddress: addrs.Next(), HeartbeatAddress: addrs.Next(),
-				Bounds: core.EntryBounds{
-					LeavingSpread: _leavingSpread, StopGrace: _stopGrace, RetryWindow: 10 * time.Second, RetryExtra: 58,
-					EndpointInterval: time.Second,
-				},
+	documents := store.New()
+	s := &site{t: t, store: documents, Hosts: hosts.New(n, documents, entry.Settings{
+		EntrySettings: core.EntrySettings{
+			DataCentre: "a",
+			Bounds: core.EntryBounds{
+				LeavingSpread: _leavingSpread, StopGrace: _stopGrace, RetryWindow: 10 * time.Second, RetryExtra: 58,
+				EndpointInterval: time.Second,
 			},
-			Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", ExpectedEndpoint: "Expect"},
-			Paths:  core.CallPaths{Ready: "/ready"},
-			Store:  client,
-			Decode: decode,
-			Dialer: entry.NewDialer(), Listen: net.Listen, ListenPacket: net.ListenPacket,
-			Logger: logr.Discard(), Seed: uint64(i + 1),
-		}
-		s.clients = append(s.clients, client)
+		},
+		Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", ExpectedEndpoint: "Expect"},
+		Paths:  core.CallPaths{Ready: "/ready"},
+		Decode: decode,
+		Seed:   1,
+	})}
+	for i, one := range s.Settings {
 		s.front = append(s.front, one.CallerAddress)
 		s.ready = append(s.ready, one.ReadyAddress)
-		beats = append(beats, one.HeartbeatAddress)
-		s.settings = append(s.settings, one)
-	}
-	s.stop, s.ended = make([]context.CancelFunc, hosts), make([]chan error, hosts)
-	for i := range s.settings {
-		s.settings[i].Seeds = beats[:min(len(beats), 2)]
 		s.start(i)
 	}
 	return s
@@ -109,15 +91,10 @@
 // start starts one host's process, at first or anew.
 func (s *site) start(i int) {
 	s.t.Helper()
-	h, err := entry.New(s.settings[i])
-	if err != nil {
+	if _, err := s.Start(i); err != nil {
 		s.t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- h.Run(ctx) }()
-	s.stop[i], s.ended[i] = cancel, ended
-	s.t.Cleanup(cancel)
+	s.t.Cleanup(func() { s.Stop(i) })
 }
 
 func (s *site) get(address, path string) (int, string) {
@@ -195,8 +172,8 @@
 	if status, _ := s.get(s.ready[2], "/ready"); status != 200 {
 		t.Errorf("not ready: status %d", status)
 	}
-	s.clients[0].SetDown(true)
-	s.clients[1].SetDown(true)
+	s.Clients[0].SetDown(true)
+	s.Clients[1].SetDown(true)
 	s.store.Put("config", `{"Version":2,"Prefix":"/b/"}`)
 	s.eventually("the new version is in force on all", 2*time.Second, s.allServe("/b/", "one"))
 	if status, _ := s.get(s.front[0], "/a/"); status != 404 {
@@ -222,11 +199,11 @@
 	s.store.Put("config", `{"Version":1,"Prefix":"/a/"}`)
 	s.endpoint("e1", fine("one"))
 	s.eventually("it serves", 2*time.Second, s.allServe("/a/", "one"))
-	s.clients[0].SetDown(true)
+	s.Clients[0].SetDown(true)
 	time.Sleep(300 * time.Millisecond)
 	s.store.Put("config", `{"Version":2,"Prefix":"/b/"}`)
 	s.store.Forget()
-	s.clients[0].SetDown(false)
+	s.Clients[0].SetDown(false)
 	s.eventually("the new version is in force", 3*time.Second, s.allServe("/b/", "one"))
 }
 
@@ -238,13 +215,13 @@
 	s.store.Put("config", `{"Version":1,"Prefix":"/a/"}`)
 	s.endpoint("e1", fine("one"))
 	s.eventually("all serve", 2*time.Second, s.allServe("/a/", "one"))
-	for _, client := range s.clients {
+	for _, client := range s.Clients {
 		client.SetSilent(true)
 	}
 	time.Sleep(time.Second) // by now each watch that waits is a silent one
 	s.store.Put("config", `{"Version":2,"Prefix":"/b/"}`)
 	s.store.Forget()
-	for _, client := range s.clients {
+	for _, client := range s.Clients {
 		client.SetSilent(false)
 	}
 	s.eventually("the new version is in force", _leavingSpread, s.allServe("/b/", "one"))
@@ -284,7 +261,7 @@
 		got <- fmt.Sprint(status, " ", body)
 	}()
 	<-running
-	s.stop[0]()
+	s.Stop(0)
 	s.eventually("it is not ready", time.Second, func() bool {
 		status, _ := s.get(s.ready[0], "/ready")
 		return status == 503
@@ -303,7 +280,7 @@
 		t.Errorf("the running request got %q", answer)
 	}
 	select {
-	case err := <-s.ended[0]:
+	case err := <-s.Ended(0):
 		if err != nil {
 			t.Errorf("the process ended with %v", err)
 		}
--- a/io/entry/stops_test.go
+++ b/io/entry/stops_test.go
@@ -39,11 +39,11 @@
 		return fine("one")(c)
 	})
 	s.eventually("all serve", 2*time.Second, s.allServe("/a/", "one"))
-	var hosts []balan.Host
+	var behind []balan.Host
 	for i := range s.front {
-		hosts = append(hosts, balan.Host{Front: s.front[i], Ready: "http://" + s.ready[i] + "/ready"})
+		behind = append(behind, balan.Host{Front: s.front[i], Ready: "http://" + s.ready[i] + "/ready"})
 	}
-	b, err := balan.Start(hosts, _balancerPace)
+	b, err := balan.Start(behind, _balancerPace)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,9 +57,9 @@
 		group.Go(func() { unanswered[i] = orders(ctx, t, b.Address, fmt.Sprint("caller-", i), i%2 == 0) })
 	}
 	for i := range s.front {
-		s.stop[i]()
+		s.Stop(i)
 		select {
-		case err := <-s.ended[i]:
+		case err := <-s.Ended(i):
 			if err != nil {
 				t.Errorf("host %d ended with %v", i, err)
 			}
--- a/proof/routed_test.go
+++ b/proof/routed_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,15 +14,13 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"apricotproxy/core"
 	"apricotproxy/core/invar"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/reqst/tries"
 	"apricotproxy/core/versn/table"
-	"apricotproxy/fakes/addrs"
+	"apricotproxy/fakes/hosts"
 	"apricotproxy/fakes/routed"
 	"apricotproxy/fakes/store"
 	routes "apricotproxy/io/entry"
@@ -92,12 +89,9 @@
 
 // routedRun is one run.
 type routedRun struct {
-	t        *testing.T
-	store    *store.Store
-	settings []routes.Settings
-	clients  []*store.Client
-	stop     []context.CancelFunc
-	ended    []chan error
+	*hosts.Hosts
+
+	store *store.Store
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -220,7 +214,7 @@
 
 // call sends one request and judges its answer.
 func (r *routedRun) call(client *http.Client, id, kind string) {
-	address := r.settings[r.draw(len(r.settings))].CallerAddress
+	address := r.Settings[r.draw(len(r.Settings))].CallerAddress
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+kind+"/x", strings.NewReader("body"))
 	if err != nil {
 		r.violation("%s: %v", id, err)
@@ -289,15 +283,9 @@
 }
 
 func (r *routedRun) startHost(i int) {
-	h, err := routes.New(r.settings[i])
-	if err != nil {
-		r.violation("host %d does not start: %v", i, err)
-		return
+	if _, err := r.Start(i); err != nil {
+		r.violation("%v", err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- h.Run(ctx) }()
-	r.stop[i], r.ended[i] = cancel, ended
 }
 
 func (r *routedRun) put(name, address, centre string, leaving bool) {
@@ -331,7 +319,7 @@
 		r.store.Delete("out/b")
 	case 4:
 		host := r.draw(_routedHosts)
-		r.clients[host].SetDown(r.draw(2) == 0)
+		r.Clients[host].SetDown(r.draw(2) == 0)
 	}
 	r.store.Put("config", strconv.Itoa(n+2))
 }
@@ -346,11 +334,21 @@
 // runRouted plays one run and gives what was broken.
 func runRouted(t *testing.T, seed uint64, switches routes.Switches) (broken []string, served int) {
 	t.Helper()
+	documents := store.New()
 	r := &routedRun{
-		t: t, store: store.New(), random: rand.New(rand.NewPCG(seed, 1)),
+		store: documents, random: rand.New(rand.NewPCG(seed, 1)),
 		runs: make(map[string]int), promised: make(map[string]bool), closed: make(map[string]time.Time),
-		stop: make([]context.CancelFunc, _routedHosts), ended: make([]chan error, _routedHosts),
 	}
+	r.Hosts = hosts.New(_routedHosts, documents, routes.Settings{
+		EntrySettings: core.EntrySettings{
+			DataCentre: "a",
+			Bounds: core.EntryBounds{
+				LeavingSpread: _routedSpread, StopGrace: _routedGrace, RetryWindow: 10 * time.Second, RetryShare: 0.5, RetryExtra: 500,
+				EndpointInterval: time.Minute,
+			},
+		},
+		Names: _routedNames, Paths: core.CallPaths{Ready: "/ready"}, Decode: decodeRouted, Seed: seed, Switches: switches,
+	})
 	defer invar.Handle(func(v *invar.Violation) { r.violation("%v", v) })()
 	addresses := make(map[string]string)
 	for i := range _routedEndpoints {
@@ -364,27 +362,7 @@
 		r.put(name, e.Address, centreOf(name), false)
 	}
 	r.store.Put("config", "1")
-	var seeds []string
-	for i := range _routedHosts {
-		client := r.store.Client()
-		r.clients = append(r.clients, client)
-		r.settings = append(r.settings, routes.Settings{
-			EntrySettings: core.EntrySettings{
-				Name: core.HostName(fmt.Sprint("host-", i)), DataCentre: "a", CallerAddress: addrs.Next(), ReadyAddress: addrs.Next(),
-				PeerAddress: addrs.Next(), HeartbeatAddress: addrs.Next(),
-				Bounds: core.EntryBounds{
-					LeavingSpread: _routedSpread, StopGrace: _routedGrace, RetryWindow: 10 * time.Second, RetryShare: 0.5, RetryExtra: 500,
-					EndpointInterval: time.Minute,
-				},
-			},
-			Names: _routedNames, Paths: core.CallPaths{Ready: "/ready"}, Store: client, Decode: decodeRouted,
-			Dialer: routes.NewDialer(), Listen: net.Listen, ListenPacket: net.ListenPacket, Logger: logr.Discard(), Seed: seed + uint64(i),
-			Switches: switches,
-		})
-		seeds = append(seeds, r.settings[i].HeartbeatAddress)
-	}
-	for i := range r.settings {
-		r.settings[i].Seeds = seeds
+	for i := range r.Settings {
 		r.startHost(i)
 	}
 	if len(r.broken) > 0 {
@@ -424,17 +402,17 @@
 		}
 	})
 	time.Sleep(_routedFor / 4)
-	r.stop[0]()
-	if err := <-r.ended[0]; err != nil {
+	r.Stop(0)
+	if err := <-r.Ended(0); err != nil {
 		r.violation("a planned stop ended with %v", err)
 	}
 	r.startHost(0)
 	group.Wait()
-	for _, stop := range r.stop {
-		stop()
+	for i := range r.Settings {
+		r.Stop(i)
 	}
-	for i := range r.ended {
-		if err := <-r.ended[i]; err != nil {
+	for i := range r.Settings {
+		if err := <-r.Ended(i); err != nil {
 			r.violation("host %d ended with %v", i, err)
 		}
 	}
