io/front, io/entry: errors show what the host knew of the configuration

What was lacking: the line of a refused request names neither the configuration version that decided it nor how old the host's knowledge was, so that a change that was lost and one that is late look alike; nothing says that the store went back to a lower revision.

Change: the line of an error that the host itself answers has Version, AsOf and DocumentAge. A listing at a lower revision than before and a store that can be read again are logged. The metrics apricotproxy.Routed.Documents have the same for every host.

Evidence: TestRefusalLogsConfiguration; no decision changes.

--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -51,6 +51,15 @@
 	Endpoints    []Endpoint
 }
 
+// Version returns the version of the routing table in force; 0 for none. The view may be
+// nil.
+func (v *View) Version() uint64 {
+	if v == nil || v.Table == nil {
+		return 0
+	}
+	return v.Table.Version()
+}
+
 // SyncStatus is the position up to which the documents are known.
 type SyncStatus struct {
 	// AsOf is the revision up to which no document is missing.
@@ -61,6 +70,15 @@
 	FreshAt time.Time
 }
 
+// Age returns how long ago the store was known to have nothing newer; 0 while no
+// document is known.
+func (s SyncStatus) Age(now time.Time) time.Duration {
+	if s.FreshAt.IsZero() {
+		return 0
+	}
+	return now.Sub(s.FreshAt)
+}
+
 type item struct {
 	document core.Document
 	content  Content
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -104,7 +104,8 @@
 	h.sharedPlacer = front.NewSharedPlacer(placer)
 	h.docState = newDocumentState(know.New(settings.Decode, outagePolicy(settings.Bounds)), settings.Logger, h.apply)
 	h.front = front.New(front.Config{
-		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Links: h.links, View: h.docState.View, Logger: settings.Logger,
+		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Links: h.links, View: h.docState.View,
+		SyncStatus: h.docState.syncStatus, Logger: settings.Logger,
 		LoadChanged: func() { h.peers.scheduleLoadChanges() }, Switches: settings.Switches.Front,
 	})
 	var err error
@@ -222,12 +223,14 @@
 func (h *Host) runExpiry(ctx context.Context) {
 	ticker := time.NewTicker(_expiryInterval)
 	defer ticker.Stop()
+	gauges := _documentGauges()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			h.docState.expire(now)
+			gauges.set(now, h.docState.View().Version(), h.docState.syncStatus())
 			h.sharedPlacer.Update(func(p *place.Placer) { p.ExpirePeerLoads(now) })
 			h.links.EvictIdle(h.linkFilter())
 		}
--- a/io/entry/facts.go
+++ b/io/entry/facts.go
@@ -43,10 +43,10 @@
 	}
 	view := d.state.View()
 	before := d.view.Swap(view)
-	invar.Check(invar.RevisionNeverLower, version(view) >= version(before), "version %d in force after %d", version(view), version(before))
+	invar.Check(invar.RevisionNeverLower, view.Version() >= before.Version(), "version %d in force after %d", view.Version(), before.Version())
 	status := d.state.SyncStatus()
 	joined, leaving, gone := know.Compare(before, view)
-	d.log.Info("The published documents changed.", "Source", source, "AsOf", status.AsOf, "Version", version(view), "Endpoints", len(view.Endpoints),
+	d.log.Info("The published documents changed.", "Source", source, "AsOf", status.AsOf, "Version", view.Version(), "Endpoints", len(view.Endpoints),
 		"Out", len(view.OutOfService), "Joined", joined, "Leaving", leaving, "Gone", gone)
 	d.onChange(view)
 	return true
@@ -69,10 +69,3 @@
 func (d *documentState) expire(now time.Time) {
 	d.update("time", func(s *know.State) (bool, error) { return s.Expire(now), nil })
 }
-
-func version(view *know.View) uint64 {
-	if view == nil || view.Table == nil {
-		return 0
-	}
-	return view.Table.Version()
-}
--- /dev/null
+++ b/io/entry/gauges.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"apricotproxy/core/procs/know"
+)
+
+// documentGauges are the metrics of the published documents as this process knows them.
+type documentGauges struct {
+	version, revision, age *expvar.Int
+}
+
+var _documentGauges = sync.OnceValue(func() documentGauges {
+	g := documentGauges{version: new(expvar.Int), revision: new(expvar.Int), age: new(expvar.Int)}
+	documents := expvar.NewMap("apricotproxy.Routed.Documents")
+	documents.Set("Version", g.version)
+	documents.Set("Revision", g.revision)
+	documents.Set("AgeMilliseconds", g.age)
+	return g
+})
+
+func (g documentGauges) set(now time.Time, version uint64, status know.SyncStatus) {
+	g.version.Set(int64(version))
+	g.revision.Set(int64(status.AsOf))
+	g.age.Set(status.Age(now).Milliseconds())
+}
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -69,6 +69,9 @@
 	err := r.call(ctx)
 	switch {
 	case err == nil:
+		if r.backoff > 0 {
+			r.host.log.Info("The store can be read again.")
+		}
 		r.backoff = 0
 		r.host.peers.setCanReadStore(true)
 		return
@@ -100,6 +103,9 @@
 			return err
 		}
 		r.listed = true
+		if known := h.docState.syncStatus().AsOf; documents.AsOf < known {
+			h.log.Info("The store is at a lower revision than before.", "Revision", documents.AsOf, "Known", known)
+		}
 		r.applyAndNotify(func(s *know.State) (bool, error) { return s.Replace(time.Now(), documents, requestedAt) })
 		return nil
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -41,7 +41,9 @@
 	SharedPlacer *SharedPlacer
 	Links        *links.Pool
 	View         func() *know.View
-	Logger       logr.Logger
+	// SyncStatus is logged with each error, to show what the host knew when it answered.
+	SyncStatus func() know.SyncStatus
+	Logger     logr.Logger
 	// LoadChanged is called when a generation or a copy of its memory was placed, and
 	// when a generation's first event shows that its prompt was read. The other hosts of
 	// the data centre must learn of these changes at once.
@@ -252,7 +254,9 @@
 
 // writeError answers a request with an error of this host's own.
 func (f *Front) writeError(w http.ResponseWriter, r *http.Request, req *request, failure *errorAnswer) {
-	f.log.Info("A request was answered with an error.", "Request", req.ID, "Status", failure.status, "Reason", failure.reason, "Path", r.URL.Path)
+	status := f.config.SyncStatus()
+	f.log.Info("A request was answered with an error.", "Request", req.ID, "Status", failure.status, "Reason", failure.reason, "Path", r.URL.Path,
+		"Version", f.config.View().Version(), "AsOf", status.AsOf, "DocumentAge", status.Age(time.Now()).Milliseconds())
 	f.counters.countAnswer(failure.status)
 	header := w.Header()
 	if req.ID != "" {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/know"
@@ -37,6 +38,8 @@
 	endpoints []*routed.Endpoint
 	placer    *front.SharedPlacer
 	view      *know.View
+	// errorLines receives the log lines of errors that the host itself answers.
+	errorLines chan string
 }
 
 func newFixture(t *testing.T, handlers ...routed.Handler) *fixture {
@@ -62,7 +65,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &fixture{t: t, view: &know.View{Table: built, OutOfService: map[core.DataCentreName]bool{}}}
+	r := &fixture{t: t, errorLines: make(chan string, 64), view: &know.View{Table: built, OutOfService: map[core.DataCentreName]bool{}}}
 	for i, handle := range handlers {
 		e, err := routed.Start(handle)
 		if err != nil {
@@ -84,12 +87,29 @@
 	t.Cleanup(pool.Close)
 	r.server = httptest.NewServer(front.New(front.Config{
 		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: pool,
-		View: func() *know.View { return r.view }, Logger: logr.Discard(), LoadChanged: func() {},
+		View: func() *know.View { return r.view }, Logger: r.logger(), LoadChanged: func() {},
+		SyncStatus: func() know.SyncStatus { return know.SyncStatus{AsOf: 12, FreshAt: time.Now().Add(-_documentAge)} },
 	}))
 	t.Cleanup(r.server.Close)
 	return r
 }
 
+// _documentAge is the age of the fixture's documents.
+const _documentAge = 3 * time.Second
+
+// logger returns a logger that sends lines of errors to errorLines.
+func (r *fixture) logger() logr.Logger {
+	return funcr.New(func(_, line string) {
+		if !strings.Contains(line, "answered with an error") {
+			return
+		}
+		select {
+		case r.errorLines <- line:
+		default:
+		}
+	}, funcr.Options{})
+}
+
 type answer struct {
 	status int
 	header http.Header
@@ -261,6 +281,20 @@
 	return text
 }
 
+// The line of a refusal shows whether the host answered by an outdated configuration.
+func TestRefusalLogsConfiguration(t *testing.T) {
+	r := newFixture(t)
+	if a := r.send(http.MethodGet, "/nowhere/", ""); a.status != http.StatusNotFound {
+		t.Fatalf("status %d, want 404", a.status)
+	}
+	line := <-r.errorLines
+	for _, want := range []string{`"Status"=404`, `"Version"=1`, `"AsOf"=12`, `"DocumentAge"=3`} {
+		if !strings.Contains(line, want) {
+			t.Errorf("line %q, want it to have %s", line, want)
+		}
+	}
+}
+
 // When an engine is lost, its draft continues after the last complete event on the
 // engine that has a copy of its memory.
 func TestDraftContinuesFromItsCopy(t *testing.T) {
