--- a/fakes/store/store.go
+++ b/fakes/store/store.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -55,6 +56,30 @@
 	s.historyStart = s.revision
 }
 
+// Copy is a store's content at one moment.
+type Copy struct {
+	documents map[string]core.Document
+	revision  uint64
+}
+
+// Copy returns a copy of the present content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{documents: maps.Clone(s.documents), revision: s.revision}
+}
+
+// Restore replaces the content by that of a copy. What was written since is lost, and
+// its revisions are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.documents, s.revision = maps.Clone(c.documents), c.revision
+	s.historyStart = min(s.historyStart, s.revision)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Calls returns the number of calls by all clients so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -135,7 +160,7 @@
 		c.store.mu.Lock()
 		changed, revision, historyStart := c.store.changed, c.store.revision, c.store.historyStart
 		c.store.mu.Unlock()
-		if after < historyStart {
+		if after < historyStart || after > revision {
 			return core.Documents{}, core.ErrHistoryLost
 		}
 		if revision > after {
