core/procs/know: order documents by the store's epoch before their revision

Cause: a store that comes back from a copy gives out revisions again. A host kept for each document the one with the highest revision it had ever seen, and the highest revision as its position, so that changes with reused revisions were ignored, by the store's reader and by every host that compares its position with others'.

Change: the store's epoch (Store-Era) goes before the revision in documents, positions, heartbeats and pulls. A later epoch begins with a listing, an earlier one is ignored. What the restore lost stays in force until it is written again: the highest version of the configuration, data centres out of service (10 s at most), endpoints as after an outage; endpoints that left do not come back by the copy.

Why it works: two histories with the same revisions no longer compare by revision, so nothing from the old one can hide what the new one confirms.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -50,6 +50,8 @@
 
 // SyncStatus is the position up to which a host knows the documents.
 type SyncStatus struct {
+	// Epoch is the store's epoch, to which the revisions belong.
+	Epoch uint64
 	// AsOf is the revision up to which no document is missing, Changed the highest
 	// revision that changed anything but a heartbeat.
 	AsOf    uint64
--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -1,8 +1,8 @@
 // Package know holds what a host knows of the published documents: the routing table in
 // force, the data centres out of service and the endpoints. Documents come from the
 // store or from other hosts, in any order and possibly more than once. Nothing moves
-// backwards: for each name the document with the highest revision counts, and the
-// revision up to which the documents are complete only rises.
+// backwards: for each name the document with the highest epoch and revision counts, and
+// the position up to which the documents are complete only rises.
 package know
 
 import (
@@ -62,6 +62,8 @@
 
 // SyncStatus is the position up to which the documents are known.
 type SyncStatus struct {
+	// Epoch is the store's epoch, to which the revisions belong.
+	Epoch uint64
 	// AsOf is the revision up to which no document is missing.
 	AsOf uint64
 	// Changed is the highest revision that changed anything but a heartbeat.
@@ -83,6 +85,9 @@
 	document core.Document
 	content  Content
 	endpoint Endpoint
+	// confirmUntil is the time by which the store must have a document again that a
+	// restore lost; zero if it has it.
+	confirmUntil time.Time
 }
 
 // State is a host's copy of the documents. It is not safe for concurrent use.
@@ -90,7 +95,8 @@
 	decode Decode
 	items  map[string]*item
 	status SyncStatus
-	// compactedRevision is the highest revision of a tombstone that was dropped.
+	// compactedRevision is the highest revision of a tombstone of the present epoch that
+	// was dropped.
 	compactedRevision uint64
 	outagePolicy      OutagePolicy
 	// recoveryUntil is the time until which a deleted document may mean that the store was
@@ -108,8 +114,11 @@
 	MinOutage time.Duration
 	// RecoveryPeriod is how long after an outage documents may still expire because of it.
 	RecoveryPeriod time.Duration
-	// RenewalGrace is how long an endpoint may take to renew an expired document.
+	// RenewalGrace is how long an endpoint may take to renew an expired document, or one
+	// that a restore of the store lost.
 	RenewalGrace time.Duration
+	// RewriteGrace is how long operators may take to write again what a restore lost.
+	RewriteGrace time.Duration
 }
 
 // New returns a state without documents.
@@ -120,9 +129,25 @@
 // SyncStatus returns the position up to which the documents are known.
 func (s *State) SyncStatus() SyncStatus { return s.status }
 
-// Confirm records that no document is missing up to the revision asOf, and that the
-// store had nothing newer at freshAt.
-func (s *State) Confirm(asOf uint64, freshAt time.Time) {
+// CompareStatus compares the status of another host with that of this one. It reports whether
+// the other host has changes that this one lacks. If it has none and its status is at
+// least as recent, it confirms that this host's documents are up to date. The status of a
+// host that knows only an earlier epoch says nothing.
+func (s *State) CompareStatus(theirs SyncStatus) (behind bool) {
+	mine := s.status
+	switch {
+	case theirs.AsOf == 0 || theirs.Epoch < mine.Epoch:
+		return false
+	case mine.AsOf == 0 || theirs.Epoch > mine.Epoch || theirs.Changed > mine.AsOf:
+		return true
+	}
+	s.confirm(theirs.AsOf, theirs.FreshAt)
+	return false
+}
+
+// confirm records that no document is missing up to the revision asOf of the present
+// epoch, and that the store had nothing newer at freshAt.
+func (s *State) confirm(asOf uint64, freshAt time.Time) {
 	status := &s.status
 	if asOf < status.AsOf {
 		return
@@ -138,11 +163,18 @@
 }
 
 // Update applies documents that changed. It reports whether anything but heartbeats
-// changed, and returns the errors of documents that could not be decoded.
+// changed, and returns the errors of documents that could not be decoded. Documents of
+// another epoch than the known one are ignored, unless no document is known.
 func (s *State) Update(now time.Time, documents core.Documents, freshAt time.Time) (bool, error) {
+	if s.status.AsOf == 0 {
+		s.status.Epoch = documents.Epoch
+	}
+	if documents.Epoch != s.status.Epoch {
+		return false, nil
+	}
 	changed := false
 	var errs []error
-	s.Confirm(documents.AsOf, freshAt)
+	s.confirm(documents.AsOf, freshAt)
 	for _, d := range documents.Documents {
 		applied, err := s.apply(now, d)
 		changed = changed || applied
@@ -158,38 +190,49 @@
 }
 
 // Replace applies a complete list of documents: a known document that is not listed and
-// is not newer than the list was deleted.
+// is not newer than the list was deleted. A list of an earlier epoch is ignored; one of a
+// later epoch begins that epoch.
 func (s *State) Replace(now time.Time, documents core.Documents, freshAt time.Time) (bool, error) {
+	if documents.Epoch < s.status.Epoch {
+		return false, nil
+	}
 	listed := make(map[string]bool, len(documents.Documents))
 	for _, d := range documents.Documents {
 		listed[d.Name] = true
 	}
+	if documents.Epoch > s.status.Epoch && s.status.AsOf > 0 {
+		s.beginEpoch(now, documents.Epoch)
+	}
+	last := core.Document{Epoch: documents.Epoch, Revision: documents.AsOf, Deleted: true}
 	for name, it := range s.items {
-		if !listed[name] && !it.document.Deleted && it.document.Revision <= documents.AsOf {
-			documents.Documents = append(documents.Documents, core.Document{Name: name, Revision: documents.AsOf, Deleted: true})
+		if !listed[name] && !it.document.Deleted && !it.document.NewerThan(last) && !it.outlivesList() {
+			deleted := last
+			deleted.Name = name
+			documents.Documents = append(documents.Documents, deleted)
 		}
 	}
 	return s.Update(now, documents, freshAt)
 }
 
-// Since returns the documents that changed after a revision. If the deletions since
-// then are no longer known, or after is 0, whole is true and all documents are returned
+// Since returns the documents that changed after a revision of an epoch. If the deletions
+// since then are not known, or after is 0, whole is true and all documents are returned
 // instead.
-func (s *State) Since(after uint64) (documents core.Documents, whole bool) {
-	whole = after < s.compactedRevision || after == 0
+func (s *State) Since(epoch, after uint64) (documents core.Documents, whole bool) {
+	whole = epoch != s.status.Epoch || after < s.compactedRevision || after == 0
 	for _, it := range s.items {
-		if (whole && !it.document.Deleted) || (!whole && it.document.Revision > after) {
+		changed := it.document.Epoch == s.status.Epoch && it.document.Revision > after
+		if (whole && !it.document.Deleted) || (!whole && changed) {
 			documents.Documents = append(documents.Documents, it.document)
 		}
 	}
-	documents.AsOf = s.status.AsOf
+	documents.Epoch, documents.AsOf = s.status.Epoch, s.status.AsOf
 	return documents, whole
 }
 
 // apply applies one document and reports whether it changed anything but a heartbeat.
 func (s *State) apply(now time.Time, d core.Document) (bool, error) {
 	before := s.items[d.Name]
-	if before != nil && d.Revision <= before.document.Revision {
+	if before != nil && !d.NewerThan(before.document) {
 		return false, nil
 	}
 	if d.Deleted && before == nil {
@@ -202,17 +245,31 @@
 	if content.Endpoint != nil || (before != nil && before.endpoint.ID != "") {
 		return s.applyEndpoint(now, before, d, content), nil
 	}
-	s.items[d.Name] = &item{document: d, content: content}
-	s.status.Changed = max(s.status.Changed, d.Revision)
-	if content.Table != nil && (s.table == nil || content.Table.Version() > s.table.Version()) {
+	if content.Table != nil && s.table != nil && content.Table.Version() < s.table.Version() {
+		return false, nil // the document in force is kept, to be sent to other hosts
+	}
+	next := &item{document: d, content: content}
+	if next.unconfirmed(s.status.Epoch) {
+		next.confirmUntil = now.Add(s.outagePolicy.RewriteGrace)
+	}
+	s.items[d.Name] = next
+	s.noteChange(d)
+	if content.Table != nil {
 		s.table = content.Table
 	}
 	return true, nil
 }
 
+// noteChange records that a document changed anything but a heartbeat.
+func (s *State) noteChange(d core.Document) {
+	if d.Epoch == s.status.Epoch {
+		s.status.Changed = max(s.status.Changed, d.Revision)
+	}
+}
+
 func (s *State) applyEndpoint(now time.Time, before *item, d core.Document, content Content) bool {
 	if d.Deleted {
-		s.status.Changed = max(s.status.Changed, d.Revision)
+		s.noteChange(d)
 		if before.document.Deleted {
 			before.document = d
 			return false
@@ -234,10 +291,13 @@
 	}
 	if before == nil {
 		s.items[d.Name] = next
-		s.status.Changed = max(s.status.Changed, d.Revision)
+		s.noteChange(d)
 		return true
 	}
 	known := before.endpoint
+	if precedes(d, e, before) {
+		return false // a copy from before the store was restored
+	}
 	if e.Born.Before(known.Born) || (e.Born.Equal(known.Born) && !before.document.Deleted && e.Sequence < known.Sequence) {
 		return false // a late copy of an earlier heartbeat
 	}
@@ -252,7 +312,7 @@
 		return false
 	}
 	s.items[d.Name] = next
-	s.status.Changed = max(s.status.Changed, d.Revision)
+	s.noteChange(d)
 	return true
 }
 
@@ -276,16 +336,18 @@
 	if len(tombstones) <= _maxTombstones {
 		return
 	}
-	slices.SortFunc(tombstones, func(a, b string) int {
-		return int(int64(s.items[a].document.Revision) - int64(s.items[b].document.Revision))
-	})
+	slices.SortFunc(tombstones, func(a, b string) int { return s.items[a].document.Compare(s.items[b].document) })
 	for _, name := range tombstones[:len(tombstones)-_maxTombstones/2] {
-		s.compactedRevision = max(s.compactedRevision, s.items[name].document.Revision)
+		// Hosts that know the present epoch know of no document that was deleted before.
+		if d := s.items[name].document; d.Epoch == s.status.Epoch {
+			s.compactedRevision = max(s.compactedRevision, d.Revision)
+		}
 		delete(s.items, name)
 	}
 }
 
-// Expire drops endpoints whose documents expired and were not renewed in time. It
+// Expire drops endpoints whose documents expired and were not renewed in time, and
+// documents that a restore of the store lost and that were not written again in time. It
 // reports whether there were any.
 func (s *State) Expire(now time.Time) bool {
 	changed := false
@@ -294,6 +356,11 @@
 			it.endpoint.DropAt = time.Time{}
 			changed = true
 		}
+		if until := it.confirmUntil; !until.IsZero() && !now.Before(until) {
+			it.confirmUntil = time.Time{}
+			it.document.Deleted = true
+			changed = true
+		}
 	}
 	if changed {
 		s.view = nil
--- a/core/procs/know/know_test.go
+++ b/core/procs/know/know_test.go
@@ -28,8 +28,16 @@
 	return f[d.Name+string(d.Value)], nil
 }
 
+// newState returns an empty state that decodes documents by f, or those of a script if f
+// is nil.
 func newState(f contents) *know.State {
-	return know.New(f.decode, know.OutagePolicy{MinOutage: 2 * time.Second, RecoveryPeriod: 5 * time.Second, RenewalGrace: 2 * time.Second})
+	decode := decodeScript
+	if f != nil {
+		decode = f.decode
+	}
+	return know.New(decode, know.OutagePolicy{
+		MinOutage: 2 * time.Second, RecoveryPeriod: 5 * time.Second, RenewalGrace: 2 * time.Second, RewriteGrace: 10 * time.Second,
+	})
 }
 
 func endpoint(id string, sequence uint64) know.Content {
@@ -64,7 +72,9 @@
 	s := newState(contents{"a1": endpoint("a", 1)})
 	update(t, s, 0, 1, core.Document{Name: "a", Revision: 1, Value: []byte("1")})
 	for second := 1.0; second < 10; second++ {
-		s.Confirm(uint64(second), at(second)) // confirmed by another host
+		if s.CompareStatus(know.SyncStatus{AsOf: uint64(second), Changed: 1, FreshAt: at(second)}) {
+			t.Fatal("behind another host that has the same documents")
+		}
 	}
 	update(t, s, 10, 20, core.Document{Name: "a", Revision: 20, Deleted: true})
 	if got := ids(s); got != "" {
@@ -172,7 +182,7 @@
 	f := contents{"a1": endpoint("a", 1), "b1": endpoint("b", 1), "o1": {OutOfService: "waco"}}
 	s, other := newState(f), newState(f)
 	update(t, s, 0, 1, core.Document{Name: "a", Revision: 1, Value: []byte("1")})
-	documents, whole := s.Since(0)
+	documents, whole := s.Since(0, 0)
 	if !whole {
 		t.Error("a host without documents gets only changes, want all documents")
 	}
@@ -181,7 +191,7 @@
 	}
 	update(t, s, 1, 4, core.Document{Name: "b", Revision: 2, Value: []byte("1")},
 		core.Document{Name: "a", Revision: 3, Deleted: true}, core.Document{Name: "o", Revision: 4, Value: []byte("1")})
-	documents, whole = s.Since(other.SyncStatus().AsOf)
+	documents, whole = s.Since(0, other.SyncStatus().AsOf)
 	if whole || len(documents.Documents) != 3 {
 		t.Errorf("%d documents, whole %v; want the 3 that changed", len(documents.Documents), whole)
 	}
--- a/core/routed.go
+++ b/core/routed.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -154,15 +155,29 @@
 // Document is one document of the platform's store. Hosts relay documents to
 // each other unchanged.
 type Document struct {
-	Name     string
+	Name string
+	// Epoch is the epoch of the store in which the revision was given out.
+	Epoch    uint64
 	Revision uint64
 	Deleted  bool
 	Value    []byte
 }
 
+// Compare orders documents by when they were written. The epoch decides before the
+// revision, since a store that is restored from a copy gives out revisions again.
+func (d Document) Compare(other Document) int {
+	return cmp.Or(cmp.Compare(d.Epoch, other.Epoch), cmp.Compare(d.Revision, other.Revision))
+}
+
+// NewerThan reports whether the document was written after another one.
+func (d Document) NewerThan(other Document) bool { return d.Compare(other) > 0 }
+
 // Documents is the answer to one call of the store.
 type Documents struct {
 	Documents []Document
+	// Epoch is the epoch of the store. It rises each time that the store is restored
+	// from a copy; 0 if the store does not count its epochs.
+	Epoch uint64
 	// AsOf is the revision up to which nothing is missing.
 	AsOf uint64
 }
@@ -173,8 +188,9 @@
 	// List returns all documents.
 	List(ctx context.Context) (Documents, error)
 	// Watch waits until a document has a revision above after, or until wait has
-	// passed. It fails with ErrHistoryLost when the store no longer knows what
-	// changed since.
+	// passed. It fails with ErrHistoryLost when the store does not know what
+	// changed since. If the answer's Epoch is not the one in which after was given
+	// out, the answer may lack changes.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Documents, error)
 }
 
--- a/fakes/store/store.go
+++ b/fakes/store/store.go
@@ -20,6 +20,8 @@
 	mu        sync.Mutex
 	documents map[string]core.Document
 	revision  uint64
+	// epoch counts the restores.
+	epoch uint64
 	// historyStart is the lowest revision from which a watch can start.
 	historyStart uint64
 	// changed is closed at the next write.
@@ -42,7 +44,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	d.Revision = s.revision
+	d.Epoch, d.Revision = s.epoch, s.revision
 	s.documents[d.Name] = d
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -76,10 +78,17 @@
 	defer s.mu.Unlock()
 	s.documents, s.revision = maps.Clone(c.documents), c.revision
 	s.historyStart = min(s.historyStart, s.revision)
+	s.epoch++
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+func (s *Store) currentEpoch() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
 // Calls returns the number of calls by all clients so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -151,14 +160,14 @@
 	if silent {
 		select {
 		case <-timer.C:
-			return core.Documents{AsOf: after}, nil
+			return core.Documents{Epoch: c.store.currentEpoch(), AsOf: after}, nil
 		case <-ctx.Done():
 			return core.Documents{}, ctx.Err()
 		}
 	}
 	for {
 		c.store.mu.Lock()
-		changed, revision, historyStart := c.store.changed, c.store.revision, c.store.historyStart
+		changed, epoch, revision, historyStart := c.store.changed, c.store.epoch, c.store.revision, c.store.historyStart
 		c.store.mu.Unlock()
 		if after < historyStart || after > revision {
 			return core.Documents{}, core.ErrHistoryLost
@@ -169,7 +178,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return core.Documents{AsOf: revision}, nil
+			return core.Documents{Epoch: epoch, AsOf: revision}, nil
 		case <-ctx.Done():
 			return core.Documents{}, ctx.Err()
 		}
@@ -181,9 +190,10 @@
 func (s *Store) since(after uint64, includeDeleted bool) core.Documents {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	result := core.Documents{AsOf: s.revision}
+	result := core.Documents{Epoch: s.epoch, AsOf: s.revision}
 	for _, d := range s.documents {
 		if d.Revision > after && (includeDeleted || !d.Deleted) {
+			d.Epoch = s.epoch // as in an answer of the platform, whose items have none
 			result.Documents = append(result.Documents, d)
 		}
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -43,6 +43,10 @@
 	// the store an endpoint may take _renewalGrace to register its document again.
 	_missedHeartbeats = 3
 	_renewalGrace     = 2 * time.Second
+	// _rewriteGrace is how long a data centre stays out of service whose document was lost
+	// when the store was restored. The platform's documentation states no limit within
+	// which operators write it again.
+	_rewriteGrace = 10 * time.Second
 )
 
 // Settings are what an entry host is built from.
@@ -125,6 +129,7 @@
 		MinOutage:      (_missedHeartbeats - 1) * bounds.EndpointInterval,
 		RecoveryPeriod: _missedHeartbeats*bounds.EndpointInterval + _renewalGrace,
 		RenewalGrace:   _renewalGrace,
+		RewriteGrace:   _rewriteGrace,
 	}
 }
 
--- a/io/entry/facts.go
+++ b/io/entry/facts.go
@@ -46,7 +46,7 @@
 	invar.Check(invar.RevisionNeverLower, view.Version() >= before.Version(), "version %d in force after %d", view.Version(), before.Version())
 	status := d.state.SyncStatus()
 	joined, leaving, gone := know.Compare(before, view)
-	d.log.Info("The published documents changed.", "Source", source, "AsOf", status.AsOf, "Version", view.Version(), "Endpoints", len(view.Endpoints),
+	d.log.Info("The published documents changed.", "Source", source, "Epoch", status.Epoch, "AsOf", status.AsOf, "Version", view.Version(), "Endpoints", len(view.Endpoints),
 		"Out", len(view.OutOfService), "Joined", joined, "Leaving", leaving, "Gone", gone)
 	d.onChange(view)
 	return true
--- a/io/entry/gauges.go
+++ b/io/entry/gauges.go
@@ -10,13 +10,14 @@
 
 // documentGauges are the metrics of the published documents as this process knows them.
 type documentGauges struct {
-	version, revision, age *expvar.Int
+	version, epoch, revision, age *expvar.Int
 }
 
 var _documentGauges = sync.OnceValue(func() documentGauges {
-	g := documentGauges{version: new(expvar.Int), revision: new(expvar.Int), age: new(expvar.Int)}
+	g := documentGauges{version: new(expvar.Int), epoch: new(expvar.Int), revision: new(expvar.Int), age: new(expvar.Int)}
 	documents := expvar.NewMap("apricotproxy.Routed.Documents")
 	documents.Set("Version", g.version)
+	documents.Set("Epoch", g.epoch)
 	documents.Set("Revision", g.revision)
 	documents.Set("AgeMilliseconds", g.age)
 	return g
@@ -24,6 +25,7 @@
 
 func (g documentGauges) set(now time.Time, version uint64, status know.SyncStatus) {
 	g.version.Set(int64(version))
+	g.epoch.Set(int64(status.Epoch))
 	g.revision.Set(int64(status.AsOf))
 	g.age.Set(status.Age(now).Milliseconds())
 }
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -106,17 +106,11 @@
 }
 
 // compareSyncStatus compares the sync status of another host with that of this host. If
-// the other host has changes that this one lacks, they are pulled from it. Otherwise, if
-// its status is at least as recent, it confirms that this host's documents are up to
-// date.
+// the other host has changes that this one lacks, they are pulled from it.
 func (p *peers) compareSyncStatus(ctx context.Context, now time.Time, theirs gossip.SyncStatus, from gossip.Contact) {
 	behind := false
 	p.docState.withState(func(s *know.State) {
-		mine := s.SyncStatus()
-		behind = theirs.Changed > mine.AsOf || (mine.AsOf == 0 && theirs.AsOf > 0)
-		if !behind && theirs.AsOf >= mine.AsOf && mine.AsOf > 0 {
-			s.Confirm(theirs.AsOf, now.Add(-theirs.Age))
-		}
+		behind = s.CompareStatus(know.SyncStatus{Epoch: theirs.Epoch, AsOf: theirs.AsOf, Changed: theirs.Changed, FreshAt: now.Add(-theirs.Age)})
 	})
 	if !behind {
 		return
@@ -143,11 +137,12 @@
 // pull fetches the documents that this host lacks from another host.
 func (p *peers) pull(ctx context.Context, from gossip.Contact) error {
 	requestedAt := time.Now()
-	pulled, err := p.client.Pull(ctx, from.Documents, p.docState.syncStatus().AsOf)
+	status := p.docState.syncStatus()
+	pulled, err := p.client.Pull(ctx, from.Documents, status.Epoch, status.AsOf)
 	if err != nil {
 		return fmt.Errorf("pull documents: %w", err)
 	}
-	documents := core.Documents{Documents: pulled.Documents, AsOf: pulled.AsOf}
+	documents := core.Documents{Documents: pulled.Documents, Epoch: pulled.Epoch, AsOf: pulled.AsOf}
 	changed := p.docState.update(string(from.Host), func(s *know.State) (bool, error) {
 		if pulled.Whole {
 			return s.Replace(time.Now(), documents, requestedAt.Add(-pulled.Age))
@@ -160,13 +155,13 @@
 	return nil
 }
 
-// servePull returns the documents that changed after a revision, for another host's
-// pull.
-func (p *peers) servePull(after uint64) news.PullResult {
+// servePull returns the documents that changed after a revision of an epoch, for another
+// host's pull.
+func (p *peers) servePull(epoch, after uint64) news.PullResult {
 	var out news.PullResult
 	p.docState.withState(func(s *know.State) {
-		documents, whole := s.Since(after)
-		out = news.PullResult{Documents: documents.Documents, AsOf: documents.AsOf, Whole: whole, Age: time.Since(s.SyncStatus().FreshAt)}
+		documents, whole := s.Since(epoch, after)
+		out = news.PullResult{Documents: documents.Documents, Epoch: documents.Epoch, AsOf: documents.AsOf, Whole: whole, Age: time.Since(s.SyncStatus().FreshAt)}
 	})
 	return out
 }
@@ -248,7 +243,7 @@
 	p.mu.Unlock()
 	p.docState.withState(func(s *know.State) {
 		if status := s.SyncStatus(); status.AsOf > 0 {
-			message.SyncStatus = gossip.SyncStatus{AsOf: status.AsOf, Changed: status.Changed, Age: now.Sub(status.FreshAt)}
+			message.SyncStatus = gossip.SyncStatus{Epoch: status.Epoch, AsOf: status.AsOf, Changed: status.Changed, Age: now.Sub(status.FreshAt)}
 		}
 	})
 	p.sharedPlacer.WithLock(func(placer *place.Placer) { message.Leaving = placer.LeavingEndpoints() })
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -103,16 +103,21 @@
 			return err
 		}
 		r.listed = true
-		if known := h.docState.syncStatus().AsOf; documents.AsOf < known {
-			h.log.Info("The store is at a lower revision than before.", "Revision", documents.AsOf, "Known", known)
+		if known := h.docState.syncStatus(); documents.Epoch != known.Epoch || documents.AsOf < known.AsOf {
+			h.log.Info("The store is in another epoch or at a lower revision than before.", "Epoch", documents.Epoch, "Revision", documents.AsOf,
+				"KnownEpoch", known.Epoch, "KnownRevision", known.AsOf)
 		}
 		r.applyAndNotify(func(s *know.State) (bool, error) { return s.Replace(time.Now(), documents, requestedAt) })
 		return nil
 	}
-	documents, err := h.settings.Store.Watch(ctx, h.docState.syncStatus().AsOf, h.shareOfLeavingSpread(_watchWaitShare))
+	after := h.docState.syncStatus()
+	documents, err := h.settings.Store.Watch(ctx, after.AsOf, h.shareOfLeavingSpread(_watchWaitShare))
 	if err != nil {
 		return err
 	}
+	if documents.Epoch != after.Epoch {
+		return core.ErrHistoryLost // the revision belongs to another epoch
+	}
 	r.applyAndNotify(func(s *know.State) (bool, error) { return s.Update(time.Now(), documents, requestedAt) })
 	return nil
 }
--- a/io/entry/restore_test.go
+++ b/io/entry/restore_test.go
@@ -84,7 +84,9 @@
 func TestHostStartedAfterStoreRestore(t *testing.T) {
 	s, older := newSiteBeforeRestore(t)
 	s.Stop(0)
-	<-s.Ended(0)
+	if err := <-s.Ended(0); err != nil {
+		t.Fatal(err)
+	}
 	s.store.Restore(older)
 	s.start(0)
 	s.store.Put("config", `{"Version":2,"Prefix":"/b/"}`)
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -112,27 +112,35 @@
 // names of its fields.
 type PullResult struct {
 	Documents []core.Document
-	// AsOf is the revision up to which nothing is missing.
-	AsOf uint64
+	// Epoch is the store's epoch as known to the host, AsOf the revision up to which
+	// nothing is missing.
+	Epoch uint64
+	AsOf  uint64
 	// Whole is true when these are all documents, not just those that changed.
 	Whole bool
 	// Age is the time since the store was known to have nothing newer.
 	Age time.Duration
 }
 
-// Source returns the documents that changed after a revision.
-type Source func(after uint64) PullResult
+// Source returns the documents that changed after a revision of an epoch.
+type Source func(epoch, after uint64) PullResult
 
 // Handler returns the HTTP handler from which other hosts request documents.
 func Handler(source Source) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+_documentsPath, func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		query := r.URL.Query()
+		after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 		if err != nil {
 			http.Error(w, "after: not a number", http.StatusBadRequest)
 			return
 		}
-		body, err := cbor.Marshal(source(after))
+		epoch, err := strconv.ParseUint(query.Get("epoch"), 10, 64)
+		if err != nil {
+			http.Error(w, "epoch: not a number", http.StatusBadRequest)
+			return
+		}
+		body, err := cbor.Marshal(source(epoch, after))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -151,10 +159,10 @@
 	return &Client{client: &http.Client{Transport: transport, Timeout: _pullTimeout}}
 }
 
-// Pull requests the documents that changed after a revision from the host at an
-// address.
-func (c *Client) Pull(ctx context.Context, address string, after uint64) (PullResult, error) {
-	url := fmt.Sprintf("http://%s%s?after=%d", address, _documentsPath, after)
+// Pull requests the documents that changed after a revision of an epoch from the host at
+// an address.
+func (c *Client) Pull(ctx context.Context, address string, epoch, after uint64) (PullResult, error) {
+	url := fmt.Sprintf("http://%s%s?epoch=%d&after=%d", address, _documentsPath, epoch, after)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return PullResult{}, fmt.Errorf("create a request for documents: %w", err)
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -21,7 +21,7 @@
 		Heartbeat: gossip.Heartbeat{
 			From:        gossip.Contact{Host: "edge-austin-a-1", Heartbeat: "10.1.0.19:7200", Documents: "10.1.0.19:8748", DataCentre: "austin-a"},
 			Incarnation: 1_760_000_000_000_000_000, CanReadStore: true,
-			SyncStatus: gossip.SyncStatus{AsOf: 4012, Changed: 4000, Age: 300 * time.Millisecond},
+			SyncStatus: gossip.SyncStatus{Epoch: 2, AsOf: 4012, Changed: 4000, Age: 300 * time.Millisecond},
 		},
 		Loads: make(map[string]place.Load),
 	}
@@ -79,22 +79,24 @@
 }
 
 func TestPull(t *testing.T) {
-	document := core.Document{Name: "op", Revision: 7, Value: []byte("text")}
-	server := httptest.NewServer(news.Handler(func(after uint64) news.PullResult {
-		return news.PullResult{Documents: []core.Document{document}, AsOf: after + 1, Whole: true, Age: time.Second}
+	document := core.Document{Name: "op", Epoch: 2, Revision: 7, Value: []byte("text")}
+	server := httptest.NewServer(news.Handler(func(epoch, after uint64) news.PullResult {
+		return news.PullResult{Documents: []core.Document{document}, Epoch: epoch, AsOf: after + 1, Whole: true, Age: time.Second}
 	}))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	client := news.NewClient(http.DefaultTransport)
-	got, err := client.Pull(context.Background(), address, 41)
-	if err != nil || got.AsOf != 42 || !got.Whole || got.Age != time.Second || !reflect.DeepEqual(got.Documents[0], document) {
+	got, err := client.Pull(context.Background(), address, 3, 41)
+	if err != nil || got.Epoch != 3 || got.AsOf != 42 || !got.Whole || got.Age != time.Second || !reflect.DeepEqual(got.Documents[0], document) {
 		t.Errorf("%+v, %v", got, err)
 	}
-	res, err := http.Get(server.URL + "/documents?after=x")
-	if err != nil || res.StatusCode != http.StatusBadRequest {
-		t.Errorf("a request with an invalid revision got %v, %v", res, err)
+	for _, query := range []string{"epoch=1&after=x", "epoch=x&after=1", "after=1"} {
+		res, err := http.Get(server.URL + "/documents?" + query)
+		if err != nil || res.StatusCode != http.StatusBadRequest {
+			t.Errorf("a request with the query %s got %v, %v", query, res, err)
+		}
+		_ = res.Body.Close()
 	}
-	_ = res.Body.Close()
 }
 
 func FuzzDecode(f *testing.F) {
