io/entry: a host learns the newest configuration version from other hosts

What callers saw: 404 or 401 as an older configuration says, from a host that had started while the store held an older version than the one it had confirmed.

Hosts compared revisions only, and the store gives an older version a higher revision after a restore, until operators write the newer one again, and after a write that is carried out late.

Change: heartbeats carry the version in force; a host with a lower one pulls, and the answer has the document with the higher version whatever its revision. A document with a lower version no longer replaces the one that is sent to other hosts.

Evidence: TestHostStartedBeforeRewriteHasNewestVersion and TestHostStartedAfterLateWriteHasNewestVersion failed before (not within 2 s) and pass.

Why it works: versions only rise and are given out by the operators, so that no reset of the store touches their order.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -56,6 +56,8 @@
 	// revision that changed anything but a heartbeat.
 	AsOf    uint64
 	Changed uint64
+	// Version is the version of the routing table in force; 0 for none.
+	Version uint64
 	// Age is the time since the store was known to have nothing newer.
 	Age time.Duration
 }
--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -68,6 +68,8 @@
 	AsOf uint64
 	// Changed is the highest revision that changed anything but a heartbeat.
 	Changed uint64
+	// Version is the version of the routing table in force; 0 for none.
+	Version uint64
 	// FreshAt is when the store was last known to have nothing newer than AsOf.
 	FreshAt time.Time
 }
@@ -138,7 +140,7 @@
 	switch {
 	case theirs.AsOf == 0 || theirs.Epoch < mine.Epoch:
 		return false
-	case mine.AsOf == 0 || theirs.Epoch > mine.Epoch || theirs.Changed > mine.AsOf:
+	case mine.AsOf == 0 || theirs.Epoch > mine.Epoch || theirs.Changed > mine.AsOf || theirs.Version > mine.Version:
 		return true
 	}
 	s.confirm(theirs.AsOf, theirs.FreshAt)
@@ -214,13 +216,15 @@
 	return s.Update(now, documents, freshAt)
 }
 
-// Since returns the documents that changed after a revision of an epoch. If the deletions
-// since then are not known, or after is 0, whole is true and all documents are returned
+// Since returns the documents that a host with the given status lacks: those that changed
+// since, and the routing table if it has a higher version. If the deletions since then are
+// not known, or the host knows nothing, whole is true and all documents are returned
 // instead.
-func (s *State) Since(epoch, after uint64) (documents core.Documents, whole bool) {
-	whole = epoch != s.status.Epoch || after < s.compactedRevision || after == 0
+func (s *State) Since(theirs SyncStatus) (documents core.Documents, whole bool) {
+	whole = theirs.Epoch != s.status.Epoch || theirs.AsOf < s.compactedRevision || theirs.AsOf == 0
 	for _, it := range s.items {
-		changed := it.document.Epoch == s.status.Epoch && it.document.Revision > after
+		changed := it.document.Epoch == s.status.Epoch && it.document.Revision > theirs.AsOf ||
+			it.content.Table != nil && it.content.Table.Version() > theirs.Version
 		if (whole && !it.document.Deleted) || (!whole && changed) {
 			documents.Documents = append(documents.Documents, it.document)
 		}
@@ -232,7 +236,8 @@
 // apply applies one document and reports whether it changed anything but a heartbeat.
 func (s *State) apply(now time.Time, d core.Document) (bool, error) {
 	before := s.items[d.Name]
-	if before != nil && !d.NewerThan(before.document) {
+	newer := before == nil || d.NewerThan(before.document)
+	if !newer && before.content.Table == nil {
 		return false, nil
 	}
 	if d.Deleted && before == nil {
@@ -245,7 +250,7 @@
 	if content.Endpoint != nil || (before != nil && before.endpoint.ID != "") {
 		return s.applyEndpoint(now, before, d, content), nil
 	}
-	if content.Table != nil && s.table != nil && content.Table.Version() < s.table.Version() {
+	if content.Table != nil && !s.replacesTable(content.Table, newer) {
 		return false, nil // the document in force is kept, to be sent to other hosts
 	}
 	next := &item{document: d, content: content}
@@ -256,10 +261,18 @@
 	s.noteChange(d)
 	if content.Table != nil {
 		s.table = content.Table
+		s.status.Version = s.table.Version()
 	}
 	return true, nil
 }
 
+// replacesTable reports whether a table replaces the one in force. Versions only rise, so
+// the version decides: after a restore, or after a write that was carried out late, the
+// store may hold an older table in a newer document.
+func (s *State) replacesTable(next *table.Table, newer bool) bool {
+	return s.table == nil || next.Version() > s.table.Version() || (newer && next.Version() == s.table.Version())
+}
+
 // noteChange records that a document changed anything but a heartbeat.
 func (s *State) noteChange(d core.Document) {
 	if d.Epoch == s.status.Epoch {
--- a/core/procs/know/know_test.go
+++ b/core/procs/know/know_test.go
@@ -182,7 +182,7 @@
 	f := contents{"a1": endpoint("a", 1), "b1": endpoint("b", 1), "o1": {OutOfService: "waco"}}
 	s, other := newState(f), newState(f)
 	update(t, s, 0, 1, core.Document{Name: "a", Revision: 1, Value: []byte("1")})
-	documents, whole := s.Since(0, 0)
+	documents, whole := s.Since(know.SyncStatus{})
 	if !whole {
 		t.Error("a host without documents gets only changes, want all documents")
 	}
@@ -191,7 +191,7 @@
 	}
 	update(t, s, 1, 4, core.Document{Name: "b", Revision: 2, Value: []byte("1")},
 		core.Document{Name: "a", Revision: 3, Deleted: true}, core.Document{Name: "o", Revision: 4, Value: []byte("1")})
-	documents, whole = s.Since(0, other.SyncStatus().AsOf)
+	documents, whole = s.Since(other.SyncStatus())
 	if whole || len(documents.Documents) != 3 {
 		t.Errorf("%d documents, whole %v; want the 3 that changed", len(documents.Documents), whole)
 	}
--- a/core/procs/know/script_test.go
+++ b/core/procs/know/script_test.go
@@ -39,10 +39,11 @@
 }
 
 func playCommand(t *testing.T, s *know.State, d *datadriven.TestData) string {
-	var epoch, asOf, changed, second int
+	var epoch, asOf, changed, version, second int
 	d.MaybeScanArgs(t, "epoch", &epoch)
 	d.MaybeScanArgs(t, "as-of", &asOf)
 	d.MaybeScanArgs(t, "changed", &changed)
+	d.MaybeScanArgs(t, "version", &version)
 	d.ScanArgs(t, "at", &second)
 	now := at(float64(second))
 	documents := core.Documents{Epoch: uint64(epoch), AsOf: uint64(asOf), Documents: scriptDocuments(t, uint64(epoch), d.Input)}
@@ -53,7 +54,7 @@
 	case "watch":
 		_, err = s.Update(now, documents, now)
 	case "status":
-		behind := s.CompareStatus(know.SyncStatus{Epoch: uint64(epoch), AsOf: uint64(asOf), Changed: uint64(changed), FreshAt: now})
+		behind := s.CompareStatus(know.SyncStatus{Epoch: uint64(epoch), AsOf: uint64(asOf), Changed: uint64(changed), Version: uint64(version), FreshAt: now})
 		return fmt.Sprintf("behind=%t %s", behind, summary(s))
 	case "expire":
 		s.Expire(now)
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -110,7 +110,9 @@
 func (p *peers) compareSyncStatus(ctx context.Context, now time.Time, theirs gossip.SyncStatus, from gossip.Contact) {
 	behind := false
 	p.docState.withState(func(s *know.State) {
-		behind = s.CompareStatus(know.SyncStatus{Epoch: theirs.Epoch, AsOf: theirs.AsOf, Changed: theirs.Changed, FreshAt: now.Add(-theirs.Age)})
+		behind = s.CompareStatus(know.SyncStatus{
+			Epoch: theirs.Epoch, AsOf: theirs.AsOf, Changed: theirs.Changed, Version: theirs.Version, FreshAt: now.Add(-theirs.Age),
+		})
 	})
 	if !behind {
 		return
@@ -138,7 +140,7 @@
 func (p *peers) pull(ctx context.Context, from gossip.Contact) error {
 	requestedAt := time.Now()
 	status := p.docState.syncStatus()
-	pulled, err := p.client.Pull(ctx, from.Documents, status.Epoch, status.AsOf)
+	pulled, err := p.client.Pull(ctx, from.Documents, news.Position{Epoch: status.Epoch, AsOf: status.AsOf, Version: status.Version})
 	if err != nil {
 		return fmt.Errorf("pull documents: %w", err)
 	}
@@ -155,12 +157,11 @@
 	return nil
 }
 
-// servePull returns the documents that changed after a revision of an epoch, for another
-// host's pull.
-func (p *peers) servePull(epoch, after uint64) news.PullResult {
+// servePull returns the documents that another host lacks, for its pull.
+func (p *peers) servePull(theirs news.Position) news.PullResult {
 	var out news.PullResult
 	p.docState.withState(func(s *know.State) {
-		documents, whole := s.Since(epoch, after)
+		documents, whole := s.Since(know.SyncStatus{Epoch: theirs.Epoch, AsOf: theirs.AsOf, Version: theirs.Version})
 		out = news.PullResult{Documents: documents.Documents, Epoch: documents.Epoch, AsOf: documents.AsOf, Whole: whole, Age: time.Since(s.SyncStatus().FreshAt)}
 	})
 	return out
@@ -243,7 +244,9 @@
 	p.mu.Unlock()
 	p.docState.withState(func(s *know.State) {
 		if status := s.SyncStatus(); status.AsOf > 0 {
-			message.SyncStatus = gossip.SyncStatus{Epoch: status.Epoch, AsOf: status.AsOf, Changed: status.Changed, Age: now.Sub(status.FreshAt)}
+			message.SyncStatus = gossip.SyncStatus{
+				Epoch: status.Epoch, AsOf: status.AsOf, Changed: status.Changed, Version: status.Version, Age: status.Age(now),
+			}
 		}
 	})
 	p.sharedPlacer.WithLock(func(placer *place.Placer) { message.Leaving = placer.LeavingEndpoints() })
--- a/io/entry/restore_test.go
+++ b/io/entry/restore_test.go
@@ -96,3 +96,29 @@
 		s.eventually("version "+prefix+" is in force", _leavingSpread, s.allServe(prefix, "one"))
 	}
 }
+
+// A host that starts before operators have written the newest version again learns it
+// from the other hosts.
+func TestHostStartedBeforeRewriteHasNewestVersion(t *testing.T) {
+	s, older := newSiteBeforeRestore(t)
+	s.Stop(0)
+	if err := <-s.Ended(0); err != nil {
+		t.Fatal(err)
+	}
+	s.store.Restore(older)
+	s.start(0)
+	s.eventually("version 2 is in force", _leavingSpread, s.allServe("/b/", "one"))
+}
+
+// A write that is carried out late leaves an older version in the store. A host that
+// starts afterwards has the newest one.
+func TestHostStartedAfterLateWriteHasNewestVersion(t *testing.T) {
+	s, _ := newSiteBeforeRestore(t)
+	s.Stop(0)
+	if err := <-s.Ended(0); err != nil {
+		t.Fatal(err)
+	}
+	s.store.Put("config", `{"Version":1,"Prefix":"/a/"}`)
+	s.start(0)
+	s.eventually("version 2 is in force", _leavingSpread, s.allServe("/b/", "one"))
+}
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -122,25 +123,23 @@
 	Age time.Duration
 }
 
-// Source returns the documents that changed after a revision of an epoch.
-type Source func(epoch, after uint64) PullResult
+// Position is the position up to which a host knows the documents, and the version of
+// its routing table.
+type Position struct{ Epoch, AsOf, Version uint64 }
+
+// Source returns the documents that a host at a position lacks.
+type Source func(Position) PullResult
 
 // Handler returns the HTTP handler from which other hosts request documents.
 func Handler(source Source) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+_documentsPath, func(w http.ResponseWriter, r *http.Request) {
-		query := r.URL.Query()
-		after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+		position, err := parsePosition(r.URL.Query())
 		if err != nil {
-			http.Error(w, "after: not a number", http.StatusBadRequest)
+			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		epoch, err := strconv.ParseUint(query.Get("epoch"), 10, 64)
-		if err != nil {
-			http.Error(w, "epoch: not a number", http.StatusBadRequest)
-			return
-		}
-		body, err := cbor.Marshal(source(epoch, after))
+		body, err := cbor.Marshal(source(position))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -151,6 +150,18 @@
 	return mux
 }
 
+func parsePosition(query url.Values) (Position, error) {
+	var p Position
+	for name, field := range map[string]*uint64{"epoch": &p.Epoch, "after": &p.AsOf, "version": &p.Version} {
+		n, err := strconv.ParseUint(query.Get(name), 10, 64)
+		if err != nil {
+			return Position{}, fmt.Errorf("parse %s: %w", name, err)
+		}
+		*field = n
+	}
+	return p, nil
+}
+
 // Client requests documents from other hosts.
 type Client struct{ client *http.Client }
 
@@ -159,11 +170,11 @@
 	return &Client{client: &http.Client{Transport: transport, Timeout: _pullTimeout}}
 }
 
-// Pull requests the documents that changed after a revision of an epoch from the host at
-// an address.
-func (c *Client) Pull(ctx context.Context, address string, epoch, after uint64) (PullResult, error) {
-	url := fmt.Sprintf("http://%s%s?epoch=%d&after=%d", address, _documentsPath, epoch, after)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+// Pull requests the documents that a host at the given position lacks from the host at an
+// address.
+func (c *Client) Pull(ctx context.Context, address string, known Position) (PullResult, error) {
+	target := fmt.Sprintf("http://%s%s?epoch=%d&after=%d&version=%d", address, _documentsPath, known.Epoch, known.AsOf, known.Version)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return PullResult{}, fmt.Errorf("create a request for documents: %w", err)
 	}
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -21,7 +21,7 @@
 		Heartbeat: gossip.Heartbeat{
 			From:        gossip.Contact{Host: "edge-austin-a-1", Heartbeat: "10.1.0.19:7200", Documents: "10.1.0.19:8748", DataCentre: "austin-a"},
 			Incarnation: 1_760_000_000_000_000_000, CanReadStore: true,
-			SyncStatus: gossip.SyncStatus{Epoch: 2, AsOf: 4012, Changed: 4000, Age: 300 * time.Millisecond},
+			SyncStatus: gossip.SyncStatus{Epoch: 2, Version: 31, AsOf: 4012, Changed: 4000, Age: 300 * time.Millisecond},
 		},
 		Loads: make(map[string]place.Load),
 	}
@@ -80,17 +80,17 @@
 
 func TestPull(t *testing.T) {
 	document := core.Document{Name: "op", Epoch: 2, Revision: 7, Value: []byte("text")}
-	server := httptest.NewServer(news.Handler(func(epoch, after uint64) news.PullResult {
-		return news.PullResult{Documents: []core.Document{document}, Epoch: epoch, AsOf: after + 1, Whole: true, Age: time.Second}
+	server := httptest.NewServer(news.Handler(func(p news.Position) news.PullResult {
+		return news.PullResult{Documents: []core.Document{document}, Epoch: p.Epoch, AsOf: p.AsOf + p.Version, Whole: true, Age: time.Second}
 	}))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	client := news.NewClient(http.DefaultTransport)
-	got, err := client.Pull(context.Background(), address, 3, 41)
+	got, err := client.Pull(context.Background(), address, news.Position{Epoch: 3, AsOf: 40, Version: 2})
 	if err != nil || got.Epoch != 3 || got.AsOf != 42 || !got.Whole || got.Age != time.Second || !reflect.DeepEqual(got.Documents[0], document) {
 		t.Errorf("%+v, %v", got, err)
 	}
-	for _, query := range []string{"epoch=1&after=x", "epoch=x&after=1", "after=1"} {
+	for _, query := range []string{"epoch=1&version=1&after=x", "epoch=x&after=1&version=1", "epoch=1&after=1"} {
 		res, err := http.Get(server.URL + "/documents?" + query)
 		if err != nil || res.StatusCode != http.StatusBadRequest {
 			t.Errorf("a request with the query %s got %v, %v", query, res, err)
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -28,6 +28,7 @@
 		HasLoads    bool
 		Loads       []wireLoad
 		Epoch       uint64
+		Version     uint64
 	}
 
 	wireLoadUpdate struct {
@@ -63,7 +64,7 @@
 	w := &wireMessage{
 		From: contactToWire(m.From), Incarnation: m.Incarnation, Stopping: m.Stopping, Reads: m.CanReadStore,
 		AsOf: m.SyncStatus.AsOf, Changed: m.SyncStatus.Changed, AgeMs: m.SyncStatus.Age.Milliseconds(), Leaving: m.Leaving, HasLoads: m.Loads != nil,
-		Epoch: m.SyncStatus.Epoch,
+		Epoch: m.SyncStatus.Epoch, Version: m.SyncStatus.Version,
 	}
 	for _, c := range m.KnownHosts {
 		w.Others = append(w.Others, contactToWire(c))
@@ -94,7 +95,7 @@
 func fromWire(w *wireMessage) *Message {
 	m := &Message{Heartbeat: gossip.Heartbeat{
 		From: contactFromWire(w.From), Incarnation: w.Incarnation, Stopping: w.Stopping, CanReadStore: w.Reads,
-		SyncStatus: gossip.SyncStatus{Epoch: w.Epoch, AsOf: w.AsOf, Changed: w.Changed, Age: time.Duration(w.AgeMs) * time.Millisecond},
+		SyncStatus: gossip.SyncStatus{Epoch: w.Epoch, Version: w.Version, AsOf: w.AsOf, Changed: w.Changed, Age: time.Duration(w.AgeMs) * time.Millisecond},
 		Leaving:    w.Leaving,
 	}}
 	for _, c := range w.Others {
