io/front: log shared prompt parts and whether a lost answer had begun

What was lacking: at each crash of an engine several requests are lost, and the lines do not tell the one that the engine was about to answer from those that waited or ran beside it; the parts of prompts, by which requests of different callers could be compared, are not logged at all.

Change: A try begins has SharedParts, A try ended has AnswerBegun and HadEvents. No decision changes.

--- a/core/routed.go
+++ b/core/routed.go
@@ -146,6 +146,18 @@
 	Parts []PromptPart
 }
 
+// SharedParts returns the IDs of the parts that other prompts may share: all but the last.
+func (p Prompt) SharedParts() []string {
+	if len(p.Parts) == 0 {
+		return nil
+	}
+	ids := make([]string, 0, len(p.Parts)-1)
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // PromptPart is a part of a prompt that other requests may have in common.
 type PromptPart struct {
 	ID     string
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -69,6 +69,9 @@
 	// continued is true from the first try that continues a run or stream and does not
 	// send the request anew.
 	continued bool
+	// answerBegun is true once the current try got the head of an answer that was not a
+	// refusal.
+	answerBegun bool
 	// firstEventAt is when the first event of the current try was delivered; zero before.
 	firstEventAt time.Time
 	// lastEventAt is when an event was last delivered.
@@ -113,7 +116,8 @@
 			return
 		}
 		next := e.tries.Next(end.result, e.situation())
-		e.log("A try ended.", "Result", end.result.String(), "Cause", errorText(end.err), "Next", next.String())
+		e.log("A try ended.", "Result", end.result.String(), "Cause", errorText(end.err), "Next", next.String(),
+			"AnswerBegun", e.answerBegun, "HadEvents", !e.firstEventAt.IsZero())
 		switch next {
 		case tries.Relay:
 			e.relay(end.failure)
@@ -159,7 +163,7 @@
 	e.continued = e.continued || step != tries.Again
 	e.resumed = !e.delivered
 	e.leavingSince, e.noRoomLogged, e.failedCopyTargets = time.Time{}, false, nil
-	e.firstEventAt = time.Time{}
+	e.answerBegun, e.firstEventAt = false, time.Time{}
 	end := e.try(ctx, from)
 	if !end.done && !e.backupReady() {
 		e.backup.drop(e.placer()) // the copy was to be made by this try
@@ -232,7 +236,7 @@
 	slowTimer := time.AfterFunc(time.Until(e.firstEventDeadline()), func() { cancel(errSlow) })
 	defer slowTimer.Stop()
 	e.log("A try begins.", "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.endpoint().ID,
-		"Prompt", e.request.Prompt.Tokens, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
+		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.request.Prompt.SharedParts(), "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
 		"Runs", e.run.PriorLoad.Runs, "Tokens", e.run.PriorLoad.Tokens, "Prefill", e.run.PriorLoad.Prefill)
 	answer, err := e.front.config.Links.Do(tryCtx, endpoint.RoutedEndpoint, e.outgoing(from))
 	var failed *links.Error
@@ -376,6 +380,7 @@
 		e.skipBody(answer)
 		return tryResult{result: tries.Refused, err: errors.New("the endpoint refused with status " + strconv.Itoa(status))}
 	case status >= http.StatusOK && status < http.StatusMultipleChoices:
+		e.answerBegun = true
 		if answer.Header.Get(names.Seal) == "" || answer.Header.Get("Content-Encoding") != "" {
 			return tryResult{result: e.lostResult(), health: place.Bad, err: errors.New("the answer has no seal or is content-encoded")}
 		}
