--- /dev/null
+++ b/io/entry/crash_test.go
@@ -0,0 +1,121 @@
+package entry_test
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"apricotproxy/fakes/routed"
+)
+
+const (
+	_crashEngines = 8
+	// _maxLateArrivals is how many requests may reach engines after the hosts had
+	// _crashSpread to learn of the fifth crash. Both are the users' bounds.
+	_maxLateArrivals = 3
+	_crashSpread     = 3 * time.Second
+)
+
+// crashSite is three hosts before engines that break off the answer to any prompt with
+// the part "bad" before its first event.
+type crashSite struct {
+	*site
+	// crashes counts the answers that were broken off.
+	crashes atomic.Int64
+	sent    int
+}
+
+func newCrashSite(t *testing.T) *crashSite {
+	t.Helper()
+	s := &crashSite{site: newSite(t, 3)}
+	s.store.Put("config", `{"Version":1,"Prefix":"/a/","Streams":true}`)
+	for i := range _crashEngines {
+		s.endpoint(fmt.Sprint("e", i), s.serve)
+	}
+	s.eventually("all serve", 2*time.Second, func() bool { return s.soundServed("warm") == len(s.front) })
+	return s
+}
+
+func (s *crashSite) serve(c *routed.Call) bool {
+	c.BeginStream("Request-Id: "+c.Header.Get("Request-Id"), "Seal: s")
+	if strings.Contains(c.Header.Get("Parts"), "bad:") {
+		s.crashes.Add(1)
+		return false
+	}
+	for id := range 3 {
+		c.Chunk(routed.Event(id))
+	}
+	c.EndStream()
+	return true
+}
+
+// send sends a request with the given shared parts and a last part of its own.
+func (s *crashSite) send(host int, parts string) int {
+	s.sent++
+	status, _ := s.get(s.front[host], "/a/", fmt.Sprintf("Request-Id: r%d", s.sent), "Tokens: 30,10", fmt.Sprintf("Parts: %s,own%d:10", parts, s.sent))
+	return status
+}
+
+// soundServed sends a request with a sound shared part to each host and returns how many
+// were served.
+func (s *crashSite) soundServed(part string) int {
+	served := 0
+	for host := range s.front {
+		if s.send(host, part+":20") == 200 {
+			served++
+		}
+	}
+	return served
+}
+
+// crash sends requests that crash engines until there were n crashes, or until that many
+// requests were sent.
+func (s *crashSite) crash(n int) {
+	for i := range n {
+		if int(s.crashes.Load()) < n {
+			s.send(i%len(s.front), "common:20,bad:20")
+		}
+	}
+}
+
+// Once five engines crashed at prompts with one part, hardly any request with that part
+// reaches an engine, at whichever host it arrives. Requests that share the other parts
+// are served.
+func TestPromptPartThatCrashesEngines(t *testing.T) {
+	s := newCrashSite(t)
+	s.crash(5)
+	time.Sleep(_crashSpread)
+	before := s.crashes.Load()
+	for i := range 12 {
+		if status := s.send(i%len(s.front), fmt.Sprintf("other%d:20,bad:20", i)); status == 200 {
+			t.Errorf("request %d that crashes engines got status 200", i)
+		}
+	}
+	if late := s.crashes.Load() - before; late > _maxLateArrivals {
+		t.Errorf("%d requests with the part reached engines, want at most %d", late, _maxLateArrivals)
+	}
+	if served := s.soundServed("common"); served != len(s.front) {
+		t.Errorf("%d of %d requests with the common part were served", served, len(s.front))
+	}
+}
+
+// A host that starts afterwards learns of the part from the others.
+func TestPromptPartThatCrashesEnginesAfterRestart(t *testing.T) {
+	s := newCrashSite(t)
+	s.crash(5)
+	s.Stop(0)
+	if err := <-s.Ended(0); err != nil {
+		t.Fatal(err)
+	}
+	s.start(0)
+	time.Sleep(_crashSpread)
+	before := s.crashes.Load()
+	for range 6 {
+		s.send(0, "common:20,bad:20")
+	}
+	if late := s.crashes.Load() - before; late > _maxLateArrivals {
+		t.Errorf("%d requests with the part reached engines, want at most %d", late, _maxLateArrivals)
+	}
+}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -18,9 +18,9 @@
 	"apricotproxy/io/entry"
 )
 
-// decode decodes simplified documents: "config" holds a version and a path prefix,
-// "out/NAME" takes a data centre out of service, and any other name is an endpoint
-// with its address as the value.
+// decode decodes simplified documents: "config" holds a version, a path prefix and whether
+// the route's answers are streams of an engine, "out/NAME" takes a data centre out of
+// service, and any other name is an endpoint with its address as the value.
 func decode(d core.Document) (know.Content, error) {
 	if name, ok := strings.CutPrefix(d.Name, "out/"); ok {
 		return know.Content{OutOfService: core.DataCentreName(name)}, nil
@@ -32,18 +32,21 @@
 		var c struct {
 			Version uint64
 			Prefix  string
+			Streams bool
 		}
 		if err := json.Unmarshal(d.Value, &c); err != nil {
 			return know.Content{}, err
 		}
-		built, err := table.Build(table.Source{
-			Version:  c.Version,
-			Services: []core.RoutedService{{Name: "desk"}},
-			Routes: []core.Route{{
-				Name: "r", HostName: "h", Prefix: c.Prefix, Kind: core.RouteIdempotent, MaxAttempts: 1, Timeout: 5 * time.Second,
-				Goal: time.Second, Services: []core.WeightedService{{Service: "desk", Weight: 1}},
-			}},
-		})
+		service := core.RoutedService{Name: "desk"}
+		route := core.Route{
+			Name: "r", HostName: "h", Prefix: c.Prefix, Kind: core.RouteIdempotent, MaxAttempts: 1, Timeout: 5 * time.Second,
+			Goal: time.Second, Services: []core.WeightedService{{Service: "desk", Weight: 1}},
+		}
+		if c.Streams {
+			service.Engine = &core.EngineSpec{Slots: 9, MemoryTokens: 100_000, EventTokens: 4}
+			route.Kind, route.Resumable, route.MaxAttempts, route.GapGoal = core.RouteStreaming, true, 2, 200*time.Millisecond
+		}
+		built, err := table.Build(table.Source{Version: c.Version, Services: []core.RoutedService{service}, Routes: []core.Route{route}})
 		return know.Content{Table: built}, err
 	}
 	return know.Content{Endpoint: &core.RoutedEndpoint{ID: d.Name, Service: "desk", Address: string(d.Value), DataCentre: "b", Slots: 9}}, nil
@@ -76,7 +79,7 @@
 				EndpointInterval: time.Second,
 			},
 		},
-		Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", ExpectedEndpoint: "Expect"},
+		Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", ExpectedEndpoint: "Expect", Tokens: "Tokens", Parts: "Parts"},
 		Paths:  core.CallPaths{Ready: "/ready"},
 		Decode: decode,
 		Seed:   1,
@@ -98,7 +101,7 @@
 	s.t.Cleanup(func() { s.Stop(i) })
 }
 
-func (s *site) get(address, path string) (int, string) {
+func (s *site) get(address, path string, headers ...string) (int, string) {
 	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		s.t.Fatal(err)
@@ -106,6 +109,10 @@
 	req.Host = "h"
 	req.Header.Set("Request-Id", "r")
 	req.Header.Set("Deadline-Ms", "3000")
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		req.Header.Set(name, value)
+	}
 	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
 	if err != nil {
 		return 0, err.Error()
