core/procs/poison: refuse prompts with a part that crashes engines

Cause: an engine that ends at a prompt counted as the engine's fault alone. The request was sent to the next one, its caller repeated it, and others with the same part came at all hosts; nothing looked at what the lost requests had in common. Class: a failure that belongs to the request is charged to the server and retried.

Change: a request whose answer had begun and was lost before its first event is a loss of its prompt's shared parts. Hosts tell each other of losses, of the last success of the parts concerned, and of blocks. Losses on three engines by two requests since the last success block what they have in common: such requests are refused at once (503 with Retry-After, 502 if one may have run), in the queue too, and those without an event are taken back from their engines.

Why it works: the sign singles out the request that crashed the engine, and a part that crashes every engine never has a success, while sound ones soon have.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -80,6 +80,7 @@
 	log          logr.Logger
 	docState     *documentState
 	sharedPlacer *front.SharedPlacer
+	detector     *front.SharedDetector
 	front        *front.Front
 	links        *links.Pool
 	peers        *peers
@@ -107,8 +108,9 @@
 	}
 	h.sharedPlacer = front.NewSharedPlacer(placer)
 	h.docState = newDocumentState(know.New(settings.Decode, outagePolicy(settings.Bounds)), settings.Logger, h.apply)
+	h.detector = front.NewSharedDetector(settings.Logger, func() { h.peers.scheduleHeartbeat() })
 	h.front = front.New(front.Config{
-		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Links: h.links, View: h.docState.View,
+		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Detector: h.detector, Links: h.links, View: h.docState.View,
 		SyncStatus: h.docState.syncStatus, Logger: settings.Logger,
 		LoadChanged: func() { h.peers.scheduleLoadChanges() }, Switches: settings.Switches.Front,
 	})
@@ -237,6 +239,7 @@
 			h.docState.expire(now)
 			gauges.set(now, h.docState.View().Version(), h.docState.syncStatus())
 			h.sharedPlacer.Update(func(p *place.Placer) { p.ExpirePeerLoads(now) })
+			h.detector.Settle(now)
 			h.links.EvictIdle(h.linkFilter())
 		}
 	}
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -29,6 +29,7 @@
 	client       *news.Client
 	docState     *documentState
 	sharedPlacer *front.SharedPlacer
+	detector     *front.SharedDetector
 	stopping     func() bool
 	// sendNow requests a heartbeat before the next interval. sendChangesNow requests
 	// only the changed loads, for the hosts of the same data centre.
@@ -47,12 +48,12 @@
 
 // receive processes one datagram.
 func (p *peers) receive(ctx context.Context, datagram []byte) {
-	message, change, err := news.Decode(datagram)
+	now := time.Now()
+	message, change, err := news.Decode(datagram, now)
 	if err != nil {
 		p.log.Error(err, "A heartbeat cannot be decoded.")
 		return
 	}
-	now := time.Now()
 	if change != nil {
 		p.receiveChange(now, change)
 		return
@@ -80,6 +81,7 @@
 	if len(message.Leaving) > 0 && p.sharedPlacer.RecordLeaving(message.Leaving...) {
 		p.scheduleHeartbeat()
 	}
+	p.detector.Merge(string(message.From.Host), now, message.Poison)
 	p.compareSyncStatus(ctx, now, message.SyncStatus, message.From)
 }
 
@@ -99,6 +101,7 @@
 // sendWelcome answers the first heartbeat of a host with one that names other hosts.
 func (p *peers) sendWelcome(now time.Time, to gossip.Contact) {
 	message := p.newMessage(now)
+	message.Poison = p.detector.Report(now, true)
 	p.mu.Lock()
 	message.KnownHosts = p.state.WelcomeHosts(now, to.DataCentre)
 	p.mu.Unlock()
@@ -250,11 +253,12 @@
 		}
 	})
 	p.sharedPlacer.WithLock(func(placer *place.Placer) { message.Leaving = placer.LeavingEndpoints() })
+	message.Poison = p.detector.Report(now, false)
 	return &message
 }
 
 func (p *peers) sendMessage(message *news.Message, targets []string) {
-	datagram, err := news.Encode(message)
+	datagram, err := news.Encode(message, time.Now())
 	p.sendTo(datagram, err, targets)
 }
 
@@ -322,6 +326,7 @@
 		client:         news.NewClient(&http.Transport{DialContext: s.Dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}),
 		docState:       h.docState,
 		sharedPlacer:   h.sharedPlacer,
+		detector:       h.detector,
 		stopping:       h.stopping.Load,
 		canReadStore:   true,
 		sendNow:        make(chan struct{}, 1),
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -126,7 +126,7 @@
 			e.finishStream(answer)
 			return tryResult{done: true, health: place.Good}
 		default:
-			return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, answerOutcome(err)), err: err}
+			return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, answerOutcome(err)), brokenOff: true, err: err}
 		}
 	}
 }
@@ -134,6 +134,7 @@
 // finishStream records the end of a complete stream.
 func (e *exchange) finishStream(answer *links.Answer) {
 	e.freeCopy()
+	e.recordSuccess()
 	e.front.counters.countAnswer(answer.StatusCode)
 	e.front.counters.answerTime.record(time.Since(e.request.Arrived))
 	e.log("A stream is complete.", "Events", e.events, "Continued", e.continued, "Took", time.Since(e.request.Arrived).Milliseconds())
@@ -181,6 +182,10 @@
 		e.lastEventAt = time.Now()
 		if e.firstEventAt.IsZero() {
 			e.firstEventAt = e.lastEventAt
+			e.unwatchBlocks()
+		}
+		if e.events >= _eventsOfSuccess {
+			e.recordSuccess()
 		}
 		if _, err := e.writer.Write(next); err != nil {
 			return &tryResult{done: true, err: err}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -43,6 +43,10 @@
 	incoming   *http.Request
 	request    *request
 	tries      *tries.Tries
+	// sharedParts are the IDs of the prompt's parts that other requests may share.
+	sharedParts []string
+	// successRecorded is true once the prompt was recorded as harmless to engines.
+	successRecorded bool
 
 	// triedEndpoints lists the IDs of the endpoints of earlier tries.
 	triedEndpoints []string
@@ -83,7 +87,7 @@
 func newExchange(f *Front, w http.ResponseWriter, r *http.Request, req *request) *exchange {
 	return &exchange{
 		front: f, writer: w, controller: http.NewResponseController(w), incoming: r, request: req,
-		tries: tries.New(req.Route, f.config.Switches.Tries),
+		tries: tries.New(req.Route, f.config.Switches.Tries), sharedParts: req.Prompt.SharedParts(),
 	}
 }
 
@@ -96,7 +100,9 @@
 	failure *bufferedAnswer
 	// health is the outcome recorded for the endpoint; 0 for none.
 	health place.Outcome
-	err    error
+	// brokenOff is true when the endpoint ended its answer before it was complete.
+	brokenOff bool
+	err       error
 }
 
 func (e *exchange) placer() *SharedPlacer { return e.front.config.SharedPlacer }
@@ -147,6 +153,13 @@
 
 // runStep places the request on an endpoint and makes one try there.
 func (e *exchange) runStep(ctx context.Context, step tries.Step) tryResult {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	e.watchBlocks(func() { cancel(errBlocked) })
+	defer e.unwatchBlocks()
+	if e.checkBlocked() {
+		return tryResult{done: true}
+	}
 	from := ""
 	if step == tries.Continue {
 		var id string
@@ -160,11 +173,16 @@
 	} else if end := e.place(ctx); end != nil {
 		return *end
 	}
+	if e.checkBlocked() {
+		e.placer().end(e.run, 0)
+		return tryResult{done: true}
+	}
 	e.continued = e.continued || step != tries.Again
 	e.resumed = !e.delivered
 	e.leavingSince, e.noRoomLogged, e.failedCopyTargets = time.Time{}, false, nil
 	e.answerBegun, e.firstEventAt = false, time.Time{}
 	end := e.try(ctx, from)
+	e.recordEnd(&end)
 	if !end.done && !e.backupReady() {
 		e.backup.drop(e.placer()) // the copy was to be made by this try
 	}
@@ -202,21 +220,30 @@
 		e.notifyLoadChanged()
 		return nil
 	}
+	if errors.Is(context.Cause(ctx), errBlocked) && e.checkBlocked() {
+		return &tryResult{done: true}
+	}
 	if ctx.Err() != nil {
 		return &tryResult{}
 	}
 	e.log("No endpoint has room.", "Verdict", int(verdict), "Waited", time.Since(request.Arrived).Milliseconds())
-	switch {
-	case e.delivered:
+	if e.delivered {
 		e.cut("no endpoint has room to continue the stream")
-	case e.tries.MayHaveRun():
-		e.answerError(http.StatusBadGateway, "the endpoint was lost; the request may have run", 0)
-	default:
-		e.answerError(http.StatusServiceUnavailable, "no endpoint has room", e.retryAfterNoRoom())
 	}
+	e.answerNotServed("no endpoint has room", e.retryAfterNoRoom())
 	return &tryResult{done: true}
 }
 
+// answerNotServed answers a request that is not sent to a further endpoint: as refused, or
+// as failed if an earlier try may have run.
+func (e *exchange) answerNotServed(reason string, retryAfter time.Duration) {
+	if e.tries.MayHaveRun() {
+		e.answerError(http.StatusBadGateway, "the endpoint was lost; the request may have run", 0)
+		return
+	}
+	e.answerError(http.StatusServiceUnavailable, reason, retryAfter)
+}
+
 // retryAfterNoRoom returns the Retry-After for a request that found no room until its
 // answer would have been late. An immediate retry would only add to the load, so it is
 // at least the route's Goal; a random part spreads the retries of callers that were
@@ -236,7 +263,7 @@
 	slowTimer := time.AfterFunc(time.Until(e.firstEventDeadline()), func() { cancel(errSlow) })
 	defer slowTimer.Stop()
 	e.log("A try begins.", "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.endpoint().ID,
-		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.request.Prompt.SharedParts(), "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
+		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.sharedParts, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
 		"Runs", e.run.PriorLoad.Runs, "Tokens", e.run.PriorLoad.Tokens, "Prefill", e.run.PriorLoad.Prefill)
 	answer, err := e.front.config.Links.Do(tryCtx, endpoint.RoutedEndpoint, e.outgoing(from))
 	var failed *links.Error
@@ -251,7 +278,7 @@
 	defer e.maintainBackup(tryCtx, cancel)()
 	end := e.receive(ctx, answer, slowTimer)
 	if cause := context.Cause(tryCtx); end.err != nil && cause != nil {
-		end.err, end.health = cause, e.endpointOutcome(ctx, answerOutcome(cause))
+		end.err, end.health, end.brokenOff = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false
 	}
 	return end
 }
@@ -279,7 +306,7 @@
 	switch {
 	case errors.Is(err, errSlow):
 		return place.Unreachable
-	case errors.Is(err, errHandedOver):
+	case errors.Is(err, errHandedOver), errors.Is(err, errBlocked):
 		return 0
 	}
 	return place.Bad
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -39,6 +39,7 @@
 	Names        core.HeaderNames
 	Paths        core.CallPaths
 	SharedPlacer *SharedPlacer
+	Detector     *SharedDetector
 	Links        *links.Pool
 	View         func() *know.View
 	// SyncStatus is logged with each error, to show what the host knew when it answered.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -37,6 +37,7 @@
 	server    *httptest.Server
 	endpoints []*routed.Endpoint
 	placer    *front.SharedPlacer
+	detector  *front.SharedDetector
 	view      *know.View
 	// errorLines receives the log lines of errors that the host itself answers.
 	errorLines chan string
@@ -65,7 +66,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &fixture{t: t, errorLines: make(chan string, 64), view: &know.View{Table: built, OutOfService: map[core.DataCentreName]bool{}}}
+	detector := front.NewSharedDetector(logr.Discard(), func() {})
+	r := &fixture{t: t, detector: detector, errorLines: make(chan string, 64), view: &know.View{Table: built, OutOfService: map[core.DataCentreName]bool{}}}
 	for i, handle := range handlers {
 		e, err := routed.Start(handle)
 		if err != nil {
@@ -87,7 +89,8 @@
 	t.Cleanup(pool.Close)
 	r.server = httptest.NewServer(front.New(front.Config{
 		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: pool,
-		View: func() *know.View { return r.view }, Logger: r.logger(), LoadChanged: func() {},
+		Detector: r.detector,
+		View:     func() *know.View { return r.view }, Logger: r.logger(), LoadChanged: func() {},
 		SyncStatus: func() know.SyncStatus { return know.SyncStatus{AsOf: 12, FreshAt: time.Now().Add(-_documentAge)} },
 	}))
 	t.Cleanup(r.server.Close)
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -19,6 +19,7 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/gossip"
 	"apricotproxy/core/procs/place"
+	"apricotproxy/core/procs/poison"
 )
 
 const (
@@ -37,6 +38,8 @@
 	// Loads holds the loads of the sending host, or of its whole data centre in a
 	// message to another one. It is nil if the message reports no loads.
 	Loads map[string]place.Load
+	// Poison is what the sending host knows of parts of prompts that crash engines.
+	Poison poison.Report
 }
 
 // LoadUpdate holds a host's loads that changed since its last heartbeat or update. It is
@@ -53,8 +56,8 @@
 	_kindLoadUpdate = 2
 )
 
-// Encode returns the datagram of a message.
-func Encode(m *Message) ([]byte, error) { return encode(_kindMessage, toWire(m)) }
+// Encode returns the datagram of a message that is sent now.
+func Encode(m *Message, now time.Time) ([]byte, error) { return encode(_kindMessage, toWire(m, now)) }
 
 // EncodeLoadUpdate returns the datagram of changed loads.
 func EncodeLoadUpdate(c *LoadUpdate) ([]byte, error) {
@@ -69,9 +72,9 @@
 	return append([]byte{kind}, b...), nil
 }
 
-// Decode decodes a datagram. It returns either a message or changed loads; the other
-// one is nil.
-func Decode(b []byte) (*Message, *LoadUpdate, error) {
+// Decode decodes a datagram that was received now. It returns either a message or changed
+// loads; the other one is nil.
+func Decode(b []byte, now time.Time) (*Message, *LoadUpdate, error) {
 	if len(b) == 0 {
 		return nil, nil, errors.New("decode a datagram: it is empty")
 	}
@@ -84,7 +87,7 @@
 		if w.From.Host == "" {
 			return nil, nil, errors.New("decode a heartbeat: the sender has no name")
 		}
-		return fromWire(&w), nil, nil
+		return fromWire(&w, now), nil, nil
 	case _kindLoadUpdate:
 		var w wireLoadUpdate
 		if err := cbor.Unmarshal(b[1:], &w); err != nil {
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -13,9 +13,12 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/gossip"
 	"apricotproxy/core/procs/place"
+	"apricotproxy/core/procs/poison"
 	"apricotproxy/io/news"
 )
 
+var _now = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+
 func message(others, loads int) *news.Message {
 	m := &news.Message{
 		Heartbeat: gossip.Heartbeat{
@@ -25,6 +28,11 @@
 		},
 		Loads: make(map[string]place.Load),
 	}
+	m.Poison = poison.Report{
+		Losses:    []poison.Loss{{Endpoint: "i-845a0314c1", Request: "91bd3f06", Parts: []string{"5c1e07a2", "e4402b7d"}, At: _now.Add(-time.Second)}},
+		Successes: []poison.Success{{Part: "5c1e07a2", At: _now.Add(-time.Minute)}},
+		Blocks:    []poison.Block{{Parts: []string{"e4402b7d"}, Since: _now.Add(-time.Hour), Until: _now.Add(time.Minute)}},
+	}
 	for range others {
 		m.KnownHosts = append(m.KnownHosts, m.From)
 	}
@@ -36,11 +44,11 @@
 
 func TestMessageRoundTrip(t *testing.T) {
 	want := message(4, 7)
-	b, err := news.Encode(want)
+	b, err := news.Encode(want, _now)
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, _, err := news.Decode(b)
+	got, _, err := news.Decode(b, _now)
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, %v; want %+v", got, err, want)
 	}
@@ -58,7 +66,7 @@
 	if err != nil || len(b) > maxBytes {
 		t.Fatalf("%d bytes, %v; want %d at most", len(b), err, maxBytes)
 	}
-	message, got, err := news.Decode(b)
+	message, got, err := news.Decode(b, _now)
 	if err != nil || message != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, %v; want %+v", got, err, want)
 	}
@@ -69,11 +77,11 @@
 func TestMessageFitsADatagram(t *testing.T) {
 	m := message(4, 2000)
 	m.Loads["i-busy"] = place.Load{Runs: 1, Prefill: 1 << 20}
-	b, err := news.Encode(m)
+	b, err := news.Encode(m, _now)
 	if err != nil || len(b) > 16<<10 {
 		t.Fatalf("%d bytes, %v", len(b), err)
 	}
-	if got, _, err := news.Decode(b); err != nil || got.Loads["i-busy"].Prefill != 1<<20 {
+	if got, _, err := news.Decode(b, _now); err != nil || got.Loads["i-busy"].Prefill != 1<<20 {
 		t.Errorf("the load of the busiest endpoint is missing: %v", err)
 	}
 }
@@ -100,7 +108,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	b, err := news.Encode(message(2, 2))
+	b, err := news.Encode(message(2, 2), _now)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -111,7 +119,7 @@
 	}
 	f.Add(change)
 	f.Fuzz(func(t *testing.T, b []byte) {
-		m, c, err := news.Decode(b)
+		m, c, err := news.Decode(b, _now)
 		if err == nil && (m == nil) == (c == nil) {
 			t.Errorf("decoded message %v and changed loads %v, want exactly one of them", m, c)
 		}
@@ -133,7 +141,7 @@
 		if datagram, err = news.EncodeLoadUpdate(change); err != nil {
 			b.Fatal(err)
 		}
-		if _, _, err := news.Decode(datagram); err != nil {
+		if _, _, err := news.Decode(datagram, _now); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -148,10 +156,10 @@
 			var datagram []byte
 			for b.Loop() {
 				var err error
-				if datagram, err = news.Encode(m); err != nil {
+				if datagram, err = news.Encode(m, _now); err != nil {
 					b.Fatal(err)
 				}
-				if _, _, err := news.Decode(datagram); err != nil {
+				if _, _, err := news.Decode(datagram, _now); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -8,6 +8,7 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/gossip"
 	"apricotproxy/core/procs/place"
+	"apricotproxy/core/procs/poison"
 )
 
 // The forms in which messages and changed loads are sent. They are CBOR arrays, since
@@ -29,6 +30,9 @@
 		Loads       []wireLoad
 		Epoch       uint64
 		Version     uint64
+		Losses      []wireLoss
+		Successes   []wireSuccess
+		Blocks      []wireBlock
 	}
 
 	wireLoadUpdate struct {
@@ -38,6 +42,27 @@
 		Loads       []wireLoad
 	}
 
+	wireLoss struct {
+		_        struct{} `cbor:",toarray"`
+		Endpoint string
+		Request  string
+		Parts    []string
+		AgeMs    int64
+	}
+
+	wireSuccess struct {
+		_     struct{} `cbor:",toarray"`
+		Part  string
+		AgeMs int64
+	}
+
+	wireBlock struct {
+		_      struct{} `cbor:",toarray"`
+		Parts  []string
+		AgeMs  int64
+		LeftMs int64
+	}
+
 	wireContact struct {
 		_         struct{} `cbor:",toarray"`
 		Host      string
@@ -60,7 +85,7 @@
 // they matter most.
 const _maxLoads = 256
 
-func toWire(m *Message) *wireMessage {
+func toWire(m *Message, now time.Time) *wireMessage {
 	w := &wireMessage{
 		From: contactToWire(m.From), Incarnation: m.Incarnation, Stopping: m.Stopping, Reads: m.CanReadStore,
 		AsOf: m.SyncStatus.AsOf, Changed: m.SyncStatus.Changed, AgeMs: m.SyncStatus.Age.Milliseconds(), Leaving: m.Leaving, HasLoads: m.Loads != nil,
@@ -70,9 +95,39 @@
 		w.Others = append(w.Others, contactToWire(c))
 	}
 	w.Loads = loadsToWire(m.Loads)
+	w.addPoison(m.Poison, now)
 	return w
 }
 
+// addPoison adds a report. Hosts' clocks differ, so times are sent as ages.
+func (w *wireMessage) addPoison(report poison.Report, now time.Time) {
+	for _, l := range report.Losses {
+		w.Losses = append(w.Losses, wireLoss{Endpoint: l.Endpoint, Request: l.Request, Parts: l.Parts, AgeMs: now.Sub(l.At).Milliseconds()})
+	}
+	for _, s := range report.Successes {
+		w.Successes = append(w.Successes, wireSuccess{Part: s.Part, AgeMs: now.Sub(s.At).Milliseconds()})
+	}
+	for _, b := range report.Blocks {
+		w.Blocks = append(w.Blocks, wireBlock{Parts: b.Parts, AgeMs: now.Sub(b.Since).Milliseconds(), LeftMs: b.Until.Sub(now).Milliseconds()})
+	}
+}
+
+func (w *wireMessage) poison(now time.Time) poison.Report {
+	var r poison.Report
+	for _, l := range w.Losses {
+		r.Losses = append(r.Losses, poison.Loss{Endpoint: l.Endpoint, Request: l.Request, Parts: l.Parts, At: now.Add(-milliseconds(l.AgeMs))})
+	}
+	for _, s := range w.Successes {
+		r.Successes = append(r.Successes, poison.Success{Part: s.Part, At: now.Add(-milliseconds(s.AgeMs))})
+	}
+	for _, b := range w.Blocks {
+		r.Blocks = append(r.Blocks, poison.Block{Parts: b.Parts, Since: now.Add(-milliseconds(b.AgeMs)), Until: now.Add(milliseconds(b.LeftMs))})
+	}
+	return r
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 func loadsToWire(loads map[string]place.Load) []wireLoad {
 	var wire []wireLoad
 	for id, l := range loads {
@@ -92,8 +147,8 @@
 	return loads
 }
 
-func fromWire(w *wireMessage) *Message {
-	m := &Message{Heartbeat: gossip.Heartbeat{
+func fromWire(w *wireMessage, now time.Time) *Message {
+	m := &Message{Poison: w.poison(now), Heartbeat: gossip.Heartbeat{
 		From: contactFromWire(w.From), Incarnation: w.Incarnation, Stopping: w.Stopping, CanReadStore: w.Reads,
 		SyncStatus: gossip.SyncStatus{Epoch: w.Epoch, Version: w.Version, AsOf: w.AsOf, Changed: w.Changed, Age: time.Duration(w.AgeMs) * time.Millisecond},
 		Leaving:    w.Leaving,
