io/links: bound the header of an answer

A host would keep such a status line or header in memory, and skip the body of an answer to another request, for as long as the request lasts.

Cause: http.ReadResponse sets no bound, and a skipped body had none.

Change: until the header of the request's own answer is complete, at most 1 MB is read; then the exchange fails and the connection is closed.

Why it works: the bound lies below the parser, so that it holds whatever the bytes are.

--- a/fakes/routed/routed.go
+++ b/fakes/routed/routed.go
@@ -114,6 +114,21 @@
 // Write sends raw bytes.
 func (c *Call) Write(text string) { _, _ = io.WriteString(c.conn, text) }
 
+// Flood sends a text again and again until the other end closes the connection, or until
+// most bytes were sent. It returns their number.
+func (c *Call) Flood(text string, most int64) int64 {
+	block := []byte(strings.Repeat(text, 1+4096/len(text)))
+	sent := int64(0)
+	for sent < most {
+		n, err := c.conn.Write(block)
+		sent += int64(n)
+		if err != nil {
+			break
+		}
+	}
+	return sent
+}
+
 // Reset closes the connection with a TCP reset.
 func (c *Call) Reset() {
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -29,6 +29,9 @@
 	// _maxStrayAnswers bounds the responses that are read to find a request's own
 	// answer; the others are skipped.
 	_maxStrayAnswers = 4
+	// _maxHeadBytes bounds the bytes that are read until the header of the request's own
+	// answer is complete, answers that are skipped included.
+	_maxHeadBytes = 1 << 20
 	// _defaultIdleTimeout is how long an idle connection is kept when the endpoint
 	// sends no Keep-Alive timeout.
 	_defaultIdleTimeout = 4 * time.Second
@@ -114,6 +117,7 @@
 
 type connection struct {
 	conn      net.Conn
+	head      *headReader
 	reader    *bufio.Reader
 	idleSince time.Time
 	idleUntil time.Time
@@ -231,7 +235,8 @@
 			return nil, errors.Join(fmt.Errorf("set SO_LINGER on the connection to %s: %w", address, err), conn.Close())
 		}
 	}
-	return &connection{conn: conn, reader: bufio.NewReaderSize(conn, _readBufferBytes)}, nil
+	head := &headReader{conn: conn}
+	return &connection{conn: conn, head: head, reader: bufio.NewReaderSize(head, _readBufferBytes)}, nil
 }
 
 func (p *Pool) popIdle(key string) *connection {
@@ -300,6 +305,8 @@
 // earlier request may come first; its request id tells it apart.
 func (c *connection) readAnswer(request *Request) (*http.Response, error) {
 	httpRequest := &http.Request{Method: request.Method}
+	c.head.begin(_maxHeadBytes)
+	defer c.head.end()
 	for range _maxStrayAnswers {
 		res, err := http.ReadResponse(c.reader, httpRequest)
 		if err != nil {
--- a/io/links/links_test.go
+++ b/io/links/links_test.go
@@ -232,3 +232,33 @@
 		t.Errorf("%d connections were opened, want %d: %d of the first %d are kept", opened, concurrent+concurrent-maxConnections, maxConnections, concurrent)
 	}
 }
+
+// Bytes that are no answer and do not stop end the exchange, and use little memory.
+func TestEndlessBytesEndTheExchange(t *testing.T) {
+	const (
+		sent = 64 << 20
+		most = 16 << 20 // what the buffers of a loopback connection may hold, and some more
+	)
+	for name, text := range map[string][2]string{
+		"in the status line":               {"", "x"},
+		"in a header":                      {"HTTP/1.1 200 OK\r\nA: ", "x"},
+		"as headers":                       {"HTTP/1.1 200 OK\r\n", "A: x\r\n"},
+		"as interim answers":               {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"as the answer to another request": {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			flooded := make(chan int64, 1)
+			e := start(t, func(c *routed.Call) bool {
+				c.Write(text[0])
+				flooded <- c.Flood(text[1], sent)
+				return false
+			})
+			if _, err := roundTrip(t, newPool(t), e, "1"); err == nil {
+				t.Error("the bytes were taken for an answer")
+			}
+			if n := <-flooded; n > most {
+				t.Errorf("the endpoint sent %d bytes until its connection was closed, want at most %d", n, most)
+			}
+		})
+	}
+}
