io/front: bound the memory of all buffered answers together

What callers saw: nothing yet; an endpoint whose bodies do not stop would take 8 MB for each request at it, and a host of 112 MB end after a dozen.

Cause: the bound was one of each answer, not of the host.

Change: the answers that are read before they are relayed use an eighth of the host's memory at most. An answer fails once it uses more than is left for all others, so that short ones still find room beside endless ones.

Why it works: every byte is counted where it is read and returned when its request ends.

--- a/fakes/routed/routed.go
+++ b/fakes/routed/routed.go
@@ -114,9 +114,16 @@
 // Write sends raw bytes.
 func (c *Call) Write(text string) { _, _ = io.WriteString(c.conn, text) }
 
+// _floodBufferBytes is the send buffer of a flooded connection, so that little is sent that
+// is not read.
+const _floodBufferBytes = 64 << 10
+
 // Flood sends a text again and again until the other end closes the connection, or until
 // most bytes were sent. It returns their number.
 func (c *Call) Flood(text string, most int64) int64 {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(_floodBufferBytes)
+	}
 	block := []byte(strings.Repeat(text, 1+4096/len(text)))
 	sent := int64(0)
 	for sent < most {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -32,6 +32,9 @@
 	_endpointDialTimeout = 300 * time.Millisecond
 	// _maxIdlePerEndpoint limits the idle connections to one endpoint.
 	_maxIdlePerEndpoint = 4
+	// _bufferDivisor is the part of a host's memory that answers may use that are read
+	// completely before they are relayed: an eighth.
+	_bufferDivisor = 8
 	// _headerTimeout limits the time that a caller takes to send a request's header.
 	_headerTimeout = 10 * time.Second
 	// _maxHeaderBytes limits a request's header, whatever the configuration says.
@@ -111,7 +114,7 @@
 	h.detector = front.NewSharedDetector(settings.Logger, func() { h.peers.scheduleHeartbeat() })
 	h.front = front.New(front.Config{
 		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Detector: h.detector, Links: h.links, View: h.docState.View,
-		SyncStatus: h.docState.syncStatus, Logger: settings.Logger,
+		SyncStatus: h.docState.syncStatus, Logger: settings.Logger, BufferBytes: settings.MemoryBytes / _bufferDivisor,
 		LoadChanged: func() { h.peers.scheduleLoadChanges() }, Switches: settings.Switches.Front,
 	})
 	var err error
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -17,14 +16,8 @@
 	"apricotproxy/io/links"
 )
 
-const (
-	// _maxBufferedBytes bounds an answer that is not a stream. Such an answer is read
-	// completely before it is relayed, so that one that breaks off is never taken for
-	// a complete one.
-	_maxBufferedBytes = 8 << 20
-	// _streamReadBytes is the size of the read buffer of a stream.
-	_streamReadBytes = 4 << 10
-)
+// _streamReadBytes is the size of the read buffer of a stream.
+const _streamReadBytes = 4 << 10
 
 // bufferedAnswer is an endpoint's complete answer.
 type bufferedAnswer struct {
@@ -33,17 +26,6 @@
 	body   []byte
 }
 
-func readBuffered(answer *links.Answer) (*bufferedAnswer, error) {
-	body, err := io.ReadAll(io.LimitReader(answer, _maxBufferedBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("read the answer's body: %w", err)
-	}
-	if len(body) > _maxBufferedBytes {
-		return nil, fmt.Errorf("the answer is longer than %d bytes", _maxBufferedBytes)
-	}
-	return &bufferedAnswer{status: answer.StatusCode, header: answer.Header, body: body}, nil
-}
-
 // relay sends an endpoint's answer to the caller. Callers take some statuses as a
 // promise that the request did not run. An endpoint makes that promise only with the
 // Not-Run header, and answers that have it are not relayed; without it the request
--- /dev/null
+++ b/io/front/endless_test.go
@@ -0,0 +1,67 @@
+package front_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"apricotproxy/fakes/routed"
+)
+
+// smallBuffers is a dialer whose connections buffer little, so that an endpoint can send
+// hardly more than is read.
+type smallBuffers struct{ net.Dialer }
+
+// DialContext connects and limits the receive buffer.
+func (d *smallBuffers) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.Dialer.DialContext(ctx, network, address)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		err = tcp.SetReadBuffer(64 << 10)
+	}
+	return conn, err
+}
+
+// _bufferBytes is the fixture's bound for answers that are read before they are relayed.
+const _bufferBytes = 4 << 20
+
+// Bodies that do not stop use little memory, however many requests get one at a time, and
+// leave room for answers of the usual length.
+func TestEndlessBodiesShareABound(t *testing.T) {
+	const (
+		requests = 16
+		sent     = 64 << 20
+		most     = _bufferBytes + requests*(1<<20)
+	)
+	var total atomic.Int64
+	flood := func(c *routed.Call) bool {
+		if c.URL.Path == "/order/short" {
+			c.Answer(200, strings.Repeat("x", 10_000), "Request-Id: "+c.Header.Get("Request-Id"), "Seal: s")
+			return true
+		}
+		c.Write("HTTP/1.1 200 OK\r\nRequest-Id: " + c.Header.Get("Request-Id") + "\r\nSeal: s\r\n\r\n")
+		total.Add(c.Flood("x", sent))
+		return false
+	}
+	r := newFixture(t, flood, flood)
+	var group sync.WaitGroup
+	for range requests {
+		group.Go(func() {
+			if a := r.send(http.MethodPost, "/order/", "body"); a.err == nil && a.status == http.StatusOK {
+				t.Error("an endless body was taken for an answer")
+			}
+		})
+	}
+	for range 20 {
+		if a := r.send(http.MethodPost, "/order/short", "body"); a.status != http.StatusOK {
+			t.Errorf("status %d beside endless bodies, want 200", a.status)
+		}
+	}
+	group.Wait()
+	if n := total.Load(); n > most {
+		t.Errorf("%d bytes of endless bodies were read, want at most %d", n, int64(most))
+	}
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -45,6 +45,8 @@
 	tries      *tries.Tries
 	// sharedParts are the IDs of the prompt's parts that other requests may share.
 	sharedParts []string
+	// buffered is the memory of answers that are read before they are relayed.
+	buffered share
 	// successRecorded is true once the prompt was recorded as harmless to engines.
 	successRecorded bool
 
@@ -88,6 +90,7 @@
 	return &exchange{
 		front: f, writer: w, controller: http.NewResponseController(w), incoming: r, request: req,
 		tries: tries.New(req.Route, f.config.Switches.Tries), sharedParts: req.Prompt.SharedParts(),
+		buffered: share{limit: f.buffers},
 	}
 }
 
@@ -110,6 +113,7 @@
 // serve makes tries until the request has its answer.
 func (e *exchange) serve(ctx context.Context) {
 	defer e.backup.drop(e.placer())
+	defer e.buffered.release()
 	e.placer().countRequest(e.request.Service)
 	step := tries.Again
 	for {
@@ -418,7 +422,7 @@
 	if e.delivered {
 		return tryResult{result: tries.Broken, health: place.Bad, err: errors.New("the endpoint answered with status " + strconv.Itoa(status))}
 	}
-	body, err := readBuffered(answer)
+	body, err := e.readBuffered(answer)
 	if err != nil {
 		return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, place.Bad), err: err}
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -49,6 +49,9 @@
 	// when a generation's first event shows that its prompt was read. The other hosts of
 	// the data centre must learn of these changes at once.
 	LoadChanged func()
+	// BufferBytes bounds the bytes of all answers that are read completely before they are
+	// relayed; 0 for a default.
+	BufferBytes int64
 	// Switches turn safeguards off, to verify that tests detect their absence.
 	Switches Switches
 }
@@ -69,12 +72,13 @@
 	log                logr.Logger
 	keepAlivesDisabled atomic.Bool
 	running            atomic.Int64
+	buffers            *bufferLimit
 	counters           *counters
 }
 
 // New returns a handler for routed requests.
 func New(config Config) *Front {
-	return &Front{config: config, log: config.Logger.WithName("front"), counters: newCounters()}
+	return &Front{config: config, log: config.Logger.WithName("front"), buffers: newBufferLimit(config.BufferBytes), counters: newCounters()}
 }
 
 // DisableKeepAlives makes the host close each caller's connection after its next answer.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -85,12 +85,12 @@
 	// A host uses no share of the common limits in the first seconds after its start, so
 	// its start is set to a minute ago.
 	r.placer.Update(func(p *place.Placer) { p.ExpirePeerLoads(time.Now().Add(-time.Minute)) })
-	pool := links.New(links.Settings{Dialer: &net.Dialer{}, DialTimeout: time.Second, MaxIdle: 2})
+	pool := links.New(links.Settings{Dialer: &smallBuffers{}, DialTimeout: time.Second, MaxIdle: 2})
 	t.Cleanup(pool.Close)
 	r.server = httptest.NewServer(front.New(front.Config{
 		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: pool,
-		Detector: r.detector,
-		View:     func() *know.View { return r.view }, Logger: r.logger(), LoadChanged: func() {},
+		Detector: r.detector, BufferBytes: _bufferBytes,
+		View: func() *know.View { return r.view }, Logger: r.logger(), LoadChanged: func() {},
 		SyncStatus: func() know.SyncStatus { return know.SyncStatus{AsOf: 12, FreshAt: time.Now().Add(-_documentAge)} },
 	}))
 	t.Cleanup(r.server.Close)
