io/entry: a host that starts learns which data centres a restore put back

What callers saw: not seen by the users. A host that started before operators had written it again sent requests to a data centre that was out of service.

Change: heartbeats carry how many lost documents a host keeps; one that keeps fewer pulls them.

Evidence: TestHostStartedBeforeRewriteKeepsDataCentreOut failed on the code before and passes in three of three runs, as do the other six tests of restores.

Why it works: what other hosts keep no longer depends on the store's revisions.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -58,6 +58,8 @@
 	Changed uint64
 	// Version is the version of the routing table in force; 0 for none.
 	Version uint64
+	// Kept is the number of documents that the store lost and the host keeps for a while.
+	Kept int
 	// Age is the time since the store was known to have nothing newer.
 	Age time.Duration
 }
--- a/core/procs/know/epoch.go
+++ b/core/procs/know/epoch.go
@@ -24,6 +24,16 @@
 	}
 }
 
+// countKept sets the number of documents that are kept although the store lost them.
+func (s *State) countKept() {
+	s.status.Kept = 0
+	for _, it := range s.items {
+		if !it.confirmUntil.IsZero() {
+			s.status.Kept++
+		}
+	}
+}
+
 // unconfirmed reports whether the item takes a data centre out of service by a document
 // that the store is not known to have in the given epoch.
 func (it *item) unconfirmed(epoch uint64) bool {
--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -70,6 +70,9 @@
 	Changed uint64
 	// Version is the version of the routing table in force; 0 for none.
 	Version uint64
+	// Kept is the number of documents that a restore of the store lost and that count
+	// until operators write them again.
+	Kept int
 	// FreshAt is when the store was last known to have nothing newer than AsOf.
 	FreshAt time.Time
 }
@@ -140,7 +143,9 @@
 	switch {
 	case theirs.AsOf == 0 || theirs.Epoch < mine.Epoch:
 		return false
-	case mine.AsOf == 0 || theirs.Epoch > mine.Epoch || theirs.Changed > mine.AsOf || theirs.Version > mine.Version:
+	case mine.AsOf == 0 || theirs.Epoch > mine.Epoch || theirs.Changed > mine.AsOf:
+		return true
+	case theirs.Version > mine.Version || theirs.Kept > mine.Kept:
 		return true
 	}
 	s.confirm(theirs.AsOf, theirs.FreshAt)
@@ -185,6 +190,7 @@
 		}
 	}
 	s.compact()
+	s.countKept()
 	if changed {
 		s.view = nil
 	}
@@ -217,14 +223,14 @@
 }
 
 // Since returns the documents that a host with the given status lacks: those that changed
-// since, and the routing table if it has a higher version. If the deletions since then are
-// not known, or the host knows nothing, whole is true and all documents are returned
-// instead.
+// since, the routing table if it has a higher version, and what a restore of the store
+// lost. If the deletions since then are not known, or the host knows nothing, whole is true
+// and all documents are returned instead.
 func (s *State) Since(theirs SyncStatus) (documents core.Documents, whole bool) {
 	whole = theirs.Epoch != s.status.Epoch || theirs.AsOf < s.compactedRevision || theirs.AsOf == 0
 	for _, it := range s.items {
 		changed := it.document.Epoch == s.status.Epoch && it.document.Revision > theirs.AsOf ||
-			it.content.Table != nil && it.content.Table.Version() > theirs.Version
+			it.content.Table != nil && it.content.Table.Version() > theirs.Version || !it.confirmUntil.IsZero()
 		if (whole && !it.document.Deleted) || (!whole && changed) {
 			documents.Documents = append(documents.Documents, it.document)
 		}
@@ -376,6 +382,7 @@
 		}
 	}
 	if changed {
+		s.countKept()
 		s.view = nil
 	}
 	return changed
--- a/io/entry/restore_test.go
+++ b/io/entry/restore_test.go
@@ -110,6 +110,31 @@
 	s.eventually("version 2 is in force", _leavingSpread, s.allServe("/b/", "one"))
 }
 
+// So it does of a data centre that was taken out of service after the copy.
+func TestHostStartedBeforeRewriteKeepsDataCentreOut(t *testing.T) {
+	s, older := newSiteBeforeRestore(t)
+	s.store.Put("out/b", "")
+	refused := func() bool {
+		status, _ := s.get(s.front[0], "/b/")
+		return status == 503
+	}
+	s.eventually("the data centre is out of service", 2*time.Second, refused)
+	s.Stop(0)
+	if err := <-s.Ended(0); err != nil {
+		t.Fatal(err)
+	}
+	s.store.Restore(older)
+	s.start(0)
+	s.eventually("the host is ready", _leavingSpread, func() bool {
+		status, _ := s.get(s.ready[0], "/ready")
+		return status == 200
+	})
+	time.Sleep(_leavingSpread)
+	if !refused() {
+		t.Error("the host that started sends requests to the data centre")
+	}
+}
+
 // A write that is carried out late leaves an older version in the store. A host that
 // starts afterwards has the newest one.
 func TestHostStartedAfterLateWriteHasNewestVersion(t *testing.T) {
