core/procs/know: relay the deletion of a document that was not known

What callers would see: requests to an endpoint that is gone, or none to a data centre that is back in service, at one host, until its next listing.

Cause: a host that learned of a deletion without having known the document forgot it. Its status said that nothing had changed up to there, and hosts that did know the document took this for a confirmation that it still exists. Class: a position is confirmed that covers more than what was kept.

Change: the deletion is kept and passed on like any other.

Evidence: TestDeletionOfAnUnknownDocumentIsRelayed failed before: the other host was not behind, at AsOf 7 with the document of revision 6 that was deleted in 7.

Why it works: whatever lies below a position that a host confirms, it can also tell.

--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -247,6 +247,9 @@
 		return false, nil
 	}
 	if d.Deleted && before == nil {
+		// Another host may know the document, and must learn of its deletion.
+		s.items[d.Name] = &item{document: d}
+		s.noteChange(d)
 		return false, nil
 	}
 	content, err := s.decode(d)
--- a/core/procs/know/know_test.go
+++ b/core/procs/know/know_test.go
@@ -214,3 +214,23 @@
 		t.Errorf("endpoints %q, want b", got)
 	}
 }
+
+// A host that learns of a deletion without having known the document tells other hosts,
+// which may know it.
+func TestDeletionOfAnUnknownDocumentIsRelayed(t *testing.T) {
+	f := contents{"o1": {OutOfService: "waco"}, "a1": endpoint("a", 1)}
+	s, other := newState(f), newState(f)
+	update(t, s, 0, 5, core.Document{Name: "a", Revision: 4, Value: []byte("1")})
+	update(t, other, 0, 6, core.Document{Name: "a", Revision: 4, Value: []byte("1")}, core.Document{Name: "o", Revision: 6, Value: []byte("1")})
+	update(t, s, 1, 7, core.Document{Name: "o", Revision: 7, Deleted: true})
+	if !other.CompareStatus(s.SyncStatus()) {
+		t.Fatalf("not behind a host that knows of a deletion; status %+v", s.SyncStatus())
+	}
+	documents, _ := s.Since(other.SyncStatus())
+	if _, err := other.Update(at(1), documents, at(1)); err != nil {
+		t.Fatal(err)
+	}
+	if other.View().OutOfService["waco"] {
+		t.Error("the data centre is out of service, though its document was deleted")
+	}
+}
