core/procs/know: an earlier listing brings no deleted document back

Cause: a listing that was asked for before another host's documents were applied, and arrives after them, may hold documents that were deleted in between. If the host did not know such a document, or only that it was deleted in an earlier epoch, it was taken for new. Class: an answer is applied without regard to the position it was asked from.

Change: of an answer that ends before the known position only what lies above it is applied, and routing tables, which have an order of their own.

Evidence: TestLateListBringsNothingBack failed before and passes.

Why it works: up to its position a host knows all documents, so that one it lacks was deleted.

--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -181,8 +181,12 @@
 	}
 	changed := false
 	var errs []error
+	known := s.status.AsOf
 	s.confirm(documents.AsOf, freshAt)
 	for _, d := range documents.Documents {
+		if documents.AsOf < known && s.isKnown(d) {
+			continue
+		}
 		applied, err := s.apply(now, d)
 		changed = changed || applied
 		if err != nil {
@@ -197,6 +201,13 @@
 	return changed, errors.Join(errs...)
 }
 
+// isKnown reports whether a document of a late answer is known, or was deleted since. A
+// routing table may still have a higher version than the one in force.
+func (s *State) isKnown(d core.Document) bool {
+	content, err := s.decode(d)
+	return err == nil && content.Table == nil && d.Epoch == s.status.Epoch && d.Revision <= s.status.AsOf
+}
+
 // Replace applies a complete list of documents: a known document that is not listed and
 // is not newer than the list was deleted. A list of an earlier epoch is ignored; one of a
 // later epoch begins that epoch.
--- a/core/procs/know/know_test.go
+++ b/core/procs/know/know_test.go
@@ -234,3 +234,20 @@
 		t.Error("the data centre is out of service, though its document was deleted")
 	}
 }
+
+// A listing that arrives after later documents does not bring back a document that was
+// deleted meanwhile.
+func TestLateListBringsNothingBack(t *testing.T) {
+	f := contents{"o1": {OutOfService: "waco"}, "a1": endpoint("a", 1)}
+	s := newState(f)
+	later := core.Documents{AsOf: 6, Documents: []core.Document{{Name: "a", Revision: 4, Value: []byte("1")}}}
+	earlier := core.Documents{AsOf: 5, Documents: []core.Document{{Name: "a", Revision: 4, Value: []byte("1")}, {Name: "o", Revision: 5, Value: []byte("1")}}}
+	for _, list := range []core.Documents{later, earlier} {
+		if _, err := s.Replace(at(1), list, at(1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s.View().OutOfService["waco"] {
+		t.Error("the data centre is out of service, though its document was deleted before revision 6")
+	}
+}
