core/procs/know: a host that listed confirms nobody past a deletion

Cause: a listing does not tell which documents were deleted before it. A host that had just listed said that nothing had changed up to its position but what it had listed; a host a little behind, which lacked a deletion, took this for a confirmation, and got the changes since without the deletion when it asked. The window is the time between two heartbeats after each start of a host and each loss of the store's history.

Change: heartbeats carry the revision since which a host knows all changes. It confirms only hosts that have reached it; the others get all documents when they ask.

Evidence: TestListConfirmsNoDeletion failed before: AsOf went to 6 without the deletion in revision 6, and the changes since 5 lacked it.

Why it works: between a host's listing and its position it has seen each deletion.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -56,6 +56,8 @@
 	// revision that changed anything but a heartbeat.
 	AsOf    uint64
 	Changed uint64
+	// CompleteSince is the revision since which all changes are known.
+	CompleteSince uint64
 	// Version is the version of the routing table in force; 0 for none.
 	Version uint64
 	// Kept is the number of documents that the store lost and the host keeps for a while.
--- a/core/procs/know/epoch.go
+++ b/core/procs/know/epoch.go
@@ -14,8 +14,7 @@
 // in the store now was probably lost and is kept for a while, so that no confirmed change
 // is undone before it is written again.
 func (s *State) beginEpoch(now time.Time, epoch uint64) {
-	s.status.Epoch, s.status.AsOf, s.status.Changed = epoch, 0, 0
-	s.compactedRevision = 0
+	s.status.Epoch, s.status.AsOf, s.status.Changed, s.status.CompleteSince = epoch, 0, 0, 0
 	s.recoveryUntil = now.Add(s.outagePolicy.RecoveryPeriod)
 	for _, it := range s.items {
 		if it.unconfirmed(epoch) {
--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -68,6 +68,9 @@
 	AsOf uint64
 	// Changed is the highest revision that changed anything but a heartbeat.
 	Changed uint64
+	// CompleteSince is the revision since which all changes are known. Deletions before it
+	// are not known.
+	CompleteSince uint64
 	// Version is the version of the routing table in force; 0 for none.
 	Version uint64
 	// Kept is the number of documents that a restore of the store lost and that count
@@ -97,13 +100,10 @@
 
 // State is a host's copy of the documents. It is not safe for concurrent use.
 type State struct {
-	decode Decode
-	items  map[string]*item
-	status SyncStatus
-	// compactedRevision is the highest revision of a tombstone of the present epoch that
-	// was dropped.
-	compactedRevision uint64
-	outagePolicy      OutagePolicy
+	decode       Decode
+	items        map[string]*item
+	status       SyncStatus
+	outagePolicy OutagePolicy
 	// recoveryUntil is the time until which a deleted document may mean that the store was
 	// down and not that the endpoint is gone.
 	recoveryUntil time.Time
@@ -135,9 +135,9 @@
 func (s *State) SyncStatus() SyncStatus { return s.status }
 
 // CompareStatus compares the status of another host with that of this one. It reports whether
-// the other host has changes that this one lacks. If it has none and its status is at
-// least as recent, it confirms that this host's documents are up to date. The status of a
-// host that knows only an earlier epoch says nothing.
+// the other host has changes that this one lacks. If it has none, knows all changes since
+// this host's position and is at least as recent, it confirms that this host's documents
+// are up to date. The status of a host that knows only an earlier epoch says nothing.
 func (s *State) CompareStatus(theirs SyncStatus) (behind bool) {
 	mine := s.status
 	switch {
@@ -148,7 +148,9 @@
 	case theirs.Version > mine.Version || theirs.Kept > mine.Kept:
 		return true
 	}
-	s.confirm(theirs.AsOf, theirs.FreshAt)
+	if theirs.CompleteSince <= mine.AsOf {
+		s.confirm(theirs.AsOf, theirs.FreshAt)
+	}
 	return false
 }
 
@@ -222,6 +224,8 @@
 	if documents.Epoch > s.status.Epoch && s.status.AsOf > 0 {
 		s.beginEpoch(now, documents.Epoch)
 	}
+	// A list does not tell which documents were written and deleted before it.
+	s.status.CompleteSince = max(s.status.CompleteSince, documents.AsOf)
 	last := core.Document{Epoch: documents.Epoch, Revision: documents.AsOf, Deleted: true}
 	for name, it := range s.items {
 		if !listed[name] && !it.document.Deleted && !it.document.NewerThan(last) && !it.outlivesList() {
@@ -238,7 +242,7 @@
 // lost. If the deletions since then are not known, or the host knows nothing, whole is true
 // and all documents are returned instead.
 func (s *State) Since(theirs SyncStatus) (documents core.Documents, whole bool) {
-	whole = theirs.Epoch != s.status.Epoch || theirs.AsOf < s.compactedRevision || theirs.AsOf == 0
+	whole = theirs.Epoch != s.status.Epoch || theirs.AsOf < s.status.CompleteSince || theirs.AsOf == 0
 	for _, it := range s.items {
 		changed := it.document.Epoch == s.status.Epoch && it.document.Revision > theirs.AsOf ||
 			it.content.Table != nil && it.content.Table.Version() > theirs.Version || !it.confirmUntil.IsZero()
@@ -373,7 +377,7 @@
 	for _, name := range tombstones[:len(tombstones)-_maxTombstones/2] {
 		// Hosts that know the present epoch know of no document that was deleted before.
 		if d := s.items[name].document; d.Epoch == s.status.Epoch {
-			s.compactedRevision = max(s.compactedRevision, d.Revision)
+			s.status.CompleteSince = max(s.status.CompleteSince, d.Revision)
 		}
 		delete(s.items, name)
 	}
--- a/core/procs/know/know_test.go
+++ b/core/procs/know/know_test.go
@@ -203,6 +203,27 @@
 	}
 }
 
+// A host that has just listed the documents does not know which were deleted before, so it
+// does not confirm that a host knows of them all that lacks a deletion.
+func TestListConfirmsNoDeletion(t *testing.T) {
+	f := contents{"o1": {OutOfService: "waco"}, "a1": endpoint("a", 1)}
+	s, started := newState(f), newState(f)
+	update(t, s, 0, 5, core.Document{Name: "a", Revision: 4, Value: []byte("1")}, core.Document{Name: "o", Revision: 5, Value: []byte("1")})
+	list := core.Documents{AsOf: 6, Documents: []core.Document{{Name: "a", Revision: 4, Value: []byte("1")}}}
+	if _, err := started.Replace(at(1), list, at(1)); err != nil {
+		t.Fatal(err)
+	}
+	if s.CompareStatus(started.SyncStatus()) {
+		t.Error("behind a host that knows of no other change")
+	}
+	if got := s.SyncStatus().AsOf; got != 5 {
+		t.Errorf("AsOf is %d, want 5: the deletion in revision 6 is not known", got)
+	}
+	if _, whole := started.Since(s.SyncStatus()); !whole {
+		t.Error("the host that has just started gives changes without deletions, want all documents")
+	}
+}
+
 // A document that a listing lacks was deleted, unless it is newer than the listing.
 func TestListingDeletesUnlistedDocuments(t *testing.T) {
 	s := newState(contents{"a1": endpoint("a", 1), "b1": endpoint("b", 1)})
@@ -215,6 +236,23 @@
 	}
 }
 
+// A listing that arrives after later documents does not bring back a document that was
+// deleted meanwhile.
+func TestLateListBringsNothingBack(t *testing.T) {
+	f := contents{"o1": {OutOfService: "waco"}, "a1": endpoint("a", 1)}
+	s := newState(f)
+	later := core.Documents{AsOf: 6, Documents: []core.Document{{Name: "a", Revision: 4, Value: []byte("1")}}}
+	earlier := core.Documents{AsOf: 5, Documents: []core.Document{{Name: "a", Revision: 4, Value: []byte("1")}, {Name: "o", Revision: 5, Value: []byte("1")}}}
+	for _, list := range []core.Documents{later, earlier} {
+		if _, err := s.Replace(at(1), list, at(1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s.View().OutOfService["waco"] {
+		t.Error("the data centre is out of service, though its document was deleted before revision 6")
+	}
+}
+
 // A host that learns of a deletion without having known the document tells other hosts,
 // which may know it.
 func TestDeletionOfAnUnknownDocumentIsRelayed(t *testing.T) {
@@ -234,20 +272,3 @@
 		t.Error("the data centre is out of service, though its document was deleted")
 	}
 }
-
-// A listing that arrives after later documents does not bring back a document that was
-// deleted meanwhile.
-func TestLateListBringsNothingBack(t *testing.T) {
-	f := contents{"o1": {OutOfService: "waco"}, "a1": endpoint("a", 1)}
-	s := newState(f)
-	later := core.Documents{AsOf: 6, Documents: []core.Document{{Name: "a", Revision: 4, Value: []byte("1")}}}
-	earlier := core.Documents{AsOf: 5, Documents: []core.Document{{Name: "a", Revision: 4, Value: []byte("1")}, {Name: "o", Revision: 5, Value: []byte("1")}}}
-	for _, list := range []core.Documents{later, earlier} {
-		if _, err := s.Replace(at(1), list, at(1)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if s.View().OutOfService["waco"] {
-		t.Error("the data centre is out of service, though its document was deleted before revision 6")
-	}
-}
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -115,7 +115,7 @@
 	p.docState.withState(func(s *know.State) {
 		behind = s.CompareStatus(know.SyncStatus{
 			Epoch: theirs.Epoch, AsOf: theirs.AsOf, Changed: theirs.Changed, Version: theirs.Version, Kept: theirs.Kept,
-			FreshAt: now.Add(-theirs.Age),
+			CompleteSince: theirs.CompleteSince, FreshAt: now.Add(-theirs.Age),
 		})
 	})
 	if !behind {
@@ -249,7 +249,8 @@
 	p.docState.withState(func(s *know.State) {
 		if status := s.SyncStatus(); status.AsOf > 0 {
 			message.SyncStatus = gossip.SyncStatus{
-				Epoch: status.Epoch, AsOf: status.AsOf, Changed: status.Changed, Version: status.Version, Kept: status.Kept, Age: status.Age(now),
+				Epoch: status.Epoch, AsOf: status.AsOf, Changed: status.Changed, Version: status.Version, Kept: status.Kept,
+				CompleteSince: status.CompleteSince, Age: status.Age(now),
 			}
 		}
 	})
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -31,6 +31,7 @@
 		Epoch       uint64
 		Version     uint64
 		Kept        int
+		Since       uint64
 		Losses      []wireLoss
 		Successes   []wireSuccess
 		Blocks      []wireBlock
@@ -90,7 +91,7 @@
 	w := &wireMessage{
 		From: contactToWire(m.From), Incarnation: m.Incarnation, Stopping: m.Stopping, Reads: m.CanReadStore,
 		AsOf: m.SyncStatus.AsOf, Changed: m.SyncStatus.Changed, AgeMs: m.SyncStatus.Age.Milliseconds(), Leaving: m.Leaving, HasLoads: m.Loads != nil,
-		Epoch: m.SyncStatus.Epoch, Version: m.SyncStatus.Version, Kept: m.SyncStatus.Kept,
+		Epoch: m.SyncStatus.Epoch, Version: m.SyncStatus.Version, Kept: m.SyncStatus.Kept, Since: m.SyncStatus.CompleteSince,
 	}
 	for _, c := range m.KnownHosts {
 		w.Others = append(w.Others, contactToWire(c))
@@ -151,7 +152,7 @@
 func fromWire(w *wireMessage, now time.Time) *Message {
 	m := &Message{Poison: w.poison(now), Heartbeat: gossip.Heartbeat{
 		From: contactFromWire(w.From), Incarnation: w.Incarnation, Stopping: w.Stopping, CanReadStore: w.Reads,
-		SyncStatus: gossip.SyncStatus{Epoch: w.Epoch, Version: w.Version, Kept: w.Kept, AsOf: w.AsOf, Changed: w.Changed, Age: time.Duration(w.AgeMs) * time.Millisecond},
+		SyncStatus: gossip.SyncStatus{Epoch: w.Epoch, Version: w.Version, Kept: w.Kept, CompleteSince: w.Since, AsOf: w.AsOf, Changed: w.Changed, Age: time.Duration(w.AgeMs) * time.Millisecond},
 		Leaving:    w.Leaving,
 	}}
 	for _, c := range w.Others {
