core/procs/know: documents that a host keeps do not exist for others

What callers would see: no requests to a data centre that operators had put back in service after a restore of the store, at one host.

Cause: a host that keeps a document that the restore lost sends it with its list. The receiver took it for one that the store has, so that the later deletion of its own copy, which the list does not show, was missed.

Change: a data centre's document of an earlier epoch in a list does not count as listed.

Why it works: what exists in an epoch is what the store has written in it.

--- a/core/procs/know/epoch.go
+++ b/core/procs/know/epoch.go
@@ -39,6 +39,16 @@
 	return it.content.OutOfService != "" && !it.document.Deleted && it.document.Epoch < epoch
 }
 
+// isKept reports whether a document in another host's list is one that the host keeps
+// although the store lost it.
+func (s *State) isKept(d core.Document, epoch uint64) bool {
+	if d.Epoch == epoch {
+		return false
+	}
+	content, err := s.decode(d)
+	return err == nil && content.OutOfService != ""
+}
+
 // outlivesList reports whether the item stays when a list lacks it: a routing table is in
 // force until there is one with a higher version, and documents that a restore lost are
 // kept for a while.
--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -219,7 +219,7 @@
 	}
 	listed := make(map[string]bool, len(documents.Documents))
 	for _, d := range documents.Documents {
-		listed[d.Name] = true
+		listed[d.Name] = !s.isKept(d, documents.Epoch)
 	}
 	if documents.Epoch > s.status.Epoch && s.status.AsOf > 0 {
 		s.beginEpoch(now, documents.Epoch)
