core/procs/poison: bound what callers' part names add to a heartbeat

What callers would see: hosts that no longer learn of each other, since a heartbeat of over 16 kB is not received. Found in reading the change again.

Cause: the names of prompt parts come from callers, without a bound, and go into heartbeats when an engine is lost.

Change: names of up to 32 bytes, 128 bytes of them for a loss and 16 losses in a heartbeat. The line on a store that went back is no longer written at a host's first listing.

Evidence: TestLargestReportFits failed before: one block and 64 losses with 100 long names each make 929,903 bytes, of 16 kB; it passes now.

Why it works: each part of the report has a bound, and the bounds add up to less than what a heartbeat may hold beside its loads.

--- a/core/procs/poison/poison.go
+++ b/core/procs/poison/poison.go
@@ -38,6 +38,11 @@
 	_maxLosses = 64
 	_maxBlocks = 16
 	_maxGood   = 4096
+	// Callers choose the IDs of parts, and a report must fit into a datagram: the most
+	// losses in a report, the longest ID and the most bytes of one loss's IDs.
+	_maxReportedLosses = 16
+	_maxIDBytes        = 32
+	_maxPartsBytes     = 128
 )
 
 // Loss is the loss of an endpoint that had begun to answer a request.
@@ -96,6 +101,8 @@
 
 // RecordLoss records a loss. It reports whether it was not known.
 func (d *Detector) RecordLoss(now time.Time, loss Loss) bool {
+	loss.Request = loss.Request[:min(len(loss.Request), _maxIDBytes)]
+	loss.Parts = boundedParts(loss.Parts)
 	isKnown := func(k knownLoss) bool { return k.Endpoint == loss.Endpoint && k.Request == loss.Request }
 	if len(loss.Parts) == 0 || now.Sub(loss.At) > _lifetime || slices.ContainsFunc(d.losses, isKnown) {
 		return false
@@ -173,7 +180,8 @@
 }
 
 func (d *Detector) addBlock(now time.Time, b Block) bool {
-	if !now.Before(b.Until) || slices.ContainsFunc(d.blocks, func(k Block) bool { return containsAll(b.Parts, k.Parts) }) {
+	b.Parts = boundedParts(b.Parts)
+	if len(b.Parts) == 0 || !now.Before(b.Until) || slices.ContainsFunc(d.blocks, func(k Block) bool { return containsAll(b.Parts, k.Parts) }) {
 		return false
 	}
 	d.blocks = append(d.blocks, b)
@@ -293,7 +301,7 @@
 func (d *Detector) Report(now time.Time, all bool) Report {
 	var r Report
 	parts := make(map[string]bool)
-	for _, loss := range d.losses {
+	for _, loss := range d.losses[max(len(d.losses)-_maxReportedLosses, 0):] {
 		if all || now.Sub(loss.learnedAt) < _announceTime {
 			r.Losses = append(r.Losses, loss.Loss)
 			for _, part := range loss.Parts {
@@ -317,6 +325,19 @@
 // String lists the parts of a block, for logs.
 func (b Block) String() string { return strings.Join(b.Parts, "+") }
 
+// boundedParts returns the parts whose IDs are not too long, as many as may be reported.
+func boundedParts(parts []string) []string {
+	var bounded []string
+	left := _maxPartsBytes
+	for _, part := range parts {
+		if len(part) <= min(left, _maxIDBytes) {
+			bounded = append(bounded, part)
+			left -= len(part)
+		}
+	}
+	return bounded
+}
+
 func containsAll(parts, wanted []string) bool {
 	return !slices.ContainsFunc(wanted, func(part string) bool { return !slices.Contains(parts, part) })
 }
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -103,7 +103,7 @@
 			return err
 		}
 		r.listed = true
-		if known := h.docState.syncStatus(); documents.Epoch != known.Epoch || documents.AsOf < known.AsOf {
+		if known := h.docState.syncStatus(); known.AsOf > 0 && (documents.Epoch != known.Epoch || documents.AsOf < known.AsOf) {
 			h.log.Info("The store is in another epoch or at a lower revision than before.", "Epoch", documents.Epoch, "Revision", documents.AsOf,
 				"KnownEpoch", known.Epoch, "KnownRevision", known.AsOf)
 		}
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -70,6 +70,9 @@
 		s.log.Info("The number of blocked sets of parts changed.", "Blocks", count, "Source", source)
 		_blockedParts.Set(count)
 	}
+	if s.detector.CountBlocks() == 0 {
+		return
+	}
 	for e, cancel := range s.watched {
 		if _, blocked := s.detector.Blocked(now, e.sharedParts); blocked {
 			cancel()
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -86,6 +86,25 @@
 	}
 }
 
+// A heartbeat fits into a datagram whatever parts callers name.
+func TestLargestReportFits(t *testing.T) {
+	d := poison.New()
+	for i := range 100 {
+		var parts []string
+		for n := range 100 {
+			parts = append(parts, fmt.Sprintf("%d%s", n, strings.Repeat("x", n)))
+		}
+		loss := poison.Loss{Endpoint: fmt.Sprintf("i-%010x", i), Request: fmt.Sprint(i, strings.Repeat("y", 9000)), Parts: parts, At: _now}
+		d.RecordLoss(_now, loss)
+	}
+	d.Settle(_now.Add(time.Second))
+	m := message(24, 256)
+	m.Poison = d.Report(_now.Add(time.Second), true)
+	if b, err := news.Encode(m, _now); err != nil || len(b) > 16<<10 || len(m.Poison.Blocks) == 0 {
+		t.Errorf("%d bytes with %d blocks, %v; want at most 16 kB", len(b), len(m.Poison.Blocks), err)
+	}
+}
+
 func TestPull(t *testing.T) {
 	document := core.Document{Name: "op", Epoch: 2, Revision: 7, Value: []byte("text")}
 	server := httptest.NewServer(news.Handler(func(p news.Position) news.PullResult {
