core/procs/gossip: data centres find each other again after a long partition

What callers would see: hosts of one data centre that place requests without the loads of the others, and learn of changes only from the store.

Cause: heartbeats go to a silent host for 15 s, and to the seeds only while no more hosts are live than there are seeds. Two large data centres that were cut off for longer never write to each other again.

Change: each 5 s one of the seeds that heartbeats do not go to any more gets one.

Evidence: TestDataCentresFindEachOtherAfterALongPartition: after two minutes, 40 hosts in two data centres knew nobody of the other side 10 s later, and all do now. The bounds on heartbeats in TestHostsFindEachOther (up to 360 hosts) hold.

Why it works: a seed outlives what a host remembers; its answer names hosts of its side.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -31,6 +31,10 @@
 	_contactTimeout = 15 * time.Second
 	// _mayLiveTimeout is how long a silent host counts among those that may be live.
 	_mayLiveTimeout = time.Minute
+	// _seedInterval is how often a host sends a heartbeat to a seed that it does not hear
+	// from. Data centres that lost each other for longer than _contactTimeout find each
+	// other again this way.
+	_seedInterval = 5 * time.Second
 	// _sampleSize is how many other hosts a heartbeat names, _welcomeSize how many
 	// hosts of the receiver's data centre the first one to a new host names.
 	_sampleSize  = 4
@@ -97,6 +101,8 @@
 	seeds   []string
 	members map[core.HostName]*member
 	random  *rand.Rand
+	// nextSeedAt is when a heartbeat is next sent to a silent seed.
+	nextSeedAt time.Time
 }
 
 // New returns a state that knows only the heartbeat addresses of the seeds.
@@ -183,8 +189,9 @@
 	return targets[:min(len(targets), _maxLocalTargets)]
 }
 
-// RemoteTargets returns the heartbeat address of one host of each other data centre, and
-// the seeds while no more hosts are live than there are seeds.
+// RemoteTargets returns the heartbeat address of one host of each other data centre, now
+// and then that of a silent seed, and all seeds while no more hosts are live than there are
+// seeds.
 func (s *State) RemoteTargets(now time.Time) []string {
 	dataCentres := make(map[core.DataCentreName][]string)
 	for _, m := range s.members {
@@ -198,16 +205,34 @@
 		s.shuffle(addresses)
 		targets = append(targets, addresses[0])
 	}
-	if s.CountLive(now) <= len(s.seeds) {
-		for _, seed := range s.seeds {
-			if seed != s.self.Heartbeat && !slices.Contains(targets, seed) {
-				targets = append(targets, seed)
-			}
+	seeds := s.seeds
+	if s.CountLive(now) > len(s.seeds) {
+		seeds = s.silentSeed(now)
+	}
+	for _, seed := range seeds {
+		if seed != s.self.Heartbeat && !slices.Contains(targets, seed) {
+			targets = append(targets, seed)
 		}
 	}
 	return targets
 }
 
+// silentSeed returns a random one of the seeds that heartbeats are not sent to any more, or
+// none if it is not yet time for the next one.
+func (s *State) silentSeed(now time.Time) []string {
+	if now.Before(s.nextSeedAt) {
+		return nil
+	}
+	s.nextSeedAt = now.Add(_seedInterval)
+	contacted := map[string]bool{s.self.Heartbeat: true}
+	for _, m := range s.members {
+		contacted[m.contact.Heartbeat] = contacted[m.contact.Heartbeat] || !now.After(m.contactUntil)
+	}
+	silent := slices.DeleteFunc(slices.Clone(s.seeds), func(seed string) bool { return contacted[seed] })
+	s.shuffle(silent)
+	return silent[:min(len(silent), 1)]
+}
+
 func (s *State) shuffle(addresses []string) {
 	slices.Sort(addresses)
 	s.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
--- a/core/procs/gossip/gossip_test.go
+++ b/core/procs/gossip/gossip_test.go
@@ -218,3 +218,26 @@
 		}
 	}
 }
+
+// Data centres that lose each other for long find each other again, although no host of
+// one side knows a live host of the other any more.
+func TestDataCentresFindEachOtherAfterALongPartition(t *testing.T) {
+	f := newFleet(40, 2)
+	for range 20 {
+		f.step()
+	}
+	inFirst := func(host core.HostName) bool { return f.byAddress[string(host)].contact.DataCentre == "centre-0" }
+	f.dropped = func(from, to core.HostName) bool { return inFirst(from) != inFirst(to) }
+	for range int(2 * time.Minute / gossip.Interval) {
+		f.step()
+	}
+	f.dropped = func(_, _ core.HostName) bool { return false }
+	for range int(10 * time.Second / gossip.Interval) {
+		f.step()
+	}
+	for _, n := range f.hosts {
+		if len(n.state.RemoteTargets(f.now)) == 0 {
+			t.Errorf("%s knows no host of the other data centre 10 s after the partition", n.contact.Host)
+		}
+	}
+}
