--- a/io/entry/crash_test.go
+++ b/io/entry/crash_test.go
@@ -105,10 +105,7 @@
 func TestPromptPartThatCrashesEnginesAfterRestart(t *testing.T) {
 	s := newCrashSite(t)
 	s.crash(5)
-	s.Stop(0)
-	if err := <-s.Ended(0); err != nil {
-		t.Fatal(err)
-	}
+	s.stopAndWait(0)
 	s.start(0)
 	time.Sleep(_crashSpread)
 	before := s.crashes.Load()
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -101,6 +101,15 @@
 	s.t.Cleanup(func() { s.Stop(i) })
 }
 
+// stopAndWait stops one host and waits until it has ended.
+func (s *site) stopAndWait(i int) {
+	s.t.Helper()
+	s.Stop(i)
+	if err := <-s.Ended(i); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 func (s *site) get(address, path string, headers ...string) (int, string) {
 	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
--- a/io/entry/restore_test.go
+++ b/io/entry/restore_test.go
@@ -83,10 +83,7 @@
 // the others.
 func TestHostStartedAfterStoreRestore(t *testing.T) {
 	s, older := newSiteBeforeRestore(t)
-	s.Stop(0)
-	if err := <-s.Ended(0); err != nil {
-		t.Fatal(err)
-	}
+	s.stopAndWait(0)
 	s.store.Restore(older)
 	s.start(0)
 	s.store.Put("config", `{"Version":2,"Prefix":"/b/"}`)
@@ -101,10 +98,7 @@
 // from the other hosts.
 func TestHostStartedBeforeRewriteHasNewestVersion(t *testing.T) {
 	s, older := newSiteBeforeRestore(t)
-	s.Stop(0)
-	if err := <-s.Ended(0); err != nil {
-		t.Fatal(err)
-	}
+	s.stopAndWait(0)
 	s.store.Restore(older)
 	s.start(0)
 	s.eventually("version 2 is in force", _leavingSpread, s.allServe("/b/", "one"))
@@ -119,10 +113,7 @@
 		return status == 503
 	}
 	s.eventually("the data centre is out of service", 2*time.Second, refused)
-	s.Stop(0)
-	if err := <-s.Ended(0); err != nil {
-		t.Fatal(err)
-	}
+	s.stopAndWait(0)
 	s.store.Restore(older)
 	s.start(0)
 	s.eventually("the host is ready", _leavingSpread, func() bool {
@@ -139,10 +130,7 @@
 // starts afterwards has the newest one.
 func TestHostStartedAfterLateWriteHasNewestVersion(t *testing.T) {
 	s, _ := newSiteBeforeRestore(t)
-	s.Stop(0)
-	if err := <-s.Ended(0); err != nil {
-		t.Fatal(err)
-	}
+	s.stopAndWait(0)
 	s.store.Put("config", `{"Version":1,"Prefix":"/a/"}`)
 	s.start(0)
 	s.eventually("version 2 is in force", _leavingSpread, s.allServe("/b/", "one"))
