io/front: log which parts are blocked, whoever found them; read again

What was lacking, found in reading the change as a newcomer: a host that learned of a block from another one, or whose block ended or was narrowed, logged only how many there are, so that a refusal there could not be traced to its parts.

Change: one line for each change of the blocks in force, with those before. Names and comments that needed explaining: the time a part is under suspicion, recent successes. No decision changes.

--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -134,10 +134,10 @@
 // SyncStatus returns the position up to which the documents are known.
 func (s *State) SyncStatus() SyncStatus { return s.status }
 
-// CompareStatus compares the status of another host with that of this one. It reports whether
-// the other host has changes that this one lacks. If it has none, knows all changes since
-// this host's position and is at least as recent, it confirms that this host's documents
-// are up to date. The status of a host that knows only an earlier epoch says nothing.
+// CompareStatus compares the status of another host with that of this one. It reports
+// whether the other host has changes that this one lacks. If it has none, knows all changes
+// since this host's position and is at least as recent, it confirms that this host's
+// documents are up to date. The status of a host in an earlier epoch is ignored.
 func (s *State) CompareStatus(theirs SyncStatus) (behind bool) {
 	mine := s.status
 	switch {
--- a/core/procs/poison/poison.go
+++ b/core/procs/poison/poison.go
@@ -23,13 +23,13 @@
 	_minRequests  = 2
 	// _minEndpointsIfGood replaces _minEndpoints for a part with a recent success.
 	_minEndpointsIfGood = 2 * _minEndpoints
-	// _goodMemory is how long a success counts as recent.
-	_goodMemory = time.Minute
-	// _hearingTime is the least time from a part's first loss until it is blocked. By then
+	// _recentSuccessTime is how long a success counts as recent.
+	_recentSuccessTime = time.Minute
+	// _minSuspicionTime is the least time from a part's first loss until it is blocked. By then
 	// successes known to other hosts have arrived: two heartbeat intervals.
-	_hearingTime = 500 * time.Millisecond
+	_minSuspicionTime = 500 * time.Millisecond
 	// _lifetime is how long losses and blocks are kept. A block that ends may cost a few
-	// engines again; one that hits a sound part refuses its requests for as long.
+	// engines again; one that hits a harmless part refuses its requests for as long.
 	_lifetime = 10 * time.Minute
 	// _announceTime is how long a loss is reported to other hosts after this one learned
 	// of it: some heartbeats, since a datagram may get lost.
@@ -142,7 +142,7 @@
 	for i := range d.blocks {
 		since := d.blocks[i].Since
 		d.blocks[i].Parts = d.withoutSuccess(d.blocks[i].Parts, since)
-		if left := d.withoutSuccess(d.blocks[i].Parts, since.Add(-_goodMemory)); len(left) > 0 {
+		if left := d.withoutSuccess(d.blocks[i].Parts, since.Add(-_recentSuccessTime)); len(left) > 0 {
 			d.blocks[i].Parts = left
 		}
 	}
@@ -222,7 +222,7 @@
 		}
 		first := slices.MinFunc(losses, func(a, b Loss) int { return a.At.Compare(b.At) })
 		d.pending = true
-		if now.Sub(first.At) < _hearingTime {
+		if now.Sub(first.At) < _minSuspicionTime {
 			continue
 		}
 		found = Block{Parts: d.commonParts(now, part, losses), Since: first.At, Until: now.Add(_lifetime)}
@@ -241,7 +241,7 @@
 
 func (d *Detector) recentlyGood(now time.Time, part string) bool {
 	at := d.lastSuccess(part)
-	return !at.IsZero() && now.Sub(at) < _goodMemory
+	return !at.IsZero() && now.Sub(at) < _recentSuccessTime
 }
 
 // suspects returns all parts with losses, in a fixed order.
@@ -319,8 +319,8 @@
 	return r
 }
 
-// CountBlocks returns the number of blocks in force.
-func (d *Detector) CountBlocks() int { return len(d.blocks) }
+// Blocks returns the blocks in force.
+func (d *Detector) Blocks() []Block { return slices.Clone(d.blocks) }
 
 // String lists the parts of a block, for logs.
 func (b Block) String() string { return strings.Join(b.Parts, "+") }
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"expvar"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,7 +15,7 @@
 // errBlocked ends a try whose prompt has a part that crashes engines.
 var errBlocked = errors.New("a part of the prompt crashes engines")
 
-// _blockedParts counts the blocks in force.
+// _blockedParts is the number of blocks in force.
 var _blockedParts = expvar.NewInt("apricotproxy.Routed.BlockedParts")
 
 // SharedDetector gives the goroutines of requests access to one poison.Detector. It is safe
@@ -29,6 +30,8 @@
 	// watched holds, for each request that waits or was sent and has no event yet, the
 	// function that ends this.
 	watched map[*exchange]func()
+	// inForce lists the blocks that were last logged.
+	inForce []string
 }
 
 // NewSharedDetector returns a detector that knows nothing.
@@ -54,23 +57,29 @@
 	return s.detector.Report(now, all)
 }
 
-// Settle drops what has expired and blocks parts whose time has come.
+// Settle drops what has expired and blocks parts whose losses justify it by now.
 func (s *SharedDetector) Settle(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settle("time", now)
 }
 
-// settle ends what became blocked. The caller holds the lock.
+// settle logs changes of the blocks and ends the requests that are refused now. source is
+// the origin of the change. The caller holds the lock.
 func (s *SharedDetector) settle(source string, now time.Time) {
 	for _, b := range s.detector.Settle(now) {
 		s.log.Info("Parts of prompts crash engines; requests with all of them are refused.", "Parts", b.Parts, "Since", b.Since, "Until", b.Until, "Source", source)
 	}
-	if count := int64(s.detector.CountBlocks()); count != _blockedParts.Value() {
-		s.log.Info("The number of blocked sets of parts changed.", "Blocks", count, "Source", source)
-		_blockedParts.Set(count)
+	var inForce []string
+	for _, b := range s.detector.Blocks() {
+		inForce = append(inForce, b.String())
 	}
-	if s.detector.CountBlocks() == 0 {
+	if !slices.Equal(inForce, s.inForce) {
+		s.log.Info("The blocked parts of prompts changed.", "Blocks", inForce, "Before", s.inForce, "Source", source)
+		s.inForce = inForce
+		_blockedParts.Set(int64(len(inForce)))
+	}
+	if len(inForce) == 0 {
 		return
 	}
 	for e, cancel := range s.watched {
