io/front: take room for an answer before its bytes are read

What callers saw: beside endpoints that send bytes without end, requests with an answer of 10 kB got 502 now and then.

Cause: the limit on buffered answers was checked after a read. Sixteen endless bodies that were read at the same moment could each go past it by a read of up to hundreds of kilobytes, so that nothing was left for others until they had failed. Apart from that, each of them could take half of what the one before had left, which comes to nothing after a dozen.

Why it works: bytes are counted before they are read, in one atomic step, and no answer gets past its first 16 kB unless a quarter of the limit stays free. So 63 endless bodies before the smallest limit in use cannot use up the room of a short answer, in whatever order they are read.

--- a/io/front/buffer.go
+++ b/io/front/buffer.go
@@ -16,6 +16,11 @@
 	_maxBufferedBytes = 8 << 20
 	// _defaultBufferBytes bounds all such answers together if the configuration does not.
 	_defaultBufferBytes = 64 << 20
+	// _shortAnswerBytes is the length up to which an answer counts as short. Only the bytes
+	// of short answers and the first ones of longer answers may use the last quarter of the
+	// limit, so that short answers find room beside endless ones.
+	_shortAnswerBytes  = 16 << 10
+	_shortAnswersShare = 4
 )
 
 // errBuffersFull means that the answers that are being read take too much memory.
@@ -23,17 +28,39 @@
 
 // bufferLimit bounds the bytes of all answers that are read completely before they are
 // relayed. It is safe for concurrent use.
-type bufferLimit struct{ left atomic.Int64 }
+type bufferLimit struct {
+	bytes int64
+	left  atomic.Int64
+}
 
 func newBufferLimit(bytes int64) *bufferLimit {
 	if bytes <= 0 {
 		bytes = _defaultBufferBytes
 	}
-	l := &bufferLimit{}
+	l := &bufferLimit{bytes: bytes}
 	l.left.Store(bytes)
 	return l
 }
 
+// take takes n bytes for an answer that uses used bytes already, and reports whether there
+// is room. A long answer may not use more than is left for all others, the last quarter of
+// the limit not counted.
+func (l *bufferLimit) take(used, n int64) bool {
+	for {
+		left := l.left.Load()
+		rest := left - n
+		if used+n > _shortAnswerBytes {
+			rest -= l.bytes/_shortAnswersShare + used + n
+		}
+		if rest < 0 {
+			return false
+		}
+		if l.left.CompareAndSwap(left, left-n) {
+			return true
+		}
+	}
+}
+
 // share is the part of a bufferLimit that one request uses.
 type share struct {
 	limit *bufferLimit
@@ -54,14 +81,21 @@
 	reader io.Reader
 }
 
-// Read reads, or fails with errBuffersFull once the request uses more than is left for all
-// others. The longest answers fail first, so that short ones still find room.
+// Read reads, or fails with errBuffersFull if there is no room. The room is taken before the
+// bytes are read, since many answers may be read at the same moment.
 func (r *shareReader) Read(p []byte) (int, error) {
-	n, err := r.reader.Read(p)
-	r.share.used += int64(n)
-	if left := r.share.limit.left.Add(-int64(n)); r.share.used > left {
-		return n, errBuffersFull
+	s := r.share
+	most := int64(_shortAnswerBytes)
+	if s.used < _shortAnswerBytes {
+		most -= s.used
+	}
+	p = p[:min(int64(len(p)), most)]
+	if !s.limit.take(s.used, int64(len(p))) {
+		return 0, errBuffersFull
 	}
+	n, err := r.reader.Read(p)
+	s.used += int64(n)
+	s.limit.left.Add(int64(len(p) - n))
 	return n, err
 }
 
