io/entry, io/news: log how large and how slow pulls of documents are

A failed pull named only its error, and one that succeeded nothing, so that a change that was late because of its size could not be told from one that no host had. The lines now have the other host, the bytes and the time, and apricotproxy.Routed.Pulls counts them. No decision changes.

--- a/io/entry/gauges.go
+++ b/io/entry/gauges.go
@@ -8,6 +8,9 @@
 	"apricotproxy/core/procs/know"
 )
 
+// _pulls counts the pulls of documents from other hosts, and the bytes received by them.
+var _pulls = expvar.NewMap("apricotproxy.Routed.Pulls")
+
 // documentGauges are the metrics of the published documents as this process knows them.
 type documentGauges struct {
 	version, epoch, revision, age *expvar.Int
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -134,8 +134,10 @@
 			p.pulling = false
 			p.mu.Unlock()
 		}()
+		begun := time.Now()
 		if err := p.pull(ctx, from); err != nil {
-			p.log.Info("Failed to pull documents from another host.", "Cause", err.Error())
+			_pulls.Add("Failed", 1)
+			p.log.Info("Failed to pull documents from another host.", "Host", from.Host, "Took", time.Since(begun).Milliseconds(), "Cause", err.Error())
 		}
 	}()
 }
@@ -148,6 +150,10 @@
 	if err != nil {
 		return fmt.Errorf("pull documents: %w", err)
 	}
+	_pulls.Add("Done", 1)
+	_pulls.Add("Bytes", int64(pulled.Bytes))
+	p.log.Info("Documents were pulled from another host.", "Host", from.Host, "Documents", len(pulled.Documents), "Whole", pulled.Whole,
+		"AsOf", pulled.AsOf, "Bytes", pulled.Bytes, "Took", time.Since(requestedAt).Milliseconds())
 	documents := core.Documents{Documents: pulled.Documents, Epoch: pulled.Epoch, AsOf: pulled.AsOf}
 	changed := p.docState.update(string(from.Host), func(s *know.State) (bool, error) {
 		if pulled.Whole {
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -124,6 +124,8 @@
 	Whole bool
 	// Age is the time since the store was known to have nothing newer.
 	Age time.Duration
+	// Bytes is the length of the answer as received.
+	Bytes int `cbor:"-"`
 }
 
 // Position is the position up to which a host knows the documents, and the version of
@@ -188,7 +190,7 @@
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, _maxDocumentsBytes))
 	if err != nil {
-		return PullResult{}, fmt.Errorf("read documents from %s: %w", address, err)
+		return PullResult{}, fmt.Errorf("read documents from %s after %d bytes: %w", address, len(body), err)
 	}
 	if res.StatusCode != http.StatusOK {
 		return PullResult{}, fmt.Errorf("request documents from %s: status %d", address, res.StatusCode)
@@ -197,5 +199,6 @@
 	if err := cbor.Unmarshal(body, &p); err != nil {
 		return PullResult{}, fmt.Errorf("decode documents from %s: %w", address, err)
 	}
+	p.Bytes = len(body)
 	return p, nil
 }
