--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -69,6 +69,16 @@
 
 // newSite starts n hosts on loopback that share one store.
 func newSite(t *testing.T, n int) *site {
+	t.Helper()
+	s := newStoppedSite(t, n)
+	for i := range n {
+		s.start(i)
+	}
+	return s
+}
+
+// newStoppedSite prepares n hosts on loopback that share one store, and starts none.
+func newStoppedSite(t *testing.T, n int) *site {
 	t.Helper()
 	documents := store.New()
 	s := &site{t: t, store: documents, Hosts: hosts.New(n, documents, entry.Settings{
@@ -84,10 +94,9 @@
 		Decode: decode,
 		Seed:   1,
 	})}
-	for i, settings := range s.Settings {
+	for _, settings := range s.Settings {
 		s.front = append(s.front, settings.CallerAddress)
 		s.ready = append(s.ready, settings.ReadyAddress)
-		s.start(i)
 	}
 	return s
 }
