io/news: refuse long transfers that a link cannot carry side by side

What callers saw: as before, 404 as an older configuration says.

Cause: a host that announces a change is asked for it by all hosts of its data centre at once. They shared its link, so that none had the change before all had, and none could pass it on meanwhile. With 12 pulls of a megabyte over 10 Mbit/s none got it at all.

Evidence: TestManyPullsOverNarrowLink, "no pull got the document" before.

Why it works: a host makes three long transfers at a time and refuses others at once. The hosts refused pull again at the next heartbeat of any host that has the change; those that have it grow fourfold with each round.

--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -135,7 +135,12 @@
 			p.mu.Unlock()
 		}()
 		begun := time.Now()
-		if err := p.pull(ctx, from); err != nil {
+		err := p.pull(ctx, from)
+		switch {
+		case errors.Is(err, news.ErrBusy):
+			// The next heartbeat of a host that has the documents begins another pull.
+			_pulls.Add("Refused", 1)
+		case err != nil:
 			_pulls.Add("Failed", 1)
 			p.log.Info("Failed to pull documents from another host.", "Host", from.Host, "Took", time.Since(begun).Milliseconds(), "Cause", err.Error())
 		}
--- a/io/news/narrow_test.go
+++ b/io/news/narrow_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"crypto/rand"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,23 +28,57 @@
 	return listener.Addr().String()
 }
 
-// The longest document gets through a link of 10 Mbit/s, which takes 0.84 s.
-func TestPullOverNarrowLink(t *testing.T) {
+// serveLongDocument serves a document of a megabyte over a link of 10 Mbit/s, and returns the
+// address and the document.
+func serveLongDocument(t *testing.T) (string, core.Document) {
+	t.Helper()
 	listener, err := narrow.New(10_000_000/8).Listen(net.Listen)("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	value := make([]byte, 1<<20)
-	_, _ = rand.Read(value)
-	address := serveOn(t, listener, news.Handler(func(news.Position) news.PullResult {
-		return news.PullResult{Documents: []core.Document{{Name: "config", Revision: 3, Value: value}}, AsOf: 3}
-	}))
+	document := core.Document{Name: "config", Revision: 3, Value: make([]byte, 1<<20)}
+	_, _ = rand.Read(document.Value)
+	return serveOn(t, listener, news.Handler(func(news.Position) news.PullResult {
+		return news.PullResult{Documents: []core.Document{document}, AsOf: 3}
+	})), document
+}
+
+// The longest document gets through a link of 10 Mbit/s, which takes 0.84 s.
+func TestPullOverNarrowLink(t *testing.T) {
+	address, document := serveLongDocument(t)
 	pulled, err := news.NewClient(http.DefaultTransport).Pull(t.Context(), address, news.Position{})
-	if err != nil || len(pulled.Documents) != 1 || string(pulled.Documents[0].Value) != string(value) {
+	if err != nil || !reflect.DeepEqual(pulled.Documents, []core.Document{document}) {
 		t.Errorf("%d documents, %v; want the one that was sent", len(pulled.Documents), err)
 	}
 }
 
+// When many hosts pull a long document at once, some get it soon, so that the others can
+// get it from them.
+func TestManyPullsOverNarrowLink(t *testing.T) {
+	const pulls = 12
+	address, _ := serveLongDocument(t)
+	var group sync.WaitGroup
+	var done atomic.Int64
+	for range pulls {
+		group.Go(func() {
+			began := time.Now()
+			_, err := news.NewClient(http.DefaultTransport).Pull(t.Context(), address, news.Position{})
+			switch took := time.Since(began); {
+			case err == nil:
+				done.Add(1)
+			case !errors.Is(err, news.ErrBusy):
+				t.Errorf("a pull failed: %v", err)
+			case took > time.Second:
+				t.Errorf("a pull was refused after %v", took)
+			}
+		})
+	}
+	group.Wait()
+	if done.Load() == 0 {
+		t.Error("no pull got the document")
+	}
+}
+
 // A host that accepts a pull and falls silent is given up soon, so that another one can be
 // asked.
 func TestPullFromSilentHostEnds(t *testing.T) {
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -28,6 +28,11 @@
 	// _maxDocumentsBytes bounds the body of an answer with documents.
 	_maxDocumentsBytes = 32 << 20
 	_documentsPath     = "/documents"
+	// _longBytes is the length from which a transfer of documents counts as long: a tenth
+	// of a second on a link of 10 Mbit/s. _maxLongTransfers is how many of them a host
+	// makes at a time.
+	_longBytes        = 128 << 10
+	_maxLongTransfers = 3
 )
 
 // _pullLimits end a pull from a host that fell silent, so that another one is asked soon.
@@ -137,8 +142,15 @@
 // Source returns the documents that a host at a position lacks.
 type Source func(Position) PullResult
 
-// Handler returns the HTTP handler from which other hosts request documents.
+// ErrBusy means that a host makes as many long transfers as it may. Those that it makes will
+// soon be able to serve others.
+var ErrBusy = errors.New("the host is busy with transfers to other hosts")
+
+// Handler returns the HTTP handler from which other hosts request documents. It refuses long
+// transfers beyond _maxLongTransfers with status 503: if all hosts shared one link, none of
+// them would have a new configuration before all do, and none could pass it on meanwhile.
 func Handler(source Source) http.Handler {
+	transfers := make(chan struct{}, _maxLongTransfers)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+_documentsPath, func(w http.ResponseWriter, r *http.Request) {
 		position, err := parsePosition(r.URL.Query())
@@ -151,6 +163,15 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
+		if len(body) >= _longBytes {
+			select {
+			case transfers <- struct{}{}:
+				defer func() { <-transfers }()
+			default:
+				http.Error(w, ErrBusy.Error(), http.StatusServiceUnavailable)
+				return
+			}
+		}
 		w.Header().Set("Content-Type", "application/cbor")
 		_, _ = w.Write(body)
 	})
@@ -178,7 +199,7 @@
 }
 
 // Pull requests the documents that a host at the given position lacks from the host at an
-// address.
+// address. The error wraps ErrBusy if another host should be asked.
 func (c *Client) Pull(ctx context.Context, address string, known Position) (PullResult, error) {
 	target := fmt.Sprintf("http://%s%s?epoch=%d&after=%d&version=%d", address, _documentsPath, known.Epoch, known.AsOf, known.Version)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
@@ -189,6 +210,9 @@
 	if err != nil {
 		return PullResult{}, fmt.Errorf("request documents from %s: %w", address, err)
 	}
+	if answer.Status == http.StatusServiceUnavailable {
+		return PullResult{}, fmt.Errorf("request documents from %s: %w", address, ErrBusy)
+	}
 	if answer.Status != http.StatusOK {
 		return PullResult{}, fmt.Errorf("request documents from %s: status %d", address, answer.Status)
 	}
--- a/io/stall/stall.go
+++ b/io/stall/stall.go
@@ -60,7 +60,7 @@
 
 // withCause adds the reason for which a call was ended.
 func withCause(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(err, cause) {
 		return fmt.Errorf("%w: %w", cause, err)
 	}
 	return err
