io/news: compress long documents between hosts

Cause: the whole configuration goes to each host with each change. With 3,600 routes more that is hundreds of kilobytes for each of 81 and 87 hosts, some of them behind 10 Mbit/s.

A value is compressed once for all hosts that ask. Transfers from 16 kB on count as long, so that those of compressed configurations are still made three at a time.

--- a/io/news/news.go
+++ b/io/news/news.go
@@ -28,10 +28,10 @@
 	// _maxDocumentsBytes bounds the body of an answer with documents.
 	_maxDocumentsBytes = 32 << 20
 	_documentsPath     = "/documents"
-	// _longBytes is the length from which a transfer of documents counts as long: a tenth
-	// of a second on a link of 10 Mbit/s. _maxLongTransfers is how many of them a host
-	// makes at a time.
-	_longBytes        = 128 << 10
+	// _longBytes is the length from which a transfer of documents counts as long: 13 ms on a
+	// link of 10 Mbit/s, so that 20 of them at once take as long as a heartbeat interval.
+	// _maxLongTransfers is how many of them a host makes at a time.
+	_longBytes        = 16 << 10
 	_maxLongTransfers = 3
 )
 
@@ -119,8 +119,7 @@
 	}
 }
 
-// PullResult is a host's answer to a request for documents, encoded as CBOR under the
-// names of its fields.
+// PullResult is a host's answer to a request for documents.
 type PullResult struct {
 	Documents []core.Document
 	// Epoch is the store's epoch as known to the host, AsOf the revision up to which
@@ -132,7 +131,49 @@
 	// Age is the time since the store was known to have nothing newer.
 	Age time.Duration
 	// Bytes is the length of the answer as received.
-	Bytes int `cbor:"-"`
+	Bytes int
+}
+
+// pullBody is the form in which a PullResult is sent, as CBOR under the names of the fields.
+type pullBody struct {
+	Documents []packedDocument
+	Epoch     uint64
+	AsOf      uint64
+	Whole     bool
+	Age       time.Duration
+}
+
+// encode returns the body of an answer.
+func (p *packer) encode(result PullResult) ([]byte, error) {
+	body := pullBody{Epoch: result.Epoch, AsOf: result.AsOf, Whole: result.Whole, Age: result.Age}
+	for _, d := range result.Documents {
+		packed, err := p.pack(d)
+		if err != nil {
+			return nil, err
+		}
+		body.Documents = append(body.Documents, packed)
+	}
+	b, err := cbor.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("encode documents: %w", err)
+	}
+	return b, nil
+}
+
+func decodePull(b []byte) (PullResult, error) {
+	var body pullBody
+	if err := cbor.Unmarshal(b, &body); err != nil {
+		return PullResult{}, fmt.Errorf("decode documents: %w", err)
+	}
+	result := PullResult{Epoch: body.Epoch, AsOf: body.AsOf, Whole: body.Whole, Age: body.Age, Bytes: len(b)}
+	for _, packed := range body.Documents {
+		d, err := packed.unpack()
+		if err != nil {
+			return PullResult{}, err
+		}
+		result.Documents = append(result.Documents, d)
+	}
+	return result, nil
 }
 
 // Position is the position up to which a host knows the documents, and the version of
@@ -150,6 +191,7 @@
 // transfers beyond _maxLongTransfers with status 503: if all hosts shared one link, none of
 // them would have a new configuration before all do, and none could pass it on meanwhile.
 func Handler(source Source) http.Handler {
+	packer := newPacker()
 	transfers := make(chan struct{}, _maxLongTransfers)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+_documentsPath, func(w http.ResponseWriter, r *http.Request) {
@@ -158,7 +200,7 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		body, err := cbor.Marshal(source(position))
+		body, err := packer.encode(source(position))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -216,10 +258,9 @@
 	if answer.Status != http.StatusOK {
 		return PullResult{}, fmt.Errorf("request documents from %s: status %d", address, answer.Status)
 	}
-	var p PullResult
-	if err := cbor.Unmarshal(answer.Body, &p); err != nil {
-		return PullResult{}, fmt.Errorf("decode documents from %s: %w", address, err)
+	result, err := decodePull(answer.Body)
+	if err != nil {
+		return PullResult{}, fmt.Errorf("documents from %s: %w", address, err)
 	}
-	p.Bytes = len(answer.Body)
-	return p, nil
+	return result, nil
 }
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -106,17 +106,24 @@
 }
 
 func TestPull(t *testing.T) {
-	document := core.Document{Name: "op", Epoch: 2, Revision: 7, Value: []byte("text")}
+	documents := []core.Document{
+		{Name: "op", Epoch: 2, Revision: 7, Value: []byte("text")},
+		{Name: "long", Epoch: 2, Revision: 8, Value: []byte(strings.Repeat("a route, ", 10_000))},
+		{Name: "gone", Epoch: 1, Revision: 9, Deleted: true},
+	}
 	server := httptest.NewServer(news.Handler(func(p news.Position) news.PullResult {
-		return news.PullResult{Documents: []core.Document{document}, Epoch: p.Epoch, AsOf: p.AsOf + p.Version, Whole: true, Age: time.Second}
+		return news.PullResult{Documents: documents, Epoch: p.Epoch, AsOf: p.AsOf + p.Version, Whole: true, Age: time.Second}
 	}))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	client := news.NewClient(http.DefaultTransport)
 	got, err := client.Pull(context.Background(), address, news.Position{Epoch: 3, AsOf: 40, Version: 2})
-	if err != nil || got.Epoch != 3 || got.AsOf != 42 || !got.Whole || got.Age != time.Second || !reflect.DeepEqual(got.Documents[0], document) {
+	if err != nil || got.Epoch != 3 || got.AsOf != 42 || !got.Whole || got.Age != time.Second || !reflect.DeepEqual(got.Documents, documents) {
 		t.Errorf("%+v, %v", got, err)
 	}
+	if got.Bytes > 10_000 {
+		t.Errorf("%d bytes were sent for a document of %d that is easy to compress", got.Bytes, len(documents[1].Value))
+	}
 	for _, query := range []string{"epoch=1&version=1&after=x", "epoch=x&after=1&version=1", "epoch=1&after=1"} {
 		res, err := http.Get(server.URL + "/documents?" + query)
 		if err != nil || res.StatusCode != http.StatusBadRequest {
