io/platf: a watch without a permit waits for its deadline

What operators saw: while the configuration service was away, a host used a core until its watch ended (1.7 s of processor time in a watch of 2 s); in virtual time the run hung.

Cause: rate.Limiter.Wait fails at once when the read budget gives no permit before the deadline, and the watch called again at once.

Evidence: TestWatchWithoutPermitWaitsForDeadline hangs on the code before and passes now.

The same shape elsewhere: io/entry pauses 300 ms between calls to the store and backs off after failures, io/fleet has a pause for each way a read ends, io/links and io/news call nothing again by themselves.

Why it works: no call is allowed before the watch ends, so it waits for its end.

--- a/io/platf/platf.go
+++ b/io/platf/platf.go
@@ -70,6 +70,9 @@
 // two leaves room for JSON escape sequences.
 var ErrTooLarge = errors.New("the value is above 1 MB; publish a smaller one")
 
+// errNoPermit means that the read budget allows no call before the context ends.
+var errNoPermit = errors.New("wait for the read budget")
+
 // Client implements core.ConfigService and core.HostList over HTTP. It is safe
 // for concurrent use.
 type Client struct {
@@ -137,6 +140,9 @@
 	path := "/v1/config/" + key + "?After=" + strconv.FormatUint(after, 10)
 	for {
 		answer, err := c.get(ctx, "watch "+key, path, _watchTimeout)
+		if errors.Is(err, errNoPermit) {
+			<-ctx.Done() // the next call is allowed only after the watch has ended
+		}
 		if ctx.Err() != nil {
 			return nil, 0, fmt.Errorf("watch %s: %w", key, ctx.Err())
 		}
@@ -189,7 +195,7 @@
 		return answer{}, &Error{Call: call, Err: fmt.Errorf("wait for the back-off: %w", err)}
 	}
 	if err := c.limiter.Wait(ctx); err != nil {
-		return answer{}, &Error{Call: call, Err: fmt.Errorf("wait for the read budget: %w", err)}
+		return answer{}, &Error{Call: call, Err: fmt.Errorf("%w: %w", errNoPermit, err)}
 	}
 	got, err := c.exchange(ctx, call, path, timeout)
 	if ctx.Err() == nil {
--- a/io/platf/platf_test.go
+++ b/io/platf/platf_test.go
@@ -107,6 +107,32 @@
 	})
 }
 
+// A watch that the read budget allows no call waits for its deadline. It blocks meanwhile:
+// otherwise the virtual time would stand still and the test hang.
+func TestWatchWithoutPermitWaitsForDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := fake.New(fake.Config{})
+		platform.Publish(_key, []byte("one"))
+		withServer(t, platform, 0.1, func(t *testing.T, _ *memnet.Network, client *platf.Client) {
+			for range 4 {
+				if _, _, err := client.Read(t.Context(), _key); err != nil {
+					t.Fatal(err)
+				}
+			}
+			calls, start := platform.Calls(), time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			_, _, err := client.Watch(ctx, _key, 1)
+			if took := time.Since(start); !errors.Is(err, context.DeadlineExceeded) || took != 2*time.Second {
+				t.Errorf("the watch ended after %v with %v, want its deadline after 2 s", took, err)
+			}
+			if platform.Calls() != calls {
+				t.Errorf("%d calls without a permit", platform.Calls()-calls)
+			}
+		})
+	})
+}
+
 // A connection that went silent costs one timeout; the next call succeeds.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
