io/front: the request's deadline ends a try, not a timer beside it

What callers saw: a request whose time was over while its endpoint worked got 502 "the endpoint was lost" in place of 504, now and then, and the endpoint counted as unreachable.

Cause: where the try had no limit of its own, its timer was set to the request's deadline, so that it and the request's context ended at the same instant. When the timer was first, the try counted as lost.

Why it works: the timer runs only for a limit that ends before the request's deadline. The deadline has one owner, the context, and what ends by it is not the endpoint's fault.

Looked at, not tested: io/runs sets its timers to limits of its own, or, in unary and stream, one timer for the request's deadline beside none for the endpoint; io/shell has none of the two.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -264,7 +265,7 @@
 	e.chooseBackup()
 	tryCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	slowTimer := time.AfterFunc(time.Until(e.firstEventDeadline()), func() { cancel(errSlow) })
+	slowTimer := e.startSlowTimer(func() { cancel(errSlow) })
 	defer slowTimer.Stop()
 	e.log("A try begins.", "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.endpoint().ID,
 		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.sharedParts, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
@@ -324,23 +325,22 @@
 	return tries.Lost
 }
 
-// firstEventDeadline returns when the first event or the answer must have arrived; if
-// it has not, the try counts as lost.
-func (e *exchange) firstEventDeadline() time.Time {
+// startSlowTimer returns a timer that ends a try whose first event or answer does not arrive
+// in time; the try then counts as lost. It does not run if the request's own deadline comes
+// first: that ends the request, and says nothing of the endpoint.
+func (e *exchange) startSlowTimer(end func()) *time.Timer {
 	route := e.request.Route
-	now := time.Now()
-	limit := e.request.Deadline
-	var timeout time.Duration
+	limit := time.Duration(math.MaxInt64)
 	switch {
 	case e.continued && route.Resumable:
-		timeout = e.silenceTimeout()
-	case e.tries.MayRunAgain():
-		timeout = route.Goal
+		limit = e.silenceTimeout()
+	case e.tries.MayRunAgain() && route.Goal > 0:
+		limit = route.Goal
 	}
-	if timeout > 0 && now.Add(timeout).Before(limit) {
-		return now.Add(timeout)
+	if limit >= time.Until(e.request.Deadline) {
+		limit = math.MaxInt64
 	}
-	return limit
+	return time.AfterFunc(limit, end)
 }
 
 // silenceTimeout returns how long a stream that can continue on another endpoint may
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -510,6 +511,25 @@
 	}
 }
 
+// A request whose deadline passes while its endpoint works gets 504, whichever of the
+// timers that end at this moment fires first.
+func TestDeadlineBelongsToTheRequest(t *testing.T) {
+	const requests = 32
+	for _, path := range []string{"/order/x", "/lookup/x", "/draft/x", "/check/x"} {
+		r := newFixture(t, func(c *routed.Call) bool { c.WaitClosed(5 * time.Second); return false })
+		var group sync.WaitGroup
+		for i := range requests {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				if got := r.send("POST", path, "", "Deadline-Ms: 150"); got.status != 504 && got.status != 503 {
+					t.Errorf("%s: status %d, want 504, or 503 if it found no room", path, got.status)
+				}
+			})
+		}
+		group.Wait()
+	}
+}
+
 // Without any endpoint a request is refused at once and not kept until its deadline.
 func TestNoEndpoint(t *testing.T) {
 	r := newFixture(t)
