core/procs/place: that an endpoint is leaving holds for one incarnation

What callers saw: nothing yet. An endpoint that says that it is leaving, ends and starts again under its ID could be closed for good; one whose document was missing for a moment after it had said so got requests again.

Cause: hosts told each other IDs of leaving endpoints, and a host that had not yet learned of the new incarnation closed it for all, which then told each other. And the mark was kept with the endpoint's document, not with the incarnation.

Evidence: TestLeavingHoldsForOneIncarnation; the code before has no way to say of which incarnation the news is, so that the test cannot be built there.

Why it works: news carry the incarnation's start. What an incarnation said is kept for the last 1,024 that said anything, whether their documents are there or not.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -78,8 +78,8 @@
 	// CanReadStore is true when the host can read the store.
 	CanReadStore bool
 	SyncStatus   SyncStatus
-	// Leaving lists the endpoints that reported to the sender that they are leaving.
-	Leaving []string
+	// Leaving lists the endpoints that reported that they are leaving.
+	Leaving []core.EndpointKey
 	// KnownHosts names hosts that the sender knows of.
 	KnownHosts []Contact
 }
--- a/core/procs/place/copies.go
+++ b/core/procs/place/copies.go
@@ -91,7 +91,7 @@
 // no work.
 func (p *Placer) PlaceOn(now time.Time, id string, request *core.RoutedRequest) (*Run, bool) {
 	e := p.endpoints[id]
-	if e == nil || p.outOfService[e.DataCentre] || e.Draining || e.leaving || e.health.inBackoff(now) {
+	if e == nil || p.outOfService[e.DataCentre] || e.Draining || e.notice.leaving || e.health.inBackoff(now) {
 		return nil, false
 	}
 	need := p.requestLoad(request)
@@ -102,31 +102,9 @@
 // EndpointLeaving reports whether a run's endpoint is leaving, gone or unconfirmed.
 func (p *Placer) EndpointLeaving(run *Run) bool {
 	e := p.endpointOf(run)
-	return e == nil || e.Draining || e.leaving || e.unconfirmed()
+	return e == nil || e.Draining || e.notice.leaving || e.unconfirmed()
 }
 
 // unconfirmed reports whether the endpoint's document expired after an outage of the
 // store: the endpoint may still run, or may have gone without notice.
 func (e *endpoint) unconfirmed() bool { return !e.DropAt.IsZero() }
-
-// MarkLeaving records that an endpoint itself reported that it is leaving. It returns true
-// when this was not known before.
-func (p *Placer) MarkLeaving(id string) bool {
-	e := p.endpoints[id]
-	if e == nil || e.leaving {
-		return false
-	}
-	e.leaving = true
-	return true
-}
-
-// LeavingEndpoints lists the endpoints that reported themselves that they are leaving.
-func (p *Placer) LeavingEndpoints() []string {
-	var ids []string
-	for id, e := range p.endpoints {
-		if e.leaving {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
--- /dev/null
+++ b/core/procs/place/notice.go
@@ -0,0 +1,66 @@
+package place
+
+import "apricotproxy/core"
+
+// _maxNotices bounds the incarnations whose notices are kept. The oldest are dropped first.
+const _maxNotices = 1024
+
+// notice is what an endpoint said of itself in its answers and reports. It holds for one
+// incarnation, also while its document is missing for some time.
+type notice struct {
+	// leaving is true from when the endpoint said that it is leaving.
+	leaving bool
+}
+
+// notices holds the notices of incarnations that said anything, the oldest first.
+type notices struct {
+	byKey map[core.EndpointKey]notice
+	order []core.EndpointKey
+}
+
+// set replaces the notice of an incarnation.
+func (n *notices) set(key core.EndpointKey, next notice) {
+	if _, known := n.byKey[key]; !known {
+		n.order = append(n.order, key)
+	}
+	n.byKey[key] = next
+	if len(n.order) > _maxNotices {
+		delete(n.byKey, n.order[0])
+		n.order = n.order[1:]
+	}
+}
+
+// note changes the notice of an incarnation, and reports whether change did so.
+func (p *Placer) note(key core.EndpointKey, change func(*notice) bool) bool {
+	known := p.notices.byKey[key]
+	if !change(&known) {
+		return false
+	}
+	p.notices.set(key, known)
+	if e := p.endpoints[key.ID]; e != nil && e.Key() == key {
+		e.notice = known
+	}
+	return true
+}
+
+// MarkLeaving records that an incarnation of an endpoint said that it is leaving. Only
+// another incarnation accepts requests again. It returns true when this was not known
+// before.
+func (p *Placer) MarkLeaving(key core.EndpointKey) bool {
+	return p.note(key, func(n *notice) bool {
+		isNew := !n.leaving
+		n.leaving = true
+		return isNew
+	})
+}
+
+// LeavingEndpoints lists the known endpoints that said that they are leaving.
+func (p *Placer) LeavingEndpoints() []core.EndpointKey {
+	var keys []core.EndpointKey
+	for _, e := range p.endpoints {
+		if e.notice.leaving {
+			keys = append(keys, e.Key())
+		}
+	}
+	return keys
+}
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -127,8 +127,8 @@
 	peerLoad     Load
 	health       health
 	coldRequests window
-	// leaving is true when the endpoint's own report said that it is leaving.
-	leaving bool
+	// notice is what the incarnation said of itself.
+	notice notice
 }
 
 // Placer places the requests of one host. It is not safe for concurrent use.
@@ -138,6 +138,7 @@
 	bounds       core.EntryBounds
 	random       *rand.Rand
 	endpoints    map[string]*endpoint
+	notices      notices
 	services     map[core.ServiceName][]*endpoint
 	table        *table.Table
 	outOfService map[core.DataCentreName]bool
@@ -180,6 +181,7 @@
 		bounds:       bounds,
 		random:       random,
 		endpoints:    make(map[string]*endpoint),
+		notices:      notices{byKey: make(map[core.EndpointKey]notice)},
 		services:     make(map[core.ServiceName][]*endpoint),
 		peers:        make(map[Source]peerReport),
 		retryBudgets: make(map[core.ServiceName]*retryBudget),
@@ -197,7 +199,7 @@
 	for _, e := range view.Endpoints {
 		state := p.endpoints[e.ID]
 		if state == nil || !state.Born.Equal(e.Born) {
-			state = &endpoint{}
+			state = &endpoint{notice: p.notices.byKey[e.Key()]}
 		}
 		state.Endpoint, state.service, state.engine = e, e.Service, nil
 		if p.table != nil {
@@ -268,7 +270,7 @@
 
 func (p *Placer) startRun(now time.Time, e *endpoint, need Load) *Run {
 	invar.Check(invar.DataCentreOut, !p.outOfService[e.DataCentre], "a run on %s in %s, which is out of service", e.ID, e.DataCentre)
-	invar.Check(invar.EndpointLeaving, !e.Draining && !e.leaving, "a run on %s, which is leaving", e.ID)
+	invar.Check(invar.EndpointLeaving, !e.Draining && !e.notice.leaving, "a run on %s, which is leaving", e.ID)
 	priorLoad := e.ownLoad
 	priorLoad.add(e.peerLoad)
 	e.ownLoad.add(need)
@@ -281,7 +283,7 @@
 
 // accepts reports whether an endpoint accepts new work.
 func (p *Placer) accepts(now time.Time, e *endpoint, exclude []string) bool {
-	if (e.Draining || e.leaving) && !p.switches.UseLeaving || p.outOfService[e.DataCentre] && !p.switches.UseOutOfService || e.health.inBackoff(now) {
+	if (e.Draining || e.notice.leaving) && !p.switches.UseLeaving || p.outOfService[e.DataCentre] && !p.switches.UseOutOfService || e.health.inBackoff(now) {
 		return false
 	}
 	for _, id := range exclude {
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -234,6 +234,33 @@
 	}
 }
 
+// What an endpoint said of itself holds for one incarnation: also when its document was
+// missing for a while, and not for one that starts under the same ID.
+func TestLeavingHoldsForOneIncarnation(t *testing.T) {
+	s := newSite(t, 1, 0)
+	born := _start.Add(-time.Minute)
+	s.change("engine-0", func(e *know.Endpoint) { e.Born = born })
+	if !s.MarkLeaving(core.EndpointKey{ID: "engine-0", Born: born}) || s.MarkLeaving(core.EndpointKey{ID: "engine-0", Born: born}) {
+		t.Error("that the endpoint is leaving is new twice, or never")
+	}
+	endpoints := s.view.Endpoints
+	s.view.Endpoints = nil
+	s.Apply(s.view)
+	s.view.Endpoints = endpoints
+	s.Apply(s.view)
+	if _, verdict := s.Place(_start, draft()); verdict != place.NoEndpoint {
+		t.Errorf("verdict %v after the document came back, want no endpoint", verdict)
+	}
+	s.change("engine-0", func(e *know.Endpoint) { e.Born = _start })
+	s.MarkLeaving(core.EndpointKey{ID: "engine-0", Born: born}) // late news of the one before
+	if _, verdict := s.Place(_start, draft()); verdict != place.Placed {
+		t.Errorf("verdict %v for another incarnation, want a run", verdict)
+	}
+	if keys := s.LeavingEndpoints(); len(keys) != 0 {
+		t.Errorf("%v are told to others as leaving, want none", keys)
+	}
+}
+
 func TestDataCentreOutOfServiceGetsNoRuns(t *testing.T) {
 	s := newSite(t, 2, 2)
 	s.view.OutOfService["a"] = true
--- a/core/routed.go
+++ b/core/routed.go
@@ -120,6 +120,17 @@
 	Sequence uint64
 }
 
+// EndpointKey identifies an incarnation of an endpoint: one that starts again may keep its
+// ID.
+type EndpointKey struct {
+	ID   string
+	Born time.Time
+}
+
+// Key returns the key of the endpoint's incarnation. Keys of one incarnation are equal by
+// ==, whatever the origin of the time.
+func (e RoutedEndpoint) Key() EndpointKey { return EndpointKey{ID: e.ID, Born: e.Born.Round(0).UTC()} }
+
 // RoutedRequest describes one request to the decision code.
 type RoutedRequest struct {
 	ID        string
--- a/io/entry/report.go
+++ b/io/entry/report.go
@@ -44,7 +44,7 @@
 					h.log.Info("Failed to get an engine's report.", "Endpoint", endpoint.ID, "Cause", err.Error())
 				}
 				gone := errors.Is(err, syscall.ECONNREFUSED)
-				if (state.Leaving || gone) && h.sharedPlacer.RecordLeaving(endpoint.ID) {
+				if (state.Leaving || gone) && h.sharedPlacer.RecordLeaving(endpoint.Key()) {
 					h.log.Info("An engine is leaving, or refuses connections.", "Endpoint", endpoint.ID, "Gone", gone)
 					h.peers.scheduleHeartbeat()
 				}
@@ -63,8 +63,8 @@
 	}
 	leaving := make(map[string]bool)
 	h.sharedPlacer.WithLock(func(p *place.Placer) {
-		for _, id := range p.LeavingEndpoints() {
-			leaving[id] = true
+		for _, key := range p.LeavingEndpoints() {
+			leaving[key.ID] = true
 		}
 	})
 	var engines []core.RoutedEndpoint
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -71,14 +71,14 @@
 	})
 }
 
-// RecordLeaving records endpoints that reported to this host or to another one that they
+// RecordLeaving records endpoints that said to this host or to another one that they
 // are leaving, or that refuse connections. It returns true if any of them was not yet
 // known to be leaving.
-func (s *SharedPlacer) RecordLeaving(ids ...string) bool {
+func (s *SharedPlacer) RecordLeaving(keys ...core.EndpointKey) bool {
 	isNew := false
 	s.Update(func(p *place.Placer) {
-		for _, id := range ids {
-			isNew = p.MarkLeaving(id) || isNew
+		for _, key := range keys {
+			isNew = p.MarkLeaving(key) || isNew
 		}
 		if isNew {
 			close(s.endpointsChanged)
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -474,7 +474,7 @@
 	}
 }
 
-func (r *fixture) leave(id string) { r.placer.RecordLeaving(id) }
+func (r *fixture) leave(id string) { r.placer.RecordLeaving(core.EndpointKey{ID: id}) }
 
 // When a caller disconnects, the connection to the endpoint is closed, so that the
 // endpoint can stop its work.
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -24,7 +24,7 @@
 		AsOf        uint64
 		Changed     uint64
 		AgeMs       int64
-		Leaving     []string
+		Leaving     []wireIncarnation
 		Others      []wireContact
 		HasLoads    bool
 		Loads       []wireLoad
@@ -44,6 +44,12 @@
 		Loads       []wireLoad
 	}
 
+	wireIncarnation struct {
+		_      struct{} `cbor:",toarray"`
+		ID     string
+		BornMs int64
+	}
+
 	wireLoss struct {
 		_        struct{} `cbor:",toarray"`
 		Endpoint string
@@ -90,9 +96,12 @@
 func toWire(m *Message, now time.Time) *wireMessage {
 	w := &wireMessage{
 		From: contactToWire(m.From), Incarnation: m.Incarnation, Stopping: m.Stopping, Reads: m.CanReadStore,
-		AsOf: m.SyncStatus.AsOf, Changed: m.SyncStatus.Changed, AgeMs: m.SyncStatus.Age.Milliseconds(), Leaving: m.Leaving, HasLoads: m.Loads != nil,
+		AsOf: m.SyncStatus.AsOf, Changed: m.SyncStatus.Changed, AgeMs: m.SyncStatus.Age.Milliseconds(), HasLoads: m.Loads != nil,
 		Epoch: m.SyncStatus.Epoch, Version: m.SyncStatus.Version, Kept: m.SyncStatus.Kept, Since: m.SyncStatus.CompleteSince,
 	}
+	for _, key := range m.Leaving {
+		w.Leaving = append(w.Leaving, wireIncarnation{ID: key.ID, BornMs: key.Born.UnixMilli()})
+	}
 	for _, c := range m.KnownHosts {
 		w.Others = append(w.Others, contactToWire(c))
 	}
@@ -153,8 +162,10 @@
 	m := &Message{Poison: w.poison(now), Heartbeat: gossip.Heartbeat{
 		From: contactFromWire(w.From), Incarnation: w.Incarnation, Stopping: w.Stopping, CanReadStore: w.Reads,
 		SyncStatus: gossip.SyncStatus{Epoch: w.Epoch, Version: w.Version, Kept: w.Kept, CompleteSince: w.Since, AsOf: w.AsOf, Changed: w.Changed, Age: time.Duration(w.AgeMs) * time.Millisecond},
-		Leaving:    w.Leaving,
 	}}
+	for _, l := range w.Leaving {
+		m.Leaving = append(m.Leaving, core.EndpointKey{ID: l.ID, Born: time.UnixMilli(l.BornMs).UTC()})
+	}
 	for _, c := range w.Others {
 		m.KnownHosts = append(m.KnownHosts, contactFromWire(c))
 	}
