io/entry: an endpoint that says in an answer that it is leaving gets no more requests

What callers saw: requests went on to an endpoint that had said in its answers that it was leaving (Server-Leaving on the users' platform), until its document or report said so.

Cause: that header was not read.

--- a/core/routed.go
+++ b/core/routed.go
@@ -234,6 +234,7 @@
 	ExpectedEndpoint string
 	EndpointID       string
 	NotRun           string // marks a refusal: the request did not run
+	Leaving          string // "1" in the answers of an endpoint that is leaving
 	Seal             string // marks a successful answer as written by the endpoint itself
 	Model            string
 	Tokens           string
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -102,8 +102,10 @@
 	h := &Host{
 		settings: settings,
 		log:      settings.Logger.WithName("entry"),
-		links:    links.New(links.Settings{Dialer: settings.Dialer, DialTimeout: _endpointDialTimeout, MaxIdle: _maxIdlePerEndpoint}),
 	}
+	h.links = links.New(links.Settings{
+		Dialer: settings.Dialer, DialTimeout: _endpointDialTimeout, MaxIdle: _maxIdlePerEndpoint, Answered: h.inspectAnswer,
+	})
 	placer := place.New(settings.Name, settings.DataCentre, settings.Bounds, rand.New(rand.NewPCG(seed, 1)))
 	placer.SetSwitches(settings.Switches.Place)
 	if isOnlyHost(settings.EntrySettings) {
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -89,7 +89,7 @@
 				EndpointInterval: time.Second,
 			},
 		},
-		Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", ExpectedEndpoint: "Expect", Tokens: "Tokens", Parts: "Parts"},
+		Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", Leaving: "Leaving", ExpectedEndpoint: "Expect", Tokens: "Tokens", Parts: "Parts"},
 		Paths:  core.CallPaths{Ready: "/ready"},
 		Decode: decode,
 		Seed:   1,
@@ -119,7 +119,19 @@
 	}
 }
 
+// get returns the status and the body of an answer, or 0 and an error's text.
 func (s *site) get(address, path string, headers ...string) (int, string) {
+	status, _, body := s.request(address, path, headers...)
+	return status, body
+}
+
+// getHeader returns the status and the header of an answer.
+func (s *site) getHeader(address, path string) (int, http.Header) {
+	status, header, _ := s.request(address, path)
+	return status, header
+}
+
+func (s *site) request(address, path string, headers ...string) (int, http.Header, string) {
 	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		s.t.Fatal(err)
@@ -133,11 +145,11 @@
 	}
 	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
 	if err != nil {
-		return 0, err.Error()
+		return 0, nil, err.Error()
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, _ := io.ReadAll(res.Body)
-	return res.StatusCode, string(body)
+	return res.StatusCode, res.Header, string(body)
 }
 
 // eventually waits until a condition holds. It fails the test after a time limit.
--- a/io/entry/gauges.go
+++ b/io/entry/gauges.go
@@ -11,6 +11,9 @@
 // _pulls counts the pulls of documents from other hosts, and the bytes received by them.
 var _pulls = expvar.NewMap("apricotproxy.Routed.Pulls")
 
+// _notices counts what endpoints said of themselves in answers.
+var _notices = expvar.NewMap("apricotproxy.Routed.EndpointNotices")
+
 // documentGauges are the metrics of the published documents as this process knows them.
 type documentGauges struct {
 	version, epoch, revision, age *expvar.Int
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -104,6 +104,9 @@
 	DialTimeout time.Duration
 	// MaxIdle bounds the idle connections to one endpoint.
 	MaxIdle int
+	// Answered is called with the header of each answer that belongs to its request; nil
+	// for none.
+	Answered func(core.RoutedEndpoint, *http.Response)
 }
 
 // Pool holds idle connections, by endpoint. It is safe for concurrent use.
@@ -187,6 +190,9 @@
 		}
 		return nil, &Error{Stage: StageSent, Err: err}
 	}
+	if p.settings.Answered != nil {
+		p.settings.Answered(endpoint, res)
+	}
 	return &Answer{Response: res, connection: c, written: written, stop: stop, pool: p, key: key, maxConnections: request.MaxConnections}, nil
 }
 
