io/entry: an endpoint that turns requests away until some time gets none before

What callers saw: requests that were sent on to an endpoint which had just answered 503 with Retry-After, and were refused again after having waited.

Cause: Retry-After in an endpoint's answer was not read.

Why it works: the time is stored with the incarnation on the host that got the answer, and placing skips the endpoint until then, also for copies and continued runs. If every endpoint that could serve a request is closed until after the request may wait, it is refused at once with the soonest time at which one opens; a random part keeps callers from coming back together.

--- a/core/procs/place/copies.go
+++ b/core/procs/place/copies.go
@@ -91,7 +91,7 @@
 // no work.
 func (p *Placer) PlaceOn(now time.Time, id string, request *core.RoutedRequest) (*Run, bool) {
 	e := p.endpoints[id]
-	if e == nil || p.outOfService[e.DataCentre] || e.Draining || e.notice.leaving || e.health.inBackoff(now) {
+	if e == nil || p.outOfService[e.DataCentre] || e.Draining || e.notice.leaving || e.isClosed(now) || e.health.inBackoff(now) {
 		return nil, false
 	}
 	need := p.requestLoad(request)
--- a/core/procs/place/notice.go
+++ b/core/procs/place/notice.go
@@ -1,6 +1,11 @@
 package place
 
-import "apricotproxy/core"
+import (
+	"slices"
+	"time"
+
+	"apricotproxy/core"
+)
 
 // _maxNotices bounds the incarnations whose notices are kept. The oldest are dropped first.
 const _maxNotices = 1024
@@ -10,6 +15,8 @@
 type notice struct {
 	// leaving is true from when the endpoint said that it is leaving.
 	leaving bool
+	// closedUntil is the time until which it asked this host for no requests.
+	closedUntil time.Time
 }
 
 // notices holds the notices of incarnations that said anything, the oldest first.
@@ -54,6 +61,18 @@
 	})
 }
 
+// Close records that an incarnation of an endpoint asked this host for no requests until a
+// time. It returns true if that is later than known before.
+func (p *Placer) Close(key core.EndpointKey, until time.Time) bool {
+	return p.note(key, func(n *notice) bool {
+		isLater := until.After(n.closedUntil)
+		if isLater {
+			n.closedUntil = until
+		}
+		return isLater
+	})
+}
+
 // LeavingEndpoints lists the known endpoints that said that they are leaving.
 func (p *Placer) LeavingEndpoints() []core.EndpointKey {
 	var keys []core.EndpointKey
@@ -64,3 +83,25 @@
 	}
 	return keys
 }
+
+// isClosed reports whether the endpoint asked this host for no requests now.
+func (e *endpoint) isClosed(now time.Time) bool { return now.Before(e.notice.closedUntil) }
+
+// OpensAt returns when the first endpoint accepts a request if all that could still serve it
+// asked for none until some time; zero otherwise. An endpoint that turned the request away
+// itself counts among them.
+func (p *Placer) OpensAt(now time.Time, spec *Spec) time.Time {
+	var first time.Time
+	for _, e := range p.services[spec.Request.Service] {
+		switch {
+		case !p.acceptsWhenOpen(now, e, nil):
+		case e.isClosed(now):
+			if first.IsZero() || e.notice.closedUntil.Before(first) {
+				first = e.notice.closedUntil
+			}
+		case !slices.Contains(spec.Exclude, e.ID):
+			return time.Time{}
+		}
+	}
+	return first
+}
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -283,6 +283,11 @@
 
 // accepts reports whether an endpoint accepts new work.
 func (p *Placer) accepts(now time.Time, e *endpoint, exclude []string) bool {
+	return !e.isClosed(now) && p.acceptsWhenOpen(now, e, exclude)
+}
+
+// acceptsWhenOpen reports whether an endpoint accepts new work, unless it asked for none.
+func (p *Placer) acceptsWhenOpen(now time.Time, e *endpoint, exclude []string) bool {
 	if (e.Draining || e.notice.leaving) && !p.switches.UseLeaving || p.outOfService[e.DataCentre] && !p.switches.UseOutOfService || e.health.inBackoff(now) {
 		return false
 	}
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -261,6 +261,28 @@
 	}
 }
 
+// An endpoint that asked for no requests gets none until then. OpensAt is the time at which
+// the first of them accepts one, if none does before.
+func TestClosedEndpointGetsNoRuns(t *testing.T) {
+	s := newSite(t, 2, 0)
+	soon, later := _start.Add(time.Second), _start.Add(time.Minute)
+	s.Close(core.EndpointKey{ID: "engine-0"}, later)
+	if run, verdict := s.Place(_start, draft()); verdict != place.Placed || run.Endpoint.ID != "engine-1" {
+		t.Errorf("verdict %v, want a run on the other endpoint", verdict)
+	}
+	if at := s.OpensAt(_start, draft()); !at.IsZero() {
+		t.Errorf("a request has to wait until %v, although an endpoint is open", at)
+	}
+	s.Close(core.EndpointKey{ID: "engine-1"}, soon)
+	s.Close(core.EndpointKey{ID: "engine-1"}, soon.Add(-time.Millisecond))
+	if _, verdict := s.Place(_start, draft()); verdict != place.NoEndpoint || !s.OpensAt(_start, draft()).Equal(soon) {
+		t.Errorf("verdict %v until %v, want no endpoint until %v", verdict, s.OpensAt(_start, draft()), soon)
+	}
+	if _, verdict := s.Place(soon, draft()); verdict != place.Placed {
+		t.Errorf("verdict %v when the time is over, want a run", verdict)
+	}
+}
+
 func TestDataCentreOutOfServiceGetsNoRuns(t *testing.T) {
 	s := newSite(t, 2, 2)
 	s.view.OutOfService["a"] = true
--- a/io/entry/answers.go
+++ b/io/entry/answers.go
@@ -1,13 +1,19 @@
 package entry
 
 import (
+	"math"
 	"net/http"
+	"strconv"
+	"time"
 
 	"apricotproxy/core"
 )
 
+// _maxClosed bounds how long an endpoint can ask for no requests.
+const _maxClosed = time.Hour
+
 // inspectAnswer records what an endpoint says of itself in any of its answers: that it is
-// leaving.
+// leaving, and until when it wants no requests of this host.
 func (h *Host) inspectAnswer(endpoint core.RoutedEndpoint, answer *http.Response) {
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		return // another endpoint is at this address
@@ -17,4 +23,34 @@
 		_notices.Add("Leaving", 1)
 		h.peers.scheduleHeartbeat()
 	}
+	value := answer.Header.Get("Retry-After")
+	if answer.StatusCode != http.StatusServiceUnavailable || value == "" {
+		return
+	}
+	now := time.Now()
+	wait, ok := parseRetryAfter(value, now)
+	if !ok {
+		h.log.Info("An endpoint's Retry-After cannot be understood.", "Endpoint", endpoint.ID, "Value", value)
+		return
+	}
+	if h.sharedPlacer.Close(endpoint.Key(), now.Add(wait)) {
+		h.log.Info("An endpoint wants no requests for some time.", "Endpoint", endpoint.ID, "Time", wait.Milliseconds())
+		_notices.Add("Closed", 1)
+	}
+}
+
+// parseRetryAfter returns the time that a Retry-After header asks for: seconds, with or
+// without a fraction, or a date. It is at most _maxClosed.
+func parseRetryAfter(value string, now time.Time) (time.Duration, bool) {
+	if seconds, err := strconv.ParseFloat(value, 64); err == nil {
+		if math.IsNaN(seconds) || seconds < 0 {
+			return 0, false
+		}
+		return time.Duration(min(seconds, _maxClosed.Seconds()) * float64(time.Second)), true
+	}
+	at, err := http.ParseTime(value)
+	if err != nil {
+		return 0, false
+	}
+	return min(max(at.Sub(now), 0), _maxClosed), true
 }
--- a/io/entry/notice_test.go
+++ b/io/entry/notice_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -50,3 +51,37 @@
 		t.Errorf("the leaving endpoint got %d more requests", n-before)
 	}
 }
+
+// An endpoint that turned a request away until some time gets no requests before. When
+// that is true of all, callers are refused at once and told when to come back.
+func TestEndpointThatAsksForNoRequestsGetsNone(t *testing.T) {
+	const pause = 3 * time.Second
+	s := newSite(t, 1)
+	s.store.Put("config", `{"Version":1,"Prefix":"/a/"}`)
+	var calls atomic.Int64
+	s.endpoint("e1", sayingHandler(&calls, 503, "Retry-After: 3"))
+	s.eventually("e1 turns a request away", 2*time.Second, func() bool {
+		_, _ = s.get(s.front[0], "/a/")
+		return calls.Load() > 0
+	})
+	closedAt, before := time.Now(), calls.Load()
+	for range 10 {
+		began := time.Now()
+		status, header := s.getHeader(s.front[0], "/a/")
+		retryAfter, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		left := time.Until(closedAt.Add(pause)).Seconds()
+		if status != 503 || err != nil || retryAfter < left-0.5 || time.Since(began) > 500*time.Millisecond {
+			t.Errorf("status %d with Retry-After %q after %v, want 503 at once and %.1f s at least", status, header.Get("Retry-After"), time.Since(began), left)
+		}
+	}
+	if n := calls.Load() - before; n > 0 {
+		t.Errorf("the endpoint got %d requests although it wants none", n)
+	}
+	s.eventually("e1 gets requests again", pause+2*time.Second, func() bool {
+		_, _ = s.get(s.front[0], "/a/")
+		return calls.Load() > before
+	})
+	if took := time.Since(closedAt); took < pause-500*time.Millisecond {
+		t.Errorf("the endpoint got a request %v after it turned one away, want %v at least", took, pause)
+	}
+}
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -88,6 +88,22 @@
 	return isNew
 }
 
+// Close records that an endpoint asked this host for no requests until a time. It returns
+// true if that is later than known before.
+func (s *SharedPlacer) Close(key core.EndpointKey, until time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.Close(key, until)
+}
+
+// opensAt returns when the first endpoint accepts a request if all asked for none; zero
+// otherwise.
+func (s *SharedPlacer) opensAt(spec *place.Spec) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.OpensAt(time.Now(), spec)
+}
+
 // nextChange returns a channel that is closed at the next change of the endpoints.
 func (s *SharedPlacer) nextChange() <-chan struct{} {
 	s.mu.Lock()
@@ -108,7 +124,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	run, verdict := s.placer.Place(now, spec)
-	if verdict == place.Placed || !now.Before(deadline) {
+	if verdict == place.Placed || !now.Before(deadline) || s.placer.OpensAt(now, spec).After(deadline) {
 		s.mu.Unlock()
 		return run, verdict
 	}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -219,7 +219,8 @@
 	if request.Deadline.Before(until) {
 		until = request.Deadline
 	}
-	run, verdict := e.placer().place(ctx, &place.Spec{Request: *request, Exclude: e.triedEndpoints}, until)
+	spec := &place.Spec{Request: *request, Exclude: e.triedEndpoints}
+	run, verdict := e.placer().place(ctx, spec, until)
 	if verdict == place.Placed {
 		e.run = run
 		e.notifyLoadChanged()
@@ -235,7 +236,7 @@
 	if e.delivered {
 		e.cut("no endpoint has room to continue the stream")
 	}
-	e.answerNotServed("no endpoint has room", e.retryAfterNoRoom())
+	e.answerNotServed("no endpoint has room", max(e.retryAfterNoRoom(), e.untilOpen(spec)))
 	return &tryResult{done: true}
 }
 
@@ -249,6 +250,16 @@
 	e.answerError(http.StatusServiceUnavailable, reason, retryAfter)
 }
 
+// untilOpen returns the time until an endpoint accepts a request, if all asked for none; 0
+// otherwise. A random part keeps callers from coming back at the same moment.
+func (e *exchange) untilOpen(spec *place.Spec) time.Duration {
+	opensAt := e.placer().opensAt(spec)
+	if opensAt.IsZero() {
+		return 0
+	}
+	return time.Until(opensAt) + time.Duration(rand.Float64()*float64(e.request.Route.Goal))
+}
+
 // retryAfterNoRoom returns the Retry-After for a request that found no room until its
 // answer would have been late. An immediate retry would only add to the load, so it is
 // at least the route's Goal; a random part spreads the retries of callers that were
