proof: faults of routed runs are drawn from the seed before the run

Cause: callers, endpoints and faults drew from one source in real time, so the seed fixed nothing, and in some runs the data centre was in service, or all its endpoints leaving, all the while.

Change: the faults are a list that is drawn before the run; what a request meets at an endpoint depends on the seed, the request and the number of its arrival; each caller has its own source. A list that cannot exercise the disabled safeguard is drawn again. Checks and their bounds are as they were, and the kinds of faults as frequent.

Requests still meet the faults in real time.

--- a/proof/routed_test.go
+++ b/proof/routed_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"apricotproxy/core"
 	"apricotproxy/core/invar"
 	"apricotproxy/core/procs/know"
@@ -33,12 +35,14 @@
 // fails and a host is replaced.
 
 const (
-	_routedHosts       = 3
-	_routedEndpoints   = 5
-	_routedCallers     = 12
-	_routedDuration    = 4 * time.Second
-	_routedEvents      = 8
-	_routedMaxAttempts = 3
+	_routedHosts     = 3
+	_routedEndpoints = 5
+	_routedCallers   = 12
+	_routedDuration  = 4 * time.Second
+	// _routedFaultInterval is the pause between two faults.
+	_routedFaultInterval = 100 * time.Millisecond
+	_routedEvents        = 8
+	_routedMaxAttempts   = 3
 	// _routedSpread is the longest time until every host applies a change in the store.
 	_routedSpread    = 2 * time.Second
 	_routedStopGrace = 4 * time.Second
@@ -95,9 +99,13 @@
 
 	store *store.Store
 
+	seed   uint64
+	faults []routedFault
+
 	mu         sync.Mutex
-	random     *rand.Rand
 	violations []string
+	// arrivals counts the arrivals of each request at endpoints.
+	arrivals map[string]int
 	// runs counts the runs of each request by its id. reportedNotRun holds the requests
 	// that a host reported as not run.
 	runs           map[string]int
@@ -114,10 +122,13 @@
 	r.violations = append(r.violations, fmt.Sprintf(format, args...))
 }
 
-func (r *routedRun) randomInt(n int) int {
+// arrivalSource returns a source of random numbers for one arrival of a request, so that
+// what it meets at an endpoint depends only on the seed.
+func (r *routedRun) arrivalSource(id string) *rand.Rand {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.random.IntN(n)
+	r.arrivals[id]++
+	return rand.New(rand.NewPCG(r.seed, xxhash.Sum64String(fmt.Sprint(id, " ", r.arrivals[id]))))
 }
 
 // recordRun records that an endpoint runs a request. It checks that the request may run
@@ -149,7 +160,8 @@
 	id := c.Header.Get("Request-Id")
 	kind, _, _ := strings.Cut(strings.TrimPrefix(c.URL.Path, "/"), "/")
 	echo := "Request-Id: " + id
-	variant := r.randomInt(24)
+	random := r.arrivalSource(id)
+	variant := random.IntN(24)
 	switch variant {
 	case 0, 1:
 		c.Answer(503, "busy", echo, "Not-Run: 1")
@@ -159,7 +171,7 @@
 		return false
 	}
 	r.recordRun(id, kind, endpoint, centre)
-	time.Sleep(time.Duration(2+r.randomInt(20)) * time.Millisecond)
+	time.Sleep(time.Duration(2+random.IntN(20)) * time.Millisecond)
 	switch {
 	case variant == 3:
 		c.Reset()
@@ -219,9 +231,8 @@
 	return true
 }
 
-// call sends one request and checks its answer.
-func (r *routedRun) call(client *http.Client, id, kind string) {
-	address := r.Settings[r.randomInt(len(r.Settings))].CallerAddress
+// call sends one request to a host and checks its answer.
+func (r *routedRun) call(client *http.Client, address, id, kind string) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+kind+"/x", strings.NewReader("body"))
 	if err != nil {
 		r.recordViolation("%s: %v", id, err)
@@ -308,27 +319,24 @@
 	}
 }
 
-// injectFault makes one random change: an endpoint starts leaving or comes back, a data
-// centre goes out of service or comes back, or a host's store connection fails or
-// recovers. It then publishes a new version of the routes.
-func (r *routedRun) injectFault(n int, addresses map[string]string) {
-	endpoint := fmt.Sprint("e", r.randomInt(_routedEndpoints))
-	switch r.randomInt(5) {
-	case 0: // the endpoint leaves; its document stays in the store
+// injectFault carries out a fault and then publishes a new version of the routes.
+func (r *routedRun) injectFault(n int, fault routedFault, addresses map[string]string) {
+	endpoint := fault.endpoint
+	switch fault.kind {
+	case endpointLeaves: // its document stays in the store
 		r.putEndpoint(endpoint, addresses[endpoint], dataCentreOf(endpoint), true)
 		r.setClosed(endpoint, true)
-	case 1:
+	case endpointReturns:
 		r.setClosed(endpoint, false)
 		r.putEndpoint(endpoint, addresses[endpoint], dataCentreOf(endpoint), false)
-	case 2:
+	case centreCloses:
 		r.store.Put("out/b", "")
 		r.setClosed("b", true)
-	case 3:
+	case centreOpens:
 		r.setClosed("b", false)
 		r.store.Delete("out/b")
-	case 4:
-		host := r.randomInt(_routedHosts)
-		r.Clients[host].SetDown(r.randomInt(2) == 0)
+	case storeFails, storeRecovers:
+		r.Clients[fault.host].SetDown(fault.kind == storeFails)
 	}
 	r.store.Put("config", strconv.Itoa(n+2))
 }
@@ -342,11 +350,11 @@
 
 // runRouted performs one run. It returns the violations and the number of requests
 // that were served.
-func runRouted(t *testing.T, seed uint64, switches entry.Switches) (violations []string, served int) {
+func runRouted(t *testing.T, seed uint64, faults []routedFault, switches entry.Switches) (violations []string, served int) {
 	t.Helper()
 	documents := store.New()
 	r := &routedRun{
-		store: documents, random: rand.New(rand.NewPCG(seed, 1)),
+		store: documents, seed: seed, faults: faults, arrivals: make(map[string]int),
 		runs: make(map[string]int), reportedNotRun: make(map[string]bool), closedSince: make(map[string]time.Time),
 	}
 	r.Hosts = hosts.New(_routedHosts, documents, entry.Settings{
@@ -400,16 +408,18 @@
 			transport := &http.Transport{DisableKeepAlives: caller%2 == 0}
 			defer transport.CloseIdleConnections()
 			client := &http.Client{Transport: transport}
+			random := rand.New(rand.NewPCG(r.seed, uint64(caller)))
 			for n := 0; ctx.Err() == nil; n++ {
 				kind := [...]string{"order", "lookup", "draft", "feed"}[(caller+n)%4]
-				r.call(client, fmt.Sprintf("%s-%d-%d", kind, caller, n), kind)
+				host := r.Settings[random.IntN(len(r.Settings))].CallerAddress
+				r.call(client, host, fmt.Sprintf("%s-%d-%d", kind, caller, n), kind)
 			}
 		})
 	}
 	group.Go(func() {
-		for n := 0; ctx.Err() == nil; n++ {
-			r.injectFault(n, addresses)
-			time.Sleep(100 * time.Millisecond)
+		for n, fault := range r.faults {
+			r.injectFault(n, fault, addresses)
+			time.Sleep(_routedFaultInterval)
 		}
 	})
 	time.Sleep(_routedDuration / 4)
@@ -433,7 +443,7 @@
 	seeds := max(seedCount()/3, 1)
 	for seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			violations, served := runRouted(t, uint64(seed), entry.Switches{})
+			violations, served := runRouted(t, uint64(seed), drawFaults(uint64(seed), nil), entry.Switches{})
 			for _, violation := range violations {
 				t.Error(violation)
 			}
@@ -444,18 +454,22 @@
 	}
 }
 
-// The checks must find a violation when a safeguard is disabled.
+// The checks must find a violation when a safeguard is disabled. exercises reports whether
+// the faults of a run can bring one about.
 func TestRoutedChecksDetectDisabledSafeguards(t *testing.T) {
 	requireSeeds(t)
-	for name, switches := range map[string]entry.Switches{
-		"retry rules":                      {Front: front.Switches{Tries: tries.Switches{RepeatAnything: true}}},
-		"answer matching":                  {Front: front.Switches{AcceptAnyAnswer: true}},
-		"event filter":                     {Front: front.Switches{DeliverAnyEvent: true}},
-		"exclusion of leaving endpoints":   {Place: place.Switches{UseLeaving: true}},
-		"exclusion of closed data centres": {Place: place.Switches{UseOutOfService: true}},
+	for name, c := range map[string]struct {
+		switches  entry.Switches
+		exercises func([]routedFault) bool
+	}{
+		"retry rules":                      {switches: entry.Switches{Front: front.Switches{Tries: tries.Switches{RepeatAnything: true}}}},
+		"answer matching":                  {switches: entry.Switches{Front: front.Switches{AcceptAnyAnswer: true}}},
+		"event filter":                     {switches: entry.Switches{Front: front.Switches{DeliverAnyEvent: true}}},
+		"exclusion of leaving endpoints":   {switches: entry.Switches{Place: place.Switches{UseLeaving: true}}, exercises: hasLeavingEndpoint},
+		"exclusion of closed data centres": {switches: entry.Switches{Place: place.Switches{UseOutOfService: true}}, exercises: hasClosedCentre},
 	} {
 		t.Run(name, func(t *testing.T) {
-			violations, _ := runRouted(t, 7, switches)
+			violations, _ := runRouted(t, 7, drawFaults(7, c.exercises), c.switches)
 			if len(violations) == 0 {
 				t.Fatal("no check detected the disabled safeguard")
 			}
