core/procs/place: only what an endpoint itself said outlives its document

What callers saw: nothing yet. An endpoint that only refused a connection while its document had expired, or of which another host had said that it is leaving, stayed closed on every host after its document was back.

Cause: since marks are kept for the incarnation, those of other hosts and of refused connections were kept too, and the hosts told each other.

Why it works: only the host to which the endpoint said that it is leaving keeps that beyond the document, and tells the others again when the document is back. An endpoint without a start time has no such memory, since its next incarnation cannot be told from it.

--- a/core/procs/place/notice.go
+++ b/core/procs/place/notice.go
@@ -37,23 +37,32 @@
 	}
 }
 
-// note changes the notice of an incarnation, and reports whether change did so.
+// note changes the notice of an incarnation, and reports whether change did so. An
+// incarnation without a start can't be told from the next one, so that its notice is not
+// kept beyond its document.
 func (p *Placer) note(key core.EndpointKey, change func(*notice) bool) bool {
 	known := p.notices.byKey[key]
+	e := p.endpoints[key.ID]
+	isPresent := e != nil && e.Key() == key
+	if isPresent {
+		known = e.notice
+	}
 	if !change(&known) {
 		return false
 	}
-	p.notices.set(key, known)
-	if e := p.endpoints[key.ID]; e != nil && e.Key() == key {
+	if !key.Born.IsZero() {
+		p.notices.set(key, known)
+	}
+	if isPresent {
 		e.notice = known
 	}
 	return true
 }
 
-// MarkLeaving records that an incarnation of an endpoint said that it is leaving. Only
-// another incarnation accepts requests again. It returns true when this was not known
-// before.
-func (p *Placer) MarkLeaving(key core.EndpointKey) bool {
+// NoteLeaving records that an incarnation of an endpoint said to this host that it is
+// leaving. Only another incarnation accepts requests again. It returns true when this was
+// not known before.
+func (p *Placer) NoteLeaving(key core.EndpointKey) bool {
 	return p.note(key, func(n *notice) bool {
 		isNew := !n.leaving
 		n.leaving = true
@@ -61,6 +70,18 @@
 	})
 }
 
+// MarkLeaving records that an incarnation of an endpoint is leaving as another host says, or
+// refuses connections. This holds while the endpoint's document is known: the host to which
+// the endpoint said so tells it again. It returns true when this was not known before.
+func (p *Placer) MarkLeaving(key core.EndpointKey) bool {
+	e := p.endpoints[key.ID]
+	if e == nil || e.Key() != key || e.notice.leaving {
+		return false
+	}
+	e.notice.leaving = true
+	return true
+}
+
 // Close records that an incarnation of an endpoint asked this host for no requests until a
 // time. It returns true if that is later than known before.
 func (p *Placer) Close(key core.EndpointKey, until time.Time) bool {
@@ -73,7 +94,8 @@
 	})
 }
 
-// LeavingEndpoints lists the known endpoints that said that they are leaving.
+// LeavingEndpoints lists the known endpoints that are leaving although their documents do
+// not say so.
 func (p *Placer) LeavingEndpoints() []core.EndpointKey {
 	var keys []core.EndpointKey
 	for _, e := range p.endpoints {
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -234,20 +234,25 @@
 	}
 }
 
+// loseDocuments has all documents of endpoints missing for a while.
+func (s *site) loseDocuments() {
+	endpoints := s.view.Endpoints
+	s.view.Endpoints = nil
+	s.Apply(s.view)
+	s.view.Endpoints = endpoints
+	s.Apply(s.view)
+}
+
 // What an endpoint said of itself holds for one incarnation: also when its document was
 // missing for a while, and not for one that starts under the same ID.
 func TestLeavingHoldsForOneIncarnation(t *testing.T) {
 	s := newSite(t, 1, 0)
 	born := _start.Add(-time.Minute)
 	s.change("engine-0", func(e *know.Endpoint) { e.Born = born })
-	if !s.MarkLeaving(core.EndpointKey{ID: "engine-0", Born: born}) || s.MarkLeaving(core.EndpointKey{ID: "engine-0", Born: born}) {
+	if !s.NoteLeaving(core.EndpointKey{ID: "engine-0", Born: born}) || s.NoteLeaving(core.EndpointKey{ID: "engine-0", Born: born}) {
 		t.Error("that the endpoint is leaving is new twice, or never")
 	}
-	endpoints := s.view.Endpoints
-	s.view.Endpoints = nil
-	s.Apply(s.view)
-	s.view.Endpoints = endpoints
-	s.Apply(s.view)
+	s.loseDocuments()
 	if _, verdict := s.Place(_start, draft()); verdict != place.NoEndpoint {
 		t.Errorf("verdict %v after the document came back, want no endpoint", verdict)
 	}
@@ -261,6 +266,23 @@
 	}
 }
 
+// What another host says of an endpoint holds while its document is known: the endpoint may
+// only have refused a connection.
+func TestLeavingByOthersEndsWithTheDocument(t *testing.T) {
+	s := newSite(t, 1, 0)
+	s.change("engine-0", func(e *know.Endpoint) { e.Born = _start })
+	if !s.MarkLeaving(core.EndpointKey{ID: "engine-0", Born: _start}) {
+		t.Error("that the endpoint is leaving is not new")
+	}
+	if _, verdict := s.Place(_start, draft()); verdict != place.NoEndpoint {
+		t.Errorf("verdict %v, want no endpoint", verdict)
+	}
+	s.loseDocuments()
+	if _, verdict := s.Place(_start, draft()); verdict != place.Placed {
+		t.Errorf("verdict %v after the document came back, want a run", verdict)
+	}
+}
+
 // An endpoint that asked for no requests gets none until then. OpensAt is the time at which
 // the first of them accepts one, if none does before.
 func TestClosedEndpointGetsNoRuns(t *testing.T) {
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -49,7 +49,7 @@
 		built, err := table.Build(table.Source{Version: c.Version, Services: []core.RoutedService{service}, Routes: []core.Route{route}})
 		return know.Content{Table: built}, err
 	}
-	return know.Content{Endpoint: &core.RoutedEndpoint{ID: d.Name, Service: "desk", Address: string(d.Value), DataCentre: "b", Slots: 9}}, nil
+	return know.Content{Endpoint: &core.RoutedEndpoint{ID: d.Name, Service: "desk", Address: string(d.Value), DataCentre: "b", Slots: 9, Born: time.UnixMilli(1)}}, nil
 }
 
 // _leavingSpread is the time within which hosts must learn that an endpoint is leaving.
--- a/io/entry/report.go
+++ b/io/entry/report.go
@@ -44,7 +44,7 @@
 					h.log.Info("Failed to get an engine's report.", "Endpoint", endpoint.ID, "Cause", err.Error())
 				}
 				gone := errors.Is(err, syscall.ECONNREFUSED)
-				if (state.Leaving || gone) && h.sharedPlacer.RecordLeaving(endpoint.Key()) {
+				if state.Leaving && h.sharedPlacer.NoteLeaving(endpoint.Key()) || gone && h.sharedPlacer.RecordLeaving(endpoint.Key()) {
 					h.log.Info("An engine is leaving, or refuses connections.", "Endpoint", endpoint.ID, "Gone", gone)
 					h.peers.scheduleHeartbeat()
 				}
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -71,15 +71,30 @@
 	})
 }
 
-// RecordLeaving records endpoints that said to this host or to another one that they
-// are leaving, or that refuse connections. It returns true if any of them was not yet
-// known to be leaving.
+// RecordLeaving records endpoints that are leaving as another host says, or that refuse
+// connections. It returns true if any of them was not yet known to be leaving.
 func (s *SharedPlacer) RecordLeaving(keys ...core.EndpointKey) bool {
-	isNew := false
-	s.Update(func(p *place.Placer) {
+	return s.updateLeaving(func(p *place.Placer) bool {
+		isNew := false
 		for _, key := range keys {
 			isNew = p.MarkLeaving(key) || isNew
 		}
+		return isNew
+	})
+}
+
+// NoteLeaving records that an endpoint said to this host that it is leaving. It returns true
+// if that was not known.
+func (s *SharedPlacer) NoteLeaving(key core.EndpointKey) bool {
+	return s.updateLeaving(func(p *place.Placer) bool { return p.NoteLeaving(key) })
+}
+
+// updateLeaving calls record and, if it returns true, tells those that wait for a change of
+// the endpoints.
+func (s *SharedPlacer) updateLeaving(record func(*place.Placer) bool) bool {
+	isNew := false
+	s.Update(func(p *place.Placer) {
+		isNew = record(p)
 		if isNew {
 			close(s.endpointsChanged)
 			s.endpointsChanged = make(chan struct{})
