io/logs: a line after Close is dropped

What operators saw: a host that stops ends with "panic: send on closed channel", exit status 2, in place of 0.

Cause: goroutines that nobody waits for, such as a pull of documents, may log after the process has closed its log, and Close closed the channel of lines.

TestLineAfterCloseIsDropped panics on the code before and passes now, also under the race detector.

Why it works: Close sets a flag and has the buffer written; the channel of lines is never closed. The same shape elsewhere: no other channel is closed while others may send to it; those of io/front and io/entry are closed by their owner to wake readers.

--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -38,16 +38,18 @@
 type Writer struct {
 	settings Settings
 	lines    chan []byte
-	done     chan struct{}
-	once     sync.Once
-	limit    *rate.Limiter
+	// closing is closed by Close, done once the buffered lines are written.
+	closing chan struct{}
+	done    chan struct{}
+	once    sync.Once
+	limit   *rate.Limiter
 	// unreported counts the lines dropped since the last notice.
 	unreported atomic.Int64
 }
 
 // New returns a writer and starts its goroutine, which runs until Close.
 func New(settings Settings) *Writer {
-	w := &Writer{settings: settings, lines: make(chan []byte, _bufferedLines), done: make(chan struct{}), limit: rate.NewLimiter(rate.Inf, 0)}
+	w := &Writer{settings: settings, lines: make(chan []byte, _bufferedLines), closing: make(chan struct{}), done: make(chan struct{}), limit: rate.NewLimiter(rate.Inf, 0)}
 	if n := settings.LinesPerSecond; n > 0 {
 		w.limit = rate.NewLimiter(rate.Limit(n), n*_burstSeconds)
 	}
@@ -57,7 +59,7 @@
 
 // Write queues one line or drops it. It never fails and never blocks.
 func (w *Writer) Write(line []byte) (int, error) {
-	if !w.limit.Allow() {
+	if w.closed() || !w.limit.Allow() {
 		w.drop()
 		return len(line), nil
 	}
@@ -70,26 +72,59 @@
 	return len(line), nil
 }
 
+// closed reports whether Close was called.
+func (w *Writer) closed() bool {
+	select {
+	case <-w.closing:
+		return true
+	default:
+		return false
+	}
+}
+
 func (w *Writer) drop() {
 	_dropped.Add(1)
 	w.unreported.Add(1)
 }
 
-// Close returns once the buffered lines are written. Write must not be called afterwards.
+// Close returns once the buffered lines are written. Lines of goroutines that end after it
+// are dropped.
 func (w *Writer) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.once.Do(func() { close(w.closing) })
 	<-w.done
 }
 
 func (w *Writer) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		w.reportDropped()
-		if _, err := w.settings.Out.Write(line); err != nil {
-			w.drop()
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		case <-w.closing:
+			w.writeBuffered()
+			return
 		}
 	}
+}
+
+// writeBuffered writes the lines that are in the buffer.
+func (w *Writer) writeBuffered() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		default:
+			w.reportDropped()
+			return
+		}
+	}
+}
+
+func (w *Writer) write(line []byte) {
 	w.reportDropped()
+	if _, err := w.settings.Out.Write(line); err != nil {
+		w.drop()
+	}
 }
 
 // reportDropped writes a notice if lines were dropped since the last one.
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -79,3 +79,18 @@
 		t.Errorf("%d lines and %d reported as dropped, want %d together", lines, dropped, written)
 	}
 }
+
+// A goroutine that outlives the host may log after Close; this must not end the process.
+func TestLineAfterCloseIsDropped(t *testing.T) {
+	var out bytes.Buffer
+	w := logs.New(logs.Settings{Out: &out})
+	_, _ = w.Write([]byte("before\n"))
+	w.Close()
+	if n, err := w.Write([]byte("after\n")); n != len("after\n") || err != nil {
+		t.Errorf("%d bytes, %v; want the line to be dropped", n, err)
+	}
+	w.Close()
+	if out.String() != "before\n" {
+		t.Errorf("wrote %q, want the line before Close", out.String())
+	}
+}
