io/entry: log and count the rate limits that endpoints name in answers

The header is parsed and its changes are logged and counted as EndpointNotices RateLimit; nothing is decided by it yet.

--- a/core/procs/place/notice.go
+++ b/core/procs/place/notice.go
@@ -17,6 +17,8 @@
 	leaving bool
 	// closedUntil is the time until which it asked this host for no requests.
 	closedUntil time.Time
+	// rate is the limit that it named for the requests of all hosts.
+	rate RateLimit
 }
 
 // notices holds the notices of incarnations that said anything, the oldest first.
--- a/core/routed.go
+++ b/core/routed.go
@@ -235,6 +235,7 @@
 	EndpointID       string
 	NotRun           string // marks a refusal: the request did not run
 	Leaving          string // "1" in the answers of an endpoint that is leaving
+	RateLimit        string // requests per second that the endpoint takes from all hosts together
 	Seal             string // marks a successful answer as written by the endpoint itself
 	Model            string
 	Tokens           string
--- a/io/entry/answers.go
+++ b/io/entry/answers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/procs/place"
 )
 
 // _maxClosed bounds how long an endpoint can ask for no requests.
@@ -23,6 +24,7 @@
 		_notices.Add("Leaving", 1)
 		h.peers.scheduleHeartbeat()
 	}
+	h.inspectRateLimit(endpoint, answer)
 	value := answer.Header.Get("Retry-After")
 	if answer.StatusCode != http.StatusServiceUnavailable || value == "" {
 		return
@@ -39,6 +41,27 @@
 	}
 }
 
+// inspectRateLimit records the rate limit that an endpoint names in an answer, or that it names
+// none.
+func (h *Host) inspectRateLimit(endpoint core.RoutedEndpoint, answer *http.Response) {
+	limit := place.RateLimit{SaidAt: time.Now()}
+	if value := answer.Header.Get(h.settings.Names.RateLimit); value != "" {
+		perSecond, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+			h.log.Info("An endpoint's rate limit cannot be understood.", "Endpoint", endpoint.ID, "Value", value)
+			return
+		}
+		limit.PerSecond, limit.IsNamed = perSecond, true
+	}
+	before, changed := h.sharedPlacer.NoteRateLimit(endpoint.Key(), limit)
+	if !changed {
+		return
+	}
+	h.log.Info("An endpoint's rate limit changed.", "Endpoint", endpoint.ID, "Named", limit.IsNamed, "PerSecond", limit.PerSecond,
+		"NamedBefore", before.IsNamed, "PerSecondBefore", before.PerSecond, "Status", answer.StatusCode)
+	_notices.Add("RateLimit", 1)
+}
+
 // parseRetryAfter returns the time that a Retry-After header asks for: seconds, with or
 // without a fraction, or a date. It is at most _maxClosed.
 func parseRetryAfter(value string, now time.Time) (time.Duration, bool) {
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -89,7 +89,7 @@
 				EndpointInterval: time.Second,
 			},
 		},
-		Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", Leaving: "Leaving", ExpectedEndpoint: "Expect", Tokens: "Tokens", Parts: "Parts"},
+		Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", Leaving: "Leaving", RateLimit: "Limit", ExpectedEndpoint: "Expect", Tokens: "Tokens", Parts: "Parts"},
 		Paths:  core.CallPaths{Ready: "/ready"},
 		Decode: decode,
 		Seed:   1,
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -111,6 +111,14 @@
 	return s.placer.CloseUntil(key, until)
 }
 
+// NoteRateLimit records what an answer of an endpoint says of its rate limit; see
+// place.Placer.NoteRateLimit.
+func (s *SharedPlacer) NoteRateLimit(key core.EndpointKey, limit place.RateLimit) (before place.RateLimit, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.NoteRateLimit(key, limit)
+}
+
 // opensAt returns when the first endpoint accepts a request if all asked for none; zero
 // otherwise.
 func (s *SharedPlacer) opensAt(spec *place.Spec) time.Time {
