core/procs/place: all hosts together keep to the rate limit that an endpoint names

Why it works: each host sends the endpoint one request in each interval, which is the number of hosts that may live divided by the limit; no host needs to hear another one. Ruled out: each host keeping to the whole limit (the code had no such thing), and the limit being read from some answers only (the first log line of io/entry shows any).

Hosts tell each other when a limit is named and when it ends, so that a large fleet does not learn of it by one request of each host.

--- a/core/procs/place/copies.go
+++ b/core/procs/place/copies.go
@@ -62,7 +62,7 @@
 	var target *endpoint
 	total := 0.0
 	for _, e := range p.services[spec.Request.Service] {
-		if e.engine == nil || e.unconfirmed() || !p.accepts(now, e, spec.Exclude) || now.Before(e.ColdUntil) {
+		if e.engine == nil || e.unconfirmed() || !p.accepts(now, e, spec.Exclude) || now.Before(e.ColdUntil) || p.isRateLimited(now, e) {
 			continue
 		}
 		room := float64(e.engine.MemoryTokens)*share - float64(e.ownLoad.Tokens+e.peerLoad.Tokens)
@@ -91,7 +91,7 @@
 // no work.
 func (p *Placer) PlaceOn(now time.Time, id string, request *core.RoutedRequest) (*Run, bool) {
 	e := p.endpoints[id]
-	if e == nil || p.outOfService[e.DataCentre] || e.Draining || e.notice.leaving || e.isClosed(now) || e.health.inBackoff(now) {
+	if e == nil || p.outOfService[e.DataCentre] || e.Draining || e.notice.leaving || e.isClosed(now) || e.health.inBackoff(now) || !p.hasPermit(now, e) {
 		return nil, false
 	}
 	need := p.requestLoad(request)
--- a/core/procs/place/notice.go
+++ b/core/procs/place/notice.go
@@ -18,7 +18,7 @@
 	// closedUntil is the time until which it asked this host for no requests.
 	closedUntil time.Time
 	// rate is the limit that it named for the requests of all hosts.
-	rate RateLimit
+	rate rateState
 }
 
 // notices holds the notices of incarnations that said anything, the oldest first.
@@ -112,19 +112,26 @@
 func (e *endpoint) isClosed(now time.Time) bool { return now.Before(e.notice.closedUntil) }
 
 // OpensAt returns when the first endpoint accepts a request if all that could still serve it
-// asked for none until some time; zero otherwise. An endpoint that turned the request away
-// itself counts among them.
+// asked for none until some time, or for few by a rate limit; zero otherwise. An endpoint that
+// turned the request away itself counts among them.
 func (p *Placer) OpensAt(now time.Time, spec *Spec) time.Time {
 	var first time.Time
 	for _, e := range p.services[spec.Request.Service] {
-		switch {
-		case !p.acceptsWhenOpen(now, e, nil):
-		case e.isClosed(now):
-			if first.IsZero() || e.notice.closedUntil.Before(first) {
-				first = e.notice.closedUntil
+		if !p.acceptsWhenOpen(now, e, nil) {
+			continue
+		}
+		opensAt := p.nextPermit(now, e)
+		if e.notice.closedUntil.After(opensAt) {
+			opensAt = e.notice.closedUntil
+		}
+		if !opensAt.After(now) {
+			if !slices.Contains(spec.Exclude, e.ID) {
+				return time.Time{}
 			}
-		case !slices.Contains(spec.Exclude, e.ID):
-			return time.Time{}
+			continue
+		}
+		if first.IsZero() || opensAt.Before(first) {
+			first = opensAt
 		}
 	}
 	return first
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -278,6 +278,9 @@
 	if now.Before(e.ColdUntil) {
 		e.coldRequests.add(now, _coldWindow)
 	}
+	if p.isRateLimited(now, e) {
+		p.usePermit(now, e)
+	}
 	return &Run{Endpoint: e.Endpoint, PriorLoad: priorLoad, MaxConnections: p.maxConnections(e.Service), load: need}
 }
 
@@ -304,6 +307,9 @@
 	if now.Before(e.ColdUntil) && !p.coldLimitAllows(now, e) {
 		return false
 	}
+	if !p.hasPermit(now, e) {
+		return false
+	}
 	if e.DataCentre != p.dataCentre && !e.ColdUntil.IsZero() && now.Before(e.ColdUntil.Add(_remoteWarmDelay)) {
 		return false
 	}
@@ -354,10 +360,10 @@
 	return (cost + used*_fullMemoryCostTokens) * e.health.costFactor()
 }
 
-// Usable reports whether an endpoint still accepts work.
+// Usable reports whether an endpoint still accepts work without a rate limit.
 func (p *Placer) Usable(now time.Time, id string) bool {
 	e := p.endpoints[id]
-	return e != nil && p.accepts(now, e, nil)
+	return e != nil && p.accepts(now, e, nil) && !p.isRateLimited(now, e)
 }
 
 // RecordPrefillDone records that a run's prompt has been read: its first event arrived.
--- a/core/procs/place/wait.go
+++ b/core/procs/place/wait.go
@@ -25,6 +25,9 @@
 	// turnAt is when the request may take the free room of an endpoint; zero while no
 	// room is available to it.
 	turnAt time.Time
+	// permitAt is when the rate limit of an endpoint next lets the request be sent; zero if
+	// no rate limit keeps it waiting.
+	permitAt time.Time
 }
 
 // Enqueue adds a request to the queue, which is ordered by priority and then by
@@ -62,6 +65,7 @@
 		return
 	}
 	blocked := make(map[core.ServiceName]bool)
+	permits := make(map[core.ServiceName]time.Time)
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Waiter) bool {
 		service := w.Spec.Request.Service
 		if blocked[service] {
@@ -71,7 +75,10 @@
 		e, verdict := p.pick(now, w.Spec)
 		if e == nil {
 			blocked[service] = verdict == Full && w.aged(now)
-			w.turnAt = time.Time{}
+			if _, known := permits[service]; !known {
+				permits[service] = p.firstPermit(now, service)
+			}
+			w.turnAt, w.permitAt = time.Time{}, permits[service]
 			return false
 		}
 		if w.turnAt.IsZero() {
@@ -106,18 +113,49 @@
 	return now.Sub(r.Arrived) > time.Duration(_agedGoalShare*float64(r.Route.Goal))
 }
 
-// NextTurn returns the earliest time at which a request that waits for its turn may be
-// granted; zero when none waits for one.
+// NextTurn returns the earliest time at which a request that waits for its turn, or for a
+// permit, may be granted; zero when none waits for one.
 func (p *Placer) NextTurn() time.Time {
 	var next time.Time
 	for _, w := range p.waiting {
-		if !w.turnAt.IsZero() && (next.IsZero() || w.turnAt.Before(next)) {
-			next = w.turnAt
+		for _, at := range []time.Time{w.turnAt, w.permitAt} {
+			if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+				next = at
+			}
 		}
 	}
 	return next
 }
 
+// MayBePlacedBy reports whether a request that finds no room now may be placed by a deadline if
+// it waits. It is false only if no endpoint that could serve it opens by then, or if the
+// permits of their rate limits do not suffice for the requests that wait already.
+func (p *Placer) MayBePlacedBy(now time.Time, spec *Spec, deadline time.Time) bool {
+	opensAt := p.OpensAt(now, spec)
+	if opensAt.IsZero() {
+		return true
+	}
+	if opensAt.After(deadline) {
+		return false
+	}
+	permits := 0
+	for _, e := range p.services[spec.Request.Service] {
+		if !p.acceptsWhenOpen(now, e, spec.Exclude) || e.notice.closedUntil.After(deadline) {
+			continue
+		}
+		if !p.isRateLimited(now, e) {
+			return true
+		}
+		permits += p.permitsUntil(now, e, deadline)
+	}
+	for _, w := range p.waiting {
+		if w.Spec.Request.Service == spec.Request.Service && w.Spec.Request.Priority <= spec.Request.Priority {
+			permits--
+		}
+	}
+	return permits > 0
+}
+
 // turnDelay returns how long a request waits before it takes an endpoint's room, so that
 // other hosts can take it first. The delay grows with this host's rank among those of
 // its data centre, by a hash that differs by endpoint and changes each second, so that no
--- a/io/entry/answers.go
+++ b/io/entry/answers.go
@@ -42,7 +42,8 @@
 }
 
 // inspectRateLimit records the rate limit that an endpoint names in an answer, or that it names
-// none.
+// none. The latter counts only in answers to requests of callers, which repeat the request's
+// ID: an endpoint might name its limit in no others.
 func (h *Host) inspectRateLimit(endpoint core.RoutedEndpoint, answer *http.Response) {
 	limit := place.RateLimit{SaidAt: time.Now()}
 	if value := answer.Header.Get(h.settings.Names.RateLimit); value != "" {
@@ -52,14 +53,19 @@
 			return
 		}
 		limit.PerSecond, limit.IsNamed = perSecond, true
+	} else if answer.Header.Get(h.settings.Names.RequestID) == "" {
+		return
 	}
-	before, changed := h.sharedPlacer.NoteRateLimit(endpoint.Key(), limit)
+	before, changed := h.sharedPlacer.RecordRateLimit(endpoint.Key(), limit)
 	if !changed {
 		return
 	}
 	h.log.Info("An endpoint's rate limit changed.", "Endpoint", endpoint.ID, "Named", limit.IsNamed, "PerSecond", limit.PerSecond,
 		"NamedBefore", before.IsNamed, "PerSecondBefore", before.PerSecond, "Status", answer.StatusCode)
 	_notices.Add("RateLimit", 1)
+	if limit.IsNamed != before.IsNamed {
+		h.peers.scheduleHeartbeat()
+	}
 }
 
 // parseRetryAfter returns the time that a Retry-After header asks for: seconds, with or
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 	// only the changed loads, for the hosts of the same data centre.
 	sendNow        chan struct{}
 	sendChangesNow chan struct{}
+	// rateLimitsDueAt is when all rate limits are next sent. Only run uses it.
+	rateLimitsDueAt time.Time
 
 	mu    sync.Mutex
 	state *gossip.State
@@ -46,18 +49,27 @@
 	pulling bool
 }
 
+// _rateLimitsInterval is how often a host sends all rate limits that hold, beside those that
+// changed: a fraction of the time after which a limit that is not named again is forgotten.
+const _rateLimitsInterval = 5 * time.Second
+
 // receive processes one datagram.
 func (p *peers) receive(ctx context.Context, datagram []byte) {
 	now := time.Now()
-	message, change, err := news.Decode(datagram, now)
-	if err != nil {
+	received, err := news.Decode(datagram, now)
+	switch {
+	case err != nil:
 		p.log.Error(err, "A heartbeat cannot be decoded.")
-		return
-	}
-	if change != nil {
-		p.receiveChange(now, change)
-		return
+	case received.LoadUpdate != nil:
+		p.receiveChange(now, received.LoadUpdate)
+	case received.RateLimits != nil:
+		p.receiveRateLimits(now, received.RateLimits)
+	default:
+		p.receiveHeartbeat(ctx, now, received.Message)
 	}
+}
+
+func (p *peers) receiveHeartbeat(ctx context.Context, now time.Time, message *news.Message) {
 	p.mu.Lock()
 	accepted, first := p.state.Receive(now, &message.Heartbeat)
 	hosts := p.state.CountMayLive(now)
@@ -98,6 +110,33 @@
 	p.sharedPlacer.Update(func(placer *place.Placer) { placer.UpdatePeerLoads(now, place.Source{Host: change.Host}, change.Loads) })
 }
 
+// receiveRateLimits records rate limits that endpoints named to other hosts, and has changes
+// passed on. They may come from a host that is not known yet.
+func (p *peers) receiveRateLimits(now time.Time, report *news.RateLimits) {
+	for _, limit := range report.Limits {
+		before, changed := p.sharedPlacer.RecordRateLimit(limit.Key, limit.RateLimit)
+		if !changed {
+			continue
+		}
+		p.log.Info("Another host reports an endpoint's rate limit.", "Host", report.Host, "Endpoint", limit.Key.ID, "Named", limit.IsNamed,
+			"PerSecond", limit.PerSecond, "NamedBefore", before.IsNamed, "Age", now.Sub(limit.SaidAt).Milliseconds())
+		if limit.IsNamed != before.IsNamed {
+			p.scheduleHeartbeat()
+		}
+	}
+}
+
+// sendRateLimits sends the rate limits that changed lately or, if all is true, all that hold.
+func (p *peers) sendRateLimits(now time.Time, all bool, targets []string) {
+	report := news.RateLimits{Host: p.self.Host}
+	p.sharedPlacer.WithLock(func(placer *place.Placer) { report.Limits = placer.RateLimits(now, all) })
+	if len(report.Limits) == 0 {
+		return
+	}
+	datagram, err := news.EncodeRateLimits(&report, now)
+	p.sendTo(datagram, err, targets)
+}
+
 // sendWelcome answers the first heartbeat of a host with one that names other hosts.
 func (p *peers) sendWelcome(now time.Time, to gossip.Contact) {
 	message := p.newMessage(now)
@@ -106,6 +145,7 @@
 	message.KnownHosts = p.state.WelcomeHosts(now, to.DataCentre)
 	p.mu.Unlock()
 	p.sendMessage(message, []string{to.Heartbeat})
+	p.sendRateLimits(now, true, []string{to.Heartbeat})
 }
 
 // compareSyncStatus compares the sync status of another host with that of this host. If
@@ -247,6 +287,11 @@
 	p.sendMessage(message, local)
 	p.sharedPlacer.WithLock(func(placer *place.Placer) { message.Loads = placer.DataCentreLoads() })
 	p.sendMessage(message, remote)
+	all := !now.Before(p.rateLimitsDueAt)
+	if all {
+		p.rateLimitsDueAt = now.Add(_rateLimitsInterval)
+	}
+	p.sendRateLimits(now, all, slices.Concat(local, remote))
 }
 
 // newMessage returns a heartbeat without loads.
--- a/io/entry/rate_test.go
+++ b/io/entry/rate_test.go
@@ -103,3 +103,43 @@
 		t.Errorf("answers by status %v, want 200 only", statuses)
 	}
 }
+
+// While no host may send an endpoint a request, requests are refused at once with the time at
+// which the host may. Once the endpoint names its limit to none any more, all hosts use it
+// again, although only one got an answer that said so.
+func TestNamedLimitEndsOnAllHosts(t *testing.T) {
+	s := newSite(t, 3)
+	s.store.Put("config", `{"Version":1,"Prefix":"/a/"}`)
+	limited := &limitedEndpoint{}
+	s.endpoint("limited", limited.serve)
+	s.eventually("all serve", 2*time.Second, s.allServe("/a/", "limited"))
+	time.Sleep(2 * time.Second) // a host that has just started uses no limit of all hosts
+	limited.setLimit("1")
+	_, _ = s.get(s.front[0], "/a/")
+	time.Sleep(_limitSpread)
+	refused := 0
+	for _, address := range s.front {
+		began := time.Now()
+		status, header := s.getHeader(address, "/a/")
+		if status == 200 {
+			continue // the host's permit was due
+		}
+		refused++
+		retryAfter, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		if status != 503 || err != nil || retryAfter <= 0 || time.Since(began) > time.Second {
+			t.Errorf("status %d with Retry-After %q after %v, want 503 within the route's goal", status, header.Get("Retry-After"), time.Since(began))
+		}
+	}
+	if refused == 0 {
+		t.Error("no host refused a request although the endpoint takes one per second")
+	}
+	limited.setLimit("")
+	s.eventually("a host learns that the limit ended", 10*time.Second, func() bool {
+		status, _ := s.get(s.front[0], "/a/")
+		return status == 200
+	})
+	s.eventually("all hosts use the endpoint again", _limitSpread, s.allServe("/a/", "limited"))
+	if !s.allServe("/a/", "limited")() {
+		t.Error("a host refuses requests although the limit has ended")
+	}
+}
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -111,12 +111,12 @@
 	return s.placer.CloseUntil(key, until)
 }
 
-// NoteRateLimit records what an answer of an endpoint says of its rate limit; see
-// place.Placer.NoteRateLimit.
-func (s *SharedPlacer) NoteRateLimit(key core.EndpointKey, limit place.RateLimit) (before place.RateLimit, changed bool) {
+// RecordRateLimit records what an endpoint said of its rate limit; see
+// place.Placer.RecordRateLimit.
+func (s *SharedPlacer) RecordRateLimit(key core.EndpointKey, limit place.RateLimit) (before place.RateLimit, changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.placer.NoteRateLimit(key, limit)
+	return s.placer.RecordRateLimit(time.Now(), key, limit)
 }
 
 // opensAt returns when the first endpoint accepts a request if all asked for none; zero
@@ -147,7 +147,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	run, verdict := s.placer.Place(now, spec)
-	if verdict == place.Placed || !now.Before(deadline) || s.placer.OpensAt(now, spec).After(deadline) {
+	if verdict == place.Placed || !now.Before(deadline) || !s.placer.MayBePlacedBy(now, spec, deadline) {
 		s.mu.Unlock()
 		return run, verdict
 	}
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -58,10 +58,25 @@
 	Loads       map[string]place.Load
 }
 
+// RateLimits holds rate limits that endpoints named, or no longer name. They are sent apart from
+// heartbeats and rarely: hosts that do not know them understand the heartbeats all the same.
+type RateLimits struct {
+	Host   core.HostName
+	Limits []place.EndpointRateLimit
+}
+
+// Datagram is what was received: one of its fields is set.
+type Datagram struct {
+	Message    *Message
+	LoadUpdate *LoadUpdate
+	RateLimits *RateLimits
+}
+
 // The first byte of a datagram is the kind of what follows.
 const (
 	_kindMessage    = 1
 	_kindLoadUpdate = 2
+	_kindRateLimits = 3
 )
 
 // Encode returns the datagram of a message that is sent now.
@@ -72,6 +87,11 @@
 	return encode(_kindLoadUpdate, &wireLoadUpdate{Host: string(c.Host), Incarnation: c.Incarnation, Loads: loadsToWire(c.Loads)})
 }
 
+// EncodeRateLimits returns the datagram of rate limits that is sent now.
+func EncodeRateLimits(r *RateLimits, now time.Time) ([]byte, error) {
+	return encode(_kindRateLimits, rateLimitsToWire(r, now))
+}
+
 func encode(kind byte, wire any) ([]byte, error) {
 	b, err := cbor.Marshal(wire)
 	if err != nil {
@@ -80,30 +100,35 @@
 	return append([]byte{kind}, b...), nil
 }
 
-// Decode decodes a datagram that was received now. It returns either a message or changed
-// loads; the other one is nil.
-func Decode(b []byte, now time.Time) (*Message, *LoadUpdate, error) {
+// Decode decodes a datagram that was received now.
+func Decode(b []byte, now time.Time) (Datagram, error) {
 	if len(b) == 0 {
-		return nil, nil, errors.New("decode a datagram: it is empty")
+		return Datagram{}, errors.New("decode a datagram: it is empty")
 	}
 	switch kind := b[0]; kind {
 	case _kindMessage:
 		var w wireMessage
 		if err := cbor.Unmarshal(b[1:], &w); err != nil {
-			return nil, nil, fmt.Errorf("decode a heartbeat: %w", err)
+			return Datagram{}, fmt.Errorf("decode a heartbeat: %w", err)
 		}
 		if w.From.Host == "" {
-			return nil, nil, errors.New("decode a heartbeat: the sender has no name")
+			return Datagram{}, errors.New("decode a heartbeat: the sender has no name")
 		}
-		return fromWire(&w, now), nil, nil
+		return Datagram{Message: fromWire(&w, now)}, nil
 	case _kindLoadUpdate:
 		var w wireLoadUpdate
 		if err := cbor.Unmarshal(b[1:], &w); err != nil {
-			return nil, nil, fmt.Errorf("decode changed loads: %w", err)
+			return Datagram{}, fmt.Errorf("decode changed loads: %w", err)
+		}
+		return Datagram{LoadUpdate: &LoadUpdate{Host: core.HostName(w.Host), Incarnation: w.Incarnation, Loads: loadsFromWire(w.Loads)}}, nil
+	case _kindRateLimits:
+		var w wireRateLimits
+		if err := cbor.Unmarshal(b[1:], &w); err != nil {
+			return Datagram{}, fmt.Errorf("decode rate limits: %w", err)
 		}
-		return nil, &LoadUpdate{Host: core.HostName(w.Host), Incarnation: w.Incarnation, Loads: loadsFromWire(w.Loads)}, nil
+		return Datagram{RateLimits: rateLimitsFromWire(&w, now)}, nil
 	default:
-		return nil, nil, fmt.Errorf("decode a datagram: unknown kind %d", kind)
+		return Datagram{}, fmt.Errorf("decode a datagram: unknown kind %d", kind)
 	}
 }
 
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -48,9 +49,31 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, _, err := news.Decode(b, _now)
-	if err != nil || !reflect.DeepEqual(got, want) {
-		t.Errorf("%+v, %v; want %+v", got, err, want)
+	got, err := news.Decode(b, _now)
+	if err != nil || !reflect.DeepEqual(got, news.Datagram{Message: want}) {
+		t.Errorf("%+v, %v; want %+v", got.Message, err, want)
+	}
+}
+
+func TestRateLimitsRoundTrip(t *testing.T) {
+	want := &news.RateLimits{Host: "edge-austin-a-1", Limits: []place.EndpointRateLimit{
+		{Key: core.EndpointKey{ID: "i-845a0314c1", Born: _now}, RateLimit: place.RateLimit{PerSecond: 3.6, IsNamed: true, SaidAt: _now.Add(-time.Second)}},
+		{Key: core.EndpointKey{ID: "i-98fbdc470e", Born: _now}, RateLimit: place.RateLimit{SaidAt: _now}},
+	}}
+	b, err := news.EncodeRateLimits(want, _now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := news.Decode(b, _now)
+	if err != nil || !reflect.DeepEqual(got, news.Datagram{RateLimits: want}) {
+		t.Errorf("%+v, %v; want %+v", got.RateLimits, err, want)
+	}
+	want.Limits = append(want.Limits, place.EndpointRateLimit{RateLimit: place.RateLimit{PerSecond: math.NaN(), IsNamed: true}})
+	if b, err = news.EncodeRateLimits(want, _now); err != nil {
+		t.Fatal(err)
+	}
+	if got, err = news.Decode(b, _now); err != nil || len(got.RateLimits.Limits) != 2 {
+		t.Errorf("%+v, %v; want no limit that is not a number", got.RateLimits, err)
 	}
 }
 
@@ -66,9 +89,9 @@
 	if err != nil || len(b) > maxBytes {
 		t.Fatalf("%d bytes, %v; want %d at most", len(b), err, maxBytes)
 	}
-	message, got, err := news.Decode(b, _now)
-	if err != nil || message != nil || !reflect.DeepEqual(got, want) {
-		t.Errorf("%+v, %v; want %+v", got, err, want)
+	got, err := news.Decode(b, _now)
+	if err != nil || !reflect.DeepEqual(got, news.Datagram{LoadUpdate: want}) {
+		t.Errorf("%+v, %v; want %+v", got.LoadUpdate, err, want)
 	}
 }
 
@@ -81,7 +104,7 @@
 	if err != nil || len(b) > 16<<10 {
 		t.Fatalf("%d bytes, %v", len(b), err)
 	}
-	if got, _, err := news.Decode(b, _now); err != nil || got.Loads["i-busy"].Prefill != 1<<20 {
+	if got, err := news.Decode(b, _now); err != nil || got.Message.Loads["i-busy"].Prefill != 1<<20 {
 		t.Errorf("the load of the busiest endpoint is missing: %v", err)
 	}
 }
@@ -144,12 +167,23 @@
 		f.Fatal(err)
 	}
 	f.Add(change)
+	limits, err := news.EncodeRateLimits(&news.RateLimits{Host: "h", Limits: []place.EndpointRateLimit{{RateLimit: place.RateLimit{PerSecond: 3, IsNamed: true, SaidAt: _now}}}}, _now)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(limits)
 	f.Fuzz(func(t *testing.T, b []byte) {
-		m, c, err := news.Decode(b, _now)
-		if err == nil && (m == nil) == (c == nil) {
-			t.Errorf("decoded message %v and changed loads %v, want exactly one of them", m, c)
+		d, err := news.Decode(b, _now)
+		n := 0
+		for _, isSet := range []bool{d.Message != nil, d.LoadUpdate != nil, d.RateLimits != nil} {
+			if isSet {
+				n++
+			}
+		}
+		if err == nil && n != 1 || err != nil && n != 0 {
+			t.Errorf("decoded %+v with error %v, want exactly one field or an error", d, err)
 		}
-		if m != nil && m.From.Host == "" {
+		if d.Message != nil && d.Message.From.Host == "" {
 			t.Error("a heartbeat without a sender was accepted")
 		}
 	})
@@ -167,7 +201,7 @@
 		if datagram, err = news.EncodeLoadUpdate(change); err != nil {
 			b.Fatal(err)
 		}
-		if _, _, err := news.Decode(datagram, _now); err != nil {
+		if _, err := news.Decode(datagram, _now); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -185,7 +219,7 @@
 				if datagram, err = news.Encode(m, _now); err != nil {
 					b.Fatal(err)
 				}
-				if _, _, err := news.Decode(datagram, _now); err != nil {
+				if _, err := news.Decode(datagram, _now); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -44,6 +45,20 @@
 		Loads       []wireLoad
 	}
 
+	wireRateLimits struct {
+		_      struct{} `cbor:",toarray"`
+		Host   string
+		Limits []wireRateLimit
+	}
+
+	wireRateLimit struct {
+		_         struct{} `cbor:",toarray"`
+		Endpoint  wireIncarnation
+		IsNamed   bool
+		PerSecond float64
+		AgeMs     int64
+	}
+
 	wireIncarnation struct {
 		_      struct{} `cbor:",toarray"`
 		ID     string
@@ -100,7 +115,7 @@
 		Epoch: m.SyncStatus.Epoch, Version: m.SyncStatus.Version, Kept: m.SyncStatus.Kept, Since: m.SyncStatus.CompleteSince,
 	}
 	for _, key := range m.Leaving {
-		w.Leaving = append(w.Leaving, wireIncarnation{ID: key.ID, BornMs: key.Born.UnixMilli()})
+		w.Leaving = append(w.Leaving, keyToWire(key))
 	}
 	for _, c := range m.KnownHosts {
 		w.Others = append(w.Others, contactToWire(c))
@@ -137,6 +152,43 @@
 	return r
 }
 
+// _maxRateLimits bounds the rate limits that one datagram reports, so that they fit into it.
+const _maxRateLimits = 128
+
+// rateLimitsToWire returns a report that is sent now. Hosts' clocks differ, so times are sent
+// as ages.
+func rateLimitsToWire(r *RateLimits, now time.Time) *wireRateLimits {
+	w := &wireRateLimits{Host: string(r.Host)}
+	for _, l := range r.Limits[:min(len(r.Limits), _maxRateLimits)] {
+		w.Limits = append(w.Limits, wireRateLimit{
+			Endpoint: keyToWire(l.Key), IsNamed: l.IsNamed, PerSecond: l.PerSecond, AgeMs: now.Sub(l.SaidAt).Milliseconds(),
+		})
+	}
+	return w
+}
+
+// rateLimitsFromWire drops limits that no endpoint names.
+func rateLimitsFromWire(w *wireRateLimits, now time.Time) *RateLimits {
+	r := &RateLimits{Host: core.HostName(w.Host)}
+	for _, l := range w.Limits {
+		if !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 0) || l.AgeMs < 0 {
+			continue
+		}
+		r.Limits = append(r.Limits, place.EndpointRateLimit{
+			Key: keyFromWire(l.Endpoint), RateLimit: place.RateLimit{PerSecond: l.PerSecond, IsNamed: l.IsNamed, SaidAt: now.Add(-milliseconds(l.AgeMs))},
+		})
+	}
+	return r
+}
+
+func keyToWire(key core.EndpointKey) wireIncarnation {
+	return wireIncarnation{ID: key.ID, BornMs: key.Born.UnixMilli()}
+}
+
+func keyFromWire(w wireIncarnation) core.EndpointKey {
+	return core.EndpointKey{ID: w.ID, Born: time.UnixMilli(w.BornMs).UTC()}
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func loadsToWire(loads map[string]place.Load) []wireLoad {
@@ -164,7 +216,7 @@
 		SyncStatus: gossip.SyncStatus{Epoch: w.Epoch, Version: w.Version, Kept: w.Kept, CompleteSince: w.Since, AsOf: w.AsOf, Changed: w.Changed, Age: time.Duration(w.AgeMs) * time.Millisecond},
 	}}
 	for _, l := range w.Leaving {
-		m.Leaving = append(m.Leaving, core.EndpointKey{ID: l.ID, Born: time.UnixMilli(l.BornMs).UTC()})
+		m.Leaving = append(m.Leaving, keyFromWire(l))
 	}
 	for _, c := range w.Others {
 		m.KnownHosts = append(m.KnownHosts, contactFromWire(c))
