io/front: log the digest of each request that is tried

The logs of the incident (docs/incidents/0009) do not tell whether the requests that were lost at each crash were the same one. Nothing is decided by the digest yet.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -13,6 +13,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/place"
+	"apricotproxy/core/procs/poison"
 	"apricotproxy/core/reqst/event"
 	"apricotproxy/core/reqst/tries"
 	"apricotproxy/io/links"
@@ -46,6 +47,8 @@
 	tries      *tries.Tries
 	// sharedParts are the IDs of the prompt's parts that other requests may share.
 	sharedParts []string
+	// knownDigest is the request's digest once it was needed.
+	knownDigest poison.Digest
 	// buffered is the memory of answers that are read before they are relayed.
 	buffered share
 	// successRecorded is true once the prompt was recorded as harmless to engines.
@@ -109,6 +112,15 @@
 	err       error
 }
 
+// digest identifies what the request asks for.
+func (e *exchange) digest() poison.Digest {
+	if e.knownDigest == (poison.Digest{}) {
+		r := e.incoming
+		e.knownDigest = poison.DigestOf(r.Method, r.Host, r.RequestURI, e.request.Workspace, e.request.body)
+	}
+	return e.knownDigest
+}
+
 func (e *exchange) placer() *SharedPlacer { return e.front.config.SharedPlacer }
 
 // serve makes tries until the request has its answer.
@@ -278,7 +290,7 @@
 	defer cancel(nil)
 	slowTimer := e.startSlowTimer(func() { cancel(errSlow) })
 	defer slowTimer.Stop()
-	e.log("A try begins.", "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.endpoint().ID,
+	e.log("A try begins.", "Digest", e.digest().String(), "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.endpoint().ID,
 		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.sharedParts, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
 		"Runs", e.run.PriorLoad.Runs, "Tokens", e.run.PriorLoad.Tokens, "Prefill", e.run.PriorLoad.Prefill)
 	answer, err := e.front.config.Links.Do(tryCtx, endpoint.RoutedEndpoint, e.outgoing(from))
