io/entry: TestRequestThatCrashesEndpoints, which fails

Three hosts before endpoints that end at one request: each of twelve repeats after the third crash takes down another endpoint, where three may.

--- /dev/null
+++ b/io/entry/deadly_test.go
@@ -0,0 +1,124 @@
+package entry_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"apricotproxy/fakes/routed"
+)
+
+const (
+	_deadlyEndpoints = 4
+	// _restartTime is how long it takes until another endpoint replaces one that crashed.
+	_restartTime = 200 * time.Millisecond
+	// _minCrashes is the number of endpoints that a request may crash before it is contained,
+	// and _maxLateRequests how many may reach endpoints _crashSpread later. Both are the users'.
+	_minCrashes      = 3
+	_maxLateRequests = 3
+)
+
+// deadlySite is three hosts before endpoints that end when they run a request for a path with
+// "deadly" in it. Another one starts for each that ended.
+type deadlySite struct {
+	*site
+	// crashes counts the endpoints that ended.
+	crashes atomic.Int64
+	mu      sync.Mutex
+	started int
+	sent    atomic.Int64
+}
+
+func newDeadlySite(t *testing.T) *deadlySite {
+	t.Helper()
+	s := &deadlySite{site: newSite(t, 3)}
+	s.store.Put("config", `{"Version":1,"Prefix":"/a/"}`)
+	for range _deadlyEndpoints {
+		s.startEndpoint()
+	}
+	s.eventually("all serve", 2*time.Second, s.soundServed)
+	return s
+}
+
+func (s *deadlySite) startEndpoint() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.t.Context().Err() != nil {
+		return // the test has ended
+	}
+	s.started++
+	name := fmt.Sprint("e", s.started)
+	ready := make(chan struct{}) // closed once endpoint is set
+	var endpoint *routed.Endpoint
+	endpoint, err := routed.Start(func(c *routed.Call) bool {
+		if !strings.Contains(c.RequestURI, "deadly") {
+			c.Answer(200, "sound", "Request-Id: "+c.Header.Get("Request-Id"), "Seal: s")
+			return true
+		}
+		<-ready
+		s.crashes.Add(1)
+		s.store.Delete(name)
+		endpoint.Close()
+		time.AfterFunc(_restartTime, s.startEndpoint)
+		return false
+	})
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	close(ready)
+	s.t.Cleanup(endpoint.Close)
+	s.store.Put(name, endpoint.Address)
+}
+
+// send sends a request with an ID of its own to a host.
+func (s *deadlySite) send(host int, path string) int {
+	status, _ := s.get(s.front[host], path, fmt.Sprintf("Request-Id: r%d", s.sent.Add(1)))
+	return status
+}
+
+// soundServed reports whether all hosts serve sound requests.
+func (s *deadlySite) soundServed() bool {
+	for host := range s.front {
+		if s.send(host, fmt.Sprint("/a/sound", s.sent.Load())) != 200 {
+			return false
+		}
+	}
+	return true
+}
+
+// crash sends a deadly request to the hosts in turn until it has crashed _minCrashes endpoints.
+func (s *deadlySite) crash(path string) {
+	for i := 0; s.crashes.Load() < _minCrashes; i++ {
+		s.send(i%len(s.front), path)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// checkContained fails the test if more than _maxLateRequests of a deadly request reach
+// endpoints, or if one is not refused.
+func (s *deadlySite) checkContained(path string) {
+	s.t.Helper()
+	time.Sleep(_crashSpread)
+	before := s.crashes.Load()
+	for i := range 12 {
+		if status := s.send(i%len(s.front), path); status != 503 && status != 502 {
+			s.t.Errorf("a request that crashes endpoints got status %d", status)
+		}
+	}
+	if late := s.crashes.Load() - before; late > _maxLateRequests {
+		s.t.Errorf("the request crashed %d endpoints more, want at most %d", late, _maxLateRequests)
+	}
+	s.eventually("all serve sound requests", 2*time.Second, s.soundServed)
+}
+
+// A request that has crashed three endpoints hardly reaches any more, at whichever host it
+// arrives and under whichever ID.
+func TestRequestThatCrashesEndpoints(t *testing.T) {
+	s := newDeadlySite(t)
+	s.crash("/a/deadly")
+	s.checkContained("/a/deadly")
+}
