core/procs/poison: block requests that crash each endpoint that runs them

Cause: the loss of a connection counted as the endpoint's failure alone. The request was sent to a second endpoint, its caller sent it again, and no host knew that it was the same one.

Why it works: requests with the same method, host name, path, workspace and body have one digest. Hosts tell each other of each connection that was lost before an answer. A request lost with three endpoints is refused on all hosts until the losses expire; that lifts itself if one of the endpoints answers later, or the request does. What was lost beside it is explained by it and not blocked.

--- /dev/null
+++ b/core/procs/poison/request.go
@@ -0,0 +1,348 @@
+package poison
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+
+	"apricotproxy/core"
+)
+
+const (
+	// _minCrashes is the number of endpoints that a request must have crashed to be blocked.
+	_minCrashes = 3
+	// _signDelay is how long after a loss an answer of the same endpoint shows that it did not
+	// end then: an answer that was sent before may take some time to be read.
+	_signDelay = 500 * time.Millisecond
+	// _unconfirmedTime is how long after the latest loss a block may still be lifted soon, by a
+	// sign of life. Callers are told to come back after it.
+	_unconfirmedTime = time.Second
+	// The most that is kept of each.
+	_maxRequestLosses = 1024
+	_maxSigns         = 1024
+	// _maxReported bounds each list of a report, which must fit into a datagram.
+	_maxReported = 64
+	// _relayTime is how long this host passes on what it learned from another data centre: a
+	// heartbeat interval. Several hosts of this data centre are told.
+	_relayTime = 250 * time.Millisecond
+)
+
+// RequestLoss is the loss of a request's connection to an endpoint before anything of its
+// answer could be used.
+type RequestLoss struct {
+	Request  Digest
+	Endpoint core.EndpointKey
+	At       time.Time
+}
+
+// SignOfLife is an answer of an endpoint that lost requests before.
+type SignOfLife struct {
+	Endpoint core.EndpointKey
+	At       time.Time
+}
+
+// RequestSuccess is an answer to a request that endpoints had lost before.
+type RequestSuccess struct {
+	Request Digest
+	At      time.Time
+}
+
+// RequestReport is what a host tells the others of requests that may crash endpoints.
+type RequestReport struct {
+	Losses    []RequestLoss
+	Signs     []SignOfLife
+	Successes []RequestSuccess
+}
+
+// Origin is who saw what this host learns of a request.
+type Origin uint8
+
+// Origins.
+const (
+	Own Origin = iota + 1
+	SameDataCentre
+	OtherDataCentre
+)
+
+// sighting is when something happened, when this host learned of it, and from whom.
+type sighting struct {
+	at, learnedAt time.Time
+	origin        Origin
+}
+
+// isReported reports whether hosts of the own data centre, or of another one, are told. Who saw
+// something tells all others; what came from another data centre is passed on once.
+func (s sighting) isReported(now time.Time, toOther bool) bool {
+	switch s.origin {
+	case Own:
+		return now.Sub(s.learnedAt) < _announceTime
+	case OtherDataCentre:
+		return !toOther && now.Sub(s.learnedAt) < _relayTime
+	default:
+		return false
+	}
+}
+
+// RequestDetector finds requests that crash each endpoint that begins to run them, and blocks
+// them. It is not safe for concurrent use.
+//
+// All requests that run on an endpoint are lost when it ends. The one that crashes it is
+// lost with each endpoint that it reaches, and is never answered. So a request is
+// blocked while it was lost with _minCrashes endpoints that no other blocked request was lost
+// with; the one lost with most endpoints comes first. A loss counts until its endpoint gives
+// a sign of life, which an endpoint that only closes connections does soon, or until
+// the request is answered anywhere. All hosts come to the same result from the same losses.
+type RequestDetector struct {
+	losses    map[Digest]map[core.EndpointKey]sighting
+	signs     map[core.EndpointKey]sighting
+	successes map[Digest]sighting
+	blocked   map[Digest]time.Time
+	// count is the number of losses.
+	count int
+}
+
+// NewRequestDetector returns a detector that knows nothing.
+func NewRequestDetector() *RequestDetector {
+	return &RequestDetector{
+		losses: make(map[Digest]map[core.EndpointKey]sighting), signs: make(map[core.EndpointKey]sighting),
+		successes: make(map[Digest]sighting), blocked: make(map[Digest]time.Time),
+	}
+}
+
+// RecordLoss records a loss. It reports whether it was not known and counts.
+func (d *RequestDetector) RecordLoss(now time.Time, origin Origin, loss RequestLoss) bool {
+	if _, known := d.losses[loss.Request][loss.Endpoint]; known || now.Sub(loss.At) > _lifetime {
+		return false
+	}
+	if d.signs[loss.Endpoint].at.After(loss.At.Add(_signDelay)) || !loss.At.After(d.successes[loss.Request].at) {
+		return false
+	}
+	if d.losses[loss.Request] == nil {
+		d.losses[loss.Request] = make(map[core.EndpointKey]sighting)
+	}
+	d.losses[loss.Request][loss.Endpoint] = sighting{at: loss.At, learnedAt: now, origin: origin}
+	d.count++
+	if d.count > _maxRequestLosses {
+		d.dropLeastEvidence()
+	}
+	d.update()
+	return true
+}
+
+// dropLeastEvidence drops all losses of one of the requests with the fewest, the one whose
+// first loss is the oldest.
+func (d *RequestDetector) dropLeastEvidence() {
+	var least Digest
+	var leastFirst time.Time
+	for request, losses := range d.losses {
+		first := time.Time{}
+		for _, s := range losses {
+			if first.IsZero() || s.at.Before(first) {
+				first = s.at
+			}
+		}
+		fewer := len(losses) - len(d.losses[least])
+		if leastFirst.IsZero() || fewer < 0 || fewer == 0 && first.Before(leastFirst) {
+			least, leastFirst = request, first
+		}
+	}
+	d.dropRequest(least)
+}
+
+func (d *RequestDetector) dropRequest(request Digest) {
+	d.count -= len(d.losses[request])
+	delete(d.losses, request)
+}
+
+// IsIdle reports whether no losses are known, so that signs of life and successes say nothing.
+func (d *RequestDetector) IsIdle() bool { return d.count == 0 }
+
+// RecordSign records that an endpoint answered. It reports whether losses were dropped.
+func (d *RequestDetector) RecordSign(now time.Time, origin Origin, sign SignOfLife) bool {
+	dropped := false
+	for request, losses := range d.losses {
+		loss, lost := losses[sign.Endpoint]
+		if !lost || !sign.At.After(loss.at.Add(_signDelay)) {
+			continue
+		}
+		dropped = true
+		d.count--
+		delete(losses, sign.Endpoint)
+		if len(losses) == 0 {
+			delete(d.losses, request)
+		}
+	}
+	if !dropped {
+		return false
+	}
+	if len(d.signs) >= _maxSigns {
+		clear(d.signs)
+	}
+	d.signs[sign.Endpoint] = sighting{at: sign.At, learnedAt: now, origin: origin}
+	d.update()
+	return true
+}
+
+// RecordSuccess records that a request was answered. It reports whether losses were dropped.
+func (d *RequestDetector) RecordSuccess(now time.Time, origin Origin, success RequestSuccess) bool {
+	dropped := false
+	for endpoint, loss := range d.losses[success.Request] {
+		if !loss.at.After(success.At) {
+			dropped = true
+			d.count--
+			delete(d.losses[success.Request], endpoint)
+		}
+	}
+	if !dropped {
+		return false
+	}
+	if len(d.losses[success.Request]) == 0 {
+		delete(d.losses, success.Request)
+	}
+	if len(d.successes) >= _maxSigns {
+		clear(d.successes)
+	}
+	d.successes[success.Request] = sighting{at: success.At, learnedAt: now, origin: origin}
+	d.update()
+	return true
+}
+
+// Settle drops what has expired.
+func (d *RequestDetector) Settle(now time.Time) {
+	if d.IsIdle() {
+		return
+	}
+	for request, losses := range d.losses {
+		for endpoint, loss := range losses {
+			if now.Sub(loss.at) > _lifetime {
+				d.count--
+				delete(losses, endpoint)
+			}
+		}
+		if len(losses) == 0 {
+			delete(d.losses, request)
+		}
+	}
+	d.update()
+}
+
+// update determines which requests are blocked.
+func (d *RequestDetector) update() {
+	clear(d.blocked)
+	var candidates []Digest
+	for request, losses := range d.losses {
+		if len(losses) >= _minCrashes {
+			candidates = append(candidates, request)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b Digest) int {
+		return cmp.Or(len(d.losses[b])-len(d.losses[a]), bytes.Compare(a[:], b[:]))
+	})
+	explained := make(map[core.EndpointKey]bool)
+	for _, request := range candidates {
+		unexplained := 0
+		var latest time.Time
+		for endpoint, loss := range d.losses[request] {
+			if !explained[endpoint] {
+				unexplained++
+			}
+			if loss.at.After(latest) {
+				latest = loss.at
+			}
+		}
+		if unexplained < _minCrashes {
+			continue
+		}
+		for endpoint := range d.losses[request] {
+			explained[endpoint] = true
+		}
+		d.blocked[request] = latest
+	}
+}
+
+// Blocked reports whether a request is refused, and when its caller may come back.
+func (d *RequestDetector) Blocked(now time.Time, request Digest) (until time.Time, blocked bool) {
+	latest, blocked := d.blocked[request]
+	if !blocked {
+		return time.Time{}, false
+	}
+	if now.Before(latest.Add(_unconfirmedTime)) {
+		return now.Add(_unconfirmedTime), true
+	}
+	return latest.Add(_lifetime), true
+}
+
+// BlockedRequests lists the blocked requests, in a fixed order.
+func (d *RequestDetector) BlockedRequests() []Digest {
+	requests := make([]Digest, 0, len(d.blocked))
+	for request := range d.blocked {
+		requests = append(requests, request)
+	}
+	slices.SortFunc(requests, func(a, b Digest) int { return bytes.Compare(a[:], b[:]) })
+	return requests
+}
+
+// Merge adds what another host reported.
+func (d *RequestDetector) Merge(now time.Time, origin Origin, report *RequestReport) {
+	for _, loss := range report.Losses {
+		d.RecordLoss(now, origin, loss)
+	}
+	for _, sign := range report.Signs {
+		d.RecordSign(now, origin, sign)
+	}
+	for _, success := range report.Successes {
+		d.RecordSuccess(now, origin, success)
+	}
+}
+
+// Report returns what hosts of the own data centre or, if toOther is true, of another one are
+// told of what this host learned lately. Losses of requests lost with most endpoints come first.
+func (d *RequestDetector) Report(now time.Time, toOther bool) RequestReport {
+	var r RequestReport
+	for request, losses := range d.losses {
+		for endpoint, loss := range losses {
+			if loss.isReported(now, toOther) {
+				r.Losses = append(r.Losses, RequestLoss{Request: request, Endpoint: endpoint, At: loss.at})
+			}
+		}
+	}
+	slices.SortFunc(r.Losses, func(a, b RequestLoss) int {
+		return cmp.Or(len(d.losses[b.Request])-len(d.losses[a.Request]), b.At.Compare(a.At), bytes.Compare(a.Request[:], b.Request[:]))
+	})
+	r.Losses = r.Losses[:min(len(r.Losses), _maxReported)]
+	for endpoint, sign := range d.signs {
+		if sign.isReported(now, toOther) && len(r.Signs) < _maxReported {
+			r.Signs = append(r.Signs, SignOfLife{Endpoint: endpoint, At: sign.at})
+		}
+	}
+	for request, success := range d.successes {
+		if success.isReported(now, toOther) && len(r.Successes) < _maxReported {
+			r.Successes = append(r.Successes, RequestSuccess{Request: request, At: success.at})
+		}
+	}
+	return r
+}
+
+// ReportBlocked returns what a host needs to block the same requests: for each, its latest
+// losses.
+func (d *RequestDetector) ReportBlocked() RequestReport {
+	var r RequestReport
+	for _, request := range d.BlockedRequests() {
+		var losses []RequestLoss
+		for endpoint, loss := range d.losses[request] {
+			losses = append(losses, RequestLoss{Request: request, Endpoint: endpoint, At: loss.at})
+		}
+		slices.SortFunc(losses, func(a, b RequestLoss) int { return b.At.Compare(a.At) })
+		if len(r.Losses)+_minCrashes > _maxReported {
+			break
+		}
+		r.Losses = append(r.Losses, losses[:_minCrashes]...)
+	}
+	return r
+}
+
+// IsEmpty reports whether there is nothing to tell.
+func (r *RequestReport) IsEmpty() bool {
+	return len(r.Losses)+len(r.Signs)+len(r.Successes) == 0
+}
--- a/io/entry/answers.go
+++ b/io/entry/answers.go
@@ -14,7 +14,8 @@
 const _maxClosed = time.Hour
 
 // inspectAnswer records what an endpoint says of itself in any of its answers: that it is
-// leaving, and until when it wants no requests of this host.
+// leaving, how many requests it takes, and until when it wants none of this host. An answer to
+// a caller's request, which repeats its ID, also shows that the endpoint still runs.
 func (h *Host) inspectAnswer(endpoint core.RoutedEndpoint, answer *http.Response) {
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		return // another endpoint is at this address
@@ -24,6 +25,9 @@
 		_notices.Add("Leaving", 1)
 		h.peers.scheduleHeartbeat()
 	}
+	if answer.Header.Get(h.settings.Names.RequestID) != "" {
+		h.detector.RecordSign(endpoint.Key())
+	}
 	h.inspectRateLimit(endpoint, answer)
 	value := answer.Header.Get("Retry-After")
 	if answer.StatusCode != http.StatusServiceUnavailable || value == "" {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -20,6 +20,7 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/procs/place"
+	"apricotproxy/core/procs/poison"
 	"apricotproxy/io/front"
 	"apricotproxy/io/links"
 	"apricotproxy/io/news"
@@ -113,7 +114,7 @@
 	}
 	h.sharedPlacer = front.NewSharedPlacer(placer)
 	h.docState = newDocumentState(know.New(settings.Decode, outagePolicy(settings.Bounds)), settings.Logger, h.apply)
-	h.detector = front.NewSharedDetector(settings.Logger, func() { h.peers.scheduleHeartbeat() })
+	h.detector = front.NewSharedDetector(settings.Logger, func() { h.peers.scheduleHeartbeat() }, func() { h.peers.scheduleRequestReport() })
 	h.front = front.New(front.Config{
 		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Detector: h.detector, Links: h.links, View: h.docState.View,
 		SyncStatus: h.docState.syncStatus, Logger: settings.Logger, BufferBytes: settings.MemoryBytes / _bufferDivisor,
@@ -245,6 +246,7 @@
 			gauges.set(now, h.docState.View().Version(), h.docState.syncStatus())
 			h.sharedPlacer.Update(func(p *place.Placer) { p.ExpirePeerLoads(now) })
 			h.detector.Settle(now)
+			h.detector.UpdateRequests("time", func(d *poison.RequestDetector) { d.Settle(now) })
 			h.links.EvictIdle(h.linkFilter())
 		}
 	}
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -17,6 +17,7 @@
 	"apricotproxy/core/procs/gossip"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/procs/place"
+	"apricotproxy/core/procs/poison"
 	"apricotproxy/io/front"
 	"apricotproxy/io/news"
 )
@@ -36,8 +37,11 @@
 	// only the changed loads, for the hosts of the same data centre.
 	sendNow        chan struct{}
 	sendChangesNow chan struct{}
-	// rateLimitsDueAt is when all rate limits are next sent. Only run uses it.
-	rateLimitsDueAt time.Time
+	// sendRequestsNow requests only what was learned of requests that may crash endpoints.
+	sendRequestsNow chan struct{}
+	// rateLimitsDueAt and blockedRequestsDueAt are when all rate limits and all blocked requests
+	// are next sent. Only run uses them.
+	rateLimitsDueAt, blockedRequestsDueAt time.Time
 
 	mu    sync.Mutex
 	state *gossip.State
@@ -53,6 +57,11 @@
 // changed: a fraction of the time after which a limit that is not named again is forgotten.
 const _rateLimitsInterval = 5 * time.Second
 
+// _blockedRequestsInterval is how often a host sends which requests it refuses. A host that
+// was cut off must know it three seconds after it can be reached again, as short as the
+// platform's documentation gives this bound.
+const _blockedRequestsInterval = 2 * time.Second
+
 // receive processes one datagram.
 func (p *peers) receive(ctx context.Context, datagram []byte) {
 	now := time.Now()
@@ -64,6 +73,8 @@
 		p.receiveChange(now, received.LoadUpdate)
 	case received.RateLimits != nil:
 		p.receiveRateLimits(now, received.RateLimits)
+	case received.Requests != nil:
+		p.receiveRequests(now, received.Requests)
 	default:
 		p.receiveHeartbeat(ctx, now, received.Message)
 	}
@@ -110,6 +121,44 @@
 	p.sharedPlacer.Update(func(placer *place.Placer) { placer.UpdatePeerLoads(now, place.Source{Host: change.Host}, change.Loads) })
 }
 
+// receiveRequests records what another host knows of requests that may crash endpoints.
+func (p *peers) receiveRequests(now time.Time, r *news.Requests) {
+	if r.Host == p.self.Host {
+		return
+	}
+	origin := poison.SameDataCentre
+	if r.DataCentre != p.self.DataCentre {
+		origin = poison.OtherDataCentre
+	}
+	p.detector.UpdateRequests(string(r.Host), func(d *poison.RequestDetector) { d.Merge(now, origin, &r.Report) })
+}
+
+// sendRequests sends what this host learned lately of requests that may crash endpoints to
+// hosts of its own and of other data centres.
+func (p *peers) sendRequests(now time.Time, local, remote []string) {
+	var toLocal, toRemote poison.RequestReport
+	p.detector.UpdateRequests("own", func(d *poison.RequestDetector) {
+		toLocal, toRemote = d.Report(now, false), d.Report(now, true)
+	})
+	p.sendRequestReport(now, toLocal, local)
+	p.sendRequestReport(now, toRemote, remote)
+}
+
+// sendBlockedRequests sends which requests this host refuses.
+func (p *peers) sendBlockedRequests(now time.Time, targets []string) {
+	var report poison.RequestReport
+	p.detector.UpdateRequests("own", func(d *poison.RequestDetector) { report = d.ReportBlocked() })
+	p.sendRequestReport(now, report, targets)
+}
+
+func (p *peers) sendRequestReport(now time.Time, report poison.RequestReport, targets []string) {
+	if report.IsEmpty() {
+		return
+	}
+	datagram, err := news.EncodeRequests(&news.Requests{Host: p.self.Host, DataCentre: p.self.DataCentre, Report: report}, now)
+	p.sendTo(datagram, err, targets)
+}
+
 // receiveRateLimits records rate limits that endpoints named to other hosts, and has changes
 // passed on. They may come from a host that is not known yet.
 func (p *peers) receiveRateLimits(now time.Time, report *news.RateLimits) {
@@ -146,6 +195,7 @@
 	p.mu.Unlock()
 	p.sendMessage(message, []string{to.Heartbeat})
 	p.sendRateLimits(now, true, []string{to.Heartbeat})
+	p.sendBlockedRequests(now, []string{to.Heartbeat})
 }
 
 // compareSyncStatus compares the sync status of another host with that of this host. If
@@ -238,6 +288,12 @@
 				waiting = false
 			case <-p.sendChangesNow:
 				p.sendLoadChanges()
+			case <-p.sendRequestsNow:
+				now := time.Now()
+				p.mu.Lock()
+				local, remote := p.state.LocalTargets(now), p.state.RemoteTargets(now)
+				p.mu.Unlock()
+				p.sendRequests(now, local, remote)
 			}
 		}
 	}
@@ -251,6 +307,15 @@
 	}
 }
 
+// scheduleRequestReport makes run send now what was learned of requests that may crash
+// endpoints.
+func (p *peers) scheduleRequestReport() {
+	select {
+	case p.sendRequestsNow <- struct{}{}:
+	default:
+	}
+}
+
 // scheduleHeartbeat makes run send a heartbeat now.
 func (p *peers) scheduleHeartbeat() {
 	select {
@@ -287,6 +352,11 @@
 	p.sendMessage(message, local)
 	p.sharedPlacer.WithLock(func(placer *place.Placer) { message.Loads = placer.DataCentreLoads() })
 	p.sendMessage(message, remote)
+	p.sendRequests(now, local, remote)
+	if !now.Before(p.blockedRequestsDueAt) {
+		p.blockedRequestsDueAt = now.Add(_blockedRequestsInterval)
+		p.sendBlockedRequests(now, slices.Concat(local, remote))
+	}
 	all := !now.Before(p.rateLimitsDueAt)
 	if all {
 		p.rateLimitsDueAt = now.Add(_rateLimitsInterval)
@@ -377,19 +447,20 @@
 	}
 	self := gossip.Contact{Host: s.Name, Heartbeat: s.HeartbeatAddress, Documents: s.PeerAddress, DataCentre: s.DataCentre}
 	return &peers{
-		log:            s.Logger.WithName("peers"),
-		self:           self,
-		incarnation:    time.Now().UnixNano(),
-		socket:         socket,
-		client:         news.NewClient(&http.Transport{DialContext: s.Dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}),
-		docState:       h.docState,
-		sharedPlacer:   h.sharedPlacer,
-		detector:       h.detector,
-		stopping:       h.stopping.Load,
-		canReadStore:   true,
-		sendNow:        make(chan struct{}, 1),
-		sendChangesNow: make(chan struct{}, 1),
-		state:          gossip.New(self, s.Seeds, random),
+		log:             s.Logger.WithName("peers"),
+		self:            self,
+		incarnation:     time.Now().UnixNano(),
+		socket:          socket,
+		client:          news.NewClient(&http.Transport{DialContext: s.Dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}),
+		docState:        h.docState,
+		sharedPlacer:    h.sharedPlacer,
+		detector:        h.detector,
+		stopping:        h.stopping.Load,
+		canReadStore:    true,
+		sendNow:         make(chan struct{}, 1),
+		sendChangesNow:  make(chan struct{}, 1),
+		sendRequestsNow: make(chan struct{}, 1),
+		state:           gossip.New(self, s.Seeds, random),
 	}, nil
 }
 
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -112,11 +112,15 @@
 	err       error
 }
 
-// digest identifies what the request asks for.
+// digest identifies what the request asks for. Where it has no body, the parts of its prompt
+// stand for it.
 func (e *exchange) digest() poison.Digest {
 	if e.knownDigest == (poison.Digest{}) {
-		r := e.incoming
-		e.knownDigest = poison.DigestOf(r.Method, r.Host, r.RequestURI, e.request.Workspace, e.request.body)
+		r, body := e.incoming, e.request.body
+		if len(body) == 0 {
+			body = []byte(r.Header.Get(e.front.config.Names.Parts))
+		}
+		e.knownDigest = poison.DigestOf(r.Method, r.Host, r.RequestURI, e.request.Workspace, body)
 	}
 	return e.knownDigest
 }
@@ -449,6 +453,7 @@
 	if err != nil {
 		return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, place.Bad), err: err}
 	}
+	e.front.config.Detector.recordRequestSuccess(e)
 	if status < http.StatusInternalServerError && !meansNotRun(status) {
 		e.relay(body)
 		return tryResult{done: true, health: place.Good}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	detector := front.NewSharedDetector(logr.Discard(), func() {})
+	detector := front.NewSharedDetector(logr.Discard(), func() {}, func() {})
 	r := &fixture{t: t, detector: detector, errorLines: make(chan string, 64), view: &know.View{Table: built, OutOfService: map[core.DataCentreName]bool{}}}
 	for i, handle := range handlers {
 		e, err := routed.Start(handle)
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -3,13 +3,18 @@
 import (
 	"errors"
 	"expvar"
+	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"apricotproxy/core"
 	"apricotproxy/core/procs/poison"
+	"apricotproxy/core/reqst/tries"
 )
 
 // errBlocked ends a try whose prompt has a part that crashes engines.
@@ -18,15 +23,26 @@
 // _blockedParts is the number of blocks in force.
 var _blockedParts = expvar.NewInt("apricotproxy.Routed.BlockedParts")
 
-// SharedDetector gives the goroutines of requests access to one poison.Detector. It is safe
-// for concurrent use. Its lock is not held while another one is taken.
+// _blockedRequests is the number of requests that are refused since they crash endpoints.
+var _blockedRequests = expvar.NewInt("apricotproxy.Routed.BlockedRequests")
+
+// SharedDetector gives the goroutines of requests access to one poison.Detector and one
+// poison.RequestDetector. It is safe for concurrent use. Its lock is not held while another one
+// is taken.
 type SharedDetector struct {
 	log logr.Logger
-	// lossFound is called when this host or another one saw a loss that was not known.
-	lossFound func()
+	// lossFound is called when this host or another one saw a loss that was not known,
+	// requestLossFound when this host lost a request's connection.
+	lossFound, requestLossFound func()
+	// hasRequestLosses is false while requests knows no losses, so that most answers need no
+	// lock.
+	hasRequestLosses atomic.Bool
 
 	mu       sync.Mutex
 	detector *poison.Detector
+	requests *poison.RequestDetector
+	// blockedRequests lists the blocked requests that were last logged.
+	blockedRequests []poison.Digest
 	// watched holds, for each request that waits or was sent and has no event yet, the
 	// function that ends this.
 	watched map[*exchange]func()
@@ -35,8 +51,75 @@
 }
 
 // NewSharedDetector returns a detector that knows nothing.
-func NewSharedDetector(log logr.Logger, lossFound func()) *SharedDetector {
-	return &SharedDetector{log: log.WithName("poison"), lossFound: lossFound, detector: poison.New(), watched: make(map[*exchange]func())}
+func NewSharedDetector(log logr.Logger, lossFound, requestLossFound func()) *SharedDetector {
+	return &SharedDetector{
+		log: log.WithName("poison"), lossFound: lossFound, requestLossFound: requestLossFound,
+		detector: poison.New(), requests: poison.NewRequestDetector(), watched: make(map[*exchange]func()),
+	}
+}
+
+// UpdateRequests calls f with the detector of requests, and logs if other requests are blocked
+// afterwards. source is the origin of the change.
+func (s *SharedDetector) UpdateRequests(source string, f func(*poison.RequestDetector)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.requests)
+	s.hasRequestLosses.Store(!s.requests.IsIdle())
+	blocked := s.requests.BlockedRequests()
+	if slices.Equal(blocked, s.blockedRequests) {
+		return
+	}
+	s.log.Info("The requests that are refused since they crash endpoints changed.", "Digests", digestTexts(blocked), "Before", digestTexts(s.blockedRequests), "Source", source)
+	s.blockedRequests = blocked
+	_blockedRequests.Set(int64(len(blocked)))
+}
+
+func digestTexts(digests []poison.Digest) []string {
+	texts := make([]string, len(digests))
+	for i, d := range digests {
+		texts[i] = d.String()
+	}
+	return texts
+}
+
+// RecordSign records that an endpoint answered, if it lost requests before.
+func (s *SharedDetector) RecordSign(endpoint core.EndpointKey) {
+	if !s.hasRequestLosses.Load() {
+		return
+	}
+	now := time.Now()
+	s.UpdateRequests("own", func(d *poison.RequestDetector) {
+		d.RecordSign(now, poison.Own, poison.SignOfLife{Endpoint: endpoint, At: now})
+	})
+}
+
+func (s *SharedDetector) recordRequestSuccess(e *exchange) {
+	if !s.hasRequestLosses.Load() {
+		return
+	}
+	now := time.Now()
+	s.UpdateRequests("own", func(d *poison.RequestDetector) {
+		d.RecordSuccess(now, poison.Own, poison.RequestSuccess{Request: e.digest(), At: now})
+	})
+}
+
+func (s *SharedDetector) recordRequestLoss(e *exchange) {
+	now := time.Now()
+	s.UpdateRequests("own", func(d *poison.RequestDetector) {
+		d.RecordLoss(now, poison.Own, poison.RequestLoss{Request: e.digest(), Endpoint: e.run.Endpoint.Key(), At: now})
+	})
+	s.requestLossFound()
+}
+
+// requestBlocked reports whether a request is refused since it crashes endpoints, and when its
+// caller may come back.
+func (s *SharedDetector) requestBlocked(e *exchange) (until time.Time, blocked bool) {
+	if !s.hasRequestLosses.Load() {
+		return time.Time{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests.Blocked(time.Now(), e.digest())
 }
 
 // Merge adds what another host reported.
@@ -134,10 +217,17 @@
 	delete(s.watched, e)
 }
 
-// checkBlocked answers the caller if the request's prompt has a part that crashes engines,
-// and reports whether it did.
+// checkBlocked answers the caller if the request crashes endpoints, or its prompt has a part
+// that crashes engines, and reports whether it did.
 func (e *exchange) checkBlocked() bool {
-	if e.delivered || len(e.sharedParts) == 0 {
+	if e.delivered {
+		return false
+	}
+	if until, blocked := e.front.config.Detector.requestBlocked(e); blocked {
+		e.answerNotServed("the request crashes endpoints", time.Until(until))
+		return true
+	}
+	if len(e.sharedParts) == 0 {
 		return false
 	}
 	until, blocked := e.front.config.Detector.blocked(e.sharedParts)
@@ -147,9 +237,12 @@
 	return blocked
 }
 
-// recordEnd records a loss if the endpoint began the current try's answer and was lost
-// before its first event.
+// recordEnd records the loss of the request if its connection ended before any of its answer
+// could be used, and the loss of its prompt's parts if the endpoint had begun the answer.
 func (e *exchange) recordEnd(end *tryResult) {
+	if end.result == tries.Lost && isConnectionEnd(end.err) {
+		e.front.config.Detector.recordRequestLoss(e)
+	}
 	if !end.brokenOff || !e.firstEventAt.IsZero() || len(e.sharedParts) == 0 {
 		return
 	}
@@ -159,15 +252,24 @@
 	})
 }
 
+// isConnectionEnd reports whether an endpoint closed or reset a connection, as it does when it
+// ends.
+func isConnectionEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // _eventsOfSuccess is the number of events after which a prompt counts as harmless to
 // engines.
 const _eventsOfSuccess = 2
 
-// recordSuccess records once that the answer went on after its first event.
+// recordSuccess records once that the answer went on after its first event, or is complete.
 func (e *exchange) recordSuccess() {
-	if e.successRecorded || len(e.sharedParts) == 0 {
+	if e.successRecorded {
 		return
 	}
 	e.successRecorded = true
-	e.front.config.Detector.recordSuccess(e.sharedParts)
+	e.front.config.Detector.recordRequestSuccess(e)
+	if len(e.sharedParts) > 0 {
+		e.front.config.Detector.recordSuccess(e.sharedParts)
+	}
 }
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -65,11 +65,20 @@
 	Limits []place.EndpointRateLimit
 }
 
+// Requests holds what a host knows of requests that may crash endpoints. Like RateLimits it is
+// sent apart from heartbeats.
+type Requests struct {
+	Host       core.HostName
+	DataCentre core.DataCentreName
+	Report     poison.RequestReport
+}
+
 // Datagram is what was received: one of its fields is set.
 type Datagram struct {
 	Message    *Message
 	LoadUpdate *LoadUpdate
 	RateLimits *RateLimits
+	Requests   *Requests
 }
 
 // The first byte of a datagram is the kind of what follows.
@@ -77,6 +86,7 @@
 	_kindMessage    = 1
 	_kindLoadUpdate = 2
 	_kindRateLimits = 3
+	_kindRequests   = 4
 )
 
 // Encode returns the datagram of a message that is sent now.
@@ -92,6 +102,11 @@
 	return encode(_kindRateLimits, rateLimitsToWire(r, now))
 }
 
+// EncodeRequests returns the datagram of a report that is sent now.
+func EncodeRequests(r *Requests, now time.Time) ([]byte, error) {
+	return encode(_kindRequests, requestsToWire(r, now))
+}
+
 func encode(kind byte, wire any) ([]byte, error) {
 	b, err := cbor.Marshal(wire)
 	if err != nil {
@@ -127,6 +142,12 @@
 			return Datagram{}, fmt.Errorf("decode rate limits: %w", err)
 		}
 		return Datagram{RateLimits: rateLimitsFromWire(&w, now)}, nil
+	case _kindRequests:
+		var w wireRequests
+		if err := cbor.Unmarshal(b[1:], &w); err != nil {
+			return Datagram{}, fmt.Errorf("decode lost requests: %w", err)
+		}
+		return Datagram{Requests: requestsFromWire(&w, now)}, nil
 	default:
 		return Datagram{}, fmt.Errorf("decode a datagram: unknown kind %d", kind)
 	}
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -59,6 +59,34 @@
 		AgeMs     int64
 	}
 
+	wireRequests struct {
+		_          struct{} `cbor:",toarray"`
+		Host       string
+		DataCentre string
+		Losses     []wireRequestLoss
+		Signs      []wireSign
+		Successes  []wireRequestSuccess
+	}
+
+	wireRequestLoss struct {
+		_        struct{} `cbor:",toarray"`
+		Request  poison.Digest
+		Endpoint wireIncarnation
+		AgeMs    int64
+	}
+
+	wireSign struct {
+		_        struct{} `cbor:",toarray"`
+		Endpoint wireIncarnation
+		AgeMs    int64
+	}
+
+	wireRequestSuccess struct {
+		_       struct{} `cbor:",toarray"`
+		Request poison.Digest
+		AgeMs   int64
+	}
+
 	wireIncarnation struct {
 		_      struct{} `cbor:",toarray"`
 		ID     string
@@ -181,6 +209,36 @@
 	return r
 }
 
+func requestsToWire(r *Requests, now time.Time) *wireRequests {
+	age := func(at time.Time) int64 { return now.Sub(at).Milliseconds() }
+	w := &wireRequests{Host: string(r.Host), DataCentre: string(r.DataCentre)}
+	for _, l := range r.Report.Losses {
+		w.Losses = append(w.Losses, wireRequestLoss{Request: l.Request, Endpoint: keyToWire(l.Endpoint), AgeMs: age(l.At)})
+	}
+	for _, s := range r.Report.Signs {
+		w.Signs = append(w.Signs, wireSign{Endpoint: keyToWire(s.Endpoint), AgeMs: age(s.At)})
+	}
+	for _, s := range r.Report.Successes {
+		w.Successes = append(w.Successes, wireRequestSuccess{Request: s.Request, AgeMs: age(s.At)})
+	}
+	return w
+}
+
+func requestsFromWire(w *wireRequests, now time.Time) *Requests {
+	at := func(ageMs int64) time.Time { return now.Add(-milliseconds(max(ageMs, 0))) }
+	r := &Requests{Host: core.HostName(w.Host), DataCentre: core.DataCentreName(w.DataCentre)}
+	for _, l := range w.Losses {
+		r.Report.Losses = append(r.Report.Losses, poison.RequestLoss{Request: l.Request, Endpoint: keyFromWire(l.Endpoint), At: at(l.AgeMs)})
+	}
+	for _, s := range w.Signs {
+		r.Report.Signs = append(r.Report.Signs, poison.SignOfLife{Endpoint: keyFromWire(s.Endpoint), At: at(s.AgeMs)})
+	}
+	for _, s := range w.Successes {
+		r.Report.Successes = append(r.Report.Successes, poison.RequestSuccess{Request: s.Request, At: at(s.AgeMs)})
+	}
+	return r
+}
+
 func keyToWire(key core.EndpointKey) wireIncarnation {
 	return wireIncarnation{ID: key.ID, BornMs: key.Born.UnixMilli()}
 }
