io/front: a run keeps its backup on an engine that names a rate limit until its own leaves

What callers would see: a draft whose backup's engine names a limit lost its backup for the rest of its life, and was cut if its own engine ended.

Cause: an engine with a rate limit counted as unusable for a copy that it already has.

Why it works: the copy stays, and the run continues there if this host has a permit. Only when the run's own engine announces that it leaves, another one is chosen while there is time.

--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -360,10 +360,10 @@
 	return (cost + used*_fullMemoryCostTokens) * e.health.costFactor()
 }
 
-// Usable reports whether an endpoint still accepts work without a rate limit.
+// Usable reports whether an endpoint still accepts work.
 func (p *Placer) Usable(now time.Time, id string) bool {
 	e := p.endpoints[id]
-	return e != nil && p.accepts(now, e, nil) && !p.isRateLimited(now, e)
+	return e != nil && p.accepts(now, e, nil)
 }
 
 // RecordPrefillDone records that a run's prompt has been read: its first event arrived.
--- a/core/procs/place/rate.go
+++ b/core/procs/place/rate.go
@@ -112,6 +112,12 @@
 	return now.Sub(rate.SaidAt) < max(_rateLimitLifetime, _rateLimitIntervals*interval)
 }
 
+// IsRateLimited reports whether an endpoint has a rate limit.
+func (p *Placer) IsRateLimited(now time.Time, id string) bool {
+	e := p.endpoints[id]
+	return e != nil && p.isRateLimited(now, e)
+}
+
 // permitInterval returns the time from one permit of this host to the next. If expires is
 // true, a permit can only be used for _permitLifetime.
 //
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -210,12 +210,15 @@
 // updateBackup makes or updates the copy if that is due. It returns the time after
 // which to check again if no endpoint has changed until then; 0 for never.
 func (e *exchange) updateBackup(ctx context.Context) time.Duration {
-	target := e.backup.placement()
+	target, leaving := e.backup.placement(), e.placer().endpointLeaving(e.run)
 	hasCopy := target != nil && e.placer().usable(target.Endpoint.ID)
+	if hasCopy && leaving && !e.backup.handoverStarted() && e.placer().isRateLimited(target.Endpoint.ID) {
+		hasCopy = false // the run may have to wait there; another engine may have room now
+	}
 	if !hasCopy {
 		e.backup.drop(e.placer())
 	}
-	if !e.placer().endpointLeaving(e.run) || e.backup.handoverStarted() || (hasCopy && e.backup.moveHandle() == "") {
+	if !leaving || e.backup.handoverStarted() || (hasCopy && e.backup.moveHandle() == "") {
 		return 0
 	}
 	if e.leavingSince.IsZero() {
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -190,6 +190,12 @@
 	return s.placer.Usable(time.Now(), id)
 }
 
+func (s *SharedPlacer) isRateLimited(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.IsRateLimited(time.Now(), id)
+}
+
 func (s *SharedPlacer) placeOn(id string, request *core.RoutedRequest) (*place.Run, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
