core/procs/place: runs that continue on a cold engine keep to this host's share

What callers would see: an engine that turned cold while it held copies could get all runs of a failed engine at once, from all hosts, and crash.

Placing a request checked the cold share, continuing one counted it only.

Why it works: both ways ask one function for this host's shares, of cold endpoints and of named limits.

--- a/core/procs/place/copies.go
+++ b/core/procs/place/copies.go
@@ -88,10 +88,10 @@
 
 // PlaceOn counts a run at an endpoint that already holds a copy of the run's memory, so
 // that no prompt has to be read. It returns false when the endpoint is gone or accepts
-// no work.
+// no work, or none beyond this host's share of a limit of all hosts.
 func (p *Placer) PlaceOn(now time.Time, id string, request *core.RoutedRequest) (*Run, bool) {
 	e := p.endpoints[id]
-	if e == nil || p.outOfService[e.DataCentre] || e.Draining || e.notice.leaving || e.isClosed(now) || e.health.inBackoff(now) || !p.hasPermit(now, e) {
+	if e == nil || p.outOfService[e.DataCentre] || e.Draining || e.notice.leaving || e.isClosed(now) || e.health.inBackoff(now) || !p.limitsAllow(now, e) {
 		return nil, false
 	}
 	need := p.requestLoad(request)
--- a/core/procs/place/limits.go
+++ b/core/procs/place/limits.go
@@ -106,6 +106,12 @@
 	return float64(e.coldRequests.count(now, _coldWindow)+1) <= share
 }
 
+// limitsAllow reports whether this host's shares of the limits that an endpoint has for all hosts
+// allow one more request.
+func (p *Placer) limitsAllow(now time.Time, e *endpoint) bool {
+	return (!now.Before(e.ColdUntil) || p.coldLimitAllows(now, e)) && p.hasPermit(now, e)
+}
+
 // sampledColdShare returns 1 on a few hosts and 0 on the others, for the case that
 // there are more hosts than requests per second that a cold endpoint can take. A hash of
 // host and endpoint selects each host independently, with a probability so low that all
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -304,10 +304,7 @@
 
 // fits reports whether an endpoint has room for a load.
 func (p *Placer) fits(now time.Time, e *endpoint, need Load) bool {
-	if now.Before(e.ColdUntil) && !p.coldLimitAllows(now, e) {
-		return false
-	}
-	if !p.hasPermit(now, e) {
+	if !p.limitsAllow(now, e) {
 		return false
 	}
 	if e.DataCentre != p.dataCentre && !e.ColdUntil.IsZero() && now.Before(e.ColdUntil.Add(_remoteWarmDelay)) {
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -597,3 +597,22 @@
 		}
 	}
 }
+
+// A run that continues on a cold engine counts towards what the engine takes, and does not go
+// there beyond this host's share.
+func TestContinuedRunsKeepToTheColdShare(t *testing.T) {
+	s := newSite(t, 1, 0)
+	s.SetHosts(_start.Add(-time.Minute), 9)
+	s.change("engine-0", func(e *know.Endpoint) { e.ColdUntil = after(10 * time.Second) })
+	continued := 0
+	for range 100 {
+		if run, ok := s.PlaceOn(_start, "engine-0", &draft().Request); ok {
+			continued++
+			s.End(run)
+		}
+	}
+	const share = (26*3/2 + 5) / 9
+	if continued == 0 || continued > share {
+		t.Errorf("%d runs continue on a cold engine within a second, want one to %d", continued, share)
+	}
+}
