io/cmds: SIGHUP does not end a host

Cause: only the watcher of the platform's settings file registered for the signal, and the default is to end the process.

Why it works: both commands register before anything else. There is nothing to read again in these two cases: an INI file is followed without signals, and the configuration service publishes changes.

--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -85,6 +85,14 @@
 	os.Exit(code)
 }
 
+// notifyHangup returns a channel that receives SIGHUP until stop is called. Without one, the signal
+// ends the process. Hosts call it before anything else.
+func notifyHangup() (hangups <-chan os.Signal, stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals, func() { signal.Stop(signals) }
+}
+
 // Run runs one command line and returns its exit code.
 func Run(ctx context.Context, arguments []string, console Console) int {
 	var line commandLine
--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -10,9 +10,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -41,6 +39,8 @@
 
 // Run serves until SIGTERM.
 func (c *RouteCommand) Run(ctx context.Context, console *Console) error {
+	hangups, stopHangups := notifyHangup()
+	defer stopHangups()
 	settings, err := c.settings()
 	if err != nil {
 		return fmt.Errorf("read the settings: %w", err)
@@ -58,8 +58,8 @@
 	if err != nil {
 		return fmt.Errorf("start the host: %w", err)
 	}
-	if c.SiteFile == "" {
-		go watchSettings(ctx, c.bootPath(), h, settings.Logger)
+	if c.SiteFile == "" { // a site's file is followed without signals
+		go watchSettings(ctx, c.bootPath(), h, settings.Logger, hangups)
 	}
 	go c.serveMetrics(settings.Logger)
 	if err := h.Run(ctx); err != nil {
@@ -135,10 +135,7 @@
 
 // watchSettings reads the settings file every second and after SIGHUP, and applies
 // it when it has changed. If the file cannot be used, the settings stay as they are.
-func watchSettings(ctx context.Context, path string, h *entry.Host, logger logr.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, path string, h *entry.Host, logger logr.Logger, hangups <-chan os.Signal) {
 	ticker := time.NewTicker(_settingsPollInterval)
 	defer ticker.Stop()
 	previous, err := os.ReadFile(path)
--- a/io/cmds/serve.go
+++ b/io/cmds/serve.go
@@ -41,6 +41,8 @@
 
 // Run serves until SIGTERM, then finishes all requests and returns.
 func (c *ServeCommand) Run(ctx context.Context, console *Console) error {
+	_, stopHangups := notifyHangup() // there is nothing to read again: the service publishes changes
+	defer stopHangups()
 	logger := c.logger(console)
 	dialer := &net.Dialer{KeepAlive: _keepAlive}
 	h, err := host.New(host.Settings{
--- a/proof/program_test.go
+++ b/proof/program_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 
@@ -29,6 +30,7 @@
 //	             addresses
 //	fakes        starts the fakes and three entry hosts, each in its own process
 //	load host=n  starts a load against one host in the background
+//	hangup host=n  sends SIGHUP to a host, and prints whether it still answers
 //	stop host=n  sends SIGTERM to a host and prints its exit code
 //	wait         waits for the load to end and prints how many requests ended as
 //	             Interrupted, Unknown or Broken; requests that were not sent because
@@ -37,6 +39,9 @@
 //
 // The results do not depend on timing.
 
+// _hangupTime is how long a process that SIGHUP ends may take to do so.
+const _hangupTime = 200 * time.Millisecond
+
 // hostProcess is one entry host in its own process.
 type hostProcess struct {
 	command  *exec.Cmd
@@ -81,6 +86,13 @@
 		return p.fakes()
 	case "load":
 		return p.startLoad(d.Input, host)
+	case "hangup":
+		e := p.hosts[host-1]
+		if err := e.command.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(_hangupTime)
+		return fmt.Sprintf("ready %t\n", p.ready(e))
 	case "stop":
 		e := p.hosts[host-1]
 		if err := e.command.Process.Signal(syscall.SIGTERM); err != nil {
