proof: a soak of hosts as processes under signals, restarts and changes that overlap

Four hosts or more as processes, before endpoints that leave, name rate limits and end at certain requests; callers keep their connections until a process is gone. Faults come in series drawn from the seed: kills, planned stops, freezes, hangups, changes of the site's file, pairs of these. Checked: at most once, not run means not run, whole streams in order, rate limits and requests that crash endpoints by the users' bounds, answers lost at planned stops, exit codes, promises and panics in the logs, that all hosts serve at the end.

--- a/Makefile
+++ b/Makefile
@@ -35,9 +35,10 @@
 random:
 	SEEDS=10 bash .ci/test ./proof -count=1 -timeout 10m
 
-# Runs SEEDS pairs of faults, for example: make soak SEEDS=200.
+# Runs SEEDS pairs of faults and a fifth as many series of signals, restarts and changes on
+# processes, for example: make soak SEEDS=250. SOAK_HOSTS sets the number of hosts of a series.
 soak:
-	SEEDS=$(SEEDS) go test ./proof -count=1 -timeout 24h -run 'TestFleetUnderPairs' -v
+	SEEDS=$(SEEDS) go test ./proof -count=1 -timeout 24h -run 'TestFleetUnderPairs|TestSoak' -v
 
 # Runs each fuzz target for FUZZTIME, for example: make fuzz FUZZTIME=1m.
 fuzz:
