core/procs/poison: endpoints that end together block no request

Cause: each endpoint counted, also when all ended at one moment.

Why it works: losses less than 50 ms apart count once, unless the later run mostly followed the earlier one, as a retry does.

--- a/core/procs/poison/request.go
+++ b/core/procs/poison/request.go
@@ -11,7 +11,11 @@
 
 const (
 	// _minCrashes is the number of endpoints that a request must have crashed to be blocked.
+	// Losses at the same moment count once: endpoints that end together do not do so by a request.
 	_minCrashes = 3
+	// _crashSeparation is the time between two losses from which they are not at the same moment.
+	// Times that other hosts reported are off by some milliseconds.
+	_crashSeparation = 50 * time.Millisecond
 	// _signDelay is how long after a loss an answer of the same endpoint shows that it did not
 	// end then: an answer that was sent before may take some time to be read.
 	_signDelay = 500 * time.Millisecond
@@ -33,7 +37,9 @@
 type RequestLoss struct {
 	Request  Digest
 	Endpoint core.EndpointKey
-	At       time.Time
+	// SentAt is when the request was sent there, At when its connection ended.
+	SentAt time.Time
+	At     time.Time
 }
 
 // SignOfLife is an answer of an endpoint that lost requests before.
@@ -69,6 +75,8 @@
 type sighting struct {
 	at, learnedAt time.Time
 	origin        Origin
+	// sentAt is when a request was sent that was lost at the time at.
+	sentAt time.Time
 }
 
 // isReported reports whether hosts of the own data centre, or of another one, are told. Who saw
@@ -89,8 +97,8 @@
 //
 // All requests that run on an endpoint are lost when it ends. The one that crashes it is
 // lost with each endpoint that it reaches, and is never answered. So a request is
-// blocked while it was lost with _minCrashes endpoints that no other blocked request was lost
-// with; the one lost with most endpoints comes first. A loss counts until its endpoint gives
+// blocked while it was lost at _minCrashes moments with endpoints that no other blocked
+// request was lost with; the one lost at most moments comes first. A loss counts until its endpoint gives
 // a sign of life, which an endpoint that only closes connections does soon, or until
 // the request is answered anywhere. All hosts come to the same result from the same losses.
 type RequestDetector struct {
@@ -121,7 +129,7 @@
 	if d.losses[loss.Request] == nil {
 		d.losses[loss.Request] = make(map[core.EndpointKey]sighting)
 	}
-	d.losses[loss.Request][loss.Endpoint] = sighting{at: loss.At, learnedAt: now, origin: origin}
+	d.losses[loss.Request][loss.Endpoint] = sighting{at: loss.At, learnedAt: now, origin: origin, sentAt: loss.SentAt}
 	d.count++
 	if d.count > _maxRequestLosses {
 		d.dropLeastEvidence()
@@ -230,35 +238,63 @@
 // update determines which requests are blocked.
 func (d *RequestDetector) update() {
 	clear(d.blocked)
+	crashes := make(map[Digest]int)
 	var candidates []Digest
 	for request, losses := range d.losses {
-		if len(losses) >= _minCrashes {
+		if len(losses) < _minCrashes {
+			continue
+		}
+		if n := len(successiveRuns(losses, nil)); n >= _minCrashes {
+			crashes[request] = n
 			candidates = append(candidates, request)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b Digest) int {
-		return cmp.Or(len(d.losses[b])-len(d.losses[a]), bytes.Compare(a[:], b[:]))
-	})
+	slices.SortFunc(candidates, func(a, b Digest) int { return cmp.Or(crashes[b]-crashes[a], bytes.Compare(a[:], b[:])) })
 	explained := make(map[core.EndpointKey]bool)
 	for _, request := range candidates {
-		unexplained := 0
+		losses := d.losses[request]
+		if len(successiveRuns(losses, explained)) < _minCrashes {
+			continue
+		}
 		var latest time.Time
-		for endpoint, loss := range d.losses[request] {
-			if !explained[endpoint] {
-				unexplained++
-			}
+		for endpoint, loss := range losses {
+			explained[endpoint] = true
 			if loss.at.After(latest) {
 				latest = loss.at
 			}
 		}
-		if unexplained < _minCrashes {
-			continue
+		d.blocked[request] = latest
+	}
+}
+
+// lostRun is a run that was lost with an endpoint.
+type lostRun struct {
+	sighting
+
+	endpoint core.EndpointKey
+}
+
+// successiveRuns returns the longest series of lost runs that ended at different moments, without
+// those at excluded endpoints. A run that was mostly after the end of another one, as a retry,
+// does not end at the same moment, however soon it is lost.
+func successiveRuns(losses map[core.EndpointKey]sighting, excluded map[core.EndpointKey]bool) []lostRun {
+	runs := make([]lostRun, 0, len(losses))
+	for endpoint, loss := range losses {
+		if !excluded[endpoint] {
+			runs = append(runs, lostRun{sighting: loss, endpoint: endpoint})
 		}
-		for endpoint := range d.losses[request] {
-			explained[endpoint] = true
+	}
+	slices.SortFunc(runs, func(a, b lostRun) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.endpoint.ID, b.endpoint.ID)) })
+	var successive []lostRun
+	var end time.Time
+	for _, run := range runs {
+		middle := run.sentAt.Add(run.at.Sub(run.sentAt) / 2)
+		if middle.After(end) || run.at.Sub(end) >= _crashSeparation {
+			successive = append(successive, run)
+			end = run.at
 		}
-		d.blocked[request] = latest
 	}
+	return successive
 }
 
 // Blocked reports whether a request is refused, and when its caller may come back.
@@ -303,7 +339,7 @@
 	for request, losses := range d.losses {
 		for endpoint, loss := range losses {
 			if loss.isReported(now, toOther) {
-				r.Losses = append(r.Losses, RequestLoss{Request: request, Endpoint: endpoint, At: loss.at})
+				r.Losses = append(r.Losses, RequestLoss{Request: request, Endpoint: endpoint, SentAt: loss.sentAt, At: loss.at})
 			}
 		}
 	}
@@ -325,19 +361,17 @@
 }
 
 // ReportBlocked returns what a host needs to block the same requests: for each, its latest
-// losses.
+// successive losses.
 func (d *RequestDetector) ReportBlocked() RequestReport {
 	var r RequestReport
 	for _, request := range d.BlockedRequests() {
-		var losses []RequestLoss
-		for endpoint, loss := range d.losses[request] {
-			losses = append(losses, RequestLoss{Request: request, Endpoint: endpoint, At: loss.at})
-		}
-		slices.SortFunc(losses, func(a, b RequestLoss) int { return b.At.Compare(a.At) })
 		if len(r.Losses)+_minCrashes > _maxReported {
 			break
 		}
-		r.Losses = append(r.Losses, losses[:_minCrashes]...)
+		runs := successiveRuns(d.losses[request], nil)
+		for _, run := range runs[len(runs)-_minCrashes:] {
+			r.Losses = append(r.Losses, RequestLoss{Request: request, Endpoint: run.endpoint, SentAt: run.sentAt, At: run.at})
+		}
 	}
 	return r
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -79,6 +79,8 @@
 	// continued is true from the first try that continues a run or stream and does not
 	// send the request anew.
 	continued bool
+	// sentAt is when the current try began to send the request.
+	sentAt time.Time
 	// answerBegun is true once the current try got the head of an answer that was not a
 	// refusal.
 	answerBegun bool
@@ -297,6 +299,7 @@
 	e.log("A try begins.", "Digest", e.digest().String(), "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.endpoint().ID,
 		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.sharedParts, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
 		"Runs", e.run.PriorLoad.Runs, "Tokens", e.run.PriorLoad.Tokens, "Prefill", e.run.PriorLoad.Prefill)
+	e.sentAt = time.Now()
 	answer, err := e.front.config.Links.Do(tryCtx, endpoint.RoutedEndpoint, e.outgoing(from))
 	var failed *links.Error
 	if errors.As(err, &failed) && failed.Stage == links.StageDial {
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -106,7 +106,7 @@
 func (s *SharedDetector) recordRequestLoss(e *exchange) {
 	now := time.Now()
 	s.UpdateRequests("own", func(d *poison.RequestDetector) {
-		d.RecordLoss(now, poison.Own, poison.RequestLoss{Request: e.digest(), Endpoint: e.run.Endpoint.Key(), At: now})
+		d.RecordLoss(now, poison.Own, poison.RequestLoss{Request: e.digest(), Endpoint: e.run.Endpoint.Key(), SentAt: e.sentAt, At: now})
 	})
 	s.requestLossFound()
 }
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -73,6 +73,7 @@
 		Request  poison.Digest
 		Endpoint wireIncarnation
 		AgeMs    int64
+		RunMs    int64
 	}
 
 	wireSign struct {
@@ -213,7 +214,7 @@
 	age := func(at time.Time) int64 { return now.Sub(at).Milliseconds() }
 	w := &wireRequests{Host: string(r.Host), DataCentre: string(r.DataCentre)}
 	for _, l := range r.Report.Losses {
-		w.Losses = append(w.Losses, wireRequestLoss{Request: l.Request, Endpoint: keyToWire(l.Endpoint), AgeMs: age(l.At)})
+		w.Losses = append(w.Losses, wireRequestLoss{Request: l.Request, Endpoint: keyToWire(l.Endpoint), AgeMs: age(l.At), RunMs: l.At.Sub(l.SentAt).Milliseconds()})
 	}
 	for _, s := range r.Report.Signs {
 		w.Signs = append(w.Signs, wireSign{Endpoint: keyToWire(s.Endpoint), AgeMs: age(s.At)})
@@ -228,7 +229,10 @@
 	at := func(ageMs int64) time.Time { return now.Add(-milliseconds(max(ageMs, 0))) }
 	r := &Requests{Host: core.HostName(w.Host), DataCentre: core.DataCentreName(w.DataCentre)}
 	for _, l := range w.Losses {
-		r.Report.Losses = append(r.Report.Losses, poison.RequestLoss{Request: l.Request, Endpoint: keyFromWire(l.Endpoint), At: at(l.AgeMs)})
+		lostAt := at(l.AgeMs)
+		r.Report.Losses = append(r.Report.Losses, poison.RequestLoss{
+			Request: l.Request, Endpoint: keyFromWire(l.Endpoint), SentAt: lostAt.Add(-milliseconds(max(l.RunMs, 0))), At: lostAt,
+		})
 	}
 	for _, s := range w.Signs {
 		r.Report.Signs = append(r.Report.Signs, poison.SignOfLife{Endpoint: keyFromWire(s.Endpoint), At: at(s.AgeMs)})
