--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -210,14 +210,21 @@
 	i := f.target % len(r.hosts)
 	h := r.hosts[i]
 	r.mu.Lock()
-	e := r.endpoints[f.target%len(r.endpoints)]
 	command, exited, stopping := h.command, h.exited, h.stopping
+	var e *soakEndpoint
+	if n := len(r.endpoints); n > 0 {
+		e = r.endpoints[f.target%n]
+	}
 	r.mu.Unlock()
 	switch f.kind {
 	case "kill", "stop", "freeze", "hangup":
 		if stopping {
 			return
 		}
+	case "limit", "leave":
+		if e == nil { // all have crashed, and others have not started yet
+			return
+		}
 	}
 	switch f.kind {
 	case "kill":
