core/procs/poison, io/entry, proof: names, read again

Signs of life are answers of endpoints, what the users call deadly is poison in the tests, and the detector's fields say what they hold. No decision changed.

--- a/core/procs/poison/request.go
+++ b/core/procs/poison/request.go
@@ -16,15 +16,15 @@
 	// _crashSeparation is the time between two losses from which they are not at the same moment.
 	// Times that other hosts reported are off by some milliseconds.
 	_crashSeparation = 50 * time.Millisecond
-	// _signDelay is how long after a loss an answer of the same endpoint shows that it did not
+	// _answerDelay is how long after a loss an answer of the same endpoint shows that it did not
 	// end then: an answer that was sent before may take some time to be read.
-	_signDelay = 500 * time.Millisecond
+	_answerDelay = 500 * time.Millisecond
 	// _unconfirmedTime is how long after the latest loss a block may still be lifted soon, by a
-	// sign of life. Callers are told to come back after it.
+	// answer. Callers are told to come back after it.
 	_unconfirmedTime = time.Second
 	// The most that is kept of each.
 	_maxRequestLosses = 1024
-	_maxSigns         = 1024
+	_maxAnswers       = 1024
 	// _maxReported bounds each list of a report, which must fit into a datagram.
 	_maxReported = 64
 	// _relayTime is how long this host passes on what it learned from another data centre: a
@@ -42,8 +42,8 @@
 	At     time.Time
 }
 
-// SignOfLife is an answer of an endpoint that lost requests before.
-type SignOfLife struct {
+// EndpointAnswer is an answer of an endpoint that lost requests before.
+type EndpointAnswer struct {
 	Endpoint core.EndpointKey
 	At       time.Time
 }
@@ -57,7 +57,7 @@
 // RequestReport is what a host tells the others of requests that may crash endpoints.
 type RequestReport struct {
 	Losses    []RequestLoss
-	Signs     []SignOfLife
+	Answers   []EndpointAnswer
 	Successes []RequestSuccess
 }
 
@@ -71,8 +71,8 @@
 	OtherDataCentre
 )
 
-// sighting is when something happened, when this host learned of it, and from whom.
-type sighting struct {
+// observation is when something happened, when this host learned of it, and from whom.
+type observation struct {
 	at, learnedAt time.Time
 	origin        Origin
 	// sentAt is when a request was sent that was lost at the time at.
@@ -81,7 +81,7 @@
 
 // isReported reports whether hosts of the own data centre, or of another one, are told. Who saw
 // something tells all others; what came from another data centre is passed on once.
-func (s sighting) isReported(now time.Time, toOther bool) bool {
+func (s observation) isReported(now time.Time, toOther bool) bool {
 	switch s.origin {
 	case Own:
 		return now.Sub(s.learnedAt) < _announceTime
@@ -95,26 +95,29 @@
 // RequestDetector finds requests that crash each endpoint that begins to run them, and blocks
 // them. It is not safe for concurrent use.
 //
-// All requests that run on an endpoint are lost when it ends. The one that crashes it is
-// lost with each endpoint that it reaches, and is never answered. So a request is
-// blocked while it was lost at _minCrashes moments with endpoints that no other blocked
-// request was lost with; the one lost at most moments comes first. A loss counts until its endpoint gives
-// a sign of life, which an endpoint that only closes connections does soon, or until
-// the request is answered anywhere. All hosts come to the same result from the same losses.
+// All requests that run on an endpoint are lost when it ends. The one that crashes it is lost
+// with each endpoint that it reaches, and is never answered. So a request is blocked while it
+// was lost at _minCrashes moments with endpoints that no other blocked request was lost with;
+// the one lost at most moments comes first. A loss counts until its endpoint answers any
+// request, which one that only closed the connection does soon, or until the request is
+// answered anywhere. All hosts come to the same result from the same losses.
 type RequestDetector struct {
-	losses    map[Digest]map[core.EndpointKey]sighting
-	signs     map[core.EndpointKey]sighting
-	successes map[Digest]sighting
-	blocked   map[Digest]time.Time
-	// count is the number of losses.
-	count int
+	// losses holds the losses that count, and count is their number.
+	losses map[Digest]map[core.EndpointKey]observation
+	count  int
+	// answers and successes hold the latest of those that dropped losses, so that reports of
+	// these losses are recognised as outdated.
+	answers   map[core.EndpointKey]observation
+	successes map[Digest]observation
+	// blocked holds the latest loss of each blocked request.
+	blocked map[Digest]time.Time
 }
 
 // NewRequestDetector returns a detector that knows nothing.
 func NewRequestDetector() *RequestDetector {
 	return &RequestDetector{
-		losses: make(map[Digest]map[core.EndpointKey]sighting), signs: make(map[core.EndpointKey]sighting),
-		successes: make(map[Digest]sighting), blocked: make(map[Digest]time.Time),
+		losses: make(map[Digest]map[core.EndpointKey]observation), answers: make(map[core.EndpointKey]observation),
+		successes: make(map[Digest]observation), blocked: make(map[Digest]time.Time),
 	}
 }
 
@@ -123,13 +126,13 @@
 	if _, known := d.losses[loss.Request][loss.Endpoint]; known || now.Sub(loss.At) > _lifetime {
 		return false
 	}
-	if d.signs[loss.Endpoint].at.After(loss.At.Add(_signDelay)) || !loss.At.After(d.successes[loss.Request].at) {
+	if d.answers[loss.Endpoint].at.After(loss.At.Add(_answerDelay)) || !loss.At.After(d.successes[loss.Request].at) {
 		return false
 	}
 	if d.losses[loss.Request] == nil {
-		d.losses[loss.Request] = make(map[core.EndpointKey]sighting)
+		d.losses[loss.Request] = make(map[core.EndpointKey]observation)
 	}
-	d.losses[loss.Request][loss.Endpoint] = sighting{at: loss.At, learnedAt: now, origin: origin, sentAt: loss.SentAt}
+	d.losses[loss.Request][loss.Endpoint] = observation{at: loss.At, learnedAt: now, origin: origin, sentAt: loss.SentAt}
 	d.count++
 	if d.count > _maxRequestLosses {
 		d.dropLeastEvidence()
@@ -163,20 +166,21 @@
 	delete(d.losses, request)
 }
 
-// IsIdle reports whether no losses are known, so that signs of life and successes say nothing.
+// IsIdle reports whether no losses are known, so that answers and successes
+// tell nothing.
 func (d *RequestDetector) IsIdle() bool { return d.count == 0 }
 
-// RecordSign records that an endpoint answered. It reports whether losses were dropped.
-func (d *RequestDetector) RecordSign(now time.Time, origin Origin, sign SignOfLife) bool {
+// RecordAnswer records that an endpoint answered. It reports whether losses were dropped.
+func (d *RequestDetector) RecordAnswer(now time.Time, origin Origin, answer EndpointAnswer) bool {
 	dropped := false
 	for request, losses := range d.losses {
-		loss, lost := losses[sign.Endpoint]
-		if !lost || !sign.At.After(loss.at.Add(_signDelay)) {
+		loss, lost := losses[answer.Endpoint]
+		if !lost || !answer.At.After(loss.at.Add(_answerDelay)) {
 			continue
 		}
 		dropped = true
 		d.count--
-		delete(losses, sign.Endpoint)
+		delete(losses, answer.Endpoint)
 		if len(losses) == 0 {
 			delete(d.losses, request)
 		}
@@ -184,10 +188,10 @@
 	if !dropped {
 		return false
 	}
-	if len(d.signs) >= _maxSigns {
-		clear(d.signs)
+	if len(d.answers) >= _maxAnswers {
+		clear(d.answers)
 	}
-	d.signs[sign.Endpoint] = sighting{at: sign.At, learnedAt: now, origin: origin}
+	d.answers[answer.Endpoint] = observation{at: answer.At, learnedAt: now, origin: origin}
 	d.update()
 	return true
 }
@@ -208,10 +212,10 @@
 	if len(d.losses[success.Request]) == 0 {
 		delete(d.losses, success.Request)
 	}
-	if len(d.successes) >= _maxSigns {
+	if len(d.successes) >= _maxAnswers {
 		clear(d.successes)
 	}
-	d.successes[success.Request] = sighting{at: success.At, learnedAt: now, origin: origin}
+	d.successes[success.Request] = observation{at: success.At, learnedAt: now, origin: origin}
 	d.update()
 	return true
 }
@@ -269,7 +273,7 @@
 
 // lostRun is a run that was lost with an endpoint.
 type lostRun struct {
-	sighting
+	observation
 
 	endpoint core.EndpointKey
 }
@@ -277,11 +281,11 @@
 // successiveRuns returns the longest series of lost runs that ended at different moments, without
 // those at excluded endpoints. A run that was mostly after the end of another one, as a retry,
 // does not end at the same moment, however soon it is lost.
-func successiveRuns(losses map[core.EndpointKey]sighting, excluded map[core.EndpointKey]bool) []lostRun {
+func successiveRuns(losses map[core.EndpointKey]observation, excluded map[core.EndpointKey]bool) []lostRun {
 	runs := make([]lostRun, 0, len(losses))
 	for endpoint, loss := range losses {
 		if !excluded[endpoint] {
-			runs = append(runs, lostRun{sighting: loss, endpoint: endpoint})
+			runs = append(runs, lostRun{observation: loss, endpoint: endpoint})
 		}
 	}
 	slices.SortFunc(runs, func(a, b lostRun) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.endpoint.ID, b.endpoint.ID)) })
@@ -324,8 +328,8 @@
 	for _, loss := range report.Losses {
 		d.RecordLoss(now, origin, loss)
 	}
-	for _, sign := range report.Signs {
-		d.RecordSign(now, origin, sign)
+	for _, answer := range report.Answers {
+		d.RecordAnswer(now, origin, answer)
 	}
 	for _, success := range report.Successes {
 		d.RecordSuccess(now, origin, success)
@@ -347,9 +351,9 @@
 		return cmp.Or(len(d.losses[b.Request])-len(d.losses[a.Request]), b.At.Compare(a.At), bytes.Compare(a.Request[:], b.Request[:]))
 	})
 	r.Losses = r.Losses[:min(len(r.Losses), _maxReported)]
-	for endpoint, sign := range d.signs {
-		if sign.isReported(now, toOther) && len(r.Signs) < _maxReported {
-			r.Signs = append(r.Signs, SignOfLife{Endpoint: endpoint, At: sign.at})
+	for endpoint, answer := range d.answers {
+		if answer.isReported(now, toOther) && len(r.Answers) < _maxReported {
+			r.Answers = append(r.Answers, EndpointAnswer{Endpoint: endpoint, At: answer.at})
 		}
 	}
 	for request, success := range d.successes {
@@ -378,5 +382,5 @@
 
 // IsEmpty reports whether there is nothing to tell.
 func (r *RequestReport) IsEmpty() bool {
-	return len(r.Losses)+len(r.Signs)+len(r.Successes) == 0
+	return len(r.Losses)+len(r.Answers)+len(r.Successes) == 0
 }
--- a/core/procs/poison/request_test.go
+++ b/core/procs/poison/request_test.go
@@ -89,7 +89,7 @@
 func TestRequestLostWithEachEndpointIsBlocked(t *testing.T) {
 	d := poison.NewRequestDetector()
 	for endpoint := range 3 {
-		for _, name := range []string{"beside-1", "beside-2", "deadly"} {
+		for _, name := range []string{"beside-1", "beside-2", "poison"} {
 			lose(d, name, endpoint, 100*endpoint)
 		}
 		lose(d, fmt.Sprint("single-", endpoint), endpoint, 100*endpoint)
@@ -97,8 +97,8 @@
 	if n := len(d.BlockedRequests()); n != 1 {
 		t.Errorf("%d requests are blocked for three crashes, want one", n)
 	}
-	lose(d, "deadly", 3, 400)
-	if !isBlocked(d, "deadly") || isBlocked(d, "beside-1") || isBlocked(d, "beside-2") {
+	lose(d, "poison", 3, 400)
+	if !isBlocked(d, "poison") || isBlocked(d, "beside-1") || isBlocked(d, "beside-2") {
 		t.Error("want only the request blocked that was lost with a fourth endpoint")
 	}
 }
@@ -109,14 +109,14 @@
 	for endpoint := range 3 {
 		lose(d, "a", endpoint, -100*endpoint)
 	}
-	sign := func(ms int) bool {
+	answer := func(ms int) bool {
 		at := _noon.Add(time.Duration(ms) * time.Millisecond)
-		return d.RecordSign(at, poison.Own, poison.SignOfLife{Endpoint: endpointKey(1), At: at})
+		return d.RecordAnswer(at, poison.Own, poison.EndpointAnswer{Endpoint: endpointKey(1), At: at})
 	}
-	if sign(100) || !isBlocked(d, "a") {
+	if answer(100) || !isBlocked(d, "a") {
 		t.Error("an answer that may have been sent before the loss lifted the block")
 	}
-	if !sign(600) || isBlocked(d, "a") {
+	if !answer(600) || isBlocked(d, "a") {
 		t.Error("an answer after the loss did not lift the block")
 	}
 	if lose(d, "a", 1, 0) {
@@ -161,13 +161,13 @@
 // Hosts tell each other what they saw; a host that just started needs the blocked ones only.
 func TestRequestLossesSpread(t *testing.T) {
 	a, b, c := poison.NewRequestDetector(), poison.NewRequestDetector(), poison.NewRequestDetector()
-	lose(a, "deadly", 0, 0)
-	lose(a, "deadly", 1, 100)
-	lose(b, "deadly", 2, 200)
+	lose(a, "poison", 0, 0)
+	lose(a, "poison", 1, 100)
+	lose(b, "poison", 2, 200)
 	now := _noon.Add(300 * time.Millisecond)
 	fromA := a.Report(now, false)
 	b.Merge(now, poison.SameDataCentre, &fromA)
-	if !isBlocked(b, "deadly") {
+	if !isBlocked(b, "poison") {
 		t.Error("the request is not blocked by the losses of two hosts")
 	}
 	if again := b.Report(now, false); len(again.Losses) != 1 {
@@ -175,7 +175,7 @@
 	}
 	blocked := b.ReportBlocked()
 	c.Merge(now, poison.OtherDataCentre, &blocked)
-	if !isBlocked(c, "deadly") {
+	if !isBlocked(c, "poison") {
 		t.Error("a host that just started does not block the request")
 	}
 	if toOwn, toOther := c.Report(now, false), c.Report(now, true); len(toOwn.Losses) != 3 || !toOther.IsEmpty() {
@@ -187,12 +187,12 @@
 func TestRequestLossesAreBounded(t *testing.T) {
 	d := poison.NewRequestDetector()
 	for endpoint := range 3 {
-		lose(d, "deadly", endpoint, 100*endpoint)
+		lose(d, "poison", endpoint, 100*endpoint)
 	}
 	for i := range 5000 {
 		lose(d, fmt.Sprint("sound-", i), 10+i/10, 1+i)
 	}
-	if !isBlocked(d, "deadly") {
+	if !isBlocked(d, "poison") {
 		t.Error("other losses displaced those of a blocked request")
 	}
 	if r := d.Report(_noon.Add(5*time.Second), false); len(r.Losses) > 64 {
--- a/io/entry/answers.go
+++ b/io/entry/answers.go
@@ -26,7 +26,7 @@
 		h.peers.scheduleHeartbeat()
 	}
 	if answer.Header.Get(h.settings.Names.RequestID) != "" {
-		h.detector.RecordSign(endpoint.Key())
+		h.detector.RecordAnswer(endpoint.Key())
 	}
 	h.inspectRateLimit(endpoint, answer)
 	value := answer.Header.Get("Retry-After")
--- a/io/entry/deadly_test.go
+++ b/io/entry/poison_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	_deadlyEndpoints = 4
+	_poisonEndpoints = 4
 	// _restartTime is how long it takes until another endpoint replaces one that crashed.
 	_restartTime = 200 * time.Millisecond
 	// _minCrashes is the number of endpoints that a request may crash before it is contained,
@@ -21,9 +21,9 @@
 	_maxLateRequests = 3
 )
 
-// deadlySite is three hosts before endpoints that end when they run a request for a path with
-// "deadly" in it. Another one starts for each that ended.
-type deadlySite struct {
+// poisonSite is three hosts before endpoints that end when they run a request for a path with
+// "poison" in it. Another one starts for each that ended.
+type poisonSite struct {
 	*site
 	// crashes counts the endpoints that ended.
 	crashes atomic.Int64
@@ -32,18 +32,18 @@
 	sent    atomic.Int64
 }
 
-func newDeadlySite(t *testing.T) *deadlySite {
+func newPoisonSite(t *testing.T) *poisonSite {
 	t.Helper()
-	s := &deadlySite{site: newSite(t, 3)}
+	s := &poisonSite{site: newSite(t, 3)}
 	s.store.Put("config", `{"Version":1,"Prefix":"/a/"}`)
-	for range _deadlyEndpoints {
+	for range _poisonEndpoints {
 		s.startEndpoint()
 	}
 	s.eventually("all serve", 2*time.Second, s.soundServed)
 	return s
 }
 
-func (s *deadlySite) startEndpoint() {
+func (s *poisonSite) startEndpoint() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.t.Context().Err() != nil {
@@ -54,7 +54,7 @@
 	ready := make(chan struct{}) // closed once endpoint is set
 	var endpoint *routed.Endpoint
 	endpoint, err := routed.Start(func(c *routed.Call) bool {
-		if !strings.Contains(c.RequestURI, "deadly") {
+		if !strings.Contains(c.RequestURI, "poison") {
 			c.Answer(200, "sound", "Request-Id: "+c.Header.Get("Request-Id"), "Seal: s")
 			return true
 		}
@@ -75,13 +75,13 @@
 }
 
 // send sends a request with an ID of its own to a host.
-func (s *deadlySite) send(host int, path string) int {
+func (s *poisonSite) send(host int, path string) int {
 	status, _ := s.get(s.front[host], path, fmt.Sprintf("Request-Id: r%d", s.sent.Add(1)))
 	return status
 }
 
 // soundServed reports whether all hosts serve sound requests.
-func (s *deadlySite) soundServed() bool {
+func (s *poisonSite) soundServed() bool {
 	for host := range s.front {
 		if s.send(host, fmt.Sprint("/a/sound", s.sent.Load())) != 200 {
 			return false
@@ -90,17 +90,17 @@
 	return true
 }
 
-// crash sends a deadly request to the hosts in turn until it has crashed _minCrashes endpoints.
-func (s *deadlySite) crash(path string) {
+// crash sends a poison request to the hosts in turn until it has crashed _minCrashes endpoints.
+func (s *poisonSite) crash(path string) {
 	for i := 0; s.crashes.Load() < _minCrashes; i++ {
 		s.send(i%len(s.front), path)
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-// checkContained fails the test if more than _maxLateRequests of a deadly request reach
+// checkContained fails the test if more than _maxLateRequests of a poison request reach
 // endpoints, or if one is not refused.
-func (s *deadlySite) checkContained(path string) {
+func (s *poisonSite) checkContained(path string) {
 	s.t.Helper()
 	time.Sleep(_crashSpread)
 	before := s.crashes.Load()
@@ -118,7 +118,7 @@
 // A request that has crashed three endpoints hardly reaches any more, at whichever host it
 // arrives and under whichever ID.
 func TestRequestThatCrashesEndpoints(t *testing.T) {
-	s := newDeadlySite(t)
-	s.crash("/a/deadly")
-	s.checkContained("/a/deadly")
+	s := newPoisonSite(t)
+	s.crash("/a/poison")
+	s.checkContained("/a/poison")
 }
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -95,7 +95,7 @@
 		n, err := answer.Read(chunk)
 		if n > 0 {
 			slowTimer.Stop()
-			e.front.config.Detector.RecordSign(e.run.Endpoint.Key())
+			e.front.config.Detector.RecordAnswer(e.run.Endpoint.Key())
 			if e.canContinue() {
 				slowTimer.Reset(e.silenceTimeout())
 			}
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -82,14 +82,14 @@
 	return texts
 }
 
-// RecordSign records that an endpoint answered, if it lost requests before.
-func (s *SharedDetector) RecordSign(endpoint core.EndpointKey) {
+// RecordAnswer records that an endpoint answered, if it lost requests before.
+func (s *SharedDetector) RecordAnswer(endpoint core.EndpointKey) {
 	if !s.hasRequestLosses.Load() {
 		return
 	}
 	now := time.Now()
 	s.UpdateRequests("own", func(d *poison.RequestDetector) {
-		d.RecordSign(now, poison.Own, poison.SignOfLife{Endpoint: endpoint, At: now})
+		d.RecordAnswer(now, poison.Own, poison.EndpointAnswer{Endpoint: endpoint, At: now})
 	})
 }
 
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -82,7 +82,7 @@
 	digest := poison.DigestOf("POST", "h", "/a/", "w", nil)
 	want := &news.Requests{Host: "edge-austin-a-1", DataCentre: "austin-a", Report: poison.RequestReport{
 		Losses:    []poison.RequestLoss{{Request: digest, Endpoint: key, SentAt: _now.Add(-3 * time.Second), At: _now.Add(-2 * time.Second)}},
-		Signs:     []poison.SignOfLife{{Endpoint: key, At: _now.Add(-time.Second)}},
+		Answers:   []poison.EndpointAnswer{{Endpoint: key, At: _now.Add(-time.Second)}},
 		Successes: []poison.RequestSuccess{{Request: digest, At: _now}},
 	}}
 	b, err := news.EncodeRequests(want, _now)
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -64,7 +64,7 @@
 		Host       string
 		DataCentre string
 		Losses     []wireRequestLoss
-		Signs      []wireSign
+		Answers    []wireEndpointAnswer
 		Successes  []wireRequestSuccess
 	}
 
@@ -76,7 +76,7 @@
 		RunMs    int64
 	}
 
-	wireSign struct {
+	wireEndpointAnswer struct {
 		_        struct{} `cbor:",toarray"`
 		Endpoint wireIncarnation
 		AgeMs    int64
@@ -216,8 +216,8 @@
 	for _, l := range r.Report.Losses {
 		w.Losses = append(w.Losses, wireRequestLoss{Request: l.Request, Endpoint: keyToWire(l.Endpoint), AgeMs: age(l.At), RunMs: l.At.Sub(l.SentAt).Milliseconds()})
 	}
-	for _, s := range r.Report.Signs {
-		w.Signs = append(w.Signs, wireSign{Endpoint: keyToWire(s.Endpoint), AgeMs: age(s.At)})
+	for _, s := range r.Report.Answers {
+		w.Answers = append(w.Answers, wireEndpointAnswer{Endpoint: keyToWire(s.Endpoint), AgeMs: age(s.At)})
 	}
 	for _, s := range r.Report.Successes {
 		w.Successes = append(w.Successes, wireRequestSuccess{Request: s.Request, AgeMs: age(s.At)})
@@ -234,8 +234,8 @@
 			Request: l.Request, Endpoint: keyFromWire(l.Endpoint), SentAt: lostAt.Add(-milliseconds(max(l.RunMs, 0))), At: lostAt,
 		})
 	}
-	for _, s := range w.Signs {
-		r.Report.Signs = append(r.Report.Signs, poison.SignOfLife{Endpoint: keyFromWire(s.Endpoint), At: at(s.AgeMs)})
+	for _, s := range w.Answers {
+		r.Report.Answers = append(r.Report.Answers, poison.EndpointAnswer{Endpoint: keyFromWire(s.Endpoint), At: at(s.AgeMs)})
 	}
 	for _, s := range w.Successes {
 		r.Report.Successes = append(r.Report.Successes, poison.RequestSuccess{Request: s.Request, At: at(s.AgeMs)})
--- a/proof/soak_site_test.go
+++ b/proof/soak_site_test.go
@@ -65,9 +65,9 @@
 	if e.leaving {
 		headers = append(headers, "Endpoint-Leaving: 1")
 	}
-	isDeadly := strings.Contains(c.URL.Path, "deadly")
-	if isDeadly {
-		r.deadly[c.URL.Path] = append(r.deadly[c.URL.Path], arrival)
+	isPoison := strings.Contains(c.URL.Path, "poison")
+	if isPoison {
+		r.poison[c.URL.Path] = append(r.poison[c.URL.Path], arrival)
 	}
 	refuse := number%17 == 3
 	if !refuse {
@@ -78,7 +78,7 @@
 	}
 	r.mu.Unlock()
 	switch {
-	case isDeadly:
+	case isPoison:
 		r.replace(e, _soakInterval)
 		return false
 	case refuse:
@@ -176,10 +176,10 @@
 	e.limit = 0
 }
 
-// checkDeadly checks that requests that crash endpoints were contained. A crash counts if the host
+// checkPoison checks that requests that crash endpoints were contained. A crash counts if the host
 // that sent the request could tell the others.
-func (r *soakRun) checkDeadly() {
-	for path, arrivals := range r.deadly {
+func (r *soakRun) checkPoison() {
+	for path, arrivals := range r.poison {
 		known, late := 0, 0
 		var contained time.Time
 		for _, a := range arrivals {
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -56,7 +56,7 @@
 
 func drawSoak(seed uint64) []soakFault {
 	random := rand.New(rand.NewPCG(seed, 7))
-	kinds := []string{"kill", "stop", "freeze", "hangup", "change", "limit", "limit", "deadly", "leave", "pair"}
+	kinds := []string{"kill", "stop", "freeze", "hangup", "change", "limit", "limit", "poison", "leave", "pair"}
 	var faults []soakFault
 	for at := 3 * time.Second; at < _soakDuration-_soakSettle; at += time.Duration(random.Int64N(int64(2 * _soakInterval))) {
 		f := soakFault{at: at, kind: kinds[random.IntN(len(kinds))], target: random.IntN(1 << 16), length: time.Duration(500+random.IntN(3000)) * time.Millisecond}
@@ -113,8 +113,8 @@
 	runs     map[string]int
 	answered map[string]bool
 	notRun   map[string]bool
-	// deadly holds the arrivals of requests that crash endpoints, by path.
-	deadly map[string][]soakArrival
+	// poison holds the arrivals of requests that crash endpoints, by path.
+	poison map[string][]soakArrival
 	// lost holds requests whose caller got no answer although an endpoint had answered.
 	lost   []soakArrival
 	served int
@@ -271,8 +271,8 @@
 		r.mu.Lock()
 		r.checkLimit(e)
 		r.mu.Unlock()
-	case "deadly":
-		path := fmt.Sprintf("/%s/deadly-%d", [...]string{"lookup", "order"}[f.target%2], f.target)
+	case "poison":
+		path := fmt.Sprintf("/%s/poison-%d", [...]string{"lookup", "order"}[f.target%2], f.target)
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		for n := range 40 {
 			host := (f.target + n) % len(r.hosts)
@@ -344,7 +344,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.checkDeadly()
+	r.checkPoison()
 	if n := len(r.lost); n > _soakMaxLost {
 		r.violations = append(r.violations, fmt.Sprintf("%d requests without an answer that endpoints had answered, at hosts that were stopped", n))
 	}
@@ -372,7 +372,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			r := &soakRun{
 				t: t, binary: binary, runs: make(map[string]int), answered: make(map[string]bool), notRun: make(map[string]bool),
-				deadly: make(map[string][]soakArrival),
+				poison: make(map[string][]soakArrival),
 			}
 			r.execute(uint64(seed), hosts, hosts+2)
 			for _, violation := range r.violations {
