io/cmds: settings that change while a host starts are applied

What operators saw: nothing yet.

Cause: the watcher took the text that it first read for the one in force.

Why it works: the text that was parsed is handed to the watcher.

--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-logr/logr"
 
+	"apricotproxy/core"
 	"apricotproxy/core/invar"
 	"apricotproxy/io/entry"
 	"apricotproxy/io/local"
@@ -41,7 +42,7 @@
 func (c *RouteCommand) Run(ctx context.Context, console *Console) error {
 	hangups, stopHangups := notifyHangup()
 	defer stopHangups()
-	settings, err := c.settings()
+	settings, text, err := c.settings()
 	if err != nil {
 		return fmt.Errorf("read the settings: %w", err)
 	}
@@ -59,7 +60,7 @@
 		return fmt.Errorf("start the host: %w", err)
 	}
 	if c.SiteFile == "" { // a site's file is followed without signals
-		go watchSettings(ctx, c.bootPath(), h, settings.Logger, hangups)
+		go watchSettings(ctx, c.bootPath(), text, h.Reload, settings.Logger, hangups)
 	}
 	go c.serveMetrics(settings.Logger)
 	if err := h.Run(ctx); err != nil {
@@ -68,30 +69,33 @@
 	return nil
 }
 
-// settings returns the host's settings, from SiteFile if it is set and from the
-// platform's settings file otherwise.
-func (c *RouteCommand) settings() (entry.Settings, error) {
+// settings returns the host's settings, from SiteFile if it is set, and from the platform's
+// settings file and with its text otherwise.
+func (c *RouteCommand) settings() (settings entry.Settings, text []byte, err error) {
 	dialer := entry.NewDialer()
-	settings := entry.Settings{Dialer: dialer, Listen: net.Listen, ListenPacket: net.ListenPacket}
+	settings = entry.Settings{Dialer: dialer, Listen: net.Listen, ListenPacket: net.ListenPacket}
 	if c.SiteFile != "" {
 		store, site, err := local.Open(c.SiteFile)
 		if err != nil {
-			return entry.Settings{}, fmt.Errorf("open the site's file: %w", err)
+			return entry.Settings{}, nil, fmt.Errorf("open the site's file: %w", err)
 		}
 		settings.EntrySettings, settings.Store, settings.Decode = site.Host, store, local.Decode
 		settings.Names, settings.Paths, settings.DecodeReport = local.Headers(), local.Paths(), local.DecodeReport
-		return settings, nil
+		return settings, nil, nil
 	}
-	entrySettings, err := platform.ReadSettings(c.bootPath())
+	if text, err = os.ReadFile(c.bootPath()); err != nil {
+		return entry.Settings{}, nil, fmt.Errorf("read the platform's settings: %w", err)
+	}
+	entrySettings, err := platform.ParseSettings(c.bootPath(), text)
 	if err != nil {
-		return entry.Settings{}, fmt.Errorf("read the platform's settings: %w", err)
+		return entry.Settings{}, nil, fmt.Errorf("parse the platform's settings: %w", err)
 	}
 	settings.EntrySettings, settings.Decode = entrySettings, platform.Decode
 	settings.Store = platform.NewStore(entrySettings.Store, &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true,
 	})
 	settings.Names, settings.Paths, settings.DecodeReport = platform.Headers(), platform.Paths(), platform.DecodeReport
-	return settings, nil
+	return settings, text, nil
 }
 
 // bootPath returns the path of the platform's settings file.
@@ -133,15 +137,11 @@
 // without a signal.
 const _settingsPollInterval = time.Second
 
-// watchSettings reads the settings file every second and after SIGHUP, and applies
-// it when it has changed. If the file cannot be used, the settings stay as they are.
-func watchSettings(ctx context.Context, path string, h *entry.Host, logger logr.Logger, hangups <-chan os.Signal) {
+// watchSettings reads the settings file every second and after SIGHUP, and calls reload when
+// its text is not the previous one. If the file cannot be used, the settings stay as they are.
+func watchSettings(ctx context.Context, path string, previous []byte, reload func(core.EntrySettings), logger logr.Logger, hangups <-chan os.Signal) {
 	ticker := time.NewTicker(_settingsPollInterval)
 	defer ticker.Stop()
-	previous, err := os.ReadFile(path)
-	if err != nil {
-		logger.Error(err, "The settings file cannot be read.")
-	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -164,6 +164,6 @@
 			continue
 		}
 		logger.Info("The settings changed.", "Path", path)
-		h.Reload(settings)
+		reload(settings)
 	}
 }
