--- a/core/procs/poison/request.go
+++ b/core/procs/poison/request.go
@@ -19,7 +19,7 @@
 	// _answerDelay is how long after a loss an answer of the same endpoint shows that it did not
 	// end then: an answer that was sent before may take some time to be read.
 	_answerDelay = 500 * time.Millisecond
-	// _unconfirmedTime is how long after the latest loss a block may still be lifted soon, by a
+	// _unconfirmedTime is how long after the latest loss a block may still be lifted soon, by an
 	// answer. Callers are told to come back after it.
 	_unconfirmedTime = time.Second
 	// The most that is kept of each.
@@ -166,8 +166,7 @@
 	delete(d.losses, request)
 }
 
-// IsIdle reports whether no losses are known, so that answers and successes
-// tell nothing.
+// IsIdle reports whether no losses are known, so that answers and successes tell nothing.
 func (d *RequestDetector) IsIdle() bool { return d.count == 0 }
 
 // RecordAnswer records that an endpoint answered. It reports whether losses were dropped.
