io/front, io/links, tries: a refusal names its request; engines that ended are no attempts

Causes: a refusal without a request id was believed on any connection, also where it was a copy of an earlier one while the request ran. Calls without an id (moves, reports) took any answer on their connection. A stream that may be resumed was cut when its second engine ended, since the first still counted towards MaxAttempts. Change: a refusal without an id is believed only as the first answer on its connection; an endpoint that sends one gets each further request on a new connection, and a connection that carried an answer without an id is closed. Calls reject answers that bear an id. Engines that refuse connections after they were lost do not count, unless two tries in a row gave no event. Cost where workers leave out the id: a new connection for each request to them; the first refusal on a kept connection is waited out (504 at the deadline for a request that may run once).

--- a/core/reqst/tries/tries.go
+++ b/core/reqst/tries/tries.go
@@ -60,6 +60,11 @@
 // given up.
 const _maxNotSent = 6
 
+// _maxBarrenTries is the number of tries in a row that deliver no event after which a
+// stream goes on at no further endpoint because others ended: its request may be what ends
+// them.
+const _maxBarrenTries = 2
+
 // Switches disable safeguards, so that tests can show that they detect the fault.
 type Switches struct {
 	// RepeatAnything treats every request as repeatable.
@@ -75,6 +80,8 @@
 	notSent int
 	// counted is true if the last try was counted in ran.
 	counted bool
+	// barren is the number of the latest tries in a row that were lost without an event.
+	barren int
 }
 
 // New returns the empty history of a request.
@@ -112,6 +119,11 @@
 	SpendRetry func() bool
 	// TimeLeft is false if no further try can end before the deadline.
 	TimeLeft bool
+	// HadEvents is true if the last try delivered an event.
+	HadEvents bool
+	// EndedEndpoints returns how many of the endpoints on which the request may have run
+	// have ended; nil if that cannot be found out. It is called only if the answer matters.
+	EndedEndpoints func() int
 }
 
 // Next returns the step to take after a try.
@@ -164,15 +176,32 @@
 // lossStep returns the step after a try that was lost, broke off, or failed when a part
 // of the answer was already delivered.
 func (t *Tries) lossStep(situation Situation) Step {
+	t.barren++
+	if situation.HadEvents {
+		t.barren = 0
+	}
 	if situation.TimeLeft && situation.HasCopy && t.route.Kind == core.RouteStreaming {
 		return Continue
 	}
-	if t.repeatable() && situation.TimeLeft && t.ran < t.route.MaxAttempts && situation.SpendRetry() {
+	if t.repeatable() && situation.TimeLeft && t.mayRunOnceMore(situation) && situation.SpendRetry() {
 		return t.retryStep(situation)
 	}
 	return t.finalStep(situation)
 }
 
+// mayRunOnceMore reports whether MaxAttempts allows one more endpoint. Endpoints that have
+// ended do not count for a stream of which the caller has a part, since only another
+// endpoint can make it complete.
+func (t *Tries) mayRunOnceMore(situation Situation) bool {
+	if t.ran < t.route.MaxAttempts {
+		return true
+	}
+	if !situation.Delivered || situation.EndedEndpoints == nil || t.barren >= _maxBarrenTries {
+		return false
+	}
+	return t.ran-situation.EndedEndpoints() < t.route.MaxAttempts
+}
+
 // finalStep returns the step that ends the request.
 func (t *Tries) finalStep(situation Situation) Step {
 	switch {
--- a/core/reqst/tries/tries_test.go
+++ b/core/reqst/tries/tries_test.go
@@ -25,6 +25,8 @@
 	copy      bool
 	noBudget  bool
 	noTime    bool
+	hadEvents bool
+	ended     int
 }
 
 func TestNext(t *testing.T) {
@@ -58,6 +60,13 @@
 		{"a draft that continued and failed is cut", _draft, []try{{sent: true, result: tries.Broken, delivered: true, copy: true}, {sent: true, fromCopy: true, result: tries.Failed, delivered: true}}, tries.Cut},
 		{"a draft that continued and failed, with another copy", _draft, []try{{sent: true, result: tries.Broken, delivered: true, copy: true}, {sent: true, fromCopy: true, result: tries.Failed, delivered: true, copy: true}}, tries.Continue},
 		{"a check is resumed after what was delivered", _check, []try{{sent: true, result: tries.Broken, delivered: true}}, tries.Resume},
+		{"a check broken off twice is cut", _check, []try{{sent: true, result: tries.Broken, delivered: true}, {sent: true, result: tries.Broken, delivered: true}}, tries.Cut},
+		{"a check whose second endpoint ended goes on at a third", _check, []try{{sent: true, result: tries.Broken, delivered: true, hadEvents: true}, {sent: true, result: tries.Broken, delivered: true, ended: 1}}, tries.Resume},
+		{"a check whose endpoints ended, without budget", _check, []try{{sent: true, result: tries.Broken, delivered: true}, {sent: true, result: tries.Broken, delivered: true, hadEvents: true, ended: 2, noBudget: true}}, tries.Cut},
+		{"a check that ends each endpoint without an event is cut", _check, []try{{sent: true, result: tries.Broken, delivered: true, hadEvents: true}, {sent: true, result: tries.Broken, delivered: true, ended: 2}, {sent: true, result: tries.Broken, delivered: true, ended: 3}}, tries.Cut},
+		{"a lookup whose endpoints ended runs no more often", _lookup, []try{{sent: true, result: tries.Lost}, {sent: true, result: tries.Lost, ended: 2}}, tries.Fail},
+		{"an order whose endpoint ended may have run", _order, []try{{sent: true, result: tries.Lost, ended: 1}}, tries.Fail},
+		{"a draft whose endpoint ended is cut", _draft, []try{{sent: true, result: tries.Broken, delivered: true, ended: 1}}, tries.Cut},
 		{"a check resumed and failed is cut", _check, []try{{sent: true, result: tries.Broken, delivered: true}, {sent: true, result: tries.Failed, delivered: true}}, tries.Cut},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -70,6 +79,7 @@
 				got = history.Next(one.result, tries.Situation{
 					Delivered: one.delivered, HasCopy: one.copy, TimeLeft: !one.noTime,
 					SpendRetry: func() bool { return !one.noBudget },
+					HadEvents:  one.hadEvents, EndedEndpoints: func() int { return one.ended },
 				})
 			}
 			if got != c.want {
--- a/fakes/routed/routed.go
+++ b/fakes/routed/routed.go
@@ -24,6 +24,8 @@
 	conn     net.Conn
 	// Number is the index of the call among the endpoint's calls, from 0.
 	Number int
+	// OnConnection is the index of the call among those on its connection, from 0.
+	OnConnection int
 }
 
 // Handler answers a call by writing to its connection. It returns false to close
@@ -91,7 +93,7 @@
 func (e *Endpoint) serve(conn net.Conn, handle Handler) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	for {
+	for n := 0; ; n++ {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -100,7 +102,7 @@
 		if err != nil {
 			return
 		}
-		call := &Call{Request: request, BodyText: string(body), conn: conn}
+		call := &Call{Request: request, BodyText: string(body), conn: conn, OnConnection: n}
 		e.mu.Lock()
 		call.Number = len(e.calls)
 		e.calls = append(e.calls, call)
--- a/io/entry/report.go
+++ b/io/entry/report.go
@@ -84,7 +84,9 @@
 	defer cancel()
 	answer, err := h.links.Do(ctx, endpoint, &links.Request{
 		Method: http.MethodGet, Target: h.settings.Paths.Report, HostName: endpoint.Address,
-		Header: http.Header{}, IsOwnAnswer: func(*http.Response) bool { return true },
+		Header: http.Header{}, Identify: func(answer *http.Response, _ bool) links.Ownership {
+			return links.IdentifyCall(answer, h.settings.Names.RequestID)
+		},
 	})
 	if err != nil {
 		return core.EngineState{}, fmt.Errorf("request a report: %w", err)
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -304,7 +304,7 @@
 	defer cancel()
 	answer, err := e.front.config.Links.Do(ctx, e.run.Endpoint.RoutedEndpoint, &links.Request{
 		Method: http.MethodDelete, Target: e.front.config.Paths.Handle + handle, HostName: e.run.Endpoint.Address,
-		Header: http.Header{}, IsOwnAnswer: func(*http.Response) bool { return true },
+		Header: http.Header{}, Identify: e.identifyCall,
 	})
 	if err != nil {
 		e.log("A copy of a run's memory could not be freed.", "Cause", err.Error())
@@ -327,7 +327,7 @@
 	answer, err := e.front.config.Links.Do(ctx, e.run.Endpoint.RoutedEndpoint, &links.Request{
 		Method: http.MethodPost, Target: e.front.config.Paths.Move, HostName: e.run.Endpoint.Address,
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
-		IsOwnAnswer: func(*http.Response) bool { return true },
+		Identify: e.identifyCall,
 	})
 	if err != nil {
 		return "", fmt.Errorf("request a move: %w", err)
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -56,6 +57,9 @@
 
 	// triedEndpoints lists the IDs of the endpoints of earlier tries.
 	triedEndpoints []string
+	// lostAddresses lists the addresses of the endpoints that closed the connection of a try
+	// before its answer was complete.
+	lostAddresses []string
 	// failedCopyTargets lists the IDs of the endpoints to which the current run's memory
 	// could not be copied.
 	failedCopyTargets []string
@@ -171,6 +175,12 @@
 		HasCopy:    e.backupReady(),
 		SpendRetry: func() bool { return e.placer().allowRetry(e.request.Service) },
 		TimeLeft:   time.Until(e.request.Deadline) > _minTimeLeft,
+		HadEvents:  !e.firstEventAt.IsZero(),
+		EndedEndpoints: func() int {
+			return len(slices.DeleteFunc(slices.Clone(e.lostAddresses), func(address string) bool {
+				return !e.front.config.Links.Refuses(e.incoming.Context(), address)
+			}))
+		},
 	}
 }
 
@@ -210,6 +220,9 @@
 		e.backup.drop(e.placer()) // the copy was to be made by this try
 	}
 	e.front.counters.countTry(end.result.String())
+	if isConnectionEnd(end.err) {
+		e.lostAddresses = append(e.lostAddresses, e.run.Endpoint.Address)
+	}
 	if !end.done {
 		e.triedEndpoints = append(e.triedEndpoints, e.run.Endpoint.ID)
 	}
@@ -408,25 +421,40 @@
 		HostName:     e.incoming.Host,
 		Header:       header,
 		Body:         e.request.body,
-		IsOwnAnswer:  e.isOwnAnswer,
+		Identify:     e.identify,
 		RequireFresh: e.request.Route.Kind != core.RouteIdempotent,
 
 		MaxConnections: e.run.MaxConnections,
 	}
 }
 
-// isOwnAnswer reports whether an answer belongs to this request. It must repeat the
-// request's id; only a refusal (status 421 or the Not-Run header) may have none.
-func (e *exchange) isOwnAnswer(res *http.Response) bool {
-	if e.front.config.Switches.AcceptAnyAnswer {
-		return true
-	}
+// identify tells whether an answer belongs to this request. It must repeat the request's id. A
+// refusal (status 421 or the Not-Run header) without an id is believed only as the first answer
+// on its connection: later it may be a copy of an earlier one while this request runs. An
+// endpoint that leaves out ids gets each further request on a new connection.
+func (e *exchange) identify(answer *http.Response, isFirst bool) links.Ownership {
 	names := e.front.config.Names
-	echo := res.Header.Get(names.RequestID)
-	if echo == "" {
-		return res.StatusCode == http.StatusMisdirectedRequest || res.Header.Get(names.NotRun) != ""
+	echo := answer.Header.Get(names.RequestID)
+	isRefusal := answer.StatusCode == http.StatusMisdirectedRequest || answer.Header.Get(names.NotRun) != ""
+	switch {
+	case echo == e.request.ID, e.front.config.Switches.AcceptAnyAnswer:
+		return links.Own
+	case echo != "" || !isRefusal:
+		return links.Foreign
+	}
+	if e.front.config.Links.RequireNew(e.run.Endpoint.RoutedEndpoint) {
+		e.log("An endpoint refuses without a request's id; each request to it gets a new connection.",
+			"Endpoint", e.run.Endpoint.ID, "Status", answer.StatusCode, "Believed", isFirst)
 	}
-	return echo == e.request.ID
+	if !isFirst {
+		return links.Foreign
+	}
+	return links.Unnamed
+}
+
+// identifyCall tells whether an answer belongs to a call that has no request id.
+func (e *exchange) identifyCall(answer *http.Response, _ bool) links.Ownership {
+	return links.IdentifyCall(answer, e.front.config.Names.RequestID)
 }
 
 // receive classifies an answer and relays it to the caller if it is valid.
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -10,11 +10,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"apricotproxy/core"
@@ -65,6 +67,29 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// Ownership tells to which request an answer belongs.
+type Ownership uint8
+
+// Ownerships.
+const (
+	// Foreign: the answer belongs to another request, or may do so.
+	Foreign Ownership = iota
+	// Own: the answer names this request.
+	Own
+	// Unnamed: the answer belongs to this request, but does not name it. The connection is
+	// closed after it, since a copy of it could be taken for the answer to the next request.
+	Unnamed
+)
+
+// IdentifyCall tells whether an answer belongs to a call of this host's own that has no
+// request id: an answer with one belongs to a request that the connection carried before.
+func IdentifyCall(answer *http.Response, requestIDHeader string) Ownership {
+	if answer.Header.Get(requestIDHeader) != "" {
+		return Foreign
+	}
+	return Unnamed
+}
+
 // Request is one request to an endpoint.
 type Request struct {
 	Method string
@@ -73,8 +98,9 @@
 	HostName string
 	Header   http.Header
 	Body     []byte
-	// IsOwnAnswer reports whether an answer belongs to this request.
-	IsOwnAnswer func(*http.Response) bool
+	// Identify tells whose answer an answer is. isFirst is true for the first answer on a
+	// connection that carried no request before this one.
+	Identify func(answer *http.Response, isFirst bool) Ownership
 	// RequireFresh excludes idle connections that the endpoint may be about to close.
 	RequireFresh bool
 	// MaxConnections bounds the connections to the endpoint, including idle ones:
@@ -88,6 +114,8 @@
 	connection *connection
 	// complete is set when the body was read to its end.
 	complete bool
+	// isUnnamed is true if the answer does not name its request.
+	isUnnamed bool
 	// written receives the result of writing the request.
 	written <-chan error
 	// stop keeps the end of the request's context from closing the connection.
@@ -116,6 +144,8 @@
 	idle     map[string][]*connection
 	// inUse counts the connections in use, by endpoint.
 	inUse map[string]int
+	// singleUse holds the endpoints to which each request gets a new connection.
+	singleUse map[string]bool
 }
 
 type connection struct {
@@ -124,11 +154,13 @@
 	reader    *bufio.Reader
 	idleSince time.Time
 	idleUntil time.Time
+	// isReused is true if the connection carried a request before the current one.
+	isReused bool
 }
 
 // New returns an empty pool.
 func New(settings Settings) *Pool {
-	return &Pool{settings: settings, idle: make(map[string][]*connection), inUse: make(map[string]int)}
+	return &Pool{settings: settings, idle: make(map[string][]*connection), inUse: make(map[string]int), singleUse: make(map[string]bool)}
 }
 
 // Close closes idle connections.
@@ -155,12 +187,24 @@
 			p.idle[key] = kept
 		}
 	}
+	maps.DeleteFunc(p.singleUse, func(key string, _ bool) bool { return !keep(key) })
 	p.mu.Unlock()
 	for _, c := range closing {
 		c.close()
 	}
 }
 
+// RequireNew gives each further request to an endpoint a new connection, on which no answer can
+// belong to an earlier request. It returns true when this was not the case before.
+func (p *Pool) RequireNew(endpoint core.RoutedEndpoint) bool {
+	key := Key(endpoint)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isNew := !p.singleUse[key]
+	p.singleUse[key] = true
+	return isNew
+}
+
 // Key returns the key under which connections to an endpoint are pooled. It covers
 // the incarnation and the address.
 func Key(endpoint core.RoutedEndpoint) string { return endpoint.ID + "@" + endpoint.Address }
@@ -181,7 +225,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.close)
 	written := c.write(request)
-	res, err := c.readAnswer(request)
+	res, ownership, err := c.readAnswer(request)
 	if err != nil {
 		stop()
 		p.discard(key, c)
@@ -193,7 +237,7 @@
 	if p.settings.Answered != nil {
 		p.settings.Answered(endpoint, res)
 	}
-	return &Answer{Response: res, connection: c, written: written, stop: stop, pool: p, key: key, maxConnections: request.MaxConnections}, nil
+	return &Answer{Response: res, connection: c, written: written, stop: stop, pool: p, key: key, maxConnections: request.MaxConnections, isUnnamed: ownership == Unnamed}, nil
 }
 
 func (p *Pool) addInUse(key string, change int) {
@@ -245,15 +289,28 @@
 	return &connection{conn: conn, head: head, reader: bufio.NewReaderSize(head, _readBufferBytes)}, nil
 }
 
+// Refuses reports whether nothing listens at an address any more: its host refuses
+// connections. An endpoint that was just lost there has ended.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
+	defer cancel()
+	conn, err := p.settings.Dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (p *Pool) popIdle(key string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	connections := p.idle[key]
-	if len(connections) == 0 {
+	if len(connections) == 0 || p.singleUse[key] {
 		return nil
 	}
 	c := connections[len(connections)-1]
 	p.idle[key] = connections[:len(connections)-1]
+	c.isReused = true
 	return c
 }
 
@@ -264,7 +321,7 @@
 	p.addInUse(key, -1)
 	p.mu.Lock()
 	idle := len(p.idle[key])
-	keep := idle < p.settings.MaxIdle && (maxConnections == 0 || idle+p.inUse[key] < maxConnections)
+	keep := idle < p.settings.MaxIdle && !p.singleUse[key] && (maxConnections == 0 || idle+p.inUse[key] < maxConnections)
 	if keep {
 		p.idle[key] = append(p.idle[key], c)
 	}
@@ -309,29 +366,31 @@
 
 // readAnswer reads the header of the request's own answer. A late answer to an
 // earlier request may come first; its request id tells it apart.
-func (c *connection) readAnswer(request *Request) (*http.Response, error) {
+func (c *connection) readAnswer(request *Request) (*http.Response, Ownership, error) {
 	httpRequest := &http.Request{Method: request.Method}
 	c.head.begin(_maxHeadBytes)
 	defer c.head.end()
+	isFirst := !c.isReused
 	for range _maxStrayAnswers {
 		res, err := http.ReadResponse(c.reader, httpRequest)
 		if err != nil {
-			return nil, fmt.Errorf("read the answer: %w", err)
+			return nil, Foreign, fmt.Errorf("read the answer: %w", err)
 		}
 		if res.StatusCode < http.StatusOK {
 			if res.StatusCode == http.StatusSwitchingProtocols {
-				return nil, errors.New("the endpoint switched protocols")
+				return nil, Foreign, errors.New("the endpoint switched protocols")
 			}
 			continue
 		}
-		if request.IsOwnAnswer(res) {
-			return res, nil
+		if ownership := request.Identify(res, isFirst); ownership != Foreign {
+			return res, ownership, nil
 		}
+		isFirst = false
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
-			return nil, fmt.Errorf("skip the answer to another request: %w", err)
+			return nil, Foreign, fmt.Errorf("skip the answer to another request: %w", err)
 		}
 	}
-	return nil, errors.New("too many answers to other requests on the connection")
+	return nil, Foreign, errors.New("too many answers to other requests on the connection")
 }
 
 // Read reads from the body.
@@ -362,7 +421,7 @@
 }
 
 func (a *Answer) reusable() bool {
-	if !a.complete || a.Response.Close || !a.Framed() || a.connection.reader.Buffered() > 0 {
+	if !a.complete || a.isUnnamed || a.Response.Close || !a.Framed() || a.connection.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/io/links/links_test.go
+++ b/io/links/links_test.go
@@ -35,7 +35,12 @@
 func request(id string) *links.Request {
 	return &links.Request{
 		Method: http.MethodPost, Target: "/a?b=%2F", HostName: "h", Header: http.Header{"Id": {id}}, Body: []byte("body " + id),
-		IsOwnAnswer: func(res *http.Response) bool { return res.Header.Get("Id") == id },
+		Identify: func(res *http.Response, _ bool) links.Ownership {
+			if res.Header.Get("Id") == id {
+				return links.Own
+			}
+			return links.Foreign
+		},
 	}
 }
 
