core/procs/place: generations in time or refused at once, at the worst load

Cause: all generations waited by arrival until their goal had passed, so that in an overload each of them was late (first event p50 1.95 s with a goal of 1.8 s), callers were held for the whole goal before they were refused, and came back after one to two goals into the same overload. Hosts of a data centre without engines got only what others left (0.8 against 0.95 of memory). Change: the time to a first event is learnt, and with it who can still be in time; what cannot stands behind all that can and gets only room that nothing in time wants. A host that finds that most of its requests do not find room soon lets them wait for an eighth of their goal, the one that must start first first, larger ones longer; Retry-After grows with the age of the overload up to what callers follow; callers that come back are known by the time that they have left. Streams in progress come before all. Displaced hosts plan with 0.9 of memory. Streams go on elsewhere when an engine sends bytes but no events. A datagram that cannot be handled, or a read that fails, does not end a host.

--- a/core/procs/place/copies.go
+++ b/core/procs/place/copies.go
@@ -41,7 +41,7 @@
 	used, memory := 0, 0
 	for _, e := range p.services[service] {
 		if e.engine != nil && p.accepts(now, e, nil) {
-			used += e.ownLoad.Tokens + e.peerLoad.Tokens
+			used += e.load().Tokens
 			memory += e.engine.MemoryTokens
 		}
 	}
@@ -65,7 +65,7 @@
 		if e.engine == nil || e.unconfirmed() || !p.accepts(now, e, spec.Exclude) || now.Before(e.ColdUntil) || p.isRateLimited(now, e) {
 			continue
 		}
-		room := float64(e.engine.MemoryTokens)*share - float64(e.ownLoad.Tokens+e.peerLoad.Tokens)
+		room := float64(e.engine.MemoryTokens)*share - float64(e.load().Tokens)
 		if room < float64(need.Tokens) {
 			continue
 		}
@@ -81,9 +81,10 @@
 	if target == nil {
 		return nil
 	}
+	priorLoad := target.load()
 	target.ownLoad.add(need)
 	p.unreported[target.ID] = true
-	return &Run{Endpoint: target.Endpoint, load: need}
+	return &Run{Endpoint: target.Endpoint, PriorLoad: priorLoad, load: need}
 }
 
 // PlaceOn counts a run at an endpoint that already holds a copy of the run's memory, so
--- /dev/null
+++ b/core/procs/place/load_test.go
@@ -0,0 +1,399 @@
+package place_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
+	"apricotproxy/core/procs/place"
+	"apricotproxy/core/versn/table"
+)
+
+// fleet replays a load on many placers in front of engines, in virtual time. Engines read the
+// prompts that they get one after the other, and produce tokens at a fixed speed. Hosts learn
+// of each other's placements after _heartbeatDelay within their data centre and after up to
+// _remoteDelay from others.
+type fleet struct {
+	random   *rand.Rand
+	now      time.Time
+	events   eventQueue
+	hosts    []*fleetHost
+	readsAt  map[string]time.Time
+	baseline bool
+	result   fleetResult
+}
+
+type fleetHost struct {
+	*place.Placer
+	dataCentre core.DataCentreName
+	// frozenUntil is the time until which the host does nothing.
+	frozenUntil time.Time
+	nextTurn    time.Time
+	served      int
+	asked       int
+}
+
+// fleetResult counts requests by what became of them; by the second in which their callers
+// first asked.
+type fleetResult struct {
+	asked, inTime, refused, refusedAgain, returned int
+	// late counts requests that were placed at their first attempt and were late, lateAgain
+	// those whose callers had come back.
+	late, lateAgain int
+	held            time.Duration
+	refusals        int
+	byClass         map[string][2]int
+	// large counts the prompts of the largest tenth of their class, and those of them that
+	// were served; largeServed and served of all.
+	large, largeServed, served int
+	// seconds holds how many asked and how many were in time, for each second.
+	seconds map[int][2]int
+}
+
+const (
+	_remoteDelay = 500 * time.Millisecond
+	// _readTime is the time per prompt token of the fleet's engines.
+	_readTime = time.Millisecond * 2 / 15
+	// _tokenTime is the time per token of their output.
+	_tokenTime  = 12 * time.Millisecond
+	_fleetZones = 4
+)
+
+var _classes = []struct {
+	name     string
+	route    *core.Route
+	perHost  float64 // requests in a second
+	prompt   float64
+	spread   float64
+	output   float64
+	deadline time.Duration
+}{
+	{"draft", &core.Route{Prefix: "/draft/", Kind: core.RouteStreaming, Goal: 1800 * time.Millisecond, GapGoal: 180 * time.Millisecond, Priority: 1}, 0.77, 3000, 0.35, 900, 39 * time.Second},
+	{"check", &core.Route{Prefix: "/check/", Kind: core.RouteStreaming, Goal: 1500 * time.Millisecond, GapGoal: 180 * time.Millisecond}, 1.08, 2200, 0.6, 13, 6 * time.Second},
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// newFleet returns a fleet with two engines for each host, in four data centres.
+func newFleet(t testing.TB, hosts int, seed uint64, baseline bool) *fleet {
+	t.Helper()
+	built, err := table.Build(table.Source{Version: 1, Services: []core.RoutedService{
+		{Name: "drafting", Engine: &core.EngineSpec{Slots: 24, MemoryTokens: 34_000}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{
+		random: newRandom(seed), now: _start, readsAt: make(map[string]time.Time), baseline: baseline,
+		result: fleetResult{byClass: make(map[string][2]int), seconds: make(map[int][2]int)},
+	}
+	zone := func(i int) core.DataCentreName { return core.DataCentreName(fmt.Sprint("z", i%_fleetZones)) }
+	view := &know.View{Table: built, OutOfService: map[core.DataCentreName]bool{}}
+	for i := range 2 * hosts {
+		view.Endpoints = append(view.Endpoints, know.Endpoint{RoutedEndpoint: core.RoutedEndpoint{
+			ID: fmt.Sprint("engine-", i), Service: "drafting", Slots: 24, DataCentre: zone(i),
+		}})
+	}
+	for i := range hosts {
+		h := &fleetHost{Placer: place.New(core.HostName(fmt.Sprint("host-", i)), zone(i), core.EntryBounds{}, newRandom(seed+uint64(i))), dataCentre: zone(i)}
+		h.SetSwitches(place.Switches{ServeByArrival: baseline})
+		h.Apply(view)
+		f.hosts = append(f.hosts, h)
+	}
+	for i, h := range f.hosts { // hosts know each other before the load begins
+		for other := range f.hosts {
+			if other != i && f.hosts[other].dataCentre == h.dataCentre {
+				h.SetPeerLoads(f.now, place.Source{Host: core.HostName(fmt.Sprint("host-", other))}, map[string]place.Load{})
+			}
+		}
+	}
+	return f
+}
+
+func (f *fleet) after(d time.Duration, do func()) { heap.Push(&f.events, event{f.now.Add(d), do}) }
+
+// tell sends a host's changed loads to the others of its data centre, and has its next report
+// to the other data centres sent. Reports are repeated, so that loads do not expire.
+func (f *fleet) tell(index int) {
+	h := f.hosts[index]
+	changed := h.ChangedLoads()
+	source := place.Source{Host: core.HostName(fmt.Sprint("host-", index))}
+	f.after(_heartbeatDelay, func() {
+		for i, other := range f.hosts {
+			if i != index && other.dataCentre == h.dataCentre {
+				other.UpdatePeerLoads(f.now, source, changed)
+				f.grant(i)
+			}
+		}
+	})
+}
+
+// report sends the loads of each data centre to the hosts of the others, and of each host to
+// those of its own, every _remoteDelay.
+func (f *fleet) report() {
+	sums := make(map[core.DataCentreName]map[string]place.Load)
+	for _, h := range f.hosts {
+		if sums[h.dataCentre] == nil {
+			sums[h.dataCentre] = h.DataCentreLoads()
+		}
+	}
+	f.after(_heartbeatDelay, func() {
+		for i, h := range f.hosts {
+			for zone, loads := range sums {
+				if zone != h.dataCentre {
+					copied := make(map[string]place.Load, len(loads))
+					for id, load := range loads {
+						copied[id] = load
+					}
+					h.SetPeerLoads(f.now, place.Source{DataCentre: zone}, copied)
+				}
+			}
+			f.grant(i)
+		}
+	})
+	f.after(_remoteDelay, f.report)
+}
+
+// grant lets a host grant its waiting requests, and does so again at their next turn.
+func (f *fleet) grant(index int) {
+	h := f.hosts[index]
+	if f.now.Before(h.frozenUntil) {
+		return
+	}
+	h.GrantWaiting(f.now)
+	if next := h.NextTurn(); !next.IsZero() && !next.Equal(h.nextTurn) {
+		h.nextTurn = next
+		f.after(max(next.Sub(f.now), 0), func() { f.grant(index) })
+	}
+}
+
+// arrive begins the requests of a host's callers of a class, with the load of the time.
+func (f *fleet) arrive(index, class int, load func(time.Duration) float64) {
+	rate := _classes[class].perHost * load(f.now.Sub(_start))
+	f.after(time.Duration(f.random.ExpFloat64()/max(rate, 0.01)*float64(time.Second)), func() {
+		f.ask(index, class)
+		f.arrive(index, class, load)
+	})
+}
+
+func (f *fleet) ask(index, class int) {
+	c := _classes[class]
+	size := math.Exp(f.random.NormFloat64()*c.spread - c.spread*c.spread/2)
+	output := int(c.output * f.random.ExpFloat64())
+	request := &core.RoutedRequest{
+		Service: "drafting", Route: c.route, Priority: c.route.Priority, Arrived: f.now,
+		Deadline: f.now.Add(time.Duration(float64(c.deadline) * (0.85 + 0.15*f.random.Float64()))),
+		Prompt:   core.Prompt{Tokens: min(int(c.prompt*size), 6000) + 1, MaxOutput: 3*output + 1, Expected: output + 1},
+	}
+	f.result.asked++
+	if isLarge(class, request) {
+		f.result.large++
+	}
+	f.count(class, f.now, 1, 0)
+	f.hosts[index].asked++
+	f.try(index, class, request, f.now, output)
+}
+
+func (f *fleet) count(class int, firstAsked time.Time, asked, inTime int) {
+	second := int(firstAsked.Sub(_start).Seconds())
+	of := f.result.seconds[second]
+	f.result.seconds[second] = [2]int{of[0] + asked, of[1] + inTime}
+	of = f.result.byClass[_classes[class].name]
+	f.result.byClass[_classes[class].name] = [2]int{of[0] + asked, of[1] + inTime}
+}
+
+// try sends a request of a caller that first asked at a time to a host.
+func (f *fleet) try(index, class int, request *core.RoutedRequest, firstAsked time.Time, output int) {
+	h := f.hosts[index]
+	h.RecordArrival(f.now, request)
+	spec := &place.Spec{Request: *request}
+	until := h.WaitUntil(f.now, spec)
+	start := func(run *place.Run) { f.run(index, class, request, run, firstAsked, output) }
+	if run, verdict := h.Place(f.now, spec); verdict == place.Placed {
+		start(run)
+		return
+	}
+	waiter := &place.Waiter{Spec: spec, Since: f.now, Granted: start}
+	h.Enqueue(waiter)
+	f.after(max(until.Sub(f.now), 0), func() {
+		if h.GiveUp(f.now, waiter) {
+			f.refuse(class, request, firstAsked, output, h)
+		}
+	})
+}
+
+// refuse sends a caller away. It comes back once, to any host.
+func (f *fleet) refuse(class int, request *core.RoutedRequest, firstAsked time.Time, output int, h *fleetHost) {
+	f.result.held += f.now.Sub(request.Arrived)
+	f.result.refusals++
+	if !firstAsked.Equal(request.Arrived) {
+		f.result.refusedAgain++
+		return
+	}
+	f.result.refused++
+	goal := request.Route.Goal
+	wait := h.ComeBackAt(f.now, request).Sub(f.now)
+	if f.baseline {
+		wait = goal + time.Duration(f.random.Float64()*float64(goal))
+	}
+	wait = min(wait, request.Deadline.Sub(f.now)/3)
+	f.after(wait, func() {
+		again := *request
+		again.Arrived, again.FirstAsked = f.now, time.Time{}
+		f.result.returned++
+		f.try(f.random.IntN(len(f.hosts)), class, &again, firstAsked, output)
+	})
+}
+
+// run plays a run on its engine.
+func (f *fleet) run(index, class int, request *core.RoutedRequest, run *place.Run, firstAsked time.Time, output int) {
+	h, id := f.hosts[index], run.Endpoint.ID
+	h.served++
+	f.result.served++
+	if isLarge(class, request) {
+		f.result.largeServed++
+	}
+	begin := f.now
+	if f.readsAt[id].After(begin) {
+		begin = f.readsAt[id]
+	}
+	read := begin.Add(time.Duration(request.Prompt.Tokens) * _readTime)
+	f.readsAt[id] = read
+	f.tell(index)
+	f.after(read.Sub(f.now), func() {
+		h.RecordPrefillDone(f.now, run)
+		switch {
+		case f.now.Sub(firstAsked) <= request.Route.Goal:
+			f.result.inTime++
+			f.count(class, firstAsked, 0, 1)
+		case firstAsked.Equal(request.Arrived):
+			f.result.late++
+		default:
+			f.result.lateAgain++
+		}
+		f.tell(index)
+		f.grant(index)
+	})
+	f.after(read.Sub(f.now)+time.Duration(output)*_tokenTime, func() {
+		h.End(run)
+		h.RecordOutputLength(request, output)
+		f.tell(index)
+		f.grant(index)
+	})
+}
+
+// isLarge reports whether a prompt is of the largest tenth of its class.
+func isLarge(class int, request *core.RoutedRequest) bool {
+	c := _classes[class]
+	return float64(request.Prompt.Tokens) > c.prompt*math.Exp(1.28*c.spread-c.spread*c.spread/2)
+}
+
+// play runs the fleet for a time.
+func (f *fleet) play(d time.Duration, load func(time.Duration) float64) *fleetResult {
+	for i := range f.hosts {
+		f.hosts[i].ExpirePeerLoads(f.now.Add(-time.Minute))
+		for class := range _classes {
+			f.arrive(i, class, load)
+		}
+	}
+	f.report()
+	end := f.now.Add(d)
+	for len(f.events) > 0 && f.events[0].at.Before(end) {
+		next := heap.Pop(&f.events).(event)
+		f.now = next.at
+		next.do()
+	}
+	return &f.result
+}
+
+// burst is a load that is x times the usual from the third second on, until its end.
+func burst(x float64, end time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= 3*time.Second && at < end {
+			return x
+		}
+		return 1
+	}
+}
+
+// inTimeShare returns the share of those that asked in [from, to) seconds that were in time.
+func (r *fleetResult) inTimeShare(from, to int) float64 {
+	asked, inTime := 0, 0
+	for second := from; second < to; second++ {
+		asked += r.seconds[second][0]
+		inTime += r.seconds[second][1]
+	}
+	return float64(inTime) / float64(max(asked, 1))
+}
+
+// worth returns what the requests in time are worth: a draft as much as ten checks.
+func (r *fleetResult) worth() int { return 10*r.byClass["draft"][1] + r.byClass["check"][1] }
+
+func (r *fleetResult) String() string {
+	return fmt.Sprintf("asked %d in time %d late %d, after a refusal %d; refused %d returned %d refused again %d held %v; drafts %v checks %v; large %d of %d, all %d",
+		r.asked, r.inTime, r.late, r.lateAgain, r.refused, r.returned, r.refusedAgain, r.held/time.Duration(max(r.refusals, 1)), r.byClass["draft"], r.byClass["check"], r.largeServed, r.large, r.served)
+}
+
+// At five and ten times the usual load more is in time than when all wait by arrival. From three
+// times on, those that are served at once are in time, nobody is held for long and then
+// refused, and when the load falls nearly all are in time within two seconds. At the usual load
+// nothing changes. docs/decisions/0048-overload.md has the figures.
+func TestLoads(t *testing.T) {
+	const end = 20 // seconds
+	for _, hosts := range []int{9, 27} {
+		for _, x := range []float64{1, 1.5, 3, 5, 10} {
+			play := func(baseline bool) *fleetResult {
+				return newFleet(t, hosts, 7, baseline).play(32*time.Second, burst(x, end*time.Second))
+			}
+			before, now := play(true), play(false)
+			name := fmt.Sprintf("%d hosts, %v times the load", hosts, x)
+			t.Logf("%s: by arrival %v; now %v", name, before, now)
+			if x < 2 {
+				if share := now.inTimeShare(0, 31); share < 0.95 || now.refused > 0 {
+					t.Errorf("%s: %.2f in time, %d refused", name, share, now.refused)
+				}
+				continue
+			}
+			if share := float64(now.inTime) / float64(now.inTime+now.late); share < 0.85 {
+				t.Errorf("%s: %.2f of those served at their first attempt are in time", name, share)
+			}
+			if held := now.held / time.Duration(now.refusals); held > 900*time.Millisecond {
+				t.Errorf("%s: held for %v on average before they were refused", name, held)
+			}
+			if share := now.inTimeShare(end+2, 31); share < 0.9 {
+				t.Errorf("%s: %.2f in time after the load fell", name, share)
+			}
+			if by, worth := before.worth(), now.worth(); x >= 5 && float64(worth) < 1.4*float64(by) {
+				t.Errorf("%s: worth %d in time, %d by arrival", name, worth, by)
+			}
+			if large, all := float64(now.largeServed)/float64(now.large), float64(now.served)/float64(now.asked); large < 0.5*all {
+				t.Errorf("%s: %.2f of the largest tenth are served, %.2f of all", name, large, all)
+			}
+			for class, of := range now.byClass {
+				if share := float64(of[1]) / float64(of[0]); share < 0.25*float64(now.inTime)/float64(now.asked) {
+					t.Errorf("%s: %.2f of class %s in time, %.2f of all", name, share, class, float64(now.inTime)/float64(now.asked))
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/procs/place/overload.go
@@ -0,0 +1,207 @@
+package place
+
+import (
+	"time"
+
+	"apricotproxy/core"
+)
+
+// The load that this answers: more generations arrive than the engines can take, so that
+// requests wait until each of them is late. A host sees overload by its own requests alone,
+// since all hosts place on the same engines: whether those that can be in time find room soon.
+const (
+	// _soonShare is the share of its goal within which a request finds room soon.
+	_soonShare = 0.0625
+	// _shortageWeight is the weight of the latest request in the share of those that did not
+	// find room soon.
+	_shortageWeight = 0.2
+	// A service is overloaded from when more than _overloadedShare of its requests do not
+	// find room soon until fewer than _recoveredShare do not.
+	_overloadedShare = 0.5
+	_recoveredShare  = 0.25
+	// _overloadGap is how soon after an overload a further one counts as the same.
+	_overloadGap = 3 * time.Second
+	// _overloadedWaitShare is the share of its goal for which a request waits while its
+	// service is overloaded. A longer queue would serve no more requests in time. A request
+	// that needs more room than others waits longer, by the square of its size, since room
+	// for it is found less often.
+	_overloadedWaitShare = 0.125
+	// _typicalWeight is the weight of the latest request in the average size of requests.
+	_typicalWeight = 0.05
+)
+
+// Requests that cannot be in time any more are placed only where this takes nothing from those
+// that can.
+const (
+	// _lateMemoryShare is the share of an engine's memory up to which they are placed, and
+	// _overloadedLateMemoryShare that while their service is overloaded.
+	_lateMemoryShare           = 0.85
+	_overloadedLateMemoryShare = 0.5
+	// _lateQueuedPrefill is the number of unread prompt tokens at which an engine gets none
+	// of them.
+	_lateQueuedPrefill = _maxQueuedPrefill / 2
+	// _lateGoals is for how many goals such a request waits. Callers give up a stream that
+	// has no event after four.
+	_lateGoals = 2.5
+	// _lateTimeShare bounds this by the time that it has left.
+	_lateTimeShare = 0.4
+)
+
+// pressure tracks whether the requests for a service find room.
+type pressure struct {
+	// shortShare is the average share of the requests that did not find room soon, of those
+	// that could be in time when they arrived.
+	shortShare float64
+	// overloaded is true while the service is overloaded, since when the latest overload
+	// began and until when it was last seen.
+	overloaded   bool
+	since, until time.Time
+	// typicalTokens is the average memory that a request needs.
+	typicalTokens float64
+}
+
+func (p *Placer) pressure(service core.ServiceName) *pressure {
+	s := p.pressures[service]
+	if s == nil {
+		s = &pressure{}
+		p.pressures[service] = s
+	}
+	return s
+}
+
+// RecordArrival records that a request arrived, and completes it by when its caller first
+// asked.
+func (p *Placer) RecordArrival(now time.Time, request *core.RoutedRequest) {
+	p.CountRequest(now, request.Service)
+	if !hasGoal(request) {
+		return
+	}
+	s, need := p.pressure(request.Service), float64(p.requestLoad(request).Tokens)
+	if s.typicalTokens == 0 {
+		s.typicalTokens = need
+	}
+	s.typicalTokens += _typicalWeight * (need - s.typicalTokens)
+	request.FirstAsked = p.firstAsked(now, request)
+}
+
+// recordWait records whether a request found room, and for how long it waited.
+func (p *Placer) recordWait(now time.Time, spec *Spec, waited time.Duration, placed bool) {
+	request := &spec.Request
+	if !hasGoal(request) || spec.Continues || p.isLate(now.Add(-waited), spec) {
+		return
+	}
+	s, short := p.pressure(request.Service), 1.0
+	if placed && waited <= goalShare(request, _soonShare) {
+		short = 0
+	}
+	s.shortShare += _shortageWeight * (short - s.shortShare)
+	switch {
+	case s.shortShare < _recoveredShare:
+		s.overloaded = false
+	case s.shortShare > _overloadedShare && !s.overloaded:
+		s.overloaded = true
+		if s.until.IsZero() || now.Sub(s.until) > _overloadGap {
+			s.since = now
+		}
+	}
+	if s.overloaded {
+		s.until = now
+	}
+}
+
+// overloadAge returns for how long a service has been overloaded; 0 if it is not.
+func (p *Placer) overloadAge(now time.Time, service core.ServiceName) time.Duration {
+	s := p.pressure(service)
+	if !s.overloaded {
+		return 0
+	}
+	return now.Sub(s.since)
+}
+
+// isOverloaded reports whether most requests for a service did not find room soon of late.
+func (p *Placer) isOverloaded(service core.ServiceName) bool {
+	return !p.switches.ServeByArrival && p.pressure(service).overloaded
+}
+
+// WaitUntil returns until when a request waits for room before it is refused.
+func (p *Placer) WaitUntil(now time.Time, spec *Spec) time.Time {
+	request := &spec.Request
+	latest, until := p.latestStart(request), request.Arrived.Add(request.Route.Goal)
+	switch {
+	case spec.Continues:
+		until = now.Add(request.Route.GapGoal)
+	case p.isLate(now, spec):
+		until = now.Add(p.lateWait(now, request))
+	case !latest.IsZero() && !p.switches.ServeByArrival:
+		until = latest
+		if p.isOverloaded(request.Service) {
+			until = earlier(until, now.Add(p.overloadedWait(request)))
+		}
+	case until.Before(now):
+		until = now.Add(request.Route.GapGoal)
+	}
+	return earlier(until, request.Deadline)
+}
+
+func (p *Placer) overloadedWait(request *core.RoutedRequest) time.Duration {
+	size := float64(p.requestLoad(request).Tokens) / max(p.pressure(request.Service).typicalTokens, 1)
+	return goalShare(request, _overloadedWaitShare*max(size*size, 1))
+}
+
+// lateWait returns how long a request waits that cannot be in time any more.
+func (p *Placer) lateWait(now time.Time, request *core.RoutedRequest) time.Duration {
+	wait := goalShare(request, _lateGoals)
+	if p.overloadAge(now, request.Service) > wait {
+		return 0
+	}
+	return min(wait, time.Duration(_lateTimeShare*float64(request.Deadline.Sub(now))))
+}
+
+// fitsLate reports whether an engine has room for a request that cannot be in time any more.
+func (p *Placer) fitsLate(e *endpoint, need Load) bool {
+	if e.engine == nil {
+		return true
+	}
+	load := e.load()
+	share := _lateMemoryShare
+	if p.isOverloaded(e.service) {
+		share = _overloadedLateMemoryShare
+	}
+	return load.Prefill < _lateQueuedPrefill && float64(load.Tokens+need.Tokens) <= share*float64(e.engine.MemoryTokens)
+}
+
+// Room is what a host knows of the room for a request, for the log.
+type Room struct {
+	// Late is true if the request cannot be in time any more.
+	Late bool
+	// OverloadAge is for how long the service has been overloaded; 0 if it is not.
+	OverloadAge time.Duration
+	// ShortShare is the average share of the requests that did not find room soon.
+	ShortShare float64
+	// MemoryUse is the share of the engines' memory that is in use.
+	MemoryUse float64
+	// Waiting is the number of requests that wait at this host.
+	Waiting int
+}
+
+// Room returns what is known of the room for a request.
+func (p *Placer) Room(now time.Time, spec *Spec) Room {
+	request := &spec.Request
+	s := p.pressure(request.Service)
+	return Room{
+		Late: p.isLate(now, spec), OverloadAge: p.overloadAge(now, request.Service), ShortShare: s.shortShare,
+		MemoryUse: p.memoryUse(now, request.Service), Waiting: len(p.waiting),
+	}
+}
+
+// goalShare returns a share of the goal of a request's route.
+func goalShare(request *core.RoutedRequest, share float64) time.Duration {
+	return time.Duration(share * float64(request.Route.Goal))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -36,6 +36,10 @@
 	// _remoteMemoryShare is the same for the engines of another data centre, whose
 	// hosts may have placed work since they last reported their loads.
 	_remoteMemoryShare = 0.8
+	// _displacedMemoryShare is the same for a host whose own data centre has no engine that
+	// accepts work, as while it is out of service: there is no nearer room that it leaves to
+	// others, and they would take all up to their own share.
+	_displacedMemoryShare = 0.9
 	// _maxQueuedPrefill is the number of unread prompt tokens at which an engine gets
 	// no more prompts. It is what an engine reads, at 14 tokens per millisecond, in the
 	// time until this host learns that a prompt has been read. Requests that wait in
@@ -90,6 +94,8 @@
 	// SourceDataCentre is the data centre from which a copy is sent: links within one
 	// data centre are faster.
 	SourceDataCentre core.DataCentreName
+	// Continues is true for a request of which the caller has a part of the answer.
+	Continues bool
 }
 
 // Run is a request placed on an endpoint, or a copy of its memory there. End must be
@@ -103,8 +109,9 @@
 	// no limit.
 	MaxConnections int
 
-	load  Load
-	ended bool
+	load      Load
+	startedAt time.Time
+	ended     bool
 }
 
 // Verdict is the result of an attempt to place a request.
@@ -131,6 +138,13 @@
 	notice notice
 }
 
+// load returns the load of all hosts, as far as this one knows.
+func (e *endpoint) load() Load {
+	load := e.ownLoad
+	load.add(e.peerLoad)
+	return load
+}
+
 // Placer places the requests of one host. It is not safe for concurrent use.
 type Placer struct {
 	self         core.HostName
@@ -151,7 +165,12 @@
 	settledAt    time.Time
 	retryBudgets map[core.ServiceName]*retryBudget
 	lengths      lengthEstimator
-	waiting      []*Waiter
+	// readEstimates and pressures hold what was seen of each service's engines.
+	readEstimates map[core.ServiceName]*readEstimate
+	pressures     map[core.ServiceName]*pressure
+	// usualTimes holds the usual time from a request to its deadline, by route prefix.
+	usualTimes map[string]time.Duration
+	waiting    []*Waiter
 	// freed holds the endpoints on which runs of this host freed room since waiting
 	// requests were last granted.
 	freed []*endpoint
@@ -168,6 +187,8 @@
 	UseLeaving bool
 	// UseOutOfService places work on endpoints of data centres that are out of service.
 	UseOutOfService bool
+	// ServeByArrival lets all generations wait alike until their goal has passed.
+	ServeByArrival bool
 }
 
 // SetSwitches turns safeguards off.
@@ -176,17 +197,20 @@
 // New returns a placer that knows no endpoints.
 func New(self core.HostName, dataCentre core.DataCentreName, bounds core.EntryBounds, random *rand.Rand) *Placer {
 	return &Placer{
-		self:         self,
-		dataCentre:   dataCentre,
-		bounds:       bounds,
-		random:       random,
-		endpoints:    make(map[string]*endpoint),
-		notices:      notices{byKey: make(map[core.EndpointKey]notice)},
-		services:     make(map[core.ServiceName][]*endpoint),
-		peers:        make(map[Source]peerReport),
-		retryBudgets: make(map[core.ServiceName]*retryBudget),
-		unreported:   make(map[string]bool),
-		hostsBound:   _initialHosts,
+		self:          self,
+		dataCentre:    dataCentre,
+		bounds:        bounds,
+		random:        random,
+		endpoints:     make(map[string]*endpoint),
+		notices:       notices{byKey: make(map[core.EndpointKey]notice)},
+		services:      make(map[core.ServiceName][]*endpoint),
+		peers:         make(map[Source]peerReport),
+		retryBudgets:  make(map[core.ServiceName]*retryBudget),
+		unreported:    make(map[string]bool),
+		readEstimates: make(map[core.ServiceName]*readEstimate),
+		pressures:     make(map[core.ServiceName]*pressure),
+		usualTimes:    make(map[string]time.Duration),
+		hostsBound:    _initialHosts,
 	}
 }
 
@@ -236,13 +260,15 @@
 	if p.reservedForWaiting(now, spec) {
 		return nil, Full
 	}
+	p.recordWait(now, spec, 0, true)
 	return p.startRun(now, e, p.requestLoad(&spec.Request)), Placed
 }
 
 // pick returns the endpoint that is expected to serve a request soonest, or nil and the
 // reason when there is none.
 func (p *Placer) pick(now time.Time, spec *Spec) (*endpoint, Verdict) {
-	need := p.requestLoad(&spec.Request)
+	need, late := p.requestLoad(&spec.Request), p.isLate(now, spec)
+	remoteShare := p.remoteMemoryShare(now, spec.Request.Service)
 	var best *endpoint
 	bestCost, anyAccepts := 0.0, false
 	for _, e := range p.services[spec.Request.Service] {
@@ -250,7 +276,7 @@
 			continue
 		}
 		anyAccepts = true
-		if !p.fits(now, e, need) {
+		if !p.fits(now, e, need, remoteShare) || late && !p.fitsLate(e, need) {
 			continue
 		}
 		cost := p.cost(now, e)
@@ -271,8 +297,7 @@
 func (p *Placer) startRun(now time.Time, e *endpoint, need Load) *Run {
 	invar.Check(invar.DataCentreOut, !p.outOfService[e.DataCentre], "a run on %s in %s, which is out of service", e.ID, e.DataCentre)
 	invar.Check(invar.EndpointLeaving, !e.Draining && !e.notice.leaving, "a run on %s, which is leaving", e.ID)
-	priorLoad := e.ownLoad
-	priorLoad.add(e.peerLoad)
+	priorLoad := e.load()
 	e.ownLoad.add(need)
 	p.unreported[e.ID] = true
 	if now.Before(e.ColdUntil) {
@@ -281,7 +306,7 @@
 	if p.isRateLimited(now, e) {
 		p.usePermit(now, e)
 	}
-	return &Run{Endpoint: e.Endpoint, PriorLoad: priorLoad, MaxConnections: p.maxConnections(e.Service), load: need}
+	return &Run{Endpoint: e.Endpoint, PriorLoad: priorLoad, MaxConnections: p.maxConnections(e.Service), load: need, startedAt: now}
 }
 
 // accepts reports whether an endpoint accepts new work.
@@ -302,8 +327,23 @@
 	return true
 }
 
-// fits reports whether an endpoint has room for a load.
-func (p *Placer) fits(now time.Time, e *endpoint, need Load) bool {
+// remoteMemoryShare returns the share of the memory of engines of other data centres that is
+// planned with.
+func (p *Placer) remoteMemoryShare(now time.Time, service core.ServiceName) float64 {
+	if p.switches.ServeByArrival {
+		return _remoteMemoryShare
+	}
+	for _, e := range p.services[service] {
+		if e.DataCentre == p.dataCentre && p.accepts(now, e, nil) {
+			return _remoteMemoryShare
+		}
+	}
+	return _displacedMemoryShare
+}
+
+// fits reports whether an endpoint has room for a load. remoteShare is the share of the memory
+// of engines of other data centres that is planned with.
+func (p *Placer) fits(now time.Time, e *endpoint, need Load, remoteShare float64) bool {
 	if !p.limitsAllow(now, e) {
 		return false
 	}
@@ -326,7 +366,7 @@
 	used := e.ownLoad.Tokens + e.peerLoad.Tokens
 	share := _memoryShare
 	if e.DataCentre != p.dataCentre {
-		share = _remoteMemoryShare
+		share = remoteShare
 	}
 	return used == 0 || used+need.Tokens <= int(float64(e.engine.MemoryTokens)*share)
 }
@@ -364,7 +404,10 @@
 }
 
 // RecordPrefillDone records that a run's prompt has been read: its first event arrived.
-func (p *Placer) RecordPrefillDone(run *Run) {
+func (p *Placer) RecordPrefillDone(now time.Time, run *Run) {
+	if run.load.Prefill > 0 {
+		p.readEstimate(run.Endpoint.Service).record(run.PriorLoad.Prefill+run.load.Prefill, now.Sub(run.startedAt))
+	}
 	if e := p.endpointOf(run); e != nil && !run.ended {
 		e.ownLoad.Prefill -= run.load.Prefill
 		p.unreported[e.ID] = true
--- a/core/procs/place/wait.go
+++ b/core/procs/place/wait.go
@@ -1,8 +1,10 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,14 +16,16 @@
 // a few milliseconds.
 const _turnStep = 5 * time.Millisecond
 
-// _agedGoalShare is the share of its goal after which a waiting generation may not be
-// overtaken any more.
-const _agedGoalShare = 0.7
+// _agedShare is the share of the time that it may wait after which a waiting generation may
+// not be overtaken any more.
+const _agedShare = 0.7
 
 // Waiter is a request that waits for room. Granted is called with its run.
 type Waiter struct {
 	Spec    *Spec
 	Granted func(*Run)
+	// Since is when the request began to wait.
+	Since time.Time
 	// turnAt is when the request may take the free room of an endpoint; zero while no
 	// room is available to it.
 	turnAt time.Time
@@ -30,17 +34,8 @@
 	permitAt time.Time
 }
 
-// Enqueue adds a request to the queue, which is ordered by priority and then by
-// arrival.
-func (p *Placer) Enqueue(w *Waiter) {
-	i, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b *Waiter) int {
-		if a.Spec.Request.Priority != b.Spec.Request.Priority {
-			return a.Spec.Request.Priority - b.Spec.Request.Priority
-		}
-		return a.Spec.Request.Arrived.Compare(b.Spec.Request.Arrived)
-	})
-	p.waiting = slices.Insert(p.waiting, i, w)
-}
+// Enqueue adds a request to those that wait.
+func (p *Placer) Enqueue(w *Waiter) { p.waiting = append(p.waiting, w) }
 
 // Withdraw removes a request from the queue. It returns false when the request has
 // already been granted.
@@ -53,6 +48,15 @@
 	return true
 }
 
+// GiveUp withdraws a request for which there was no room until it could wait no longer.
+func (p *Placer) GiveUp(now time.Time, w *Waiter) bool {
+	if !p.Withdraw(w) {
+		return false
+	}
+	p.recordWait(now, w.Spec, now.Sub(w.Since), false)
+	return true
+}
+
 // GrantWaiting grants the waiting requests for which there is room now. Room that this
 // host's own run freed, by its end or once its prompt was read, is taken at once: no
 // other host knows of it yet. Room that other hosts reported is seen by all hosts at
@@ -64,6 +68,7 @@
 	if len(p.waiting) == 0 {
 		return
 	}
+	slices.SortStableFunc(p.waiting, func(a, b *Waiter) int { return p.compare(now, a, b) })
 	blocked := make(map[core.ServiceName]bool)
 	permits := make(map[core.ServiceName]time.Time)
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Waiter) bool {
@@ -74,7 +79,7 @@
 		}
 		e, verdict := p.pick(now, w.Spec)
 		if e == nil {
-			blocked[service] = verdict == Full && w.aged(now)
+			blocked[service] = verdict == Full && p.holdsBack(now, w)
 			if _, known := permits[service]; !known {
 				permits[service] = p.firstPermit(now, service)
 			}
@@ -87,30 +92,71 @@
 		if now.Before(w.turnAt) && !slices.Contains(freed, e) {
 			return false
 		}
+		p.recordWait(now, w.Spec, now.Sub(w.Since), true)
 		w.Granted(p.startRun(now, e, p.requestLoad(&w.Spec.Request)))
 		return true
 	})
 }
 
+// compare orders waiting requests. Streams of which the caller has a part come first, and what
+// cannot be in time any more comes last. The others are ordered by priority and arrival. While
+// their service is overloaded the one that must start first is first, since requests of a lower
+// priority would otherwise get nothing.
+func (p *Placer) compare(now time.Time, a, b *Waiter) int {
+	first, second := &a.Spec.Request, &b.Spec.Request
+	if order := cmp.Or(strings.Compare(string(first.Service), string(second.Service)), p.rank(now, a.Spec)-p.rank(now, b.Spec)); order != 0 {
+		return order
+	}
+	if p.isOverloaded(first.Service) {
+		return p.latestStart(first).Compare(p.latestStart(second))
+	}
+	return cmp.Or(first.Priority-second.Priority, first.Arrived.Compare(second.Arrived))
+}
+
+// rank returns 0 for a stream of which the caller has a part, 2 for a request that cannot be in
+// time any more and 1 for others.
+func (p *Placer) rank(now time.Time, spec *Spec) int {
+	switch {
+	case spec.Continues:
+		return 0
+	case p.isLate(now, spec):
+		return 2
+	default:
+		return 1
+	}
+}
+
 // reservedForWaiting reports whether free room is reserved for requests that already
 // wait: for their turn, or for so long that they may not be overtaken.
 func (p *Placer) reservedForWaiting(now time.Time, spec *Spec) bool {
+	rank := p.rank(now, spec)
 	return slices.ContainsFunc(p.waiting, func(w *Waiter) bool {
-		return (!w.turnAt.IsZero() || w.aged(now)) &&
+		return p.rank(now, w.Spec) <= rank && (!w.turnAt.IsZero() || p.aged(now, w)) &&
 			w.Spec.Request.Service == spec.Request.Service && w.Spec.Request.Priority <= spec.Request.Priority
 	})
 }
 
+// holdsBack reports whether a waiting request that finds no room keeps those behind it from being
+// granted: it has aged and can still be in time. In an overload large prompts come first
+// anyway, and room must not stay free.
+func (p *Placer) holdsBack(now time.Time, w *Waiter) bool {
+	return p.aged(now, w) && !p.isLate(now, w.Spec) && !p.isOverloaded(w.Spec.Request.Service)
+}
+
 // aged reports whether a generation has waited for so long that no request of the same
 // or lower priority may overtake it: small prompts would keep taking the room before
 // there is enough for a large one. A request that has already been tried on an endpoint
 // does not count, since it may be waiting for one of few endpoints.
-func (w *Waiter) aged(now time.Time) bool {
+func (p *Placer) aged(now time.Time, w *Waiter) bool {
 	r := &w.Spec.Request
 	if r.Prompt.Tokens == 0 || r.Route == nil || len(w.Spec.Exclude) > 0 {
 		return false
 	}
-	return now.Sub(r.Arrived) > time.Duration(_agedGoalShare*float64(r.Route.Goal))
+	until := r.Arrived.Add(r.Route.Goal)
+	if latest := p.latestStart(r); !p.switches.ServeByArrival && !latest.IsZero() {
+		until = latest
+	}
+	return now.Sub(r.Arrived) > time.Duration(_agedShare*float64(until.Sub(r.Arrived)))
 }
 
 // NextTurn returns the earliest time at which a request that waits for its turn, or for a
--- a/core/routed.go
+++ b/core/routed.go
@@ -139,6 +139,9 @@
 	Service   ServiceName
 	Priority  int
 	Arrived   time.Time
+	// FirstAsked is when the caller sent its first attempt, as far as that is known; zero or
+	// Arrived for a first attempt.
+	FirstAsked time.Time
 	// Deadline is the caller's deadline or the route's time-out, whichever comes
 	// first.
 	Deadline time.Time
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -209,7 +209,9 @@
 	group.Go(func() { h.pollEngines(runCtx) })
 	group.Go(func() { h.peers.run(runCtx) })
 	group.Go(func() {
-		if err := news.Receive(h.peers.socket, func(b []byte) { h.peers.receive(runCtx, b) }); !errors.Is(err, net.ErrClosed) {
+		receive := func(b []byte) { h.peers.receive(runCtx, b) }
+		report := func(err error) { h.log.Error(err, "A heartbeat was lost.") }
+		if err := news.Receive(h.peers.socket, receive, report); !errors.Is(err, net.ErrClosed) {
 			failed <- err
 		}
 	})
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -81,10 +81,7 @@
 }
 
 func (p *peers) receiveHeartbeat(ctx context.Context, now time.Time, message *news.Message) {
-	p.mu.Lock()
-	accepted, first := p.state.Receive(now, &message.Heartbeat)
-	hosts := p.state.CountMayLive(now)
-	p.mu.Unlock()
+	accepted, first, hosts := p.recordHeartbeat(now, &message.Heartbeat)
 	if !accepted {
 		return
 	}
@@ -111,11 +108,23 @@
 // receiveChange applies changes of another host's loads. Changes from an unknown host
 // or from an incarnation that is not the known one are ignored, since the next
 // heartbeat carries all loads.
-func (p *peers) receiveChange(now time.Time, change *news.LoadUpdate) {
+// recordHeartbeat records a heartbeat and returns how many hosts may be live.
+func (p *peers) recordHeartbeat(now time.Time, heartbeat *gossip.Heartbeat) (accepted, first bool, hosts int) {
 	p.mu.Lock()
-	known := p.state.Knows(change.Host, change.Incarnation)
-	p.mu.Unlock()
-	if !known {
+	defer p.mu.Unlock()
+	accepted, first = p.state.Receive(now, heartbeat)
+	return accepted, first, p.state.CountMayLive(now)
+}
+
+// knows reports whether the loads are of a host that is known.
+func (p *peers) knows(change *news.LoadUpdate) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Knows(change.Host, change.Incarnation)
+}
+
+func (p *peers) receiveChange(now time.Time, change *news.LoadUpdate) {
+	if !p.knows(change) {
 		return
 	}
 	p.sharedPlacer.Update(func(placer *place.Placer) { placer.UpdatePeerLoads(now, place.Source{Host: change.Host}, change.Loads) })
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -87,21 +87,25 @@
 	panic(http.ErrAbortHandler)
 }
 
-// stream relays events as they arrive.
+// stream relays events as they arrive. Only complete events show that the engine still works:
+// one that has stalled may send a byte now and then.
 func (e *exchange) stream(ctx context.Context, answer *links.Answer, slowTimer *time.Timer) tryResult {
 	e.splitter.Reset()
 	chunk := make([]byte, _streamReadBytes)
 	for {
 		n, err := answer.Read(chunk)
 		if n > 0 {
-			slowTimer.Stop()
 			e.front.config.Detector.RecordAnswer(e.run.Endpoint.Key())
-			if e.canContinue() {
-				slowTimer.Reset(e.silenceTimeout())
-			}
+			before := e.received
 			if end := e.deliverEvents(answer, chunk[:n]); end != nil {
 				return *end
 			}
+			if e.received > before {
+				slowTimer.Stop()
+				if e.canContinue() {
+					slowTimer.Reset(e.silenceTimeout())
+				}
+			}
 		}
 		switch {
 		case err == nil:
@@ -120,7 +124,7 @@
 	e.recordSuccess()
 	e.front.counters.countAnswer(answer.StatusCode)
 	e.front.counters.answerTime.record(time.Since(e.request.Arrived))
-	e.log("A stream is complete.", "Events", e.events, "Continued", e.continued, "Took", time.Since(e.request.Arrived).Milliseconds())
+	e.log("A stream is complete.", "Events", e.events, "Continued", e.continued, "LongestPause", e.longestPause.Milliseconds(), "Took", time.Since(e.request.Arrived).Milliseconds())
 	if spec := e.engineSpec(); spec != nil {
 		e.placer().recordOutputLength(&e.request.RoutedRequest, e.events*spec.EventTokens)
 	}
@@ -138,6 +142,7 @@
 		if !ok {
 			break
 		}
+		e.received++
 		before := e.position
 		verdict := e.position.Accept(next, e.continued)
 		if e.front.config.Switches.DeliverAnyEvent {
@@ -162,7 +167,11 @@
 			e.log("The stream continued.", "Endpoint", e.run.Endpoint.ID, "Pause", time.Since(e.lastEventAt).Milliseconds())
 		}
 		e.events++
-		e.lastEventAt = time.Now()
+		now := time.Now()
+		if e.events > 1 {
+			e.longestPause = max(e.longestPause, now.Sub(e.lastEventAt))
+		}
+		e.lastEventAt = now
 		if e.firstEventAt.IsZero() {
 			e.firstEventAt = e.lastEventAt
 			e.unwatchBlocks()
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -241,7 +241,8 @@
 	e.notifyLoadChanged()
 	if err := e.copyTo(ctx, target, false); err != nil {
 		if ctx.Err() == nil {
-			e.log("A run's memory could not be copied.", "To", target.Endpoint.ID, "Cause", err.Error())
+			e.log("A run's memory could not be copied.", "To", target.Endpoint.ID, "Cause", err.Error(),
+				"Runs", target.PriorLoad.Runs, "Tokens", target.PriorLoad.Tokens, "Prefill", target.PriorLoad.Prefill)
 		}
 		e.placer().end(target, 0)
 		e.failedCopyTargets = append(e.failedCopyTargets, target.Endpoint.ID)
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -141,18 +141,19 @@
 	return s.placer.EndpointLeaving(run)
 }
 
-// place places a request and waits for room until the deadline. The verdict is Placed
-// or the reason why there is no run.
-func (s *SharedPlacer) place(ctx context.Context, spec *place.Spec, deadline time.Time) (*place.Run, place.Verdict) {
+// place places a request and waits for room as long as the placer says. The verdict is
+// Placed or the reason why there is no run.
+func (s *SharedPlacer) place(ctx context.Context, spec *place.Spec) (*place.Run, place.Verdict) {
 	now := time.Now()
 	s.mu.Lock()
+	deadline := s.placer.WaitUntil(now, spec)
 	run, verdict := s.placer.Place(now, spec)
 	if verdict == place.Placed || !now.Before(deadline) || !s.placer.MayBePlacedBy(now, spec, deadline) {
 		s.mu.Unlock()
 		return run, verdict
 	}
 	granted := make(chan *place.Run, 1)
-	waiter := &place.Waiter{Spec: spec, Granted: func(run *place.Run) { granted <- run }}
+	waiter := &place.Waiter{Spec: spec, Since: now, Granted: func(run *place.Run) { granted <- run }}
 	s.placer.Enqueue(waiter)
 	s.mu.Unlock()
 	timer := time.NewTimer(deadline.Sub(now))
@@ -164,7 +165,7 @@
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
-	withdrawn := s.placer.Withdraw(waiter)
+	withdrawn := s.placer.GiveUp(time.Now(), waiter)
 	s.mu.Unlock()
 	if withdrawn {
 		return nil, verdict
@@ -202,10 +203,25 @@
 	return s.placer.PlaceOn(time.Now(), id, request)
 }
 
-func (s *SharedPlacer) countRequest(service core.ServiceName) {
+// recordArrival records that a request arrived, and completes it by when its caller first asked.
+func (s *SharedPlacer) recordArrival(request *core.RoutedRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.placer.CountRequest(time.Now(), service)
+	s.placer.RecordArrival(time.Now(), request)
+}
+
+// room returns what is known of the room for a request.
+func (s *SharedPlacer) room(spec *place.Spec) place.Room {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.Room(time.Now(), spec)
+}
+
+// comeBackAt returns when the caller of a request that found no room should ask again.
+func (s *SharedPlacer) comeBackAt(request *core.RoutedRequest) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.ComeBackAt(time.Now(), request)
 }
 
 func (s *SharedPlacer) allowRetry(service core.ServiceName) bool {
@@ -217,7 +233,7 @@
 func (s *SharedPlacer) recordPrefillDone(run *place.Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.placer.RecordPrefillDone(run)
+	s.placer.RecordPrefillDone(time.Now(), run)
 	s.grantWaiting()
 }
 
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -76,8 +76,9 @@
 
 	position event.Position
 	splitter event.Splitter
-	// events counts the events delivered to the caller.
-	events int
+	// events counts the events delivered to the caller, received those that arrived complete
+	// from endpoints.
+	events, received int
 	// delivered is true once the header of a stream was sent to the caller.
 	delivered bool
 	// continued is true from the first try that continues a run or stream and does not
@@ -92,6 +93,8 @@
 	firstEventAt time.Time
 	// lastEventAt is when an event was last delivered.
 	lastEventAt time.Time
+	// longestPause is the longest time between two events.
+	longestPause time.Duration
 	// resumed is false from when a stream breaks off until its next event is delivered.
 	resumed bool
 }
@@ -137,7 +140,7 @@
 func (e *exchange) serve(ctx context.Context) {
 	defer e.backup.drop(e.placer())
 	defer e.buffered.release()
-	e.placer().countRequest(e.request.Service)
+	e.placer().recordArrival(&e.request.RoutedRequest)
 	step := tries.Again
 	for {
 		end := e.runStep(ctx, step)
@@ -243,15 +246,8 @@
 // result of the try.
 func (e *exchange) place(ctx context.Context) *tryResult {
 	request := &e.request.RoutedRequest
-	until := request.Arrived.Add(request.Route.Goal)
-	if now := time.Now(); e.delivered || until.Before(now) {
-		until = now.Add(request.Route.GapGoal)
-	}
-	if request.Deadline.Before(until) {
-		until = request.Deadline
-	}
-	spec := &place.Spec{Request: *request, Exclude: e.triedEndpoints}
-	run, verdict := e.placer().place(ctx, spec, until)
+	spec := &place.Spec{Request: *request, Exclude: e.triedEndpoints, Continues: e.delivered}
+	run, verdict := e.placer().place(ctx, spec)
 	if verdict == place.Placed {
 		e.run = run
 		e.notifyLoadChanged()
@@ -263,7 +259,7 @@
 	if ctx.Err() != nil {
 		return &tryResult{}
 	}
-	e.log("No endpoint has room.", "Verdict", int(verdict), "Waited", time.Since(request.Arrived).Milliseconds())
+	e.logNoRoom(spec, verdict)
 	if e.delivered {
 		e.cut("no endpoint has room to continue the stream")
 	}
@@ -271,6 +267,23 @@
 	return &tryResult{done: true}
 }
 
+// logNoRoom logs why a request found no room.
+func (e *exchange) logNoRoom(spec *place.Spec, verdict place.Verdict) {
+	request := &e.request.RoutedRequest
+	room := e.placer().room(spec)
+	e.log("No endpoint has room.", "Verdict", int(verdict), "Waited", time.Since(request.Arrived).Milliseconds(),
+		"SinceFirstAsked", sinceFirstAsked(request).Milliseconds(), "Late", room.Late, "OverloadAge", room.OverloadAge.Milliseconds(),
+		"ShortShare", room.ShortShare, "MemoryUse", room.MemoryUse, "Waiting", room.Waiting)
+}
+
+// sinceFirstAsked returns how long ago a caller first asked, as far as that is known.
+func sinceFirstAsked(request *core.RoutedRequest) time.Duration {
+	if request.FirstAsked.IsZero() {
+		return time.Since(request.Arrived)
+	}
+	return time.Since(request.FirstAsked)
+}
+
 // answerNotServed answers a request that is not sent to a further endpoint: as refused, or
 // as failed if an earlier try may have run.
 func (e *exchange) answerNotServed(reason string, retryAfter time.Duration) {
@@ -297,6 +310,9 @@
 // refused at the same time.
 func (e *exchange) retryAfterNoRoom() time.Duration {
 	goal := e.request.Route.Goal
+	if e.request.Prompt.Tokens > 0 {
+		return max(time.Until(e.placer().comeBackAt(&e.request.RoutedRequest)), _retryAfter)
+	}
 	return max(goal+time.Duration(rand.Float64()*float64(goal)), _retryAfter)
 }
 
@@ -311,6 +327,7 @@
 	defer slowTimer.Stop()
 	e.log("A try begins.", "Digest", e.digest().String(), "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.endpoint().ID,
 		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.sharedParts, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
+		"Waited", time.Since(e.request.Arrived).Milliseconds(), "SinceFirstAsked", sinceFirstAsked(&e.request.RoutedRequest).Milliseconds(),
 		"Runs", e.run.PriorLoad.Runs, "Tokens", e.run.PriorLoad.Tokens, "Prefill", e.run.PriorLoad.Prefill)
 	e.sentAt = time.Now()
 	answer, err := e.front.config.Links.Do(tryCtx, endpoint.RoutedEndpoint, e.outgoing(from))
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"apricotproxy/core"
+	"apricotproxy/core/invar"
 	"apricotproxy/core/procs/gossip"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
@@ -153,19 +154,51 @@
 	}
 }
 
-// Receive calls handle for each datagram until the socket is closed. The bytes are
-// valid only during the call.
-func Receive(socket net.PacketConn, handle func([]byte)) error {
+const (
+	// _receivePause is the pause after a failed read, so that an error that stays takes no
+	// core.
+	_receivePause = 20 * time.Millisecond
+	// _maxReceiveFailures is how often in a row reading may fail, for two seconds in all: the
+	// time after which other hosts' loads expire.
+	_maxReceiveFailures = 100
+)
+
+// Receive calls handle for each datagram until the socket is closed, or reading fails for
+// seconds. The bytes are valid only during the call. A datagram whose handling panics is
+// dropped: another one may be in order. report is called with the errors that this outlives.
+func Receive(socket net.PacketConn, handle func([]byte), report func(error)) error {
 	buffer := make([]byte, _maxDatagramBytes)
+	failures := 0
 	for {
 		n, _, err := socket.ReadFrom(buffer)
-		if err != nil {
+		switch {
+		case err == nil:
+			failures = 0
+			handleOne(buffer[:n], handle, report)
+		case errors.Is(err, net.ErrClosed) || failures == _maxReceiveFailures:
 			return fmt.Errorf("receive heartbeats: %w", err)
+		default:
+			failures++
+			report(fmt.Errorf("receive a heartbeat: %w", err))
+			time.Sleep(_receivePause)
 		}
-		handle(buffer[:n])
 	}
 }
 
+// handleOne calls handle. A broken promise of the system itself still panics.
+func handleOne(datagram []byte, handle func([]byte), report func(error)) {
+	defer func() {
+		switch cause := recover().(type) {
+		case nil:
+		case *invar.Violation:
+			panic(cause)
+		default:
+			report(fmt.Errorf("handle a heartbeat of %d bytes: panic: %v", len(datagram), cause))
+		}
+	}()
+	handle(datagram)
+}
+
 // PullResult is a host's answer to a request for documents.
 type PullResult struct {
 	Documents []core.Document
