--- a/io/links/links_test.go
+++ b/io/links/links_test.go
@@ -267,3 +267,52 @@
 		})
 	}
 }
+
+// A connection that carried an answer without an id is closed: a copy of that answer could be
+// taken for the next one. An answer to another request is no answer to a call without an id.
+func TestAnswersWithoutID(t *testing.T) {
+	const header = "Id"
+	call := &links.Request{
+		Method: http.MethodGet, Target: "/report", HostName: "h", Header: http.Header{},
+		Identify: func(answer *http.Response, _ bool) links.Ownership { return links.IdentifyCall(answer, header) },
+	}
+	e := start(t, func(c *routed.Call) bool {
+		if c.OnConnection > 0 {
+			c.Answer(200, "late", header+": earlier")
+		}
+		c.Answer(200, "report")
+		return true
+	})
+	p := newPool(t)
+	for range 2 {
+		answer, err := p.Do(t.Context(), core.RoutedEndpoint{ID: "e", Address: e.Address}, call)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(answer); err != nil || string(body) != "report" {
+			t.Errorf("got %q, %v", body, err)
+		}
+		answer.Close()
+	}
+	if n := e.Connections(); n != 2 {
+		t.Errorf("%d connections for two calls whose answers have no id, want 2", n)
+	}
+}
+
+// RequireNew lets no request use a connection that carried another one.
+func TestRequireNew(t *testing.T) {
+	e := start(t, func(c *routed.Call) bool { c.Answer(200, c.BodyText, "Id: "+c.Header.Get("Id")); return true })
+	p := newPool(t)
+	endpoint := core.RoutedEndpoint{ID: "e", Address: e.Address}
+	for n, id := range []string{"1", "2", "3"} {
+		if n == 1 && (!p.RequireNew(endpoint) || p.RequireNew(endpoint)) {
+			t.Error("RequireNew does not tell the first call apart")
+		}
+		if body, err := roundTrip(t, p, e, id); err != nil || body != "body "+id {
+			t.Fatalf("request %s: %q, %v", id, body, err)
+		}
+	}
+	if n := e.Connections(); n != 3 {
+		t.Errorf("%d connections, want a new one for each request", n)
+	}
+}
--- a/io/news/receive_test.go
+++ b/io/news/receive_test.go
@@ -33,8 +33,7 @@
 	reported := 0
 	err := news.Receive(socket, func(b []byte) {
 		if string(b) == "bad" {
-			var loads map[string]int
-			loads["x"]++ // panics
+			panic("an error that nobody expected")
 		}
 		handled = append(handled, string(b))
 	}, func(error) { reported++ })
