--- a/io/front/counters.go
+++ b/io/front/counters.go
@@ -13,6 +13,8 @@
 type counters struct {
 	answers *expvar.Map
 	tries   *expvar.Map
+	// refusals counts requests that found no room.
+	refusals *expvar.Map
 	// answerTime is the time to the end of an answer or stream, firstEventTime the time
 	// to the first event of a stream.
 	answerTime     *latency
@@ -23,6 +25,7 @@
 	c := &counters{
 		answers:        expvar.NewMap("apricotproxy.Routed.Answers"),
 		tries:          expvar.NewMap("apricotproxy.Routed.Tries"),
+		refusals:       expvar.NewMap("apricotproxy.Routed.NoRoom"),
 		answerTime:     newLatency(),
 		firstEventTime: newLatency(),
 	}
@@ -37,6 +40,19 @@
 
 func (c *counters) countTry(result string) { c.tries.Add(result, 1) }
 
+// countNoRoom counts a request that found no room, by whether its caller had come back and
+// whether the service was overloaded.
+func (c *counters) countNoRoom(cameBack, overloaded bool) {
+	name := "First"
+	if cameBack {
+		name = "CameBack"
+	}
+	if overloaded {
+		name += "Overloaded"
+	}
+	c.refusals.Add(name, 1)
+}
+
 const (
 	// _maxLatencyMillis is the longest time that is recorded; longer ones count as it.
 	_maxLatencyMillis         = 120_000
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -271,6 +271,7 @@
 func (e *exchange) logNoRoom(spec *place.Spec, verdict place.Verdict) {
 	request := &e.request.RoutedRequest
 	room := e.placer().room(spec)
+	e.front.counters.countNoRoom(request.FirstAsked.Before(request.Arrived) && !request.FirstAsked.IsZero(), room.OverloadAge > 0)
 	e.log("No endpoint has room.", "Verdict", int(verdict), "Waited", time.Since(request.Arrived).Milliseconds(),
 		"SinceFirstAsked", sinceFirstAsked(request).Milliseconds(), "Late", room.Late, "OverloadAge", room.OverloadAge.Milliseconds(),
 		"ShortShare", room.ShortShare, "MemoryUse", room.MemoryUse, "Waiting", room.Waiting)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -260,7 +260,7 @@
 // writeError answers a request with an error of this host's own.
 func (f *Front) writeError(w http.ResponseWriter, r *http.Request, req *request, failure *errorAnswer) {
 	status := f.config.SyncStatus()
-	f.log.Info("A request was answered with an error.", "Request", req.ID, "Status", failure.status, "Reason", failure.reason, "Path", r.URL.Path,
+	f.log.Info("A request was answered with an error.", "Request", req.ID, "Status", failure.status, "Reason", failure.reason, "RetryAfter", failure.retryAfter.Milliseconds(), "Path", r.URL.Path,
 		"Version", f.config.View().Version(), "Epoch", status.Epoch, "AsOf", status.AsOf, "DocumentAge", status.Age(time.Now()).Milliseconds())
 	f.counters.countAnswer(failure.status)
 	header := w.Header()
