--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"math"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -241,82 +240,6 @@
 	}
 }
 
-// place waits until the request is placed on an endpoint, and then returns nil. If it
-// cannot be placed, place answers the caller, unless ctx has ended, and returns the
-// result of the try.
-func (e *exchange) place(ctx context.Context) *tryResult {
-	request := &e.request.RoutedRequest
-	spec := &place.Spec{Request: *request, Exclude: e.triedEndpoints, Continues: e.delivered}
-	run, verdict := e.placer().place(ctx, spec)
-	if verdict == place.Placed {
-		e.run = run
-		e.notifyLoadChanged()
-		return nil
-	}
-	if errors.Is(context.Cause(ctx), errBlocked) && e.checkBlocked() {
-		return &tryResult{done: true}
-	}
-	if ctx.Err() != nil {
-		return &tryResult{}
-	}
-	e.logNoRoom(spec, verdict)
-	if e.delivered {
-		e.cut("no endpoint has room to continue the stream")
-	}
-	e.answerNotServed("no endpoint has room", max(e.retryAfterNoRoom(), e.untilOpen(spec)))
-	return &tryResult{done: true}
-}
-
-// logNoRoom logs why a request found no room.
-func (e *exchange) logNoRoom(spec *place.Spec, verdict place.Verdict) {
-	request := &e.request.RoutedRequest
-	room := e.placer().room(spec)
-	e.front.counters.countNoRoom(request.FirstAsked.Before(request.Arrived) && !request.FirstAsked.IsZero(), room.OverloadAge > 0)
-	e.log("No endpoint has room.", "Verdict", int(verdict), "Waited", time.Since(request.Arrived).Milliseconds(),
-		"SinceFirstAsked", sinceFirstAsked(request).Milliseconds(), "Late", room.Late, "OverloadAge", room.OverloadAge.Milliseconds(),
-		"ShortShare", room.ShortShare, "MemoryUse", room.MemoryUse, "Waiting", room.Waiting)
-}
-
-// sinceFirstAsked returns how long ago a caller first asked, as far as that is known.
-func sinceFirstAsked(request *core.RoutedRequest) time.Duration {
-	if request.FirstAsked.IsZero() {
-		return time.Since(request.Arrived)
-	}
-	return time.Since(request.FirstAsked)
-}
-
-// answerNotServed answers a request that is not sent to a further endpoint: as refused, or
-// as failed if an earlier try may have run.
-func (e *exchange) answerNotServed(reason string, retryAfter time.Duration) {
-	if e.tries.MayHaveRun() {
-		e.answerError(http.StatusBadGateway, "the endpoint was lost; the request may have run", 0)
-		return
-	}
-	e.answerError(http.StatusServiceUnavailable, reason, retryAfter)
-}
-
-// untilOpen returns the time until an endpoint accepts a request, if all asked for none; 0
-// otherwise. A random part keeps callers from coming back at the same moment.
-func (e *exchange) untilOpen(spec *place.Spec) time.Duration {
-	opensAt := e.placer().opensAt(spec)
-	if opensAt.IsZero() {
-		return 0
-	}
-	return time.Until(opensAt) + time.Duration(rand.Float64()*float64(e.request.Route.Goal))
-}
-
-// retryAfterNoRoom returns the Retry-After for a request that found no room until its
-// answer would have been late. An immediate retry would only add to the load, so it is
-// at least the route's Goal; a random part spreads the retries of callers that were
-// refused at the same time.
-func (e *exchange) retryAfterNoRoom() time.Duration {
-	goal := e.request.Route.Goal
-	if e.request.Prompt.Tokens > 0 {
-		return max(time.Until(e.placer().comeBackAt(&e.request.RoutedRequest)), _retryAfter)
-	}
-	return max(goal+time.Duration(rand.Float64()*float64(goal)), _retryAfter)
-}
-
 // try sends the request to the endpoint of the run and relays the answer. from
 // identifies the copy that the run continues from, if any.
 func (e *exchange) try(ctx context.Context, from string) tryResult {
@@ -446,35 +369,6 @@
 	}
 }
 
-// identify tells whether an answer belongs to this request. It must repeat the request's id. A
-// refusal (status 421 or the Not-Run header) without an id is believed only as the first answer
-// on its connection: later it may be a copy of an earlier one while this request runs. An
-// endpoint that leaves out ids gets each further request on a new connection.
-func (e *exchange) identify(answer *http.Response, isFirst bool) links.Ownership {
-	names := e.front.config.Names
-	echo := answer.Header.Get(names.RequestID)
-	isRefusal := answer.StatusCode == http.StatusMisdirectedRequest || answer.Header.Get(names.NotRun) != ""
-	switch {
-	case echo == e.request.ID, e.front.config.Switches.AcceptAnyAnswer:
-		return links.Own
-	case echo != "" || !isRefusal:
-		return links.Foreign
-	}
-	if e.front.config.Links.RequireNew(e.run.Endpoint.RoutedEndpoint) {
-		e.log("An endpoint refuses without a request's id; each request to it gets a new connection.",
-			"Endpoint", e.run.Endpoint.ID, "Status", answer.StatusCode, "Believed", isFirst)
-	}
-	if !isFirst {
-		return links.Foreign
-	}
-	return links.Unnamed
-}
-
-// identifyCall tells whether an answer belongs to a call that has no request id.
-func (e *exchange) identifyCall(answer *http.Response, _ bool) links.Ownership {
-	return links.IdentifyCall(answer, e.front.config.Names.RequestID)
-}
-
 // receive classifies an answer and relays it to the caller if it is valid.
 func (e *exchange) receive(ctx context.Context, answer *links.Answer, slowTimer *time.Timer) tryResult {
 	names := e.front.config.Names
--- /dev/null
+++ b/io/front/room.go
@@ -0,0 +1,88 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/place"
+)
+
+// place waits until the request is placed on an endpoint, and then returns nil. If it
+// cannot be placed, place answers the caller, unless ctx has ended, and returns the
+// result of the try.
+func (e *exchange) place(ctx context.Context) *tryResult {
+	request := &e.request.RoutedRequest
+	spec := &place.Spec{Request: *request, Exclude: e.triedEndpoints, Continues: e.delivered}
+	run, verdict := e.placer().place(ctx, spec)
+	if verdict == place.Placed {
+		e.run = run
+		e.notifyLoadChanged()
+		return nil
+	}
+	if errors.Is(context.Cause(ctx), errBlocked) && e.checkBlocked() {
+		return &tryResult{done: true}
+	}
+	if ctx.Err() != nil {
+		return &tryResult{}
+	}
+	e.logNoRoom(spec, verdict)
+	if e.delivered {
+		e.cut("no endpoint has room to continue the stream")
+	}
+	e.answerNotServed("no endpoint has room", max(e.retryAfterNoRoom(), e.untilOpen(spec)))
+	return &tryResult{done: true}
+}
+
+// answerNotServed answers a request that is not sent to a further endpoint: as refused, or
+// as failed if an earlier try may have run.
+func (e *exchange) answerNotServed(reason string, retryAfter time.Duration) {
+	if e.tries.MayHaveRun() {
+		e.answerError(http.StatusBadGateway, "the endpoint was lost; the request may have run", 0)
+		return
+	}
+	e.answerError(http.StatusServiceUnavailable, reason, retryAfter)
+}
+
+// untilOpen returns the time until an endpoint accepts a request, if all asked for none; 0
+// otherwise. A random part keeps callers from coming back at the same moment.
+func (e *exchange) untilOpen(spec *place.Spec) time.Duration {
+	opensAt := e.placer().opensAt(spec)
+	if opensAt.IsZero() {
+		return 0
+	}
+	return time.Until(opensAt) + time.Duration(rand.Float64()*float64(e.request.Route.Goal))
+}
+
+// retryAfterNoRoom returns the Retry-After for a request that found no room. For a generation
+// the placer knows it. For other requests it is at least the route's Goal, since an immediate
+// retry would only add to the load; a random part spreads the retries of callers that were
+// refused at the same time.
+func (e *exchange) retryAfterNoRoom() time.Duration {
+	goal := e.request.Route.Goal
+	if e.request.Prompt.Tokens > 0 {
+		return max(time.Until(e.placer().comeBackAt(&e.request.RoutedRequest)), _retryAfter)
+	}
+	return max(goal+time.Duration(rand.Float64()*float64(goal)), _retryAfter)
+}
+
+// logNoRoom logs why a request found no room.
+func (e *exchange) logNoRoom(spec *place.Spec, verdict place.Verdict) {
+	request := &e.request.RoutedRequest
+	room := e.placer().room(spec)
+	e.front.counters.countNoRoom(request.FirstAsked.Before(request.Arrived) && !request.FirstAsked.IsZero(), room.OverloadAge > 0)
+	e.log("No endpoint has room.", "Verdict", int(verdict), "Waited", time.Since(request.Arrived).Milliseconds(),
+		"SinceFirstAsked", sinceFirstAsked(request).Milliseconds(), "Late", room.Late, "OverloadAge", room.OverloadAge.Milliseconds(),
+		"ShortShare", room.ShortShare, "MemoryUse", room.MemoryUse, "Waiting", room.Waiting)
+}
+
+// sinceFirstAsked returns how long ago a caller first asked, as far as that is known.
+func sinceFirstAsked(request *core.RoutedRequest) time.Duration {
+	if request.FirstAsked.IsZero() {
+		return time.Since(request.Arrived)
+	}
+	return time.Since(request.FirstAsked)
+}
