core/procs/place: callers that leave while they wait make no overload

Cause: a request that was withdrawn since its caller left counted as one that found no room. Change: it counts only if it waited for longer than a request that finds room soon. Before: TestCallersThatLeaveAreNoOverload failed (waits 0.25 s in place of 1.3 s). After: passes.

--- a/core/procs/place/overload.go
+++ b/core/procs/place/overload.go
@@ -84,14 +84,18 @@
 	request.FirstAsked = p.firstAsked(now, request)
 }
 
-// recordWait records whether a request found room, and for how long it waited.
+// recordWait records whether a request found room, and for how long it waited. One that was
+// withdrawn soon tells nothing: its caller left.
 func (p *Placer) recordWait(now time.Time, spec *Spec, waited time.Duration, placed bool) {
 	request := &spec.Request
 	if !hasGoal(request) || spec.Continues || p.isLate(now.Add(-waited), spec) {
 		return
 	}
 	s, short := p.pressure(request.Service), 1.0
-	if placed && waited <= goalShare(request, _soonShare) {
+	if waited <= goalShare(request, _soonShare) {
+		if !placed {
+			return
+		}
 		short = 0
 	}
 	s.shortShare += _shortageWeight * (short - s.shortShare)
--- a/core/procs/place/overload_test.go
+++ b/core/procs/place/overload_test.go
@@ -71,6 +71,20 @@
 	}
 }
 
+// Callers that leave soon after they asked do not make an overload.
+func TestCallersThatLeaveAreNoOverload(t *testing.T) {
+	s := fullSite(t, 0)
+	for range 20 {
+		w := &place.Waiter{Spec: promptSpec(_start, 0), Since: _start, Granted: func(*place.Run) { t.Error("granted without room") }}
+		s.Enqueue(w)
+		s.GiveUp(after(50*time.Millisecond), w)
+	}
+	spec := promptSpec(_start, 0)
+	if got := s.WaitUntil(_start, spec).Sub(_start); got < time.Second {
+		t.Errorf("a request waits %v, as in an overload", got)
+	}
+}
+
 // A caller's time to its deadline tells that it comes back, in and after an overload only.
 func TestComingBackIsKnown(t *testing.T) {
 	for _, c := range []struct {
