--- a/core/procs/place/load_test.go
+++ b/core/procs/place/load_test.go
@@ -31,11 +31,7 @@
 type fleetHost struct {
 	*place.Placer
 	dataCentre core.DataCentreName
-	// frozenUntil is the time until which the host does nothing.
-	frozenUntil time.Time
-	nextTurn    time.Time
-	served      int
-	asked       int
+	nextTurn   time.Time
 }
 
 // fleetResult counts requests by what became of them; by the second in which their callers
@@ -60,8 +56,8 @@
 	// _readTime is the time per prompt token of the fleet's engines.
 	_readTime = time.Millisecond * 2 / 15
 	// _tokenTime is the time per token of their output.
-	_tokenTime  = 12 * time.Millisecond
-	_fleetZones = 4
+	_tokenTime        = 12 * time.Millisecond
+	_fleetDataCentres = 4
 )
 
 var _classes = []struct {
@@ -107,15 +103,15 @@
 		random: newRandom(seed), now: _start, readsAt: make(map[string]time.Time), baseline: baseline,
 		result: fleetResult{byClass: make(map[string][2]int), seconds: make(map[int][2]int)},
 	}
-	zone := func(i int) core.DataCentreName { return core.DataCentreName(fmt.Sprint("z", i%_fleetZones)) }
+	dataCentre := func(i int) core.DataCentreName { return core.DataCentreName(fmt.Sprint("dc-", i%_fleetDataCentres)) }
 	view := &know.View{Table: built, OutOfService: map[core.DataCentreName]bool{}}
 	for i := range 2 * hosts {
 		view.Endpoints = append(view.Endpoints, know.Endpoint{RoutedEndpoint: core.RoutedEndpoint{
-			ID: fmt.Sprint("engine-", i), Service: "drafting", Slots: 24, DataCentre: zone(i),
+			ID: fmt.Sprint("engine-", i), Service: "drafting", Slots: 24, DataCentre: dataCentre(i),
 		}})
 	}
 	for i := range hosts {
-		h := &fleetHost{Placer: place.New(core.HostName(fmt.Sprint("host-", i)), zone(i), core.EntryBounds{}, newRandom(seed+uint64(i))), dataCentre: zone(i)}
+		h := &fleetHost{Placer: place.New(core.HostName(fmt.Sprint("host-", i)), dataCentre(i), core.EntryBounds{}, newRandom(seed+uint64(i))), dataCentre: dataCentre(i)}
 		h.SetSwitches(place.Switches{ServeByArrival: baseline})
 		h.Apply(view)
 		f.hosts = append(f.hosts, h)
@@ -132,8 +128,7 @@
 
 func (f *fleet) after(d time.Duration, do func()) { heap.Push(&f.events, event{f.now.Add(d), do}) }
 
-// tell sends a host's changed loads to the others of its data centre, and has its next report
-// to the other data centres sent. Reports are repeated, so that loads do not expire.
+// tell sends a host's changed loads to the others of its data centre.
 func (f *fleet) tell(index int) {
 	h := f.hosts[index]
 	changed := h.ChangedLoads()
@@ -148,8 +143,7 @@
 	})
 }
 
-// report sends the loads of each data centre to the hosts of the others, and of each host to
-// those of its own, every _remoteDelay.
+// report sends the loads of each data centre to the hosts of the others, every _remoteDelay.
 func (f *fleet) report() {
 	sums := make(map[core.DataCentreName]map[string]place.Load)
 	for _, h := range f.hosts {
@@ -159,13 +153,13 @@
 	}
 	f.after(_heartbeatDelay, func() {
 		for i, h := range f.hosts {
-			for zone, loads := range sums {
-				if zone != h.dataCentre {
+			for from, loads := range sums {
+				if from != h.dataCentre {
 					copied := make(map[string]place.Load, len(loads))
 					for id, load := range loads {
 						copied[id] = load
 					}
-					h.SetPeerLoads(f.now, place.Source{DataCentre: zone}, copied)
+					h.SetPeerLoads(f.now, place.Source{DataCentre: from}, copied)
 				}
 			}
 			f.grant(i)
@@ -177,9 +171,6 @@
 // grant lets a host grant its waiting requests, and does so again at their next turn.
 func (f *fleet) grant(index int) {
 	h := f.hosts[index]
-	if f.now.Before(h.frozenUntil) {
-		return
-	}
 	h.GrantWaiting(f.now)
 	if next := h.NextTurn(); !next.IsZero() && !next.Equal(h.nextTurn) {
 		h.nextTurn = next
@@ -210,7 +201,6 @@
 		f.result.large++
 	}
 	f.count(class, f.now, 1, 0)
-	f.hosts[index].asked++
 	f.try(index, class, request, f.now, output)
 }
 
@@ -268,7 +258,6 @@
 // run plays a run on its engine.
 func (f *fleet) run(index, class int, request *core.RoutedRequest, run *place.Run, firstAsked time.Time, output int) {
 	h, id := f.hosts[index], run.Endpoint.ID
-	h.served++
 	f.result.served++
 	if isLarge(class, request) {
 		f.result.largeServed++
