core, platform, io/front: log the software version of the endpoint of each try

Hosts dropped the version that an endpoint registers, so logs could not tell whether a stream went on at another one. core.RoutedEndpoint has it as Build; a site file may name it too. 'A try begins.' has Build, Resumes and LastEventID. No decision reads any of them yet.

--- a/core/routed.go
+++ b/core/routed.go
@@ -102,6 +102,10 @@
 	IdleTimeout   time.Duration
 }
 
+// BuildName names a version of the software of a service's endpoints. What two builds write
+// does not fit into one stream. It is empty if the endpoint does not tell.
+type BuildName string
+
 // RoutedEndpoint is one incarnation of an endpoint, as it registered itself.
 type RoutedEndpoint struct {
 	// ID is the name under which the incarnation registered itself.
@@ -109,6 +113,7 @@
 	Service    ServiceName
 	Address    string
 	DataCentre DataCentreName
+	Build      BuildName
 	Slots      int
 	Draining   bool
 	// Cold is how much longer the endpoint expected to be cold when it wrote its
@@ -246,6 +251,7 @@
 	ExpectedTokens   string
 	Priority         string
 	LastEventID      string
+	Resumes          string // ID of the request that brought the first event of a stream taken up
 	Backup           string // where the engine sends copies of the run's memory
 	ContinueFrom     string // the copy from which the run continues
 	// Reserved are headers that only the system may set; those that callers send
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -243,13 +243,14 @@
 // try sends the request to the endpoint of the run and relays the answer. from
 // identifies the copy that the run continues from, if any.
 func (e *exchange) try(ctx context.Context, from string) tryResult {
-	endpoint := e.run.Endpoint
+	endpoint, names := e.run.Endpoint, e.front.config.Names
 	e.chooseBackup()
 	tryCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	slowTimer := e.startSlowTimer(func() { cancel(errSlow) })
 	defer slowTimer.Stop()
-	e.log("A try begins.", "Digest", e.digest().String(), "Endpoint", endpoint.ID, "Address", endpoint.Address, "From", from, "Backup", e.backup.endpoint().ID,
+	e.log("A try begins.", "Digest", e.digest().String(), "Endpoint", endpoint.ID, "Build", string(endpoint.Build), "Address", endpoint.Address,
+		"Resumes", e.incoming.Header.Get(names.Resumes), "LastEventID", e.incoming.Header.Get(names.LastEventID), "From", from, "Backup", e.backup.endpoint().ID,
 		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.sharedParts, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
 		"Waited", time.Since(e.request.Arrived).Milliseconds(), "SinceFirstAsked", sinceFirstAsked(&e.request.RoutedRequest).Milliseconds(),
 		"Runs", e.run.PriorLoad.Runs, "Tokens", e.run.PriorLoad.Tokens, "Prefill", e.run.PriorLoad.Prefill)
--- a/io/local/local.go
+++ b/io/local/local.go
@@ -64,9 +64,9 @@
 }
 
 type endpointSection struct {
-	Service, Address, DataCentre string
-	Slots                        int
-	Leaving                      bool
+	Service, Address, DataCentre, Build string
+	Slots                               int
+	Leaving                             bool
 }
 
 type workspaceSection struct {
@@ -244,7 +244,7 @@
 		return err
 	}
 	p.site.Endpoints = append(p.site.Endpoints, core.RoutedEndpoint{
-		ID: name, Service: core.ServiceName(v.Service), Address: v.Address, DataCentre: core.DataCentreName(v.DataCentre),
+		ID: name, Service: core.ServiceName(v.Service), Address: v.Address, DataCentre: core.DataCentreName(v.DataCentre), Build: core.BuildName(v.Build),
 		Slots: v.Slots, Draining: v.Leaving,
 	})
 	return nil
--- a/io/local/names.go
+++ b/io/local/names.go
@@ -13,7 +13,7 @@
 		RequestID: "Request-Id", Deadline: "Deadline-Ms", Key: "Workspace-Key", Workspace: "Workspace",
 		ExpectedEndpoint: "Expect-Endpoint", EndpointID: "Endpoint-Id", NotRun: "Not-Run", Leaving: "Endpoint-Leaving", RateLimit: "Endpoint-Limit", Seal: "Endpoint-Seal",
 		Model: "Model", Tokens: "Tokens", Parts: "Prompt-Parts", ExpectedTokens: "Expected-Tokens", Priority: "Priority",
-		LastEventID: "Last-Event-Id", Backup: "Backup-To", ContinueFrom: "Continue-From",
+		LastEventID: "Last-Event-Id", Resumes: "Resumes", Backup: "Backup-To", ContinueFrom: "Continue-From",
 		Reserved: []string{"Workspace", "Workspace-Key", "Expect-Endpoint", "Backup-To", "Continue-From", "Priority"},
 	}
 }
