--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -29,7 +29,7 @@
 var _names = core.HeaderNames{
 	RequestID: "Request-Id", Deadline: "Deadline-Ms", Key: "Key", Workspace: "Workspace", ExpectedEndpoint: "Expect-Endpoint",
 	NotRun: "Not-Run", Seal: "Seal", Model: "Model", Tokens: "Tokens", Parts: "Parts", ExpectedTokens: "Expected-Tokens",
-	LastEventID: "Last-Event-Id", Backup: "Backup", ContinueFrom: "Continue-From",
+	LastEventID: "Last-Event-Id", Resumes: "Resumes", Backup: "Backup", ContinueFrom: "Continue-From",
 	Reserved: []string{"Backup", "Continue-From", "Workspace", "Expect-Endpoint", "Key"},
 }
 
@@ -40,7 +40,7 @@
 	endpoints []*routed.Endpoint
 	placer    *front.SharedPlacer
 	detector  *front.SharedDetector
-	view      *know.View
+	view      atomic.Pointer[know.View]
 	// errorLines receives the log lines of errors that the host itself answers.
 	errorLines chan string
 }
@@ -69,7 +69,8 @@
 		t.Fatal(err)
 	}
 	detector := front.NewSharedDetector(logr.Discard(), func() {}, func() {})
-	r := &fixture{t: t, detector: detector, errorLines: make(chan string, 64), view: &know.View{Table: built, OutOfService: map[core.DataCentreName]bool{}}}
+	r := &fixture{t: t, detector: detector, errorLines: make(chan string, 64)}
+	view := &know.View{Table: built, OutOfService: map[core.DataCentreName]bool{}}
 	for i, handle := range handlers {
 		e, err := routed.Start(handle)
 		if err != nil {
@@ -77,13 +78,13 @@
 		}
 		t.Cleanup(e.Close)
 		r.endpoints = append(r.endpoints, e)
-		r.view.Endpoints = append(r.view.Endpoints, know.Endpoint{RoutedEndpoint: core.RoutedEndpoint{
+		view.Endpoints = append(view.Endpoints, know.Endpoint{RoutedEndpoint: core.RoutedEndpoint{
 			ID: fmt.Sprint("e", i), Service: "all", Address: e.Address, Slots: 8,
 		}})
 	}
 	bounds := core.EntryBounds{RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000}
 	r.placer = front.NewSharedPlacer(place.New("self", "", bounds, rand.New(rand.NewPCG(1, 1))))
-	r.placer.Apply(r.view)
+	r.apply(view)
 	// A host uses no share of the common limits in the first seconds after its start, so
 	// its start is set to a minute ago.
 	r.placer.Update(func(p *place.Placer) { p.ExpirePeerLoads(time.Now().Add(-time.Minute)) })
@@ -92,13 +93,19 @@
 	r.server = httptest.NewServer(front.New(front.Config{
 		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: pool,
 		Detector: r.detector, BufferBytes: _bufferBytes,
-		View: func() *know.View { return r.view }, Logger: r.logger(), LoadChanged: func() {},
+		View: r.view.Load, Logger: r.logger(), LoadChanged: func() {},
 		SyncStatus: func() know.SyncStatus { return know.SyncStatus{AsOf: 12, FreshAt: time.Now().Add(-_documentAge)} },
 	}))
 	t.Cleanup(r.server.Close)
 	return r
 }
 
+// apply puts a view in force.
+func (r *fixture) apply(view *know.View) {
+	r.view.Store(view)
+	r.placer.Apply(view)
+}
+
 // _documentAge is the age of the fixture's documents.
 const _documentAge = 3 * time.Second
 
@@ -468,7 +475,7 @@
 	}
 	r = newFixture(t, handle, handle)
 	// With Backups off, the only copy is the one made because the engine is leaving.
-	service, _ := r.view.Table.Service("all")
+	service, _ := r.view.Load().Table.Service("all")
 	service.Engine.Backups = false
 	if got := r.send("POST", "/draft/x", "", "Tokens: 100,400"); got.err != nil || got.body != wantStream(3) {
 		t.Errorf("stream %q, %v; want %q", got.body, got.err, wantStream(3))
