core/procs/place, io/front: streams go on only at the build that began them

Hosts did not read the version: a retry after the first event, a backup, and a copy on order went wherever there was room.

place.Spec names the build to which a stream is bound; endpoints of others are left out when a run, a backup or a copy is placed. When all endpoints of the build are leaving or gone the stream is cut at once, also one that waits for room. A copy is used only at the incarnation of the endpoint that received it: one that came back under its ID may have another build.

--- a/core/procs/place/copies.go
+++ b/core/procs/place/copies.go
@@ -40,7 +40,7 @@
 func (p *Placer) memoryUse(now time.Time, service core.ServiceName) float64 {
 	used, memory := 0, 0
 	for _, e := range p.services[service] {
-		if e.engine != nil && p.accepts(now, e, nil) {
+		if e.engine != nil && p.accepts(now, e) {
 			used += e.load().Tokens
 			memory += e.engine.MemoryTokens
 		}
@@ -62,7 +62,7 @@
 	var target *endpoint
 	total := 0.0
 	for _, e := range p.services[spec.Request.Service] {
-		if e.engine == nil || e.unconfirmed() || !p.accepts(now, e, spec.Exclude) || now.Before(e.ColdUntil) || p.isRateLimited(now, e) {
+		if e.engine == nil || e.unconfirmed() || !spec.allows(e) || !p.accepts(now, e) || now.Before(e.ColdUntil) || p.isRateLimited(now, e) {
 			continue
 		}
 		room := float64(e.engine.MemoryTokens)*share - float64(e.load().Tokens)
@@ -88,11 +88,11 @@
 }
 
 // PlaceOn counts a run at an endpoint that already holds a copy of the run's memory, so
-// that no prompt has to be read. It returns false when the endpoint is gone or accepts
+// that no prompt has to be read. It returns false when that incarnation is gone or accepts
 // no work, or none beyond this host's share of a limit of all hosts.
-func (p *Placer) PlaceOn(now time.Time, id string, request *core.RoutedRequest) (*Run, bool) {
-	e := p.endpoints[id]
-	if e == nil || p.outOfService[e.DataCentre] || e.Draining || e.notice.leaving || e.isClosed(now) || e.health.inBackoff(now) || !p.limitsAllow(now, e) {
+func (p *Placer) PlaceOn(now time.Time, key core.EndpointKey, request *core.RoutedRequest) (*Run, bool) {
+	e := p.endpoints[key.ID]
+	if e == nil || e.Key() != key || p.outOfService[e.DataCentre] || e.Draining || e.notice.leaving || e.isClosed(now) || e.health.inBackoff(now) || !p.limitsAllow(now, e) {
 		return nil, false
 	}
 	need := p.requestLoad(request)
--- a/core/procs/place/fit.go
+++ b/core/procs/place/fit.go
@@ -13,7 +13,7 @@
 		return _remoteMemoryShare
 	}
 	for _, e := range p.services[service] {
-		if e.DataCentre == p.dataCentre && p.accepts(now, e, nil) {
+		if e.DataCentre == p.dataCentre && p.accepts(now, e) {
 			return _remoteMemoryShare
 		}
 	}
--- a/core/procs/place/notice.go
+++ b/core/procs/place/notice.go
@@ -117,7 +117,7 @@
 func (p *Placer) OpensAt(now time.Time, spec *Spec) time.Time {
 	var first time.Time
 	for _, e := range p.services[spec.Request.Service] {
-		if !p.acceptsWhenOpen(now, e, nil) {
+		if !spec.allowsBuild(e) || !p.acceptsWhenOpen(now, e) {
 			continue
 		}
 		opensAt := p.nextPermit(now, e)
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -11,6 +11,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"apricotproxy/core"
@@ -91,6 +92,10 @@
 	Request core.RoutedRequest
 	// Exclude lists the IDs of endpoints that must not be used.
 	Exclude []string
+	// OneBuild is true if only endpoints of Build may be used, since the stream was begun at
+	// one.
+	OneBuild bool
+	Build    core.BuildName
 	// SourceDataCentre is the data centre from which a copy is sent: links within one
 	// data centre are faster.
 	SourceDataCentre core.DataCentreName
@@ -98,6 +103,13 @@
 	Continues bool
 }
 
+// allows reports whether the constraints allow an endpoint.
+func (s *Spec) allows(e *endpoint) bool {
+	return s.allowsBuild(e) && !slices.Contains(s.Exclude, e.ID)
+}
+
+func (s *Spec) allowsBuild(e *endpoint) bool { return !s.OneBuild || e.Build == s.Build }
+
 // Run is a request placed on an endpoint, or a copy of its memory there. End must be
 // called once.
 type Run struct {
@@ -272,7 +284,7 @@
 	var best *endpoint
 	bestCost, anyAccepts := 0.0, false
 	for _, e := range p.services[spec.Request.Service] {
-		if !p.accepts(now, e, spec.Exclude) {
+		if !spec.allows(e) || !p.accepts(now, e) {
 			continue
 		}
 		anyAccepts = true
@@ -310,27 +322,30 @@
 }
 
 // accepts reports whether an endpoint accepts new work.
-func (p *Placer) accepts(now time.Time, e *endpoint, exclude []string) bool {
-	return !e.isClosed(now) && p.acceptsWhenOpen(now, e, exclude)
+func (p *Placer) accepts(now time.Time, e *endpoint) bool {
+	return !e.isClosed(now) && p.acceptsWhenOpen(now, e)
 }
 
 // acceptsWhenOpen reports whether an endpoint accepts new work, unless it asked for none.
-func (p *Placer) acceptsWhenOpen(now time.Time, e *endpoint, exclude []string) bool {
-	if (e.Draining || e.notice.leaving) && !p.switches.UseLeaving || p.outOfService[e.DataCentre] && !p.switches.UseOutOfService || e.health.inBackoff(now) {
-		return false
-	}
-	for _, id := range exclude {
-		if id == e.ID {
-			return false
-		}
-	}
-	return true
+func (p *Placer) acceptsWhenOpen(now time.Time, e *endpoint) bool {
+	return p.stays(e) && !e.health.inBackoff(now)
+}
+
+// stays reports whether an endpoint is neither leaving nor out of service.
+func (p *Placer) stays(e *endpoint) bool {
+	return (!e.Draining && !e.notice.leaving || p.switches.UseLeaving) && (!p.outOfService[e.DataCentre] || p.switches.UseOutOfService)
+}
+
+// buildStays reports whether an endpoint that stays could serve a request some time, by the
+// build that it needs.
+func (p *Placer) buildStays(spec *Spec) bool {
+	return !spec.OneBuild || slices.ContainsFunc(p.services[spec.Request.Service], func(e *endpoint) bool { return spec.allowsBuild(e) && p.stays(e) })
 }
 
-// Usable reports whether an endpoint still accepts work.
-func (p *Placer) Usable(now time.Time, id string) bool {
-	e := p.endpoints[id]
-	return e != nil && p.accepts(now, e, nil)
+// Usable reports whether an incarnation of an endpoint still accepts work.
+func (p *Placer) Usable(now time.Time, key core.EndpointKey) bool {
+	e := p.endpoints[key.ID]
+	return e != nil && e.Key() == key && p.accepts(now, e)
 }
 
 // RecordPrefillDone records that a run's prompt has been read: its first event arrived.
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -316,7 +316,7 @@
 		}
 		s.End(run)
 	}
-	if _, ok := s.PlaceOn(_start, "engine-0", &draft().Request); ok {
+	if _, ok := s.PlaceOn(_start, core.EndpointKey{ID: "engine-0"}, &draft().Request); ok {
 		t.Error("a run continues in a data centre that is out of service")
 	}
 }
@@ -479,10 +479,10 @@
 	run, _ := s.Place(_start, order())
 	s.RecordOutcome(_start, run, place.Unreachable)
 	s.End(run)
-	if s.Usable(_start, run.Endpoint.ID) {
+	if s.Usable(_start, run.Endpoint.Key()) {
 		t.Error("an unreachable endpoint is used at once")
 	}
-	if !s.Usable(after(4*time.Second), run.Endpoint.ID) {
+	if !s.Usable(after(4*time.Second), run.Endpoint.Key()) {
 		t.Error("an unreachable endpoint is not tried again")
 	}
 }
@@ -606,7 +606,7 @@
 	s.change("engine-0", func(e *know.Endpoint) { e.ColdUntil = after(10 * time.Second) })
 	continued := 0
 	for range 100 {
-		if run, ok := s.PlaceOn(_start, "engine-0", &draft().Request); ok {
+		if run, ok := s.PlaceOn(_start, core.EndpointKey{ID: "engine-0"}, &draft().Request); ok {
 			continued++
 			s.End(run)
 		}
--- a/core/procs/place/rate_test.go
+++ b/core/procs/place/rate_test.go
@@ -187,7 +187,7 @@
 	if !s.IsRateLimited(_start, "engine-0") || s.IsRateLimited(_start, "engine-1") {
 		t.Error("want a rate limit on the first engine only")
 	}
-	if _, ok := s.PlaceOn(_start, "engine-0", &draft().Request); ok {
+	if _, ok := s.PlaceOn(_start, core.EndpointKey{ID: "engine-0"}, &draft().Request); ok {
 		t.Error("a run continues on the engine without a permit")
 	}
 }
--- a/core/procs/place/wait.go
+++ b/core/procs/place/wait.go
@@ -20,7 +20,8 @@
 // not be overtaken any more.
 const _agedShare = 0.7
 
-// Waiter is a request that waits for room. Granted is called with its run.
+// Waiter is a request that waits for room. Granted is called with its run, or with nil once no
+// endpoint is left that could ever serve it.
 type Waiter struct {
 	Spec    *Spec
 	Granted func(*Run)
@@ -77,6 +78,10 @@
 			w.turnAt = time.Time{}
 			return false
 		}
+		if !p.buildStays(w.Spec) {
+			w.Granted(nil)
+			return true
+		}
 		e, verdict := p.pick(now, w.Spec)
 		if e == nil {
 			blocked[service] = verdict == Full && p.holdsBack(now, w)
@@ -174,9 +179,13 @@
 }
 
 // MayBePlacedBy reports whether a request that finds no room now may be placed by a deadline if
-// it waits. It is false only if no endpoint that could serve it opens by then, or if the
-// permits of their rate limits do not suffice for the requests that wait already.
+// it waits. It is false only if no endpoint that could serve it opens by then, if the
+// permits of their rate limits do not suffice for the requests that wait already, or if all
+// endpoints of the build that it needs are leaving or gone.
 func (p *Placer) MayBePlacedBy(now time.Time, spec *Spec, deadline time.Time) bool {
+	if !p.buildStays(spec) {
+		return false
+	}
 	opensAt := p.OpensAt(now, spec)
 	if opensAt.IsZero() {
 		return true
@@ -186,7 +195,7 @@
 	}
 	permits := 0
 	for _, e := range p.services[spec.Request.Service] {
-		if !p.acceptsWhenOpen(now, e, spec.Exclude) || e.notice.closedUntil.After(deadline) {
+		if !spec.allows(e) || !p.acceptsWhenOpen(now, e) || e.notice.closedUntil.After(deadline) {
 			continue
 		}
 		if !p.isRateLimited(now, e) {
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -197,6 +197,7 @@
 	e.placer().recordPrefillDone(e.run)
 	e.notifyLoadChanged()
 	e.delivered = true
+	e.begun, e.build = true, e.run.Endpoint.Build
 	e.front.counters.firstEventTime.record(time.Since(e.request.Arrived))
 	copyAnswerHeader(e.writer.Header(), answer.Header)
 	e.writer.WriteHeader(answer.StatusCode)
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -66,12 +66,12 @@
 	return core.RoutedEndpoint{}
 }
 
-// continuation returns the ID of the endpoint that holds the copy and what identifies
-// the copy there. There must be a copy.
-func (b *backup) continuation() (id, from string) {
+// continuation returns the endpoint that holds the copy and what identifies the copy there.
+// There must be a copy.
+func (b *backup) continuation() (key core.EndpointKey, from string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.run.Endpoint.ID, b.continueFrom
+	return b.run.Endpoint.Key(), b.continueFrom
 }
 
 func (b *backup) set(placer *SharedPlacer, run *place.Run, from, handle string) {
@@ -163,7 +163,10 @@
 // copySpec describes where a copy of the run's memory may be placed.
 func (e *exchange) copySpec() *place.Spec {
 	exclude := slices.Concat([]string{e.run.Endpoint.ID}, e.triedEndpoints, e.failedCopyTargets)
-	return &place.Spec{Request: e.request.RoutedRequest, Exclude: exclude, SourceDataCentre: e.run.Endpoint.DataCentre}
+	return &place.Spec{
+		Request: e.request.RoutedRequest, Exclude: exclude, SourceDataCentre: e.run.Endpoint.DataCentre,
+		OneBuild: true, Build: e.run.Endpoint.Build,
+	}
 }
 
 // maintainBackup starts a goroutine that has the run's memory copied to another
@@ -211,7 +214,7 @@
 // which to check again if no endpoint has changed until then; 0 for never.
 func (e *exchange) updateBackup(ctx context.Context) time.Duration {
 	target, leaving := e.backup.placement(), e.placer().endpointLeaving(e.run)
-	hasCopy := target != nil && e.placer().usable(target.Endpoint.ID)
+	hasCopy := target != nil && e.placer().usable(target.Endpoint.Key())
 	if hasCopy && leaving && !e.backup.handoverStarted() && e.placer().isRateLimited(target.Endpoint.ID) {
 		hasCopy = false // the run may have to wait there; another engine may have room now
 	}
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -160,7 +160,7 @@
 	defer timer.Stop()
 	select {
 	case run := <-granted:
-		return run, place.Placed
+		return grantedRun(run)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -170,7 +170,14 @@
 	if withdrawn {
 		return nil, verdict
 	}
-	return <-granted, place.Placed
+	return grantedRun(<-granted)
+}
+
+func grantedRun(run *place.Run) (*place.Run, place.Verdict) {
+	if run == nil {
+		return nil, place.NoEndpoint
+	}
+	return run, place.Placed
 }
 
 func (s *SharedPlacer) placeBackup(spec *place.Spec) *place.Run {
@@ -185,10 +192,10 @@
 	return s.placer.PlaceMigration(time.Now(), spec)
 }
 
-func (s *SharedPlacer) usable(id string) bool {
+func (s *SharedPlacer) usable(key core.EndpointKey) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.placer.Usable(time.Now(), id)
+	return s.placer.Usable(time.Now(), key)
 }
 
 func (s *SharedPlacer) isRateLimited(id string) bool {
@@ -197,10 +204,10 @@
 	return s.placer.IsRateLimited(time.Now(), id)
 }
 
-func (s *SharedPlacer) placeOn(id string, request *core.RoutedRequest) (*place.Run, bool) {
+func (s *SharedPlacer) placeOn(key core.EndpointKey, request *core.RoutedRequest) (*place.Run, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.placer.PlaceOn(time.Now(), id, request)
+	return s.placer.PlaceOn(time.Now(), key, request)
 }
 
 // recordArrival records that a request arrived, and completes it by when its caller first asked.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -80,6 +80,9 @@
 	events, received int
 	// delivered is true once the header of a stream was sent to the caller.
 	delivered bool
+	// begun is true once the caller has events of the stream, which were written at build.
+	begun bool
+	build core.BuildName
 	// continued is true from the first try that continues a run or stream and does not
 	// send the request anew.
 	continued bool
@@ -197,10 +200,10 @@
 	}
 	from := ""
 	if step == tries.Continue {
-		var id string
-		id, from = e.backup.continuation()
+		var key core.EndpointKey
+		key, from = e.backup.continuation()
 		e.backup.drop(e.placer())
-		run, ok := e.placer().placeOn(id, &e.request.RoutedRequest)
+		run, ok := e.placer().placeOn(key, &e.request.RoutedRequest)
 		if !ok {
 			return tryResult{result: tries.NotSent, err: errors.New("the endpoint that holds the copy accepts no work")}
 		}
--- a/io/front/room.go
+++ b/io/front/room.go
@@ -16,7 +16,7 @@
 // result of the try.
 func (e *exchange) place(ctx context.Context) *tryResult {
 	request := &e.request.RoutedRequest
-	spec := &place.Spec{Request: *request, Exclude: e.triedEndpoints, Continues: e.delivered}
+	spec := &place.Spec{Request: *request, Exclude: e.triedEndpoints, Continues: e.delivered, OneBuild: e.begun, Build: e.build}
 	run, verdict := e.placer().place(ctx, spec)
 	if verdict == place.Placed {
 		e.run = run
