--- a/fakes/hosts/hosts.go
+++ b/fakes/hosts/hosts.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 
@@ -25,12 +26,14 @@
 	Clients []*store.Client
 	stop    []context.CancelFunc
 	ended   []chan error
+	// listeners are those of each host's present run.
+	listeners [][]net.Listener
 }
 
 // New prepares the settings of n hosts from a template. They differ in names, addresses,
 // random seeds and store clients. It starts no host.
 func New(n int, documents *store.Store, template entry.Settings) *Hosts {
-	h := &Hosts{stop: make([]context.CancelFunc, n), ended: make([]chan error, n)}
+	h := &Hosts{stop: make([]context.CancelFunc, n), ended: make([]chan error, n), listeners: make([][]net.Listener, n)}
 	var seeds []string
 	for i := range n {
 		settings := template
@@ -54,7 +57,16 @@
 
 // Start starts the i-th host, or restarts it after it has ended.
 func (h *Hosts) Start(i int) (*entry.Host, error) {
-	host, err := entry.New(h.Settings[i])
+	h.listeners[i] = nil
+	settings := h.Settings[i]
+	settings.Listen = func(network, address string) (net.Listener, error) {
+		listener, err := h.Settings[i].Listen(network, address)
+		if err == nil {
+			h.listeners[i] = append(h.listeners[i], listener)
+		}
+		return listener, err
+	}
+	host, err := entry.New(settings)
 	if err != nil {
 		return nil, fmt.Errorf("start host %d: %w", i, err)
 	}
@@ -70,3 +82,14 @@
 
 // Ended returns the channel that receives the result of the i-th host's Run.
 func (h *Hosts) Ended(i int) <-chan error { return h.ended[i] }
+
+// Kill ends the i-th host at once, with all its connections, and waits until it has ended.
+func (h *Hosts) Kill(i int) error {
+	for _, listener := range h.listeners[i] {
+		_ = listener.Close()
+	}
+	if err := <-h.ended[i]; err != nil && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("end host %d: %w", i, err)
+	}
+	return nil
+}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -20,7 +20,8 @@
 
 // decode decodes simplified documents: "config" holds a version, a path prefix and whether
 // the route's answers are streams of an engine, "out/NAME" takes a data centre out of
-// service, and any other name is an endpoint with its address as the value.
+// service, and any other name is an endpoint with its address, and its build if there is a
+// space, as the value.
 func decode(d core.Document) (know.Content, error) {
 	if name, ok := strings.CutPrefix(d.Name, "out/"); ok {
 		return know.Content{OutOfService: core.DataCentreName(name)}, nil
@@ -49,7 +50,8 @@
 		built, err := table.Build(table.Source{Version: c.Version, Services: []core.RoutedService{service}, Routes: []core.Route{route}})
 		return know.Content{Table: built}, err
 	}
-	return know.Content{Endpoint: &core.RoutedEndpoint{ID: d.Name, Service: "desk", Address: string(d.Value), DataCentre: "b", Slots: 9, Born: time.UnixMilli(1)}}, nil
+	address, build, _ := strings.Cut(string(d.Value), " ")
+	return know.Content{Endpoint: &core.RoutedEndpoint{ID: d.Name, Service: "desk", Address: address, Build: core.BuildName(build), DataCentre: "b", Slots: 9, Born: time.UnixMilli(1)}}, nil
 }
 
 // _leavingSpread is the time within which hosts must learn that an endpoint is leaving.
@@ -89,7 +91,7 @@
 				EndpointInterval: time.Second,
 			},
 		},
-		Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", Leaving: "Leaving", RateLimit: "Limit", ExpectedEndpoint: "Expect", Tokens: "Tokens", Parts: "Parts"},
+		Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", Leaving: "Leaving", RateLimit: "Limit", ExpectedEndpoint: "Expect", Tokens: "Tokens", Parts: "Parts", LastEventID: "Last-Event-Id", Resumes: "Resumes"},
 		Paths:  core.CallPaths{Ready: "/ready"},
 		Decode: decode,
 		Seed:   1,
@@ -119,6 +121,14 @@
 	}
 }
 
+// killHost ends one host at once and waits until it has ended.
+func (s *site) killHost(i int) {
+	s.t.Helper()
+	if err := s.Kill(i); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 // get returns the status and the body of an answer, or 0 and an error's text.
 func (s *site) get(address, path string, headers ...string) (int, string) {
 	status, _, body := s.request(address, path, headers...)
@@ -132,6 +142,17 @@
 }
 
 func (s *site) request(address, path string, headers ...string) (int, http.Header, string) {
+	res, err := s.open(address, path, headers...)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, _ := io.ReadAll(res.Body)
+	return res.StatusCode, res.Header, string(body)
+}
+
+// open sends a request and returns the answer, whose body has yet to be read.
+func (s *site) open(address, path string, headers ...string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		s.t.Fatal(err)
@@ -143,13 +164,7 @@
 		name, value, _ := strings.Cut(h, ": ")
 		req.Header.Set(name, value)
 	}
-	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
-	if err != nil {
-		return 0, nil, err.Error()
-	}
-	defer func() { _ = res.Body.Close() }()
-	body, _ := io.ReadAll(res.Body)
-	return res.StatusCode, res.Header, string(body)
+	return (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
 }
 
 // eventually waits until a condition holds. It fails the test after a time limit.
