core/procs/origin: a stream that its caller takes up goes on only at the build that began it

A caller whose connection ended takes its stream up at any host. News of this were seen where all hosts were ended at once.

The host now finds out where the stream was begun, the cheapest way first: its own record, or the copy that the beginning host sends to three others by datagram; that a single build was in service for as long as the stream can have lasted; the records of all other hosts, which it asks; which engines hold the request's own part of the prompt; and which builds the store's history shows. When nobody knows, or the build has left, the stream is refused at once with status 503: it has not run. The decision is in core/procs/origin; io/front and io/entry ask. A take-up also begins its count of events after the caller's last one, so that none comes twice.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -42,6 +42,8 @@
 	// _readerCount is how many hosts read the documents on behalf of all: with two, one
 	// may fail without an interruption.
 	_readerCount = 2
+	// _copies is how many other hosts receive a copy.
+	_copies = 3
 )
 
 // Contact identifies a host and its addresses.
@@ -189,6 +191,56 @@
 	return targets[:min(len(targets), _maxLocalTargets)]
 }
 
+// CopyTargets returns the heartbeat addresses of the hosts that receive copies of what this host
+// must not be the only one to know: always the same ones while they live, those of the own
+// data centre first.
+func (s *State) CopyTargets(now time.Time) []string {
+	var live []Contact
+	for _, m := range s.members {
+		if m.live(now) && !m.stopping {
+			live = append(live, m.contact)
+		}
+	}
+	isRemote := func(c Contact) int {
+		if c.DataCentre == s.self.DataCentre {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(live, func(a, b Contact) int {
+		return cmp.Or(isRemote(a)-isRemote(b), cmp.Compare(rank(s.self.Host+a.Host), rank(s.self.Host+b.Host)))
+	})
+	var targets []string
+	for _, c := range live[:min(len(live), _copies)] {
+		targets = append(targets, c.Heartbeat)
+	}
+	return targets
+}
+
+// QuestionTargets returns the heartbeat addresses of the hosts to ask for what one of them may
+// know: all live ones, or in a large deployment those of the own data centre. allKnown is false
+// for a host that knows no other one yet and asks the seeds.
+func (s *State) QuestionTargets(now time.Time) (targets []string, allKnown bool) {
+	var local, remote []string
+	for _, m := range s.members {
+		switch {
+		case !m.live(now):
+		case m.contact.DataCentre == s.self.DataCentre:
+			local = append(local, m.contact.Heartbeat)
+		default:
+			remote = append(remote, m.contact.Heartbeat)
+		}
+	}
+	if len(local)+len(remote) == 0 {
+		seeds := slices.Clone(s.seeds)
+		return slices.DeleteFunc(seeds, func(seed string) bool { return seed == s.self.Heartbeat }), false
+	}
+	s.shuffle(local)
+	s.shuffle(remote)
+	targets = slices.Concat(local, remote)
+	return targets[:min(len(targets), _maxLocalTargets)], true
+}
+
 // RemoteTargets returns the heartbeat address of one host of each other data centre, now
 // and then that of a silent seed, and all seeds while no more hosts are live than there are
 // seeds.
--- /dev/null
+++ b/core/procs/origin/origin.go
@@ -0,0 +1,199 @@
+// Package origin decides at which build a stream may go on that its caller takes up again.
+//
+// What two builds write does not fit into one stream, and endpoints do not check it. Within one
+// answer the host knows the build; a caller that lost its connection comes to any host. That
+// host uses, in this order:
+//
+//  1. the record that the stream was begun, its own or a copy that another host sent;
+//  2. that a single build was in service for as long as the stream can have lasted;
+//  3. the records of the other hosts, which it asks;
+//  4. which engines hold the part of the prompt that belongs to this request alone;
+//  5. which builds the store's history shows in service, if there is a single one now.
+//
+// Without any of these the build is unknown, and the stream must not go on.
+package origin
+
+import (
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
+)
+
+const (
+	// _maxRecords bounds the records that a host keeps; the oldest are dropped first.
+	_maxRecords = 1 << 15
+	// _maxIDBytes bounds the ID of a request that is recorded.
+	_maxIDBytes = 128
+	// _viewSkew is how much longer than on this host a build may be in service on another
+	// one: the time in which changed documents reach all hosts.
+	_viewSkew = 2 * time.Second
+	// _maxSpan is how far back it is kept which builds were in service.
+	_maxSpan = 10 * time.Minute
+)
+
+// Origin is where a stream was begun.
+type Origin struct {
+	Service core.ServiceName
+	Build   core.BuildName
+}
+
+// Record tells where a stream was begun.
+type Record struct {
+	// Request is the ID of the request that brought the first event.
+	Request string
+	Origin
+	// Until is when the caller gives up.
+	Until time.Time
+}
+
+// Source is how a stream's origin was found out.
+type Source uint8
+
+// Sources of an origin.
+const (
+	Unknown Source = iota
+	Recorded
+	SingleBuild
+	OtherHost
+	Engines
+	StoreHistory
+)
+
+// String returns the name used in logs.
+func (s Source) String() string {
+	return [...]string{"Unknown", "Recorded", "SingleBuild", "OtherHost", "Engines", "StoreHistory"}[s]
+}
+
+// Ledger holds the records of one host and which builds were in service. It is not safe for
+// concurrent use.
+type Ledger struct {
+	records map[string]Record
+	// order lists the recorded requests, the oldest first.
+	order []string
+	// uncopied holds the records that were not sent to other hosts yet.
+	uncopied []Record
+	builds   builds
+}
+
+// New returns a ledger that knows nothing.
+func New() *Ledger {
+	return &Ledger{records: make(map[string]Record), builds: builds{lastSeen: make(map[Origin]time.Time)}}
+}
+
+// Begin records that this host delivered the first event of a stream.
+func (l *Ledger) Begin(r Record) {
+	if l.Add(r) {
+		l.uncopied = append(l.uncopied, r)
+	}
+}
+
+// Add records what another host knows. It returns false if the stream was known already.
+func (l *Ledger) Add(r Record) bool {
+	if _, known := l.records[r.Request]; known || r.Request == "" || len(r.Request) > _maxIDBytes {
+		return false
+	}
+	l.records[r.Request] = r
+	l.order = append(l.order, r.Request)
+	if len(l.order) > _maxRecords {
+		delete(l.records, l.order[0])
+		l.order = l.order[1:]
+	}
+	return true
+}
+
+// TakeUncopied returns the records that were not sent to other hosts yet, and counts them as
+// sent.
+func (l *Ledger) TakeUncopied() []Record {
+	records := l.uncopied
+	l.uncopied = nil
+	return records
+}
+
+// Find returns the record of a stream.
+func (l *Ledger) Find(request string) (Record, bool) {
+	r, ok := l.records[request]
+	return r, ok
+}
+
+// Expire drops the records of streams whose callers have given up.
+func (l *Ledger) Expire(now time.Time) {
+	kept := l.order[:0]
+	for _, request := range l.order {
+		if now.After(l.records[request].Until) {
+			delete(l.records, request)
+			continue
+		}
+		kept = append(kept, request)
+	}
+	l.order = kept
+	l.builds.expire(now)
+}
+
+// Stream is a stream that a caller takes up.
+type Stream struct {
+	// Request is the ID of the request that brought the first event, as the caller says; empty
+	// if it does not say.
+	Request string
+	// Services are those among which the requests of the stream's route are distributed.
+	Services []core.ServiceName
+	// BegunAfter is the earliest time at which the stream can have begun.
+	BegunAfter time.Time
+}
+
+// Resolve returns the origin of a stream without asking anyone.
+func (l *Ledger) Resolve(now time.Time, s Stream) (Origin, Source) {
+	if r, ok := l.records[s.Request]; ok {
+		return r.Origin, Recorded
+	}
+	if len(s.Services) != 1 {
+		return Origin{}, Unknown
+	}
+	if found, ok := l.builds.single(now, s.Services[0], s.BegunAfter); ok {
+		return found, SingleBuild
+	}
+	return Origin{}, Unknown
+}
+
+// Observe records which builds a view has in service.
+func (l *Ledger) Observe(now time.Time, view *know.View) { l.builds.observe(now, view) }
+
+// SetCurrent records whether the host's documents are up to date. Otherwise there may be builds
+// that it does not know.
+func (l *Ledger) SetCurrent(now time.Time, current bool) { l.builds.setCurrent(now, current) }
+
+// HasSingleBuild reports whether the services have a single build in service now, so that the
+// past can tell that a stream was begun there.
+func (l *Ledger) HasSingleBuild(services []core.ServiceName) bool {
+	return len(services) == 1 && l.builds.countPresent(services[0]) == 1
+}
+
+// Span returns what is known of the builds in service.
+func (l *Ledger) Span(now time.Time) Span { return l.builds.span(now) }
+
+// Merge adds what another host knows of the builds in service.
+func (l *Ledger) Merge(s Span) { l.builds.merge(s) }
+
+// Holder is an engine that was asked which parts of prompts it holds.
+type Holder struct {
+	Origin
+	// Holds is true if it holds the part that belongs to the request alone.
+	Holds bool
+}
+
+// ResolveHolders returns the origin of a stream by the engines that hold its request's own part
+// of the prompt: only one that read the request holds it. It is unknown if no engine holds the part,
+// or engines of several builds.
+func ResolveHolders(holders []Holder) (Origin, Source) {
+	found, source := Origin{}, Unknown
+	for _, h := range holders {
+		if !h.Holds {
+			continue
+		}
+		if source == Engines && h.Origin != found {
+			return Origin{}, Unknown
+		}
+		found, source = h.Origin, Engines
+	}
+	return found, source
+}
--- /dev/null
+++ b/core/procs/origin/span.go
@@ -0,0 +1,129 @@
+package origin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
+)
+
+// Span is what a host knows of the builds that were in service.
+type Span struct {
+	// Since is the time from which on all of them are known; zero if there is none.
+	Since  time.Time
+	Builds []InService
+}
+
+// InService is a build of a service and when an endpoint of it was last registered.
+type InService struct {
+	Origin
+	LastSeen time.Time
+}
+
+// builds tracks which builds were in service.
+type builds struct {
+	// since is the time from which on all builds are known; zero while the host's documents
+	// are not up to date.
+	since time.Time
+	// lastSeen holds when each build was last registered, present those that are now.
+	lastSeen map[Origin]time.Time
+	present  []Origin
+}
+
+func (b *builds) observe(now time.Time, view *know.View) {
+	b.touch(now)
+	b.present = b.present[:0]
+	for _, e := range view.Endpoints {
+		if o := (Origin{Service: e.Service, Build: e.Build}); !slices.Contains(b.present, o) {
+			b.present = append(b.present, o)
+		}
+	}
+	b.touch(now)
+}
+
+func (b *builds) setCurrent(now time.Time, current bool) {
+	switch {
+	case !current:
+		b.since = time.Time{}
+	case b.since.IsZero():
+		b.since = now
+	}
+}
+
+func (b *builds) countPresent(name core.ServiceName) int {
+	count := 0
+	for _, o := range b.present {
+		if o.Service == name {
+			count++
+		}
+	}
+	return count
+}
+
+// touch records that the present builds are still registered.
+func (b *builds) touch(now time.Time) {
+	for _, o := range b.present {
+		b.lastSeen[o] = now
+	}
+}
+
+// single returns the only build that a service had in service since a time, if that is known
+// for all that time.
+func (b *builds) single(now time.Time, name core.ServiceName, since time.Time) (Origin, bool) {
+	if b.since.IsZero() || since.Before(b.since) {
+		return Origin{}, false
+	}
+	b.touch(now)
+	var found Origin
+	count := 0
+	for o, lastSeen := range b.lastSeen {
+		if o.Service == name && !lastSeen.Add(_viewSkew).Before(since) {
+			found = o
+			count++
+		}
+	}
+	return found, count == 1
+}
+
+func (b *builds) span(now time.Time) Span {
+	b.touch(now)
+	out := Span{Since: b.since}
+	for o, lastSeen := range b.lastSeen {
+		out.Builds = append(out.Builds, InService{Origin: o, LastSeen: lastSeen})
+	}
+	slices.SortFunc(out.Builds, func(a, c InService) int {
+		return cmp.Or(cmp.Compare(a.Service, c.Service), cmp.Compare(a.Build, c.Build))
+	})
+	return out
+}
+
+// merge adds another host's span. It must reach up to the time from which on this host knows
+// the builds itself, so it is ignored before that.
+func (b *builds) merge(other Span) {
+	if b.since.IsZero() || other.Since.IsZero() {
+		return
+	}
+	if other.Since.Before(b.since) {
+		b.since = other.Since
+	}
+	for _, o := range other.Builds {
+		if o.LastSeen.After(b.lastSeen[o.Origin]) {
+			b.lastSeen[o.Origin] = o.LastSeen
+		}
+	}
+}
+
+func (b *builds) expire(now time.Time) {
+	b.touch(now)
+	horizon := now.Add(-_maxSpan)
+	for o, lastSeen := range b.lastSeen {
+		if lastSeen.Before(horizon) {
+			delete(b.lastSeen, o)
+		}
+	}
+	if !b.since.IsZero() && b.since.Before(horizon) {
+		b.since = horizon
+	}
+}
--- a/core/reqst/event/event.go
+++ b/core/reqst/event/event.go
@@ -83,6 +83,9 @@
 	started bool
 }
 
+// Resume sets the last event that the caller has, of an earlier answer.
+func (p *Position) Resume(last int) { p.last, p.started = last, true }
+
 // Started reports whether an event with an id was delivered.
 func (p *Position) Started() bool { return p.started }
 
--- a/core/routed.go
+++ b/core/routed.go
@@ -263,6 +263,7 @@
 type CallPaths struct {
 	Ready  string // of an entry host
 	Report string // an engine's report of its state
+	Held   string // which parts of prompts an engine holds; empty if engines do not tell
 	Move   string // copies a run's memory to another engine
 	Handle string // prefix of the path that frees a copy
 }
--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -95,6 +95,7 @@
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true,
 	})
 	settings.Names, settings.Paths, settings.DecodeReport = platform.Headers(), platform.Paths(), platform.DecodeReport
+	settings.DecodeHeld = platform.DecodeHeld
 	return settings, text, nil
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -62,8 +62,10 @@
 	Decode know.Decode
 	// DecodeReport decodes an engine's report.
 	DecodeReport func([]byte) (core.EngineState, error)
-	Dialer       core.Dialer
-	Listen       core.Listen
+	// DecodeHeld decodes which parts of prompts an engine holds.
+	DecodeHeld func([]byte) ([]string, error)
+	Dialer     core.Dialer
+	Listen     core.Listen
 	// ListenPacket opens a datagram socket.
 	ListenPacket func(network, address string) (net.PacketConn, error)
 	Logger       logr.Logger
@@ -85,6 +87,8 @@
 	docState     *documentState
 	sharedPlacer *front.SharedPlacer
 	detector     *front.SharedDetector
+	origins      *front.SharedOrigins
+	held         heldLists
 	front        *front.Front
 	links        *links.Pool
 	peers        *peers
@@ -115,8 +119,9 @@
 	h.sharedPlacer = front.NewSharedPlacer(placer)
 	h.docState = newDocumentState(know.New(settings.Decode, outagePolicy(settings.Bounds)), settings.Logger, h.apply)
 	h.detector = front.NewSharedDetector(settings.Logger, func() { h.peers.scheduleHeartbeat() }, func() { h.peers.scheduleRequestReport() })
+	h.origins = h.newOrigins()
 	h.front = front.New(front.Config{
-		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Detector: h.detector, Links: h.links, View: h.docState.View,
+		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Detector: h.detector, Origins: h.origins, Links: h.links, View: h.docState.View,
 		SyncStatus: h.docState.syncStatus, Logger: settings.Logger, BufferBytes: settings.MemoryBytes / _bufferDivisor,
 		LoadChanged: func() { h.peers.scheduleLoadChanges() }, Switches: settings.Switches.Front,
 	})
@@ -173,6 +178,7 @@
 	if view.Table != nil {
 		h.idle.raise(view.Table.Limits().IdleTimeout)
 	}
+	h.observeBuilds(view)
 	h.sharedPlacer.Apply(view)
 }
 
@@ -245,6 +251,7 @@
 			return
 		case now := <-ticker.C:
 			h.docState.expire(now)
+			h.refreshOrigins(now)
 			gauges.set(now, h.docState.View().Version(), h.docState.syncStatus())
 			h.sharedPlacer.Update(func(p *place.Placer) { p.ExpirePeerLoads(now) })
 			h.detector.Settle(now)
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -32,6 +32,7 @@
 	docState     *documentState
 	sharedPlacer *front.SharedPlacer
 	detector     *front.SharedDetector
+	origins      *front.SharedOrigins
 	stopping     func() bool
 	// sendNow requests a heartbeat before the next interval. sendChangesNow requests
 	// only the changed loads, for the hosts of the same data centre.
@@ -39,6 +40,8 @@
 	sendChangesNow chan struct{}
 	// sendRequestsNow requests only what was learned of requests that may crash endpoints.
 	sendRequestsNow chan struct{}
+	// sendOriginsNow requests only the records of streams that this host began.
+	sendOriginsNow chan struct{}
 	// rateLimitsDueAt and blockedRequestsDueAt are when all rate limits and all blocked requests
 	// are next sent. Only run uses them.
 	rateLimitsDueAt, blockedRequestsDueAt time.Time
@@ -75,6 +78,8 @@
 		p.receiveRateLimits(now, received.RateLimits)
 	case received.Requests != nil:
 		p.receiveRequests(now, received.Requests)
+	case received.Origins != nil:
+		p.receiveOrigins(now, received.Origins)
 	default:
 		p.receiveHeartbeat(ctx, now, received.Message)
 	}
@@ -205,6 +210,7 @@
 	p.sendMessage(message, []string{to.Heartbeat})
 	p.sendRateLimits(now, true, []string{to.Heartbeat})
 	p.sendBlockedRequests(now, []string{to.Heartbeat})
+	p.sendSpan(now, to.Heartbeat)
 }
 
 // compareSyncStatus compares the sync status of another host with that of this host. If
@@ -297,6 +303,8 @@
 				waiting = false
 			case <-p.sendChangesNow:
 				p.sendLoadChanges()
+			case <-p.sendOriginsNow:
+				p.sendOrigins(time.Now())
 			case <-p.sendRequestsNow:
 				now := time.Now()
 				p.mu.Lock()
@@ -464,11 +472,13 @@
 		docState:        h.docState,
 		sharedPlacer:    h.sharedPlacer,
 		detector:        h.detector,
+		origins:         h.origins,
 		stopping:        h.stopping.Load,
 		canReadStore:    true,
 		sendNow:         make(chan struct{}, 1),
 		sendChangesNow:  make(chan struct{}, 1),
 		sendRequestsNow: make(chan struct{}, 1),
+		sendOriginsNow:  make(chan struct{}, 1),
 		state:           gossip.New(self, s.Seeds, random),
 	}, nil
 }
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -198,6 +198,7 @@
 	e.notifyLoadChanged()
 	e.delivered = true
 	e.begun, e.build = true, e.run.Endpoint.Build
+	e.recordBegin()
 	e.front.counters.firstEventTime.record(time.Since(e.request.Arrived))
 	copyAnswerHeader(e.writer.Header(), answer.Header)
 	e.writer.WriteHeader(answer.StatusCode)
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -83,6 +83,9 @@
 	// begun is true once the caller has events of the stream, which were written at build.
 	begun bool
 	build core.BuildName
+	// begunBy is the ID of the caller's earlier request that began the stream; empty if this
+	// one does.
+	begunBy string
 	// continued is true from the first try that continues a run or stream and does not
 	// send the request anew.
 	continued bool
@@ -143,6 +146,9 @@
 	defer e.backup.drop(e.placer())
 	defer e.buffered.release()
 	e.placer().recordArrival(&e.request.RoutedRequest)
+	if !e.takeUp(ctx) {
+		return
+	}
 	step := tries.Again
 	for {
 		end := e.runStep(ctx, step)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -40,8 +40,10 @@
 	Paths        core.CallPaths
 	SharedPlacer *SharedPlacer
 	Detector     *SharedDetector
-	Links        *links.Pool
-	View         func() *know.View
+	// Origins finds the builds at which streams were begun; nil for a ledger of this front alone.
+	Origins *SharedOrigins
+	Links   *links.Pool
+	View    func() *know.View
 	// SyncStatus is logged with each error, to show what the host knew when it answered.
 	SyncStatus func() know.SyncStatus
 	Logger     logr.Logger
@@ -78,6 +80,9 @@
 
 // New returns a handler for routed requests.
 func New(config Config) *Front {
+	if config.Origins == nil {
+		config.Origins = NewSharedOrigins(OriginConfig{})
+	}
 	return &Front{config: config, log: config.Logger.WithName("front"), buffers: newBufferLimit(config.BufferBytes), counters: newCounters()}
 }
 
--- /dev/null
+++ b/io/front/origin.go
@@ -0,0 +1,208 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/origin"
+)
+
+const (
+	// _peerAnswerTimeout is how long other hosts have to tell what they know of a stream: a
+	// few round trips within a region, and one repetition of a lost datagram.
+	_peerAnswerTimeout = 150 * time.Millisecond
+	// _questionInterval is after how long they are asked again.
+	_questionInterval = 50 * time.Millisecond
+)
+
+// OriginConfig holds what SharedOrigins needs to ask others. Each function may be nil.
+type OriginConfig struct {
+	// Begun is called when there are records to copy to other hosts.
+	Begun func()
+	// AskHosts asks other hosts for the record of a stream and returns how many were asked.
+	// Their answers come to Answer.
+	AskHosts func(request string) int
+	// AskEngines asks the engines of services which of them hold a part of a prompt.
+	// arrived is when the request arrived for which they are asked.
+	AskEngines func(ctx context.Context, arrived time.Time, services []core.ServiceName, part string) []origin.Holder
+	// ReadHistory returns which builds the store's history shows in service.
+	ReadHistory func(ctx context.Context) origin.Span
+}
+
+// SharedOrigins gives the goroutines of requests access to one origin.Ledger, and asks other
+// hosts and engines. It is safe for concurrent use.
+type SharedOrigins struct {
+	config OriginConfig
+
+	// historyMu is held while the store's history is read. It is taken before mu.
+	historyMu sync.Mutex
+
+	mu     sync.Mutex
+	ledger *origin.Ledger
+	// questions holds what was asked of other hosts, by the stream's request.
+	questions map[string]*question
+}
+
+// question waits for what other hosts know of a stream.
+type question struct {
+	// waiting is the number of requests that wait for the answer.
+	waiting int
+	// asked is the number of hosts that were asked last, answers those that answered.
+	asked   int
+	answers map[core.HostName]bool
+	// done is closed once a host knew the stream, or none of them did.
+	done     chan struct{}
+	isClosed bool
+}
+
+// NewSharedOrigins returns a ledger that knows nothing.
+func NewSharedOrigins(config OriginConfig) *SharedOrigins {
+	return &SharedOrigins{config: config, ledger: origin.New(), questions: make(map[string]*question)}
+}
+
+// Update calls f with the ledger.
+func (s *SharedOrigins) Update(f func(*origin.Ledger)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.ledger)
+}
+
+// begin records that this host delivered the first event of a stream.
+func (s *SharedOrigins) begin(r origin.Record) {
+	s.Update(func(l *origin.Ledger) { l.Begin(r) })
+	if s.config.Begun != nil {
+		s.config.Begun()
+	}
+}
+
+// Answer records what another host knows: records, and requests of which it has none.
+func (s *SharedOrigins) Answer(from core.HostName, records []origin.Record, unknown []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		s.ledger.Add(r)
+		if q := s.questions[r.Request]; q != nil {
+			q.close()
+		}
+	}
+	for _, request := range unknown {
+		q := s.questions[request]
+		if q == nil {
+			continue
+		}
+		q.answers[from] = true
+		if len(q.answers) >= q.asked {
+			q.close()
+		}
+	}
+}
+
+func (q *question) close() {
+	if !q.isClosed {
+		q.isClosed = true
+		close(q.done)
+	}
+}
+
+// find returns where a stream was begun. ownPart is the part of the prompt that
+// belongs to this request alone; empty if it has none. arrived is when the request arrived.
+func (s *SharedOrigins) find(ctx context.Context, arrived time.Time, stream origin.Stream, ownPart string) (origin.Origin, origin.Source) {
+	if found, source := s.resolve(stream); source != origin.Unknown {
+		return found, source
+	}
+	if s.config.AskHosts != nil {
+		s.askHosts(ctx, stream.Request)
+		if found, source := s.resolve(stream); source != origin.Unknown {
+			return found, origin.OtherHost
+		}
+	}
+	if s.config.AskEngines != nil && ownPart != "" {
+		holders := s.config.AskEngines(ctx, arrived, stream.Services, ownPart)
+		if found, source := origin.ResolveHolders(holders); source != origin.Unknown {
+			return found, source
+		}
+	}
+	return s.findInHistory(ctx, stream)
+}
+
+// findInHistory returns where a stream was begun if the store's history shows a single build.
+func (s *SharedOrigins) findInHistory(ctx context.Context, stream origin.Stream) (origin.Origin, origin.Source) {
+	isSingle := false
+	s.Update(func(l *origin.Ledger) { isSingle = l.HasSingleBuild(stream.Services) })
+	if s.config.ReadHistory == nil || !isSingle {
+		return origin.Origin{}, origin.Unknown
+	}
+	s.historyMu.Lock()
+	defer s.historyMu.Unlock()
+	if found, source := s.resolve(stream); source != origin.Unknown {
+		return found, source // another request has read it meanwhile
+	}
+	span := s.config.ReadHistory(ctx)
+	s.Update(func(l *origin.Ledger) { l.Merge(span) })
+	if found, source := s.resolve(stream); source != origin.Unknown {
+		return found, origin.StoreHistory
+	}
+	return origin.Origin{}, origin.Unknown
+}
+
+func (s *SharedOrigins) resolve(stream origin.Stream) (origin.Origin, origin.Source) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Resolve(time.Now(), stream)
+}
+
+// askHosts asks other hosts for a stream's record until one has it, all have answered, or
+// _peerAnswerTimeout has passed. Datagrams may be lost, so they are asked repeatedly.
+func (s *SharedOrigins) askHosts(ctx context.Context, request string) {
+	q := s.beginQuestion(request)
+	defer s.endQuestion(request, q)
+	deadline := time.NewTimer(_peerAnswerTimeout)
+	defer deadline.Stop()
+	for {
+		if !s.ask(request, q) {
+			return
+		}
+		select {
+		case <-q.done:
+			return
+		case <-ctx.Done():
+			return
+		case <-deadline.C:
+			return
+		case <-time.After(_questionInterval):
+		}
+	}
+}
+
+// ask asks other hosts once. It returns false if there are none.
+func (s *SharedOrigins) ask(request string, q *question) bool {
+	asked := s.config.AskHosts(request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.asked = asked
+	return asked > 0 && len(q.answers) < asked
+}
+
+// beginQuestion joins the question for a stream, or begins it.
+func (s *SharedOrigins) beginQuestion(request string) *question {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := s.questions[request]
+	if q == nil {
+		q = &question{answers: make(map[core.HostName]bool), done: make(chan struct{})}
+		s.questions[request] = q
+	}
+	q.waiting++
+	return q
+}
+
+func (s *SharedOrigins) endQuestion(request string, q *question) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.waiting--
+	if q.waiting == 0 {
+		delete(s.questions, request)
+	}
+}
--- /dev/null
+++ b/io/front/takeup.go
@@ -0,0 +1,79 @@
+package front
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/origin"
+)
+
+// _takeUps counts the streams that callers took up, by how their origin was found out.
+var _takeUps = expvar.NewMap("apricotproxy.Routed.TakeUps")
+
+// takeUp finds the build at which the stream was begun that the caller takes up, if it does. It
+// returns false if it answered the caller: the stream cannot go on, since nobody knows the build.
+func (e *exchange) takeUp(ctx context.Context) bool {
+	lastEvent := e.incoming.Header.Get(e.front.config.Names.LastEventID)
+	if lastEvent == "" || e.request.Route.Kind != core.RouteStreaming || !e.request.Route.Resumable {
+		return true
+	}
+	stream := origin.Stream{
+		Request:    e.incoming.Header.Get(e.front.config.Names.Resumes),
+		BegunAfter: e.request.Arrived.Add(-e.longestAge()),
+	}
+	for _, s := range e.request.Route.Services {
+		stream.Services = append(stream.Services, s.Service)
+	}
+	found, source := e.front.config.Origins.find(ctx, e.request.Arrived, stream, e.ownPart())
+	e.log("A caller takes up a stream.", "Resumes", stream.Request, "LastEventID", lastEvent, "Source", source.String(), "Build", string(found.Build), "Service", string(found.Service),
+		"Took", time.Since(e.request.Arrived).Milliseconds())
+	_takeUps.Add(source.String(), 1)
+	switch {
+	case source == origin.Unknown:
+		e.answerError(http.StatusServiceUnavailable, "nobody knows which build began the stream", _retryAfter)
+		return false
+	case !slices.Contains(stream.Services, found.Service):
+		e.answerError(http.StatusServiceUnavailable, "the route no longer leads to the service that began the stream", _retryAfter)
+		return false
+	}
+	e.request.Service = found.Service
+	e.begun, e.build, e.begunBy = true, found.Build, stream.Request
+	if id, err := strconv.Atoi(lastEvent); err == nil {
+		e.position.Resume(id)
+	}
+	return true
+}
+
+// longestAge returns how long ago a stream can have begun that is taken up now. Its caller waits
+// no longer than for the route's time-out, or at least as long as it still waits.
+func (e *exchange) longestAge() time.Duration {
+	return max(e.request.Route.Timeout, e.request.Deadline.Sub(e.request.Arrived))
+}
+
+// ownPart returns the ID of the part of the prompt that belongs to this request alone; empty if
+// the prompt has none.
+func (e *exchange) ownPart() string {
+	if parts := e.request.Prompt.Parts; len(parts) > 0 {
+		return parts[len(parts)-1].ID
+	}
+	return ""
+}
+
+// recordBegin records at which build the stream goes on if its caller takes it up again.
+func (e *exchange) recordBegin() {
+	if !e.request.Route.Resumable {
+		return
+	}
+	request := e.request.ID
+	if e.begunBy != "" {
+		request = e.begunBy
+	}
+	e.front.config.Origins.begin(origin.Record{
+		Request: request, Origin: origin.Origin{Service: e.request.Service, Build: e.build}, Until: time.Now().Add(e.longestAge()),
+	})
+}
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -18,6 +18,7 @@
 	"apricotproxy/core"
 	"apricotproxy/core/invar"
 	"apricotproxy/core/procs/gossip"
+	"apricotproxy/core/procs/origin"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
 	"apricotproxy/io/stall"
@@ -74,12 +75,28 @@
 	Report     poison.RequestReport
 }
 
+// Origins holds what a host knows, or asks, of the builds at which streams were begun. Like
+// RateLimits it is sent apart from heartbeats.
+type Origins struct {
+	Host core.HostName
+	// Records are of streams that the host began, or that it was asked for.
+	Records []origin.Record
+	// Questions lists the requests whose records the host asks for. The answer goes to ReplyTo.
+	Questions []string
+	ReplyTo   string
+	// Unknown lists the requests of which the host has no record, although it was asked.
+	Unknown []string
+	// Span is what the host knows of the builds in service.
+	Span origin.Span
+}
+
 // Datagram is what was received: one of its fields is set.
 type Datagram struct {
 	Message    *Message
 	LoadUpdate *LoadUpdate
 	RateLimits *RateLimits
 	Requests   *Requests
+	Origins    *Origins
 }
 
 // The first byte of a datagram is the kind of what follows.
@@ -88,6 +105,7 @@
 	_kindLoadUpdate = 2
 	_kindRateLimits = 3
 	_kindRequests   = 4
+	_kindOrigins    = 5
 )
 
 // Encode returns the datagram of a message that is sent now.
@@ -108,6 +126,11 @@
 	return encode(_kindRequests, requestsToWire(r, now))
 }
 
+// EncodeOrigins returns the datagram of origins that is sent now.
+func EncodeOrigins(o *Origins, now time.Time) ([]byte, error) {
+	return encode(_kindOrigins, originsToWire(o, now))
+}
+
 func encode(kind byte, wire any) ([]byte, error) {
 	b, err := cbor.Marshal(wire)
 	if err != nil {
@@ -149,6 +172,12 @@
 			return Datagram{}, fmt.Errorf("decode lost requests: %w", err)
 		}
 		return Datagram{Requests: requestsFromWire(&w, now)}, nil
+	case _kindOrigins:
+		var w wireOrigins
+		if err := cbor.Unmarshal(b[1:], &w); err != nil {
+			return Datagram{}, fmt.Errorf("decode origins of streams: %w", err)
+		}
+		return Datagram{Origins: originsFromWire(&w, now)}, nil
 	default:
 		return Datagram{}, fmt.Errorf("decode a datagram: unknown kind %d", kind)
 	}
--- /dev/null
+++ b/io/news/origin.go
@@ -0,0 +1,78 @@
+package news
+
+import (
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/origin"
+)
+
+// MaxOrigins bounds the records, and the requests asked for, of one datagram, so that they fit
+// into it.
+const MaxOrigins = 48
+
+type (
+	wireOrigins struct {
+		_         struct{} `cbor:",toarray"`
+		Host      string
+		Records   []wireOrigin
+		Questions []string
+		ReplyTo   string
+		Unknown   []string
+		HasSpan   bool
+		SpanMs    int64
+		Builds    []wireInService
+	}
+
+	wireOrigin struct {
+		_       struct{} `cbor:",toarray"`
+		Request string
+		Service string
+		Build   string
+		LeftMs  int64
+	}
+
+	wireInService struct {
+		_       struct{} `cbor:",toarray"`
+		Service string
+		Build   string
+		AgeMs   int64
+	}
+)
+
+// originsToWire returns what is sent now. Hosts' clocks differ, so times are sent as ages.
+func originsToWire(o *Origins, now time.Time) *wireOrigins {
+	w := &wireOrigins{Host: string(o.Host), Questions: o.Questions, ReplyTo: o.ReplyTo, Unknown: o.Unknown}
+	for _, r := range o.Records {
+		w.Records = append(w.Records, wireOrigin{
+			Request: r.Request, Service: string(r.Service), Build: string(r.Build), LeftMs: r.Until.Sub(now).Milliseconds(),
+		})
+	}
+	if o.Span.Since.IsZero() {
+		return w
+	}
+	w.HasSpan, w.SpanMs = true, now.Sub(o.Span.Since).Milliseconds()
+	for _, b := range o.Span.Builds {
+		w.Builds = append(w.Builds, wireInService{Service: string(b.Service), Build: string(b.Build), AgeMs: now.Sub(b.LastSeen).Milliseconds()})
+	}
+	return w
+}
+
+func originsFromWire(w *wireOrigins, now time.Time) *Origins {
+	o := &Origins{Host: core.HostName(w.Host), Questions: w.Questions, ReplyTo: w.ReplyTo, Unknown: w.Unknown}
+	for _, r := range w.Records {
+		o.Records = append(o.Records, origin.Record{
+			Request: r.Request, Origin: origin.Origin{Service: core.ServiceName(r.Service), Build: core.BuildName(r.Build)}, Until: now.Add(milliseconds(r.LeftMs)),
+		})
+	}
+	if !w.HasSpan {
+		return o
+	}
+	o.Span.Since = now.Add(-milliseconds(max(w.SpanMs, 0)))
+	for _, b := range w.Builds {
+		o.Span.Builds = append(o.Span.Builds, origin.InService{
+			Origin: origin.Origin{Service: core.ServiceName(b.Service), Build: core.BuildName(b.Build)}, LastSeen: now.Add(-milliseconds(max(b.AgeMs, 0))),
+		})
+	}
+	return o
+}
