io/front: events in front of a gap reach the caller

Cause: events that were read together with a gap were written to the caller's buffer and counted as delivered; the stream was then cut without a flush, which drops the buffer. If the first event was among them, the head was dropped too: the caller saw a connection closed without an answer. Change: what was written is flushed whatever comes after it; the loop is a function of its own.

--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -136,11 +136,22 @@
 	if err := e.splitter.Add(p); err != nil {
 		return &tryResult{result: e.lostResult(), health: place.Bad, err: err}
 	}
-	wrote := false
+	before := e.events
+	end := e.writeEvents(answer)
+	if e.events > before {
+		if err := e.controller.Flush(); err != nil {
+			return &tryResult{done: true, err: err}
+		}
+	}
+	return end
+}
+
+// writeEvents writes the complete events that were read. It returns nil if the try goes on.
+func (e *exchange) writeEvents(answer *links.Answer) *tryResult {
 	for {
 		next, ok := e.splitter.Next()
 		if !ok {
-			break
+			return nil
 		}
 		e.received++
 		before := e.position
@@ -182,14 +193,7 @@
 		if _, err := e.writer.Write(next); err != nil {
 			return &tryResult{done: true, err: err}
 		}
-		wrote = true
-	}
-	if wrote {
-		if err := e.controller.Flush(); err != nil {
-			return &tryResult{done: true, err: err}
-		}
 	}
-	return nil
 }
 
 // beginStream sends the header to the caller when the first event has arrived.
