event, io/front: a stream that is taken up goes on after the caller's last event

Cause: the position in a stream was counted from the first event of the answer, whatever the caller's Last-Event-Id said: an endpoint that began again at event 0, or that left events out, was believed, and so was an event without an id. Change: where a stream may be resumed, the position begins at the caller's Last-Event-Id if that is a number; repeated events are skipped, and a gap is a lost try.

--- a/core/reqst/event/event.go
+++ b/core/reqst/event/event.go
@@ -83,6 +83,9 @@
 	started bool
 }
 
+// After returns the position of a caller that has the events up to and including last.
+func After(last int) Position { return Position{last: last, started: true} }
+
 // Started reports whether an event with an id was delivered.
 func (p *Position) Started() bool { return p.started }
 
@@ -91,8 +94,8 @@
 
 // Accept returns the verdict on the next event and advances the position if the event
 // is to be delivered.
-// continued is true once the stream continues on another endpoint; from then on
-// an event without an id is a gap, since it cannot be checked.
+// continued is true if events of the stream came from another endpoint; then an event
+// without an id is a gap, since it cannot be checked.
 func (p *Position) Accept(event []byte, continued bool) Verdict {
 	id, ok := ID(event)
 	if !ok {
--- a/core/reqst/event/event_test.go
+++ b/core/reqst/event/event_test.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// A caller that takes a stream up gets the event after its last one, and no other.
+func TestPositionAfter(t *testing.T) {
+	for text, want := range map[string]event.Verdict{
+		"id: 4\n\n": event.Skip, "id: 5\n\n": event.Skip, "id: 6\n\n": event.Deliver, "id: 7\n\n": event.Gap, "data: x\n\n": event.Gap,
+	} {
+		p := event.After(5)
+		if got := p.Accept([]byte(text), true); got != want {
+			t.Errorf("verdict %v on %q, want %v", got, text, want)
+		}
+	}
+}
+
 func FuzzSplitter(f *testing.F) {
 	f.Add([]byte("id: 1\n\nid: 2\n\n"), 3)
 	f.Fuzz(func(t *testing.T, stream []byte, step int) {
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -155,7 +155,7 @@
 		}
 		e.received++
 		before := e.position
-		verdict := e.position.Accept(next, e.continued)
+		verdict := e.position.Accept(next, e.continued || e.takenUp)
 		if e.front.config.Switches.DeliverAnyEvent {
 			verdict = event.Deliver
 		}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -83,6 +83,8 @@
 	// continued is true from the first try that continues a run or stream and does not
 	// send the request anew.
 	continued bool
+	// takenUp is true if the caller asked for the events after one that it has.
+	takenUp bool
 	// sentAt is when the current try began to send the request.
 	sentAt time.Time
 	// answerBegun is true once the current try got the head of an answer that was not a
@@ -99,11 +101,15 @@
 }
 
 func newExchange(f *Front, w http.ResponseWriter, r *http.Request, req *request) *exchange {
-	return &exchange{
+	e := &exchange{
 		front: f, writer: w, controller: http.NewResponseController(w), incoming: r, request: req,
 		tries: tries.New(req.Route, f.config.Switches.Tries), sharedParts: req.Prompt.SharedParts(),
 		buffered: share{limit: f.buffers},
 	}
+	if last, err := strconv.Atoi(r.Header.Get(f.config.Names.LastEventID)); err == nil && req.Route.Resumable {
+		e.takenUp, e.position = true, event.After(last)
+	}
+	return e
 }
 
 // tryResult is the result of one try.
