event, io/front: bytes that are no event are not passed on with the next one

Cause: an event is all bytes up to a blank line, and only its id was checked. The text or head of an error that an engine wrote amid its chunks was a part of the event that followed; a text with a blank line was an event while the stream was its first endpoint's, or a caller had taken it up. Change: an event has the fields of event streams, comments, or a lower-case name with a number (weight versions), and at most one id. Other bytes are a lost try, as a gap is. Limit: an error of that form ("code: 500") still passes in front of an event.

--- a/core/reqst/event/event.go
+++ b/core/reqst/event/event.go
@@ -67,6 +67,37 @@
 	return 0, false
 }
 
+// IsValid reports whether an event has only fields of event streams, and at most one id. An
+// engine may also write a field with a lower-case name and a number, such as "versions: 2". What
+// a failing engine writes amid its events would otherwise count as a part of the next event, for
+// example in "HTTP/1.1 500 Internal Server Error\r\n\r\nid: 7\ndata: x\n\n".
+func IsValid(event []byte) bool {
+	ids := 0
+	for line := range bytes.Lines(event) {
+		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\n")), []byte(":"))
+		switch string(name) {
+		case "", "data", "event", "retry":
+			continue
+		case "id":
+			ids++
+			continue
+		}
+		if _, err := strconv.Atoi(string(bytes.TrimSpace(value))); err != nil || !isFieldName(name) {
+			return false
+		}
+	}
+	return ids <= 1
+}
+
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
 // Verdict is what to do with an event.
 type Verdict uint8
 
--- a/core/reqst/event/event_test.go
+++ b/core/reqst/event/event_test.go
@@ -85,6 +85,33 @@
 	}
 }
 
+// The text or head of an error in front of an event was a part of it.
+func TestIsValid(t *testing.T) {
+	for text, want := range map[string]bool{
+		"id: 1\ndata: x\n\n":                       true,
+		"id:1\nevent: piece\ndata: x\ndata: y\n\n": true,
+		"data\n\n":                                 true,
+		": ping\n\n":                               true,
+		"retry: 100\n\n":                           true,
+		"\nid: 1\n\n":                              true,
+		"engine-versions: 2\nid: 6\ndata: x\n\n":   true,
+		"upstream failed\n\n":                      false,
+		"upstream failed\nid: 1\ndata: x\n\n":      false,
+		"error: failed\nid: 1\ndata: x\n\n":        false,
+		"Code: 500\nid: 1\ndata: x\n\n":            false,
+		"HTTP/1.1 500 Failed\nid: 1\ndata: x\n\n":  false,
+		"Status: 5\r\n\r\nid: 1\ndata: x\n\n":      false,
+		"\r\nid: 1\ndata: x\n\n":                   false,
+		"id: 1\ndata: pie\nid: 1\ndata: piece\n\n": false,
+		"<html>\nid: 1\ndata: x\n\n":               false,
+		"{\"error\": 5}\n\n":                       false,
+	} {
+		if got := event.IsValid([]byte(text)); got != want {
+			t.Errorf("IsValid(%q) = %v, want %v", text, got, want)
+		}
+	}
+}
+
 func FuzzSplitter(f *testing.F) {
 	f.Add([]byte("id: 1\n\nid: 2\n\n"), 3)
 	f.Fuzz(func(t *testing.T, stream []byte, step int) {
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -153,6 +153,9 @@
 		if !ok {
 			return nil
 		}
+		if !event.IsValid(next) {
+			return &tryResult{result: e.lostResult(), health: place.Bad, err: errors.New("the stream has bytes that are no event")}
+		}
 		e.received++
 		before := e.position
 		verdict := e.position.Accept(next, e.continued || e.takenUp)
