io/front: a stream that had begun does not end with an empty answer

Cause: once events were delivered, any answer that was read to its end without a part of an event completed the stream: a head without a length and then a close, status 204, an empty text. Change: an answer without an event of its own completes a stream only if it is an event stream that ends by its framing. That is what an engine sends that goes on after the last event, and it cannot be told from a false end: ids, token counts and lengths name no last event. A stream without a length that has events still ends with its connection, as the protocol says.

--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -109,7 +109,7 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && e.splitter.Buffered() == 0 && e.delivered:
+		case errors.Is(err, io.EOF) && e.splitter.Buffered() == 0 && e.delivered && e.showsEnd(answer):
 			e.finishStream(answer)
 			return tryResult{done: true, health: place.Good}
 		default:
@@ -118,6 +118,17 @@
 	}
 }
 
+// showsEnd reports whether an answer that was read to its end shows that the stream is complete.
+// An engine that goes on after the last event has no event to send. It still answers with a
+// stream that ends by its framing, since a connection that closes after the head tells nothing.
+func (e *exchange) showsEnd(answer *links.Answer) bool {
+	if !e.firstEventAt.IsZero() {
+		return true
+	}
+	contentType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
+	return answer.Framed() && strings.EqualFold(strings.TrimSpace(contentType), "text/event-stream")
+}
+
 // finishStream records the end of a complete stream.
 func (e *exchange) finishStream(answer *links.Answer) {
 	e.freeCopy()
