io/front: a stream without a length goes on after its handover

Cause: an engine that is asked to stop a run for its handover closes the stream without its end. Where a stream ends with its connection, the host took this for the end, though it had asked for it. Change: once a handover has begun, the end of such a connection is a lost try, and the stream goes on from the copy. Before: TestStreamWithoutLengthGoesOnAfterItsHandover failed, the stream ended after 2 of 5 events.

--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -121,9 +121,10 @@
 // showsEnd reports whether an answer that was read to its end shows that the stream is complete.
 // An engine that goes on after the last event has no event to send. It still answers with a
 // stream that ends by its framing, since a connection that closes after the head tells nothing.
+// An engine that stops a run for its handover closes the connection too.
 func (e *exchange) showsEnd(answer *links.Answer) bool {
 	if !e.firstEventAt.IsZero() {
-		return true
+		return answer.Framed() || !e.backup.handoverStarted()
 	}
 	contentType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
 	return answer.Framed() && strings.EqualFold(strings.TrimSpace(contentType), "text/event-stream")
