io/front: a header without a body is no answer where neither has a length

Cause: an answer without a length ends with its connection. An endpoint that failed right after the header and closed had its caller get a 200 with Content-Length 0. Change: such a success with no byte of body is a lost try: repeated where the route allows it, or answered with 502. HEAD, status 204, a length of 0 and an empty body in chunks stay answers. Before: TestHeadAloneIsNoAnswer failed on both routes. Cost: an endpoint that means an empty body and says no length gets its answer replaced. A body without a length that is closed too early is still taken for whole; nothing on the wire tells.

--- a/io/front/buffer.go
+++ b/io/front/buffer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"sync/atomic"
 
 	"apricotproxy/io/links"
@@ -110,5 +111,10 @@
 		e.buffered.release()
 		return nil, fmt.Errorf("the answer is longer than %d bytes", _maxBufferedBytes)
 	}
+	// An endpoint that has nothing to send says so by a length; one that fails may close the
+	// connection after the header.
+	if len(body) == 0 && !answer.Framed() && answer.StatusCode < http.StatusMultipleChoices && e.incoming.Method != http.MethodHead {
+		return nil, errors.New("the connection was closed after the answer's header")
+	}
 	return &bufferedAnswer{status: answer.StatusCode, header: answer.Header, body: body}, nil
 }
