io/front: no false end for a caller that has closed its sending side

Cause: net/http ends a request's context when the caller sends FIN. The handler then returned, and net/http wrote a 200 with Content-Length 0, or the last chunk of a stream that was incomplete. A caller that has closed only its sending side reads that. Change: the handler aborts, which closes the connection. Before: TestCallerThatClosesItsSideGetsNoFalseEnd failed on both routes.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -149,9 +149,13 @@
 	step := tries.Again
 	for {
 		end := e.runStep(ctx, step)
-		if end.done || e.incoming.Context().Err() != nil {
+		if end.done {
 			return
 		}
+		if e.incoming.Context().Err() != nil {
+			// The caller may have closed only its sending side, and still reads.
+			panic(http.ErrAbortHandler)
+		}
 		if ctx.Err() != nil {
 			e.timeout()
 			return
