--- a/core/reqst/event/event.go
+++ b/core/reqst/event/event.go
@@ -67,6 +67,37 @@
 	return 0, false
 }
 
+// IsValid reports whether an event has only fields of event streams, and at most one id. An
+// engine may also write a field with a lower-case name and a number, such as "versions: 2". What
+// a failing engine writes amid its events would otherwise count as a part of the next event, for
+// example in "HTTP/1.1 500 Internal Server Error\r\n\r\nid: 7\ndata: x\n\n".
+func IsValid(event []byte) bool {
+	ids := 0
+	for line := range bytes.Lines(event) {
+		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\n")), []byte(":"))
+		switch string(name) {
+		case "", "data", "event", "retry":
+			continue
+		case "id":
+			ids++
+			continue
+		}
+		if _, err := strconv.Atoi(string(bytes.TrimSpace(value))); err != nil || !isFieldName(name) {
+			return false
+		}
+	}
+	return ids <= 1
+}
+
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
 // Verdict is what to do with an event.
 type Verdict uint8
 
@@ -83,8 +114,8 @@
 	started bool
 }
 
-// Resume sets the last event that the caller has, of an earlier answer.
-func (p *Position) Resume(last int) { p.last, p.started = last, true }
+// After returns the position of a caller that has the events up to and including last.
+func After(last int) Position { return Position{last: last, started: true} }
 
 // Started reports whether an event with an id was delivered.
 func (p *Position) Started() bool { return p.started }
@@ -94,8 +125,8 @@
 
 // Accept returns the verdict on the next event and advances the position if the event
 // is to be delivered.
-// continued is true once the stream continues on another endpoint; from then on
-// an event without an id is a gap, since it cannot be checked.
+// continued is true if events of the stream came from another endpoint; then an event
+// without an id is a gap, since it cannot be checked.
 func (p *Position) Accept(event []byte, continued bool) Verdict {
 	id, ok := ID(event)
 	if !ok {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -19,6 +19,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/know"
+	"apricotproxy/core/procs/origin"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/versn/table"
 	"apricotproxy/fakes/routed"
@@ -40,6 +41,7 @@
 	endpoints []*routed.Endpoint
 	placer    *front.SharedPlacer
 	detector  *front.SharedDetector
+	origins   *front.SharedOrigins
 	view      atomic.Pointer[know.View]
 	// errorLines receives the log lines of errors that the host itself answers.
 	errorLines chan string
@@ -84,15 +86,18 @@
 	}
 	bounds := core.EntryBounds{RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000}
 	r.placer = front.NewSharedPlacer(place.New("self", "", bounds, rand.New(rand.NewPCG(1, 1))))
+	// A host uses no share of the common limits in the first seconds after its start, and does
+	// not know the builds before it, so its start is set to a minute ago.
+	start := time.Now().Add(-time.Minute)
+	r.origins = front.NewSharedOrigins(front.OriginConfig{})
+	r.origins.Update(func(l *origin.Ledger) { l.SetCurrent(start, true) })
 	r.apply(view)
-	// A host uses no share of the common limits in the first seconds after its start, so
-	// its start is set to a minute ago.
-	r.placer.Update(func(p *place.Placer) { p.ExpirePeerLoads(time.Now().Add(-time.Minute)) })
+	r.placer.Update(func(p *place.Placer) { p.ExpirePeerLoads(start) })
 	pool := links.New(links.Settings{Dialer: &smallBuffers{}, DialTimeout: time.Second, MaxIdle: 2})
 	t.Cleanup(pool.Close)
 	r.server = httptest.NewServer(front.New(front.Config{
 		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: pool,
-		Detector: r.detector, BufferBytes: _bufferBytes,
+		Detector: r.detector, Origins: r.origins, BufferBytes: _bufferBytes,
 		View: r.view.Load, Logger: r.logger(), LoadChanged: func() {},
 		SyncStatus: func() know.SyncStatus { return know.SyncStatus{AsOf: 12, FreshAt: time.Now().Add(-_documentAge)} },
 	}))
@@ -103,6 +108,7 @@
 // apply puts a view in force.
 func (r *fixture) apply(view *know.View) {
 	r.view.Store(view)
+	r.origins.Update(func(l *origin.Ledger) { l.Observe(time.Now(), view) })
 	r.placer.Apply(view)
 }
 
--- a/io/front/takeup.go
+++ b/io/front/takeup.go
@@ -5,7 +5,6 @@
 	"expvar"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"apricotproxy/core"
@@ -43,9 +42,6 @@
 	}
 	e.request.Service = found.Service
 	e.begun, e.build, e.begunBy = true, found.Build, stream.Request
-	if id, err := strconv.Atoi(lastEvent); err == nil {
-		e.position.Resume(id)
-	}
 	return true
 }
 
