--- a/core/routed.go
+++ b/core/routed.go
@@ -231,6 +231,8 @@
 // EngineState is the state that an engine reports.
 type EngineState struct {
 	Leaving bool
+	// Born is when the incarnation started; zero if the report does not tell.
+	Born time.Time
 }
 
 // HeaderNames holds the header names of routed requests and their answers.
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -1,10 +1,12 @@
 package entry_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -50,8 +52,11 @@
 		built, err := table.Build(table.Source{Version: c.Version, Services: []core.RoutedService{service}, Routes: []core.Route{route}})
 		return know.Content{Table: built}, err
 	}
-	address, build, _ := strings.Cut(string(d.Value), " ")
-	return know.Content{Endpoint: &core.RoutedEndpoint{ID: d.Name, Service: "desk", Address: address, Build: core.BuildName(build), DataCentre: "b", Slots: 9, Born: time.UnixMilli(1)}}, nil
+	fields := append(strings.Fields(string(d.Value)), "", "") // address, build and start in milliseconds
+	born, err := strconv.ParseInt(cmp.Or(fields[2], "1"), 10, 64)
+	return know.Content{Endpoint: &core.RoutedEndpoint{
+		ID: d.Name, Service: "desk", Address: fields[0], Build: core.BuildName(fields[1]), DataCentre: "b", Slots: 9, Born: time.UnixMilli(born),
+	}}, err
 }
 
 // _leavingSpread is the time within which hosts must learn that an endpoint is leaving.
--- /dev/null
+++ b/io/entry/reborn_test.go
@@ -0,0 +1,66 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/fakes/routed"
+)
+
+// newReportingSite starts n hosts that can ask engines when they started.
+func newReportingSite(t *testing.T, n int) *site {
+	t.Helper()
+	s := newStoppedSite(t, n)
+	for i := range s.Settings {
+		s.Settings[i].Paths.Report = "/report"
+		s.Settings[i].DecodeReport = func(body []byte) (core.EngineState, error) {
+			var report struct{ BornMs int64 }
+			err := json.Unmarshal(body, &report)
+			return core.EngineState{Born: time.UnixMilli(report.BornMs)}, err
+		}
+		s.start(i)
+	}
+	return s
+}
+
+// An engine that had come back under its ID and address with another build continued streams of
+// the earlier one, at hosts that had not learned of it yet.
+func TestTakeUpIsNotSentToEngineThatCameBackWithAnotherBuild(t *testing.T) {
+	s := newReportingSite(t, 2)
+	s.store.Put("config", `{"Version":1,"Prefix":"/a/","Streams":true}`)
+	var born atomic.Int64
+	born.Store(1)
+	before, after := buildHandler("v1"), buildHandler("v2")
+	engine := s.endpoint("e1", func(c *routed.Call) bool {
+		switch {
+		case c.URL.Path == s.Settings[0].Paths.Report:
+			c.Answer(200, fmt.Sprintf(`{"BornMs":%d}`, born.Load()))
+			return true
+		case born.Load() == 1:
+			return before(c)
+		default:
+			return after(c)
+		}
+	})
+	s.store.Put("e1", engine.Address+" v1 1")
+	b := &buildSite{site: s}
+	b.waitReady([]string{"v1"}, 0, 1)
+	streams := b.begin(0, 1)
+	b.kill(0, streams)
+	born.Store(2)
+	if status, _, body := b.takeUp(1, streams[0]); status == http.StatusOK {
+		t.Errorf("status %d with events of %q, want the stream of v1 refused or cut", status, buildOf(body))
+	}
+	for _, call := range engine.Calls() {
+		if call.Header.Get("Resumes") != "" {
+			t.Error("the engine that came back got the stream")
+		}
+	}
+	s.store.Put("e1", engine.Address+" v2 2")
+	b.waitReady([]string{"v2"}, 1)
+}
