io/entry, io/front: a stream goes on at an engine only while it is the incarnation that the host knows

Callers could get a stream joined from two builds at one endpoint: it had crashed and come back under its ID and address with another build, and the host's documents named the earlier one, as while the store is down. Endpoints check the ID alone.

Before a stream goes on at an engine by its events' ids, the host now asks it when it started (its report) and goes elsewhere if that differs. A copy of a run's memory needs no such check, since only the incarnation that received it has it.

--- a/io/entry/report.go
+++ b/io/entry/report.go
@@ -23,6 +23,11 @@
 	_maxReportBytes = 64 << 10
 )
 
+var (
+	errNoReport = errors.New("the engine gives no report")
+	errReborn   = errors.New("the endpoint has started again")
+)
+
 // pollEngines polls engines for reports that show whether they are leaving: all engines
 // while the documents are too old, as when no host can read the store, otherwise only
 // those whose documents expired. One host polls an engine on behalf of all. The
@@ -97,7 +102,26 @@
 		return core.EngineState{}, fmt.Errorf("read a report: %w", err)
 	}
 	if answer.StatusCode != http.StatusOK {
-		return core.EngineState{}, fmt.Errorf("the engine answered with status %d", answer.StatusCode)
+		return core.EngineState{}, fmt.Errorf("%w: status %d", errNoReport, answer.StatusCode)
 	}
 	return h.settings.DecodeReport(body)
 }
+
+// confirmIncarnation asks an engine whether it still is the incarnation that the host knows. One
+// that came back under its ID may be of another build before the host's documents tell so. An
+// engine that does not tell when it started is taken for the same.
+func (h *Host) confirmIncarnation(ctx context.Context, endpoint core.RoutedEndpoint) error {
+	if endpoint.Born.IsZero() || h.settings.DecodeReport == nil {
+		return nil
+	}
+	state, err := h.requestReport(ctx, endpoint)
+	switch {
+	case errors.Is(err, errNoReport):
+		return nil
+	case err != nil:
+		return fmt.Errorf("ask when the engine started: %w", err)
+	case !state.Born.IsZero() && !state.Born.Equal(endpoint.Born):
+		return errReborn
+	}
+	return nil
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -273,6 +273,9 @@
 		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.sharedParts, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
 		"Waited", time.Since(e.request.Arrived).Milliseconds(), "SinceFirstAsked", sinceFirstAsked(&e.request.RoutedRequest).Milliseconds(),
 		"Runs", e.run.PriorLoad.Runs, "Tokens", e.run.PriorLoad.Tokens, "Prefill", e.run.PriorLoad.Prefill)
+	if err := e.confirmBuild(tryCtx, from); err != nil {
+		return tryResult{result: tries.NotSent, health: e.endpointOutcome(ctx, place.Unreachable), err: err}
+	}
 	e.sentAt = time.Now()
 	answer, err := e.front.config.Links.Do(tryCtx, endpoint.RoutedEndpoint, e.outgoing(from))
 	var failed *links.Error
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -43,7 +43,10 @@
 	// Origins finds the builds at which streams were begun; nil for a ledger of this front alone.
 	Origins *SharedOrigins
 	Links   *links.Pool
-	View    func() *know.View
+	// ConfirmIncarnation asks an engine whether it still is the incarnation that the host
+	// knows, before a stream goes on there; nil to believe so.
+	ConfirmIncarnation func(context.Context, core.RoutedEndpoint) error
+	View               func() *know.View
 	// SyncStatus is logged with each error, to show what the host knew when it answered.
 	SyncStatus func() know.SyncStatus
 	Logger     logr.Logger
--- a/io/front/takeup.go
+++ b/io/front/takeup.go
@@ -60,6 +60,16 @@
 	return ""
 }
 
+// confirmBuild makes sure that the endpoint of the try is of the build that began the stream, if
+// one did. A copy needs no check: only the incarnation that received it has it.
+func (e *exchange) confirmBuild(ctx context.Context, from string) error {
+	confirm := e.front.config.ConfirmIncarnation
+	if !e.begun || from != "" || confirm == nil || e.engineSpec() == nil {
+		return nil
+	}
+	return confirm(ctx, e.run.Endpoint.RoutedEndpoint)
+}
+
 // recordBegin records at which build the stream goes on if its caller takes it up again.
 func (e *exchange) recordBegin() {
 	if !e.request.Route.Resumable {
