io/front: refusals of streams whose build has left must come within 200 ms

500 ms, the goal of the fixture's streams, passed a trial that waited 0.47 s for an endpoint of a build that had left; at 200 ms the trial fails.

--- a/io/front/builds_test.go
+++ b/io/front/builds_test.go
@@ -24,7 +24,7 @@
 	// _brokenAfter is the id of the last event before such a stream breaks off.
 	_brokenAfter = 1
 	// _atOnce bounds the time in which a stream that cannot go on is cut or refused.
-	_atOnce = 500 * time.Millisecond
+	_atOnce = 200 * time.Millisecond
 )
 
 // member is an endpoint of the fixture as it is registered.
