core/procs/origin: the builds that a suspended host knows are out of date

A host that had been suspended took its documents for up to date, since the steady clock does not count that time. It could let a stream go on at the only build it knew, although another one had come meanwhile and begun it.

The wall clock is compared with the steady one at each check, also right before a stream is resolved. After a jump the documents must be confirmed anew.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/know"
+	"apricotproxy/core/procs/origin"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
 	"apricotproxy/io/front"
@@ -89,13 +90,15 @@
 	detector     *front.SharedDetector
 	origins      *front.SharedOrigins
 	held         heldLists
-	front        *front.Front
-	links        *links.Pool
-	peers        *peers
-	idle         idleLimit
-	stopping     atomic.Bool
-	servers      []*http.Server
-	listeners    []net.Listener
+	// freshness is guarded by the lock of origins.
+	freshness origin.Freshness
+	front     *front.Front
+	links     *links.Pool
+	peers     *peers
+	idle      idleLimit
+	stopping  atomic.Bool
+	servers   []*http.Server
+	listeners []net.Listener
 }
 
 // New creates a host and opens its listeners. It starts nothing; Run does.
--- a/io/entry/origin.go
+++ b/io/entry/origin.go
@@ -37,6 +37,7 @@
 		Begun:       func() { h.peers.scheduleOrigins() },
 		AskHosts:    func(request string) int { return h.peers.askOrigin(request) },
 		ReadHistory: h.readHistory,
+		Refresh:     func() { h.refreshOrigins(time.Now()) },
 	}
 	if h.settings.Paths.Held != "" {
 		config.AskEngines = h.askEngines
@@ -47,9 +48,8 @@
 // refreshOrigins records whether the documents are up to date, and drops what has expired.
 func (h *Host) refreshOrigins(now time.Time) {
 	status := h.docState.syncStatus()
-	current := status.AsOf > 0 && status.Age(now) < h.settings.Bounds.LeavingSpread
 	h.origins.Update(func(l *origin.Ledger) {
-		l.SetCurrent(now, current)
+		l.SetCurrent(now, h.freshness.Check(now, now.Round(0), status.FreshAt, h.settings.Bounds.LeavingSpread))
 		l.Expire(now)
 	})
 }
@@ -162,7 +162,6 @@
 func (h *Host) readHistory(ctx context.Context) origin.Span {
 	ctx, cancel := context.WithTimeout(ctx, _historyTimeout)
 	defer cancel()
-	h.refreshOrigins(time.Now()) // a host that has just started may not have done so yet
 	position := h.docState.syncStatus()
 	for revisions := h.historyRevisions(); revisions > 0; revisions /= 2 {
 		after := position.AsOf - min(position.AsOf, revisions)
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -19,6 +19,8 @@
 
 // OriginConfig holds what SharedOrigins needs to ask others. Each function may be nil.
 type OriginConfig struct {
+	// Refresh updates what the ledger holds of the documents, before it is asked.
+	Refresh func()
 	// Begun is called when there are records to copy to other hosts.
 	Begun func()
 	// AskHosts asks other hosts for the record of a stream and returns how many were asked.
@@ -109,6 +111,9 @@
 // find returns where a stream was begun. ownPart is the part of the prompt that
 // belongs to this request alone; empty if it has none. arrived is when the request arrived.
 func (s *SharedOrigins) find(ctx context.Context, arrived time.Time, stream origin.Stream, ownPart string) (origin.Origin, origin.Source) {
+	if s.config.Refresh != nil {
+		s.config.Refresh()
+	}
 	if found, source := s.resolve(stream); source != origin.Unknown {
 		return found, source
 	}
