--- a/io/engine/broken_test.go
+++ b/io/engine/broken_test.go
@@ -57,6 +57,23 @@
 	}
 }
 
+// An endpoint closed its connection after the head of an answer without a length, which counted
+// as an empty answer.
+func TestHeadAloneIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+	runWithServer(t, answerWith(head), func(t *testing.T, client *engine.Client, _ *memnet.Network) {
+		answer, err := client.Call(t.Context(), _endpoint, core.CallRequest{Call: "c", Body: []byte(`{}`)})
+		if !isLost(err) {
+			t.Errorf("the answer is %q, %v; want ResultLost", answer, err)
+		}
+	})
+	runWithServer(t, answerWith(head+"{}"), func(t *testing.T, client *engine.Client, _ *memnet.Network) {
+		if answer, err := client.Call(t.Context(), _endpoint, core.CallRequest{Call: "c", Body: []byte(`{}`)}); err != nil || string(answer) != "{}" {
+			t.Errorf("an answer that ends with its connection is %q, %v; want {}", answer, err)
+		}
+	})
+}
+
 const (
 	_tokens = "id: g.3\ndata: {\"choices\":[{\"index\":0,\"text\":\"a\",\"finish_reason\":null}]}\n\n" +
 		"id: g.4\ndata: {\"choices\":[{\"index\":0,\"text\":\"b\",\"finish_reason\":null}]}\n\n"
