io/engine: a header without a body is no answer of a call where neither has a length

Cause: an answer without a length ends with its connection; one that failed after its header was read as an empty answer, which an order also keeps for its repeats. Change: it is a lost try, whose call may have run. Before: TestHeadAloneIsNoAnswer failed.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -215,6 +215,11 @@
 	if err != nil {
 		return nil, endpointError(endpoint, core.ResultLost, fmt.Errorf("read the answer: %w", err))
 	}
+	// An answer without a length ends with its connection, and so does one that failed after
+	// its header.
+	if len(answer) == 0 && res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		return nil, endpointError(endpoint, core.ResultLost, errors.New("the connection was closed after the answer's header"))
+	}
 	return answer, nil
 }
 
