--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -81,6 +81,7 @@
 		}
 		settings.EntrySettings, settings.Store, settings.Decode = site.Host, store, local.Decode
 		settings.Names, settings.Paths, settings.DecodeReport = local.Headers(), local.Paths(), local.DecodeReport
+		settings.DecodeHeld = local.DecodeHeld
 		return settings, nil, nil
 	}
 	if text, err = os.ReadFile(c.bootPath()); err != nil {
--- a/io/local/names.go
+++ b/io/local/names.go
@@ -20,10 +20,20 @@
 
 // Paths returns the product's own paths.
 func Paths() core.CallPaths {
-	return core.CallPaths{Ready: "/readyz", Report: "/v1/report", Move: "/v1/moves", Handle: "/v1/moves/"}
+	return core.CallPaths{Ready: "/readyz", Report: "/v1/report", Held: "/v1/parts", Move: "/v1/moves", Handle: "/v1/moves/"}
 }
 
-// DecodeReport decodes an engine's report of its state, such as {"Leaving":true}.
+// DecodeHeld decodes which parts of prompts an engine holds, such as {"Parts":["roll-7","r1"]}.
+func DecodeHeld(body []byte) ([]string, error) {
+	var list struct{ Parts []string }
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, fmt.Errorf("decode the parts that an engine holds: %w", err)
+	}
+	return list.Parts, nil
+}
+
+// DecodeReport decodes an engine's report of its state, such as
+// {"Leaving":true,"Born":"2026-12-05T07:00:00Z"}.
 func DecodeReport(body []byte) (core.EngineState, error) {
 	var state core.EngineState
 	if err := json.Unmarshal(body, &state); err != nil {
