core/procs/origin: a build that left just before the host knew all is not forgotten

A host whose documents had become current within 2 s after a build had left named the other build for streams that yet began at the first one on other hosts. The time from which on all builds are known now counts only 2 s (_viewSkew) later, as a build's last sight does already.

The take-up tests of io/front and io/entry pass. The store's history tells a single build for a stream that is up to 2 s shorter than before.

--- a/core/procs/origin/span.go
+++ b/core/procs/origin/span.go
@@ -70,9 +70,10 @@
 }
 
 // single returns the only build that a service had in service since a time, if that is known
-// for all that time.
+// for all that time. A build that left just before b.since is not known, but may be in service on
+// another host yet.
 func (b *builds) single(now time.Time, name core.ServiceName, since time.Time) (Origin, bool) {
-	if b.since.IsZero() || since.Before(b.since) {
+	if b.since.IsZero() || !since.After(b.since.Add(_viewSkew)) {
 		return Origin{}, false
 	}
 	b.touch(now)
