--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -13,6 +13,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/gossip"
+	"apricotproxy/core/procs/origin"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
 	"apricotproxy/io/news"
@@ -200,10 +201,18 @@
 		f.Fatal(err)
 	}
 	f.Add(requests)
+	origins, err := news.EncodeOrigins(&news.Origins{
+		Host: "h", Records: []origin.Record{{Request: "r1", Origin: originOf("desk", "v1"), Until: _now}}, Questions: []string{"r2"}, ReplyTo: "a", Unknown: []string{"r3"},
+		Span: origin.Span{Since: _now, Builds: []origin.InService{{Origin: originOf("desk", "v1"), LastSeen: _now}}},
+	}, _now)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(origins)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		d, err := news.Decode(b, _now)
 		n := 0
-		for _, isSet := range []bool{d.Message != nil, d.LoadUpdate != nil, d.RateLimits != nil, d.Requests != nil} {
+		for _, isSet := range []bool{d.Message != nil, d.LoadUpdate != nil, d.RateLimits != nil, d.Requests != nil, d.Origins != nil} {
 			if isSet {
 				n++
 			}
