io/news: a test of an answer with many builds in service, which fails

The span of an answer is not bounded: with 300 builds whose services have names of 64 bytes the datagram has 22361 bytes, and hosts receive 16384. The whole answer is lost with it.

--- a/io/news/origin_test.go
+++ b/io/news/origin_test.go
@@ -116,3 +116,23 @@
 		}
 	}
 }
+
+// An answer was longer than a datagram, and lost, when there were hundreds of builds in service.
+func TestAnswerWithManyBuildsFits(t *testing.T) {
+	o := &news.Origins{Host: "edge-austin-a-1", Unknown: names(1, _longestID), Span: origin.Span{Since: _now.Add(-10 * time.Minute)}}
+	for _, name := range names(300, _longestName) {
+		o.Span.Builds = append(o.Span.Builds, origin.InService{Origin: originOf(name, "2.8.1"), LastSeen: _now})
+	}
+	b, err := news.EncodeOrigins(o, _now)
+	if err != nil || len(b) > _maxDatagram {
+		t.Fatalf("%d bytes, %v; want %d at most", len(b), err, _maxDatagram)
+	}
+	got, err := news.Decode(b, _now)
+	if err != nil || !reflect.DeepEqual(got.Origins.Unknown, o.Unknown) {
+		t.Errorf("%+v, %v; want the answer", got.Origins, err)
+	}
+	// A span without some of its builds would let a stream go on at a wrong one.
+	if span := got.Origins.Span; !span.Since.IsZero() && !reflect.DeepEqual(span, o.Span) {
+		t.Errorf("a span of %d builds, want all or no span", len(span.Builds))
+	}
+}
