io/news: an answer about a stream has no span that makes it too long

An answer with hundreds of builds was longer than a datagram and lost as a whole. It now leaves the span out: one without some of its builds would name a wrong single build.

--- a/io/news/news.go
+++ b/io/news/news.go
@@ -126,9 +126,16 @@
 	return encode(_kindRequests, requestsToWire(r, now))
 }
 
-// EncodeOrigins returns the datagram of origins that is sent now.
+// EncodeOrigins returns the datagram of origins that is sent now. It has no span if it would be too
+// long with it: a span that lacks builds would be wrong.
 func EncodeOrigins(o *Origins, now time.Time) ([]byte, error) {
-	return encode(_kindOrigins, originsToWire(o, now))
+	datagram, err := encode(_kindOrigins, originsToWire(o, now))
+	if err != nil || len(datagram) <= _maxDatagramBytes {
+		return datagram, err
+	}
+	short := *o
+	short.Span = origin.Span{}
+	return encode(_kindOrigins, originsToWire(&short, now))
 }
 
 func encode(kind byte, wire any) ([]byte, error) {
