--- a/io/local/local_test.go
+++ b/io/local/local_test.go
@@ -60,6 +60,40 @@
 	}
 }
 
+// An endpoint's build reaches the view; one without the key has none.
+func TestBuildOfEndpoint(t *testing.T) {
+	text := example(t) + "\n[Endpoints writer-9]\nService = drafting\nAddress = 127.0.0.1:9009\nBuild = 2.8.1\nSlots = 4\n"
+	path := filepath.Join(t.TempDir(), "routes.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	store, _, err := local.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	documents, err := store.List(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := know.New(local.Decode, know.OutagePolicy{})
+	if _, err := state.Replace(time.Now(), documents, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	endpoints := state.View().Endpoints
+	if len(endpoints) != 3 {
+		t.Errorf("%d endpoints, want 3", len(endpoints))
+	}
+	for _, e := range endpoints {
+		want := core.BuildName("")
+		if e.ID == "writer-9" {
+			want = "2.8.1"
+		}
+		if e.Build != want {
+			t.Errorf("endpoint %s has build %q, want %q", e.ID, e.Build, want)
+		}
+	}
+}
+
 // A change of the file ends a watch and comes into force in the view.
 func TestChangeReachesTheView(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "routes.ini")
