--- a/io/entry/builds_test.go
+++ b/io/entry/builds_test.go
@@ -36,12 +36,17 @@
 }
 
 func newBuildSite(s *site, builds ...string) *buildSite {
+	return newBuildSiteOf(s, buildHandler, builds...)
+}
+
+// newBuildSiteOf uses engines with handlers of their own.
+func newBuildSiteOf(s *site, newHandler func(build string) routed.Handler, builds ...string) *buildSite {
 	b := &buildSite{site: s, engines: make(map[string][]*routed.Endpoint)}
 	s.store.Put("config", `{"Version":1,"Prefix":"/a/","Streams":true}`)
 	for _, build := range builds {
 		for i := range _enginesPerBuild {
 			name := fmt.Sprint(build, "-", i)
-			engine := s.endpoint(name, buildHandler(build))
+			engine := s.endpoint(name, newHandler(build))
 			s.store.Put(name, engine.Address+" "+build)
 			b.engines[build] = append(b.engines[build], engine)
 		}
