io/entry: a test of take-ups that share an answer whose caller leaves, which fails

Take-ups that arrive together share what an engine says it holds. It is asked on behalf of the first one: when that caller leaves meanwhile, the call ends, and the others take the engine for one that holds nothing.

--- a/io/entry/held_test.go
+++ b/io/entry/held_test.go
@@ -1,7 +1,9 @@
 package entry_test
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -19,6 +21,9 @@
 	// _maxHeldCalls is how often a host asks an engine for take-ups that arrive together: once,
 	// and again for those that arrive while it waits for the answer.
 	_maxHeldCalls = 4
+	// _laterBy is by how much a second take-up comes later than a first one, less than the time
+	// in which a host waits for other hosts.
+	_laterBy = 20 * time.Millisecond
 )
 
 // heldParts is what an engine holds: the parts of the prompts that it has read.
@@ -189,3 +194,47 @@
 		return status == http.StatusOK && body == pieceText("v1", 5, _pieces-1)
 	})
 }
+
+// A take-up was refused when the caller whose take-up asked the engines left: both had waited for
+// hosts, one of which had just ended.
+func TestTakeUpGoesOnWhenAnotherCallerLeaves(t *testing.T) {
+	s := newHeldSite(t, 3, "v1", "v2")
+	streams := s.begin(0, 2)
+	s.restartAll(0, streams, "v1", "v2")
+	s.killHost(2)
+	before := s.heldCalls()
+	ctx, leave := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { s.takeUpUntil(ctx, 1, streams[0]) })
+	group.Go(func() {
+		time.Sleep(_laterBy)
+		s.wantGoesOn(streams[1:], 1)
+	})
+	s.eventually("the engines are asked", time.Second, func() bool {
+		for address, calls := range s.heldCalls() {
+			if calls == before[address] {
+				return false
+			}
+		}
+		return true
+	})
+	leave()
+	group.Wait()
+}
+
+// takeUpUntil takes a stream up at a host for a caller that leaves when ctx ends.
+func (s *buildSite) takeUpUntil(ctx context.Context, host int, b *brokenStream) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.front[host]+b.path, nil)
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	req.Host = "h"
+	for _, h := range append(b.headers(b.id+"-left"), "Deadline-Ms: 3000", "Resumes: "+b.id, fmt.Sprint("Last-Event-Id: ", b.last)) {
+		name, value, _ := strings.Cut(h, ": ")
+		req.Header.Set(name, value)
+	}
+	if answer, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req); err == nil {
+		_ = answer.Body.Close()
+	}
+}
