io/entry: engines answer which parts they hold even if the caller leaves

The answer is shared by the take-ups that wait for it, so the call no longer ends with the caller for whom it was begun; _heldTimeout bounds it.

--- a/io/entry/origin.go
+++ b/io/entry/origin.go
@@ -55,9 +55,9 @@
 }
 
 // askEngines asks all engines of services whether they hold a part of a prompt. Those that do
-// not answer count as not holding it.
+// not answer count as not holding it. The caller may leave meanwhile, but others share the answers.
 func (h *Host) askEngines(ctx context.Context, arrived time.Time, services []core.ServiceName, part string) []origin.Holder {
-	ctx, cancel := context.WithTimeout(ctx, _heldTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), _heldTimeout)
 	defer cancel()
 	engines := h.enginesOf(services)
 	holders := make([]origin.Holder, len(engines))
