core/procs/origin: hosts ask each other for no over-long request

There is no record of a request whose ID is longer than 128 bytes, so hosts are asked for the empty one instead: their answer still has the builds that were in service.

--- a/core/procs/origin/origin.go
+++ b/core/procs/origin/origin.go
@@ -141,6 +141,15 @@
 	BegunAfter time.Time
 }
 
+// Question returns the request whose record other hosts are asked for. It is empty if there can be
+// none; they answer with the builds that were in service all the same.
+func (s Stream) Question() string {
+	if len(s.Request) > _maxIDBytes {
+		return ""
+	}
+	return s.Request
+}
+
 // Resolve returns the origin of a stream without asking anyone.
 func (l *Ledger) Resolve(now time.Time, s Stream) (Origin, Source) {
 	if r, ok := l.records[s.Request]; ok {
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -113,7 +113,7 @@
 		return found, source
 	}
 	if s.config.AskHosts != nil {
-		s.askHosts(ctx, stream.Request)
+		s.askHosts(ctx, stream.Question())
 		if found, source := s.resolve(stream); source != origin.Unknown {
 			return found, origin.OtherHost
 		}
