io/front: tests of questions to other hosts, which fail

Until the function that asks has returned, a question counts as asked of no host, so that the first answer without a record ends it: the host that has the record is not waited for, and silent hosts are not asked again. On real links this needs an answer that is faster than the sending of the other questions.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -46,6 +46,12 @@
 }
 
 func newFixture(t *testing.T, handlers ...routed.Handler) *fixture {
+	t.Helper()
+	return newFixtureWithOrigins(t, nil, handlers...)
+}
+
+// newFixtureWithOrigins uses a ledger of the test's own; nil for one that asks no one.
+func newFixtureWithOrigins(t *testing.T, origins *front.SharedOrigins, handlers ...routed.Handler) *fixture {
 	t.Helper()
 	only := func(service core.ServiceName) []core.WeightedService {
 		return []core.WeightedService{{Service: service, Weight: 1}}
@@ -92,7 +98,7 @@
 	t.Cleanup(pool.Close)
 	r.server = httptest.NewServer(front.New(front.Config{
 		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: pool,
-		Detector: r.detector, BufferBytes: _bufferBytes,
+		Detector: r.detector, Origins: origins, BufferBytes: _bufferBytes,
 		View: r.view.Load, Logger: r.logger(), LoadChanged: func() {},
 		SyncStatus: func() know.SyncStatus { return know.SyncStatus{AsOf: 12, FreshAt: time.Now().Add(-_documentAge)} },
 	}))
