--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -48,6 +48,13 @@
 }
 
 func newFixture(t *testing.T, handlers ...routed.Handler) *fixture {
+	t.Helper()
+	return newFixtureWithOrigins(t, nil, handlers...)
+}
+
+// newFixtureWithOrigins uses a ledger of the test's own; nil for one that asks no one and has known
+// all builds for a minute.
+func newFixtureWithOrigins(t *testing.T, origins *front.SharedOrigins, handlers ...routed.Handler) *fixture {
 	t.Helper()
 	only := func(service core.ServiceName) []core.WeightedService {
 		return []core.WeightedService{{Service: service, Weight: 1}}
@@ -89,8 +96,11 @@
 	// A host uses no share of the common limits in the first seconds after its start, and does
 	// not know the builds before it, so its start is set to a minute ago.
 	start := time.Now().Add(-time.Minute)
-	r.origins = front.NewSharedOrigins(front.OriginConfig{})
-	r.origins.Update(func(l *origin.Ledger) { l.SetCurrent(start, true) })
+	r.origins = origins
+	if origins == nil {
+		r.origins = front.NewSharedOrigins(front.OriginConfig{})
+		r.origins.Update(func(l *origin.Ledger) { l.SetCurrent(start, true) })
+	}
 	r.apply(view)
 	r.placer.Update(func(p *place.Placer) { p.ExpirePeerLoads(start) })
 	pool := links.New(links.Settings{Dialer: &smallBuffers{}, DialTimeout: time.Second, MaxIdle: 2})
