io/front: a question to other hosts waits for all of them

The number of hosts that were asked is unknown, and not zero, until all have been, and the question ends then if all have answered meanwhile.

--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -49,7 +50,8 @@
 type question struct {
 	// waiting is the number of requests that wait for the answer.
 	waiting int
-	// asked is the number of hosts that were asked last, answers those that answered.
+	// asked is the number of hosts that were asked last, answers those that answered. The first
+	// may answer before all have been asked.
 	asked   int
 	answers map[core.HostName]bool
 	// done is closed once a host knew the stream, or none of them did.
@@ -182,7 +184,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q.asked = asked
-	return asked > 0 && len(q.answers) < asked
+	if len(q.answers) >= asked {
+		q.close()
+	}
+	return asked > 0 && !q.isClosed
 }
 
 // beginQuestion joins the question for a stream, or begins it.
@@ -191,7 +196,7 @@
 	defer s.mu.Unlock()
 	q := s.questions[request]
 	if q == nil {
-		q = &question{answers: make(map[core.HostName]bool), done: make(chan struct{})}
+		q = &question{asked: math.MaxInt, answers: make(map[core.HostName]bool), done: make(chan struct{})}
 		s.questions[request] = q
 	}
 	q.waiting++
