io/front: a test of a take-up at a host that does not know its build yet, which fails

A changed document reaches all hosts within seconds, not at once. This needs the beginning host to end, and the caller to come to a host without a copy, before the new build is known there.

--- a/io/front/origins_test.go
+++ b/io/front/origins_test.go
@@ -113,3 +113,21 @@
 		})
 	}
 }
+
+// A host that did not know yet of a new build took a stream that another host had begun there for
+// one of the build that it knew.
+func TestTakeUpAtHostThatDoesNotKnowItsBuildYet(t *testing.T) {
+	others := newOtherHosts(3, 0, recordOf("v2"))
+	others.observe("v1")
+	r := newFixtureWithOrigins(t, others.origins, whole("v1"), whole("v2"))
+	r.register(member{index: 0, build: "v1"})
+	if got := r.takeUp("/check/x"); got.status != 503 {
+		t.Errorf("status %d with %q; want 503 while v2 is not known", got.status, got.body)
+	}
+	r.wantNoStream(0)
+	r.register(member{index: 0, build: "v1"}, member{index: 1, build: "v2", far: true})
+	if got := r.takeUp("/check/x"); got.err != nil || got.status != 200 || got.body != pieces("v2", _brokenAfter+1, _lastPiece) {
+		t.Errorf("status %d with %q, %v; want the rest of the stream, of v2", got.status, got.body, got.err)
+	}
+	r.wantNoStream(0)
+}
