io/front: hosts are asked for a stream's record before a single build counts as its own

A new build may be known to another host, and begin a stream there, before this host knows it. The records of other hosts now come before the single build, which was taken without asking.

--- a/core/procs/origin/origin.go
+++ b/core/procs/origin/origin.go
@@ -5,8 +5,9 @@
 // host uses, in this order:
 //
 //  1. the record that the stream was begun, its own or a copy that another host sent;
-//  2. that a single build was in service for as long as the stream can have lasted;
-//  3. the records of the other hosts, which it asks;
+//  2. the records of the other hosts, which it asks;
+//  3. that a single build was in service for as long as the stream can have lasted: a new one may
+//     be known to other hosts only, so this comes after their records;
 //  4. which engines hold the part of the prompt that belongs to this request alone;
 //  5. which builds the store's history shows in service, if there is a single one now.
 //
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -111,14 +111,12 @@
 // find returns where a stream was begun. ownPart is the part of the prompt that
 // belongs to this request alone; empty if it has none. arrived is when the request arrived.
 func (s *SharedOrigins) find(ctx context.Context, arrived time.Time, stream origin.Stream, ownPart string) (origin.Origin, origin.Source) {
-	if found, source := s.resolve(stream); source != origin.Unknown {
-		return found, source
+	found, source := s.resolve(stream)
+	if source != origin.Recorded && s.config.AskHosts != nil {
+		found, source = s.resolveWithHosts(ctx, stream, source)
 	}
-	if s.config.AskHosts != nil {
-		s.askHosts(ctx, stream.Question())
-		if found, source := s.resolve(stream); source != origin.Unknown {
-			return found, origin.OtherHost
-		}
+	if source != origin.Unknown {
+		return found, source
 	}
 	if s.config.AskEngines != nil && ownPart != "" {
 		holders := s.config.AskEngines(ctx, arrived, stream.Services, ownPart)
@@ -129,6 +127,17 @@
 	return s.findInHistory(ctx, stream)
 }
 
+// resolveWithHosts asks other hosts and returns where a stream was begun. A single build was found
+// without them, if at all: the stream's own may be new, and known to other hosts only.
+func (s *SharedOrigins) resolveWithHosts(ctx context.Context, stream origin.Stream, before origin.Source) (origin.Origin, origin.Source) {
+	s.askHosts(ctx, stream.Question())
+	found, source := s.resolve(stream)
+	if source != origin.Unknown && source != before {
+		source = origin.OtherHost
+	}
+	return found, source
+}
+
 // findInHistory returns where a stream was begun if the store's history shows a single build.
 func (s *SharedOrigins) findInHistory(ctx context.Context, stream origin.Stream) (origin.Origin, origin.Source) {
 	isSingle := false
