io/front: log how long a try was silent, whether it had a copy, and the version

A line "A try ended." did not tell whether its endpoint had been silent, what the stream could go on from, or whether the configuration had changed since. It now has Silent, HasCopy and Version.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -152,7 +152,8 @@
 		}
 		next := e.tries.Next(end.result, e.situation())
 		e.log("A try ended.", "Result", end.result.String(), "Cause", errorText(end.err), "Next", next.String(),
-			"AnswerBegun", e.answerBegun, "HadEvents", !e.firstEventAt.IsZero())
+			"AnswerBegun", e.answerBegun, "HadEvents", !e.firstEventAt.IsZero(),
+			"Silent", e.silentFor().Milliseconds(), "HasCopy", e.backupReady(), "Version", e.front.config.View().Version())
 		switch next {
 		case tries.Relay:
 			e.relay(end.failure)
@@ -334,6 +335,19 @@
 	return max(_silenceFactor*e.request.Route.GapGoal, _minSilenceTimeout)
 }
 
+// silentFor returns how long the current try has brought no event, or since it was sent if it
+// has brought none; 0 if it was not sent.
+func (e *exchange) silentFor() time.Duration {
+	since := e.sentAt
+	if e.firstEventAt.After(since) {
+		since = e.lastEventAt
+	}
+	if since.IsZero() {
+		return 0
+	}
+	return time.Since(since)
+}
+
 // canContinue reports whether a stream that breaks off now could continue on another
 // endpoint.
 func (e *exchange) canContinue() bool { return e.backupReady() || e.request.Route.Resumable }
