io/front, io/links, tries: a silent endpoint is left only for a place elsewhere

What callers saw: streams cut midway, and lookups that failed with 502, though their endpoint had only been silent for a moment and would have gone on; LOST where that was beside a change of the configuration.

Cause: a stream without an event for 4 x GapGoal (0.5 s at least), or a lookup without an answer for its Goal, was ended as lost by a timer. Only then was it seen whether it could go on: with no attempt, no retry, no room, no reachable endpoint or no copy left, the answer was cut. The timer also ran while the caller did not read, which made a sound endpoint count as silent.

TestSlowCallerIsNoSilence (2 calls instead of 1 before) and TestSilentEndpointIsLeftOnceAnotherCanBeUsed fail before, pass now.

Why it works: the goroutine that reads the answer asks when the endpoint is silent. core/reqst/tries decides whether the request could go on elsewhere; the host takes the place, connects there and takes the retry, and only then leaves. What still may fail: the endpoint of a copy may refuse it after all.

--- a/core/reqst/tries/tries.go
+++ b/core/reqst/tries/tries.go
@@ -124,6 +124,9 @@
 	// EndedEndpoints returns how many of the endpoints on which the request may have run
 	// have ended; nil if that cannot be found out. It is called only if the answer matters.
 	EndedEndpoints func() int
+	// Prepared is the step for which a place was taken before a silent endpoint was left, and a
+	// retry if it needs one; 0 for none.
+	Prepared Step
 }
 
 // Next returns the step to take after a try.
@@ -176,17 +179,46 @@
 // lossStep returns the step after a try that was lost, broke off, or failed when a part
 // of the answer was already delivered.
 func (t *Tries) lossStep(situation Situation) Step {
-	t.barren++
-	if situation.HadEvents {
-		t.barren = 0
+	step := situation.Prepared
+	if step == 0 {
+		step = t.Elsewhere(situation)
+		if step != 0 && NeedsRetry(step) && !situation.SpendRetry() {
+			step = 0
+		}
 	}
-	if situation.TimeLeft && situation.HasCopy && t.route.Kind == core.RouteStreaming {
-		return Continue
+	t.barren = t.barrenAfter(situation)
+	if step == 0 {
+		return t.finalStep(situation)
 	}
-	if t.repeatable() && situation.TimeLeft && t.mayRunOnceMore(situation) && situation.SpendRetry() {
+	return step
+}
+
+// Elsewhere returns the step with which the request would go on if the endpoint of its current
+// try, which was sent, were lost now: Again, Continue or Resume; 0 if it would end. No retry is
+// taken from the budget.
+func (t *Tries) Elsewhere(situation Situation) Step {
+	switch {
+	case !situation.TimeLeft:
+		return 0
+	case situation.HasCopy && t.route.Kind == core.RouteStreaming:
+		return Continue
+	case t.repeatable() && t.mayRunOnceMore(situation):
 		return t.retryStep(situation)
+	default:
+		return 0
+	}
+}
+
+// NeedsRetry reports whether a step after a loss takes a retry from the budget.
+func NeedsRetry(step Step) bool { return step == Again || step == Resume }
+
+// barrenAfter returns the number of the latest tries in a row without an event if the current one
+// is lost now.
+func (t *Tries) barrenAfter(situation Situation) int {
+	if situation.HadEvents {
+		return 0
 	}
-	return t.finalStep(situation)
+	return t.barren + 1
 }
 
 // mayRunOnceMore reports whether MaxAttempts allows one more endpoint. Endpoints that have
@@ -196,7 +228,7 @@
 	if t.ran < t.route.MaxAttempts {
 		return true
 	}
-	if !situation.Delivered || situation.EndedEndpoints == nil || t.barren >= _maxBarrenTries {
+	if !situation.Delivered || situation.EndedEndpoints == nil || t.barrenAfter(situation) >= _maxBarrenTries {
 		return false
 	}
 	return t.ran-situation.EndedEndpoints() < t.route.MaxAttempts
--- a/core/reqst/tries/tries_test.go
+++ b/core/reqst/tries/tries_test.go
@@ -27,6 +27,7 @@
 	noTime    bool
 	hadEvents bool
 	ended     int
+	prepared  tries.Step
 }
 
 func TestNext(t *testing.T) {
@@ -67,6 +68,9 @@
 		{"a lookup whose endpoints ended runs no more often", _lookup, []try{{sent: true, result: tries.Lost}, {sent: true, result: tries.Lost, ended: 2}}, tries.Fail},
 		{"an order whose endpoint ended may have run", _order, []try{{sent: true, result: tries.Lost, ended: 1}}, tries.Fail},
 		{"a draft whose endpoint ended is cut", _draft, []try{{sent: true, result: tries.Broken, delivered: true, ended: 1}}, tries.Cut},
+		{"a check with a place elsewhere goes on there", _check, []try{{sent: true, result: tries.Broken, delivered: true, noBudget: true, prepared: tries.Resume}}, tries.Resume},
+		{"a lookup with a place elsewhere goes on there", _lookup, []try{{sent: true, result: tries.Lost, noBudget: true, prepared: tries.Again}}, tries.Again},
+		{"a draft with a place at its copy goes on there", _draft, []try{{sent: true, result: tries.Broken, delivered: true, prepared: tries.Continue}}, tries.Continue},
 		{"a check resumed and failed is cut", _check, []try{{sent: true, result: tries.Broken, delivered: true}, {sent: true, result: tries.Failed, delivered: true}}, tries.Cut},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -79,7 +83,7 @@
 				got = history.Next(one.result, tries.Situation{
 					Delivered: one.delivered, HasCopy: one.copy, TimeLeft: !one.noTime,
 					SpendRetry: func() bool { return !one.noBudget },
-					HadEvents:  one.hadEvents, EndedEndpoints: func() int { return one.ended },
+					HadEvents:  one.hadEvents, Prepared: one.prepared, EndedEndpoints: func() int { return one.ended },
 				})
 			}
 			if got != c.want {
@@ -100,3 +104,44 @@
 	}
 	t.Error("not refused after 100 tries that reached no endpoint")
 }
+
+// Where a request goes on if its silent endpoint is left. The last try is the silent one.
+func TestElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		route *core.Route
+		tries []try
+		want  tries.Step
+	}{
+		{"an order may have run", _order, []try{{}}, 0},
+		{"a lookup goes to another endpoint", _lookup, []try{{}}, tries.Again},
+		{"a lookup that used its attempts", _lookup, []try{{result: tries.Lost}, {}}, 0},
+		{"a lookup without time left", _lookup, []try{{noTime: true}}, 0},
+		{"a draft without a copy", _draft, []try{{delivered: true, hadEvents: true}}, 0},
+		{"a draft with a copy", _draft, []try{{delivered: true, hadEvents: true, copy: true}}, tries.Continue},
+		{"a check before its first event", _check, []try{{}}, tries.Again},
+		{"a check after its first event", _check, []try{{delivered: true, hadEvents: true}}, tries.Resume},
+		{"a check that used its attempts", _check, []try{{result: tries.Broken, delivered: true}, {delivered: true}}, 0},
+		{"a check whose first endpoint ended", _check, []try{{result: tries.Broken, delivered: true, hadEvents: true}, {delivered: true, ended: 1}}, tries.Resume},
+		{"a check that gets no event after two endpoints ended", _check, []try{{result: tries.Broken, delivered: true}, {delivered: true, ended: 2}}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			history := tries.New(c.route, tries.Switches{})
+			var got tries.Step
+			for i, one := range c.tries {
+				history.Sent(one.fromCopy)
+				situation := tries.Situation{
+					Delivered: one.delivered, HasCopy: one.copy, TimeLeft: !one.noTime, HadEvents: one.hadEvents,
+					SpendRetry: func() bool { return true }, EndedEndpoints: func() int { return one.ended },
+				}
+				if i < len(c.tries)-1 {
+					history.Next(one.result, situation)
+				}
+				got = history.Elsewhere(situation)
+			}
+			if got != c.want {
+				t.Errorf("step %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -89,7 +89,7 @@
 
 // stream relays events as they arrive. Only complete events show that the engine still works:
 // one that has stalled may send a byte now and then.
-func (e *exchange) stream(ctx context.Context, answer *links.Answer, slowTimer *time.Timer) tryResult {
+func (e *exchange) stream(ctx context.Context, answer *links.Answer) tryResult {
 	e.splitter.Reset()
 	chunk := make([]byte, _streamReadBytes)
 	for {
@@ -101,10 +101,7 @@
 				return *end
 			}
 			if e.received > before {
-				slowTimer.Stop()
-				if e.canContinue() {
-					slowTimer.Reset(e.silenceTimeout())
-				}
+				e.silence.AskAt = time.Now().Add(e.silenceTimeout())
 			}
 		}
 		switch {
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -74,6 +74,13 @@
 	return b.run.Endpoint.ID, b.continueFrom
 }
 
+// copied returns the copy's placement, nil if there is none, and what identifies the copy.
+func (b *backup) copied() (run *place.Run, from string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.run, b.continueFrom
+}
+
 func (b *backup) set(placer *SharedPlacer, run *place.Run, from, handle string) {
 	b.mu.Lock()
 	if run == nil {
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -173,6 +173,14 @@
 	return <-granted, place.Placed
 }
 
+// placeNow places a request if there is room now, and returns nil otherwise.
+func (s *SharedPlacer) placeNow(spec *place.Spec) *place.Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run, _ := s.placer.Place(time.Now(), spec)
+	return run
+}
+
 func (s *SharedPlacer) placeBackup(spec *place.Spec) *place.Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -22,12 +21,6 @@
 const (
 	// _minTimeLeft is the time before the deadline that a further try needs.
 	_minTimeLeft = 10 * time.Millisecond
-	// _silenceFactor times the route's GapGoal is how long a stream may send nothing
-	// before its engine counts as lost.
-	_silenceFactor = 4
-	// _minSilenceTimeout is the least silence timeout: a retransmission on a lossy link
-	// takes a few hundred milliseconds.
-	_minSilenceTimeout = 500 * time.Millisecond
 )
 
 var (
@@ -72,6 +65,12 @@
 	// endpoint.
 	run    *place.Run
 	backup backup
+	// silence watches the current try, prepared is where the request goes on after it.
+	silence  *links.Silence
+	prepared *prepared
+	// counted is true once the current try counts as sent, waitLogged once it was logged that
+	// its silent endpoint is waited for.
+	counted, waitLogged bool
 
 	position event.Position
 	splitter event.Splitter
@@ -139,6 +138,7 @@
 func (e *exchange) serve(ctx context.Context) {
 	defer e.backup.drop(e.placer())
 	defer e.buffered.release()
+	defer e.dropPrepared()
 	e.placer().recordArrival(&e.request.RoutedRequest)
 	step := tries.Again
 	for {
@@ -150,6 +150,9 @@
 			e.timeout()
 			return
 		}
+		if !errors.Is(end.err, errSlow) {
+			e.dropPrepared()
+		}
 		next := e.tries.Next(end.result, e.situation())
 		e.log("A try ended.", "Result", end.result.String(), "Cause", errorText(end.err), "Next", next.String(),
 			"AnswerBegun", e.answerBegun, "HadEvents", !e.firstEventAt.IsZero(),
@@ -174,6 +177,7 @@
 
 func (e *exchange) situation() tries.Situation {
 	return tries.Situation{
+		Prepared:   e.prepared.nextStep(),
 		Delivered:  e.delivered,
 		HasCopy:    e.backupReady(),
 		SpendRetry: func() bool { return e.placer().allowRetry(e.request.Service) },
@@ -197,7 +201,10 @@
 		return tryResult{done: true}
 	}
 	from := ""
-	if step == tries.Continue {
+	if p := e.prepared; p != nil {
+		e.run, from, e.prepared = p.run, p.from, nil
+		e.backup.drop(e.placer())
+	} else if step == tries.Continue {
 		var id string
 		id, from = e.backup.continuation()
 		e.backup.drop(e.placer())
@@ -248,8 +255,7 @@
 	e.chooseBackup()
 	tryCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	slowTimer := e.startSlowTimer(func() { cancel(errSlow) })
-	defer slowTimer.Stop()
+	e.silence, e.counted, e.waitLogged = e.newSilence(ctx, from != ""), false, false
 	e.log("A try begins.", "Digest", e.digest().String(), "Endpoint", endpoint.ID, "Build", string(endpoint.Build), "Address", endpoint.Address,
 		"Resumes", e.incoming.Header.Get(names.Resumes), "LastEventID", e.incoming.Header.Get(names.LastEventID), "From", from, "Backup", e.backup.endpoint().ID,
 		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.sharedParts, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
@@ -261,14 +267,18 @@
 	if errors.As(err, &failed) && failed.Stage == links.StageDial {
 		return tryResult{result: tries.NotSent, health: e.endpointOutcome(ctx, dialOutcome(err)), err: err}
 	}
-	e.tries.Sent(from != "")
+	e.countTry(from != "")
 	if err != nil {
 		return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, answerOutcome(err)), err: err}
 	}
 	defer answer.Close()
 	defer e.maintainBackup(tryCtx, cancel)()
-	end := e.receive(ctx, answer, slowTimer)
-	if cause := context.Cause(tryCtx); end.err != nil && cause != nil {
+	end := e.receive(ctx, answer)
+	cause := context.Cause(tryCtx)
+	if cause == nil && errors.Is(end.err, errSlow) {
+		cause = errSlow
+	}
+	if end.err != nil && cause != nil {
 		end.err, end.health, end.brokenOff = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false
 	}
 	return end
@@ -311,47 +321,6 @@
 	return tries.Lost
 }
 
-// startSlowTimer returns a timer that ends a try whose first event or answer does not arrive
-// in time; the try then counts as lost. It does not run if the request's own deadline comes
-// first: that ends the request, and says nothing of the endpoint.
-func (e *exchange) startSlowTimer(end func()) *time.Timer {
-	route := e.request.Route
-	limit := time.Duration(math.MaxInt64)
-	switch {
-	case e.continued && route.Resumable:
-		limit = e.silenceTimeout()
-	case e.tries.MayRunAgain() && route.Goal > 0:
-		limit = route.Goal
-	}
-	if limit >= time.Until(e.request.Deadline) {
-		limit = math.MaxInt64
-	}
-	return time.AfterFunc(limit, end)
-}
-
-// silenceTimeout returns how long a stream that can continue on another endpoint may
-// send nothing before its engine counts as lost.
-func (e *exchange) silenceTimeout() time.Duration {
-	return max(_silenceFactor*e.request.Route.GapGoal, _minSilenceTimeout)
-}
-
-// silentFor returns how long the current try has brought no event, or since it was sent if it
-// has brought none; 0 if it was not sent.
-func (e *exchange) silentFor() time.Duration {
-	since := e.sentAt
-	if e.firstEventAt.After(since) {
-		since = e.lastEventAt
-	}
-	if since.IsZero() {
-		return 0
-	}
-	return time.Since(since)
-}
-
-// canContinue reports whether a stream that breaks off now could continue on another
-// endpoint.
-func (e *exchange) canContinue() bool { return e.backupReady() || e.request.Route.Resumable }
-
 // outgoing returns the request as it is sent to the endpoint.
 func (e *exchange) outgoing(from string) *links.Request {
 	names := e.front.config.Names
@@ -381,11 +350,12 @@
 		RequireFresh: e.request.Route.Kind != core.RouteIdempotent,
 
 		MaxConnections: e.run.MaxConnections,
+		Silence:        e.silence,
 	}
 }
 
 // receive classifies an answer and relays it to the caller if it is valid.
-func (e *exchange) receive(ctx context.Context, answer *links.Answer, slowTimer *time.Timer) tryResult {
+func (e *exchange) receive(ctx context.Context, answer *links.Answer) tryResult {
 	names := e.front.config.Names
 	status := answer.StatusCode
 	switch {
@@ -401,7 +371,7 @@
 			return tryResult{result: e.lostResult(), health: place.Bad, err: errors.New("the answer has no seal or is content-encoded")}
 		}
 		if e.request.Route.Kind == core.RouteStreaming {
-			return e.stream(ctx, answer, slowTimer)
+			return e.stream(ctx, answer)
 		}
 	}
 	if e.delivered {
--- a/io/front/silence_test.go
+++ b/io/front/silence_test.go
@@ -1,7 +1,10 @@
 package front_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,6 +66,74 @@
 	}
 }
 
+// A stream whose endpoint stalls while no other can be used goes on at the first that comes.
+func TestSilentEndpointIsLeftOnceAnotherCanBeUsed(t *testing.T) {
+	const laterBy = 2 * time.Second
+	handle := func(c *routed.Call) bool {
+		c.BeginStream(echo(c), _seal)
+		if c.Header.Get("Last-Event-Id") != "" {
+			events(c, 1, 4)
+			c.EndStream()
+			return true
+		}
+		events(c, 0, 1)
+		c.WaitClosed(5 * time.Second)
+		return false
+	}
+	r := newFixture(t, handle, handle)
+	one, both := *r.view, *r.view
+	one.Endpoints = one.Endpoints[:1]
+	r.placer.Apply(&one)
+	time.AfterFunc(laterBy, func() { r.placer.Apply(&both) })
+	began := time.Now()
+	got := r.send(http.MethodPost, "/check/", "", "Tokens: 100,400", "Deadline-Ms: 5000")
+	if got.err != nil || got.body != wantStream(4) {
+		t.Errorf("stream %q, %v; want %q", got.body, got.err, wantStream(4))
+	}
+	if took := time.Since(began); took > laterBy+time.Second {
+		t.Errorf("took %v, want at most a second more than %v", took, laterBy)
+	}
+}
+
+// A caller that did not read for a while made its endpoint count as silent.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	const (
+		pieces = 800
+		pause  = 2 * time.Second
+	)
+	data := strings.Repeat("x", 32<<10)
+	handle := func(c *routed.Call) bool {
+		c.BeginStream(echo(c), _seal)
+		for id := range pieces {
+			c.Chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", id, data))
+		}
+		c.EndStream()
+		return true
+	}
+	r := newFixture(t, handle, handle)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, r.server.URL+"/check/", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	for name, value := range map[string]string{"Request-Id": "r1", "Key": "k", "Deadline-Ms": "5000", "Tokens": "100,400"} {
+		req.Header.Set(name, value)
+	}
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	time.Sleep(pause)
+	text, err := io.ReadAll(res.Body)
+	if n := strings.Count(string(text), "\n\n"); err != nil || n != pieces {
+		t.Errorf("%d of %d pieces, %v", n, pieces, err)
+	}
+	if n := r.calls(); n != 1 {
+		t.Errorf("%d calls, want 1", n)
+	}
+}
+
 // silentAtResume is silent for long in each run, so that a stream cannot go on sooner anywhere.
 func silentAtResume(c *routed.Call) bool {
 	c.BeginStream(echo(c), _seal)
--- a/io/links/head.go
+++ b/io/links/head.go
@@ -1,9 +1,6 @@
 package links
 
-import (
-	"errors"
-	"net"
-)
+import "errors"
 
 // errHeadTooLong means that an endpoint sent bytes without end where an answer was due.
 var errHeadTooLong = errors.New("the answer's header is too long")
@@ -11,7 +8,7 @@
 // headReader reads from a connection and bounds the bytes of a header. net/http sets no
 // bound when it parses an answer.
 type headReader struct {
-	conn net.Conn
+	conn silentReader
 	// bounded is true while a header is read, left is how many bytes may still be read.
 	bounded bool
 	left    int
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -106,6 +106,8 @@
 	// MaxConnections bounds the connections to the endpoint, including idle ones:
 	// when there are more, this one is closed after the request. 0 means no bound.
 	MaxConnections int
+	// Silence decides what happens when the endpoint sends nothing for long; nil to wait.
+	Silence *Silence
 }
 
 // Answer is an endpoint's answer. Its body must be closed.
@@ -224,6 +226,7 @@
 		return nil, &Error{Stage: StageDial, Err: context.Cause(ctx)}
 	}
 	stop := context.AfterFunc(ctx, c.close)
+	c.head.conn.silence = request.Silence
 	written := c.write(request)
 	res, ownership, err := c.readAnswer(request)
 	if err != nil {
@@ -274,6 +277,11 @@
 		}
 		c.close()
 	}
+	return p.dial(ctx, address)
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
 	defer cancel()
 	conn, err := p.settings.Dialer.DialContext(dialCtx, "tcp", address)
@@ -285,10 +293,25 @@
 			return nil, errors.Join(fmt.Errorf("set SO_LINGER on the connection to %s: %w", address, err), conn.Close())
 		}
 	}
-	head := &headReader{conn: conn}
+	head := &headReader{conn: silentReader{conn: conn}}
 	return &connection{conn: conn, head: head, reader: bufio.NewReaderSize(head, _readBufferBytes)}, nil
 }
 
+// Connect opens a connection to an endpoint and keeps it for the next request. It shows that the
+// endpoint can be reached, which idle connections do not.
+func (p *Pool) Connect(ctx context.Context, endpoint core.RoutedEndpoint) error {
+	key := Key(endpoint)
+	c, err := p.dial(ctx, endpoint.Address)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	c.idleSince, c.idleUntil = now, now.Add(_defaultIdleTimeout)
+	p.addInUse(key, 1)
+	p.release(key, c, 0)
+	return nil
+}
+
 // Refuses reports whether nothing listens at an address any more: its host refuses
 // connections. An endpoint that was just lost there has ended.
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
@@ -310,7 +333,6 @@
 	}
 	c := connections[len(connections)-1]
 	p.idle[key] = connections[:len(connections)-1]
-	c.isReused = true
 	return c
 }
 
@@ -411,10 +433,11 @@
 // end, the request was written completely and the endpoint allows it.
 func (a *Answer) Close() {
 	stopped := a.stop()
-	if !stopped || !a.reusable() {
+	if !stopped || !a.reusable() || a.connection.head.conn.end() != nil {
 		a.pool.discard(a.key, a.connection)
 		return
 	}
+	a.connection.isReused = true
 	now := time.Now()
 	a.connection.idleSince, a.connection.idleUntil = now, now.Add(idleTimeout(a.Header))
 	a.pool.release(a.key, a.connection, a.maxConnections)
