io/front: a caller that closes its side of the connection gets no false answer

Cause: when a caller's connection ended, the handler returned without an answer. net/http then wrote an empty 200, or the end of the stream as if it were complete. A caller that had closed only its own side received that. Change: the connection is closed without it. Before: TestCallerThatClosesItsSideGetsNoFalseAnswer fails in its 3 cases (lookup, both kinds of stream); after: it passes.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -143,9 +143,14 @@
 	step := tries.Again
 	for {
 		end := e.runStep(ctx, step)
-		if end.done || e.incoming.Context().Err() != nil {
+		if end.done {
 			return
 		}
+		if e.incoming.Context().Err() != nil {
+			// net/http would end the answer as if it were complete, and a caller that closed only
+			// its side of the connection would get that.
+			panic(http.ErrAbortHandler)
+		}
 		if ctx.Err() != nil {
 			e.timeout()
 			return
