io/front: whether endpoints have ended is not asked beyond the request's deadline

Cause: the connections that show whether endpoints of earlier tries have ended were bounded by 0.3 s each, not by the request's deadline, and are opened more often since silent endpoints are asked about; a request could be held past its time. Change: the deadline bounds them.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -182,20 +182,25 @@
 
 func (e *exchange) situation() tries.Situation {
 	return tries.Situation{
-		Prepared:   e.prepared.nextStep(),
-		Delivered:  e.delivered,
-		HasCopy:    e.backupReady(),
-		SpendRetry: func() bool { return e.placer().allowRetry(e.request.Service) },
-		TimeLeft:   time.Until(e.request.Deadline) > _minTimeLeft,
-		HadEvents:  !e.firstEventAt.IsZero(),
-		EndedEndpoints: func() int {
-			return len(slices.DeleteFunc(slices.Clone(e.lostAddresses), func(address string) bool {
-				return !e.front.config.Links.Refuses(e.incoming.Context(), address)
-			}))
-		},
+		Prepared:       e.prepared.nextStep(),
+		Delivered:      e.delivered,
+		HasCopy:        e.backupReady(),
+		SpendRetry:     func() bool { return e.placer().allowRetry(e.request.Service) },
+		TimeLeft:       time.Until(e.request.Deadline) > _minTimeLeft,
+		HadEvents:      !e.firstEventAt.IsZero(),
+		EndedEndpoints: e.countEnded,
 	}
 }
 
+// countEnded returns how many endpoints that closed the connection of a try have ended.
+func (e *exchange) countEnded() int {
+	ctx, cancel := context.WithDeadline(e.incoming.Context(), e.request.Deadline)
+	defer cancel()
+	return len(slices.DeleteFunc(slices.Clone(e.lostAddresses), func(address string) bool {
+		return !e.front.config.Links.Refuses(ctx, address)
+	}))
+}
+
 // runStep places the request on an endpoint and makes one try there.
 func (e *exchange) runStep(ctx context.Context, step tries.Step) tryResult {
 	ctx, cancel := context.WithCancelCause(ctx)
