--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -22,12 +21,6 @@
 const (
 	// _minTimeLeft is the time before the deadline that a further try needs.
 	_minTimeLeft = 10 * time.Millisecond
-	// _silenceFactor times the route's GapGoal is how long a stream may send nothing
-	// before its engine counts as lost.
-	_silenceFactor = 4
-	// _minSilenceTimeout is the least silence timeout: a retransmission on a lossy link
-	// takes a few hundred milliseconds.
-	_minSilenceTimeout = 500 * time.Millisecond
 )
 
 var (
@@ -72,6 +65,12 @@
 	// endpoint.
 	run    *place.Run
 	backup backup
+	// silence watches the current try, prepared is where the request goes on after it.
+	silence  *links.Silence
+	prepared *prepared
+	// counted is true once the current try counts as sent, waitLogged once it was logged that
+	// its silent endpoint is waited for.
+	counted, waitLogged bool
 
 	position event.Position
 	splitter event.Splitter
@@ -151,6 +150,7 @@
 func (e *exchange) serve(ctx context.Context) {
 	defer e.backup.drop(e.placer())
 	defer e.buffered.release()
+	defer e.dropPrepared()
 	e.placer().recordArrival(&e.request.RoutedRequest)
 	if !e.takeUp(ctx) {
 		return
@@ -162,16 +162,21 @@
 			return
 		}
 		if e.incoming.Context().Err() != nil {
-			// The caller may have closed only its sending side, and still reads.
+			// net/http would end the answer as if it were complete, and a caller that closed only
+			// its side of the connection would get that.
 			panic(http.ErrAbortHandler)
 		}
 		if ctx.Err() != nil {
 			e.timeout()
 			return
 		}
+		if !errors.Is(end.err, errSlow) {
+			e.dropPrepared()
+		}
 		next := e.tries.Next(end.result, e.situation())
 		e.log("A try ended.", "Result", end.result.String(), "Cause", errorText(end.err), "Next", next.String(),
-			"AnswerBegun", e.answerBegun, "HadEvents", !e.firstEventAt.IsZero())
+			"AnswerBegun", e.answerBegun, "HadEvents", !e.firstEventAt.IsZero(),
+			"Silent", e.silentFor().Milliseconds(), "HasCopy", e.backupReady(), "Version", e.front.config.View().Version())
 		switch next {
 		case tries.Relay:
 			e.relay(end.failure)
@@ -192,19 +197,25 @@
 
 func (e *exchange) situation() tries.Situation {
 	return tries.Situation{
-		Delivered:  e.delivered,
-		HasCopy:    e.backupReady(),
-		SpendRetry: func() bool { return e.placer().allowRetry(e.request.Service) },
-		TimeLeft:   time.Until(e.request.Deadline) > _minTimeLeft,
-		HadEvents:  !e.firstEventAt.IsZero(),
-		EndedEndpoints: func() int {
-			return len(slices.DeleteFunc(slices.Clone(e.lostAddresses), func(address string) bool {
-				return !e.front.config.Links.Refuses(e.incoming.Context(), address)
-			}))
-		},
+		Prepared:       e.prepared.nextStep(),
+		Delivered:      e.delivered,
+		HasCopy:        e.backupReady(),
+		SpendRetry:     func() bool { return e.placer().allowRetry(e.request.Service) },
+		TimeLeft:       time.Until(e.request.Deadline) > _minTimeLeft,
+		HadEvents:      !e.firstEventAt.IsZero(),
+		EndedEndpoints: e.countEnded,
 	}
 }
 
+// countEnded returns how many endpoints that closed the connection of a try have ended.
+func (e *exchange) countEnded() int {
+	ctx, cancel := context.WithDeadline(e.incoming.Context(), e.request.Deadline)
+	defer cancel()
+	return len(slices.DeleteFunc(slices.Clone(e.lostAddresses), func(address string) bool {
+		return !e.front.config.Links.Refuses(ctx, address)
+	}))
+}
+
 // runStep places the request on an endpoint and makes one try there.
 func (e *exchange) runStep(ctx context.Context, step tries.Step) tryResult {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -215,7 +226,10 @@
 		return tryResult{done: true}
 	}
 	from := ""
-	if step == tries.Continue {
+	if p := e.prepared; p != nil {
+		e.run, from, e.prepared = p.run, p.from, nil
+		e.backup.drop(e.placer())
+	} else if step == tries.Continue {
 		var key core.EndpointKey
 		key, from = e.backup.continuation()
 		e.backup.drop(e.placer())
@@ -266,14 +280,13 @@
 	e.chooseBackup()
 	tryCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	slowTimer := e.startSlowTimer(func() { cancel(errSlow) })
-	defer slowTimer.Stop()
+	e.silence, e.counted, e.waitLogged = e.newSilence(ctx, from != ""), false, false
 	e.log("A try begins.", "Digest", e.digest().String(), "Endpoint", endpoint.ID, "Build", string(endpoint.Build), "Address", endpoint.Address,
 		"Resumes", e.incoming.Header.Get(names.Resumes), "LastEventID", e.incoming.Header.Get(names.LastEventID), "From", from, "Backup", e.backup.endpoint().ID,
 		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.sharedParts, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
 		"Waited", time.Since(e.request.Arrived).Milliseconds(), "SinceFirstAsked", sinceFirstAsked(&e.request.RoutedRequest).Milliseconds(),
 		"Runs", e.run.PriorLoad.Runs, "Tokens", e.run.PriorLoad.Tokens, "Prefill", e.run.PriorLoad.Prefill)
-	if err := e.confirmBuild(tryCtx, from); err != nil {
+	if err := e.confirmBuild(tryCtx, e.run, from); err != nil {
 		return tryResult{result: tries.NotSent, health: e.endpointOutcome(ctx, place.Unreachable), err: err}
 	}
 	e.sentAt = time.Now()
@@ -282,14 +295,18 @@
 	if errors.As(err, &failed) && failed.Stage == links.StageDial {
 		return tryResult{result: tries.NotSent, health: e.endpointOutcome(ctx, dialOutcome(err)), err: err}
 	}
-	e.tries.Sent(from != "")
+	e.countTry(from != "")
 	if err != nil {
 		return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, answerOutcome(err)), err: err}
 	}
 	defer answer.Close()
 	defer e.maintainBackup(tryCtx, cancel)()
-	end := e.receive(ctx, answer, slowTimer)
-	if cause := context.Cause(tryCtx); end.err != nil && cause != nil {
+	end := e.receive(ctx, answer)
+	cause := context.Cause(tryCtx)
+	if cause == nil && errors.Is(end.err, errSlow) {
+		cause = errSlow
+	}
+	if end.err != nil && cause != nil {
 		end.err, end.health, end.brokenOff = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false
 	}
 	return end
@@ -332,34 +349,6 @@
 	return tries.Lost
 }
 
-// startSlowTimer returns a timer that ends a try whose first event or answer does not arrive
-// in time; the try then counts as lost. It does not run if the request's own deadline comes
-// first: that ends the request, and says nothing of the endpoint.
-func (e *exchange) startSlowTimer(end func()) *time.Timer {
-	route := e.request.Route
-	limit := time.Duration(math.MaxInt64)
-	switch {
-	case e.continued && route.Resumable:
-		limit = e.silenceTimeout()
-	case e.tries.MayRunAgain() && route.Goal > 0:
-		limit = route.Goal
-	}
-	if limit >= time.Until(e.request.Deadline) {
-		limit = math.MaxInt64
-	}
-	return time.AfterFunc(limit, end)
-}
-
-// silenceTimeout returns how long a stream that can continue on another endpoint may
-// send nothing before its engine counts as lost.
-func (e *exchange) silenceTimeout() time.Duration {
-	return max(_silenceFactor*e.request.Route.GapGoal, _minSilenceTimeout)
-}
-
-// canContinue reports whether a stream that breaks off now could continue on another
-// endpoint.
-func (e *exchange) canContinue() bool { return e.backupReady() || e.request.Route.Resumable }
-
 // outgoing returns the request as it is sent to the endpoint.
 func (e *exchange) outgoing(from string) *links.Request {
 	names := e.front.config.Names
@@ -389,11 +378,12 @@
 		RequireFresh: e.request.Route.Kind != core.RouteIdempotent,
 
 		MaxConnections: e.run.MaxConnections,
+		Silence:        e.silence,
 	}
 }
 
 // receive classifies an answer and relays it to the caller if it is valid.
-func (e *exchange) receive(ctx context.Context, answer *links.Answer, slowTimer *time.Timer) tryResult {
+func (e *exchange) receive(ctx context.Context, answer *links.Answer) tryResult {
 	names := e.front.config.Names
 	status := answer.StatusCode
 	switch {
@@ -409,7 +399,7 @@
 			return tryResult{result: e.lostResult(), health: place.Bad, err: errors.New("the answer has no seal or is content-encoded")}
 		}
 		if e.request.Route.Kind == core.RouteStreaming {
-			return e.stream(ctx, answer, slowTimer)
+			return e.stream(ctx, answer)
 		}
 	}
 	if e.delivered {
--- a/io/front/room.go
+++ b/io/front/room.go
@@ -15,8 +15,7 @@
 // cannot be placed, place answers the caller, unless ctx has ended, and returns the
 // result of the try.
 func (e *exchange) place(ctx context.Context) *tryResult {
-	request := &e.request.RoutedRequest
-	spec := &place.Spec{Request: *request, Exclude: e.triedEndpoints, Continues: e.delivered, OneBuild: e.begun, Build: e.build}
+	spec := e.spec(e.triedEndpoints)
 	run, verdict := e.placer().place(ctx, spec)
 	if verdict == place.Placed {
 		e.run = run
@@ -37,6 +36,12 @@
 	return &tryResult{done: true}
 }
 
+// spec describes where the request may run next. exclude lists the IDs of endpoints that must not
+// be used.
+func (e *exchange) spec(exclude []string) *place.Spec {
+	return &place.Spec{Request: e.request.RoutedRequest, Exclude: exclude, Continues: e.delivered, OneBuild: e.begun, Build: e.build}
+}
+
 // answerNotServed answers a request that is not sent to a further endpoint: as refused, or
 // as failed if an earlier try may have run.
 func (e *exchange) answerNotServed(reason string, retryAfter time.Duration) {
