--- a/core/reqst/event/event_test.go
+++ b/core/reqst/event/event_test.go
@@ -73,6 +73,28 @@
 	}
 }
 
+// A stream that its caller takes up goes on after the last event that the caller has.
+func TestResumedPosition(t *testing.T) {
+	for _, c := range []struct {
+		name, next string
+		want       event.Verdict
+	}{
+		{"the next one", "id: 8\ndata: x\n\n", event.Deliver},
+		{"the last one that the caller has", "id: 7\ndata: x\n\n", event.Skip},
+		{"the first one of the stream", "id: 0\ndata: x\n\n", event.Skip},
+		{"one after a missing event", "id: 9\ndata: x\n\n", event.Gap},
+	} {
+		var p event.Position
+		p.Resume(7)
+		if !p.Started() || p.Last() != 7 {
+			t.Errorf("started: %t, last event %d; want 7", p.Started(), p.Last())
+		}
+		if got := p.Accept([]byte(c.next), false); got != c.want {
+			t.Errorf("%s: verdict %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 func FuzzSplitter(f *testing.F) {
 	f.Add([]byte("id: 1\n\nid: 2\n\n"), 3)
 	f.Fuzz(func(t *testing.T, stream []byte, step int) {
