io/entry: a stopping host answers each request that it has read

What callers saw: 2.5 s after SIGTERM an order that its host had read whole got neither an answer nor a refusal, and could not be sent again, since it had been read.

Cause: the Shutdown of net/http closes a connection right after it has read a request on it, without calling the handler. That hit connections that were accepted but had carried no request yet, or whose request was on its way. Change: the host closes its listener and ends the wait of idle connections by their read deadlines. A request of which a byte was read is read on and answered; connections without a first request are closed after a second. Before: TestRequestReadByStoppingHostIsAnswered fails in both cases.

--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -26,7 +26,10 @@
 	h.front.DisableKeepAlives()
 	h.log.Info("This host is stopping.", "Running", h.front.Running())
 	sleep(ctx, _balancerNotice)
-	if err := h.servers[0].Shutdown(ctx); err != nil {
+	if err := h.listeners[0].Close(); err != nil {
+		h.log.Error(err, "The listener for callers could not be closed.")
+	}
+	if !h.idle.drain(ctx) {
 		h.log.Info("The time to stop is over; running requests are cut off.", "Running", h.front.Running())
 	}
 }
