--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -225,21 +225,9 @@
 	if e.checkBlocked() {
 		return tryResult{done: true}
 	}
-	from := ""
-	if p := e.prepared; p != nil {
-		e.run, from, e.prepared = p.run, p.from, nil
-		e.backup.drop(e.placer())
-	} else if step == tries.Continue {
-		var key core.EndpointKey
-		key, from = e.backup.continuation()
-		e.backup.drop(e.placer())
-		run, ok := e.placer().placeOn(key, &e.request.RoutedRequest)
-		if !ok {
-			return tryResult{result: tries.NotSent, err: errors.New("the endpoint that holds the copy accepts no work")}
-		}
-		e.run = run
-	} else if end := e.place(ctx); end != nil {
-		return *end
+	from, notPlaced := e.placeStep(ctx, step)
+	if notPlaced != nil {
+		return *notPlaced
 	}
 	if e.checkBlocked() {
 		e.placer().end(e.run, 0)
@@ -265,6 +253,28 @@
 	return end
 }
 
+// placeStep sets the run of the next try: the one that was prepared, one at the endpoint of the
+// copy, or a new one. from identifies the copy that it continues from, if any. If there is no run,
+// end is the result of the try.
+func (e *exchange) placeStep(ctx context.Context, step tries.Step) (from string, end *tryResult) {
+	if p := e.prepared; p != nil {
+		e.run, e.prepared = p.run, nil
+		e.backup.drop(e.placer())
+		return p.from, nil
+	}
+	if step != tries.Continue {
+		return "", e.place(ctx)
+	}
+	key, from := e.backup.continuation()
+	e.backup.drop(e.placer())
+	run, ok := e.placer().placeOn(key, &e.request.RoutedRequest)
+	if !ok {
+		return "", &tryResult{result: tries.NotSent, err: errors.New("the endpoint that holds the copy accepts no work")}
+	}
+	e.run = run
+	return from, nil
+}
+
 // notifyLoadChanged has this host's changed loads sent to other hosts if the request is
 // a generation.
 func (e *exchange) notifyLoadChanged() {
