--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/know"
+	"apricotproxy/core/procs/origin"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
 	"apricotproxy/io/front"
@@ -89,13 +90,15 @@
 	detector     *front.SharedDetector
 	origins      *front.SharedOrigins
 	held         heldLists
-	front        *front.Front
-	links        *links.Pool
-	peers        *peers
-	idle         idleLimit
-	stopping     atomic.Bool
-	servers      []*http.Server
-	listeners    []net.Listener
+	// freshness is guarded by the lock of origins.
+	freshness origin.Freshness
+	front     *front.Front
+	links     *links.Pool
+	peers     *peers
+	idle      idleLimit
+	stopping  atomic.Bool
+	servers   []*http.Server
+	listeners []net.Listener
 }
 
 // New creates a host and opens its listeners. It starts nothing; Run does.
@@ -123,7 +126,8 @@
 	h.front = front.New(front.Config{
 		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Detector: h.detector, Origins: h.origins, Links: h.links, View: h.docState.View,
 		SyncStatus: h.docState.syncStatus, Logger: settings.Logger, BufferBytes: settings.MemoryBytes / _bufferDivisor,
-		LoadChanged: func() { h.peers.scheduleLoadChanges() }, Switches: settings.Switches.Front,
+		ConfirmIncarnation: h.confirmIncarnation,
+		LoadChanged:        func() { h.peers.scheduleLoadChanges() }, Switches: settings.Switches.Front,
 	})
 	var err error
 	if h.peers, err = newPeers(h, rand.New(rand.NewPCG(seed, 2))); err != nil {
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -109,7 +109,7 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && e.splitter.Buffered() == 0 && e.delivered:
+		case errors.Is(err, io.EOF) && e.splitter.Buffered() == 0 && e.delivered && e.showsEnd(answer):
 			e.finishStream(answer)
 			return tryResult{done: true, health: place.Good}
 		default:
@@ -118,6 +118,18 @@
 	}
 }
 
+// showsEnd reports whether an answer that was read to its end shows that the stream is complete.
+// An engine that goes on after the last event has no event to send. It still answers with a
+// stream that ends by its framing, since a connection that closes after the head tells nothing.
+// An engine that stops a run for its handover closes the connection too.
+func (e *exchange) showsEnd(answer *links.Answer) bool {
+	if !e.firstEventAt.IsZero() {
+		return answer.Framed() || !e.backup.handoverStarted()
+	}
+	contentType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
+	return answer.Framed() && strings.EqualFold(strings.TrimSpace(contentType), "text/event-stream")
+}
+
 // finishStream records the end of a complete stream.
 func (e *exchange) finishStream(answer *links.Answer) {
 	e.freeCopy()
@@ -136,15 +148,29 @@
 	if err := e.splitter.Add(p); err != nil {
 		return &tryResult{result: e.lostResult(), health: place.Bad, err: err}
 	}
-	wrote := false
+	before := e.events
+	end := e.writeEvents(answer)
+	if e.events > before {
+		if err := e.controller.Flush(); err != nil {
+			return &tryResult{done: true, err: err}
+		}
+	}
+	return end
+}
+
+// writeEvents writes the complete events that were read. It returns nil if the try goes on.
+func (e *exchange) writeEvents(answer *links.Answer) *tryResult {
 	for {
 		next, ok := e.splitter.Next()
 		if !ok {
-			break
+			return nil
+		}
+		if !event.IsValid(next) {
+			return &tryResult{result: e.lostResult(), health: place.Bad, err: errors.New("the stream has bytes that are no event")}
 		}
 		e.received++
 		before := e.position
-		verdict := e.position.Accept(next, e.continued)
+		verdict := e.position.Accept(next, e.continued || e.takenUp)
 		if e.front.config.Switches.DeliverAnyEvent {
 			verdict = event.Deliver
 		}
@@ -182,14 +208,7 @@
 		if _, err := e.writer.Write(next); err != nil {
 			return &tryResult{done: true, err: err}
 		}
-		wrote = true
-	}
-	if wrote {
-		if err := e.controller.Flush(); err != nil {
-			return &tryResult{done: true, err: err}
-		}
 	}
-	return nil
 }
 
 // beginStream sends the header to the caller when the first event has arrived.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -89,6 +89,8 @@
 	// continued is true from the first try that continues a run or stream and does not
 	// send the request anew.
 	continued bool
+	// takenUp is true if the caller asked for the events after one that it has.
+	takenUp bool
 	// sentAt is when the current try began to send the request.
 	sentAt time.Time
 	// answerBegun is true once the current try got the head of an answer that was not a
@@ -105,11 +107,15 @@
 }
 
 func newExchange(f *Front, w http.ResponseWriter, r *http.Request, req *request) *exchange {
-	return &exchange{
+	e := &exchange{
 		front: f, writer: w, controller: http.NewResponseController(w), incoming: r, request: req,
 		tries: tries.New(req.Route, f.config.Switches.Tries), sharedParts: req.Prompt.SharedParts(),
 		buffered: share{limit: f.buffers},
 	}
+	if last, err := strconv.Atoi(r.Header.Get(f.config.Names.LastEventID)); err == nil && req.Route.Resumable {
+		e.takenUp, e.position = true, event.After(last)
+	}
+	return e
 }
 
 // tryResult is the result of one try.
@@ -152,9 +158,13 @@
 	step := tries.Again
 	for {
 		end := e.runStep(ctx, step)
-		if end.done || e.incoming.Context().Err() != nil {
+		if end.done {
 			return
 		}
+		if e.incoming.Context().Err() != nil {
+			// The caller may have closed only its sending side, and still reads.
+			panic(http.ErrAbortHandler)
+		}
 		if ctx.Err() != nil {
 			e.timeout()
 			return
@@ -263,6 +273,9 @@
 		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.sharedParts, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
 		"Waited", time.Since(e.request.Arrived).Milliseconds(), "SinceFirstAsked", sinceFirstAsked(&e.request.RoutedRequest).Milliseconds(),
 		"Runs", e.run.PriorLoad.Runs, "Tokens", e.run.PriorLoad.Tokens, "Prefill", e.run.PriorLoad.Prefill)
+	if err := e.confirmBuild(tryCtx, from); err != nil {
+		return tryResult{result: tries.NotSent, health: e.endpointOutcome(ctx, place.Unreachable), err: err}
+	}
 	e.sentAt = time.Now()
 	answer, err := e.front.config.Links.Do(tryCtx, endpoint.RoutedEndpoint, e.outgoing(from))
 	var failed *links.Error
