--- a/io/front/builds_test.go
+++ b/io/front/builds_test.go
@@ -151,6 +151,30 @@
 	r.wantNoStream(2)
 }
 
+// A stream must not leave a silent endpoint for one of another build.
+func TestSilentEndpointIsNotLeftForAnotherBuild(t *testing.T) {
+	silent := func(c *routed.Call) bool {
+		if !isStream(c) {
+			c.Answer(404, "")
+			return true
+		}
+		c.BeginStream(echo(c), _seal)
+		c.Chunk(pieces("v1", 0, _brokenAfter))
+		if c.WaitClosed(2500 * time.Millisecond) {
+			return false
+		}
+		c.Chunk(pieces("v1", _brokenAfter+1, _lastPiece))
+		c.EndStream()
+		return true
+	}
+	r := newFixture(t, silent, whole("v2"))
+	r.register(member{index: 0, build: "v1"}, member{index: 1, build: "v2", far: true})
+	if got := r.send("POST", "/check/x", "", "Tokens: 100,400"); got.err != nil || got.body != pieces("v1", 0, _lastPiece) {
+		t.Errorf("stream %q, %v; want all events, of v1", got.body, got.err)
+	}
+	r.wantNoStream(1)
+}
+
 // The memory of a run was sent to an endpoint that may not continue it.
 func TestBackupIsOnTheSameBuild(t *testing.T) {
 	r := newFixture(t, whole("v1"), whole("v1"), whole("v2"), whole("v2"), whole("v3"))
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -180,6 +180,14 @@
 	return run, place.Placed
 }
 
+// placeNow places a request if there is room now, and returns nil otherwise.
+func (s *SharedPlacer) placeNow(spec *place.Spec) *place.Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run, _ := s.placer.Place(time.Now(), spec)
+	return run
+}
+
 func (s *SharedPlacer) placeBackup(spec *place.Spec) *place.Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -51,7 +52,8 @@
 type question struct {
 	// waiting is the number of requests that wait for the answer.
 	waiting int
-	// asked is the number of hosts that were asked last, answers those that answered.
+	// asked is the number of hosts that were asked last, answers those that answered. The first
+	// may answer before all have been asked.
 	asked   int
 	answers map[core.HostName]bool
 	// done is closed once a host knew the stream, or none of them did.
@@ -114,14 +116,12 @@
 	if s.config.Refresh != nil {
 		s.config.Refresh()
 	}
-	if found, source := s.resolve(stream); source != origin.Unknown {
-		return found, source
+	found, source := s.resolve(stream)
+	if source != origin.Recorded && s.config.AskHosts != nil {
+		found, source = s.resolveWithHosts(ctx, stream, source)
 	}
-	if s.config.AskHosts != nil {
-		s.askHosts(ctx, stream.Request)
-		if found, source := s.resolve(stream); source != origin.Unknown {
-			return found, origin.OtherHost
-		}
+	if source != origin.Unknown {
+		return found, source
 	}
 	if s.config.AskEngines != nil && ownPart != "" {
 		holders := s.config.AskEngines(ctx, arrived, stream.Services, ownPart)
@@ -132,6 +132,17 @@
 	return s.findInHistory(ctx, stream)
 }
 
+// resolveWithHosts asks other hosts and returns where a stream was begun. A single build was found
+// without them, if at all: the stream's own may be new, and known to other hosts only.
+func (s *SharedOrigins) resolveWithHosts(ctx context.Context, stream origin.Stream, before origin.Source) (origin.Origin, origin.Source) {
+	s.askHosts(ctx, stream.Question())
+	found, source := s.resolve(stream)
+	if source != origin.Unknown && source != before {
+		source = origin.OtherHost
+	}
+	return found, source
+}
+
 // findInHistory returns where a stream was begun if the store's history shows a single build.
 func (s *SharedOrigins) findInHistory(ctx context.Context, stream origin.Stream) (origin.Origin, origin.Source) {
 	isSingle := false
@@ -187,7 +198,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q.asked = asked
-	return asked > 0 && len(q.answers) < asked
+	if len(q.answers) >= asked {
+		q.close()
+	}
+	return asked > 0 && !q.isClosed
 }
 
 // beginQuestion joins the question for a stream, or begins it.
@@ -196,7 +210,7 @@
 	defer s.mu.Unlock()
 	q := s.questions[request]
 	if q == nil {
-		q = &question{answers: make(map[core.HostName]bool), done: make(chan struct{})}
+		q = &question{asked: math.MaxInt, answers: make(map[core.HostName]bool), done: make(chan struct{})}
 		s.questions[request] = q
 	}
 	q.waiting++
--- a/io/front/takeup.go
+++ b/io/front/takeup.go
@@ -9,6 +9,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/origin"
+	"apricotproxy/core/procs/place"
 )
 
 // _takeUps counts the streams that callers took up, by how their origin was found out.
@@ -60,14 +61,14 @@
 	return ""
 }
 
-// confirmBuild makes sure that the endpoint of the try is of the build that began the stream, if
+// confirmBuild makes sure that the endpoint of a run is of the build that began the stream, if
 // one did. A copy needs no check: only the incarnation that received it has it.
-func (e *exchange) confirmBuild(ctx context.Context, from string) error {
+func (e *exchange) confirmBuild(ctx context.Context, run *place.Run, from string) error {
 	confirm := e.front.config.ConfirmIncarnation
 	if !e.begun || from != "" || confirm == nil || e.engineSpec() == nil {
 		return nil
 	}
-	return confirm(ctx, e.run.Endpoint.RoutedEndpoint)
+	return confirm(ctx, run.Endpoint.RoutedEndpoint)
 }
 
 // recordBegin records at which build the stream goes on if its caller takes it up again.
