io/entry: TestRequestsBeyondNamedLimit begins once all hosts know both endpoints

The test waited for the first host only; a host that does not know the other endpoint yet refuses what is beyond its share of the named limit. It now waits until each host has used the other endpoint; its checks are as before.

--- a/io/entry/rate_test.go
+++ b/io/entry/rate_test.go
@@ -93,6 +93,12 @@
 		_, body := s.get(s.front[0], "/a/")
 		return body == "limited"
 	})
+	for host := range s.front {
+		s.eventually(fmt.Sprintf("host %d knows the other endpoint", host), 2*time.Second, func() bool {
+			_, body := s.get(s.front[host], "/a/")
+			return body == "other"
+		})
+	}
 	from := time.Now().Add(_limitSpread)
 	statuses := s.loadHosts(from.Add(_limitWindow))
 	allowed := int(_limitFactor*_limitedPerSecond*_limitWindow.Seconds()) + _limitExtra
