io/links: all bytes that are there are read before an endpoint counts as silent

Cause: after a read deadline that has passed, a connection reads nothing, so that only the one look brought bytes. A host that had stood still, or reached the route's Goal while a long answer came in, asked with the rest of it unread.

--- a/io/links/silence.go
+++ b/io/links/silence.go
@@ -27,24 +27,23 @@
 	silence *Silence
 	// deadline is the connection's read deadline.
 	deadline time.Time
-	// lookedAt is the AskAt after which the connection was read once more.
-	lookedAt time.Time
+	// lookedAt is the AskAt that has passed and after which bytes are read until lookUntil.
+	lookedAt, lookUntil time.Time
 }
 
 // Read reads from the connection.
 func (r *silentReader) Read(p []byte) (int, error) {
 	for {
-		if err := r.setDeadline(r.askAt()); err != nil {
+		if err := r.setDeadline(r.readUntil()); err != nil {
 			return 0, err
 		}
 		n, err := r.conn.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if !r.lookedAt.Equal(r.askAt()) {
-			if n, err := r.lookAgain(p); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-				return n, err
-			}
+		if askAt := r.askAt(); !r.lookedAt.Equal(askAt) {
+			r.lookedAt, r.lookUntil = askAt, time.Now().Add(_lastLook)
+			continue
 		}
 		if err := r.silence.Ask(); err != nil {
 			return 0, err
@@ -52,12 +51,11 @@
 	}
 }
 
-func (r *silentReader) lookAgain(p []byte) (int, error) {
-	r.lookedAt = r.askAt()
-	if err := r.setDeadline(time.Now().Add(_lastLook)); err != nil {
-		return 0, err
+func (r *silentReader) readUntil() time.Time {
+	if askAt := r.askAt(); !r.lookedAt.Equal(askAt) {
+		return askAt
 	}
-	return r.conn.Read(p)
+	return r.lookUntil
 }
 
 func (r *silentReader) askAt() time.Time {
@@ -80,6 +78,6 @@
 
 // end ends the watch of one answer.
 func (r *silentReader) end() error {
-	r.silence, r.lookedAt = nil, time.Time{}
+	r.silence, r.lookedAt, r.lookUntil = nil, time.Time{}, time.Time{}
 	return r.setDeadline(time.Time{})
 }
