io/front: tests of silent endpoints that are left for a refusal or waited for, two fail

A stream leaves its endpoint after 1.5 s of silence once a place elsewhere is taken and connected. The case 'the copy's endpoint would refuse' of TestSilentEndpointThatGoesOnIsNotCut does not show this: its silence of 1.2 s is below the limit. While no retry is left, each check opens a connection to another endpoint: 6 connections in 1 s instead of 1. The guard for requests without time left passes.

--- /dev/null
+++ b/io/front/silenceleft_test.go
@@ -0,0 +1,53 @@
+package front_test
+
+import (
+	"net/http"
+	"testing"
+
+	"apricotproxy/fakes/routed"
+)
+
+// A silent endpoint was left for one that refused, and the stream was cut.
+func TestSilentEndpointIsNotLeftForARefusal(t *testing.T) {
+	handle := func(c *routed.Call) bool {
+		if c.Header.Get("Last-Event-Id") != "" {
+			return refuse(c)
+		}
+		return pausing(_longSilence)(c)
+	}
+	r := newFixture(t, handle, handle)
+	got := r.send(http.MethodPost, "/check/", "", "Tokens: 100,400", "Deadline-Ms: 5000")
+	if got.err != nil || got.body != wantStream(4) {
+		t.Errorf("status %d, %q, %v; want %q", got.status, got.body, got.err, wantStream(4))
+	}
+}
+
+// While no retry was left, each check of a silent endpoint opened a connection to another one.
+func TestSilentEndpointIsWaitedForWithoutConnections(t *testing.T) {
+	r := newFixture(t, pausing(_longSilence), pausing(_longSilence))
+	r.dropRetryBudget()
+	got := r.send(http.MethodPost, "/check/", "", "Tokens: 100,400", "Deadline-Ms: 5000")
+	if got.err != nil || got.body != wantStream(4) {
+		t.Errorf("stream %q, %v; want %q", got.body, got.err, wantStream(4))
+	}
+	connections := 0
+	for _, e := range r.endpoints {
+		connections += e.Connections()
+	}
+	if connections != 1 {
+		t.Errorf("%d connections, want 1", connections)
+	}
+}
+
+// A request without time left is refused and not cut, with a body or without.
+func TestRequestWithoutTimeLeftIsRefused(t *testing.T) {
+	for name, body := range map[string]string{"no body": "", "a body": "x"} {
+		for range 5 {
+			r := newFixture(t, fine)
+			got := r.send(http.MethodPost, "/lookup/", body, "Deadline-Ms: 0")
+			if got.err != nil || got.status == http.StatusOK {
+				t.Fatalf("%s: status %d, %v; want a refusal", name, got.status, got.err)
+			}
+		}
+	}
+}
