io/front, core/procs/place: no connection is opened for a silent endpoint while no retry is left

Cause: the retry was taken last, so that each check of a silent endpoint, one in 0.2 s, placed a run and opened a connection to another endpoint and gave both up again while the retry budget was used up. Change: the budget is looked at first, and a retry is still taken last. The race run of all of core/procs/place passed with this code before TestHasRetryTakesNone was added, which passes apart.

--- a/core/procs/place/limits.go
+++ b/core/procs/place/limits.go
@@ -165,15 +165,20 @@
 // AllowRetry reports whether the retry budget lets a request be sent to one more endpoint,
 // and counts the retry if so.
 func (p *Placer) AllowRetry(now time.Time, service core.ServiceName) bool {
+	if !p.HasRetry(now, service) {
+		return false
+	}
+	p.retryBudget(service).retries.add(now, p.bounds.RetryWindow)
+	return true
+}
+
+// HasRetry reports whether AllowRetry would return true. It counts nothing.
+func (p *Placer) HasRetry(now time.Time, service core.ServiceName) bool {
 	b := p.retryBudget(service)
 	span := p.bounds.RetryWindow
 	allowed := p.bounds.RetryShare * float64(b.requests.count(now, span))
 	if p.shareKnown(now) {
 		allowed += p.bounds.RetryExtra / float64(p.hostsBound)
 	}
-	if float64(b.retries.count(now, span)+1) > allowed {
-		return false
-	}
-	b.retries.add(now, span)
-	return true
+	return float64(b.retries.count(now, span)+1) <= allowed
 }
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -616,3 +616,26 @@
 		t.Errorf("%d runs continue on a cold engine within a second, want one to %d", continued, share)
 	}
 }
+
+// Whether there is a retry can be asked without taking it.
+func TestHasRetryTakesNone(t *testing.T) {
+	allowed := func(ask bool) int {
+		s := newSite(t, 0, 1)
+		s.SetHosts(_start.Add(-time.Minute), 9)
+		n := 0
+		for {
+			has := !ask || s.HasRetry(_start, "desk")
+			took := s.AllowRetry(_start, "desk")
+			if ask && has != took {
+				t.Fatalf("after %d retries HasRetry is %v, AllowRetry %v", n, has, took)
+			}
+			if !took {
+				return n
+			}
+			n++
+		}
+	}
+	if asked, plain := allowed(true), allowed(false); asked != plain || plain == 0 {
+		t.Errorf("%d retries if asked before, %d otherwise; want the same, not 0", asked, plain)
+	}
+}
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -245,6 +245,12 @@
 	return s.placer.AllowRetry(time.Now(), service)
 }
 
+func (s *SharedPlacer) hasRetry(service core.ServiceName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.HasRetry(time.Now(), service)
+}
+
 func (s *SharedPlacer) recordPrefillDone(run *place.Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/front/silence.go
+++ b/io/front/silence.go
@@ -110,6 +110,9 @@
 
 // prepareRun takes a place at an endpoint that can be reached, and a retry.
 func (e *exchange) prepareRun(ctx context.Context, step tries.Step) bool {
+	if !e.placer().hasRetry(e.request.Service) {
+		return false
+	}
 	run := e.placer().placeNow(e.spec(slices.Concat(e.triedEndpoints, []string{e.run.Endpoint.ID})))
 	if run == nil {
 		return false
