io/front: the test of a silent endpoint left for a refusal covers copies and lookups

A stream that goes on from its copy is cut, and a lookup whose first endpoint answers after 0.6 s fails with 502 after 0.2 s, the route's Goal, when the second endpoint refuses.

--- a/io/front/silenceleft_test.go
+++ b/io/front/silenceleft_test.go
@@ -7,18 +7,34 @@
 	"apricotproxy/fakes/routed"
 )
 
-// A silent endpoint was left for one that refused, and the stream was cut.
+// A silent endpoint was left for one that refused, and the answer was cut or failed.
 func TestSilentEndpointIsNotLeftForARefusal(t *testing.T) {
-	handle := func(c *routed.Call) bool {
-		if c.Header.Get("Last-Event-Id") != "" {
-			return refuse(c)
-		}
-		return pausing(_longSilence)(c)
-	}
-	r := newFixture(t, handle, handle)
-	got := r.send(http.MethodPost, "/check/", "", "Tokens: 100,400", "Deadline-Ms: 5000")
-	if got.err != nil || got.body != wantStream(4) {
-		t.Errorf("status %d, %q, %v; want %q", got.status, got.body, got.err, wantStream(4))
+	for _, c := range []struct {
+		path   string
+		silent routed.Handler
+		want   string
+	}{
+		{"/check/", pausing(_longSilence), wantStream(4)},
+		{"/draft/", growing(_longSilence), wantStream(6)},
+		{"/lookup/", slowAnswer, "slow"},
+	} {
+		t.Run(c.path, func(t *testing.T) {
+			t.Parallel()
+			first := make(chan struct{}, 1)
+			handle := func(call *routed.Call) bool {
+				select {
+				case first <- struct{}{}:
+					return c.silent(call)
+				default:
+					return refuse(call)
+				}
+			}
+			r := newFixture(t, handle, handle)
+			got := r.send(http.MethodPost, c.path, "", "Tokens: 100,400", "Deadline-Ms: 5000")
+			if got.err != nil || got.status != http.StatusOK || got.body != c.want {
+				t.Errorf("status %d, %q, %v; want %q", got.status, got.body, got.err, c.want)
+			}
+		})
 	}
 }
 
