io/front, io/entry: requests share the reading of the store's history

While the store did not answer, each request that was taken up and of unknown origin read the history itself, one after the other, 0.5 s each, and could wait beyond its time-out. A reading that began after a request arrived now serves it too, and does not end with the request that began it.

--- a/io/entry/history.go
+++ b/io/entry/history.go
@@ -19,7 +19,7 @@
 // readHistory returns which builds the store's history shows in service: its latest part of which
 // the store still has all.
 func (h *Host) readHistory(ctx context.Context) origin.Span {
-	ctx, cancel := context.WithTimeout(ctx, _historyTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), _historyTimeout)
 	defer cancel()
 	position := h.docState.syncStatus()
 	for revisions := h.historyRevisions(); revisions > 0; revisions /= 2 {
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -39,8 +39,10 @@
 type SharedOrigins struct {
 	config OriginConfig
 
-	// historyMu is held while the store's history is read. It is taken before mu.
-	historyMu sync.Mutex
+	// historyMu is held while the store's history is read, which last began at historyReadAt. It
+	// is taken before mu.
+	historyMu     sync.Mutex
+	historyReadAt time.Time
 
 	mu     sync.Mutex
 	ledger *origin.Ledger
@@ -129,7 +131,7 @@
 			return found, source
 		}
 	}
-	return s.findInHistory(ctx, stream)
+	return s.findInHistory(ctx, arrived, stream)
 }
 
 // resolveWithHosts asks other hosts and returns where a stream was begun. A single build was found
@@ -143,8 +145,9 @@
 	return found, source
 }
 
-// findInHistory returns where a stream was begun if the store's history shows a single build.
-func (s *SharedOrigins) findInHistory(ctx context.Context, stream origin.Stream) (origin.Origin, origin.Source) {
+// findInHistory returns where a stream was begun if the store's history shows a single build. Requests
+// that arrive while it is read share the next reading, so that none waits for more than two.
+func (s *SharedOrigins) findInHistory(ctx context.Context, arrived time.Time, stream origin.Stream) (origin.Origin, origin.Source) {
 	isSingle := false
 	s.Update(func(l *origin.Ledger) { isSingle = l.HasSingleBuild(stream.Services) })
 	if s.config.ReadHistory == nil || !isSingle {
@@ -152,11 +155,11 @@
 	}
 	s.historyMu.Lock()
 	defer s.historyMu.Unlock()
-	if found, source := s.resolve(stream); source != origin.Unknown {
-		return found, source // another request has read it meanwhile
+	if s.historyReadAt.Before(arrived) {
+		s.historyReadAt = time.Now()
+		span := s.config.ReadHistory(ctx)
+		s.Update(func(l *origin.Ledger) { l.Merge(span) })
 	}
-	span := s.config.ReadHistory(ctx)
-	s.Update(func(l *origin.Ledger) { l.Merge(span) })
 	if found, source := s.resolve(stream); source != origin.Unknown {
 		return found, origin.StoreHistory
 	}
