--- a/core/procs/origin/span.go
+++ b/core/procs/origin/span.go
@@ -100,8 +100,8 @@
 	return out
 }
 
-// merge adds another host's span. It must reach up to the time from which on this host knows
-// the builds itself, so it is ignored before that.
+// merge adds another host's span. It is ignored while this host's documents are not up to date:
+// there would be a gap between the span and what this host learns later.
 func (b *builds) merge(other Span) {
 	if b.since.IsZero() || other.Since.IsZero() {
 		return
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -12,7 +12,7 @@
 
 const (
 	// _peerAnswerTimeout is how long other hosts have to tell what they know of a stream: a
-	// few round trips within a region, and one repetition of a lost datagram.
+	// few round trips within a region, and two repetitions of a lost datagram.
 	_peerAnswerTimeout = 150 * time.Millisecond
 	// _questionInterval is after how long they are asked again.
 	_questionInterval = 50 * time.Millisecond
--- a/io/front/takeup.go
+++ b/io/front/takeup.go
@@ -46,8 +46,8 @@
 	return true
 }
 
-// longestAge returns how long ago a stream can have begun that is taken up now. Its caller waits
-// no longer than for the route's time-out, or at least as long as it still waits.
+// longestAge returns how long ago a stream can have begun that is taken up now: the route's
+// time-out or, where it has none, the time that this request has left.
 func (e *exchange) longestAge() time.Duration {
 	return max(e.request.Route.Timeout, e.request.Deadline.Sub(e.request.Arrived))
 }
