--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review-standin -case upgrade -program "$PWD/target/apricotproxy" -folder "$folder" -record review/2/record.txt
+target/review-standin -case silent -program "$PWD/target/apricotproxy" -folder "$folder" -record review/2/record.txt
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -40,6 +40,8 @@
 	prompt  string
 	tokens  int
 	headers map[string]string
+	// pace is the time in which the body is sent; 0 for at once.
+	pace time.Duration
 }
 
 // send makes one attempt on a connection of its own.
@@ -62,8 +64,8 @@
 	for name, value := range r.headers {
 		_, _ = fmt.Fprintf(&head, "%s: %s\r\n", name, value)
 	}
-	_, _ = fmt.Fprintf(&head, "Content-Length: %s\r\n\r\n%s", strconv.Itoa(len(r.body)), r.body)
-	if _, a.err = conn.Write(head.Bytes()); a.err != nil {
+	_, _ = fmt.Fprintf(&head, "Content-Length: %s\r\n\r\n", strconv.Itoa(len(r.body)))
+	if a.err = r.write(conn, head.Bytes()); a.err != nil {
 		return a
 	}
 	answer, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: r.method})
@@ -77,6 +79,25 @@
 	return a
 }
 
+// write sends the head and the body.
+func (r *request) write(conn net.Conn, head []byte) error {
+	if r.pace == 0 {
+		_, err := conn.Write(append(head, r.body...))
+		return err
+	}
+	if _, err := conn.Write(head); err != nil {
+		return err
+	}
+	const parts = 50
+	for n := range parts {
+		if _, err := io.WriteString(conn, r.body[len(r.body)*n/parts:len(r.body)*(n+1)/parts]); err != nil {
+			return err
+		}
+		time.Sleep(r.pace / parts)
+	}
+	return nil
+}
+
 func (a *attempt) outcome() string {
 	text := a.body
 	if len(text) > 60 {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,8 +16,10 @@
 }
 
 var _cases = map[string]func(s *site, trouble bool) (verdict, error){
+	"uploads":     runUploads,
 	"upgrade":     runUpgrade,
 	"deadly":      runDeadly,
+	"silent":      runSilent,
 	"deadly-part": runDeadlyPart,
 }
 
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -27,7 +27,7 @@
 var _configText []byte
 
 // names holds the platform's names that the stand-ins use beside those of package platform.
-var names struct{ RangePath, WatchPath, ConfigKey, EntryPrefix string }
+var names struct{ RangePath, WatchPath, ConfigKey, EntryPrefix, ColdHeader string }
 
 // entry is one machine of the system with its process.
 type entry struct {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -48,6 +48,8 @@
 	mu   sync.Mutex
 	boot *boot
 	dark *darkness
+	// coldUntil is when the worker is warm again.
+	coldUntil time.Time
 	// arrivals holds what reached the worker.
 	arrivals []*call
 }
@@ -84,6 +86,20 @@
 	_ = b.server.Close()
 }
 
+// chill makes the worker cold for some time.
+func (k *worker) chill(length time.Duration) {
+	k.mu.Lock()
+	k.coldUntil = time.Now().Add(length)
+	k.mu.Unlock()
+	k.site.note("worker %s becomes cold for %v", k.id, length)
+}
+
+func (k *worker) coldLeft() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return max(time.Until(k.coldUntil), 0)
+}
+
 // isUp reports whether a boot of the worker still runs.
 func (k *worker) isUp(b *boot) bool {
 	k.mu.Lock()
@@ -98,7 +114,7 @@
 		b.sequence++
 		k.site.store.put(names.EntryPrefix+k.id, map[string]any{
 			"service": k.service, "address": k.address, "zone": k.zone, "version": b.version, "slots": k.slots, "state": "ready",
-			"coldLeftMs": 0, "sequence": b.sequence, "born": b.born.UnixMilli(), "stage": "unified",
+			"coldLeftMs": k.coldLeft().Milliseconds(), "sequence": b.sequence, "born": b.born.UnixMilli(), "stage": "unified",
 			"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
 		})
 		select {
@@ -110,10 +126,11 @@
 }
 
 func (k *worker) handle(b *boot, w http.ResponseWriter, r *http.Request) {
-	names := k.site.headers
+	headers := k.site.headers
 	switch r.URL.Path {
 	case "/health":
-		w.Header().Set(names.EndpointID, k.id)
+		w.Header().Set(headers.EndpointID, k.id)
+		w.Header().Set(names.ColdHeader, strconv.FormatInt(k.coldLeft().Milliseconds(), 10))
 		return
 	case k.site.paths.Report:
 		writeJSON(w, map[string]any{
@@ -122,7 +139,7 @@
 		})
 		return
 	}
-	id := r.Header.Get(names.RequestID)
+	id := r.Header.Get(headers.RequestID)
 	if id == "" {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -131,9 +148,9 @@
 	if err != nil {
 		return
 	}
-	w.Header().Set(names.RequestID, id)
-	if expected := r.Header.Get(names.ExpectedEndpoint); expected != "" && expected != k.id {
-		w.Header().Set(names.EndpointID, k.id)
+	w.Header().Set(headers.RequestID, id)
+	if expected := r.Header.Get(headers.ExpectedEndpoint); expected != "" && expected != k.id {
+		w.Header().Set(headers.EndpointID, k.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
