--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 }
 
 var _cases = map[string]func(s *site, trouble bool) (verdict, error){
+	"cold":        runCold,
 	"uploads":     runUploads,
 	"upgrade":     runUpgrade,
 	"deadly":      runDeadly,
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -47,6 +47,8 @@
 	workers         []*worker
 	entries         []*entry
 	begun           time.Time
+	// coldStart is how long workers are cold after their start.
+	coldStart time.Duration
 
 	mu     sync.Mutex
 	record *os.File
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -27,10 +27,12 @@
 
 // boot is one start of a worker.
 type boot struct {
-	version  string
-	born     time.Time
-	server   *http.Server
-	stop     context.CancelFunc
+	version string
+	born    time.Time
+	server  *http.Server
+	stop    context.CancelFunc
+
+	mu       sync.Mutex
 	sequence uint64
 }
 
@@ -64,7 +66,7 @@
 	b := &boot{version: version, born: time.Now(), stop: stop}
 	b.server = &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { k.handle(b, w, r) })}
 	k.mu.Lock()
-	k.boot = b
+	k.boot, k.coldUntil = b, time.Now().Add(k.site.coldStart)
 	k.mu.Unlock()
 	go func() { _ = b.server.Serve(listener) }()
 	go k.beat(ctx, b)
@@ -86,12 +88,16 @@
 	_ = b.server.Close()
 }
 
-// chill makes the worker cold for some time.
+// chill makes the worker cold for some time. It writes so to the store at once.
 func (k *worker) chill(length time.Duration) {
 	k.mu.Lock()
 	k.coldUntil = time.Now().Add(length)
+	b := k.boot
 	k.mu.Unlock()
-	k.site.note("worker %s becomes cold for %v", k.id, length)
+	k.site.note("worker %s becomes cold for %v, and writes so to the store", k.id, length)
+	if b != nil {
+		k.write(b)
+	}
 }
 
 func (k *worker) coldLeft() time.Duration {
@@ -107,24 +113,31 @@
 	return k.boot == b
 }
 
+// beat writes the entry when the worker starts and at each beat.
 func (k *worker) beat(ctx context.Context, b *boot) {
 	ticker := time.NewTicker(_beatInterval)
 	defer ticker.Stop()
-	for {
-		b.sequence++
-		k.site.store.put(names.EntryPrefix+k.id, map[string]any{
-			"service": k.service, "address": k.address, "zone": k.zone, "version": b.version, "slots": k.slots, "state": "ready",
-			"coldLeftMs": k.coldLeft().Milliseconds(), "sequence": b.sequence, "born": b.born.UnixMilli(), "stage": "unified",
-			"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
-		})
+	for ctx.Err() == nil {
+		k.write(b)
 		select {
 		case <-ctx.Done():
-			return
 		case <-ticker.C:
 		}
 	}
 }
 
+// write writes the worker's entry to the store.
+func (k *worker) write(b *boot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sequence++
+	k.site.store.put(names.EntryPrefix+k.id, map[string]any{
+		"service": k.service, "address": k.address, "zone": k.zone, "version": b.version, "slots": k.slots, "state": "ready",
+		"coldLeftMs": k.coldLeft().Milliseconds(), "sequence": b.sequence, "born": b.born.UnixMilli(), "stage": "unified",
+		"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
+	})
+}
+
 func (k *worker) handle(b *boot, w http.ResponseWriter, r *http.Request) {
 	headers := k.site.headers
 	switch r.URL.Path {
