--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -44,9 +44,29 @@
 	pace time.Duration
 }
 
+// newID returns the id of an attempt.
+func newID() string {
+	return fmt.Sprintf("%016x", _issued.Add(1)<<20|time.Now().UnixNano()&0xfffff)
+}
+
+// head returns the head of a request.
+func (s *site) head(id string, r *request) []byte {
+	h := s.headers
+	var head bytes.Buffer
+	_, _ = fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n", r.method, r.path, _hostName, h.RequestID, id, h.Deadline, r.deadline.Milliseconds(), h.Key, _key)
+	if r.prompt != "" {
+		_, _ = fmt.Fprintf(&head, "%s: m\r\n%s: %d,%d\r\n%s: %s\r\n", h.Model, h.Tokens, r.tokens, 100, h.Parts, r.prompt)
+	}
+	for name, value := range r.headers {
+		_, _ = fmt.Fprintf(&head, "%s: %s\r\n", name, value)
+	}
+	_, _ = fmt.Fprintf(&head, "Content-Length: %s\r\n\r\n", strconv.Itoa(len(r.body)))
+	return head.Bytes()
+}
+
 // send makes one attempt on a connection of its own.
 func (s *site) send(to *entry, r *request) *attempt {
-	a := &attempt{id: fmt.Sprintf("%016x", _issued.Add(1)<<20|time.Now().UnixNano()&0xfffff), entry: to, sentAt: time.Now()}
+	a := &attempt{id: newID(), entry: to, sentAt: time.Now()}
 	defer func() { s.note("attempt %s at %s: %s", a.id, to.name, a.outcome()) }()
 	conn, err := net.DialTimeout("tcp", to.ip+":8740", time.Second)
 	if err != nil {
@@ -55,17 +75,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(r.deadline + time.Second))
-	h := s.headers
-	var head bytes.Buffer
-	_, _ = fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n", r.method, r.path, _hostName, h.RequestID, a.id, h.Deadline, r.deadline.Milliseconds(), h.Key, _key)
-	if r.prompt != "" {
-		_, _ = fmt.Fprintf(&head, "%s: m\r\n%s: %d,%d\r\n%s: %s\r\n", h.Model, h.Tokens, r.tokens, 100, h.Parts, r.prompt)
-	}
-	for name, value := range r.headers {
-		_, _ = fmt.Fprintf(&head, "%s: %s\r\n", name, value)
-	}
-	_, _ = fmt.Fprintf(&head, "Content-Length: %s\r\n\r\n", strconv.Itoa(len(r.body)))
-	if a.err = r.write(conn, head.Bytes()); a.err != nil {
+	if a.err = r.write(conn, s.head(a.id, r)); a.err != nil {
 		return a
 	}
 	answer, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: r.method})
--- a/review/standin/deadly.go
+++ b/review/standin/deadly.go
@@ -37,6 +37,16 @@
 	})
 }
 
+// runDeadlyPlain is for answers that are no streams: the worker writes half of one, and crashes.
+func runDeadlyPlain(s *site, trouble bool) (verdict, error) {
+	return s.runCrashes(trouble, 5, func(n int) *request {
+		return &request{
+			method: http.MethodPost, path: fmt.Sprintf("/lookup/deadly-%d", n), body: fmt.Sprintf("deadly %d", n), deadline: 4 * time.Second,
+			prompt: fmt.Sprintf("aa01:100,dead:100,%x:100", 0xc000+n), tokens: 300,
+		}
+	})
+}
+
 // runCrashes sends what crashes workers beside sound requests. enough is the number of crashes after which
 // the system must know.
 func (s *site) runCrashes(trouble bool, enough int, deadly func(n int) *request) (verdict, error) {
@@ -44,7 +54,7 @@
 	var crashedAt, arrivals []time.Time
 	beforeFirst := os.Getenv("EVENTS") == "0" // the crash comes before the first event
 	serve := func(w http.ResponseWriter, c *call) {
-		isDeadly := strings.HasPrefix(c.URL.Path, "/check/deadly")
+		isDeadly := strings.Contains(c.URL.Path, "/deadly")
 		if isDeadly {
 			s.note("worker %s runs the deadly %s from %s, after event %q", c.worker.id, c.id, c.entry, c.Header.Get(s.headers.LastEventID))
 			mu.Lock()
@@ -53,11 +63,14 @@
 		}
 		crashes := isDeadly && trouble
 		whole := false
-		if crashes && beforeFirst {
+		switch {
+		case isDeadly && c.worker.service == "desk":
+			whole = c.answerHalf(w, !crashes)
+		case crashes && beforeFirst:
 			w.Header().Set(s.headers.Seal, "seal-"+c.worker.id)
 			w.Header().Set("Content-Type", "text/event-stream")
 			_ = http.NewResponseController(w).Flush()
-		} else {
+		default:
 			whole = c.stream(w, _deadlyEvents, _deadlyPause, func(int) bool { return !crashes })
 		}
 		switch {
@@ -74,8 +87,10 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if err := s.addWorkers("scribe", 6, 24, serve); err != nil {
-		return verdict{}, err
+	for _, service := range []string{"scribe", "desk"} {
+		if err := s.addWorkers(service, 6, 24, serve); err != nil {
+			return verdict{}, err
+		}
 	}
 	if err := s.addEntries(3); err != nil {
 		return verdict{}, err
@@ -95,6 +110,18 @@
 		len(crashedAt), len(arrivals), late, enough, _lateAllowed, served, sound)}, nil
 }
 
+// answerHalf writes the first half of an answer with a length and, if asked, the rest.
+func (c *call) answerHalf(w http.ResponseWriter, rest bool) bool {
+	w.Header().Set(c.worker.site.headers.Seal, "seal-"+c.worker.id)
+	w.Header().Set("Content-Length", "200")
+	_, _ = w.Write(make([]byte, 100))
+	_ = http.NewResponseController(w).Flush()
+	if rest {
+		_, _ = w.Write(make([]byte, 100))
+	}
+	return rest
+}
+
 // sendMixed sends deadly and sound requests for _deadlyTime.
 func (s *site) sendMixed(deadly func(n int) *request) (sound, served int) {
 	var group sync.WaitGroup
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,12 +16,14 @@
 }
 
 var _cases = map[string]func(s *site, trouble bool) (verdict, error){
-	"cold":        runCold,
-	"uploads":     runUploads,
-	"upgrade":     runUpgrade,
-	"deadly":      runDeadly,
-	"silent":      runSilent,
-	"deadly-part": runDeadlyPart,
+	"cold":         runCold,
+	"refusal":      runRefusal,
+	"uploads":      runUploads,
+	"upgrade":      runUpgrade,
+	"deadly":       runDeadly,
+	"silent":       runSilent,
+	"deadly-part":  runDeadlyPart,
+	"deadly-plain": runDeadlyPlain,
 }
 
 func main() {
--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -47,13 +48,14 @@
 		}
 		w.Header().Set(s.headers.Seal, "seal-"+c.worker.id)
 		w.Header().Set("Content-Type", "text/event-stream")
-		drops := c.worker.id != "i-0001"
+		isSilent := c.worker.id == "i-0001"
+		drops := !isSilent || os.Getenv("DROPS") == "1"
 		for n := first; n < _draftEvents; n++ {
 			time.Sleep(_draftPause)
 			mu.Lock()
 			at := silentAt
 			mu.Unlock()
-			if rest := time.Until(at.Add(_silence)); !drops && !at.IsZero() && rest > 0 {
+			if rest := time.Until(at.Add(_silence)); isSilent && !at.IsZero() && rest > 0 {
 				time.Sleep(rest)
 			}
 			if drops && c.Context().Err() != nil {
