--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // verdict is the result of a case.
@@ -35,6 +37,15 @@
 	os.Exit(run(*name, *program, *folder, *record))
 }
 
+// endOnSignal ends the processes if the run is ended from outside.
+func endOnSignal(s *site) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	s.close()
+	os.Exit(2)
+}
+
 func run(name, program, folder, record string) int {
 	s, err := newSite(program, folder, record)
 	if err != nil {
@@ -42,6 +53,7 @@
 		return 2
 	}
 	defer s.close()
+	go endOnSignal(s)
 	runCase, ok := _cases[name]
 	if !ok {
 		fmt.Println("there is no case", name)
