io/front, core/reqst/leave: a stream leaves an endpoint only once its run there has stopped

Callers' drafts were worked on at two endpoints: a silent endpoint that does not drop requests was left after 1.5 s, the draft went on at the endpoint of its copy, and the first one worked on it for seconds more (review/2, TWICE).

Cause: this host took its own closing of the connection for the end of the run. The same on related paths: streams that are resumed, bytes that are no event, missing events, connections that time out, and handovers whose last call the engine declined.

Change: core/reqst/leave decides by what is known of the run at the endpoint that is left. The host asks that endpoint on a new connection to stop the run and goes on elsewhere once it has stopped, has no such run, or cannot be reached (docs/decisions/0050). The soak has engines that fall silent, do not drop requests and answer the call to stop a run in four ways.

Conclusion: only an endpoint's own word, or its end, shows that a run has stopped.

--- a/fakes/routed/routed.go
+++ b/fakes/routed/routed.go
@@ -63,6 +63,9 @@
 	}
 }
 
+// CloseListener stops listening. Open connections stay.
+func (e *Endpoint) CloseListener() { _ = e.listener.Close() }
+
 // Calls returns the calls so far.
 func (e *Endpoint) Calls() []*Call {
 	e.mu.Lock()
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -98,9 +98,15 @@
 			e.front.config.Detector.RecordAnswer(e.run.Endpoint.Key())
 			before := e.received
 			if end := e.deliverEvents(answer, chunk[:n]); end != nil {
-				return *end
+				if end.done {
+					return *end
+				}
+				return *end.leftWhileRunning(answer)
 			}
 			if e.received > before {
+				if e.stop.pending == nil {
+					e.dropPrepared()
+				}
 				e.silence.AskAt = time.Now().Add(e.silenceTimeout())
 			}
 		}
@@ -110,7 +116,11 @@
 			e.finishStream(answer)
 			return tryResult{done: true, health: place.Good}
 		default:
-			return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, answerOutcome(err)), brokenOff: true, err: err}
+			end := tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, answerOutcome(err)), brokenOff: true, err: err}
+			if errors.Is(err, errSlow) {
+				return end
+			}
+			return *end.leftWhileRunning(answer)
 		}
 	}
 }
@@ -121,7 +131,7 @@
 // An engine that stops a run for its handover closes the connection too.
 func (e *exchange) showsEnd(answer *links.Answer) bool {
 	if !e.firstEventAt.IsZero() {
-		return answer.Framed() || !e.backup.handoverStarted()
+		return answer.Framed() || !e.backup.handoverStarted() && e.stop.pending == nil
 	}
 	contentType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
 	return answer.Framed() && strings.EqualFold(strings.TrimSpace(contentType), "text/event-stream")
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -13,6 +13,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/place"
+	"apricotproxy/core/reqst/leave"
 	"apricotproxy/io/links"
 )
 
@@ -53,11 +54,23 @@
 	// handle identifies a copy that was made on request; it is empty for one that the
 	// engine sends by itself as the run grows.
 	handle string
-	// handingOver is true once the run is being stopped so that its copy can be
-	// completed.
-	handingOver bool
+	// handover is how far the run was stopped so that its copy can be completed.
+	handover handover
 }
 
+// handover is how far a run was stopped.
+type handover uint8
+
+const (
+	_handoverNone handover = iota
+	// _handoverRunning: the engine was asked to stop the run.
+	_handoverRunning
+	// _handoverUnanswered: it has not answered in time. It closes the stream if it stopped the run.
+	_handoverUnanswered
+	// _handoverDone: it has stopped the run.
+	_handoverDone
+)
+
 // endpoint returns the endpoint that holds the copy; zero if there is no copy.
 func (b *backup) endpoint() core.RoutedEndpoint {
 	if run := b.placement(); run != nil {
@@ -84,7 +97,7 @@
 func (b *backup) set(placer *SharedPlacer, run *place.Run, from, handle string) {
 	b.mu.Lock()
 	if run == nil {
-		b.handingOver = false
+		b.handover = _handoverNone
 	}
 	before := b.run
 	b.run, b.continueFrom, b.handle = run, from, handle
@@ -104,22 +117,21 @@
 	return b.handle
 }
 
-// startHandover records that the run is being stopped. It returns false if that was
-// recorded before.
-func (b *backup) startHandover() bool {
+func (b *backup) setHandover(h handover) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	isFirst := !b.handingOver
-	b.handingOver = true
-	return isFirst
+	b.handover = h
 }
 
-func (b *backup) handoverStarted() bool {
+func (b *backup) handoverState() handover {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.handingOver
+	return b.handover
 }
 
+// handoverStarted reports whether the engine may have stopped the run.
+func (b *backup) handoverStarted() bool { return b.handoverState() != _handoverNone }
+
 func (b *backup) placement() *place.Run {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -185,13 +197,14 @@
 		return func() {}
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
 	var group sync.WaitGroup
 	group.Go(func() {
 		for {
 			changed := e.placer().nextChange()
 			var retry <-chan time.Time
 			pause := e.updateBackup(ctx)
-			if e.backup.handoverStarted() {
+			if e.backup.handoverState() == _handoverDone {
 				end(errHandedOver)
 				return
 			}
@@ -201,15 +214,18 @@
 			select {
 			case <-ctx.Done():
 				return
+			case <-ended:
+				return
 			case <-changed:
 			case <-retry:
 			}
 		}
 	})
 	return func() {
+		close(ended)
 		// A stream that is stopped for the handover may end before its copy is complete,
 		// so the copy is not cancelled then.
-		if !e.backup.handoverStarted() {
+		if e.backup.handoverState() != _handoverRunning {
 			cancel()
 		}
 		group.Wait()
@@ -249,9 +265,9 @@
 		return _copyRetryInterval
 	}
 	e.notifyLoadChanged()
-	if err := e.copyTo(ctx, target, false); err != nil {
+	if moved := e.copyTo(ctx, target, false); moved.err != nil {
 		if ctx.Err() == nil {
-			e.log("A run's memory could not be copied.", "To", target.Endpoint.ID, "Cause", err.Error(),
+			e.log("A run's memory could not be copied.", "To", target.Endpoint.ID, "Cause", moved.err.Error(),
 				"Runs", target.PriorLoad.Runs, "Tokens", target.PriorLoad.Tokens, "Prefill", target.PriorLoad.Prefill)
 		}
 		e.placer().end(target, 0)
@@ -267,41 +283,53 @@
 // stream would pause until they are done.
 func (e *exchange) tryHandOver(ctx context.Context, target *place.Run) time.Duration {
 	began := time.Now()
-	if err := e.copyTo(ctx, target, false); err != nil {
+	if moved := e.copyTo(ctx, target, false); moved.err != nil {
 		return _copyRetryInterval
 	}
 	if time.Since(began) > _maxQuickMove {
 		return _copyRetryInterval
 	}
-	e.handOver(ctx, target)
-	return 0
+	return e.handOver(ctx, target)
 }
 
 // handOver stops the run at its engine and completes its copy. The engine closes the
 // stream without ending it, and the stream continues from the copy. If completing the
-// copy fails, it continues from the copy as it was before.
-func (e *exchange) handOver(ctx context.Context, target *place.Run) {
-	if !e.backup.startHandover() {
-		return
-	}
+// copy fails, it continues from the copy as it was before. Until the engine has said that it
+// stopped the run, or has closed the stream, the stream does not go on elsewhere. handOver
+// returns the time after which to try again; 0 for never.
+func (e *exchange) handOver(ctx context.Context, target *place.Run) time.Duration {
+	e.backup.setHandover(_handoverRunning)
 	ctx, cancel := context.WithTimeout(ctx, _handoverTimeout)
 	defer cancel()
-	if err := e.copyTo(ctx, target, true); err != nil {
-		e.log("The last part of a run's memory could not be copied.", "To", target.Endpoint.ID, "Cause", err.Error())
-		return
+	moved := e.copyTo(ctx, target, true)
+	evidence := moved.evidence()
+	if moved.err != nil {
+		e.log("The last part of a run's memory could not be copied.", "To", target.Endpoint.ID, "Evidence", evidence.String(), "Cause", moved.err.Error())
+	} else {
+		e.log("A run was handed over.", "To", target.Endpoint.ID)
+	}
+	switch evidence {
+	case leave.Stopped:
+		e.backup.setHandover(_handoverDone)
+		return 0
+	case leave.Asked:
+		e.backup.setHandover(_handoverUnanswered)
+		return 0
+	default:
+		e.backup.setHandover(_handoverNone)
+		return _copyRetryInterval
 	}
-	e.log("A run was handed over.", "To", target.Endpoint.ID)
 }
 
-// copyTo has the run's memory copied to a target and makes this copy the backup. With
-// last, the engine stops the run first.
-func (e *exchange) copyTo(ctx context.Context, target *place.Run, last bool) error {
-	handle, err := e.requestMove(ctx, target.Endpoint.Address, last)
-	if err != nil {
-		return err
-	}
-	e.backup.set(e.placer(), target, e.run.Endpoint.Address+"/"+handle, handle)
-	return nil
+// copyTo has the run's memory copied to a target and, if that succeeds, makes this copy the
+// backup. With last, the engine stops the run first.
+func (e *exchange) copyTo(ctx context.Context, target *place.Run, last bool) moveResult {
+	source := e.run.Endpoint.RoutedEndpoint
+	moved := e.requestMove(ctx, source, target.Endpoint.Address, last)
+	if moved.err == nil {
+		e.backup.set(e.placer(), target, source.Address+"/"+moved.handle, moved.handle)
+	}
+	return moved
 }
 
 // freeCopy frees a copy that was made on request and is not needed any more. Otherwise
@@ -325,32 +353,49 @@
 	answer.Close()
 }
 
+// moveResult is an engine's answer to the request to copy a run's memory.
+type moveResult struct {
+	// status is the answer's status; 0 if there was none.
+	status int
+	// handle identifies the copy, or the memory that the engine keeps of a run that it stopped
+	// and could not copy.
+	handle string
+	err    error
+}
+
 // requestMove asks the engine that runs the request to copy the run's memory to another
-// engine and returns the handle of the copy. The run goes on meanwhile or, with last,
-// is stopped first.
-func (e *exchange) requestMove(ctx context.Context, to string, last bool) (handle string, err error) {
+// engine. The run goes on meanwhile or, with last, is stopped first. The error is nil if the
+// copy is complete.
+func (e *exchange) requestMove(ctx context.Context, source core.RoutedEndpoint, to string, last bool) moveResult {
 	body, err := json.Marshal(map[string]any{"id": e.request.ID, "to": to, "last": last})
 	if err != nil {
-		return "", fmt.Errorf("encode the move: %w", err)
+		return moveResult{err: fmt.Errorf("encode the move: %w", err)}
 	}
 	ctx, cancel := context.WithTimeout(ctx, _moveTimeout)
 	defer cancel()
-	answer, err := e.front.config.Links.Do(ctx, e.run.Endpoint.RoutedEndpoint, &links.Request{
-		Method: http.MethodPost, Target: e.front.config.Paths.Move, HostName: e.run.Endpoint.Address,
+	answer, err := e.front.config.Links.Do(ctx, source, &links.Request{
+		Method: http.MethodPost, Target: e.front.config.Paths.Move, HostName: source.Address,
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
 		Identify: e.identifyCall,
 	})
 	if err != nil {
-		return "", fmt.Errorf("request a move: %w", err)
+		return moveResult{err: fmt.Errorf("request a move: %w", err)}
 	}
 	defer answer.Close()
+	result := moveResult{status: answer.StatusCode}
 	text, err := io.ReadAll(io.LimitReader(answer, _maxSkippedBytes))
 	if err != nil {
-		return "", fmt.Errorf("read the answer to a move: %w", err)
+		result.err = fmt.Errorf("read the answer to a move: %w", err)
+		return result
 	}
+	result.handle, result.err = decodeHandle(text)
 	if answer.StatusCode != http.StatusOK {
-		return "", fmt.Errorf("the engine answered a move with status %d", answer.StatusCode)
+		result.err = fmt.Errorf("the engine answered a move with status %d", answer.StatusCode)
 	}
+	return result
+}
+
+func decodeHandle(text []byte) (string, error) {
 	var reply struct {
 		Handle any `json:"handle"`
 	}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -68,6 +68,10 @@
 	// silence watches the current try, prepared is where the request goes on after it.
 	silence  *links.Silence
 	prepared *prepared
+	// stop is what is known of stopping the run of the current try, unended the endpoint of the
+	// last try if this host ended it and the endpoint may still work on it; nil otherwise.
+	stop    runStop
+	unended *core.RoutedEndpoint
 	// counted is true once the current try counts as sent, waitLogged once it was logged that
 	// its silent endpoint is waited for.
 	counted, waitLogged bool
@@ -128,7 +132,9 @@
 	health place.Outcome
 	// brokenOff is true when the endpoint ended its answer before it was complete.
 	brokenOff bool
-	err       error
+	// mayGoOn is true if this host ended the try and the endpoint may still work on it.
+	mayGoOn bool
+	err     error
 }
 
 // digest identifies what the request asks for. Where it has no body, the parts of its prompt
@@ -238,7 +244,19 @@
 	e.resumed = !e.delivered
 	e.leavingSince, e.noRoomLogged, e.failedCopyTargets = time.Time{}, false, nil
 	e.answerBegun, e.firstEventAt = false, time.Time{}
+	if e.unended != nil && e.delivered {
+		stoppedFrom, err := e.awaitStopped(ctx, from)
+		if err != nil {
+			e.placer().end(e.run, 0)
+			return tryResult{result: tries.NotSent, err: err}
+		}
+		from = stoppedFrom
+	}
+	e.stop, e.unended = runStop{}, nil
 	end := e.try(ctx, from)
+	if end.mayGoOn {
+		e.unended = &e.run.Endpoint.RoutedEndpoint
+	}
 	e.recordEnd(&end)
 	if !end.done && !e.backupReady() {
 		e.backup.drop(e.placer()) // the copy was to be made by this try
@@ -313,12 +331,13 @@
 	defer answer.Close()
 	defer e.maintainBackup(tryCtx, cancel)()
 	end := e.receive(ctx, answer)
+	e.settleStop(&end)
 	cause := context.Cause(tryCtx)
 	if cause == nil && errors.Is(end.err, errSlow) {
 		cause = errSlow
 	}
 	if end.err != nil && cause != nil {
-		end.err, end.health, end.brokenOff = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false
+		end.err, end.health, end.brokenOff, end.mayGoOn = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false, false
 	}
 	return end
 }
@@ -407,7 +426,8 @@
 	case status >= http.StatusOK && status < http.StatusMultipleChoices:
 		e.answerBegun = true
 		if answer.Header.Get(names.Seal) == "" || answer.Header.Get("Content-Encoding") != "" {
-			return tryResult{result: e.lostResult(), health: place.Bad, err: errors.New("the answer has no seal or is content-encoded")}
+			end := tryResult{result: e.lostResult(), health: place.Bad, err: errors.New("the answer has no seal or is content-encoded")}
+			return *end.leftWhileRunning(answer)
 		}
 		if e.request.Route.Kind == core.RouteStreaming {
 			return e.stream(ctx, answer)
--- a/io/front/silence.go
+++ b/io/front/silence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"apricotproxy/core/procs/place"
+	"apricotproxy/core/reqst/leave"
 	"apricotproxy/core/reqst/tries"
 	"apricotproxy/io/links"
 )
@@ -81,21 +82,49 @@
 }
 
 // askSilent returns errSlow if the request leaves its silent endpoint. It does so only once a place
-// elsewhere is taken. A silent endpoint may go on, so otherwise it is waited for.
+// elsewhere is taken and, for a stream that has begun, once the run is known not to go on. A
+// silent endpoint may go on, so otherwise it is waited for.
 func (e *exchange) askSilent(ctx context.Context) error {
-	step := e.tries.Elsewhere(e.situation())
-	if e.prepare(ctx, step) {
-		e.log("A silent endpoint is left.", "Endpoint", e.run.Endpoint.ID, "Silent", e.silentFor().Milliseconds(), "Next", step.String(), "To", e.prepared.run.Endpoint.ID)
+	if e.stop.since.Before(e.lastEventAt) && e.stop.pending == nil {
+		e.stop = runStop{} // the endpoint has gone on since it was asked
+	}
+	step := e.prepared.nextStep()
+	if step == 0 {
+		step = e.tries.Elsewhere(e.situation())
+	}
+	if (e.prepared != nil || e.prepare(ctx, step)) && e.mayGoOn(ctx, step) {
+		e.log("A silent endpoint is left.", "Endpoint", e.run.Endpoint.ID, "Silent", e.silentFor().Milliseconds(), "Next", e.prepared.step.String(),
+			"To", e.prepared.run.Endpoint.ID, "Evidence", e.stop.evidence.String())
 		return errSlow
 	}
 	if !e.waitLogged {
-		e.log("A silent endpoint is waited for.", "Endpoint", e.run.Endpoint.ID, "Silent", e.silentFor().Milliseconds(), "Step", step.String())
+		e.log("A silent endpoint is waited for.", "Endpoint", e.run.Endpoint.ID, "Silent", e.silentFor().Milliseconds(), "Step", step.String(),
+			"Evidence", e.stop.evidence.String())
 	}
 	e.waitLogged = true
-	e.silence.AskAt = time.Now().Add(_silenceRecheck)
+	pause := _silenceRecheck
+	if e.stop.pending != nil {
+		pause = _stopPoll
+	}
+	e.silence.AskAt = time.Now().Add(pause)
 	return nil
 }
 
+// mayGoOn reports whether the request may go on at the place that was prepared.
+func (e *exchange) mayGoOn(ctx context.Context, step tries.Step) bool {
+	if step == tries.Again {
+		return true // only requests that may run twice are sent anew
+	}
+	if e.decideLeave(ctx, e.run.Endpoint.RoutedEndpoint, e.prepared.run.Endpoint.RoutedEndpoint, false) == leave.Leave {
+		e.continueFrom(e.stop.from)
+		return true
+	}
+	if e.stop.pending == nil && step == tries.Continue {
+		e.dropPrepared() // it would take up the place for as long as the endpoint is silent
+	}
+	return false
+}
+
 // prepare takes a place for a step and reports whether it got one.
 func (e *exchange) prepare(ctx context.Context, step tries.Step) bool {
 	switch step {
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -34,6 +34,8 @@
 	// _maxHeadBytes bounds the bytes that are read until the header of the request's own
 	// answer is complete, answers that are skipped included.
 	_maxHeadBytes = 1 << 20
+	// _maxDiscardedBytes bounds what is read of a connection only to see whether it ends.
+	_maxDiscardedBytes = 64 << 10
 	// _defaultIdleTimeout is how long an idle connection is kept when the endpoint
 	// sends no Keep-Alive timeout.
 	_defaultIdleTimeout = 4 * time.Second
@@ -429,6 +431,21 @@
 // closed and not reset.
 func (a *Answer) Framed() bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
 
+// EndsWithin reports whether the endpoint has closed the connection or does so within a limit. What
+// it sends until then is discarded.
+func (a *Answer) EndsWithin(limit time.Duration) bool {
+	c := &a.connection.head.conn
+	if c.ended {
+		return true
+	}
+	c.silence = nil
+	if err := c.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return false
+	}
+	_, err := io.CopyN(io.Discard, c.conn, _maxDiscardedBytes)
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Close ends the exchange. The connection is kept if the answer was read to its
 // end, the request was written completely and the endpoint allows it.
 func (a *Answer) Close() {
--- a/io/links/silence.go
+++ b/io/links/silence.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
+	"syscall"
 	"time"
 )
 
@@ -27,6 +29,8 @@
 	silence *Silence
 	// deadline is the connection's read deadline.
 	deadline time.Time
+	// ended is true once the other end has closed or reset the connection.
+	ended bool
 	// lookedAt is the AskAt that has passed and after which bytes are read until lookUntil.
 	lookedAt, lookUntil time.Time
 }
@@ -38,6 +42,7 @@
 			return 0, err
 		}
 		n, err := r.conn.Read(p)
+		r.ended = r.ended || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -120,6 +120,9 @@
 	lost   []soakArrival
 	served int
 	feeds  soakFeeds
+	// engines and notes are those of soak_note_test.go.
+	engines []*soakEndpoint
+	notes   soakNotes
 }
 
 func (r *soakRun) violate(format string, args ...any) {
@@ -161,6 +164,11 @@
 	for i := range r.changes {
 		fmt.Fprintf(&common, "[Routes more-%d]\nHostName = h\nPrefix = /more%d/\nKind = Idempotent\nServices = desk\n", i, i)
 	}
+	common.WriteString("[Routes note]\nHostName = h\nPrefix = /note/\nKind = Streaming\nServices = writer\nTimeout = 6s\nGoal = 300ms\nGapGoal = 200ms\nGenerates = true\n")
+	common.WriteString("[Services writer]\nSlots = 12\nMemoryTokens = 100000\nEventTokens = 1\nBackups = true\nMoves = true\n")
+	for _, e := range r.engines {
+		fmt.Fprintf(&common, "[Endpoints %s]\nService = writer\nAddress = %s\nDataCentre = a\nBuild = %s\nSlots = 12\n", e.name, e.Address, e.build)
+	}
 	common.WriteString("[Services desk]\n")
 	for _, e := range r.endpoints {
 		fmt.Fprintf(&common, "[Endpoints %s]\nService = desk\nAddress = %s\nDataCentre = a\nBuild = %s\nSlots = 6\nLeaving = %t\n", e.name, e.Address, e.build, e.leaving)
@@ -300,6 +308,10 @@
 	for i := range hosts {
 		r.hosts = append(r.hosts, &soakHost{caller: addrs.Next(), ready: addrs.Next(), peer: addrs.Next(), hb: addrs.Next(), file: filepath.Join(folder, fmt.Sprint(i, ".ini"))})
 	}
+	if err := r.startEngines(); err != nil {
+		r.violate("%v", err)
+		return
+	}
 	for range endpoints {
 		r.startEndpoint()
 	}
@@ -320,6 +332,7 @@
 		})
 	}
 	for host := range r.hosts {
+		group.Go(func() { r.sendNotes(host) })
 		for caller := range _soakCallers {
 			group.Go(func() {
 				transport := &http.Transport{}
@@ -352,6 +365,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.checkPoison()
+	running, wentOn := r.notes.check()
+	r.violations = append(r.violations, running...)
+	r.t.Logf("%d notes, %d went on at another engine", len(r.notes.runs), wentOn)
 	if n := len(r.lost); n > _soakMaxLost {
 		r.violations = append(r.violations, fmt.Sprintf("%d requests without an answer that endpoints had answered, at hosts that were stopped", n))
 	}
