io/front, core/procs/finish: a stopping host takes only what it can finish

Cause: a stopping host accepted work until its time was over, whatever the work needed. A body that comes slowly on a connection that was made earlier arrives long after the listener closed.

Change: core/procs/finish decides by the time that is left, the request's deadline and the longest of the route's latest answers; others are refused at once, not run, with Retry-After. What has no answer 0.25 s before the end gets 503 or 504. Log lines tell what was refused and each request that is cut. The soak sends requests late in each stop.

--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -15,15 +15,17 @@
 )
 
 // stop ends the service without cutting off requests. The host reports at once that it
-// is not ready, and closes each connection after its next answer. Once the balancer
+// is not ready, refuses requests that it may not finish in time, and closes each connection after
+// its next answer. Once the balancer
 // sends no new connections, the host accepts no more requests and waits until none
 // runs. Later requests find no listener and reach another host without having been
 // read.
 func (h *Host) stop() {
-	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(h.settings.Bounds.StopGrace-_stopMargin))
+	end := time.Now().Add(h.settings.Bounds.StopGrace - _stopMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	h.stopping.Store(true)
-	h.front.DisableKeepAlives()
+	h.front.Stop(end)
 	h.log.Info("This host is stopping.", "Running", h.front.Running())
 	sleep(ctx, _balancerNotice)
 	if err := h.listeners[0].Close(); err != nil {
@@ -31,5 +33,6 @@
 	}
 	if !h.idle.drain(ctx) {
 		h.log.Info("The time to stop is over; running requests are cut off.", "Running", h.front.Running())
+		h.front.LogRunning()
 	}
 }
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -36,10 +36,11 @@
 		return
 	}
 	e.front.counters.countAnswer(a.status)
-	e.front.counters.answerTime.record(time.Since(e.request.Arrived))
+	e.recordAnswered()
 	e.log("Answered.", "Status", a.status, "Bytes", len(a.body), "Took", time.Since(e.request.Arrived).Milliseconds())
 	echo := a.header.Get(e.front.config.Names.RequestID)
 	invar.Check(invar.AnswerToOwnRequest, echo == "" || echo == e.request.ID, "request %s gets the answer to %s", e.request.ID, echo)
+	e.hasBegun.Store(true)
 	header := e.writer.Header()
 	copyAnswerHeader(header, a.header)
 	header.Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -67,16 +68,20 @@
 	e.front.writeError(e.writer, e.incoming, e.request, &errorAnswer{status: status, reason: reason, retryAfter: retryAfter})
 }
 
-// timeout ends a request whose deadline has passed.
-func (e *exchange) timeout() {
+// timeout ends a request whose deadline has passed, or whose host ends before its answer began.
+func (e *exchange) timeout(cause error) {
+	reason := errTimeout.Error()
+	if errors.Is(cause, errStopping) {
+		reason = errStopping.Error()
+	}
 	if e.delivered {
-		e.cut("the request's time is over")
+		e.cut(reason)
 	}
 	status, retry := http.StatusServiceUnavailable, _retryAfter
 	if e.tries.MayHaveRun() {
 		status, retry = http.StatusGatewayTimeout, 0
 	}
-	e.answerError(status, errTimeout.Error(), retry)
+	e.answerError(status, reason, retry)
 }
 
 // cut closes the caller's connection, so that the caller sees that the stream is
@@ -142,7 +147,7 @@
 	e.freeCopy()
 	e.recordSuccess()
 	e.front.counters.countAnswer(answer.StatusCode)
-	e.front.counters.answerTime.record(time.Since(e.request.Arrived))
+	e.recordAnswered()
 	e.log("A stream is complete.", "Events", e.events, "Continued", e.continued, "LongestPause", e.longestPause.Milliseconds(), "Took", time.Since(e.request.Arrived).Milliseconds())
 	if spec := e.engineSpec(); spec != nil {
 		e.placer().recordOutputLength(&e.request.RoutedRequest, e.events*spec.EventTokens)
@@ -223,6 +228,7 @@
 	e.placer().recordPrefillDone(e.run)
 	e.notifyLoadChanged()
 	e.delivered = true
+	e.hasBegun.Store(true)
 	e.begun, e.build = true, e.run.Endpoint.Build
 	e.recordBegin()
 	e.front.counters.firstEventTime.record(time.Since(e.request.Arrived))
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -81,6 +82,10 @@
 	// events counts the events delivered to the caller, received those that arrived complete
 	// from endpoints.
 	events, received int
+	// hasBegun is true once the caller has a part of the answer, bodyReadAt when the request was read
+	// whole. Both may be read while the exchange is served.
+	hasBegun   atomic.Bool
+	bodyReadAt time.Time
 	// delivered is true once the header of a stream was sent to the caller.
 	delivered bool
 	// begun is true once the caller has events of the stream, which were written at build.
@@ -113,7 +118,7 @@
 	e := &exchange{
 		front: f, writer: w, controller: http.NewResponseController(w), incoming: r, request: req,
 		tries: tries.New(req.Route, f.config.Switches.Tries), sharedParts: req.Prompt.SharedParts(),
-		buffered: share{limit: f.buffers},
+		buffered: share{limit: f.buffers}, bodyReadAt: time.Now(),
 	}
 	if last, err := strconv.Atoi(r.Header.Get(f.config.Names.LastEventID)); err == nil && req.Route.Resumable {
 		e.takenUp, e.position = true, event.After(last)
@@ -174,7 +179,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if ctx.Err() != nil {
-			e.timeout()
+			e.timeout(context.Cause(ctx))
 			return
 		}
 		if !errors.Is(end.err, errSlow) {
@@ -229,14 +234,14 @@
 	defer cancel(nil)
 	e.watchBlocks(func() { cancel(errBlocked) })
 	defer e.unwatchBlocks()
-	if e.checkBlocked() {
+	if e.checkStopping() || e.checkBlocked() {
 		return tryResult{done: true}
 	}
 	from, notPlaced := e.placeStep(ctx, step)
 	if notPlaced != nil {
 		return *notPlaced
 	}
-	if e.checkBlocked() {
+	if e.checkStopping() || e.checkBlocked() {
 		e.placer().end(e.run, 0)
 		return tryResult{done: true}
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -79,6 +79,7 @@
 	running            atomic.Int64
 	buffers            *bufferLimit
 	counters           *counters
+	planned            *planned
 }
 
 // New returns a handler for routed requests.
@@ -86,12 +87,9 @@
 	if config.Origins == nil {
 		config.Origins = NewSharedOrigins(OriginConfig{})
 	}
-	return &Front{config: config, log: config.Logger.WithName("front"), buffers: newBufferLimit(config.BufferBytes), counters: newCounters()}
+	return &Front{config: config, log: config.Logger.WithName("front"), buffers: newBufferLimit(config.BufferBytes), counters: newCounters(), planned: newPlanned()}
 }
 
-// DisableKeepAlives makes the host close each caller's connection after its next answer.
-func (f *Front) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
-
 // Running returns the number of requests in flight.
 func (f *Front) Running() int { return int(f.running.Load()) }
 
@@ -122,7 +120,10 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), request.Deadline, errTimeout)
 	defer cancel()
-	newExchange(f, w, r, request).serve(ctx)
+	e := newExchange(f, w, r, request)
+	ctx, done := f.planned.track(ctx, e)
+	defer done()
+	e.serve(ctx)
 }
 
 // request is a routed request and its body.
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -123,6 +123,9 @@
 	// engines and notes are those of soak_note_test.go.
 	engines []*soakEndpoint
 	notes   soakNotes
+	// stops counts planned stops, late the answers to requests that came late in them.
+	stops int
+	late  map[string]int
 }
 
 func (r *soakRun) violate(format string, args ...any) {
@@ -246,8 +249,11 @@
 		defer r.disturb(h)()
 		r.mu.Lock()
 		h.stopping = true
+		r.stops++
+		stop := r.stops
 		r.mu.Unlock()
 		_ = command.Process.Signal(syscall.SIGTERM)
+		r.sendLate(i, stop)
 		select {
 		case <-exited:
 			if err := h.exitError; err != nil {
@@ -367,7 +373,7 @@
 	r.checkPoison()
 	running, wentOn := r.notes.check()
 	r.violations = append(r.violations, running...)
-	r.t.Logf("%d notes, %d went on at another engine", len(r.notes.runs), wentOn)
+	r.t.Logf("%d notes, %d went on at another engine; %d stops, answers to late requests: %v", len(r.notes.runs), wentOn, r.stops, r.late)
 	if n := len(r.lost); n > _soakMaxLost {
 		r.violations = append(r.violations, fmt.Sprintf("%d requests without an answer that endpoints had answered, at hosts that were stopped", n))
 	}
@@ -395,7 +401,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			r := &soakRun{
 				t: t, binary: binary, runs: make(map[string]int), answered: make(map[string]bool), notRun: make(map[string]bool),
-				poison: make(map[string][]soakArrival),
+				poison: make(map[string][]soakArrival), late: make(map[string]int),
 			}
 			r.execute(uint64(seed), hosts, hosts+2)
 			for _, violation := range r.violations {
