io/front, core/procs/origin: the only known build counts with documents that are up to date

Cause: without a record the host trusted the single build that it knew while its documents were less than 2 s old, and took the silence of the other hosts for their not knowing.

Change: a single build counts only if the documents were up to date after the caller came back. The host waits up to 1 s for that, then asks the engines and the store's history as before.

Before, on: TestHostOutOfStepDoesNotTrustItsOnlyBuild fails in 2 of 3 cases, the stream goes on at the old build. After: it passes, and the tests of io/entry and of take-ups pass.

Conclusion: the age of knowledge does not show that it is complete.

--- a/core/procs/origin/origin.go
+++ b/core/procs/origin/origin.go
@@ -7,7 +7,8 @@
 //  1. the record that the stream was begun, its own or a copy that another host sent;
 //  2. the records of the other hosts, which it asks;
 //  3. that a single build was in service for as long as the stream can have lasted: a new one may
-//     be known to other hosts only, so this comes after their records;
+//     be known to other hosts only, so this comes after their records, and only with documents that
+//     were up to date after the caller came back;
 //  4. which engines hold the part of the prompt that belongs to this request alone;
 //  5. which builds the store's history shows in service, if there is a single one now.
 //
@@ -59,11 +60,13 @@
 	OtherHost
 	Engines
 	StoreHistory
+	// Unconfirmed: as SingleBuild, but another build may have come that this host has not heard of.
+	Unconfirmed
 )
 
 // String returns the name used in logs.
 func (s Source) String() string {
-	return [...]string{"Unknown", "Recorded", "SingleBuild", "OtherHost", "Engines", "StoreHistory"}[s]
+	return [...]string{"Unknown", "Recorded", "SingleBuild", "OtherHost", "Engines", "StoreHistory", "Unconfirmed"}[s]
 }
 
 // Ledger holds the records of one host and which builds were in service. It is not safe for
@@ -75,6 +78,8 @@
 	// uncopied holds the records that were not sent to other hosts yet.
 	uncopied []Record
 	builds   builds
+	// freshAt is when the host's documents were last known to be up to date.
+	freshAt time.Time
 }
 
 // New returns a ledger that knows nothing.
@@ -140,6 +145,9 @@
 	Services []core.ServiceName
 	// BegunAfter is the earliest time at which the stream can have begun.
 	BegunAfter time.Time
+	// ConfirmedAfter is the time at which the documents must have been up to date, or later: a host
+	// that is out of step does not know a build at which others begin streams.
+	ConfirmedAfter time.Time
 }
 
 // Question returns the request whose record other hosts are asked for. It is empty if there can be
@@ -160,6 +168,9 @@
 		return Origin{}, Unknown
 	}
 	if found, ok := l.builds.single(now, s.Services[0], s.BegunAfter); ok {
+		if l.freshAt.Before(s.ConfirmedAfter) {
+			return found, Unconfirmed
+		}
 		return found, SingleBuild
 	}
 	return Origin{}, Unknown
@@ -172,6 +183,9 @@
 // that it does not know.
 func (l *Ledger) SetCurrent(now time.Time, current bool) { l.builds.setCurrent(now, current) }
 
+// SetFreshAt records when the host's documents were last known to be up to date.
+func (l *Ledger) SetFreshAt(at time.Time) { l.freshAt = at }
+
 // HasSingleBuild reports whether the services have a single build in service now, so that the
 // past can tell that a stream was begun there.
 func (l *Ledger) HasSingleBuild(services []core.ServiceName) bool {
--- a/core/procs/origin/script_test.go
+++ b/core/procs/origin/script_test.go
@@ -35,6 +35,7 @@
 //	expire        time passes
 //	view          the builds in service: "desk v1"
 //	current       the host's documents are up to date, or "false" not
+//	fresh         when the host's documents were last known to be up to date
 //	merge         what another host knows of the builds: "desk v1 60", when it was last seen
 //	span          what this host knows of them
 //	resolve       a caller takes a stream up that was begun after some time
@@ -76,6 +77,8 @@
 		s.ledger.Observe(s.time(d, "at"), s.view(d.Input))
 	case "current":
 		s.ledger.SetCurrent(s.time(d, "at"), !d.HasArg("false"))
+	case "fresh":
+		s.ledger.SetFreshAt(s.time(d, "at"))
 	case "merge":
 		s.ledger.Merge(s.span(d))
 	case "span":
@@ -203,6 +206,9 @@
 
 func (s *script) resolve(d *datadriven.TestData) string {
 	stream := origin.Stream{BegunAfter: s.time(d, "begun"), Services: []core.ServiceName{"desk"}}
+	if d.HasArg("confirmed") {
+		stream.ConfirmedAfter = s.time(d, "confirmed")
+	}
 	var request, services string
 	d.MaybeScanArgs(s.t, "request", &request)
 	stream.Request = s.requestID(request)
--- a/io/entry/origin.go
+++ b/io/entry/origin.go
@@ -31,6 +31,7 @@
 	status := h.docState.syncStatus()
 	h.origins.Update(func(l *origin.Ledger) {
 		l.SetCurrent(now, h.freshness.Check(now, now.Round(0), status.FreshAt, h.settings.Bounds.LeavingSpread))
+		l.SetFreshAt(status.FreshAt)
 		l.Expire(now)
 	})
 }
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -16,6 +16,10 @@
 	_peerAnswerTimeout = 150 * time.Millisecond
 	// _questionInterval is after how long they are asked again.
 	_questionInterval = 50 * time.Millisecond
+	// _confirmTimeout is how long a stream waits until the documents are known to be up to date: a
+	// few readings of the store, which hosts tell each other with their heartbeats.
+	_confirmTimeout  = time.Second
+	_confirmInterval = 20 * time.Millisecond
 )
 
 // OriginConfig holds what SharedOrigins needs to ask others. Each function may be nil.
@@ -39,10 +43,12 @@
 type SharedOrigins struct {
 	config OriginConfig
 
-	// historyMu is held while the store's history is read, which last began at historyReadAt. It
-	// is taken before mu.
+	// historyMu is held while the store's history is read, which last began at historyReadAt. It is
+	// taken before mu.
 	historyMu     sync.Mutex
 	historyReadAt time.Time
+	// historyIsKnown is true if that reading told which builds were in service.
+	historyIsKnown bool
 
 	mu     sync.Mutex
 	ledger *origin.Ledger
@@ -117,12 +123,16 @@
 func (s *SharedOrigins) find(ctx context.Context, arrived time.Time, stream origin.Stream, ownPart string) (origin.Origin, origin.Source) {
 	if s.config.Refresh != nil {
 		s.config.Refresh()
+		stream.ConfirmedAfter = arrived
 	}
 	found, source := s.resolve(stream)
 	if source != origin.Recorded && s.config.AskHosts != nil {
 		found, source = s.resolveWithHosts(ctx, stream, source)
 	}
-	if source != origin.Unknown {
+	if source == origin.Unconfirmed {
+		found, source = s.awaitConfirmed(ctx, stream)
+	}
+	if source != origin.Unknown && source != origin.Unconfirmed {
 		return found, source
 	}
 	if s.config.AskEngines != nil && ownPart != "" {
@@ -139,12 +149,29 @@
 func (s *SharedOrigins) resolveWithHosts(ctx context.Context, stream origin.Stream, before origin.Source) (origin.Origin, origin.Source) {
 	s.askHosts(ctx, stream.Question())
 	found, source := s.resolve(stream)
-	if source != origin.Unknown && source != before {
+	if source != origin.Unknown && source != origin.Unconfirmed && source != before {
 		source = origin.OtherHost
 	}
 	return found, source
 }
 
+// awaitConfirmed waits until the documents are known to be up to date, and returns where a stream was
+// begun by then.
+func (s *SharedOrigins) awaitConfirmed(ctx context.Context, stream origin.Stream) (origin.Origin, origin.Source) {
+	deadline := time.Now().Add(_confirmTimeout)
+	for {
+		select {
+		case <-ctx.Done():
+			return origin.Origin{}, origin.Unknown
+		case <-time.After(_confirmInterval):
+		}
+		s.config.Refresh()
+		if found, source := s.resolve(stream); source != origin.Unconfirmed || time.Now().After(deadline) {
+			return found, source
+		}
+	}
+}
+
 // findInHistory returns where a stream was begun if the store's history shows a single build. Requests
 // that arrive while it is read share the next reading, so that none waits for more than two.
 func (s *SharedOrigins) findInHistory(ctx context.Context, arrived time.Time, stream origin.Stream) (origin.Origin, origin.Source) {
@@ -158,9 +185,13 @@
 	if s.historyReadAt.Before(arrived) {
 		s.historyReadAt = time.Now()
 		span := s.config.ReadHistory(ctx)
+		s.historyIsKnown = !span.Since.IsZero()
 		s.Update(func(l *origin.Ledger) { l.Merge(span) })
 	}
-	if found, source := s.resolve(stream); source != origin.Unknown {
+	if s.historyIsKnown {
+		stream.ConfirmedAfter = time.Time{} // the history was read after the request arrived
+	}
+	if found, source := s.resolve(stream); source != origin.Unknown && source != origin.Unconfirmed {
 		return found, origin.StoreHistory
 	}
 	return origin.Origin{}, origin.Unknown
