io/links, io/front: headers and events without end take little memory at a time

Report of another operator: faulty endpoints sent bytes without end, their callers' host ran out of memory and ended, and with it the requests of its other clients.

Cause: headers had a bound of 1 MiB each and grow several times when parsed; events that do not end had one of 256 KiB each. Neither was bounded in all.

Events that are not complete take room from the bound of the answers that are read before they are relayed.

Conclusion: a bound for each user of a resource is none for all of them.

--- a/fakes/routed/routed.go
+++ b/fakes/routed/routed.go
@@ -141,6 +141,28 @@
 	return sent
 }
 
+// FloodLines sends lines without end until the other end closes the connection, or until most bytes
+// were sent. It returns their number.
+func (c *Call) FloodLines(line func(n int) string, most int64) int64 {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(_floodBufferBytes)
+	}
+	sent := int64(0)
+	for n := 0; sent < most; {
+		var block strings.Builder
+		for block.Len() < 4096 {
+			block.WriteString(line(n))
+			n++
+		}
+		written, err := io.WriteString(c.conn, block.String())
+		sent += int64(written)
+		if err != nil {
+			break
+		}
+	}
+	return sent
+}
+
 // Reset closes the connection with a TCP reset.
 func (c *Call) Reset() {
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -96,6 +96,7 @@
 // one that has stalled may send a byte now and then.
 func (e *exchange) stream(ctx context.Context, answer *links.Answer) tryResult {
 	e.splitter.Reset()
+	e.buffered.resize(0)
 	chunk := make([]byte, _streamReadBytes)
 	for {
 		n, err := answer.Read(chunk)
@@ -157,6 +158,10 @@
 // deliverEvents delivers the complete events among the bytes read so far. It returns
 // nil if the try goes on.
 func (e *exchange) deliverEvents(answer *links.Answer, p []byte) *tryResult {
+	if !e.buffered.resize(int64(e.splitter.Buffered() + len(p))) {
+		return &tryResult{result: e.lostResult(), health: place.Bad, err: errBuffersFull}
+	}
+	defer func() { e.buffered.resize(int64(e.splitter.Buffered())) }()
 	if err := e.splitter.Add(p); err != nil {
 		return &tryResult{result: e.lostResult(), health: place.Bad, err: err}
 	}
--- a/io/front/buffer.go
+++ b/io/front/buffer.go
@@ -24,11 +24,11 @@
 	_shortAnswersShare = 4
 )
 
-// errBuffersFull means that the answers that are being read take too much memory.
-var errBuffersFull = errors.New("the answers that are being read use too much memory")
+// errBuffersFull means that what is being read takes too much memory.
+var errBuffersFull = errors.New("what is being read uses too much memory")
 
 // bufferLimit bounds the bytes of all answers that are read completely before they are
-// relayed. It is safe for concurrent use.
+// relayed and of events that are not complete, or of all bodies of requests. It is safe for concurrent use.
 type bufferLimit struct {
 	bytes int64
 	left  atomic.Int64
@@ -74,6 +74,18 @@
 	s.used = 0
 }
 
+// resize takes or returns room so that the request uses n bytes. It returns false if there is none.
+func (s *share) resize(n int64) bool {
+	if n > s.used && !s.limit.take(s.used, n-s.used) {
+		return false
+	}
+	if n < s.used {
+		s.limit.left.Add(s.used - n)
+	}
+	s.used = n
+	return true
+}
+
 // reader returns a reader of r that takes what it reads from the limit.
 func (s *share) reader(r io.Reader) io.Reader { return &shareReader{share: s, reader: r} }
 
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -31,9 +31,6 @@
 	// _maxStrayAnswers bounds the responses that are read to find a request's own
 	// answer; the others are skipped.
 	_maxStrayAnswers = 4
-	// _maxHeadBytes bounds the bytes that are read until the header of the request's own
-	// answer is complete, answers that are skipped included.
-	_maxHeadBytes = 1 << 20
 	// _maxDiscardedBytes bounds what is read of a connection only to see whether it ends.
 	_maxDiscardedBytes = 64 << 10
 	// _defaultIdleTimeout is how long an idle connection is kept when the endpoint
@@ -392,11 +389,13 @@
 // earlier request may come first; its request id tells it apart.
 func (c *connection) readAnswer(request *Request) (*http.Response, Ownership, error) {
 	httpRequest := &http.Request{Method: request.Method}
-	c.head.begin(_maxHeadBytes)
+	c.head.begin()
 	defer c.head.end()
 	isFirst := !c.isReused
 	for range _maxStrayAnswers {
+		c.head.beginHead()
 		res, err := http.ReadResponse(c.reader, httpRequest)
+		c.head.endHead()
 		if err != nil {
 			return nil, Foreign, fmt.Errorf("read the answer: %w", err)
 		}
