io/front: bodies of requests share a bound

Cause: each body is read whole, with a bound for each and none for all.

Change: bodies use a quarter of the host's memory at most, short ones the last quarter of that. What finds no room is refused at once, not run, with Retry-After.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -37,6 +37,8 @@
 	// _bufferDivisor is the part of a host's memory that answers may use that are read
 	// completely before they are relayed: an eighth.
 	_bufferDivisor = 8
+	// _bodyDivisor is the part of a host's memory that the bodies of requests may use: a quarter.
+	_bodyDivisor = 4
 	// _headerTimeout limits the time that a caller takes to send a request's header.
 	_headerTimeout = 10 * time.Second
 	// _maxHeaderBytes limits a request's header, whatever the configuration says.
@@ -125,7 +127,7 @@
 	h.origins = h.newOrigins()
 	h.front = front.New(front.Config{
 		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Detector: h.detector, Origins: h.origins, Links: h.links, View: h.docState.View,
-		SyncStatus: h.docState.syncStatus, Logger: settings.Logger, BufferBytes: settings.MemoryBytes / _bufferDivisor,
+		SyncStatus: h.docState.syncStatus, Logger: settings.Logger, BufferBytes: settings.MemoryBytes / _bufferDivisor, BodyBytes: settings.MemoryBytes / _bodyDivisor,
 		ConfirmIncarnation: h.confirmIncarnation,
 		LoadChanged:        func() { h.peers.scheduleLoadChanges() }, Switches: settings.Switches.Front,
 	})
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -57,6 +57,9 @@
 	// BufferBytes bounds the bytes of all answers that are read completely before they are
 	// relayed; 0 for a default.
 	BufferBytes int64
+	// BodyBytes bounds the bytes of all bodies of requests that are being read or served; 0 for a
+	// default.
+	BodyBytes int64
 	// Switches turn safeguards off, to verify that tests detect their absence.
 	Switches Switches
 }
@@ -78,6 +81,7 @@
 	keepAlivesDisabled atomic.Bool
 	running            atomic.Int64
 	buffers            *bufferLimit
+	bodies             *bufferLimit
 	counters           *counters
 	planned            *planned
 }
@@ -87,7 +91,7 @@
 	if config.Origins == nil {
 		config.Origins = NewSharedOrigins(OriginConfig{})
 	}
-	return &Front{config: config, log: config.Logger.WithName("front"), buffers: newBufferLimit(config.BufferBytes), counters: newCounters(), planned: newPlanned()}
+	return &Front{config: config, log: config.Logger.WithName("front"), buffers: newBufferLimit(config.BufferBytes), bodies: newBufferLimit(config.BodyBytes), counters: newCounters(), planned: newPlanned()}
 }
 
 // Running returns the number of requests in flight.
@@ -111,8 +115,10 @@
 	}
 	arrived := time.Now()
 	request, failure := f.admit(r, arrived)
+	room := share{limit: f.bodies}
+	defer room.release()
 	if failure == nil {
-		failure = f.readBody(w, r, request)
+		failure = f.readBody(w, r, request, &room)
 	}
 	if failure != nil {
 		f.writeError(w, r, request, failure)
@@ -237,8 +243,9 @@
 	return n
 }
 
-// readBody reads the whole body, so that it can be sent again.
-func (f *Front) readBody(w http.ResponseWriter, r *http.Request, req *request) *errorAnswer {
+// readBody reads the whole body, so that it can be sent again. It takes room for it until the request
+// is done.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, req *request, room *share) *errorAnswer {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
@@ -250,7 +257,7 @@
 	if err := control.SetReadDeadline(readDeadline); err != nil {
 		f.log.Error(err, "The read deadline of a request's body could not be set.", "Request", req.ID)
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(room.reader(r.Body))
 	if err == nil {
 		err = control.SetReadDeadline(time.Time{})
 		req.body = body
@@ -261,6 +268,9 @@
 		return nil
 	case errors.As(err, &tooLong):
 		return &errorAnswer{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
+	case errors.Is(err, errBuffersFull):
+		w.Header().Set("Connection", "close") // net/http would read the rest before it answers
+		return &errorAnswer{status: http.StatusServiceUnavailable, reason: "there is no room for the body", retryAfter: _retryAfter}
 	default:
 		return &errorAnswer{status: http.StatusRequestTimeout, reason: "the body did not arrive in time"}
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -107,7 +107,7 @@
 	t.Cleanup(pool.Close)
 	r.server = httptest.NewServer(front.New(front.Config{
 		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: pool,
-		Detector: r.detector, Origins: r.origins, BufferBytes: _bufferBytes,
+		Detector: r.detector, Origins: r.origins, BufferBytes: _bufferBytes, BodyBytes: _bodyBytes,
 		View: r.view.Load, Logger: r.logger(), LoadChanged: func() {},
 		SyncStatus: func() know.SyncStatus { return know.SyncStatus{AsOf: 12, FreshAt: time.Now().Add(-_documentAge)} },
 	}))
