core/procs/know: a second cold phase is told from the first by its end

Cause: the cold time in a heartbeat was compared with that of the registration, as if both had been said at the same moment. A second phase that was not longer counted as a heartbeat.

Change: the times at which the phases end are compared.

Conclusion: a remaining time means something only with the moment at which it was said.

--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -342,7 +342,7 @@
 	if sameIncarnation {
 		next.endpoint.FirstSeen = known.FirstSeen
 	}
-	if sameIncarnation && !before.document.Deleted && onlyHeartbeatDiffers(known.RoutedEndpoint, e) {
+	if sameIncarnation && !before.document.Deleted && !coldAgain(now, known, e.Cold) && onlyHeartbeatDiffers(known.RoutedEndpoint, e) {
 		// A heartbeat: the document that made the last change is kept, to be sent to
 		// other hosts.
 		before.endpoint.Sequence = e.Sequence
@@ -353,12 +353,21 @@
 	return true
 }
 
+// _coldJitter is by how much later the end of one cold phase may seem in a heartbeat that is read
+// later than another after it was written: about a pause between readings of the store.
+const _coldJitter = 300 * time.Millisecond
+
+// coldAgain reports whether an endpoint that is cold for some more time began another cold phase since
+// the one that is known.
+func coldAgain(now time.Time, known Endpoint, cold time.Duration) bool {
+	return cold > 0 && now.Add(cold).After(known.ColdUntil.Add(_coldJitter))
+}
+
 // onlyHeartbeatDiffers reports whether two documents of one incarnation differ only in
-// their heartbeats. The cold phase ends by itself, so only its start counts as a change.
+// their heartbeats. The cold phase ends by itself.
 func onlyHeartbeatDiffers(known, received core.RoutedEndpoint) bool {
-	coldAgain := received.Cold > known.Cold
 	received.Sequence, received.Cold = known.Sequence, known.Cold
-	return received == known && !coldAgain
+	return received == known
 }
 
 // compact drops the oldest tombstones once there are more than _maxTombstones, so that
--- a/core/procs/know/script_test.go
+++ b/core/procs/know/script_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 
@@ -21,10 +22,11 @@
 //	list, watch  an answer with all documents or with those that changed
 //	status       the status in another host's heartbeat
 //	expire       time passes
+//	cold         until when endpoints are cold
 //
 // A line of input is a document: "config 5 2" (name, revision, version), "out/waco 5" or
-// "a 5 3" (an endpoint with its count of heartbeats); "leaving" marks an endpoint that
-// leaves, "deleted" a deleted document. Output is what is known then.
+// "a 5 3" (an endpoint with its count of heartbeats); "cold=4" marks one that is cold for 4 more
+// seconds, "leaving" one that leaves, "deleted" a deleted document. Output is what is known then.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := newState(nil)
@@ -58,6 +60,8 @@
 		return fmt.Sprintf("behind=%t %s", behind, summary(s))
 	case "expire":
 		s.Expire(now)
+	case "cold":
+		return coldSummary(s)
 	default:
 		t.Fatalf("unknown command %q", d.Cmd)
 	}
@@ -99,7 +103,22 @@
 		built, err := table.Build(table.Source{Version: n})
 		return know.Content{Table: built}, err
 	}
-	return know.Content{Endpoint: &core.RoutedEndpoint{ID: d.Name, Sequence: n, Draining: rest == "leaving"}}, nil
+	endpoint := &core.RoutedEndpoint{ID: d.Name, Sequence: n, Draining: rest == "leaving"}
+	if seconds, ok := strings.CutPrefix(rest, "cold="); ok {
+		endpoint.Cold, err = time.ParseDuration(seconds + "s")
+	}
+	return know.Content{Endpoint: endpoint}, err
+}
+
+// coldSummary returns until which second each endpoint is cold.
+func coldSummary(s *know.State) string {
+	var lines []string
+	for _, e := range s.View().Endpoints {
+		if !e.ColdUntil.IsZero() {
+			lines = append(lines, fmt.Sprintf("%s until %.1f", e.ID, e.ColdUntil.Sub(at(0)).Seconds()))
+		}
+	}
+	return strings.Join(lines, "\n")
 }
 
 func summary(s *know.State) string {
