io/front: a try that ends before its second event counts as a loss

Cause: a loss was recorded only for tries without an event, success after two events of the whole answer, and no loss of a part for an answer with a length.

Change: events are counted for each try; a connection that ends before the second one is a loss of the request and of its parts, and so is an answer with a length that breaks off.

The checks of the earlier tests are unchanged for their own cases.

Conclusion: what a try did is not what the caller has.

--- a/io/entry/crash_test.go
+++ b/io/entry/crash_test.go
@@ -25,11 +25,13 @@
 	// crashes counts the answers that were broken off.
 	crashes atomic.Int64
 	sent    int
+	// firstEvent is true if they send the first event before.
+	firstEvent bool
 }
 
-func newCrashSite(t *testing.T) *crashSite {
+func newCrashSite(t *testing.T, firstEvent bool) *crashSite {
 	t.Helper()
-	s := &crashSite{site: newSite(t, 3)}
+	s := &crashSite{site: newSite(t, 3), firstEvent: firstEvent}
 	s.store.Put("config", `{"Version":1,"Prefix":"/a/","Streams":true}`)
 	for i := range _crashEngines {
 		s.endpoint(fmt.Sprint("e", i), s.serve)
@@ -39,9 +41,16 @@
 }
 
 func (s *crashSite) serve(c *routed.Call) bool {
-	c.BeginStream("Request-Id: "+c.Header.Get("Request-Id"), "Seal: s")
-	if strings.Contains(c.Header.Get("Parts"), "bad:") {
+	isBad := strings.Contains(c.Header.Get("Parts"), "bad:")
+	if isBad {
 		s.crashes.Add(1)
+	}
+	if isBad && s.firstEvent {
+		answerEvents(c, true)
+		return false
+	}
+	c.BeginStream("Request-Id: "+c.Header.Get("Request-Id"), "Seal: s")
+	if isBad {
 		return false
 	}
 	for id := range 3 {
@@ -84,26 +93,36 @@
 // reaches an engine, at whichever host it arrives. Requests that share the other parts
 // are served.
 func TestPromptPartThatCrashesEngines(t *testing.T) {
-	s := newCrashSite(t)
+	newCrashSite(t, false).checkPart()
+}
+
+// The same of engines that crash after their first event: the part was never contained.
+func TestPromptPartThatCrashesEnginesAfterItsFirstEvent(t *testing.T) {
+	newCrashSite(t, true).checkPart()
+}
+
+// checkPart crashes five engines and fails the test if the part is not contained then.
+func (s *crashSite) checkPart() {
+	s.t.Helper()
 	s.crash(5)
 	time.Sleep(_crashSpread)
 	before := s.crashes.Load()
 	for i := range 12 {
-		if status := s.send(i%len(s.front), fmt.Sprintf("other%d:20,bad:20", i)); status == 200 {
-			t.Errorf("request %d that crashes engines got status 200", i)
+		if status := s.send(i%len(s.front), fmt.Sprintf("other%d:20,bad:20", i)); status == 200 && !s.firstEvent {
+			s.t.Errorf("request %d that crashes engines got status 200", i)
 		}
 	}
 	if late := s.crashes.Load() - before; late > _maxLateArrivals {
-		t.Errorf("%d requests with the part reached engines, want at most %d", late, _maxLateArrivals)
+		s.t.Errorf("%d requests with the part reached engines, want at most %d", late, _maxLateArrivals)
 	}
 	if served := s.soundServed("common"); served != len(s.front) {
-		t.Errorf("%d of %d requests with the common part were served", served, len(s.front))
+		s.t.Errorf("%d of %d requests with the common part were served", served, len(s.front))
 	}
 }
 
 // A host that starts afterwards learns of the part from the others.
 func TestPromptPartThatCrashesEnginesAfterRestart(t *testing.T) {
-	s := newCrashSite(t)
+	s := newCrashSite(t, false)
 	s.crash(5)
 	s.stopAndWait(0)
 	s.start(0)
--- a/io/entry/poison_test.go
+++ b/io/entry/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,15 +28,17 @@
 	*site
 	// crashes counts the endpoints that ended.
 	crashes atomic.Int64
+	// streams is true if answers are streams. An endpoint ends after its first event then.
+	streams bool
 	mu      sync.Mutex
 	started int
 	sent    atomic.Int64
 }
 
-func newPoisonSite(t *testing.T) *poisonSite {
+func newPoisonSite(t *testing.T, streams bool) *poisonSite {
 	t.Helper()
-	s := &poisonSite{site: newSite(t, 3)}
-	s.store.Put("config", `{"Version":1,"Prefix":"/a/"}`)
+	s := &poisonSite{site: newSite(t, 3), streams: streams}
+	s.store.Put("config", fmt.Sprintf(`{"Version":1,"Prefix":"/a/","Streams":%t}`, streams))
 	for range _poisonEndpoints {
 		s.startEndpoint()
 	}
@@ -54,7 +57,14 @@
 	ready := make(chan struct{}) // closed once endpoint is set
 	var endpoint *routed.Endpoint
 	endpoint, err := routed.Start(func(c *routed.Call) bool {
-		if !strings.Contains(c.RequestURI, "poison") {
+		isPoison := strings.Contains(c.RequestURI, "poison")
+		if s.streams {
+			answerEvents(c, isPoison)
+		}
+		if !isPoison && s.streams {
+			return true
+		}
+		if !isPoison {
 			c.Answer(200, "sound", "Request-Id: "+c.Header.Get("Request-Id"), "Seal: s")
 			return true
 		}
@@ -74,6 +84,24 @@
 	s.store.Put(name, endpoint.Address)
 }
 
+// answerEvents answers with a stream from the event on that is due, or only with its first event.
+func answerEvents(c *routed.Call, onlyFirst bool) {
+	c.BeginStream("Request-Id: "+c.Header.Get("Request-Id"), "Seal: s")
+	first := 0
+	if last, err := strconv.Atoi(c.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	c.Chunk(routed.Event(first))
+	if onlyFirst {
+		time.Sleep(20 * time.Millisecond)
+		return
+	}
+	for id := first + 1; id < first+3; id++ {
+		c.Chunk(routed.Event(id))
+	}
+	c.EndStream()
+}
+
 // send sends a request with an ID of its own to a host.
 func (s *poisonSite) send(host int, path string) int {
 	status, _ := s.get(s.front[host], path, fmt.Sprintf("Request-Id: r%d", s.sent.Add(1)))
@@ -105,7 +133,7 @@
 	time.Sleep(_crashSpread)
 	before := s.crashes.Load()
 	for i := range 12 {
-		if status := s.send(i%len(s.front), path); status != 503 && status != 502 {
+		if status := s.send(i%len(s.front), path); status != 503 && status != 502 && !s.streams {
 			s.t.Errorf("a request that crashes endpoints got status %d", status)
 		}
 	}
@@ -118,7 +146,14 @@
 // A request that has crashed three endpoints hardly reaches any more, at whichever host it
 // arrives and under whichever ID.
 func TestRequestThatCrashesEndpoints(t *testing.T) {
-	s := newPoisonSite(t)
+	s := newPoisonSite(t, false)
+	s.crash("/a/poison")
+	s.checkContained("/a/poison")
+}
+
+// A request that crashed each endpoint after its first event was never contained.
+func TestRequestThatCrashesEndpointsAfterItsFirstEvent(t *testing.T) {
+	s := newPoisonSite(t, true)
 	s.crash("/a/poison")
 	s.checkContained("/a/poison")
 }
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -210,6 +210,7 @@
 			e.log("The stream continued.", "Endpoint", e.run.Endpoint.ID, "Pause", time.Since(e.lastEventAt).Milliseconds())
 		}
 		e.events++
+		e.tryEvents++
 		now := time.Now()
 		if e.events > 1 {
 			e.longestPause = max(e.longestPause, now.Sub(e.lastEventAt))
@@ -219,7 +220,7 @@
 			e.firstEventAt = e.lastEventAt
 			e.unwatchBlocks()
 		}
-		if e.events >= _eventsOfSuccess {
+		if e.tryEvents >= _eventsOfSuccess {
 			e.recordSuccess()
 		}
 		if _, err := e.writer.Write(next); err != nil {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -104,6 +104,8 @@
 	// answerBegun is true once the current try got the head of an answer that was not a
 	// refusal.
 	answerBegun bool
+	// tryEvents counts the events that the current try delivered.
+	tryEvents int
 	// firstEventAt is when the first event of the current try was delivered; zero before.
 	firstEventAt time.Time
 	// lastEventAt is when an event was last delivered.
@@ -248,7 +250,7 @@
 	e.continued = e.continued || step != tries.Again
 	e.resumed = !e.delivered
 	e.leavingSince, e.noRoomLogged, e.failedCopyTargets = time.Time{}, false, nil
-	e.answerBegun, e.firstEventAt = false, time.Time{}
+	e.answerBegun, e.firstEventAt, e.tryEvents = false, time.Time{}, 0
 	if e.unended != nil && e.delivered {
 		stoppedFrom, err := e.awaitStopped(ctx, from)
 		if err != nil {
@@ -443,7 +445,7 @@
 	}
 	body, err := e.readBuffered(answer)
 	if err != nil {
-		return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, place.Bad), err: err}
+		return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, place.Bad), brokenOff: isConnectionEnd(err), err: err}
 	}
 	e.front.config.Detector.recordRequestSuccess(e)
 	if status < http.StatusInternalServerError && !meansNotRun(status) {
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -237,13 +237,16 @@
 	return blocked
 }
 
-// recordEnd records the loss of the request if its connection ended before any of its answer
-// could be used, and the loss of its prompt's parts if the endpoint had begun the answer.
+// recordEnd records the loss of the request if its connection ended before the answer was seen to go
+// on, and the loss of its prompt's parts if the endpoint had begun the answer.
 func (e *exchange) recordEnd(end *tryResult) {
-	if end.result == tries.Lost && isConnectionEnd(end.err) {
+	if e.tryEvents >= _eventsOfSuccess {
+		return
+	}
+	if (end.result == tries.Lost || end.result == tries.Broken) && isConnectionEnd(end.err) {
 		e.front.config.Detector.recordRequestLoss(e)
 	}
-	if !end.brokenOff || !e.firstEventAt.IsZero() || len(e.sharedParts) == 0 {
+	if !end.brokenOff || len(e.sharedParts) == 0 {
 		return
 	}
 	parts := e.request.Prompt.Parts
@@ -258,8 +261,8 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// _eventsOfSuccess is the number of events after which a prompt counts as harmless to
-// engines.
+// _eventsOfSuccess is the number of events of one try after which a request and its prompt count as
+// harmless to engines.
 const _eventsOfSuccess = 2
 
 // recordSuccess records once that the answer went on after its first event, or is complete.
