core/procs/know, io/entry: removals after an outage of the store are not held back beyond its end

Cause: for three heartbeats and 2 s after an outage each removal was taken for an entry that had lapsed, and the endpoint was kept for 2 s more. Entries that lapsed are back about 2 s after the store's return; what is missing then is gone.

Change: an endpoint is kept for 2 s, but not beyond 2.5 s after the return.

Conclusion: two allowances for one delay had been added up.

--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -117,7 +117,7 @@
 	// MinOutage is the shortest outage of the store after which documents may have
 	// expired.
 	MinOutage time.Duration
-	// RecoveryPeriod is how long after an outage documents may still expire because of it.
+	// RecoveryPeriod is how long after an outage a document may be missing because of it.
 	RecoveryPeriod time.Duration
 	// RenewalGrace is how long an endpoint may take to renew an expired document, or one
 	// that a restore of the store lost.
@@ -313,7 +313,8 @@
 		}
 		gone := &item{document: d, endpoint: before.endpoint}
 		if now.Before(s.recoveryUntil) && !before.endpoint.Draining {
-			gone.endpoint.DropAt = now.Add(s.outagePolicy.RenewalGrace)
+			// Nobody renews a document later than the others.
+			gone.endpoint.DropAt = earlier(now.Add(s.outagePolicy.RenewalGrace), s.recoveryUntil)
 		}
 		s.items[d.Name] = gone
 		return true
@@ -353,6 +354,13 @@
 	return true
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // _coldJitter is by how much later the end of one cold phase may seem in a heartbeat that is read
 // later than another after it was written: about a pause between readings of the store.
 const _coldJitter = 300 * time.Millisecond
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -47,9 +47,11 @@
 	_expiryInterval = 200 * time.Millisecond
 	// By the platform's documentation, an endpoint's document expires after
 	// _missedHeartbeats heartbeat intervals without a renewal, and after an outage of
-	// the store an endpoint may take _renewalGrace to register its document again.
+	// the store an endpoint may take about _renewalGrace to register its document again; a document
+	// that is missing _renewalMargin later is of an endpoint that is gone.
 	_missedHeartbeats = 3
 	_renewalGrace     = 2 * time.Second
+	_renewalMargin    = 500 * time.Millisecond
 	// _rewriteGrace is how long a data centre stays out of service whose document was lost
 	// when the store was restored. The platform's documentation states no limit within
 	// which operators write it again.
@@ -146,7 +148,7 @@
 func outagePolicy(bounds core.EntryBounds) know.OutagePolicy {
 	return know.OutagePolicy{
 		MinOutage:      (_missedHeartbeats - 1) * bounds.EndpointInterval,
-		RecoveryPeriod: _missedHeartbeats*bounds.EndpointInterval + _renewalGrace,
+		RecoveryPeriod: _renewalGrace + _renewalMargin,
 		RenewalGrace:   _renewalGrace,
 		RewriteGrace:   _rewriteGrace,
 	}
