--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -139,9 +139,9 @@
 	health place.Outcome
 	// brokenOff is true when the endpoint ended its answer before it was complete.
 	brokenOff bool
-	// mayGoOn is true if this host ended the try and the endpoint may still work on it.
-	mayGoOn bool
-	err     error
+	// mayStillRun is true if this host ended the try and the endpoint may still work on it.
+	mayStillRun bool
+	err         error
 }
 
 // digest identifies what the request asks for. Where it has no body, the parts of its prompt
@@ -251,7 +251,7 @@
 	e.resumed = !e.delivered
 	e.leavingSince, e.noRoomLogged, e.failedCopyTargets = time.Time{}, false, nil
 	e.answerBegun, e.firstEventAt, e.tryEvents = false, time.Time{}, 0
-	if e.unended != nil && e.delivered {
+	if e.unended != nil && e.delivered { // the endpoint before may still work on the stream
 		stoppedFrom, err := e.awaitStopped(ctx, from)
 		if err != nil {
 			e.placer().end(e.run, 0)
@@ -261,7 +261,7 @@
 	}
 	e.stop, e.unended = runStop{}, nil
 	end := e.try(ctx, from)
-	if end.mayGoOn {
+	if end.mayStillRun {
 		e.unended = &e.run.Endpoint.RoutedEndpoint
 	}
 	e.recordEnd(&end)
@@ -344,7 +344,7 @@
 		cause = errSlow
 	}
 	if end.err != nil && cause != nil {
-		end.err, end.health, end.brokenOff, end.mayGoOn = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false, false
+		end.err, end.health, end.brokenOff, end.mayStillRun = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false, false
 	}
 	return end
 }
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -175,6 +175,6 @@
 // leftWhileRunning sets in a failed try whether the endpoint may still work on the stream: it does
 // not if it ended the connection itself.
 func (t *tryResult) leftWhileRunning(answer *links.Answer) *tryResult {
-	t.mayGoOn = !answer.EndsWithin(_endDelay)
+	t.mayStillRun = !answer.EndsWithin(_endDelay)
 	return t
 }
