core/reqst/leave, proof, io/front: comments say what is measured; a fake engine by its own name

Comments and names of tests only: Since counts from the first request to stop the run, and the soak's late requests are checked once they were passed on.

--- a/core/reqst/leave/leave.go
+++ b/core/reqst/leave/leave.go
@@ -60,7 +60,7 @@
 	Closed bool
 	// Limit is the silence after which a stream may leave its endpoint.
 	Limit time.Duration
-	// Since is how long there has been this evidence.
+	// Since is how long ago the endpoint was first asked.
 	Since time.Duration
 }
 
@@ -97,7 +97,7 @@
 	}
 }
 
-// afterPatience returns late if there has been the same evidence for too long, and early before.
+// afterPatience returns late if the endpoint was first asked too long ago, and early before.
 func (s Situation) afterPatience(late, early Step) Step {
 	patience := s.Limit // a sound endpoint may answer nothing for a second or so on any connection
 	if s.Repeatable {
--- a/io/front/stoprun_test.go
+++ b/io/front/stoprun_test.go
@@ -14,25 +14,25 @@
 // _overlap is how long two endpoints may work on a stream at a time.
 const _overlap = 400 * time.Millisecond
 
-// worker is a fake engine that goes on with a run when its connection closes, as some endpoints
+// persistentEngine is a fake engine that goes on with a run when its connection closes, as some endpoints
 // do. Only a request to stop the run ends its work early.
-type worker struct {
+type persistentEngine struct {
 	// answerStop answers a request to stop the run, and reports whether the run stops.
 	answerStop func(c *routed.Call) bool
 	// trouble is called after event 4 of a run that was sent anew; it returns once the run goes on.
 	trouble func(c *routed.Call, stopped <-chan struct{})
 
 	mu   sync.Mutex
-	runs []*workerRun
+	runs []*engineRun
 }
 
-type workerRun struct {
+type engineRun struct {
 	from       string
 	begun, end time.Time
 	stopped    chan struct{}
 }
 
-func (w *worker) handle(c *routed.Call) bool {
+func (w *persistentEngine) handle(c *routed.Call) bool {
 	if c.URL.Path == "/move" {
 		return w.handleMove(c)
 	}
@@ -40,7 +40,7 @@
 		c.Answer(http.StatusOK, "")
 		return true
 	}
-	run := &workerRun{from: c.Header.Get("Continue-From"), begun: time.Now(), stopped: make(chan struct{})}
+	run := &engineRun{from: c.Header.Get("Continue-From"), begun: time.Now(), stopped: make(chan struct{})}
 	w.mu.Lock()
 	w.runs = append(w.runs, run)
 	w.mu.Unlock()
@@ -71,7 +71,7 @@
 	return true
 }
 
-func (w *worker) handleMove(c *routed.Call) bool {
+func (w *persistentEngine) handleMove(c *routed.Call) bool {
 	var move struct{ Last bool }
 	if err := json.Unmarshal([]byte(c.BodyText), &move); err != nil || !move.Last {
 		c.Answer(http.StatusOK, `{"handle":"h1","created":1}`)
@@ -87,7 +87,7 @@
 }
 
 // check fails if a run went on for longer than _overlap after the next one began.
-func (w *worker) check(t *testing.T, runs int) {
+func (w *persistentEngine) check(t *testing.T, runs int) {
 	t.Helper()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -154,7 +154,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			w := &worker{trouble: c.trouble, answerStop: c.answerStop}
+			w := &persistentEngine{trouble: c.trouble, answerStop: c.answerStop}
 			got := newFixture(t, w.handle, w.handle).send(http.MethodPost, c.path, "", "Tokens: 100,400", "Deadline-Ms: 5000")
 			cut := strings.HasPrefix(c.name, "no event, goes on")
 			if !cut && (got.err != nil || got.body != wantStream(6)) {
@@ -182,7 +182,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := &worker{answerStop: c.answerStop}
+			w := &persistentEngine{answerStop: c.answerStop}
 			r := newFixture(t, w.handle, w.handle)
 			service, _ := r.view.Load().Table.Service("all")
 			service.Engine.Backups = false
@@ -201,7 +201,7 @@
 // A silent endpoint that nothing reaches any more is left at once.
 func TestSilentEndpointThatIsGoneIsLeft(t *testing.T) {
 	var r *fixture
-	w := &worker{answerStop: declines}
+	w := &persistentEngine{answerStop: declines}
 	w.trouble = func(c *routed.Call, stopped <-chan struct{}) {
 		for i, e := range r.endpoints {
 			if c.Header.Get("Expect-Endpoint") == []string{"e0", "e1"}[i] {
--- a/proof/soak_late_test.go
+++ b/proof/soak_late_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// sendLateRequest connects now, and sends the header and the last byte of a request at given times. A request that was
-// passed on to an endpoint must get its whole answer, and so must one that the host has read.
+// sendLateRequest connects now, and sends the header and the last byte of a request at given times. A
+// request that was passed on to an endpoint must get its whole answer.
 func (r *soakRun) sendLateRequest(host int, id, path string, headerAt, lastByteAt time.Time) {
 	conn, err := net.Dial("tcp", r.hosts[host].caller)
 	if err != nil {
