core/procs/finish, io/front: a stopping host takes no stream that only a forecast bounds

Callers saw streams that a stopping host had taken cut off at the end of its grace. Cause: the host compared the time left with twice the longest of the route's latest complete answers. Streams that still ran did not count, so that a host on which only short ones had ended took long ones.

Change: a stopping host takes what its deadline ends in time, whatever it is. Other streams are refused at once, not run.

--- a/core/procs/finish/finish.go
+++ b/core/procs/finish/finish.go
@@ -1,5 +1,6 @@
 // Package finish decides which requests a stopping host still takes: those that it will have
-// answered when its process ends. Others are better served by another host.
+// answered when its process ends. Others are better served by another host. How long an answer
+// takes is not known before it is complete: only the request's deadline bounds it.
 package finish
 
 import (
@@ -8,13 +9,8 @@
 	"apricotproxy/core"
 )
 
-const (
-	// _recent is the number of the latest complete answers of a route of which the longest counts.
-	_recent = 64
-	// _streamFactor times the longest recent stream is how long a stream may take, since the
-	// lengths of generations are not known.
-	_streamFactor = 2
-)
+// _recent is the number of the latest complete answers of a route of which the longest counts.
+const _recent = 64
 
 // Durations holds how long the latest complete answers took, by route. It is not safe for concurrent
 // use.
@@ -59,28 +55,33 @@
 // Situation is the input of a decision about one request that has not been sent.
 type Situation struct {
 	Now time.Time
+	// NoticeEnd is when callers are no longer directed to this host.
+	NoticeEnd time.Time
 	// End is when the host cuts off what still runs.
 	End time.Time
 	// Deadline is the request's own.
 	Deadline time.Time
 	Kind     core.RouteKind
-	// Goal is the route's, Longest the longest of its latest answers; 0 if not known.
+	// Goal is the route's, Longest the longest of its latest complete answers; 0 if not known.
 	Goal, Longest time.Duration
+	// Running is the age of the route's oldest request without a complete answer.
+	Running time.Duration
 }
 
-// Takes reports whether the host should take the request.
+// Takes reports whether the host should take the request. A stream whose deadline is after the end
+// may be cut off in the middle of its answer, however short earlier streams were. A plain request
+// is answered at the end in any case, and is taken during the notice if it is expected to be done:
+// its caller, refused, may be directed to this host again.
 func (s Situation) Takes() bool {
-	if !s.Deadline.After(s.End) {
+	switch {
+	case !s.Deadline.After(s.End):
 		return true
+	case s.Kind == core.RouteStreaming, !s.Now.Before(s.NoticeEnd):
+		return false
 	}
 	expected := s.Longest
-	switch {
-	case s.Kind == core.RouteStreaming && expected == 0:
-		return false
-	case s.Kind == core.RouteStreaming:
-		expected *= _streamFactor
-	case expected == 0:
+	if expected == 0 {
 		expected = s.Goal
 	}
-	return !s.Now.Add(expected).After(s.End)
+	return !s.Now.Add(max(expected, s.Running)).After(s.End)
 }
--- a/io/entry/latestop_test.go
+++ b/io/entry/latestop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -92,3 +93,70 @@
 		})
 	}
 }
+
+// A stopping host took a stream since all streams that had ended were short, and cut it off at its end.
+func TestStreamLongerThanThoseThatEndedIsNotCutOffByAStop(t *testing.T) {
+	for name, c := range map[string]struct {
+		sentAfter  time.Duration
+		deadlineMs string
+		status     int
+	}{
+		"within the notice":                           {time.Second, "39000", http.StatusServiceUnavailable},
+		"late in the stop":                            {2700 * time.Millisecond, "39000", http.StatusServiceUnavailable},
+		"with a deadline before the end of the grace": {time.Second, "2000", http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1)
+			s.store.Put("config", `{"Version":1,"Prefix":"/a/","Streams":true,"RunsOnce":true,"TimeoutMs":39000}`)
+			lengths := map[string]time.Duration{"ended": 100 * time.Millisecond, "running": 2 * _stopGrace, "late": 3 * time.Second}
+			if c.status == http.StatusOK {
+				lengths["late"] = 500 * time.Millisecond
+			}
+			e := s.endpoint("e1", func(c *routed.Call) bool { return slowStream(lengths[c.Header.Get("Request-Id")])(c) })
+			s.eventually("the host is ready", 2*time.Second, func() bool {
+				status, _ := s.get(s.ready[0], "/ready")
+				return status == http.StatusOK
+			})
+			send := func(id, deadlineMs string) net.Conn {
+				conn, err := net.Dial("tcp", s.front[0])
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { _ = conn.Close() })
+				if _, err := io.WriteString(conn, "POST /a/ HTTP/1.1\r\nHost: h\r\nRequest-Id: "+id+"\r\nTokens: 100,400\r\nDeadline-Ms: "+deadlineMs+"\r\nContent-Length: 4\r\n\r\n"); err != nil {
+					t.Fatal(err)
+				}
+				return conn
+			}
+			ended := send("ended", "39000")
+			_, _ = io.WriteString(ended, "body")
+			if res, err := http.ReadResponse(bufio.NewReader(ended), nil); err != nil || res.StatusCode != http.StatusOK {
+				t.Fatalf("%v, %v; want 200", res, err)
+			} else if _, err := io.ReadAll(res.Body); err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(send("running", "39000"), "body")
+			time.Sleep(100 * time.Millisecond)
+			late := send("late", c.deadlineMs)
+			s.Stop(0)
+			time.Sleep(c.sentAfter)
+			_, _ = io.WriteString(late, "body")
+			_ = late.SetReadDeadline(time.Now().Add(2 * _stopGrace))
+			res, err := http.ReadResponse(bufio.NewReader(late), nil)
+			if err != nil {
+				t.Fatalf("%v, want status %d", err, c.status)
+			}
+			if body, err := io.ReadAll(res.Body); res.StatusCode != c.status || err != nil {
+				t.Errorf("status %d with %q, %v; want %d", res.StatusCode, body, err, c.status)
+			}
+			taken := slices.ContainsFunc(e.Calls(), func(c *routed.Call) bool { return c.Header.Get("Request-Id") == "late" })
+			if taken != (c.status == http.StatusOK) {
+				t.Errorf("passed on: %v, with status %d", taken, res.StatusCode)
+			}
+			if err := <-s.Ended(0); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -21,11 +21,12 @@
 // runs. Later requests find no listener and reach another host without having been
 // read.
 func (h *Host) stop() {
-	end := time.Now().Add(h.settings.Bounds.StopGrace - _stopMargin)
+	now := time.Now()
+	end := now.Add(h.settings.Bounds.StopGrace - _stopMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	h.stopping.Store(true)
-	h.front.Stop(end)
+	h.front.Stop(now.Add(_balancerNotice), end)
 	h.log.Info("This host is stopping.", "Running", h.front.Running())
 	sleep(ctx, _balancerNotice)
 	if err := h.listeners[0].Close(); err != nil {
--- a/io/front/stopping.go
+++ b/io/front/stopping.go
@@ -20,8 +20,8 @@
 
 // planned holds what a front needs for a planned stop. It is safe for concurrent use.
 type planned struct {
-	// end is when the host cuts off what still runs; nil before a stop.
-	end atomic.Pointer[time.Time]
+	// stop is nil before a stop.
+	stop atomic.Pointer[stopTimes]
 	// ended is done _lastAnswers before that.
 	ended  context.Context
 	finish context.CancelFunc
@@ -32,16 +32,24 @@
 	durations finish.Durations
 }
 
+// stopTimes are the times of a planned stop.
+type stopTimes struct {
+	// noticeEnd is when callers are no longer directed to this host, end when the host cuts off what
+	// still runs.
+	noticeEnd, end time.Time
+}
+
 func newPlanned() *planned {
 	p := &planned{}
 	p.ended, p.finish = context.WithCancel(context.Background())
 	return p
 }
 
-// Stop has the front refuse what it cannot finish until end, when the host cuts off what still
-// runs, and close each caller's connection after its next answer.
-func (f *Front) Stop(end time.Time) {
-	f.planned.end.Store(&end)
+// Stop has the front refuse what it may not finish until end, when the host cuts off what still
+// runs, and close each caller's connection after its next answer. noticeEnd is when callers are no
+// longer directed to this host.
+func (f *Front) Stop(noticeEnd, end time.Time) {
+	f.planned.stop.Store(&stopTimes{noticeEnd: noticeEnd, end: end})
 	f.keepAlivesDisabled.Store(true)
 	time.AfterFunc(time.Until(end.Add(-_lastAnswers)), f.planned.finish)
 }
@@ -69,6 +77,27 @@
 	return p.durations.Longest(route)
 }
 
+// endsIn returns the time until the host cuts off what still runs; 0 before a stop.
+func (p *planned) endsIn(now time.Time) time.Duration {
+	stop := p.stop.Load()
+	if stop == nil {
+		return 0
+	}
+	return stop.end.Sub(now)
+}
+
+// oldest returns the age of a route's oldest exchange that is not done.
+func (p *planned) oldest(route string, now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	p.running.Range(func(key, _ any) bool {
+		if e, ok := key.(*exchange); ok && e.request.Route.Name == route {
+			oldest = max(oldest, now.Sub(e.request.Arrived))
+		}
+		return true
+	})
+	return oldest
+}
+
 // track registers an exchange until the returned function is called. The returned context ends when
 // the host is about to end and the exchange's answer has not begun.
 func (p *planned) track(ctx context.Context, e *exchange) (tracked context.Context, done func()) {
@@ -89,20 +118,20 @@
 // checkStopping answers a request that has not been sent with a refusal if the host stops and
 // may not finish it. It returns true if it did.
 func (e *exchange) checkStopping() bool {
-	end := e.front.planned.end.Load()
-	if end == nil || e.tries.MayHaveRun() || e.delivered {
+	stop := e.front.planned.stop.Load()
+	if stop == nil || e.tries.MayHaveRun() || e.delivered {
 		return false
 	}
-	route := e.request.Route
+	route, now := e.request.Route, time.Now()
 	s := finish.Situation{
-		Now: time.Now(), End: end.Add(-_lastAnswers), Deadline: e.request.Deadline, Kind: route.Kind,
-		Goal: route.Goal, Longest: e.front.planned.longest(route.Name),
+		Now: now, NoticeEnd: stop.noticeEnd, End: stop.end.Add(-_lastAnswers), Deadline: e.request.Deadline, Kind: route.Kind,
+		Goal: route.Goal, Longest: e.front.planned.longest(route.Name), Running: e.front.planned.oldest(route.Name, now),
 	}
 	if s.Takes() {
 		return false
 	}
-	e.log("A stopping host refuses a request that it may not finish.", "EndsIn", s.End.Sub(s.Now).Milliseconds(),
-		"TimeLeft", s.Deadline.Sub(s.Now).Milliseconds(), "Longest", s.Longest.Milliseconds())
+	e.log("A stopping host refuses a request that it may not finish.", "NoticeEndsIn", s.NoticeEnd.Sub(now).Milliseconds(), "EndsIn", s.End.Sub(now).Milliseconds(),
+		"TimeLeft", s.Deadline.Sub(now).Milliseconds(), "Longest", s.Longest.Milliseconds(), "Running", s.Running.Milliseconds())
 	e.answerError(http.StatusServiceUnavailable, errStopping.Error(), _retryAfter)
 	return true
 }
