io/front, core/procs/origin: no stream begins at an engine whose build is in doubt

Callers got streams with events of two builds. Cause: the build that begins a stream is taken from the endpoint's document; while the store was down, an engine that had come back under its ID with another build was taken for the build of its old document, and its streams went on elsewhere at that.

Change: while the documents are outdated, an engine is asked when it started before a stream begins there, as it is before one goes on. One that has started again gets no stream until its document says so.

--- a/core/procs/origin/origin.go
+++ b/core/procs/origin/origin.go
@@ -176,6 +176,11 @@
 	return Origin{}, Unknown
 }
 
+// MustConfirm reports whether an engine is asked for its incarnation before a run is sent to it. begun
+// is true if the stream has begun at a build, copied if the run continues from a copy there, and
+// outdated if the engine may have come back as another build without the host's knowledge.
+func MustConfirm(begun, copied, outdated bool) bool { return !copied && (begun || outdated) }
+
 // Observe records which builds a view has in service.
 func (l *Ledger) Observe(now time.Time, view *know.View) { l.builds.observe(now, view) }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -130,8 +130,8 @@
 	h.front = front.New(front.Config{
 		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Detector: h.detector, Origins: h.origins, Links: h.links, View: h.docState.View,
 		SyncStatus: h.docState.syncStatus, Logger: settings.Logger, BufferBytes: settings.MemoryBytes / _bufferDivisor, BodyBytes: settings.MemoryBytes / _bodyDivisor,
-		ConfirmIncarnation: h.confirmIncarnation,
-		LoadChanged:        func() { h.peers.scheduleLoadChanges() }, Switches: settings.Switches.Front,
+		ConfirmIncarnation: h.confirmIncarnation, DocumentsOutdated: h.documentsOutdated,
+		LoadChanged: func() { h.peers.scheduleLoadChanges() }, Switches: settings.Switches.Front,
 	})
 	var err error
 	if h.peers, err = newPeers(h, rand.New(rand.NewPCG(seed, 2))); err != nil {
--- a/io/entry/reborn_test.go
+++ b/io/entry/reborn_test.go
@@ -28,15 +28,11 @@
 	return s
 }
 
-// An engine that had come back under its ID and address with another build continued streams of
-// the earlier one, at hosts that had not learned of it yet.
-func TestTakeUpIsNotSentToEngineThatCameBackWithAnotherBuild(t *testing.T) {
-	s := newReportingSite(t, 2)
-	s.store.Put("config", `{"Version":1,"Prefix":"/a/","Streams":true}`)
-	var born atomic.Int64
+// rebornHandler answers as build v1 and, once born is over 1, as v2.
+func rebornHandler(s *site, born *atomic.Int64) routed.Handler {
 	born.Store(1)
 	before, after := buildHandler("v1"), buildHandler("v2")
-	engine := s.endpoint("e1", func(c *routed.Call) bool {
+	return func(c *routed.Call) bool {
 		switch {
 		case c.URL.Path == s.Settings[0].Paths.Report:
 			c.Answer(200, fmt.Sprintf(`{"BornMs":%d}`, born.Load()))
@@ -46,7 +42,16 @@
 		default:
 			return after(c)
 		}
-	})
+	}
+}
+
+// An engine that had come back under its ID and address with another build continued streams of
+// the earlier one, at hosts that had not learned of it yet.
+func TestTakeUpIsNotSentToEngineThatCameBackWithAnotherBuild(t *testing.T) {
+	s := newReportingSite(t, 2)
+	s.store.Put("config", `{"Version":1,"Prefix":"/a/","Streams":true}`)
+	var born atomic.Int64
+	engine := s.endpoint("e1", rebornHandler(s, &born))
 	s.store.Put("e1", engine.Address+" v1 1")
 	b := &buildSite{site: s}
 	b.waitReady([]string{"v1"}, 0, 1)
@@ -64,3 +69,29 @@
 	s.store.Put("e1", engine.Address+" v2 2")
 	b.waitReady([]string{"v2"}, 1)
 }
+
+// A stream was begun at an engine that had come back with another build while the store was down. It
+// counted as one of the earlier build, and went on at an engine of that.
+func TestStreamIsNotBegunAtEngineThatCameBackWhileTheStoreWasDown(t *testing.T) {
+	s := newReportingSite(t, 1)
+	s.store.Put("config", `{"Version":1,"Prefix":"/a/","Streams":true}`)
+	var born, always atomic.Int64
+	reborn := s.endpoint("e1", rebornHandler(s, &born))
+	other := s.endpoint("e2", rebornHandler(s, &always))
+	s.store.Put("e1", reborn.Address+" v1 1")
+	s.store.Put("e2", other.Address+" v1 1")
+	b := &buildSite{site: s}
+	b.waitReady([]string{"v1"}, 0)
+	s.Clients[0].SetDown(true)
+	time.Sleep(_leavingSpread)
+	born.Store(2)
+	for n := range 12 {
+		status, body := s.get(s.front[0], _probePath)
+		if status != http.StatusOK || buildOf(body) != "v1" {
+			t.Errorf("stream %d: status %d with events of %q, want 200, v1", n, status, buildOf(body))
+		}
+	}
+	s.Clients[0].SetDown(false)
+	s.store.Put("e1", reborn.Address+" v2 2")
+	b.waitReady([]string{"v1", "v2"}, 0)
+}
--- a/io/entry/report.go
+++ b/io/entry/report.go
@@ -36,10 +36,8 @@
 func (h *Host) pollEngines(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, _reportInterval)
-		status := h.docState.syncStatus()
-		outdated := status.AsOf > 0 && time.Since(status.FreshAt) > h.maxAge()
 		var group sync.WaitGroup
-		for _, endpoint := range h.enginesToPoll(outdated) {
+		for _, endpoint := range h.enginesToPoll(h.documentsOutdated()) {
 			if !h.peers.shouldPoll(endpoint.ID) {
 				continue
 			}
@@ -59,6 +57,13 @@
 	}
 }
 
+// documentsOutdated reports whether changes of the documents may be missing, as while the store is
+// down.
+func (h *Host) documentsOutdated() bool {
+	status := h.docState.syncStatus()
+	return status.AsOf > 0 && time.Since(status.FreshAt) > h.maxAge()
+}
+
 // enginesToPoll returns the engines that are not known to be leaving: all of them, or
 // only those whose documents expired.
 func (h *Host) enginesToPoll(all bool) []core.RoutedEndpoint {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -46,7 +46,10 @@
 	// ConfirmIncarnation asks an engine whether it still is the incarnation that the host
 	// knows, before a stream goes on there; nil to believe so.
 	ConfirmIncarnation func(context.Context, core.RoutedEndpoint) error
-	View               func() *know.View
+	// DocumentsOutdated reports whether endpoints may have changed without the host's knowledge; nil
+	// if they never do.
+	DocumentsOutdated func() bool
+	View              func() *know.View
 	// SyncStatus is logged with each error, to show what the host knew when it answered.
 	SyncStatus func() know.SyncStatus
 	Logger     logr.Logger
--- a/io/front/takeup.go
+++ b/io/front/takeup.go
@@ -61,14 +61,16 @@
 	return ""
 }
 
-// confirmBuild makes sure that the endpoint of a run is of the build that began the stream, if
-// one did. A copy needs no check: only the incarnation that received it has it.
+// confirmBuild makes sure that the endpoint of a run is of the build that began the stream. If none
+// did, the endpoint's build becomes that of the stream, and is in doubt while the documents are
+// outdated. A copy needs no check: only the incarnation that received it has it.
 func (e *exchange) confirmBuild(ctx context.Context, run *place.Run, from string) error {
-	confirm := e.front.config.ConfirmIncarnation
-	if !e.begun || from != "" || confirm == nil || e.engineSpec() == nil {
+	config := e.front.config
+	outdated := config.DocumentsOutdated != nil && config.DocumentsOutdated()
+	if config.ConfirmIncarnation == nil || e.engineSpec() == nil || !origin.MustConfirm(e.begun, from != "", outdated) {
 		return nil
 	}
-	return confirm(ctx, run.Endpoint.RoutedEndpoint)
+	return config.ConfirmIncarnation(ctx, run.Endpoint.RoutedEndpoint)
 }
 
 // recordBegin records at which build the stream goes on if its caller takes it up again.
