io/logs: routine lines leave room for those that explain an incident

All lines of a host shared one rate and one buffer.

Lines that a request writes when nothing goes wrong (A try begins, The first event arrived, A stream is complete, Answered) now use at most three quarters of the rate and of the buffer. The limit of all lines together is as before, and Write does not block. Answers with errors and tries that failed are not routine and share the remaining quarter, at 1,000 lines a second 250.

The messages are constants of io/front, so that the filter cannot differ from the lines.

--- a/io/cmds/route.go
+++ b/io/cmds/route.go
@@ -18,6 +18,7 @@
 	"apricotproxy/core"
 	"apricotproxy/core/invar"
 	"apricotproxy/io/entry"
+	"apricotproxy/io/front"
 	"apricotproxy/io/local"
 	"apricotproxy/io/logs"
 	"apricotproxy/platform"
@@ -49,7 +50,7 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * _memoryShare))
 	}
-	lines := logs.New(logs.Settings{Out: console.Out, LinesPerSecond: c.LogLines, Notice: droppedNotice})
+	lines := logs.New(logs.Settings{Out: console.Out, LinesPerSecond: c.LogLines, Notice: droppedNotice, Routine: isRoutine})
 	defer lines.Close()
 	settings.Logger = c.logger(lines)
 	defer invar.SetHandler(func(violation *invar.Violation) {
@@ -116,6 +117,14 @@
 	return logr.FromSlogHandler(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level}))
 }
 
+// isRoutine reports whether a log line is one that a request writes when nothing goes wrong.
+func isRoutine(line []byte) bool {
+	// The attributes, which follow the message, cannot contain the key: their quotes are escaped.
+	_, rest, _ := bytes.Cut(line, []byte(`"msg":"`))
+	message, _, _ := bytes.Cut(rest, []byte(`"`))
+	return front.IsRoutine(string(message))
+}
+
 // droppedNotice returns the log line that reports dropped lines.
 func droppedNotice(dropped int64) []byte {
 	var line bytes.Buffer
--- a/io/cmds/route_test.go
+++ b/io/cmds/route_test.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -37,3 +38,20 @@
 		t.Error("the change was not applied")
 	}
 }
+
+func TestRoutineLines(t *testing.T) {
+	for message, want := range map[string]bool{
+		"A try begins.": true, "The first event arrived.": true, "A stream is complete.": true, "Answered.": true,
+		"A try ended.": false, "A stream was cut.": false, "A request was answered with an error.": false,
+		"A request is cut off by the end of a stop.": false, "This host is stopping.": false, "": false,
+	} {
+		var line bytes.Buffer
+		(&RouteCommand{}).logger(&line).WithName("front").Info(message, "Path", `/"msg":"Answered."`)
+		if got := isRoutine(line.Bytes()); got != want {
+			t.Errorf("%q: routine %v, want %v", message, got, want)
+		}
+	}
+	if isRoutine(droppedNotice(3)) {
+		t.Error("the notice of dropped lines is routine")
+	}
+}
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -37,7 +37,7 @@
 	}
 	e.front.counters.countAnswer(a.status)
 	e.recordAnswered()
-	e.log("Answered.", "Status", a.status, "Bytes", len(a.body), "Took", time.Since(e.request.Arrived).Milliseconds())
+	e.log(_answered, "Status", a.status, "Bytes", len(a.body), "Took", time.Since(e.request.Arrived).Milliseconds())
 	echo := a.header.Get(e.front.config.Names.RequestID)
 	invar.Check(invar.AnswerToOwnRequest, echo == "" || echo == e.request.ID, "request %s gets the answer to %s", e.request.ID, echo)
 	e.hasBegun.Store(true)
@@ -149,7 +149,7 @@
 	e.recordSuccess()
 	e.front.counters.countAnswer(answer.StatusCode)
 	e.recordAnswered()
-	e.log("A stream is complete.", "Events", e.events, "Continued", e.continued, "LongestPause", e.longestPause.Milliseconds(), "Took", time.Since(e.request.Arrived).Milliseconds())
+	e.log(_streamComplete, "Events", e.events, "Continued", e.continued, "LongestPause", e.longestPause.Milliseconds(), "Took", time.Since(e.request.Arrived).Milliseconds())
 	if spec := e.engineSpec(); spec != nil {
 		e.placer().recordOutputLength(&e.request.RoutedRequest, e.events*spec.EventTokens)
 	}
@@ -240,7 +240,7 @@
 	e.front.counters.firstEventTime.record(time.Since(e.request.Arrived))
 	copyAnswerHeader(e.writer.Header(), answer.Header)
 	e.writer.WriteHeader(answer.StatusCode)
-	e.log("The first event arrived.", "Endpoint", e.run.Endpoint.ID, "Took", time.Since(e.request.Arrived).Milliseconds())
+	e.log(_firstEvent, "Endpoint", e.run.Endpoint.ID, "Took", time.Since(e.request.Arrived).Milliseconds())
 }
 
 // _hopByHopHeaders lists headers that concern only one connection.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -317,7 +317,7 @@
 	tryCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	e.silence, e.counted, e.waitLogged = e.newSilence(ctx, from != ""), false, false
-	e.log("A try begins.", "Digest", e.digest().String(), "Endpoint", endpoint.ID, "Build", string(endpoint.Build), "Address", endpoint.Address,
+	e.log(_tryBegins, "Digest", e.digest().String(), "Endpoint", endpoint.ID, "Build", string(endpoint.Build), "Address", endpoint.Address,
 		"Resumes", e.incoming.Header.Get(names.Resumes), "LastEventID", e.incoming.Header.Get(names.LastEventID), "From", from, "Backup", e.backup.endpoint().ID,
 		"Prompt", e.request.Prompt.Tokens, "SharedParts", e.sharedParts, "Expected", e.request.Prompt.Expected, "MaxOutput", e.request.Prompt.MaxOutput,
 		"Waited", time.Since(e.request.Arrived).Milliseconds(), "SinceFirstAsked", sinceFirstAsked(&e.request.RoutedRequest).Milliseconds(),
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -1,6 +1,7 @@
 // Package logs writes log lines asynchronously, so that logging never blocks. Lines
 // wait in a bounded buffer. Lines are dropped when the buffer is full or when they
-// exceed a rate limit; a separate line then reports how many were dropped.
+// exceed a rate limit; a separate line then reports how many were dropped. Routine
+// lines leave a part of both to the others.
 package logs
 
 import (
@@ -18,6 +19,9 @@
 	// _burstSeconds is the size of the rate limit's burst, in seconds at the full
 	// rate. The loss of many endpoints causes such a burst.
 	_burstSeconds = 4
+	// _reserve is the divisor of the parts of the rate and of the buffer that routine
+	// lines cannot use.
+	_reserve = 4
 )
 
 // _dropped counts the lines dropped since the start of the process.
@@ -31,6 +35,9 @@
 	// Notice formats the line that reports how many lines were dropped. If it is
 	// nil, drops are only counted.
 	Notice func(dropped int64) []byte
+	// Routine reports whether a line is one of those that each request writes. If it is
+	// nil, no line is.
+	Routine func(line []byte) bool
 }
 
 // Writer is an asynchronous io.Writer. Each call of Write passes one whole line. It
@@ -43,15 +50,19 @@
 	done    chan struct{}
 	once    sync.Once
 	limit   *rate.Limiter
+	// routineLimit holds for routine lines, in addition to limit.
+	routineLimit *rate.Limiter
 	// unreported counts the lines dropped since the last notice.
 	unreported atomic.Int64
 }
 
 // New returns a writer and starts its goroutine, which runs until Close.
 func New(settings Settings) *Writer {
-	w := &Writer{settings: settings, lines: make(chan []byte, _bufferedLines), closing: make(chan struct{}), done: make(chan struct{}), limit: rate.NewLimiter(rate.Inf, 0)}
+	w := &Writer{settings: settings, lines: make(chan []byte, _bufferedLines), closing: make(chan struct{}), done: make(chan struct{}), limit: rate.NewLimiter(rate.Inf, 0), routineLimit: rate.NewLimiter(rate.Inf, 0)}
 	if n := settings.LinesPerSecond; n > 0 {
 		w.limit = rate.NewLimiter(rate.Limit(n), n*_burstSeconds)
+		routine := n - n/_reserve
+		w.routineLimit = rate.NewLimiter(rate.Limit(routine), routine*_burstSeconds)
 	}
 	go w.run()
 	return w
@@ -59,7 +70,8 @@
 
 // Write queues one line or drops it. It never fails and never blocks.
 func (w *Writer) Write(line []byte) (int, error) {
-	if w.closed() || !w.limit.Allow() {
+	routine := w.settings.Routine != nil && w.settings.Routine(line)
+	if w.closed() || !w.allow(routine) {
 		w.drop()
 		return len(line), nil
 	}
@@ -72,6 +84,14 @@
 	return len(line), nil
 }
 
+// allow reports whether a line may be written now.
+func (w *Writer) allow(routine bool) bool {
+	if routine && (len(w.lines) >= _bufferedLines-_bufferedLines/_reserve || !w.routineLimit.Allow()) {
+		return false
+	}
+	return w.limit.Allow()
+}
+
 // closed reports whether Close was called.
 func (w *Writer) closed() bool {
 	select {
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -94,3 +94,74 @@
 		t.Errorf("wrote %q, want the line before Close", out.String())
 	}
 }
+
+// Requests under a high load write more routine lines than the limit allows; lines that explain an
+// incident arrive all the same.
+func TestRoutineLinesLeaveRoomForOthers(t *testing.T) {
+	const limit, incidents = 100, 50
+	var out bytes.Buffer
+	w := logs.New(logs.Settings{
+		Out: &out, LinesPerSecond: limit, Notice: func(int64) []byte { return nil },
+		Routine: func(line []byte) bool { return bytes.HasPrefix(line, []byte("routine")) },
+	})
+	for range 10_000 {
+		_, _ = w.Write([]byte("routine\n"))
+	}
+	for range incidents {
+		_, _ = w.Write([]byte("incident\n"))
+	}
+	w.Close()
+	if n := strings.Count(out.String(), "incident"); n != incidents {
+		t.Errorf("%d of %d lines arrived after a burst of routine lines", n, incidents)
+	}
+	if n := strings.Count(out.String(), "routine"); n < limit {
+		t.Errorf("%d routine lines arrived, want at least %d", n, limit)
+	}
+}
+
+// While the destination blocks, routine lines do not fill the whole buffer.
+func TestBlockedDestinationKeepsOtherLines(t *testing.T) {
+	const incidents = 50
+	out := &gatedBuffer{release: make(chan struct{})}
+	w := logs.New(logs.Settings{Out: out, Routine: func(line []byte) bool { return bytes.HasPrefix(line, []byte("routine")) }})
+	for range 10_000 {
+		_, _ = w.Write([]byte("routine\n"))
+	}
+	for range incidents {
+		_, _ = w.Write([]byte("incident\n"))
+	}
+	close(out.release)
+	w.Close()
+	if n := strings.Count(out.String(), "incident"); n != incidents {
+		t.Errorf("%d of %d lines arrived after the buffer had been full of routine lines", n, incidents)
+	}
+}
+
+// gatedBuffer is a buffer whose writes block until it is released.
+type gatedBuffer struct {
+	bytes.Buffer
+
+	release chan struct{}
+}
+
+func (b *gatedBuffer) Write(p []byte) (int, error) {
+	<-b.release
+	return b.Buffer.Write(p)
+}
+
+// Lines that are not routine are bounded by the limit too.
+func TestLinesWithReserveKeepTheLimit(t *testing.T) {
+	const limit = 100
+	var out bytes.Buffer
+	w := logs.New(logs.Settings{Out: &out, LinesPerSecond: limit, Routine: func(line []byte) bool { return bytes.HasPrefix(line, []byte("routine")) }})
+	began := time.Now()
+	for range 5_000 {
+		_, _ = w.Write([]byte("routine\n"))
+		_, _ = w.Write([]byte("incident\n"))
+	}
+	took := time.Since(began)
+	w.Close()
+	if lines, most := strings.Count(out.String(), "\n"), limit*(5+int(took.Seconds())); lines > most {
+		t.Errorf("%d lines in %v, want no more than %d", lines, took, most)
+	}
+}
