proof: the soak judges stops by rule LOST, with lengths, deadlines and bodies that vary widely

Cause: the soak's late requests were streams of 1.5 s and orders, all with a deadline of 6 s, and only those passed on were checked. Streams longer than those that a host had seen end did not occur.

A violation prints its times and what the host logged of the request. The checks there were stay.

--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -95,6 +95,14 @@
 	// disturbed holds the start and the end of each kill, stop, start and freeze.
 	disturbed [][2]time.Time
 	stopping  bool
+	// stopDue is true from shortly before a stop.
+	stopDue bool
+	// disrupted holds those of them that were not planned; terminated and hangups its signals.
+	disrupted           [][2]time.Time
+	terminated, hangups []time.Time
+
+	logMu sync.Mutex
+	lines []string // of its log
 }
 
 // soakRun is the state of one series.
@@ -126,6 +134,11 @@
 	// stops counts planned stops, late the answers to requests that came late in them.
 	stops int
 	late  map[string]int
+	// longs, aside and the rest are those of soak_stop_test.go.
+	longs soakLongs
+	aside sync.WaitGroup
+	seed  uint64
+	begun time.Time
 }
 
 func (r *soakRun) violate(format string, args ...any) {
@@ -154,6 +167,21 @@
 	}
 }
 
+// disrupt is disturb for what was not planned.
+func (r *soakRun) disrupt(h *soakHost) (end func()) {
+	endDisturbed := r.disturb(h)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h.disrupted = append(h.disrupted, [2]time.Time{time.Now()})
+	i := len(h.disrupted) - 1
+	return func() {
+		endDisturbed()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		h.disrupted[i][1] = time.Now()
+	}
+}
+
 // writeFiles writes the site's file for each host.
 func (r *soakRun) writeFiles() {
 	r.mu.Lock()
@@ -172,6 +200,13 @@
 	for _, e := range r.engines {
 		fmt.Fprintf(&common, "[Endpoints %s]\nService = writer\nAddress = %s\nDataCentre = a\nBuild = %s\nSlots = 12\n", e.name, e.Address, e.build)
 	}
+	for kind, extra := range map[string]string{"tale": "Kind = Streaming", "saga": "Kind = Streaming\nResumable = true\nMaxAttempts = 2", "memo": "Kind = NonIdempotent"} {
+		fmt.Fprintf(&common, "[Routes %s]\nHostName = h\nPrefix = /%s/\n%s\nServices = long\nTimeout = %v\nGoal = 10s\nGapGoal = 2s\n", kind, kind, extra, _soakLongTimeout)
+	}
+	common.WriteString("[Services long]\n")
+	for _, e := range r.longs.endpoints {
+		fmt.Fprintf(&common, "[Endpoints %s]\nService = long\nAddress = %s\nDataCentre = a\nBuild = %s\nSlots = 60\nLeaving = %t\n", e.name, e.Address, e.build, e.leaving)
+	}
 	common.WriteString("[Services desk]\n")
 	for _, e := range r.endpoints {
 		fmt.Fprintf(&common, "[Endpoints %s]\nService = desk\nAddress = %s\nDataCentre = a\nBuild = %s\nSlots = 6\nLeaving = %t\n", e.name, e.Address, e.build, e.leaving)
@@ -203,6 +238,9 @@
 	go func() {
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
+			h.logMu.Lock()
+			h.lines = append(h.lines, lines.Text())
+			h.logMu.Unlock()
 			if line := lines.Bytes(); bytes.Contains(line, []byte("A promise is broken")) || bytes.HasPrefix(line, []byte("panic:")) {
 				r.violate("host %d: %s", i, line)
 			}
@@ -214,7 +252,7 @@
 		close(exited)
 	}()
 	r.mu.Lock()
-	h.command, h.exited, h.stopping = command, exited, false
+	h.command, h.exited, h.stopping, h.stopDue = command, exited, false, false
 	r.mu.Unlock()
 }
 
@@ -223,7 +261,10 @@
 	i := f.target % len(r.hosts)
 	h := r.hosts[i]
 	r.mu.Lock()
-	command, exited, stopping := h.command, h.exited, h.stopping
+	command, exited, stopping := h.command, h.exited, h.stopping || h.stopDue
+	if f.kind == "stop" {
+		h.stopDue = true
+	}
 	var e *soakEndpoint
 	if n := len(r.endpoints); n > 0 {
 		e = r.endpoints[f.target%n]
@@ -241,17 +282,27 @@
 	}
 	switch f.kind {
 	case "kill":
-		defer r.disturb(h)()
+		defer r.disrupt(h)()
 		_ = command.Process.Kill()
 		<-exited
 		r.startHost(i)
+	case "stops": // again right after its start
+		for range 2 {
+			f.kind = "stop"
+			r.inject(f)
+			time.Sleep(f.length)
+		}
 	case "stop":
-		defer r.disturb(h)()
 		r.mu.Lock()
-		h.stopping = true
 		r.stops++
 		stop := r.stops
 		r.mu.Unlock()
+		r.disturbStop(command.Process, i, stop)
+		defer r.disturb(h)()
+		r.mu.Lock()
+		h.stopping = true
+		h.terminated = append(h.terminated, time.Now())
+		r.mu.Unlock()
 		_ = command.Process.Signal(syscall.SIGTERM)
 		r.sendLate(i, stop)
 		select {
@@ -260,18 +311,18 @@
 				r.violate("host %d ended a planned stop with %v", i, err)
 			}
 		case <-time.After(_soakStopGrace + time.Second):
-			r.violate("host %d still runs after its time to stop", i)
+			r.violate("host %d still runs after its time to stop:\n%s", i, h.lastLines())
 			_ = command.Process.Kill()
 			<-exited
 		}
 		r.startHost(i)
 	case "freeze":
-		defer r.disturb(h)()
+		defer r.disrupt(h)()
 		_ = command.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(f.length)
 		_ = command.Process.Signal(syscall.SIGCONT)
 	case "hangup":
-		_ = command.Process.Signal(syscall.SIGHUP)
+		r.hangUp(i, command.Process)
 	case "change":
 		r.mu.Lock()
 		r.changes++
@@ -321,6 +372,9 @@
 	for range endpoints {
 		r.startEndpoint()
 	}
+	for range _soakLongEndpoints {
+		r.startLong()
+	}
 	for i := range r.hosts {
 		r.startHost(i)
 	}
@@ -331,7 +385,8 @@
 	}()
 	var group sync.WaitGroup
 	begun := time.Now()
-	for _, f := range drawSoak(seed) {
+	r.seed, r.begun = seed, begun
+	for _, f := range slices.Concat(drawSoak(seed), drawStops(seed)) {
 		group.Go(func() {
 			time.Sleep(time.Until(begun.Add(f.at)))
 			r.inject(f)
@@ -339,6 +394,13 @@
 	}
 	for host := range r.hosts {
 		group.Go(func() { r.sendNotes(host) })
+		// The first long answers of a host's callers begin together, at some hosts late.
+		shortFor := time.Duration(rand.New(rand.NewPCG(seed, uint64(100+host))).Int64N(int64(_soakDuration)))
+		for caller := range _soakLongCallers {
+			group.Go(func() {
+				r.callLong(rand.New(rand.NewPCG(seed, uint64(200+10*host+caller))), shortFor, host, caller)
+			})
+		}
 		for caller := range _soakCallers {
 			group.Go(func() {
 				transport := &http.Transport{}
@@ -357,6 +419,7 @@
 		}
 	}
 	group.Wait()
+	r.aside.Wait()
 	for host := range r.hosts {
 		before := r.served
 		for n := range 100 {
@@ -373,7 +436,7 @@
 	r.checkPoison()
 	running, wentOn := r.notes.check()
 	r.violations = append(r.violations, running...)
-	r.t.Logf("%d notes, %d went on at another engine; %d stops, answers to late requests: %v", len(r.notes.runs), wentOn, r.stops, r.late)
+	r.t.Logf("%d notes, %d went on at another engine; %d stops, answers to late requests: %v, to long ones: %v", len(r.notes.runs), wentOn, r.stops, r.late, r.longs.ends)
 	if n := len(r.lost); n > _soakMaxLost {
 		r.violations = append(r.violations, fmt.Sprintf("%d requests without an answer that endpoints had answered, at hosts that were stopped", n))
 	}
@@ -402,6 +465,7 @@
 			r := &soakRun{
 				t: t, binary: binary, runs: make(map[string]int), answered: make(map[string]bool), notRun: make(map[string]bool),
 				poison: make(map[string][]soakArrival), late: make(map[string]int),
+				longs: soakLongs{runs: make(map[string]*soakLongRun), ends: make(map[string]int)},
 			}
 			r.execute(uint64(seed), hosts, hosts+2)
 			for _, violation := range r.violations {
