proof: the time to stop of a soak's host does not count a freeze that SIGTERM met

Cause: a host that is frozen gets SIGTERM only when the freeze ends, up to 3.5 s later; the soak counted from the signal. Change: the bound of 7 s is as before, plus the part of such a freeze after SIGTERM.

--- a/proof/soak_stop_test.go
+++ b/proof/soak_stop_test.go
@@ -378,6 +378,30 @@
 	return strings.Join(h.lines[max(len(h.lines)-40, 0):], "\n")
 }
 
+// awaitExit waits until a host's process has ended, and reports whether that was within its time to stop.
+// A freeze that began before SIGTERM and ends after it does not count.
+func (r *soakRun) awaitExit(h *soakHost, exited chan struct{}, terminated time.Time) bool {
+	for {
+		due := terminated.Add(_soakStopGrace + time.Second)
+		r.mu.Lock()
+		for _, d := range h.disrupted {
+			if d[0].Before(terminated) && d[1].After(terminated) {
+				due = due.Add(d[1].Sub(terminated))
+			}
+		}
+		r.mu.Unlock()
+		wait := time.Until(due)
+		if wait <= 0 {
+			return false
+		}
+		select {
+		case <-exited:
+			return true
+		case <-time.After(wait):
+		}
+	}
+}
+
 // callLong sends one request after the other to a host. Phases of short answers alternate with those
 // of any length.
 func (r *soakRun) callLong(random *rand.Rand, shortFor time.Duration, host, caller int) {
