io/entry: a host follows the bounds of changed settings in its stop and in its reads of the store

Callers of a host whose settings had changed since its start would see streams cut off that had time, or be cut off by the end of the process without the answer that a stop gives at its end.

Cause: Reload gave changed bounds to the placer alone. The stop, the greatest age of the documents, the store's history and the outage policy used those of the start, so that the end by which a stop takes requests did not hold.

Change: the host keeps the latest bounds, and all of these read them. A recovery from an outage that is under way keeps its end.

--- a/core/procs/know/know.go
+++ b/core/procs/know/know.go
@@ -131,6 +131,9 @@
 	return &State{decode: decode, outagePolicy: outagePolicy, items: make(map[string]*item)}
 }
 
+// SetOutagePolicy replaces the policy for later outages. A recovery that is under way keeps its end.
+func (s *State) SetOutagePolicy(policy OutagePolicy) { s.outagePolicy = policy }
+
 // SyncStatus returns the position up to which the documents are known.
 func (s *State) SyncStatus() SyncStatus { return s.status }
 
--- a/core/procs/know/know_test.go
+++ b/core/procs/know/know_test.go
@@ -35,9 +35,11 @@
 	if f != nil {
 		decode = f.decode
 	}
-	return know.New(decode, know.OutagePolicy{
-		MinOutage: 2 * time.Second, RecoveryPeriod: 5 * time.Second, RenewalGrace: 2 * time.Second, RewriteGrace: 10 * time.Second,
-	})
+	return know.New(decode, outagePolicy(2*time.Second))
+}
+
+func outagePolicy(minOutage time.Duration) know.OutagePolicy {
+	return know.OutagePolicy{MinOutage: minOutage, RecoveryPeriod: 5 * time.Second, RenewalGrace: 2 * time.Second, RewriteGrace: 10 * time.Second}
 }
 
 func endpoint(id string, sequence uint64) know.Content {
--- a/core/procs/know/script_test.go
+++ b/core/procs/know/script_test.go
@@ -23,6 +23,7 @@
 //	status       the status in another host's heartbeat
 //	expire       time passes
 //	cold         until when endpoints are cold
+//	policy       the shortest outage changes, in seconds
 //
 // A line of input is a document: "config 5 2" (name, revision, version), "out/waco 5" or
 // "a 5 3" (an endpoint with its count of heartbeats); "cold=4" marks one that is cold for 4 more
@@ -62,6 +63,11 @@
 		s.Expire(now)
 	case "cold":
 		return coldSummary(s)
+	case "policy":
+		var minOutage int
+		d.ScanArgs(t, "min-outage", &minOutage)
+		s.SetOutagePolicy(outagePolicy(time.Duration(minOutage) * time.Second))
+		return ""
 	default:
 		t.Fatalf("unknown command %q", d.Cmd)
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -87,7 +87,9 @@
 
 // Host is one entry host.
 type Host struct {
-	settings     Settings
+	settings Settings
+	// bounds are those of the latest settings; settings.Bounds are those of the start.
+	bounds       atomic.Pointer[core.EntryBounds]
 	log          logr.Logger
 	docState     *documentState
 	sharedPlacer *front.SharedPlacer
@@ -115,6 +117,7 @@
 		settings: settings,
 		log:      settings.Logger.WithName("entry"),
 	}
+	h.bounds.Store(&settings.Bounds)
 	h.links = links.New(links.Settings{
 		Dialer: settings.Dialer, DialTimeout: _endpointDialTimeout, MaxIdle: _maxIdlePerEndpoint, Answered: h.inspectAnswer,
 	})
@@ -286,6 +289,8 @@
 // Reload applies the seeds and the bounds of changed settings while the host runs.
 // Changed addresses have no effect until a restart.
 func (h *Host) Reload(settings core.EntrySettings) {
+	h.bounds.Store(&settings.Bounds)
 	h.peers.setSeeds(settings.Seeds)
+	h.docState.withState(func(s *know.State) { s.SetOutagePolicy(outagePolicy(settings.Bounds)) })
 	h.sharedPlacer.Update(func(p *place.Placer) { p.SetBounds(settings.Bounds) })
 }
--- a/io/entry/history.go
+++ b/io/entry/history.go
@@ -32,7 +32,7 @@
 			h.log.Info("The store's history cannot be read.", "After", after, "Epoch", documents.Epoch, "Cause", errorText(err))
 			return origin.Span{}
 		}
-		history := origin.History{Documents: documents.Documents, FromStart: after == 0, Interval: h.settings.Bounds.EndpointInterval}
+		history := origin.History{Documents: documents.Documents, FromStart: after == 0, Interval: h.bounds.Load().EndpointInterval}
 		span := origin.SpanOf(time.Now(), history, h.settings.Decode)
 		h.log.Info("The store's history was read.", "After", after, "Documents", len(documents.Documents), "Builds", len(span.Builds), "Known", !span.Since.IsZero())
 		return span
@@ -42,7 +42,7 @@
 
 // historyRevisions returns about how many revisions endpoints' heartbeats make in _historyLength.
 func (h *Host) historyRevisions() uint64 {
-	view, interval := h.docState.View(), h.settings.Bounds.EndpointInterval
+	view, interval := h.docState.View(), h.bounds.Load().EndpointInterval
 	if view == nil || interval <= 0 {
 		return 0
 	}
--- a/io/entry/origin.go
+++ b/io/entry/origin.go
@@ -30,7 +30,7 @@
 func (h *Host) refreshOrigins(now time.Time) {
 	status := h.docState.syncStatus()
 	h.origins.Update(func(l *origin.Ledger) {
-		l.SetCurrent(now, h.freshness.Check(now, now.Round(0), status.FreshAt, h.settings.Bounds.LeavingSpread))
+		l.SetCurrent(now, h.freshness.Check(now, now.Round(0), status.FreshAt, h.bounds.Load().LeavingSpread))
 		l.SetFreshAt(status.FreshAt)
 		l.Expire(now)
 	})
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -60,7 +60,7 @@
 // shareOfLeavingSpread returns a share of the time within which a host must learn that
 // an endpoint is leaving.
 func (h *Host) shareOfLeavingSpread(share float64) time.Duration {
-	return time.Duration(share * float64(h.settings.Bounds.LeavingSpread))
+	return time.Duration(share * float64(h.bounds.Load().LeavingSpread))
 }
 
 // read makes one call to the store and applies the answer. After a failure it waits
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -22,7 +22,7 @@
 // read.
 func (h *Host) stop() {
 	now := time.Now()
-	end := now.Add(h.settings.Bounds.StopGrace - _stopMargin)
+	end := now.Add(h.bounds.Load().StopGrace - _stopMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	h.stopping.Store(true)
