core/procs/place: retries that a shorter window forgot are not allowed again when it grows

Services could get more retries than the changed settings allow.

Cause: the budget drops what is older than the window in force. After a longer window came into force, retries that count in it were gone, and a host spent its part of RetryExtra again.

Change: after the window grew, a host uses no part of RetryExtra until all retries within the new window are known; its share of the requests stays, since these were forgotten with the retries.

--- a/core/procs/place/limits.go
+++ b/core/procs/place/limits.go
@@ -177,7 +177,7 @@
 	b := p.retryBudget(service)
 	span := p.bounds.RetryWindow
 	allowed := p.bounds.RetryShare * float64(b.requests.count(now, span))
-	if p.shareKnown(now) {
+	if p.shareKnown(now) && !now.Before(p.retryExtraFrom) {
 		allowed += p.bounds.RetryExtra / float64(p.hostsBound)
 	}
 	return float64(b.retries.count(now, span)+1) <= allowed
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -176,7 +176,9 @@
 	othersKnown  bool
 	settledAt    time.Time
 	retryBudgets map[core.ServiceName]*retryBudget
-	lengths      lengthEstimator
+	// retryExtraFrom is from when on all retries within the window are known after it grew.
+	retryExtraFrom time.Time
+	lengths        lengthEstimator
 	// readEstimates and pressures hold what was seen of each service's engines.
 	readEstimates map[core.ServiceName]*readEstimate
 	pressures     map[core.ServiceName]*pressure
@@ -251,7 +253,20 @@
 }
 
 // SetBounds replaces the deployment's bounds.
-func (p *Placer) SetBounds(bounds core.EntryBounds) { p.bounds = bounds }
+func (p *Placer) SetBounds(now time.Time, bounds core.EntryBounds) {
+	if longer := bounds.RetryWindow - p.bounds.RetryWindow; longer > 0 {
+		// Retries before the shorter window were forgotten, and count in the longer one until then.
+		p.retryExtraFrom = later(p.retryExtraFrom, now.Add(longer))
+	}
+	p.bounds = bounds
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
 
 // requestLoad returns the load that a request puts on an endpoint.
 func (p *Placer) requestLoad(request *core.RoutedRequest) Load {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -292,5 +292,5 @@
 	h.bounds.Store(&settings.Bounds)
 	h.peers.setSeeds(settings.Seeds)
 	h.docState.withState(func(s *know.State) { s.SetOutagePolicy(outagePolicy(settings.Bounds)) })
-	h.sharedPlacer.Update(func(p *place.Placer) { p.SetBounds(settings.Bounds) })
+	h.sharedPlacer.Update(func(p *place.Placer) { p.SetBounds(time.Now(), settings.Bounds) })
 }
