--- a/io/front/silence_test.go
+++ b/io/front/silence_test.go
@@ -197,5 +197,5 @@
 }
 
 func (r *fixture) dropRetryBudget() {
-	r.placer.Update(func(p *place.Placer) { p.SetBounds(core.EntryBounds{RetryWindow: 10 * time.Second}) })
+	r.placer.Update(func(p *place.Placer) { p.SetBounds(time.Now(), core.EntryBounds{RetryWindow: 10 * time.Second}) })
 }
