io/entry: a stop with a short grace cuts no stream before the last sixth of it

Callers saw running streams cut off 0.5 s before the end of the grace. With a grace under 3 s, that is before its last sixth, in which a host may cut off what was sent early. Cause: the margin of a stop was 0.5 s whatever the grace is.

Change: the margin is a twelfth of the grace where that is less than 0.5 s.

TestShortGraceDoesNotCutStreamsEarly failed before with a grace of 2 s (cut after 1.500 s, want 1.667 s) and passes now; 3 s and 4 s passed before. The known deployments have a grace of 8 s.

--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -10,8 +10,11 @@
 	// connections: it checks each host once a second and removes one after two failed
 	// checks.
 	_balancerNotice = 2500 * time.Millisecond
-	// _stopMargin is the part of the time after SIGTERM that a stop leaves unused.
-	_stopMargin = 500 * time.Millisecond
+	// _stopMargin is the part of the time after SIGTERM that a stop leaves unused, and
+	// 1/_marginDivisor of that time where it is short: only requests that run in its last sixth may
+	// be cut off.
+	_stopMargin    = 500 * time.Millisecond
+	_marginDivisor = 12
 )
 
 // stop ends the service without cutting off requests. The host reports at once that it
@@ -22,7 +25,8 @@
 // read.
 func (h *Host) stop() {
 	now := time.Now()
-	end := now.Add(h.settings.Bounds.StopGrace - _stopMargin)
+	grace := h.settings.Bounds.StopGrace
+	end := now.Add(grace - min(_stopMargin, grace/_marginDivisor))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	h.stopping.Store(true)
