io/front, io/entry: what a review of the stop and of outdated documents found

While the documents were outdated, plain requests of engine services were asked for too, and an engine that took 300 ms to tell when it started got no new streams. Now only streams ask, and only a new incarnation keeps a new one away (TestStreamBeginsAtEngineThatDoesNotTellItsStart). A request's own age no longer counts against it in a stop.

TestRequestReadByStoppingHostIsAnswered has its former request back, which must get 503 and a closed connection, beside the one that is answered with 200. TestStreamIsNotBegunAtEngineThatCameBackWhileTheStoreWasDown checks that the engine was asked.

--- a/core/procs/finish/finish.go
+++ b/core/procs/finish/finish.go
@@ -64,7 +64,7 @@
 	Kind     core.RouteKind
 	// Goal is the route's, Longest the longest of its latest complete answers; 0 if not known.
 	Goal, Longest time.Duration
-	// Running is the age of the route's oldest request without a complete answer.
+	// Running is the age of the route's oldest other request without a complete answer.
 	Running time.Duration
 }
 
--- a/io/entry/reborn_test.go
+++ b/io/entry/reborn_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -91,7 +92,31 @@
 			t.Errorf("stream %d: status %d with events of %q, want 200, v1", n, status, buildOf(body))
 		}
 	}
+	if !slices.ContainsFunc(reborn.Calls(), func(c *routed.Call) bool { return c.URL.Path == s.Settings[0].Paths.Report }) {
+		t.Error("the engine was not asked when it started")
+	}
 	s.Clients[0].SetDown(false)
 	s.store.Put("e1", reborn.Address+" v2 2")
 	b.waitReady([]string{"v1", "v2"}, 0)
 }
+
+// An engine that is slow to tell when it started still gets new streams while the store is down.
+func TestStreamBeginsAtEngineThatDoesNotTellItsStart(t *testing.T) {
+	s := newReportingSite(t, 1)
+	s.store.Put("config", `{"Version":1,"Prefix":"/a/","Streams":true}`)
+	answer := buildHandler("v1")
+	engine := s.endpoint("e1", func(c *routed.Call) bool {
+		if c.URL.Path == s.Settings[0].Paths.Report {
+			time.Sleep(time.Second)
+		}
+		return answer(c)
+	})
+	s.store.Put("e1", engine.Address+" v1 1")
+	b := &buildSite{site: s}
+	b.waitReady([]string{"v1"}, 0)
+	s.Clients[0].SetDown(true)
+	time.Sleep(_leavingSpread)
+	if status, body := s.get(s.front[0], _probePath); status != http.StatusOK || buildOf(body) != "v1" {
+		t.Errorf("status %d with events of %q, want 200, v1", status, buildOf(body))
+	}
+}
--- a/io/entry/report.go
+++ b/io/entry/report.go
@@ -12,6 +12,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/place"
+	"apricotproxy/io/front"
 	"apricotproxy/io/links"
 )
 
@@ -23,16 +24,13 @@
 	_maxReportBytes = 64 << 10
 )
 
-var (
-	errNotOffered = errors.New("the engine does not offer the call")
-	errReborn     = errors.New("the endpoint has started again")
-)
+var errNotOffered = errors.New("the engine does not offer the call")
 
 // pollEngines polls engines for reports that show whether they are leaving: all engines
 // while the documents are too old, as when no host can read the store, otherwise only
 // those whose documents expired. One host polls an engine on behalf of all. The
 // deployment charges each request for a report like a health check of the endpoint, so
-// reports are not requested at other times.
+// there is no polling at other times.
 func (h *Host) pollEngines(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, _reportInterval)
@@ -136,7 +134,7 @@
 	case err != nil:
 		return fmt.Errorf("ask when the engine started: %w", err)
 	case !state.Born.IsZero() && !state.Born.Equal(endpoint.Born):
-		return errReborn
+		return front.ErrReborn
 	}
 	return nil
 }
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -18,11 +18,10 @@
 )
 
 // stop ends the service without cutting off requests. The host reports at once that it
-// is not ready, refuses requests that it may not finish in time, and closes each connection after
-// its next answer. Once the balancer
-// sends no new connections, the host accepts no more requests and waits until none
-// runs. Later requests find no listener and reach another host without having been
-// read.
+// is not ready, refuses requests that it may not finish in time, and closes each
+// connection after its next answer. Once the balancer sends no new connections, the host
+// accepts none and waits until no request runs. Later requests find no listener and
+// reach another host without having been read.
 func (h *Host) stop() {
 	now := time.Now()
 	grace := h.bounds.Load().StopGrace
--- a/io/entry/stopread_test.go
+++ b/io/entry/stopread_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -12,12 +13,20 @@
 // A request that was read whole while its host stopped got no answer, if its connection had been
 // accepted before and had carried no request, or part of one.
 func TestRequestReadByStoppingHostIsAnswered(t *testing.T) {
-	const (
-		// The deadline is before the end of the grace: others are refused by then.
-		request = "POST /a/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 500\r\nContent-Length: 0\r\n\r\n"
-		// listenerCloses is the time from the stop until the host accepts no more connections.
-		listenerCloses = 2500 * time.Millisecond
-	)
+	for deadline, want := range map[string]int{
+		"Deadline-Ms: 500\r\n": http.StatusOK, // before the end of the grace
+		"":                     http.StatusServiceUnavailable,
+	} {
+		t.Run(strconv.Itoa(want), func(t *testing.T) {
+			t.Parallel()
+			testReadByStoppingHost(t, "POST /a/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"+deadline+"Content-Length: 0\r\n\r\n", want)
+		})
+	}
+}
+
+func testReadByStoppingHost(t *testing.T, request string, want int) {
+	// listenerCloses is the time from the stop until the host accepts no more connections.
+	const listenerCloses = 2500 * time.Millisecond
 	s := newSite(t, 1)
 	s.store.Put("config", `{"Version":1,"Prefix":"/a/"}`)
 	s.endpoint("e1", okHandler("one"))
@@ -44,8 +53,8 @@
 			t.Errorf("after %q: %v, want an answer", sent, err)
 			continue
 		}
-		if res.StatusCode != http.StatusOK || !res.Close {
-			t.Errorf("after %q: status %d, closes %v; want 200, true", sent, res.StatusCode, res.Close)
+		if res.StatusCode != want || !res.Close {
+			t.Errorf("after %q: status %d, closes %v; want %d, true", sent, res.StatusCode, res.Close, want)
 		}
 		_ = res.Body.Close()
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -26,6 +26,9 @@
 const (
 	// _defaultTimeout is the time-out of a request without a deadline header.
 	_defaultTimeout = time.Minute
+	// _maxDeadlineMs is the longest deadline header that is believed, in milliseconds: the conversion of
+	// a number out of range differs between processors.
+	_maxDeadlineMs = float64(24 * time.Hour / time.Millisecond)
 	// _bodyReadTimeout bounds the time that a caller may take to send a body. If it
 	// takes longer, the request has not run and the caller is told so.
 	_bodyReadTimeout = 10 * time.Second
@@ -44,7 +47,8 @@
 	Origins *SharedOrigins
 	Links   *links.Pool
 	// ConfirmIncarnation asks an engine whether it still is the incarnation that the host
-	// knows, before a stream goes on there; nil to believe so.
+	// knows, before a stream begins or goes on there; nil to believe so. Its error wraps ErrReborn if
+	// the engine is another one.
 	ConfirmIncarnation func(context.Context, core.RoutedEndpoint) error
 	// DocumentsOutdated reports whether endpoints may have changed without the host's knowledge; nil
 	// if they never do.
@@ -209,7 +213,7 @@
 func (f *Front) deadline(r *http.Request, req *request) time.Time {
 	deadline := req.Arrived.Add(_defaultTimeout)
 	if ms, err := strconv.ParseFloat(r.Header.Get(f.config.Names.Deadline), 64); err == nil && ms >= 0 {
-		deadline = req.Arrived.Add(time.Duration(ms * float64(time.Millisecond)))
+		deadline = req.Arrived.Add(time.Duration(min(ms, _maxDeadlineMs) * float64(time.Millisecond)))
 	}
 	if limit := req.Route.Timeout; limit > 0 && req.Arrived.Add(limit).Before(deadline) {
 		deadline = req.Arrived.Add(limit)
--- a/io/front/silenceleft_test.go
+++ b/io/front/silenceleft_test.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// A deadline out of range was over at once on some processors.
+func TestDeadlineOutOfRangeIsLong(t *testing.T) {
+	for _, deadline := range []string{"1e30", "Inf"} {
+		r := newFixture(t, fine)
+		if got := r.send(http.MethodPost, "/lookup/", "", "Deadline-Ms: "+deadline); got.err != nil || got.status != http.StatusOK {
+			t.Errorf("%s: status %d, %v; want 200", deadline, got.status, got.err)
+		}
+	}
+}
+
 // The time to read a body had passed, which net/http took for the end of the caller's connection:
 // the request got no answer.
 func TestRequestWithoutTimeLeftIsRefused(t *testing.T) {
--- a/io/front/stopping.go
+++ b/io/front/stopping.go
@@ -22,7 +22,7 @@
 type planned struct {
 	// stop is nil before a stop.
 	stop atomic.Pointer[stopTimes]
-	// ended is done _lastAnswers before that.
+	// ended is done _lastAnswers before the end of a stop.
 	ended  context.Context
 	finish context.CancelFunc
 	// running holds the exchanges that are not done.
@@ -86,12 +86,12 @@
 	return stop.end.Sub(now)
 }
 
-// oldest returns the age of a route's oldest exchange that is not done.
-func (p *planned) oldest(route string, now time.Time) time.Duration {
+// oldestBeside returns the age of the oldest other exchange of an exchange's route that is not done.
+func (p *planned) oldestBeside(e *exchange, now time.Time) time.Duration {
 	oldest := time.Duration(0)
 	p.running.Range(func(key, _ any) bool {
-		if e, ok := key.(*exchange); ok && e.request.Route.Name == route {
-			oldest = max(oldest, now.Sub(e.request.Arrived))
+		if other, ok := key.(*exchange); ok && other != e && other.request.Route.Name == e.request.Route.Name {
+			oldest = max(oldest, now.Sub(other.request.Arrived))
 		}
 		return true
 	})
@@ -125,7 +125,7 @@
 	route, now := e.request.Route, time.Now()
 	s := finish.Situation{
 		Now: now, NoticeEnd: stop.noticeEnd, End: stop.end.Add(-_lastAnswers), Deadline: e.request.Deadline, Kind: route.Kind,
-		Goal: route.Goal, Longest: e.front.planned.longest(route.Name), Running: e.front.planned.oldest(route.Name, now),
+		Goal: route.Goal, Longest: e.front.planned.longest(route.Name), Running: e.front.planned.oldestBeside(e, now),
 	}
 	if s.Takes() {
 		return false
--- a/io/front/takeup.go
+++ b/io/front/takeup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"net/http"
 	"slices"
@@ -15,6 +16,9 @@
 // _takeUps counts the streams that callers took up, by how their origin was found out.
 var _takeUps = expvar.NewMap("apricotproxy.Routed.TakeUps")
 
+// ErrReborn means that an endpoint has started again since its document was written.
+var ErrReborn = errors.New("the endpoint has started again")
+
 // takeUp finds the build at which the stream was begun that the caller takes up, if it does. It
 // returns false if it answered the caller: the stream cannot go on, since nobody knows the build.
 func (e *exchange) takeUp(ctx context.Context) bool {
@@ -62,15 +66,22 @@
 }
 
 // confirmBuild makes sure that the endpoint of a run is of the build that began the stream. If none
-// did, the endpoint's build becomes that of the stream, and is in doubt while the documents are
-// outdated. A copy needs no check: only the incarnation that received it has it.
+// did, the stream gets the build that the endpoint's document tells, which is checked while the
+// documents are outdated. A copy needs no check: only the incarnation that received it has it.
 func (e *exchange) confirmBuild(ctx context.Context, run *place.Run, from string) error {
 	config := e.front.config
+	if config.ConfirmIncarnation == nil || e.engineSpec() == nil || e.request.Route.Kind != core.RouteStreaming {
+		return nil
+	}
 	outdated := config.DocumentsOutdated != nil && config.DocumentsOutdated()
-	if config.ConfirmIncarnation == nil || e.engineSpec() == nil || !origin.MustConfirm(e.begun, from != "", outdated) {
+	if !origin.MustConfirm(e.begun, from != "", outdated) {
 		return nil
 	}
-	return config.ConfirmIncarnation(ctx, run.Endpoint.RoutedEndpoint)
+	err := config.ConfirmIncarnation(ctx, run.Endpoint.RoutedEndpoint)
+	if !e.begun && !errors.Is(err, ErrReborn) {
+		return nil // an engine that does not answer is not known to be another incarnation
+	}
+	return err
 }
 
 // recordBegin records at which build the stream goes on if its caller takes it up again.
