io/front: an engine that does not tell when it started gets no new stream while documents are outdated

Callers could still get a stream of two builds: an engine that was down while it was asked came back before the stream was sent. Cause: used an engine that gives no answer within 300 ms.

--- a/io/entry/reborn_test.go
+++ b/io/entry/reborn_test.go
@@ -100,17 +100,11 @@
 	b.waitReady([]string{"v1", "v2"}, 0)
 }
 
-// An engine that is slow to tell when it started still gets new streams while the store is down.
-func TestStreamBeginsAtEngineThatDoesNotTellItsStart(t *testing.T) {
+// An engine that offers no reports still gets new streams while the store is down.
+func TestStreamBeginsAtEngineWithoutReports(t *testing.T) {
 	s := newReportingSite(t, 1)
 	s.store.Put("config", `{"Version":1,"Prefix":"/a/","Streams":true}`)
-	answer := buildHandler("v1")
-	engine := s.endpoint("e1", func(c *routed.Call) bool {
-		if c.URL.Path == s.Settings[0].Paths.Report {
-			time.Sleep(time.Second)
-		}
-		return answer(c)
-	})
+	engine := s.endpoint("e1", buildHandler("v1"))
 	s.store.Put("e1", engine.Address+" v1 1")
 	b := &buildSite{site: s}
 	b.waitReady([]string{"v1"}, 0)
--- a/io/entry/report.go
+++ b/io/entry/report.go
@@ -12,7 +12,6 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/place"
-	"apricotproxy/io/front"
 	"apricotproxy/io/links"
 )
 
@@ -24,7 +23,10 @@
 	_maxReportBytes = 64 << 10
 )
 
-var errNotOffered = errors.New("the engine does not offer the call")
+var (
+	errNotOffered = errors.New("the engine does not offer the call")
+	errReborn     = errors.New("the endpoint has started again")
+)
 
 // pollEngines polls engines for reports that show whether they are leaving: all engines
 // while the documents are too old, as when no host can read the store, otherwise only
@@ -134,7 +136,7 @@
 	case err != nil:
 		return fmt.Errorf("ask when the engine started: %w", err)
 	case !state.Born.IsZero() && !state.Born.Equal(endpoint.Born):
-		return front.ErrReborn
+		return errReborn
 	}
 	return nil
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -47,8 +47,7 @@
 	Origins *SharedOrigins
 	Links   *links.Pool
 	// ConfirmIncarnation asks an engine whether it still is the incarnation that the host
-	// knows, before a stream begins or goes on there; nil to believe so. Its error wraps ErrReborn if
-	// the engine is another one.
+	// knows, before a stream begins or goes on there; nil to believe so.
 	ConfirmIncarnation func(context.Context, core.RoutedEndpoint) error
 	// DocumentsOutdated reports whether endpoints may have changed without the host's knowledge; nil
 	// if they never do.
--- a/io/front/takeup.go
+++ b/io/front/takeup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"net/http"
 	"slices"
@@ -16,9 +15,6 @@
 // _takeUps counts the streams that callers took up, by how their origin was found out.
 var _takeUps = expvar.NewMap("apricotproxy.Routed.TakeUps")
 
-// ErrReborn means that an endpoint has started again since its document was written.
-var ErrReborn = errors.New("the endpoint has started again")
-
 // takeUp finds the build at which the stream was begun that the caller takes up, if it does. It
 // returns false if it answered the caller: the stream cannot go on, since nobody knows the build.
 func (e *exchange) takeUp(ctx context.Context) bool {
@@ -77,11 +73,7 @@
 	if !origin.MustConfirm(e.begun, from != "", outdated) {
 		return nil
 	}
-	err := config.ConfirmIncarnation(ctx, run.Endpoint.RoutedEndpoint)
-	if !e.begun && !errors.Is(err, ErrReborn) {
-		return nil // an engine that does not answer is not known to be another incarnation
-	}
-	return err
+	return config.ConfirmIncarnation(ctx, run.Endpoint.RoutedEndpoint)
 }
 
 // recordBegin records at which build the stream goes on if its caller takes it up again.
