--- a/core/procs/finish/finish.go
+++ b/core/procs/finish/finish.go
@@ -70,8 +70,8 @@
 
 // Takes reports whether the host should take the request. A stream whose deadline is after the end
 // may be cut off in the middle of its answer, however short earlier streams were. A plain request
-// is answered at the end in any case, and is taken during the notice if it is expected to be done:
-// its caller, refused, may be directed to this host again.
+// whose answer has not begun by the end gets an error, and is taken during the notice if it is
+// expected to be done: after a refusal its caller may be directed to this host again.
 func (s Situation) Takes() bool {
 	switch {
 	case !s.Deadline.After(s.End):
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -176,7 +176,7 @@
 	othersKnown  bool
 	settledAt    time.Time
 	retryBudgets map[core.ServiceName]*retryBudget
-	// retryExtraFrom is from when on all retries within the window are known after it grew.
+	// retryExtraFrom is when the host knows all retries within the window again after it grew.
 	retryExtraFrom time.Time
 	lengths        lengthEstimator
 	// readEstimates and pressures hold what was seen of each service's engines.
@@ -255,7 +255,7 @@
 // SetBounds replaces the deployment's bounds.
 func (p *Placer) SetBounds(now time.Time, bounds core.EntryBounds) {
 	if longer := bounds.RetryWindow - p.bounds.RetryWindow; longer > 0 {
-		// Retries before the shorter window were forgotten, and count in the longer one until then.
+		// The shorter window has forgotten retries that still count in the longer one.
 		p.retryExtraFrom = later(p.retryExtraFrom, now.Add(longer))
 	}
 	p.bounds = bounds
--- a/io/entry/reload_test.go
+++ b/io/entry/reload_test.go
@@ -15,7 +15,7 @@
 	const shorter, longer = 3 * time.Second, _stopGrace + 3*time.Second
 	for name, c := range map[string]struct {
 		grace time.Duration
-		// length is that of a stream which runs when the stop begins, complete whether it is to be complete.
+		// length is that of a stream which runs when the stop begins, complete tells whether its caller must get all of it.
 		length   time.Duration
 		complete bool
 	}{
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -10,9 +10,9 @@
 	// connections: it checks each host once a second and removes one after two failed
 	// checks.
 	_balancerNotice = 2500 * time.Millisecond
-	// _stopMargin is the part of the time after SIGTERM that a stop leaves unused, and
-	// 1/_marginDivisor of that time where it is short: only requests that run in its last sixth may
-	// be cut off.
+	// _stopMargin is the part of StopGrace that a stop leaves unused; 1/_marginDivisor of
+	// StopGrace if that is less. By the platform's documentation requests may be cut off
+	// only in the last sixth of it.
 	_stopMargin    = 500 * time.Millisecond
 	_marginDivisor = 12
 )
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -26,8 +26,8 @@
 const (
 	// _defaultTimeout is the time-out of a request without a deadline header.
 	_defaultTimeout = time.Minute
-	// _maxDeadlineMs is the longest deadline header that is believed, in milliseconds: the conversion of
-	// a number out of range differs between processors.
+	// _maxDeadlineMs limits a deadline header, in milliseconds: the conversion of a number out of
+	// range of time.Duration differs between processors.
 	_maxDeadlineMs = float64(24 * time.Hour / time.Millisecond)
 	// _bodyReadTimeout bounds the time that a caller may take to send a body. If it
 	// takes longer, the request has not run and the caller is told so.
