--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -155,7 +155,9 @@
 	e.recordWhole()
 	e.front.counters.countAnswer(answer.StatusCode)
 	e.recordAnswered()
-	e.log(_streamComplete, "Events", e.events, "Continued", e.continued, "LongestPause", e.longestPause.Milliseconds(), "Took", time.Since(e.request.Arrived).Milliseconds())
+	e.log(_streamComplete, "Events", e.events, "Continued", e.continued, "Framed", answer.Framed(),
+		"Handover", e.backup.handoverState().String(), "Stop", e.stop.evidence.String(), "LeftByNotice", e.leftByNotice(),
+		"TimeLeft", time.Until(e.request.Deadline).Milliseconds(), "LongestPause", e.longestPause.Milliseconds(), "Took", time.Since(e.request.Arrived).Milliseconds())
 	if spec := e.engineSpec(); spec != nil {
 		e.placer().recordOutputLength(&e.request.RoutedRequest, e.events*spec.EventTokens)
 	}
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -129,6 +129,11 @@
 	return b.handover
 }
 
+// String returns the name used in logs.
+func (h handover) String() string {
+	return [...]string{"None", "Running", "Unanswered", "Done"}[h]
+}
+
 // handoverStarted reports whether the engine may have stopped the run.
 func (b *backup) handoverStarted() bool { return b.handoverState() != _handoverNone }
 
@@ -304,7 +309,7 @@
 	moved := e.copyTo(ctx, target, true)
 	evidence := moved.evidence()
 	if moved.err != nil {
-		e.log("The last part of a run's memory could not be copied.", "To", target.Endpoint.ID, "Evidence", evidence.String(), "Cause", moved.err.Error())
+		e.log("The last part of a run's memory could not be copied.", "To", target.Endpoint.ID, "Evidence", evidence.String(), "Status", moved.status, "Cause", moved.err.Error())
 	} else {
 		e.log("A run was handed over.", "To", target.Endpoint.ID)
 	}
