core/reqst/leave, io/front: a connection that closes ends an answer only if nothing else explains it

What callers saw: a part of a stream as a complete answer, when the host had asked the engine to stop the run, and the answer came without length or chunks.

Cause: what the host had asked for was forgotten with the answer. Every answer but two with a handle was taken for one that says that the run goes on, an error or a lost answer too, and the close of the stream for its end. The deadline that a host hands on, and an endpoint that ends after its notice, had no part in the decision at all.

Now leave.StopRequests keeps for the whole try whether a request may have stopped the run: only an endpoint that was not reached, or that answers that it has no such run, excludes it. leave.End takes the close for the end of the answer only if the run was not stopped, its time is not over and the endpoint still listens, whether it had announced its leaving or not. The stream goes on from its copy, or is cut. A request that is under way is waited for.

--- /dev/null
+++ b/core/reqst/leave/end.go
@@ -0,0 +1,77 @@
+package leave
+
+import "time"
+
+// _deadlineMargin is how long before a request's deadline, by this host's clock, an endpoint may stop
+// work at it: it is handed the time left in whole milliseconds, and its clock may run ahead.
+const _deadlineMargin = 10 * time.Millisecond
+
+// StopRequests is what became of this host's requests to stop the run of one try. An endpoint that
+// stops a run closes its stream without its end, before or after it answers. Only an answer that
+// excludes it shows that a request did not stop the run: an error, or no answer at all, does not.
+type StopRequests struct {
+	pending        int
+	mayHaveStopped bool
+}
+
+// Send records that a request is about to be sent.
+func (s *StopRequests) Send() { s.pending++ }
+
+// Settle records what came of a request. An endpoint that was not reached got none, and one that
+// has no such run had ended it by itself, unless an earlier request may have stopped it.
+func (s *StopRequests) Settle(evidence Evidence) {
+	s.pending--
+	s.mayHaveStopped = s.mayHaveStopped || evidence != Unreachable && evidence != NoRun
+}
+
+// Pending reports whether requests are under way.
+func (s *StopRequests) Pending() bool { return s.pending > 0 }
+
+// MayHaveStopped reports whether the endpoint may have stopped the run because of a request.
+func (s *StopRequests) MayHaveStopped() bool { return s.mayHaveStopped || s.pending > 0 }
+
+// End describes an answer without framing, with neither a length nor chunks, whose connection was
+// closed. The close is the end of the answer only if the endpoint had no other reason for it.
+type End struct {
+	// MayHaveStopped is true if the endpoint may have stopped the run because of this host.
+	MayHaveStopped bool
+	// TimeLeft is the time until the deadline that the endpoint was handed.
+	TimeLeft time.Duration
+	// EndpointEnded reports whether the endpoint has ended. It is called only if the answer matters.
+	EndpointEnded func() bool
+}
+
+// Cause is why a connection was closed.
+type Cause uint8
+
+// Causes.
+const (
+	// AnswerComplete: the endpoint ended its answer.
+	AnswerComplete Cause = iota + 1
+	// RunStopped: the endpoint may have stopped the run because of this host.
+	RunStopped
+	// DeadlineReached: the endpoint may have stopped work at the deadline.
+	DeadlineReached
+	// EndpointEnded: the endpoint has ended, whether it had announced that or not.
+	EndpointEnded
+)
+
+// String returns the name used in logs.
+func (c Cause) String() string {
+	return [...]string{"None", "AnswerComplete", "RunStopped", "DeadlineReached", "EndpointEnded"}[c]
+}
+
+// Cause returns why the connection was closed, as far as it can be known: AnswerComplete only if
+// nothing else explains it.
+func (e End) Cause() Cause {
+	switch {
+	case e.MayHaveStopped:
+		return RunStopped
+	case e.TimeLeft <= _deadlineMargin:
+		return DeadlineReached
+	case e.EndpointEnded():
+		return EndpointEnded
+	default:
+		return AnswerComplete
+	}
+}
--- /dev/null
+++ b/core/reqst/leave/end_test.go
@@ -0,0 +1,57 @@
+package leave_test
+
+import (
+	"testing"
+	"time"
+
+	"apricotproxy/core/reqst/leave"
+)
+
+func TestOnlyAnswersThatExcludeItShowThatARunWasNotStopped(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		answers  []leave.Evidence
+		pending  int
+		mayStops bool
+	}{
+		{"never asked", nil, 0, false},
+		{"not answered yet", nil, 1, true},
+		{"no answer in time", []leave.Evidence{leave.Asked}, 0, true},
+		{"stopped", []leave.Evidence{leave.Stopped}, 0, true},
+		{"error, or connection closed", []leave.Evidence{leave.Declined}, 0, true},
+		{"not reached", []leave.Evidence{leave.Unreachable}, 0, false},
+		{"no such run", []leave.Evidence{leave.NoRun}, 0, false},
+		{"no such run after an error", []leave.Evidence{leave.Declined, leave.NoRun}, 0, true},
+		{"no such run after none in time", []leave.Evidence{leave.Asked, leave.NoRun}, 0, true},
+		{"no such run, then not answered", []leave.Evidence{leave.NoRun}, 1, true},
+	} {
+		var s leave.StopRequests
+		for range len(c.answers) + c.pending {
+			s.Send()
+		}
+		for _, evidence := range c.answers {
+			s.Settle(evidence)
+		}
+		if s.MayHaveStopped() != c.mayStops || s.Pending() != (c.pending > 0) {
+			t.Errorf("%s: may have stopped %v, pending %v; want %v, %v", c.name, s.MayHaveStopped(), s.Pending(), c.mayStops, c.pending > 0)
+		}
+	}
+}
+
+func TestCloseOfAConnectionIsTheEndOfAnAnswerIfNothingElseExplainsIt(t *testing.T) {
+	ended, lives := func() bool { return true }, func() bool { return false }
+	for _, c := range []struct {
+		end  leave.End
+		want leave.Cause
+	}{
+		{leave.End{TimeLeft: time.Second, EndpointEnded: lives}, leave.AnswerComplete},
+		{leave.End{TimeLeft: time.Second, EndpointEnded: ended}, leave.EndpointEnded},
+		{leave.End{TimeLeft: 3 * time.Millisecond, EndpointEnded: lives}, leave.DeadlineReached},
+		{leave.End{TimeLeft: -time.Millisecond, EndpointEnded: lives}, leave.DeadlineReached},
+		{leave.End{TimeLeft: time.Second, MayHaveStopped: true, EndpointEnded: lives}, leave.RunStopped},
+	} {
+		if got := c.end.Cause(); got != c.want {
+			t.Errorf("%+v: %v, want %v", c.end, got, c.want)
+		}
+	}
+}
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -14,7 +14,6 @@
 	"apricotproxy/core/invar"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/reqst/event"
-	"apricotproxy/core/reqst/tries"
 	"apricotproxy/io/links"
 )
 
@@ -120,9 +119,8 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && e.splitter.Buffered() == 0 && e.delivered && e.showsEnd(answer):
-			if e.endedUnframed(ctx, answer) {
-				end := tryResult{result: tries.Broken, health: e.endpointOutcome(ctx, place.Gone), brokenOff: true, err: errEndedUnframed}
+		case errors.Is(err, io.EOF) && e.splitter.Buffered() == 0 && e.delivered && e.mayEndStream(answer):
+			if end := e.falseEnd(ctx, answer); end != nil {
 				return *end.leftWhileRunning(answer)
 			}
 			e.finishStream(answer)
@@ -137,13 +135,12 @@
 	}
 }
 
-// showsEnd reports whether an answer that was read to its end shows that the stream is complete.
+// mayEndStream reports whether an answer that was read to its end may be the end of the stream.
 // An engine that goes on after the last event has no event to send. It still answers with a
 // stream that ends by its framing, since a connection that closes after the head tells nothing.
-// An engine that stops a run for its handover closes the connection too.
-func (e *exchange) showsEnd(answer *links.Answer) bool {
+func (e *exchange) mayEndStream(answer *links.Answer) bool {
 	if !e.firstEventAt.IsZero() {
-		return answer.Framed() || !e.backup.handoverStarted() && e.stop.pending == nil
+		return true
 	}
 	contentType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
 	return answer.Framed() && strings.EqualFold(strings.TrimSpace(contentType), "text/event-stream")
@@ -156,8 +153,7 @@
 	e.front.counters.countAnswer(answer.StatusCode)
 	e.recordAnswered()
 	e.log(_streamComplete, "Events", e.events, "Continued", e.continued, "Framed", answer.Framed(),
-		"Handover", e.backup.handoverState().String(), "Stop", e.stop.evidence.String(), "LeftByNotice", e.leftByNotice(),
-		"TimeLeft", time.Until(e.request.Deadline).Milliseconds(), "LongestPause", e.longestPause.Milliseconds(), "Took", time.Since(e.request.Arrived).Milliseconds())
+		"StopAsked", e.stopping.wasAsked(), "LeftByNotice", e.leftByNotice(), "TimeLeft", time.Until(e.request.Deadline).Milliseconds(), "LongestPause", e.longestPause.Milliseconds(), "Took", time.Since(e.request.Arrived).Milliseconds())
 	if spec := e.engineSpec(); spec != nil {
 		e.placer().recordOutputLength(&e.request.RoutedRequest, e.events*spec.EventTokens)
 	}
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -371,13 +371,18 @@
 // requestMove asks the engine that runs the request to copy the run's memory to another
 // engine. The run goes on meanwhile or, with last, is stopped first. The error is nil if the
 // copy is complete.
-func (e *exchange) requestMove(ctx context.Context, source core.RoutedEndpoint, to string, last bool) moveResult {
+func (e *exchange) requestMove(ctx context.Context, source core.RoutedEndpoint, to string, last bool) (result moveResult) {
 	body, err := json.Marshal(map[string]any{"id": e.request.ID, "to": to, "last": last})
 	if err != nil {
 		return moveResult{err: fmt.Errorf("encode the move: %w", err)}
 	}
 	ctx, cancel := context.WithTimeout(ctx, _moveTimeout)
 	defer cancel()
+	if last {
+		stops := e.stopping
+		stops.send()
+		defer func() { stops.settle(result.evidence()) }()
+	}
 	answer, err := e.front.config.Links.Do(ctx, source, &links.Request{
 		Method: http.MethodPost, Target: e.front.config.Paths.Move, HostName: source.Address,
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
@@ -387,7 +392,7 @@
 		return moveResult{err: fmt.Errorf("request a move: %w", err)}
 	}
 	defer answer.Close()
-	result := moveResult{status: answer.StatusCode}
+	result.status = answer.StatusCode
 	text, err := io.ReadAll(io.LimitReader(answer, _maxSkippedBytes))
 	if err != nil {
 		result.err = fmt.Errorf("read the answer to a move: %w", err)
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -69,6 +69,8 @@
 	// silence watches the current try, prepared is where the request goes on after it.
 	silence  *links.Silence
 	prepared *prepared
+	// stopping is what became of requests to stop the run of the current try.
+	stopping *stopping
 	// stop is what is known of stopping the run of the current try, unended the endpoint of the
 	// last try if this host ended it and the endpoint may still work on it; nil otherwise.
 	stop    runStop
@@ -267,7 +269,7 @@
 		}
 		from = stoppedFrom
 	}
-	e.stop, e.unended = runStop{}, nil
+	e.stop, e.stopping, e.unended = runStop{}, &stopping{}, nil
 	end := e.try(ctx, from)
 	if end.mayStillRun {
 		e.unended = &e.run.Endpoint.RoutedEndpoint
@@ -460,8 +462,8 @@
 	if err != nil {
 		return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, answerOutcome(err)), brokenOff: isConnectionEnd(err), err: err}
 	}
-	if e.endedUnframed(ctx, answer) {
-		return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, place.Gone), brokenOff: true, err: errEndedUnframed}
+	if end := e.falseEnd(ctx, answer); end != nil {
+		return *end
 	}
 	if status < http.StatusInternalServerError && !meansNotRun(status) {
 		e.recordWhole()
--- /dev/null
+++ b/io/front/falseend.go
@@ -0,0 +1,109 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"syscall"
+	"time"
+
+	"apricotproxy/core/procs/place"
+	"apricotproxy/core/reqst/leave"
+	"apricotproxy/io/links"
+)
+
+var (
+	// errEndedUnframed ends a try whose answer had neither a length nor chunks when its endpoint ended.
+	errEndedUnframed = fmt.Errorf("the endpoint ended, and its answer does not tell its length: %w", io.ErrUnexpectedEOF)
+	// errStopped ends such a try if its endpoint may have stopped the run for this host.
+	errStopped = errors.New("the endpoint may have stopped the run, and its answer does not tell its length")
+)
+
+// stopping records the requests to stop the run of one try. It is safe for concurrent use: they
+// are sent while another goroutine reads the stream.
+type stopping struct {
+	mu       sync.Mutex
+	requests leave.StopRequests
+	asked    bool
+	// settled is closed once no request is under way; nil if none is.
+	settled chan struct{}
+}
+
+func (s *stopping) send() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = true
+	s.requests.Send()
+	if s.settled == nil {
+		s.settled = make(chan struct{})
+	}
+}
+
+func (s *stopping) settle(evidence leave.Evidence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests.Settle(evidence)
+	if !s.requests.Pending() {
+		close(s.settled)
+		s.settled = nil
+	}
+}
+
+// wasAsked reports whether the endpoint was asked to stop the run, whatever it answered.
+func (s *stopping) wasAsked() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
+// mayHaveStopped reports whether the endpoint may have stopped the run. It waits for the answers of
+// requests that are under way, since the stream of a run that it has not stopped may end meanwhile.
+func (s *stopping) mayHaveStopped(ctx context.Context) bool {
+	s.mu.Lock()
+	settled := s.settled
+	s.mu.Unlock()
+	if settled != nil {
+		timer := time.NewTimer(_handoverTimeout)
+		defer timer.Stop()
+		select {
+		case <-settled:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests.MayHaveStopped()
+}
+
+// falseEnd returns the result of a try whose answer was read to the end of its connection and is
+// not shown to be complete by that; nil if it is complete. A connection that is opened to find out
+// is kept.
+func (e *exchange) falseEnd(ctx context.Context, answer *links.Answer) *tryResult {
+	if answer.Framed() {
+		return nil
+	}
+	end := leave.End{
+		MayHaveStopped: e.stopping.mayHaveStopped(ctx),
+		TimeLeft:       time.Until(e.request.Deadline),
+		EndpointEnded: func() bool {
+			return errors.Is(e.front.config.Links.Connect(ctx, e.run.Endpoint.RoutedEndpoint), syscall.ECONNREFUSED)
+		},
+	}
+	cause := end.Cause()
+	if cause == leave.AnswerComplete {
+		return nil
+	}
+	e.log("An answer without framing is not taken for complete.", "Endpoint", e.run.Endpoint.ID, "Reason", cause.String(),
+		"Events", e.events, "TimeLeft", end.TimeLeft.Milliseconds(), "LeftByNotice", e.leftByNotice())
+	switch cause {
+	case leave.RunStopped:
+		return &tryResult{result: e.lostResult(), err: errStopped}
+	case leave.DeadlineReached:
+		return &tryResult{result: e.lostResult(), err: errTimeout}
+	default:
+		return &tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, place.Gone), brokenOff: true, err: errEndedUnframed}
+	}
+}
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -1,10 +1,8 @@
 package front
 
 import (
-	"context"
 	"errors"
 	"expvar"
-	"fmt"
 	"io"
 	"slices"
 	"sync"
@@ -17,7 +15,6 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/poison"
 	"apricotproxy/core/reqst/tries"
-	"apricotproxy/io/links"
 )
 
 // errBlocked ends a try whose prompt has a part that crashes engines.
@@ -333,15 +330,3 @@
 	e.recordBegun()
 	e.front.config.Detector.recordWhole(e)
 }
-
-// errEndedUnframed ends a try whose answer had neither a length nor chunks when its endpoint ended.
-var errEndedUnframed = fmt.Errorf("the endpoint ended, and its answer does not tell its length: %w", io.ErrUnexpectedEOF)
-
-// endedUnframed reports whether an answer that was read to its end may be incomplete: it ended with
-// its connection, and its endpoint has ended without notice. A connection that could be opened is kept.
-func (e *exchange) endedUnframed(ctx context.Context, answer *links.Answer) bool {
-	if answer.Framed() || e.leftByNotice() {
-		return false
-	}
-	return errors.Is(e.front.config.Links.Connect(ctx, e.run.Endpoint.RoutedEndpoint), syscall.ECONNREFUSED)
-}
