io/front, core/procs/place: an end that this host can explain is no evidence of a crash

What callers saw: sound requests refused, since a part of their prompt was taken for one that crashes endpoints.

Cause: an answer that broke off at the deadline that its host had handed on, or when an endpoint that had announced its leaving ended, counted as a crash. When the host learned of the leaving was kept only for streams that may be moved.

Now the placer keeps when it learned that an endpoint is leaving or gone, and leave.End, which decides whether a close is the end of an answer, also decides whether it tells anything of the request.

--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -170,6 +170,7 @@
 	random       *rand.Rand
 	endpoints    map[string]*endpoint
 	notices      notices
+	departures   departures
 	services     map[core.ServiceName][]*endpoint
 	table        *table.Table
 	outOfService map[core.DataCentreName]bool
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -75,6 +75,7 @@
 func (s *SharedPlacer) Apply(view *know.View) {
 	s.Update(func(p *place.Placer) {
 		p.Apply(view)
+		p.RecordDepartures(time.Now())
 		close(s.endpointsChanged)
 		s.endpointsChanged = make(chan struct{})
 	})
@@ -105,6 +106,7 @@
 	s.Update(func(p *place.Placer) {
 		isNew = record(p)
 		if isNew {
+			p.RecordDepartures(time.Now())
 			close(s.endpointsChanged)
 			s.endpointsChanged = make(chan struct{})
 		}
@@ -143,6 +145,13 @@
 	return s.endpointsChanged
 }
 
+// leavingFor returns how long this host has known that a run's endpoint is leaving or gone.
+func (s *SharedPlacer) leavingFor(run *place.Run) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.LeavingFor(time.Now(), run)
+}
+
 // endpointLeaving reports whether a run's endpoint is leaving, gone or unconfirmed.
 func (s *SharedPlacer) endpointLeaving(run *place.Run) bool {
 	s.mu.Lock()
--- a/io/front/falseend.go
+++ b/io/front/falseend.go
@@ -73,6 +73,11 @@
 		case <-ctx.Done():
 		}
 	}
+	return s.mayHaveStoppedNow()
+}
+
+// mayHaveStoppedNow is mayHaveStopped without the wait.
+func (s *stopping) mayHaveStoppedNow() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.requests.MayHaveStopped()
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -14,6 +14,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/poison"
+	"apricotproxy/core/reqst/leave"
 	"apricotproxy/core/reqst/tries"
 )
 
@@ -282,7 +283,10 @@
 // broke off at its begin is also a loss of its prompt's parts alone, since other requests at an
 // endpoint are rarely at that point.
 func (e *exchange) recordEnd(end *tryResult) {
-	if (end.result == tries.Lost || end.result == tries.Broken) && isConnectionEnd(end.err) && !e.leftByNotice() {
+	if e.endWasPlanned() {
+		return
+	}
+	if (end.result == tries.Lost || end.result == tries.Broken) && isConnectionEnd(end.err) {
 		e.log("A request was lost with its connection.", "Endpoint", e.run.Endpoint.ID, "AnswerBegun", e.answerBegun, "TryEvents", e.tryEvents,
 			"Ran", time.Since(e.sentAt).Milliseconds(), "SharedParts", e.sharedParts, "Digest", e.digest().String())
 		e.front.config.Detector.recordRequestLoss(e)
@@ -296,6 +300,13 @@
 	})
 }
 
+// endWasPlanned reports whether the end of a try's connection tells nothing of the request: its endpoint had
+// announced its leaving, or may have stopped work at the deadline or because this host asked it to.
+func (e *exchange) endWasPlanned() bool {
+	end := leave.End{MayHaveStopped: e.stopping.mayHaveStoppedNow(), TimeLeft: time.Until(e.request.Deadline), EndpointEnded: e.leftByNotice}
+	return end.Cause() != leave.AnswerComplete
+}
+
 // isConnectionEnd reports whether an endpoint closed or reset a connection, as it does when it
 // ends.
 func isConnectionEnd(err error) bool {
@@ -309,7 +320,7 @@
 
 // leftByNotice reports whether the endpoint of the current try had announced that it leaves.
 func (e *exchange) leftByNotice() bool {
-	return !e.leavingSince.IsZero() && time.Since(e.leavingSince) >= _noticeTime
+	return e.placer().leavingFor(e.run) >= _noticeTime
 }
 
 // _eventsOfSuccess is the number of events of one try after which the begin of the answer counts as
