--- a/io/front/falseendreview_test.go
+++ b/io/front/falseendreview_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -285,3 +286,104 @@
 		}
 	}
 }
+
+// Silent engines are asked to stop their runs. They close the streams without their end and answer
+// with an error, or not at all. That counted as crashes at the part that the prompts share, which was refused
+// and whose streams were cut while they went on elsewhere.
+func TestStopThatItsHostAskedForIsNoCrash(t *testing.T) {
+	for _, f := range _framings {
+		for name, answer := range map[string]routed.Handler{"500": stopAnswers["500"], "none": stopAnswers["none, closed"], "a handle": stopsRun} {
+			t.Run(string(f)+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				const requests = 8
+				var stopped sync.Map // by id
+				handle := func(c *routed.Call) bool {
+					switch {
+					case c.URL.Path == "/move":
+						var move struct{ ID string }
+						if err := json.Unmarshal([]byte(c.BodyText), &move); err != nil {
+							t.Error(err)
+						}
+						if stop, ok := stopped.LoadAndDelete(move.ID); ok {
+							close(stop.(chan struct{}))
+							time.Sleep(20 * time.Millisecond)
+						}
+						return answer(c)
+					case c.Header.Get("Last-Event-Id") != "":
+						time.Sleep(900 * time.Millisecond)
+						c.Write(streamHead(c) + eventChunks(1, _lastEvent) + _lastChunk)
+						return true
+					}
+					stop := make(chan struct{})
+					stopped.Store(c.Header.Get("Request-Id"), stop)
+					c.Write(f.begin(c, 0))
+					select {
+					case <-stop:
+					case <-time.After(4 * time.Second):
+					}
+					return false
+				}
+				r := newFixture(t, handle, handle, handle, handle, handle)
+				var group sync.WaitGroup
+				for i := range requests {
+					group.Go(func() {
+						got := r.send(http.MethodPost, "/check/x", "", "Tokens: 100,400", "Deadline-Ms: 4500", fmt.Sprintf("Request-Id: d%d", i), fmt.Sprintf("Parts: shared:50,own%d:50", i))
+						if got.err != nil || got.body != wantStream(_lastEvent) {
+							t.Errorf("stream %q, %v; want %q", got.body, got.err, wantStream(_lastEvent))
+						}
+					})
+				}
+				time.Sleep(2200 * time.Millisecond)
+				r.detector.Settle(time.Now())
+				if got := r.send(http.MethodPost, "/check/y", "", "Tokens: 100,400", "Last-Event-Id: 0", "Parts: shared:50,own:50"); got.status != http.StatusOK {
+					t.Errorf("a sound request gets status %d with %q, %v; want 200", got.status, got.body, got.err)
+				}
+				group.Wait()
+			})
+		}
+	}
+}
+
+// A part of a prompt makes engines hang and end after some seconds. They were asked to stop the run
+// meanwhile, and did not answer. The end of a stream without framing was taken for that of a run that
+// was stopped, so that it was no evidence against the part.
+func TestCrashAfterARequestToStopTheRunIsEvidence(t *testing.T) {
+	for _, f := range _framings {
+		t.Run(string(f), func(t *testing.T) {
+			t.Parallel()
+			const requests = 5
+			var calls atomic.Int32
+			var r *fixture
+			handle := func(c *routed.Call) bool {
+				switch {
+				case c.URL.Path == "/move":
+					c.WaitClosed(4 * time.Second)
+					return false
+				case c.Header.Get("Continue-From") != "":
+					c.Answer(http.StatusServiceUnavailable, "", "Not-Run: 1")
+					return true
+				}
+				calls.Add(1)
+				c.Write(f.begin(c, 0))
+				time.Sleep(2200 * time.Millisecond)
+				r.endpointOf(c).Close()
+				return false
+			}
+			r = newFixture(t, handle, handle, handle, handle, handle, handle, handle, handle)
+			var group sync.WaitGroup
+			for i := range requests {
+				group.Go(func() {
+					time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+					r.send(http.MethodPost, "/draft/x", "", "Tokens: 100,400", "Deadline-Ms: 4500", fmt.Sprintf("Request-Id: d%d", i), fmt.Sprintf("Parts: bad:50,own%d:50", i))
+				})
+			}
+			group.Wait()
+			time.Sleep(600 * time.Millisecond)
+			r.detector.Settle(time.Now())
+			before := calls.Load()
+			if got := r.send(http.MethodPost, "/draft/x", "", "Tokens: 100,400", "Deadline-Ms: 300", "Parts: bad:50,own:50"); !strings.Contains(got.body, "crashes engines") || calls.Load() != before {
+				t.Errorf("a request with the part gets status %d with %q, %v; want it refused", got.status, got.body, got.err)
+			}
+		})
+	}
+}
