io/front: a crash after a request to stop the run is evidence

 and the change of evidence after it took any end after such a request for one that the host had caused: an engine that hung at a part of a prompt and then ended was no evidence against the part. Now it is asked whether the endpoint still listens, whatever the framing.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -274,7 +274,7 @@
 	if end.mayStillRun {
 		e.unended = &e.run.Endpoint.RoutedEndpoint
 	}
-	e.recordEnd(&end)
+	e.recordEnd(ctx, &end)
 	if !end.done && !e.backupReady() {
 		e.backup.drop(e.placer()) // the copy was to be made by this try
 	}
--- a/io/front/falseend.go
+++ b/io/front/falseend.go
@@ -18,7 +18,7 @@
 	// errEndedUnframed ends a try whose answer had neither a length nor chunks when its endpoint ended.
 	errEndedUnframed = fmt.Errorf("the endpoint ended, and its answer does not tell its length: %w", io.ErrUnexpectedEOF)
 	// errStopped ends such a try if its endpoint may have stopped the run for this host.
-	errStopped = errors.New("the endpoint may have stopped the run, and its answer does not tell its length")
+	errStopped = fmt.Errorf("the endpoint may have stopped the run, and its answer does not tell its length: %w", io.ErrUnexpectedEOF)
 )
 
 // stopping records the requests to stop the run of one try. It is safe for concurrent use: they
@@ -105,7 +105,7 @@
 		"Events", e.events, "TimeLeft", end.TimeLeft.Milliseconds(), "LeftByNotice", e.leftByNotice())
 	switch cause {
 	case leave.RunStopped:
-		return &tryResult{result: e.lostResult(), err: errStopped}
+		return &tryResult{result: e.lostResult(), brokenOff: true, err: errStopped}
 	case leave.DeadlineReached:
 		return &tryResult{result: e.lostResult(), err: errTimeout}
 	default:
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"expvar"
 	"io"
@@ -13,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/core"
+	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
 	"apricotproxy/core/reqst/leave"
 	"apricotproxy/core/reqst/tries"
@@ -282,8 +284,14 @@
 // wherever in the answer that was: an endpoint may crash at any moment of a run. An answer that
 // broke off at its begin is also a loss of its prompt's parts alone, since other requests at an
 // endpoint are rarely at that point.
-func (e *exchange) recordEnd(end *tryResult) {
-	if e.endWasPlanned() {
+func (e *exchange) recordEnd(ctx context.Context, end *tryResult) {
+	if !end.brokenOff && !isConnectionEnd(end.err) {
+		return
+	}
+	if e.endWasPlanned(ctx) {
+		if end.health == place.Bad {
+			end.health = 0
+		}
 		return
 	}
 	if (end.result == tries.Lost || end.result == tries.Broken) && isConnectionEnd(end.err) {
@@ -301,10 +309,18 @@
 }
 
 // endWasPlanned reports whether the end of a try's connection tells nothing of the request: its endpoint had
-// announced its leaving, or may have stopped work at the deadline or because this host asked it to.
-func (e *exchange) endWasPlanned() bool {
+// announced its leaving, or may have stopped work at the deadline, or because this host asked it to
+// and still listens.
+func (e *exchange) endWasPlanned(ctx context.Context) bool {
 	end := leave.End{MayHaveStopped: e.stopping.mayHaveStoppedNow(), TimeLeft: time.Until(e.request.Deadline), EndpointEnded: e.leftByNotice}
-	return end.Cause() != leave.AnswerComplete
+	switch end.Cause() {
+	case leave.AnswerComplete:
+		return false
+	case leave.RunStopped:
+		return e.leftByNotice() || !e.front.config.Links.Refuses(ctx, e.run.Endpoint.Address)
+	default:
+		return true
+	}
 }
 
 // isConnectionEnd reports whether an endpoint closed or reset a connection, as it does when it
