io/front, io/links: an answer without framing is complete only if its endpoint is seen to listen

What callers saw: a part of an answer as complete when the endpoint's machine was gone, or when the endpoint closed its connections some milliseconds before it stopped to listen.

Cause: only a refused connection counted as the end of an endpoint, and one that was accepted from the backlog and reset counted as accepted.

Now any failure to connect leaves the end open, and the new connection has to stay open for 50 ms. Only an endpoint that refuses or closes is evidence of a crash.

--- a/io/front/falseend.go
+++ b/io/front/falseend.go
@@ -21,6 +21,13 @@
 	errStopped = fmt.Errorf("the endpoint may have stopped the run, and its answer does not tell its length: %w", io.ErrUnexpectedEOF)
 )
 
+// errUnconfirmedEnd ends such a try if it cannot be found out whether its endpoint has ended.
+var errUnconfirmedEnd = errors.New("it is not known whether the endpoint ended, and its answer does not tell its length")
+
+// _listenerDelay is how long an endpoint that ends may take from the end of its connections to that of its listener:
+// the end of a process, and a round trip.
+const _listenerDelay = 50 * time.Millisecond
+
 // stopping records the requests to stop the run of one try. It is safe for concurrent use: they
 // are sent while another goroutine reads the stream.
 type stopping struct {
@@ -90,11 +97,13 @@
 	if answer.Framed() {
 		return nil
 	}
+	var listening error
 	end := leave.End{
 		MayHaveStopped: e.stopping.mayHaveStopped(ctx),
 		TimeLeft:       time.Until(e.request.Deadline),
 		EndpointEnded: func() bool {
-			return errors.Is(e.front.config.Links.Connect(ctx, e.run.Endpoint.RoutedEndpoint), syscall.ECONNREFUSED)
+			listening = e.front.config.Links.Listens(ctx, e.run.Endpoint.RoutedEndpoint, _listenerDelay)
+			return listening != nil
 		},
 	}
 	cause := end.Cause()
@@ -102,13 +111,15 @@
 		return nil
 	}
 	e.log("An answer without framing is not taken for complete.", "Endpoint", e.run.Endpoint.ID, "Reason", cause.String(),
-		"Events", e.events, "TimeLeft", end.TimeLeft.Milliseconds(), "LeftByNotice", e.leftByNotice())
+		"Listening", errorText(listening), "Events", e.events, "TimeLeft", end.TimeLeft.Milliseconds(), "LeftByNotice", e.leftByNotice())
 	switch cause {
 	case leave.RunStopped:
 		return &tryResult{result: e.lostResult(), brokenOff: true, err: errStopped}
 	case leave.DeadlineReached:
 		return &tryResult{result: e.lostResult(), err: errTimeout}
-	default:
+	}
+	if isConnectionEnd(listening) || errors.Is(listening, syscall.ECONNREFUSED) {
 		return &tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, place.Gone), brokenOff: true, err: errEndedUnframed}
 	}
+	return &tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, place.Unreachable), err: fmt.Errorf("%w: %w", errUnconfirmedEnd, listening)}
 }
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -13,6 +13,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -304,10 +305,50 @@
 	if err != nil {
 		return err
 	}
+	p.keep(key, c)
+	return nil
+}
+
+// keep keeps a connection that has carried no request for the next one.
+func (p *Pool) keep(key string, c *connection) {
 	now := time.Now()
 	c.idleSince, c.idleUntil = now, now.Add(_defaultIdleTimeout)
 	p.addInUse(key, 1)
 	p.release(key, c, 0)
+}
+
+// Listens opens a connection to an endpoint and returns an error if that fails, or if the endpoint closes it within
+// a time: one that ends closes its connections and its listener one after the other. The connection is
+// kept for the next request.
+func (p *Pool) Listens(ctx context.Context, endpoint core.RoutedEndpoint, within time.Duration) error {
+	c, err := p.dial(ctx, endpoint.Address)
+	if err != nil {
+		return err
+	}
+	if err := c.staysOpen(within); err != nil {
+		c.close()
+		return fmt.Errorf("connection to %s: %w", endpoint.Address, err)
+	}
+	p.keep(Key(endpoint), c)
+	return nil
+}
+
+// staysOpen returns an error if the other end closes an unused connection, or sends anything on it,
+// within a time.
+func (c *connection) staysOpen(within time.Duration) error {
+	if err := c.conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return fmt.Errorf("set the read deadline: %w", err)
+	}
+	n, err := c.conn.Read(make([]byte, 1))
+	if n > 0 {
+		return errors.New("bytes that no request asked for")
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("read: %w", err)
+	}
+	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+		return fmt.Errorf("clear the read deadline: %w", err)
+	}
 	return nil
 }
 
