core/reqst/leave, io/front: a request to stop a run counts for its own try, until the run goes on

What callers saw: complete streams without framing that were cut or ran twice.

Cause: a request that was sent late counted for the next try; and an engine that had declined to stop a run and went on with it counted as one that may have stopped it, to the end.

Now the record belongs to the try for which the request was made, and an event for which the host waited 300 ms after the last answer or later shows that the run was not stopped.

--- a/core/reqst/leave/end.go
+++ b/core/reqst/leave/end.go
@@ -6,12 +6,18 @@
 // work at it: it is handed the time left in whole milliseconds, and its clock may run ahead.
 const _deadlineMargin = 10 * time.Millisecond
 
+// _inFlight is how long after its answer what an engine sent before it may still arrive: a round trip, and
+// the repetition of a lost packet.
+const _inFlight = 300 * time.Millisecond
+
 // StopRequests is what became of this host's requests to stop the run of one try. An endpoint that
 // stops a run closes its stream without its end, before or after it answers. Only an answer that
 // excludes it shows that a request did not stop the run: an error, or no answer at all, does not.
 type StopRequests struct {
 	pending        int
 	mayHaveStopped bool
+	// settledAt is when it became known what came of the last request.
+	settledAt time.Time
 }
 
 // Send records that a request is about to be sent.
@@ -19,11 +25,20 @@
 
 // Settle records what came of a request. An endpoint that was not reached got none, and one that
 // has no such run had ended it by itself, unless an earlier request may have stopped it.
-func (s *StopRequests) Settle(evidence Evidence) {
+func (s *StopRequests) Settle(now time.Time, evidence Evidence) {
 	s.pending--
+	s.settledAt = now
 	s.mayHaveStopped = s.mayHaveStopped || evidence != Unreachable && evidence != NoRun
 }
 
+// RecordEvent records that an event of the run arrived, for which this host had waited since a time with
+// nothing else to read. A run that goes on long after the answers to all requests was not stopped.
+func (s *StopRequests) RecordEvent(awaitedSince time.Time) {
+	if s.pending == 0 && !awaitedSince.Before(s.settledAt.Add(_inFlight)) {
+		s.mayHaveStopped = false
+	}
+}
+
 // Pending reports whether requests are under way.
 func (s *StopRequests) Pending() bool { return s.pending > 0 }
 
--- a/core/reqst/leave/end_test.go
+++ b/core/reqst/leave/end_test.go
@@ -30,7 +30,7 @@
 			s.Send()
 		}
 		for _, evidence := range c.answers {
-			s.Settle(evidence)
+			s.Settle(time.Unix(1000, 0), evidence)
 		}
 		if s.MayHaveStopped() != c.mayStops || s.Pending() != (c.pending > 0) {
 			t.Errorf("%s: may have stopped %v, pending %v; want %v, %v", c.name, s.MayHaveStopped(), s.Pending(), c.mayStops, c.pending > 0)
@@ -55,3 +55,28 @@
 		}
 	}
 }
+
+func TestRunThatGoesOnLongAfterTheAnswerWasNotStopped(t *testing.T) {
+	settledAt := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name         string
+		pending      int
+		awaitedSince time.Time
+		mayHave      bool
+	}{
+		{"awaited before the answer", 0, settledAt.Add(-time.Second), true},
+		{"may have been under way", 0, settledAt.Add(100 * time.Millisecond), true},
+		{"awaited long after the answer", 0, settledAt.Add(400 * time.Millisecond), false},
+		{"another request is under way", 1, settledAt.Add(400 * time.Millisecond), true},
+	} {
+		var s leave.StopRequests
+		for range 1 + c.pending {
+			s.Send()
+		}
+		s.Settle(settledAt, leave.Declined)
+		s.RecordEvent(c.awaitedSince)
+		if s.MayHaveStopped() != c.mayHave {
+			t.Errorf("%s: may have stopped %v, want %v", c.name, s.MayHaveStopped(), c.mayHave)
+		}
+	}
+}
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -20,6 +20,9 @@
 // _streamReadBytes is the size of the read buffer of a stream.
 const _streamReadBytes = 4 << 10
 
+// _emptyRead is how long a read takes at least that found nothing and had to wait.
+const _emptyRead = 2 * time.Millisecond
+
 // bufferedAnswer is an endpoint's complete answer.
 type bufferedAnswer struct {
 	status int
@@ -100,6 +103,7 @@
 	e.buffered.resize(0)
 	chunk := make([]byte, _streamReadBytes)
 	for {
+		readAt := time.Now()
 		n, err := answer.Read(chunk)
 		if n > 0 {
 			e.front.config.Detector.RecordAnswer(e.run.Endpoint.Key())
@@ -111,6 +115,9 @@
 				return *end.leftWhileRunning(answer)
 			}
 			if e.received > before {
+				if time.Since(readAt) >= _emptyRead {
+					e.stopping.recordEvent(readAt)
+				}
 				if e.stop.pending == nil {
 					e.dropPrepared()
 				}
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -330,7 +330,11 @@
 // backup. With last, the engine stops the run first.
 func (e *exchange) copyTo(ctx context.Context, target *place.Run, last bool) moveResult {
 	source := e.run.Endpoint.RoutedEndpoint
-	moved := e.requestMove(ctx, source, target.Endpoint.Address, last)
+	var stops *stopping
+	if last {
+		stops = e.stopping
+	}
+	moved := e.requestMove(ctx, source, target.Endpoint.Address, stops)
 	if moved.err == nil {
 		e.backup.set(e.placer(), target, source.Address+"/"+moved.handle, moved.handle)
 	}
@@ -369,19 +373,18 @@
 }
 
 // requestMove asks the engine that runs the request to copy the run's memory to another
-// engine. The run goes on meanwhile or, with last, is stopped first. The error is nil if the
-// copy is complete.
-func (e *exchange) requestMove(ctx context.Context, source core.RoutedEndpoint, to string, last bool) (result moveResult) {
-	body, err := json.Marshal(map[string]any{"id": e.request.ID, "to": to, "last": last})
+// engine. The run goes on meanwhile or, if stops is not nil, is stopped first; stops belongs to the
+// try of the run. The error is nil if the copy is complete.
+func (e *exchange) requestMove(ctx context.Context, source core.RoutedEndpoint, to string, stops *stopping) (result moveResult) {
+	body, err := json.Marshal(map[string]any{"id": e.request.ID, "to": to, "last": stops != nil})
 	if err != nil {
 		return moveResult{err: fmt.Errorf("encode the move: %w", err)}
 	}
 	ctx, cancel := context.WithTimeout(ctx, _moveTimeout)
 	defer cancel()
-	if last {
-		stops := e.stopping
+	if stops != nil {
 		stops.send()
-		defer func() { stops.settle(result.evidence()) }()
+		defer func() { stops.settle(time.Now(), result.evidence()) }()
 	}
 	answer, err := e.front.config.Links.Do(ctx, source, &links.Request{
 		Method: http.MethodPost, Target: e.front.config.Paths.Move, HostName: source.Address,
--- a/io/front/falseend.go
+++ b/io/front/falseend.go
@@ -48,16 +48,23 @@
 	}
 }
 
-func (s *stopping) settle(evidence leave.Evidence) {
+func (s *stopping) settle(now time.Time, evidence leave.Evidence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.requests.Settle(evidence)
+	s.requests.Settle(now, evidence)
 	if !s.requests.Pending() {
 		close(s.settled)
 		s.settled = nil
 	}
 }
 
+// recordEvent records that an event arrived that this host had awaited since a time.
+func (s *stopping) recordEvent(awaitedSince time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests.RecordEvent(awaitedSince)
+}
+
 // wasAsked reports whether the endpoint was asked to stop the run, whatever it answered.
 func (s *stopping) wasAsked() bool {
 	s.mu.Lock()
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -79,6 +79,7 @@
 func (e *exchange) requestStop(ctx context.Context, source, to core.RoutedEndpoint) *stopRequest {
 	ctx, cancel := context.WithTimeout(ctx, _moveTimeout)
 	request := &stopRequest{cancel: cancel, done: make(chan struct{})}
+	stops := e.stopping // of the try whose run is to be stopped: the next one may begin meanwhile
 	go func() {
 		defer close(request.done)
 		defer cancel()
@@ -87,7 +88,7 @@
 			request.evidence = leave.Unreachable
 			return
 		}
-		moved := e.requestMove(ctx, source, to.Address, true)
+		moved := e.requestMove(ctx, source, to.Address, stops)
 		request.evidence = moved.evidence()
 		if moved.status == http.StatusOK && request.evidence == leave.Stopped {
 			request.from = source.Address + "/" + moved.handle
