io/links: an answer to HEAD ends with its head

What callers saw: 502 for an answer to HEAD that was whole, if its endpoint had stopped to listen. Cause: without a length it counted as one that ends with its connection. TestAnswerToHeadIsCompleteWithoutItsEndpoint failed before.

--- a/io/links/links.go
+++ b/io/links/links.go
@@ -466,10 +466,12 @@
 	return n, err
 }
 
-// Framed reports whether the answer has a length or is sent in chunks. Otherwise it
-// ends when the connection closes, and it is complete only if the connection was
-// closed and not reset.
-func (a *Answer) Framed() bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
+// Framed reports whether the answer tells where it ends: it has a length, is sent in chunks, or
+// answers HEAD and has no body. Otherwise it ends when the connection closes, and it is complete
+// only if the connection was closed and not reset.
+func (a *Answer) Framed() bool {
+	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 || a.Request.Method == http.MethodHead
+}
 
 // EndsWithin reports whether the endpoint has closed the connection or does so within a limit. What
 // it sends until then is discarded.
