io/front: a stream that is cut resets the connection of a caller of HTTP/1.0

What callers saw: a part of a stream as complete. Cause: an answer to HTTP/1.0 has no chunks and ends with its connection, which was closed as after a complete one.

--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -93,9 +94,37 @@
 func (e *exchange) cut(reason string) {
 	e.log("A stream was cut.", "Reason", reason, "Events", e.events, "Took", time.Since(e.request.Arrived).Milliseconds())
 	e.front.counters.countAnswer(0)
+	if !e.incoming.ProtoAtLeast(1, 1) {
+		e.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetCaller resets the caller's connection. An answer to HTTP/1.0 ends with its connection, so that a
+// close would make a part of it complete.
+func (e *exchange) resetCaller() {
+	conn, _, err := e.controller.Hijack()
+	if err != nil {
+		e.log("The caller's connection could not be reset.", "Cause", err.Error())
+		return
+	}
+	raw := conn
+	for {
+		outer, ok := raw.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		raw = outer.NetConn()
+	}
+	if tcp, ok := raw.(interface{ SetLinger(seconds int) error }); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			e.log("The caller's connection could not be reset.", "Cause", err.Error())
+		}
+	}
+	_ = raw.Close()
+	_ = conn.Close()
+}
+
 // stream relays events as they arrive. Only complete events show that the engine still works:
 // one that has stalled may send a byte now and then.
 func (e *exchange) stream(ctx context.Context, answer *links.Answer) tryResult {
