io/caller: no last chunk after a write that failed

What callers saw: a slow caller's stream ended properly without its last event. Cause: the end was written whatever had become of the writes before. TestStreamOfASlowCallerHasNoFalseEnd failed before.

--- a/io/caller/output.go
+++ b/io/caller/output.go
@@ -123,6 +123,7 @@
 	http11   bool
 	hijacked chan struct{} // closed once the connection is hijacked
 	conn     net.Conn      // nil if the fallback is used
+	failed   bool          // true once a write failed: the caller lacks a part of the answer
 	deadline writeDeadline
 }
 
@@ -171,9 +172,11 @@
 
 func (o *hijackedOutput) write(data []byte) error {
 	if err := o.deadline.extend(o.conn.SetWriteDeadline); err != nil {
+		o.failed = true
 		return err
 	}
 	if _, err := o.conn.Write(data); err != nil {
+		o.failed = true
 		return fmt.Errorf("write to the caller: %w", err)
 	}
 	return nil
@@ -185,7 +188,9 @@
 	}
 	// The last chunk tells the caller's HTTP client that the answer is complete. If
 	// either step fails, the caller has disconnected.
-	_ = o.write([]byte("0\r\n\r\n"))
+	if !o.failed {
+		_ = o.write([]byte("0\r\n\r\n"))
+	}
 	_ = o.conn.Close()
 }
 
