--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -20,6 +20,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"time"
 
@@ -216,13 +217,39 @@
 		return nil, endpointError(endpoint, core.ResultLost, fmt.Errorf("read the answer: %w", err))
 	}
 	// An answer without a length ends with its connection, and so does one that failed after
-	// its header.
-	if len(answer) == 0 && res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
-		return nil, endpointError(endpoint, core.ResultLost, errors.New("the connection was closed after the answer's header"))
+	// its header, or whose endpoint ended.
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		if len(answer) == 0 {
+			return nil, endpointError(endpoint, core.ResultLost, errors.New("the connection was closed after the answer's header"))
+		}
+		if err := c.checkListening(ctx, endpoint); err != nil {
+			return nil, endpointError(endpoint, core.ResultLost, fmt.Errorf("the connection was closed amid the answer, or after it: %w", err))
+		}
 	}
 	return answer, nil
 }
 
+// _listenerDelay is how long an endpoint that ends may take from the end of its connections to that of
+// its listener: the end of a process, and a round trip.
+const _listenerDelay = 50 * time.Millisecond
+
+// checkListening returns an error if no connection to the endpoint can be opened, or if the endpoint
+// closes it at once.
+func (c *Client) checkListening(ctx context.Context, endpoint core.Endpoint) error {
+	conn, err := c.dial(ctx, "tcp", endpoint.Address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetReadDeadline(time.Now().Add(_listenerDelay)); err != nil {
+		return fmt.Errorf("set the read deadline: %w", err)
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("the endpoint closed a new connection: %w", err)
+	}
+	return nil
+}
+
 // Report fetches the endpoint's report of its state and load.
 func (c *Client) Report(ctx context.Context, endpoint core.Endpoint) (core.Report, error) {
 	askedAt := time.Now()
