--- /dev/null
+++ b/core/procs/reach/hosts.go
@@ -0,0 +1,203 @@
+package reach
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"apricotproxy/core"
+)
+
+const (
+	// _maxToHost bounds the requests that this host has in flight at another one.
+	_maxToHost = 128
+	// _minRelayed is the number of requests for others that a host takes at least while it runs few of its own. Beyond it,
+	// it takes as many as of its own.
+	_minRelayed = 128
+	// _maxRunning is the number of requests of both kinds from which on a host takes none for others. Each uses up to two
+	// connections: half of the 4096 descriptors that a process commonly may have.
+	_maxRunning = 1024
+	// _forgetAfter is how long a silent host is remembered.
+	_forgetAfter = time.Minute
+	// _initialBackoff and _maxBackoff bound the time for which a host is avoided that failed or is busy. It doubles with each
+	// further failure.
+	_initialBackoff = 100 * time.Millisecond
+	_maxBackoff     = time.Second
+)
+
+// Host is what another host says in its heartbeats.
+type Host struct {
+	Name       core.HostName
+	DataCentre core.DataCentreName
+	// SameRegion is true if requests may be passed to it: routes may be bound to a region.
+	SameRegion bool
+	// Address is that for documents and relayed requests.
+	Address string
+	// Reaches is true if it reaches endpoints, Stopping if it takes no new requests.
+	Reaches, Stopping bool
+	Incarnation       int64
+}
+
+// RelayOutcome is the result of relaying a request to another host.
+type RelayOutcome uint8
+
+// Outcomes.
+const (
+	// RelayDone: the host passed on an endpoint's answer, or its caller went away meanwhile.
+	RelayDone RelayOutcome = iota + 1
+	// RelayRefused: it refused this request, which has not run. It is avoided for a while if another host can help.
+	RelayRefused
+	// RelayBusy: it takes no requests for others now, which has nothing to do with this one. It gets none for a while.
+	RelayBusy
+	// RelayLost: the connection ended after the request was sent, without a complete answer.
+	RelayLost
+	// RelayUnreachable: no connection to it could be opened; the request was not sent.
+	RelayUnreachable
+)
+
+// host is another host and what this one has seen of it.
+type host struct {
+	Host
+	heardAt  time.Time
+	inFlight int
+	// backoffUntil is the time until which it gets no requests, avoidUntil until which it gets them only if no other host can
+	// help. backoff is the time for which it was last avoided.
+	backoffUntil, avoidUntil time.Time
+	backoff                  time.Duration
+}
+
+// RecordHost records what another host said of itself in a heartbeat.
+func (t *Tracker) RecordHost(now time.Time, said Host) {
+	t.update(now)
+	if said.Name == t.self {
+		return
+	}
+	h := t.hosts[said.Name]
+	if h == nil {
+		t.forgetSilent(now)
+		h = &host{}
+		t.hosts[said.Name] = h
+	}
+	if said.Incarnation < h.Incarnation {
+		return
+	}
+	becameCutOff := !said.Reaches && (h.Reaches || h.heardAt.IsZero())
+	if said.Incarnation > h.Incarnation || said.Reaches && !h.Reaches {
+		h.backoff, h.backoffUntil, h.avoidUntil = 0, time.Time{}, time.Time{}
+	}
+	h.Host, h.heardAt = said, now
+	if becameCutOff {
+		t.checkOnWord(now)
+	}
+}
+
+func (t *Tracker) forgetSilent(now time.Time) {
+	for name, h := range t.hosts {
+		if h.inFlight == 0 && now.Sub(h.heardAt) > _forgetAfter {
+			delete(t.hosts, name)
+		}
+	}
+}
+
+// PickHost returns a host to relay a request to, and counts the request as in flight there until EndRelay is called, once. It
+// returns false while the state is Reaching, and if no other host can help.
+func (t *Tracker) PickHost(now time.Time, exclude []core.HostName) (Host, bool) {
+	t.update(now)
+	if t.state == Reaching {
+		return Host{}, false
+	}
+	var candidates []*host
+	for _, h := range t.hosts {
+		if h.canHelp(now) && !slices.Contains(exclude, h.Name) {
+			candidates = append(candidates, h)
+		}
+	}
+	if len(candidates) == 0 {
+		return Host{}, false
+	}
+	// Hosts are sorted by name first, since the order of the map is not that of the last run.
+	slices.SortFunc(candidates, func(a, b *host) int { return cmp.Compare(a.Name, b.Name) })
+	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	best := slices.MinFunc(candidates, func(a, b *host) int {
+		return cmp.Or(compareBool(now.Before(a.avoidUntil), now.Before(b.avoidUntil)),
+			compareBool(a.DataCentre != t.dataCentre, b.DataCentre != t.dataCentre), a.inFlight-b.inFlight)
+	})
+	best.inFlight++
+	return best.Host, true
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func (h *host) canHelp(now time.Time) bool {
+	return h.Reaches && !h.Stopping && h.SameRegion && now.Sub(h.heardAt) < _liveTimeout && !now.Before(h.backoffUntil) && h.inFlight < _maxToHost
+}
+
+// EndRelay records that a request that was relayed to a host has ended there.
+func (t *Tracker) EndRelay(now time.Time, name core.HostName, outcome RelayOutcome) {
+	t.update(now)
+	h := t.hosts[name]
+	if h == nil {
+		return
+	}
+	h.inFlight--
+	isAvoided := now.Before(h.backoffUntil) || now.Before(h.avoidUntil)
+	if outcome == RelayDone {
+		h.backoff = 0
+		return
+	}
+	// Requests that fail together are one failure.
+	if !isAvoided {
+		h.backoff = min(max(2*h.backoff, _initialBackoff), _maxBackoff)
+	}
+	until := now.Add(t.jitter(h.backoff))
+	if outcome == RelayRefused {
+		h.avoidUntil = until
+		return
+	}
+	h.backoffUntil = until
+}
+
+// AcceptRelayed reports whether this host takes a request for another one, while it runs ownRunning requests of its own
+// callers. If so, the request counts as in flight until EndRelayed is called, once.
+func (t *Tracker) AcceptRelayed(now time.Time, from core.HostName, ownRunning int) bool {
+	t.update(now)
+	bound := min(max(_minRelayed, ownRunning), _maxRunning-ownRunning)
+	if !t.mayServe(now) || t.relayedTotal >= bound {
+		return false
+	}
+	// The second half of the room is for hosts that use less than an even share of all.
+	if t.relayedTotal >= bound/2 && t.relayed[from] >= t.evenShare(from, bound) {
+		return false
+	}
+	t.relayed[from]++
+	t.relayedTotal++
+	return true
+}
+
+// evenShare returns a host's part of a bound, if each host that uses it has the same part. It is one at least.
+func (t *Tracker) evenShare(from core.HostName, bound int) int {
+	hosts := len(t.relayed)
+	if t.relayed[from] == 0 {
+		hosts++
+	}
+	return max(bound/hosts, 1)
+}
+
+// EndRelayed records that a request for another host has ended.
+func (t *Tracker) EndRelayed(from core.HostName) {
+	t.relayedTotal--
+	t.relayed[from]--
+	if t.relayed[from] <= 0 {
+		delete(t.relayed, from)
+	}
+}
