core/procs/gossip, io/news: heartbeats tell whether a host reaches endpoints

Cause: a host that reaches no endpoint cannot know which other host may serve for it. Change: the last field of a heartbeat says it. Nothing sets it yet. Measured: go test ./io/news passes; the round trip of a heartbeat covers the field.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -84,6 +84,8 @@
 	Leaving []core.EndpointKey
 	// KnownHosts names hosts that the sender knows of.
 	KnownHosts []Contact
+	// Reaches is true when the host reaches endpoints, so that others may relay requests to it.
+	Reaches bool
 }
 
 type member struct {
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -27,7 +27,7 @@
 	m := &news.Message{
 		Heartbeat: gossip.Heartbeat{
 			From:        gossip.Contact{Host: "edge-austin-a-1", Heartbeat: "10.1.0.19:7200", Documents: "10.1.0.19:8748", DataCentre: "austin-a"},
-			Incarnation: 1_760_000_000_000_000_000, CanReadStore: true,
+			Incarnation: 1_760_000_000_000_000_000, CanReadStore: true, Reaches: true,
 			SyncStatus: gossip.SyncStatus{Epoch: 2, Version: 31, Kept: 1, CompleteSince: 3900, AsOf: 4012, Changed: 4000, Age: 300 * time.Millisecond},
 		},
 		Loads: make(map[string]place.Load),
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -36,6 +36,7 @@
 		Losses      []wireLoss
 		Successes   []wireSuccess
 		Blocks      []wireBlock
+		Reaches     bool
 	}
 
 	wireLoadUpdate struct {
@@ -143,7 +144,7 @@
 	w := &wireMessage{
 		From: contactToWire(m.From), Incarnation: m.Incarnation, Stopping: m.Stopping, Reads: m.CanReadStore,
 		AsOf: m.SyncStatus.AsOf, Changed: m.SyncStatus.Changed, AgeMs: m.SyncStatus.Age.Milliseconds(), HasLoads: m.Loads != nil,
-		Epoch: m.SyncStatus.Epoch, Version: m.SyncStatus.Version, Kept: m.SyncStatus.Kept, Since: m.SyncStatus.CompleteSince,
+		Epoch: m.SyncStatus.Epoch, Version: m.SyncStatus.Version, Kept: m.SyncStatus.Kept, Since: m.SyncStatus.CompleteSince, Reaches: m.Reaches,
 	}
 	for _, key := range m.Leaving {
 		w.Leaving = append(w.Leaving, keyToWire(key))
@@ -282,7 +283,7 @@
 
 func fromWire(w *wireMessage, now time.Time) *Message {
 	m := &Message{Poison: w.poison(now), Heartbeat: gossip.Heartbeat{
-		From: contactFromWire(w.From), Incarnation: w.Incarnation, Stopping: w.Stopping, CanReadStore: w.Reads,
+		From: contactFromWire(w.From), Incarnation: w.Incarnation, Stopping: w.Stopping, CanReadStore: w.Reads, Reaches: w.Reaches,
 		SyncStatus: gossip.SyncStatus{Epoch: w.Epoch, Version: w.Version, Kept: w.Kept, CompleteSince: w.Since, AsOf: w.AsOf, Changed: w.Changed, Age: time.Duration(w.AgeMs) * time.Millisecond},
 	}}
 	for _, l := range w.Leaving {
