io/front, io/entry: a host that reaches no endpoint relays requests to another host

Change: core/procs/reach gets the results of dials and answers, and decides on the state, on probes and on the host to relay to. While the state is CutOff, or Suspect and the request could not be sent from here, a try of the request goes to the address for other hosts of one that says that it reaches endpoints: unchanged, with its key and what is left of its time and attempts. That host serves it like a caller's by its own knowledge; it takes a bounded number and relays none further. A refusal that says that the request did not run is passed to the caller; one for want of room for others is tried at a further host; a connection that ends counts as a loss, so that an order is never sent twice. Idle connections are closed when a cut is established, backoffs end with it. An engine that refuses connections is told to other hosts as gone only if another endpoint can be reached. A planned stop waits for requests of others.

--- a/core/procs/place/health.go
+++ b/core/procs/place/health.go
@@ -45,6 +45,14 @@
 // document is removed meanwhile.
 const _goneBackoff = 10 * time.Second
 
+// LiftBackoffs ends the backoffs of all endpoints, as when this host reaches endpoints again that it
+// could not reach for a reason of its own.
+func (p *Placer) LiftBackoffs() {
+	for _, e := range p.endpoints {
+		e.health = health{}
+	}
+}
+
 // RecordOutcome records the outcome of a run's try.
 func (p *Placer) RecordOutcome(now time.Time, run *Run, outcome Outcome) {
 	e := p.endpointOf(run)
--- a/core/reqst/tries/tries.go
+++ b/core/reqst/tries/tries.go
@@ -96,6 +96,9 @@
 // current one.
 func (t *Tries) MayRunAgain() bool { return t.repeatable() && t.ran+1 < t.route.MaxAttempts }
 
+// AttemptsLeft returns on how many endpoints the request may still run; 1 at least.
+func (t *Tries) AttemptsLeft() int { return max(t.route.MaxAttempts-t.ran, 1) }
+
 // Sent records that a try was sent. The try counts as run until the endpoint
 // answers that it did not run it. sameRun is true if the try continues a run from
 // a copy of its memory, which is not another run.
@@ -108,6 +111,14 @@
 		"a request of kind %v may have run on %d endpoints", t.route.Kind, t.ran)
 }
 
+// Unsent records that the current try has not run, if it was counted.
+func (t *Tries) Unsent() {
+	if t.counted {
+		t.ran--
+	}
+	t.counted = false
+}
+
 // Situation is the input of a decision besides the history.
 type Situation struct {
 	// Delivered is true once the caller has received a part of the answer.
@@ -139,9 +150,7 @@
 		}
 		return t.finalStep(situation)
 	case Refused:
-		if t.counted {
-			t.ran--
-		}
+		t.Unsent()
 		if situation.TimeLeft && situation.SpendRetry() {
 			return t.retryStep(situation)
 		}
--- a/io/entry/answers.go
+++ b/io/entry/answers.go
@@ -20,6 +20,7 @@
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		return // another endpoint is at this address
 	}
+	h.reach.RecordAnswer(endpoint)
 	if answer.Header.Get(h.settings.Names.Leaving) == "1" && h.sharedPlacer.NoteLeaving(endpoint.Key()) {
 		h.log.Info("An endpoint says in an answer that it is leaving.", "Endpoint", endpoint.ID, "Status", answer.StatusCode)
 		_notices.Add("Leaving", 1)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -108,11 +108,14 @@
 	freshness origin.Freshness
 	front     *front.Front
 	links     *links.Pool
-	peers     *peers
-	idle      idleLimit
-	stopping  atomic.Bool
-	servers   []*http.Server
-	listeners []net.Listener
+	reach     *front.SharedReach
+	// relayLinks are the connections to other hosts over which requests are relayed.
+	relayLinks *links.Pool
+	peers      *peers
+	idle       idleLimit
+	stopping   atomic.Bool
+	servers    []*http.Server
+	listeners  []net.Listener
 }
 
 // New creates a host and opens its listeners. It starts nothing; Run does.
@@ -128,7 +131,10 @@
 	h.bounds.Store(&settings.Bounds)
 	h.links = links.New(links.Settings{
 		Dialer: settings.Dialer, DialTimeout: _endpointDialTimeout, MaxIdle: _maxIdlePerEndpoint, Answered: h.inspectAnswer,
+		Dialed:     func(endpoint core.RoutedEndpoint, err error) { h.reach.RecordDial(endpoint, err) },
+		Unanswered: func(endpoint core.RoutedEndpoint) { h.reach.RecordUnanswered(endpoint) },
 	})
+	h.newReach(rand.New(rand.NewPCG(seed, 3)))
 	random := rand.New(rand.NewPCG(seed, 1))
 	placer := place.New(settings.Name, settings.DataCentre, settings.Bounds, random)
 	placer.SetSwitches(settings.Switches.Place)
@@ -141,6 +147,7 @@
 	h.origins = h.newOrigins()
 	h.front = front.New(front.Config{
 		Names: settings.Names, Paths: settings.Paths, SharedPlacer: h.sharedPlacer, Detector: h.detector, Origins: h.origins, Links: h.links, View: h.docState.View,
+		Reach: h.reach, RelayLinks: h.relayLinks, Self: settings.Name,
 		SyncStatus: h.docState.syncStatus, Logger: settings.Logger, BufferBytes: settings.MemoryBytes / _bufferDivisor, BodyBytes: settings.MemoryBytes / _bodyDivisor,
 		ConfirmIncarnation: h.confirmIncarnation, DocumentsOutdated: h.documentsOutdated,
 		LoadChanged: func() { h.peers.scheduleLoadChanges() }, Switches: settings.Switches.Front,
@@ -185,7 +192,7 @@
 			IdleTimeout: _maxIdleTimeout, ConnState: h.idle.connState,
 		}},
 		{h.settings.ReadyAddress, guard.Others, newSideServer(ready)},
-		{h.settings.PeerAddress, guard.Hosts, newSideServer(news.Handler(h.peers.servePull))},
+		{h.settings.PeerAddress, guard.Hosts, newSideServer(h.front.PeerHandler(news.Handler(h.peers.servePull)))},
 	} {
 		listener, err := h.settings.Listen("tcp", l.address)
 		if err != nil {
@@ -210,6 +217,7 @@
 	}
 	h.observeBuilds(view)
 	h.sharedPlacer.Apply(view)
+	h.reach.SetEndpoints(view, h.leavingEndpoints())
 }
 
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -242,6 +250,7 @@
 	}
 	group.Go(func() { h.readStore(runCtx) })
 	group.Go(func() { h.runExpiry(runCtx) })
+	group.Go(func() { h.runProbes(runCtx) })
 	group.Go(func() { h.pollEngines(runCtx) })
 	group.Go(func() { h.peers.run(runCtx) })
 	group.Go(func() {
@@ -265,6 +274,7 @@
 	err = errors.Join(err, h.peers.socket.Close())
 	group.Wait()
 	h.links.Close()
+	h.relayLinks.Close()
 	h.log.Info("This host has stopped.", "Host", h.settings.Name)
 	return err
 }
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -34,7 +34,10 @@
 	sharedPlacer *front.SharedPlacer
 	detector     *front.SharedDetector
 	origins      *front.SharedOrigins
-	stopping     func() bool
+	reach        *front.SharedReach
+	// recordHost records what another host says of whether it reaches the endpoints.
+	recordHost func(*gossip.Heartbeat)
+	stopping   func() bool
 	// sendNow requests a heartbeat before the next interval. sendChangesNow requests
 	// only the changed loads, for the hosts of the same data centre.
 	sendNow        chan struct{}
@@ -98,6 +101,7 @@
 	if !accepted {
 		return
 	}
+	p.recordHost(&message.Heartbeat)
 	if first {
 		p.sendWelcome(now, message.From)
 	}
@@ -432,6 +436,7 @@
 		From: p.self, Incarnation: p.incarnation, Stopping: p.stopping(), CanReadStore: p.canReadStore, KnownHosts: p.state.SampleHosts(now),
 	}
 	p.mu.Unlock()
+	message.Reaches = p.reach.ReachesForOthers()
 	p.docState.withState(func(s *know.State) {
 		if status := s.SyncStatus(); status.AsOf > 0 {
 			message.SyncStatus = gossip.SyncStatus{
@@ -516,6 +521,8 @@
 		sharedPlacer:    h.sharedPlacer,
 		detector:        h.detector,
 		origins:         h.origins,
+		reach:           h.reach,
+		recordHost:      h.recordHost,
 		stopping:        h.stopping.Load,
 		canReadStore:    true,
 		sendNow:         make(chan struct{}, 1),
--- /dev/null
+++ b/io/entry/reach.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/gossip"
+	"apricotproxy/core/procs/place"
+	"apricotproxy/core/procs/reach"
+	"apricotproxy/io/front"
+	"apricotproxy/io/links"
+)
+
+const (
+	// _maxIdlePerHost limits the idle connections to another host, over which requests are relayed.
+	_maxIdlePerHost = 16
+	// _confirmDials is to how many other endpoints a connection is tried before an endpoint that refuses
+	// connections is taken to have ended.
+	_confirmDials = 2
+)
+
+// _reach counts changes of whether hosts of this process reach the endpoints, by the new state.
+var _reach = expvar.NewMap("apricotproxy.Routed.Reach")
+
+// newReach creates what tells whether this host reaches the endpoints, and the connections to other
+// hosts.
+func (h *Host) newReach(random *rand.Rand) {
+	s := h.settings
+	h.reach = front.NewSharedReach(reach.New(s.Name, s.DataCentre, random), h.reachChanged)
+	h.relayLinks = links.New(links.Settings{Dialer: s.Dialer, DialTimeout: _endpointDialTimeout, MaxIdle: _maxIdlePerHost})
+}
+
+// reachChanged carries out what follows from a change of whether this host reaches the endpoints.
+func (h *Host) reachChanged(before, now reach.State, lasted time.Duration) {
+	h.log.Info("Whether this host reaches the endpoints changed.", "State", now.String(), "Before", before.String(), "Lasted", lasted.Milliseconds(), "Running", h.front.Running())
+	_reach.Add(now.String(), 1)
+	switch {
+	case now == reach.CutOff:
+		h.links.CloseIdle()
+	case before == reach.CutOff:
+		h.sharedPlacer.Update(func(p *place.Placer) { p.LiftBackoffs() })
+	}
+	h.peers.scheduleHeartbeat()
+}
+
+// runProbes opens connections to endpoints while it is in question whether this host reaches any.
+func (h *Host) runProbes(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for ctx.Err() == nil {
+		for _, endpoint := range h.dueProbes() {
+			group.Go(func() { _ = h.links.Probe(ctx, endpoint) }) // the pool reports the result
+		}
+		interval := _expiryInterval
+		if h.reach.State() != reach.Reaching {
+			interval = reach.PollInterval
+		}
+		timer := time.NewTimer(interval)
+		select {
+		case <-ctx.Done():
+		case <-h.reach.Failed():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// dueProbes returns the endpoints to probe now.
+func (h *Host) dueProbes() []core.RoutedEndpoint {
+	keys := h.reach.DueProbes()
+	view := h.docState.View()
+	if len(keys) == 0 || view == nil {
+		return nil
+	}
+	due := make(map[core.EndpointKey]bool, len(keys))
+	for _, key := range keys {
+		due[key] = true
+	}
+	var endpoints []core.RoutedEndpoint
+	for _, e := range view.Endpoints {
+		if due[e.Key()] {
+			endpoints = append(endpoints, e.RoutedEndpoint)
+		}
+	}
+	return endpoints
+}
+
+// reachesOther reports whether this host can open a connection to an endpoint other than the given one.
+// If not, a refusal tells nothing of that endpoint. It is true if there is no other one to ask.
+func (h *Host) reachesOther(ctx context.Context, id string) bool {
+	if h.reach.State() != reach.Reaching {
+		return false
+	}
+	var others []core.RoutedEndpoint
+	for _, e := range h.docState.View().Endpoints {
+		if e.ID != id && !e.Draining {
+			others = append(others, e.RoutedEndpoint)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, other := range others[:min(len(others), _confirmDials)] {
+		if h.links.Probe(ctx, other) == nil {
+			return true
+		}
+	}
+	return len(others) == 0
+}
+
+// recordHost records what another host says in a heartbeat of whether it reaches the endpoints.
+func (h *Host) recordHost(heartbeat *gossip.Heartbeat) {
+	from, regions := heartbeat.From, h.settings.Regions
+	h.reach.RecordHost(reach.Host{
+		Name: from.Host, DataCentre: from.DataCentre, SameRegion: regions[from.DataCentre] == regions[h.settings.DataCentre],
+		Address: from.Documents, Reaches: heartbeat.Reaches, Stopping: heartbeat.Stopping, Incarnation: heartbeat.Incarnation,
+	})
+}
--- a/io/entry/report.go
+++ b/io/entry/report.go
@@ -46,7 +46,7 @@
 				if err != nil {
 					h.log.Info("Failed to get an engine's report.", "Endpoint", endpoint.ID, "Cause", err.Error())
 				}
-				gone := errors.Is(err, syscall.ECONNREFUSED)
+				gone := errors.Is(err, syscall.ECONNREFUSED) && h.reachesOther(ctx, endpoint.ID)
 				if state.Leaving && h.sharedPlacer.NoteLeaving(endpoint.Key()) || gone && h.sharedPlacer.RecordLeaving(endpoint.Key()) {
 					h.log.Info("An engine is leaving, or refuses connections.", "Endpoint", endpoint.ID, "Gone", gone)
 					h.peers.scheduleHeartbeat()
@@ -72,11 +72,9 @@
 		return nil
 	}
 	leaving := make(map[string]bool)
-	h.sharedPlacer.WithLock(func(p *place.Placer) {
-		for _, key := range p.LeavingEndpoints() {
-			leaving[key.ID] = true
-		}
-	})
+	for _, key := range h.leavingEndpoints() {
+		leaving[key.ID] = true
+	}
 	var engines []core.RoutedEndpoint
 	for _, e := range view.Endpoints {
 		if !all && e.DropAt.IsZero() {
@@ -89,6 +87,12 @@
 	return engines
 }
 
+// leavingEndpoints lists the endpoints that are leaving although their documents do not say so.
+func (h *Host) leavingEndpoints() (keys []core.EndpointKey) {
+	h.sharedPlacer.WithLock(func(p *place.Placer) { keys = p.LeavingEndpoints() })
+	return keys
+}
+
 func (h *Host) requestReport(ctx context.Context, endpoint core.RoutedEndpoint) (core.EngineState, error) {
 	ctx, cancel := context.WithTimeout(ctx, _reportTimeout)
 	defer cancel()
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -35,7 +35,11 @@
 	if err := h.listeners[0].Close(); err != nil {
 		h.log.Error(err, "The listener for callers could not be closed.")
 	}
-	if !h.idle.drain(ctx) {
+	drained := h.idle.drain(ctx)
+	for h.front.Relayed() > 0 && ctx.Err() == nil {
+		sleep(ctx, _drainInterval)
+	}
+	if !drained || h.front.Relayed() > 0 {
 		h.log.Info("The time to stop is over; running requests are cut off.", "Running", h.front.Running())
 		h.front.LogRunning()
 	}
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -263,6 +263,7 @@
 	e.recordBegin()
 	e.front.counters.firstEventTime.record(time.Since(e.request.Arrived))
 	copyAnswerHeader(e.writer.Header(), answer.Header)
+	e.tellBuild(e.writer.Header())
 	e.writer.WriteHeader(answer.StatusCode)
 	e.log(_firstEvent, "Endpoint", e.run.Endpoint.ID, "Took", time.Since(e.request.Arrived).Milliseconds())
 }
@@ -281,6 +282,7 @@
 	for _, name := range names.Reserved {
 		header.Del(name)
 	}
+	dropRelayHeaders(header)
 	for _, name := range []string{names.Model, names.Tokens, names.Parts, names.LastEventID} {
 		if values := incoming.Values(name); len(values) > 0 {
 			header[http.CanonicalHeaderKey(name)] = values
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -151,8 +151,8 @@
 }
 
 // place places a request and waits for room as long as the placer says. The verdict is
-// Placed or the reason why there is no run.
-func (s *SharedPlacer) place(ctx context.Context, spec *place.Spec) (*place.Run, place.Verdict) {
+// Placed or the reason why there is no run. The wait also ends when cutOff is closed.
+func (s *SharedPlacer) place(ctx context.Context, spec *place.Spec, cutOff <-chan struct{}) (*place.Run, place.Verdict) {
 	now := time.Now()
 	s.mu.Lock()
 	deadline := s.line.WaitUntil(now, spec)
@@ -171,6 +171,7 @@
 	case run := <-granted:
 		return grantedRun(run)
 	case <-timer.C:
+	case <-cutOff:
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -50,6 +50,10 @@
 
 	// triedEndpoints lists the IDs of the endpoints of earlier tries.
 	triedEndpoints []string
+	// triedHosts lists the hosts to which the request was relayed, and failedHere is true once a try of
+	// this host's own did not reach its endpoint.
+	triedHosts []core.HostName
+	failedHere bool
 	// lostAddresses lists the addresses of the endpoints that closed the connection of a try
 	// before its answer was complete.
 	lostAddresses []string
@@ -147,7 +151,9 @@
 	brokenOff bool
 	// mayStillRun is true if this host ended the try and the endpoint may still work on it.
 	mayStillRun bool
-	err         error
+	// hostBusy is true if another host takes no requests for this one now.
+	hostBusy bool
+	err      error
 }
 
 // digest identifies what the request asks for. Where it has no body, the parts of its prompt
@@ -171,7 +177,7 @@
 	defer e.buffered.release()
 	defer e.dropPrepared()
 	e.placer().recordArrival(&e.request.RoutedRequest)
-	if !e.takeUp(ctx) {
+	if !e.mayRelay(tries.Again) && !e.takeUp(ctx) { // otherwise the other host finds the build
 		return
 	}
 	step := tries.Again
@@ -197,7 +203,7 @@
 		if !errors.Is(end.err, errSlow) {
 			e.dropPrepared()
 		}
-		next := e.tries.Next(end.result, e.situation())
+		next := e.tries.Next(end.result, e.situation(end))
 		e.log("A try ended.", "Result", end.result.String(), "Cause", errorText(end.err), "Next", next.String(),
 			"AnswerBegun", e.answerBegun, "HadEvents", !e.firstEventAt.IsZero(),
 			"Silent", e.silentFor().Milliseconds(), "HasCopy", e.backupReady(), "Version", e.front.config.View().Version())
@@ -219,12 +225,15 @@
 	}
 }
 
-func (e *exchange) situation() tries.Situation {
+// situation returns the situation after a try, or during one if end is zero.
+func (e *exchange) situation(end tryResult) tries.Situation {
 	return tries.Situation{
-		Prepared:       e.prepared.nextStep(),
-		Delivered:      e.delivered,
-		HasCopy:        e.backupReady(),
-		SpendRetry:     func() bool { return e.placer().allowRetry(e.request.Service) },
+		Prepared:  e.prepared.nextStep(),
+		Delivered: e.delivered,
+		HasCopy:   e.backupReady(),
+		SpendRetry: func() bool {
+			return end.hostBusy || e.placer().allowRetry(e.request.Service) // a busy host sent nothing to endpoints
+		},
 		TimeLeft:       time.Until(e.request.Deadline) > _minTimeLeft,
 		HadEvents:      !e.firstEventAt.IsZero(),
 		EndedEndpoints: e.countEnded,
@@ -249,7 +258,14 @@
 	if e.checkStopping() || e.checkBlocked() {
 		return tryResult{done: true}
 	}
-	from, notPlaced := e.placeStep(ctx, step)
+	cutOff := e.front.config.Reach.nextCutOff()
+	if host, ok := e.pickHost(step); ok {
+		e.beginTry(step)
+		end := e.relayTry(ctx, host)
+		e.front.counters.countTry(end.result.String())
+		return end
+	}
+	from, notPlaced := e.placeStep(ctx, step, cutOff)
 	if notPlaced != nil {
 		return *notPlaced
 	}
@@ -257,10 +273,7 @@
 		e.placer().end(e.run, 0)
 		return tryResult{done: true}
 	}
-	e.continued = e.continued || step != tries.Again
-	e.resumed = !e.delivered
-	e.leavingSince, e.noRoomLogged, e.failedCopyTargets = time.Time{}, false, nil
-	e.answerBegun, e.firstEventAt, e.tryEvents = false, time.Time{}, 0
+	e.beginTry(step)
 	if e.unended != nil && e.delivered { // the endpoint before may still work on the stream
 		stoppedFrom, err := e.awaitStopped(ctx, from)
 		if err != nil {
@@ -284,22 +297,31 @@
 	}
 	if !end.done {
 		e.triedEndpoints = append(e.triedEndpoints, e.run.Endpoint.ID)
+		e.failedHere = e.failedHere || end.health == place.Unreachable || end.health == place.Gone
 	}
 	e.placer().end(e.run, end.health)
 	return end
 }
 
+// beginTry resets what is known of the current try.
+func (e *exchange) beginTry(step tries.Step) {
+	e.continued = e.continued || step != tries.Again
+	e.resumed = !e.delivered
+	e.leavingSince, e.noRoomLogged, e.failedCopyTargets = time.Time{}, false, nil
+	e.answerBegun, e.firstEventAt, e.tryEvents = false, time.Time{}, 0
+}
+
 // placeStep sets the run of the next try: the one that was prepared, one at the endpoint of the
-// copy, or a new one. from identifies the copy that it continues from, if any. If there is no run,
+// copy, or a new one. A wait for room ends when cutOff is closed. from identifies the copy that it continues from, if any. If there is no run,
 // end is the result of the try.
-func (e *exchange) placeStep(ctx context.Context, step tries.Step) (from string, end *tryResult) {
+func (e *exchange) placeStep(ctx context.Context, step tries.Step, cutOff <-chan struct{}) (from string, end *tryResult) {
 	if p := e.prepared; p != nil {
 		e.run, e.prepared = p.run, nil
 		e.backup.drop(e.placer())
 		return p.from, nil
 	}
 	if step != tries.Continue {
-		return "", e.place(ctx)
+		return "", e.place(ctx, step, cutOff)
 	}
 	key, from := e.backup.continuation()
 	e.backup.drop(e.placer())
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -47,6 +47,12 @@
 	// Origins finds the builds at which streams were begun; nil for a ledger of this front alone.
 	Origins *SharedOrigins
 	Links   *links.Pool
+	// Reach tells whether this host reaches the endpoints and through which host it relays requests
+	// otherwise; nil if it always does. RelayLinks are the connections to other hosts.
+	Reach      *SharedReach
+	RelayLinks *links.Pool
+	// Self is the name of this host.
+	Self core.HostName
 	// ConfirmIncarnation asks an engine whether it still is the incarnation that the host
 	// knows, before a stream begins or goes on there; nil to believe so.
 	ConfirmIncarnation func(context.Context, core.RoutedEndpoint) error
@@ -87,10 +93,12 @@
 	log                logr.Logger
 	keepAlivesDisabled atomic.Bool
 	running            atomic.Int64
-	buffers            *bufferLimit
-	bodies             *bufferLimit
-	counters           *counters
-	planned            *planned
+	// relayed counts those in flight that other hosts relayed.
+	relayed  atomic.Int64
+	buffers  *bufferLimit
+	bodies   *bufferLimit
+	counters *counters
+	planned  *planned
 }
 
 // New returns a handler for routed requests.
@@ -114,14 +122,17 @@
 }
 
 // ServeHTTP serves one request.
-func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.serve(w, r, "") }
+
+// serve serves one request. relayedBy is the host that relayed it; empty for a caller's.
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, relayedBy core.HostName) {
 	f.running.Add(1)
 	defer f.running.Add(-1)
 	if f.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	arrived := time.Now()
-	request, failure := f.admit(r, arrived)
+	request, failure := f.admit(r, arrived, relayedBy)
 	room := share{limit: f.bodies}
 	defer room.release()
 	if failure == nil {
@@ -143,13 +154,15 @@
 type request struct {
 	core.RoutedRequest
 	body []byte
+	// relayedBy is the host that relayed the request; empty for a caller's.
+	relayedBy core.HostName
 }
 
 // admit finds the request's route, workspace and deadline, or returns the error to
 // answer with.
-func (f *Front) admit(r *http.Request, arrived time.Time) (*request, *errorAnswer) {
+func (f *Front) admit(r *http.Request, arrived time.Time, relayedBy core.HostName) (*request, *errorAnswer) {
 	names := f.config.Names
-	req := &request{RoutedRequest: core.RoutedRequest{ID: r.Header.Get(names.RequestID), Arrived: arrived}}
+	req := &request{RoutedRequest: core.RoutedRequest{ID: r.Header.Get(names.RequestID), Arrived: arrived}, relayedBy: relayedBy}
 	if req.ID == "" {
 		return req, &errorAnswer{status: http.StatusBadRequest, reason: "the request has no id"}
 	}
@@ -165,6 +178,7 @@
 		return req, &errorAnswer{status: http.StatusNotFound, reason: "no route matches"}
 	}
 	req.Route, req.Priority = route, route.Priority
+	req.limitAttempts(r.Header)
 	if failure := f.authorize(t, r, req); failure != nil {
 		return req, failure
 	}
@@ -172,7 +186,7 @@
 	req.Deadline = f.deadline(r, req)
 	req.Prompt = f.prompt(r)
 	limits := t.Limits()
-	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
+	if limits.HeaderBytes > 0 && relayedBy == "" && headerBytes(r) > limits.HeaderBytes {
 		return req, &errorAnswer{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the header is too long"}
 	}
 	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
@@ -288,8 +302,12 @@
 	status := f.config.SyncStatus()
 	f.log.Info("A request was answered with an error.", "Request", req.ID, "Status", failure.status, "Reason", failure.reason, "RetryAfter", failure.retryAfter.Milliseconds(), "Path", r.URL.Path,
 		"Version", f.config.View().Version(), "Epoch", status.Epoch, "AsOf", status.AsOf, "DocumentAge", status.Age(time.Now()).Milliseconds())
-	f.counters.countAnswer(failure.status)
 	header := w.Header()
+	code := failure.status
+	if req.relayedBy != "" {
+		code = f.relayedStatus(header, code)
+	}
+	f.counters.countAnswer(code)
 	if req.ID != "" {
 		header.Set(f.config.Names.RequestID, req.ID)
 	}
@@ -297,6 +315,6 @@
 		header.Set("Retry-After", strconv.FormatFloat(failure.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(failure.status)
+	w.WriteHeader(code)
 	_, _ = io.WriteString(w, failure.reason+"\n")
 }
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -14,6 +14,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/poison"
+	"apricotproxy/core/procs/reach"
 	"apricotproxy/core/reqst/tries"
 )
 
@@ -282,6 +283,9 @@
 // broke off at its begin is also a loss of its prompt's parts alone, since other requests at an
 // endpoint are rarely at that point.
 func (e *exchange) recordEnd(end *tryResult) {
+	if e.front.config.Reach.State() != reach.Reaching {
+		return // the connection may have ended with this host's others
+	}
 	if (end.result == tries.Lost || end.result == tries.Broken) && isConnectionEnd(end.err) && !e.leftByNotice() {
 		e.log("A request was lost with its connection.", "Endpoint", e.run.Endpoint.ID, "AnswerBegun", e.answerBegun, "TryEvents", e.tryEvents,
 			"Ran", time.Since(e.sentAt).Milliseconds(), "SharedParts", e.sharedParts, "Digest", e.digest().String())
--- /dev/null
+++ b/io/front/reach.go
@@ -0,0 +1,179 @@
+package front
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
+	"apricotproxy/core/procs/reach"
+)
+
+// _answerInterval is how often answers of endpoints are recorded. They are frequent, and only the time
+// of the latest matters.
+const _answerInterval = 100 * time.Millisecond
+
+// SharedReach gives the goroutines of requests access to one reach.Tracker. It is safe for concurrent
+// use. A nil SharedReach is that of a host that always reaches the endpoints and relays nothing.
+type SharedReach struct {
+	// changed is called after each change of the state, without the lock.
+	changed func(before, now reach.State, lasted time.Duration)
+	// state is the state after the last call of the tracker.
+	state atomic.Uint32
+	// answeredAt is when an answer was last recorded, in nanoseconds.
+	answeredAt atomic.Int64
+	// cutOff is closed when the host becomes cut off, and replaced afterwards.
+	cutOff atomic.Pointer[chan struct{}]
+	// failed receives when a dial failed, so that probes are due.
+	failed chan struct{}
+
+	mu      sync.Mutex
+	tracker *reach.Tracker
+	since   time.Time
+}
+
+// NewSharedReach wraps a tracker, which must not be used directly afterwards.
+func NewSharedReach(tracker *reach.Tracker, changed func(before, now reach.State, lasted time.Duration)) *SharedReach {
+	s := &SharedReach{changed: changed, tracker: tracker, failed: make(chan struct{}, 1), since: time.Now()}
+	s.state.Store(uint32(reach.Reaching))
+	s.renewCutOff()
+	return s
+}
+
+func (s *SharedReach) renewCutOff() {
+	signal := make(chan struct{})
+	s.cutOff.Store(&signal)
+}
+
+// update calls f with the tracker and reports a change of the state.
+func (s *SharedReach) update(f func(t *reach.Tracker, now time.Time)) {
+	s.mu.Lock()
+	now := time.Now()
+	f(s.tracker, now)
+	before, state := s.State(), s.tracker.State(now)
+	lasted := now.Sub(s.since)
+	if before == state {
+		s.mu.Unlock()
+		return
+	}
+	s.state.Store(uint32(state))
+	s.since = now
+	if state == reach.CutOff {
+		close(*s.cutOff.Load())
+		s.renewCutOff()
+	}
+	s.mu.Unlock()
+	s.changed(before, state, lasted)
+}
+
+// State returns whether the host reaches the endpoints.
+func (s *SharedReach) State() reach.State {
+	if s == nil {
+		return reach.Reaching
+	}
+	return reach.State(s.state.Load())
+}
+
+// nextCutOff returns a channel that is closed when the host becomes cut off.
+func (s *SharedReach) nextCutOff() <-chan struct{} {
+	if s == nil {
+		return nil
+	}
+	return *s.cutOff.Load()
+}
+
+// Failed returns a channel that receives when a dial failed, so that probes may be due.
+func (s *SharedReach) Failed() <-chan struct{} { return s.failed }
+
+// SetEndpoints sets the endpoints of a view, except those that are leaving.
+func (s *SharedReach) SetEndpoints(view *know.View, leaving []core.EndpointKey) {
+	left := make(map[core.EndpointKey]bool, len(leaving))
+	for _, key := range leaving {
+		left[key] = true
+	}
+	var keys []core.EndpointKey
+	for _, e := range view.Endpoints {
+		if key := e.Key(); !e.Draining && !left[key] {
+			keys = append(keys, key)
+		}
+	}
+	s.update(func(t *reach.Tracker, now time.Time) { t.SetEndpoints(now, keys) })
+}
+
+// RecordDial records the result of opening a connection to an endpoint.
+func (s *SharedReach) RecordDial(endpoint core.RoutedEndpoint, err error) {
+	s.update(func(t *reach.Tracker, now time.Time) { t.RecordDial(now, endpoint.Key(), err == nil) })
+	if err != nil {
+		select {
+		case s.failed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// RecordAnswer records that the head of an answer arrived from an endpoint.
+func (s *SharedReach) RecordAnswer(endpoint core.RoutedEndpoint) {
+	now, last := time.Now().UnixNano(), s.answeredAt.Load()
+	if now-last < int64(_answerInterval) || !s.answeredAt.CompareAndSwap(last, now) {
+		return
+	}
+	s.update(func(t *reach.Tracker, now time.Time) { t.RecordAnswer(now, endpoint.Key()) })
+}
+
+// RecordUnanswered records that a request that was sent to an endpoint got no answer.
+func (s *SharedReach) RecordUnanswered(endpoint core.RoutedEndpoint) {
+	s.update(func(t *reach.Tracker, now time.Time) { t.RecordSilence(now, endpoint.Key()) })
+}
+
+// DueProbes returns the endpoints to which connections are to be opened now.
+func (s *SharedReach) DueProbes() (keys []core.EndpointKey) {
+	s.update(func(t *reach.Tracker, now time.Time) { keys = t.DueProbes(now) })
+	return keys
+}
+
+// RecordHost records what another host said of itself.
+func (s *SharedReach) RecordHost(host reach.Host) {
+	s.update(func(t *reach.Tracker, now time.Time) { t.RecordHost(now, host) })
+}
+
+// ReachesForOthers reports whether this host can serve the requests of hosts that are cut off.
+func (s *SharedReach) ReachesForOthers() (reaches bool) {
+	s.update(func(t *reach.Tracker, now time.Time) { reaches = t.ReachesForOthers(now) })
+	return reaches
+}
+
+// pickHost returns a host to relay a request to. endRelay must be called once for it.
+func (s *SharedReach) pickHost(exclude []core.HostName) (host reach.Host, ok bool) {
+	s.update(func(t *reach.Tracker, now time.Time) { host, ok = t.PickHost(now, exclude) })
+	return host, ok
+}
+
+func (s *SharedReach) endRelay(host core.HostName, outcome reach.RelayOutcome) {
+	s.update(func(t *reach.Tracker, now time.Time) { t.EndRelay(now, host, outcome) })
+}
+
+// acceptRelayed reports whether this host serves a request for another one. If so, endRelayed must be
+// called once.
+func (s *SharedReach) acceptRelayed(from core.HostName, ownRunning int) (accepted bool) {
+	if s == nil {
+		return false
+	}
+	s.update(func(t *reach.Tracker, now time.Time) { accepted = t.AcceptRelayed(now, from, ownRunning) })
+	return accepted
+}
+
+func (s *SharedReach) endRelayed(from core.HostName) {
+	s.update(func(t *reach.Tracker, _ time.Time) { t.EndRelayed(from) })
+}
+
+// canRelay reports whether another host takes a request now.
+func (s *SharedReach) canRelay(exclude []core.HostName) (ok bool) {
+	s.update(func(t *reach.Tracker, now time.Time) {
+		host, found := t.PickHost(now, exclude)
+		if ok = found; found {
+			t.EndRelay(now, host.Name, reach.RelayDone)
+		}
+	})
+	return ok
+}
--- /dev/null
+++ b/io/front/relay.go
@@ -0,0 +1,209 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
+	"apricotproxy/core/procs/place"
+	"apricotproxy/core/procs/reach"
+	"apricotproxy/core/reqst/tries"
+	"apricotproxy/io/links"
+)
+
+// Headers of the hop between two hosts. They are sent to no endpoint and no caller.
+const (
+	// _relayedBy names the host that relays the request. A request that has it is relayed no further.
+	_relayedBy = "Relayed-By"
+	// _relayAttempts is on how many endpoints the request may still run.
+	_relayAttempts = "Relay-Attempts"
+	// _relayService and _relayBuild tell, in the head of a stream, which service and build wrote it.
+	_relayService = "Relay-Service"
+	_relayBuild   = "Relay-Build"
+)
+
+// _relayMargin is by how much the deadline of a relayed request comes before that of the request, so
+// that the other host's own answer arrives in time: a few round trips within a region.
+const _relayMargin = 20 * time.Millisecond
+
+// errCutOff ends a wait for room because this host reaches no endpoint.
+var errCutOff = errors.New("this host reaches no endpoint")
+
+// _relays counts the requests that this host relayed to others, by outcome, and those that it served
+// or refused for others.
+var _relays = expvar.NewMap("apricotproxy.Routed.Relays")
+
+// mayRelay reports whether a step may be made through another host: while this host is cut off, or is
+// suspected to be and could not send this request itself.
+func (e *exchange) mayRelay(step tries.Step) bool {
+	if e.request.relayedBy != "" || e.prepared != nil || step != tries.Again && step != tries.Resume {
+		return false
+	}
+	switch e.front.config.Reach.State() {
+	case reach.CutOff:
+		return true
+	case reach.Suspect:
+		return e.failedHere
+	default:
+		return false
+	}
+}
+
+// pickHost returns the host to relay a step to; ok is false if it is made by this host.
+func (e *exchange) pickHost(step tries.Step) (host reach.Host, ok bool) {
+	if !e.mayRelay(step) {
+		return reach.Host{}, false
+	}
+	return e.front.config.Reach.pickHost(e.triedHosts)
+}
+
+// relayTry makes one try through another host. The request is written once to it, and it makes the
+// tries at endpoints by its own knowledge. Its connection to the endpoint ends with the one to it.
+func (e *exchange) relayTry(ctx context.Context, host reach.Host) tryResult {
+	e.triedHosts = append(e.triedHosts, host.Name)
+	peer := core.RoutedEndpoint{ID: string(host.Name), Address: host.Address}
+	e.run = &place.Run{Endpoint: know.Endpoint{RoutedEndpoint: peer}}
+	e.backup.drop(e.placer())
+	e.stop, e.stopping, e.unended = runStop{}, &stopping{}, nil
+	e.silence, e.counted, e.waitLogged = &links.Silence{}, false, false
+	e.silence.Ask = func() error { // the other host leaves silent endpoints
+		e.silence.AskAt = time.Time{}
+		return nil
+	}
+	e.log("A request is relayed to another host.", "Host", host.Name, "DataCentre", host.DataCentre, "State", e.front.config.Reach.State().String(),
+		"Delivered", e.delivered, "Waited", time.Since(e.request.Arrived).Milliseconds(), "TimeLeft", time.Until(e.request.Deadline).Milliseconds())
+	end, outcome := e.exchangeWith(ctx, peer)
+	_relays.Add(relayOutcomeName(outcome), 1)
+	e.front.config.Reach.endRelay(host.Name, outcome)
+	end.health, end.brokenOff, end.mayStillRun = 0, false, false
+	return end
+}
+
+func relayOutcomeName(outcome reach.RelayOutcome) string {
+	return [...]string{"None", "Done", "Refused", "Busy", "Lost", "Unreachable"}[outcome]
+}
+
+// exchangeWith sends the request to another host and passes its answer on.
+func (e *exchange) exchangeWith(ctx context.Context, peer core.RoutedEndpoint) (tryResult, reach.RelayOutcome) {
+	attempts := e.tries.AttemptsLeft()
+	e.sentAt = time.Now()
+	answer, err := e.front.config.RelayLinks.Do(ctx, peer, e.relayRequest(attempts))
+	var failed *links.Error
+	switch {
+	case errors.As(err, &failed) && failed.Stage == links.StageDial:
+		return tryResult{result: tries.NotSent, err: err}, e.relayFailure(ctx, reach.RelayUnreachable)
+	case err != nil:
+		e.countTry(false)
+		return tryResult{result: e.lostResult(), err: err}, e.relayFailure(ctx, reach.RelayLost)
+	}
+	defer answer.Close()
+	e.countTry(false)
+	return e.receiveRelayed(ctx, answer)
+}
+
+// relayFailure returns the outcome to record when the exchange with another host failed. A request
+// whose caller left or whose time is over tells nothing of the host.
+func (e *exchange) relayFailure(ctx context.Context, outcome reach.RelayOutcome) reach.RelayOutcome {
+	if ctx.Err() != nil {
+		return reach.RelayDone
+	}
+	return outcome
+}
+
+// relayRequest returns the request as it is sent to another host: as the caller sent it, with what is
+// left of its time and attempts.
+func (e *exchange) relayRequest(attempts int) *links.Request {
+	names, incoming := e.front.config.Names, e.incoming.Header
+	header := incoming.Clone()
+	dropHopByHopHeaders(header, incoming)
+	for _, name := range []string{names.Key, names.Model, names.Tokens, names.Parts, names.ExpectedTokens, names.LastEventID, names.Resumes} {
+		if values := incoming.Values(name); len(values) > 0 {
+			header[http.CanonicalHeaderKey(name)] = values // also if the Connection header names it
+		}
+	}
+	header.Set(names.RequestID, e.request.ID)
+	header.Set(names.Deadline, strconv.FormatInt(max(time.Until(e.request.Deadline.Add(-_relayMargin)).Milliseconds(), 1), 10))
+	header.Set(_relayedBy, string(e.front.config.Self))
+	header.Set(_relayAttempts, strconv.Itoa(attempts))
+	if e.position.Started() && e.delivered {
+		header.Set(names.LastEventID, strconv.Itoa(e.position.Last()))
+		begunBy := e.begunBy
+		if begunBy == "" {
+			begunBy = e.request.ID
+		}
+		header.Set(names.Resumes, begunBy)
+	}
+	return &links.Request{
+		Method: e.incoming.Method, Target: e.incoming.RequestURI, HostName: e.incoming.Host, Header: header, Body: e.request.body,
+		Identify: e.identify, RequireFresh: e.request.Route.Kind != core.RouteIdempotent, Silence: e.silence,
+	}
+}
+
+// receiveRelayed passes on another host's answer. That host has made all tries that it may, so its
+// answer is final, unless it says that it takes no requests for others now.
+func (e *exchange) receiveRelayed(ctx context.Context, answer *links.Answer) (tryResult, reach.RelayOutcome) {
+	names, status := e.front.config.Names, answer.StatusCode
+	if status == http.StatusMisdirectedRequest {
+		e.skipBody(answer)
+		return tryResult{result: tries.Refused, hostBusy: true, err: errors.New("another host takes no requests for this one now")}, reach.RelayBusy
+	}
+	if answer.Header.Get(names.NotRun) != "" {
+		e.skipBody(answer)
+		return e.relayRefusal(answer), reach.RelayRefused
+	}
+	e.answerBegun = true
+	if service := answer.Header.Get(_relayService); service != "" {
+		e.setRelayedBuild(service, answer.Header.Get(_relayBuild))
+	}
+	answer.Header.Del(_relayService)
+	answer.Header.Del(_relayBuild)
+	if status >= http.StatusOK && status < http.StatusMultipleChoices && e.request.Route.Kind == core.RouteStreaming {
+		end := e.stream(ctx, answer)
+		if end.done {
+			return end, reach.RelayDone
+		}
+		return end, e.relayFailure(ctx, reach.RelayLost)
+	}
+	if e.delivered {
+		return tryResult{result: tries.Broken, err: errors.New("another host answered with status " + strconv.Itoa(status))}, reach.RelayDone
+	}
+	body, err := e.readBuffered(answer)
+	if err != nil {
+		return tryResult{result: e.lostResult(), err: err}, e.relayFailure(ctx, reach.RelayLost)
+	}
+	return tryResult{done: true, whole: body}, reach.RelayDone
+}
+
+// setRelayedBuild records which service and build write the stream, so that it may go on at this host's own
+// endpoints or be taken up.
+func (e *exchange) setRelayedBuild(service, build string) {
+	name, err := url.QueryUnescape(build)
+	if err != nil {
+		return
+	}
+	e.request.Service = core.ServiceName(service)
+	e.run.Endpoint.Build = core.BuildName(name)
+}
+
+// relayRefusal answers the caller as another host answered, which did not run the request.
+func (e *exchange) relayRefusal(answer *links.Answer) tryResult {
+	e.tries.Unsent()
+	if e.delivered {
+		e.cut("another host refused to continue the stream")
+	}
+	retryAfter := _retryAfter
+	if seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
+		retryAfter = time.Duration(min(seconds, _maxRelayedWait.Seconds()) * float64(time.Second))
+	}
+	e.answerNotServed("the host that served for this one refused the request", retryAfter)
+	return tryResult{done: true}
+}
+
+// _maxRelayedWait bounds the Retry-After that is taken from another host's refusal.
+const _maxRelayedWait = time.Hour
--- a/io/front/room.go
+++ b/io/front/room.go
@@ -9,14 +9,15 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/place"
+	"apricotproxy/core/reqst/tries"
 )
 
 // place waits until the request is placed on an endpoint, and then returns nil. If it
 // cannot be placed, place answers the caller, unless ctx has ended, and returns the
 // result of the try.
-func (e *exchange) place(ctx context.Context) *tryResult {
+func (e *exchange) place(ctx context.Context, step tries.Step, cutOff <-chan struct{}) *tryResult {
 	spec := e.spec(e.triedEndpoints)
-	run, verdict := e.placer().place(ctx, spec)
+	run, verdict := e.placer().place(ctx, spec, cutOff)
 	if verdict == place.Placed {
 		e.run = run
 		e.notifyLoadChanged()
@@ -28,6 +29,9 @@
 	if ctx.Err() != nil {
 		return &tryResult{}
 	}
+	if e.failedHere = true; e.mayRelay(step) && e.front.config.Reach.canRelay(e.triedHosts) {
+		return &tryResult{result: tries.NotSent, err: errCutOff}
+	}
 	e.logNoRoom(spec, verdict)
 	if e.delivered {
 		e.cut("no endpoint has room to continue the stream")
--- a/io/front/silence.go
+++ b/io/front/silence.go
@@ -90,7 +90,11 @@
 	}
 	step := e.prepared.nextStep()
 	if step == 0 {
-		step = e.tries.Elsewhere(e.situation())
+		step = e.tries.Elsewhere(e.situation(tryResult{}))
+	}
+	if e.mayRelay(step) && e.front.config.Reach.canRelay(e.triedHosts) {
+		e.log("A silent endpoint is left.", "Endpoint", e.run.Endpoint.ID, "Silent", e.silentFor().Milliseconds(), "Next", step.String(), "To", "another host")
+		return errSlow
 	}
 	if (e.prepared != nil || e.prepare(ctx, step)) && e.mayGoOn(ctx, step) {
 		e.log("A silent endpoint is left.", "Endpoint", e.run.Endpoint.ID, "Silent", e.silentFor().Milliseconds(), "Next", e.prepared.step.String(),
@@ -147,6 +151,7 @@
 		return false
 	}
 	if err := e.front.config.Links.Connect(ctx, run.Endpoint.RoutedEndpoint); err != nil {
+		e.failedHere = true
 		e.placer().end(run, e.endpointOutcome(ctx, dialOutcome(err)))
 		return false
 	}
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -136,6 +136,12 @@
 	// Answered is called with the header of each answer that belongs to its request; nil
 	// for none.
 	Answered func(core.RoutedEndpoint, *http.Response)
+	// Dialed is called with the result of opening a connection, unless the request's own context ended
+	// meanwhile; nil for none.
+	Dialed func(core.RoutedEndpoint, error)
+	// Unanswered is called when the connection of a request that was sent ends or times out before an
+	// answer; nil for none.
+	Unanswered func(core.RoutedEndpoint)
 }
 
 // Pool holds idle connections, by endpoint. It is safe for concurrent use.
@@ -195,6 +201,19 @@
 	}
 }
 
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = make(map[string][]*connection)
+	p.mu.Unlock()
+	for _, connections := range idle {
+		for _, c := range connections {
+			c.close()
+		}
+	}
+}
+
 // RequireNew gives each further request to an endpoint a new connection, on which no answer can
 // belong to an earlier request. It returns true when this was not the case before.
 func (p *Pool) RequireNew(endpoint core.RoutedEndpoint) bool {
@@ -215,7 +234,7 @@
 func (p *Pool) Do(ctx context.Context, endpoint core.RoutedEndpoint, request *Request) (*Answer, error) {
 	key := Key(endpoint)
 	p.addInUse(key, 1)
-	c, err := p.acquire(ctx, key, endpoint.Address, request.RequireFresh)
+	c, err := p.acquire(ctx, key, endpoint, request.RequireFresh)
 	if err != nil {
 		p.addInUse(key, -1)
 		return nil, &Error{Stage: StageDial, Err: err}
@@ -233,6 +252,8 @@
 		p.discard(key, c)
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
+		} else if p.settings.Unanswered != nil {
+			p.settings.Unanswered(endpoint)
 		}
 		return nil, &Error{Stage: StageSent, Err: err}
 	}
@@ -258,7 +279,7 @@
 }
 
 // acquire returns an idle connection or opens a new one.
-func (p *Pool) acquire(ctx context.Context, key, address string, requireFresh bool) (*connection, error) {
+func (p *Pool) acquire(ctx context.Context, key string, endpoint core.RoutedEndpoint, requireFresh bool) (*connection, error) {
 	now := time.Now()
 	for {
 		c := p.popIdle(key)
@@ -276,14 +297,18 @@
 		}
 		c.close()
 	}
-	return p.dial(ctx, address)
+	return p.dial(ctx, endpoint)
 }
 
 // dial opens a connection.
-func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+func (p *Pool) dial(ctx context.Context, endpoint core.RoutedEndpoint) (*connection, error) {
+	address := endpoint.Address
 	dialCtx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
 	defer cancel()
 	conn, err := p.settings.Dialer.DialContext(dialCtx, "tcp", address)
+	if p.settings.Dialed != nil && (err == nil || ctx.Err() == nil) {
+		p.settings.Dialed(endpoint, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
@@ -300,7 +325,7 @@
 // endpoint can be reached, which idle connections do not.
 func (p *Pool) Connect(ctx context.Context, endpoint core.RoutedEndpoint) error {
 	key := Key(endpoint)
-	c, err := p.dial(ctx, endpoint.Address)
+	c, err := p.dial(ctx, endpoint)
 	if err != nil {
 		return err
 	}
@@ -311,6 +336,16 @@
 	return nil
 }
 
+// Probe opens a connection to an endpoint and closes it.
+func (p *Pool) Probe(ctx context.Context, endpoint core.RoutedEndpoint) error {
+	c, err := p.dial(ctx, endpoint)
+	if err != nil {
+		return err
+	}
+	c.close()
+	return nil
+}
+
 // Refuses reports whether nothing listens at an address any more: its host refuses
 // connections. An endpoint that was just lost there has ended.
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
