--- a/core/procs/reach/hosts.go
+++ b/core/procs/reach/hosts.go
@@ -6,14 +6,20 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/procs/gossip"
 )
 
 const (
+	// _liveTimeout is how long a host counts as live after its last heartbeat, as in package gossip. In a large data centre,
+	// where each heartbeat goes to a part of the hosts, some are silent for longer: until _staleTimeout a host is used if no
+	// live one can help.
+	_liveTimeout  = 6 * gossip.Interval
+	_staleTimeout = 2 * _liveTimeout
 	// _maxToHost bounds the requests that this host has in flight at another one.
-	_maxToHost = 128
+	_maxToHost = 256
 	// _minRelayed is the number of requests for others that a host takes at least while it runs few of its own. Beyond it,
 	// it takes as many as of its own.
-	_minRelayed = 128
+	_minRelayed = 256
 	// _maxRunning is the number of requests of both kinds from which on a host takes none for others. Each uses up to two
 	// connections: half of the 4096 descriptors that a process commonly may have.
 	_maxRunning = 1024
@@ -61,8 +67,10 @@
 	heardAt  time.Time
 	inFlight int
 	// backoffUntil is the time until which it gets no requests, avoidUntil until which it gets them only if no other host can
-	// help. backoff is the time for which it was last avoided.
+	// help. backoff is the time for which it was last avoided. failedAt is when a connection to it last failed: a heartbeat must
+	// arrive before it is used again.
 	backoffUntil, avoidUntil time.Time
+	failedAt                 time.Time
 	backoff                  time.Duration
 }
 
@@ -92,6 +100,10 @@
 }
 
 func (t *Tracker) forgetSilent(now time.Time) {
+	if now.Before(t.forgetAt) {
+		return
+	}
+	t.forgetAt = now.Add(_forgetAfter)
 	for name, h := range t.hosts {
 		if h.inFlight == 0 && now.Sub(h.heardAt) > _forgetAfter {
 			delete(t.hosts, name)
@@ -119,7 +131,7 @@
 	slices.SortFunc(candidates, func(a, b *host) int { return cmp.Compare(a.Name, b.Name) })
 	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	best := slices.MinFunc(candidates, func(a, b *host) int {
-		return cmp.Or(compareBool(now.Before(a.avoidUntil), now.Before(b.avoidUntil)),
+		return cmp.Or(compareBool(now.Before(a.avoidUntil), now.Before(b.avoidUntil)), compareBool(!a.isLive(now), !b.isLive(now)),
 			compareBool(a.DataCentre != t.dataCentre, b.DataCentre != t.dataCentre), a.inFlight-b.inFlight)
 	})
 	best.inFlight++
@@ -138,8 +150,12 @@
 	}
 }
 
+func (h *host) isLive(now time.Time) bool { return now.Sub(h.heardAt) < _liveTimeout }
+
+// canHelp reports whether the host may take a request now.
 func (h *host) canHelp(now time.Time) bool {
-	return h.Reaches && !h.Stopping && h.SameRegion && now.Sub(h.heardAt) < _liveTimeout && !now.Before(h.backoffUntil) && h.inFlight < _maxToHost
+	isKnown := now.Sub(h.heardAt) < _staleTimeout && h.heardAt.After(h.failedAt)
+	return h.Reaches && !h.Stopping && h.SameRegion && isKnown && !now.Before(h.backoffUntil) && h.inFlight < _maxToHost
 }
 
 // EndRelay records that a request that was relayed to a host has ended there.
@@ -150,21 +166,24 @@
 		return
 	}
 	h.inFlight--
-	isAvoided := now.Before(h.backoffUntil) || now.Before(h.avoidUntil)
 	if outcome == RelayDone {
-		h.backoff = 0
+		h.backoff, h.avoidUntil = 0, time.Time{}
 		return
 	}
 	// Requests that fail together are one failure.
-	if !isAvoided {
+	isAvoided := now.Before(h.backoffUntil) || now.Before(h.avoidUntil)
+	if h.backoff == 0 || !isAvoided {
 		h.backoff = min(max(2*h.backoff, _initialBackoff), _maxBackoff)
 	}
 	until := now.Add(t.jitter(h.backoff))
-	if outcome == RelayRefused {
+	switch outcome {
+	case RelayRefused:
 		h.avoidUntil = until
-		return
+	case RelayLost, RelayUnreachable:
+		h.failedAt, h.backoffUntil = now, until
+	default:
+		h.backoffUntil = until
 	}
-	h.backoffUntil = until
 }
 
 // AcceptRelayed reports whether this host takes a request for another one, while it runs ownRunning requests of its own
--- a/core/procs/reach/reach.go
+++ b/core/procs/reach/reach.go
@@ -2,19 +2,19 @@
 // requests meanwhile.
 //
 // Connections that cannot be opened, and requests that were sent and not answered, make the host suspect a cut. It then
-// dials some endpoints, those first that were alive last: one success refutes the suspicion, failures at many different
-// endpoints confirm it. Only dials decide. Answers on connections that are already open do not show that new ones can
-// be made, and unanswered requests may have other causes, as endpoints that end together.
+// dials a sample of the endpoints: one success refutes the suspicion, failures at all of them confirm it. Only dials
+// decide. Answers on connections that are already open do not show that new ones can be made, and failures at the
+// endpoints that requests happen to go to may have other causes, as a service that is down.
 package reach
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"apricotproxy/core"
-	"apricotproxy/core/procs/gossip"
 )
 
 const (
@@ -34,11 +34,11 @@
 	// _holdTime is the least time from a successful dial to the next suspicion. It bounds the probes of a host that sees many
 	// endpoints fail, and is longer than dials that began before the end of a cut may take.
 	_holdTime = time.Second
-	// _firstProbes is the number of endpoints that are dialled first, which refutes most suspicions.
+	// _firstProbes is the number of endpoints that are probed first, which refutes most suspicions, _allProbes that of the
+	// endpoints that are probed before the host takes itself for cut off. With as many, it is wrong once in twenty times
+	// where five sixths of the endpoints are gone and it knows of none which.
 	_firstProbes = 2
-	// _confirming is the number of endpoints at which dials must fail for a cut: the host is wrong about once in
-	// thirty times with five sixths of the endpoints gone and none known to be alive.
-	_confirming = 12
+	_allProbes   = 16
 	// _probeInterval is the mean time between two probes of a host that is cut off.
 	_probeInterval = 500 * time.Millisecond
 )
@@ -73,13 +73,13 @@
 	key core.EndpointKey
 	// aliveAt is when it last accepted a connection or answered.
 	aliveAt time.Time
-	// failedAt is when a dial last failed, silentAt when a request was last not answered. A later success at any endpoint
-	// makes both void.
+	// failedAt is when a dial last failed, silentAt when a request was last not answered. A later successful dial to any
+	// endpoint makes both void, a later answer silentAt.
 	failedAt, silentAt time.Time
 	// probedAt is when it was last probed, probeUntil until when the result is awaited.
 	probedAt, probeUntil time.Time
-	// order breaks ties between endpoints of which nothing is known.
-	order uint64
+	// refutedAt is when it last refuted a suspicion, or ended a cut.
+	refutedAt time.Time
 }
 
 // Tracker holds what a host knows of its own and other hosts' connections to the endpoints. It is not safe for concurrent
@@ -99,11 +99,15 @@
 	hasProbed bool
 	// nextProbeAt is when a host that is cut off probes next.
 	nextProbeAt time.Time
-	// aliveAt is when an endpoint last accepted a connection or answered, openedAt when one last accepted a connection.
-	aliveAt, openedAt time.Time
-	endpoints         map[core.EndpointKey]*endpoint
+	// aliveAt is when an endpoint last accepted a connection or answered.
+	aliveAt   time.Time
+	endpoints map[core.EndpointKey]*endpoint
+	// failing holds the endpoints with failures that are not known to be void.
+	failing map[core.EndpointKey]*endpoint
 
 	hosts map[core.HostName]*host
+	// forgetAt is when silent hosts are next forgotten.
+	forgetAt time.Time
 	// relayed counts the requests in flight for other hosts, by host, relayedTotal all of them.
 	relayed      map[core.HostName]int
 	relayedTotal int
@@ -113,7 +117,7 @@
 func New(self core.HostName, dataCentre core.DataCentreName, random *rand.Rand) *Tracker {
 	return &Tracker{
 		self: self, dataCentre: dataCentre, random: random, state: Reaching, endpoints: make(map[core.EndpointKey]*endpoint),
-		hosts: make(map[core.HostName]*host), relayed: make(map[core.HostName]int),
+		failing: make(map[core.EndpointKey]*endpoint), hosts: make(map[core.HostName]*host), relayed: make(map[core.HostName]int),
 	}
 }
 
@@ -124,10 +128,11 @@
 	for _, key := range endpoints {
 		e := known[key]
 		if e == nil {
-			e = &endpoint{key: key, order: t.random.Uint64()}
+			e = &endpoint{key: key}
 		}
 		t.endpoints[key] = e
 	}
+	maps.DeleteFunc(t.failing, func(key core.EndpointKey, _ *endpoint) bool { return t.endpoints[key] == nil })
 	t.update(now)
 }
 
@@ -139,12 +144,17 @@
 		e.probeUntil = time.Time{}
 		if reached {
 			e.aliveAt = now
+			if t.state != Reaching {
+				e.refutedAt = now
+			}
 		} else {
 			e.failedAt = now
+			t.failing[key] = e
 		}
 	}
 	if reached {
-		t.aliveAt, t.openedAt = now, now
+		t.aliveAt = now
+		t.forgetFailures()
 		t.holdUntil = now.Add(_holdTime)
 		t.setState(now, Reaching)
 	}
@@ -167,6 +177,7 @@
 	t.notice(now)
 	if e := t.endpoints[key]; e != nil {
 		e.silentAt = now
+		t.failing[key] = e
 	}
 	t.update(now)
 }
@@ -180,10 +191,12 @@
 // Since returns when the state began; zero if it has been Reaching from the start.
 func (t *Tracker) Since() time.Time { return t.since }
 
-// ReachesForOthers reports whether the host can serve requests of hosts that are cut off.
+// ReachesForOthers reports whether the host can serve requests of hosts that are cut off. Most suspicions are refuted by
+// the first probes, and other hosts are not told of these.
 func (t *Tracker) ReachesForOthers(now time.Time) bool {
 	t.update(now)
-	return len(t.endpoints) > 0 && t.mayServe(now)
+	isProbable := t.state == Suspect && t.countFailedProbes() >= min(_firstProbes, t.needed())
+	return len(t.endpoints) > 0 && t.state != CutOff && !isProbable
 }
 
 // mayServe reports whether the host is taken to reach endpoints: also under a suspicion that only rests on what another
@@ -196,47 +209,76 @@
 // It is empty while the state is Reaching. It is to be called at least each PollInterval, and after a dial failed.
 func (t *Tracker) DueProbes(now time.Time) []core.EndpointKey {
 	t.update(now)
-	count := 0
 	switch {
 	case t.state == Suspect && !t.isProbing(now):
-		count = _firstProbes
-		if t.hasProbed {
-			count = t.needed() - t.countFailed(t.since)
-		}
-		t.hasProbed = true
+		return t.probeSample(now)
 	case t.state == CutOff && !now.Before(t.nextProbeAt):
-		count = 1
 		t.nextProbeAt = now.Add(t.jitter(_probeInterval))
+		return t.probe(now, 1, longestUnprobed)
+	default:
+		return nil
 	}
-	return t.probe(now, count)
 }
 
-// probe picks the endpoints that are most probably alive: those that did not fail since the state began and were
-// probed the longest time ago, and of these the ones that were alive last.
-func (t *Tracker) probe(now time.Time, count int) []core.EndpointKey {
-	if count <= 0 {
-		return nil
+// probeSample probes the endpoints that decide about a suspicion: a few first, and if these fail the others.
+func (t *Tracker) probeSample(now time.Time) []core.EndpointKey {
+	count := _firstProbes
+	if t.hasProbed {
+		count = t.needed() - t.countFailedProbes()
 	}
+	t.hasProbed = true
+	return t.probe(now, count, lastRefuting, inRandomOrder, lastAlive, longestIdle)
+}
+
+// ranking orders endpoints, the one to probe first before the others.
+type ranking func(a, b *endpoint) int
+
+// lastRefuting prefers endpoints that were reached when others failed, as those of another service.
+func lastRefuting(a, b *endpoint) int {
+	return cmp.Or(b.refutedAt.Compare(a.refutedAt), lastAlive(a, b))
+}
+
+func lastAlive(a, b *endpoint) int { return b.aliveAt.Compare(a.aliveAt) }
+
+// longestIdle prefers endpoints that requests do not go to, and so probably are of other services than those that fail.
+func longestIdle(a, b *endpoint) int { return a.aliveAt.Compare(b.aliveAt) }
+
+func inRandomOrder(*endpoint, *endpoint) int { return 0 }
+
+func longestUnprobed(a, b *endpoint) int {
+	return cmp.Or(a.probedAt.Compare(b.probedAt), lastAlive(a, b))
+}
+
+// probe picks endpoints by rankings that take turns. Endpoints that failed lately come after all others, and those
+// that failed as the state was examined are left out.
+func (t *Tracker) probe(now time.Time, count int, rankings ...ranking) []core.EndpointKey {
 	candidates := make([]*endpoint, 0, len(t.endpoints))
 	for _, e := range t.endpoints {
-		if !now.Before(e.probeUntil) && (t.state == CutOff || e.failedAt.Before(t.since)) {
+		if !now.Before(e.probeUntil) && (t.state == CutOff || !t.failedProbe(e)) {
 			candidates = append(candidates, e)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *endpoint) int {
-		if t.state == CutOff && !a.probedAt.Equal(b.probedAt) {
-			return a.probedAt.Compare(b.probedAt)
-		}
-		return cmp.Or(b.aliveAt.Compare(a.aliveAt), cmp.Compare(a.order, b.order), cmp.Compare(a.key.ID, b.key.ID))
-	})
+	slices.SortFunc(candidates, func(a, b *endpoint) int { return cmp.Compare(a.key.ID, b.key.ID) })
+	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	var keys []core.EndpointKey
-	for _, e := range candidates[:min(len(candidates), count)] {
-		e.probedAt, e.probeUntil = now, now.Add(_probeTimeout)
-		keys = append(keys, e.key)
+	for turn := 0; turn < count && len(candidates) > 0; turn++ {
+		rank := rankings[turn%len(rankings)]
+		best := slices.MinFunc(candidates, func(a, b *endpoint) int {
+			return cmp.Or(compareBool(t.isDoubtful(a, now), t.isDoubtful(b, now)), rank(a, b))
+		})
+		candidates = slices.DeleteFunc(candidates, func(e *endpoint) bool { return e == best })
+		best.probedAt, best.probeUntil = now, now.Add(_probeTimeout)
+		keys = append(keys, best.key)
 	}
 	return keys
 }
 
+// isDoubtful reports whether an endpoint's failure is among those that made the host suspect a cut. While the host is cut
+// off, all fail.
+func (t *Tracker) isDoubtful(e *endpoint, now time.Time) bool {
+	return t.state == Suspect && t.hasFailed(e, now)
+}
+
 // jitter returns a random duration around a mean, so that hosts that were cut off together do not probe together.
 func (t *Tracker) jitter(mean time.Duration) time.Duration {
 	return mean*3/4 + time.Duration(t.random.Int64N(int64(mean/2)))
@@ -256,9 +298,10 @@
 }
 
 func (t *Tracker) forgetFailures() {
-	for _, e := range t.endpoints {
-		e.failedAt, e.silentAt, e.probeUntil = time.Time{}, time.Time{}, time.Time{}
+	for _, e := range t.failing {
+		e.failedAt, e.silentAt = time.Time{}, time.Time{}
 	}
+	clear(t.failing)
 }
 
 // update derives the state from what was recorded.
@@ -267,7 +310,7 @@
 	if t.state == Reaching && t.isSuspicious(now) {
 		t.setState(now, Suspect)
 	}
-	if t.state == Suspect && t.hasProbed && len(t.endpoints) > 0 && t.countFailed(t.since) >= t.needed() {
+	if t.state == Suspect && t.hasProbed && len(t.endpoints) > 0 && t.countFailedProbes() >= t.needed() {
 		t.setState(now, CutOff)
 	}
 	if t.state != Reaching && len(t.endpoints) == 0 {
@@ -288,37 +331,43 @@
 		return false
 	}
 	signs := t.countSigns(now)
-	return signs >= min(_minFailed, len(t.endpoints)) && signs > 0 || signs > 0 && now.Sub(t.aliveAt) >= _quiet
+	return signs > 0 && signs >= min(_minFailed, len(t.endpoints)) || signs > 0 && now.Sub(t.aliveAt) >= _quiet
 }
 
-// countSigns counts the endpoints that failed lately: that could not be dialled since one could, or that did not
-// answer since one did.
+// countSigns counts the endpoints that failed lately.
 func (t *Tracker) countSigns(now time.Time) int {
 	signs := 0
-	oldest := now.Add(-_evidenceLifetime)
-	for _, e := range t.endpoints {
-		hasFailed := e.failedAt.After(t.openedAt) && e.failedAt.After(oldest)
-		wasSilent := e.silentAt.After(t.aliveAt) && e.silentAt.After(oldest)
-		if hasFailed || wasSilent {
+	for _, e := range t.failing {
+		if t.hasFailed(e, now) {
 			signs++
 		}
 	}
 	return signs
 }
 
-// countFailed counts the endpoints whose last dial failed at a time or later.
-func (t *Tracker) countFailed(since time.Time) int {
+// hasFailed reports whether an endpoint failed lately: could not be dialled since one could, or did not answer since one did.
+func (t *Tracker) hasFailed(e *endpoint, now time.Time) bool {
+	oldest := now.Add(-_evidenceLifetime)
+	return e.failedAt.After(oldest) || e.silentAt.After(oldest) && e.silentAt.After(t.aliveAt)
+}
+
+// countFailedProbes counts the endpoints that were probed since the state began and could not be dialled.
+func (t *Tracker) countFailedProbes() int {
 	failed := 0
-	for _, e := range t.endpoints {
-		if !e.failedAt.IsZero() && !e.failedAt.Before(since) {
+	for _, e := range t.failing {
+		if t.failedProbe(e) {
 			failed++
 		}
 	}
 	return failed
 }
 
-// needed returns at how many endpoints dials must fail before the host takes itself for cut off.
-func (t *Tracker) needed() int { return min(_confirming, len(t.endpoints)) }
+func (t *Tracker) failedProbe(e *endpoint) bool {
+	return !e.probedAt.Before(t.since) && !e.failedAt.Before(e.probedAt)
+}
+
+// needed returns at how many endpoints probes must fail before the host takes itself for cut off.
+func (t *Tracker) needed() int { return min(_allProbes, len(t.endpoints)) }
 
 // isProbing reports whether the result of a probe is awaited.
 func (t *Tracker) isProbing(now time.Time) bool {
@@ -336,6 +385,3 @@
 		t.setState(now, Suspect)
 	}
 }
-
-// _liveTimeout is how long a host is used after its last heartbeat, as in package gossip.
-const _liveTimeout = 6 * gossip.Interval
