--- a/core/procs/reach/fleet_test.go
+++ b/core/procs/reach/fleet_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 	_roundTrip       = 2 * time.Millisecond
 	_timeAllowed     = 2 * time.Second
 	_maxTargets      = 32
+	// _maxRelayed is the most requests that a host has for others while it has few of its own.
+	_maxRelayed = 256
 )
 
 var _start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -56,6 +59,8 @@
 	maxRelayed  int
 	// falseCuts counts polls at which a connected host took itself for cut off.
 	falseCuts int
+	// known holds how long after the begin of a cut each host knew of it.
+	known []time.Duration
 }
 
 type fleetEndpoint struct{ isDown bool }
@@ -64,6 +69,7 @@
 	*reach.Tracker
 	reach.Host
 	cut            cut
+	knowsCut       bool
 	cutAt          time.Time
 	suspendedUntil time.Time
 	isDown         bool
@@ -172,8 +178,12 @@
 		return
 	}
 	f.probe(h)
-	if h.cut == connected && h.State(f.now) == reach.CutOff {
+	switch isCutOff := h.State(f.now) == reach.CutOff; {
+	case h.cut == connected && isCutOff:
 		f.falseCuts++
+	case isCutOff && !h.knowsCut:
+		h.knowsCut = true
+		f.known = append(f.known, f.now.Sub(h.cutAt))
 	}
 	if h.ReachesForOthers(f.now) != h.saidReaches {
 		f.tell(h)
@@ -368,7 +378,7 @@
 func (f *fleet) cutHosts(hosts []*fleetHost, kind cut) {
 	for _, h := range hosts {
 		if h.cut == connected {
-			h.cutAt = f.now
+			h.cutAt, h.knowsCut = f.now, false
 		}
 		h.cut = kind
 		if kind == reset {
@@ -475,7 +485,12 @@
 						t.Errorf("%d of %d hosts reach endpoints %v after the end of cut %d", n, c.hosts, _contact, round)
 					}
 				}
-				t.Logf("at most %d requests at a time for others, %d probes", f.maxRelayed, f.probes)
+				slices.Sort(f.known)
+				t.Logf("at most %d requests at a time for others, %d probes, cut known after %v, the last after %v",
+					f.maxRelayed, f.probes, f.known[len(f.known)/2], f.known[len(f.known)-1])
+				if f.maxRelayed > _maxRelayed {
+					t.Errorf("%d requests at a time for others, want at most %d", f.maxRelayed, _maxRelayed)
+				}
 			})
 		}
 	}
--- a/core/procs/reach/hosts.go
+++ b/core/procs/reach/hosts.go
@@ -23,6 +23,9 @@
 	// _maxRunning is the number of requests of both kinds from which on a host takes none for others. Each uses up to two
 	// connections: half of the 4096 descriptors that a process commonly may have.
 	_maxRunning = 1024
+	// _shareOfRoom bounds the requests that one host may have here, as a multiple of the room that is left. The first host
+	// thus leaves a third to those that come later, and hosts that need more than there is get even shares.
+	_shareOfRoom = 2
 	// _forgetAfter is how long a silent host is remembered.
 	_forgetAfter = time.Minute
 	// _initialBackoff and _maxBackoff bound the time for which a host is avoided that failed or is busy. It doubles with each
@@ -191,11 +194,8 @@
 func (t *Tracker) AcceptRelayed(now time.Time, from core.HostName, ownRunning int) bool {
 	t.update(now)
 	bound := min(max(_minRelayed, ownRunning), _maxRunning-ownRunning)
-	if !t.mayServe(now) || t.relayedTotal >= bound {
-		return false
-	}
-	// The second half of the room is for hosts that use less than an even share of all.
-	if t.relayedTotal >= bound/2 && t.relayed[from] >= t.evenShare(from, bound) {
+	room := bound - t.relayedTotal
+	if !t.mayServe(now) || t.relayed[from] >= _shareOfRoom*room {
 		return false
 	}
 	t.relayed[from]++
@@ -203,15 +203,6 @@
 	return true
 }
 
-// evenShare returns a host's part of a bound, if each host that uses it has the same part. It is one at least.
-func (t *Tracker) evenShare(from core.HostName, bound int) int {
-	hosts := len(t.relayed)
-	if t.relayed[from] == 0 {
-		hosts++
-	}
-	return max(bound/hosts, 1)
-}
-
 // EndRelayed records that a request for another host has ended.
 func (t *Tracker) EndRelayed(from core.HostName) {
 	t.relayedTotal--
--- a/core/procs/reach/reach.go
+++ b/core/procs/reach/reach.go
@@ -322,7 +322,7 @@
 	if t.state == state {
 		return
 	}
-	t.state, t.since, t.hasProbed, t.nextProbeAt = state, now, false, now
+	t.state, t.since, t.hasProbed, t.nextProbeAt = state, now, false, now.Add(t.jitter(_probeInterval))
 }
 
 // isSuspicious reports whether failures since the last success call for probes.
@@ -363,7 +363,7 @@
 }
 
 func (t *Tracker) failedProbe(e *endpoint) bool {
-	return !e.probedAt.Before(t.since) && !e.failedAt.Before(e.probedAt)
+	return !e.probedAt.Before(t.since) && e.failedAt.After(e.probedAt)
 }
 
 // needed returns at how many endpoints probes must fail before the host takes itself for cut off.
