--- a/core/procs/reach/fleet_test.go
+++ b/core/procs/reach/fleet_test.go
@@ -441,13 +441,14 @@
 		// during is done in the midst of each cut.
 		during func(*fleet, []*fleetHost)
 	}{
-		"9 hosts, half":                     {hosts: 9, dcs: 3, perSecond: 10, cuts: 2, cut: half},
-		"9 hosts, most":                     {hosts: 9, dcs: 3, perSecond: 10, cuts: 2, cut: most},
-		"9 hosts, half, quiet":              {hosts: 9, dcs: 3, perSecond: 0.3, cuts: 2, cut: half},
-		"90 hosts, half":                    {hosts: 90, dcs: 4, perSecond: 10, cuts: 2, cut: half},
-		"90 hosts, a data centre":           {hosts: 90, dcs: 3, perSecond: 10, cuts: 2, cut: oneDataCentre},
-		"90 hosts, one data centre but one": {hosts: 90, dcs: 1, perSecond: 3, cuts: 2, cut: allButOne},
-		"90 hosts, most, quiet":             {hosts: 90, dcs: 4, perSecond: 0.3, cuts: 2, cut: most},
+		"9 hosts, half":                       {hosts: 9, dcs: 3, perSecond: 10, cuts: 2, cut: half},
+		"9 hosts, most":                       {hosts: 9, dcs: 3, perSecond: 10, cuts: 2, cut: most},
+		"9 hosts, all but one, many requests": {hosts: 9, dcs: 1, perSecond: 150, cuts: 1, cut: allButOne},
+		"9 hosts, half, quiet":                {hosts: 9, dcs: 3, perSecond: 0.3, cuts: 2, cut: half},
+		"90 hosts, half":                      {hosts: 90, dcs: 4, perSecond: 10, cuts: 2, cut: half},
+		"90 hosts, a data centre":             {hosts: 90, dcs: 3, perSecond: 10, cuts: 2, cut: oneDataCentre},
+		"90 hosts, one data centre but one":   {hosts: 90, dcs: 1, perSecond: 3, cuts: 2, cut: allButOne},
+		"90 hosts, most, quiet":               {hosts: 90, dcs: 4, perSecond: 0.3, cuts: 2, cut: most},
 		"90 hosts, relaying hosts end": {hosts: 90, dcs: 4, perSecond: 10, cuts: 2, cut: half, during: func(f *fleet, _ []*fleetHost) {
 			for i, h := range f.hosts {
 				h.isDown = h.cut == connected && i%4 == 0
@@ -465,7 +466,7 @@
 				f := newFleet(c.hosts, c.dcs, c.perSecond, 1)
 				f.heartbeatLoss = 0.1
 				for round := range c.cuts {
-					began := time.Duration(round)*15*time.Second + 5*time.Second
+					began := time.Duration(round)*12*time.Second + 3*time.Second
 					f.run(began)
 					cutHosts := c.cut(f)
 					f.cutHosts(cutHosts, kind)
@@ -485,9 +486,7 @@
 						t.Errorf("%d of %d hosts reach endpoints %v after the end of cut %d", n, c.hosts, _contact, round)
 					}
 				}
-				slices.Sort(f.known)
-				t.Logf("at most %d requests at a time for others, %d probes, cut known after %v, the last after %v",
-					f.maxRelayed, f.probes, f.known[len(f.known)/2], f.known[len(f.known)-1])
+				t.Logf("at most %d requests at a time for others, %d probes, cut known after %v at the latest", f.maxRelayed, f.probes, slices.Max(append(f.known, 0)))
 				if f.maxRelayed > _maxRelayed {
 					t.Errorf("%d requests at a time for others, want at most %d", f.maxRelayed, _maxRelayed)
 				}
