core/procs/reach: late failures of probes start no new suspicion

A probe that failed after another one had succeeded counted as a new failure, so that a quiet host with one dead endpoint probed without end: 96 dials in 70 s in the replay of one host with two endpoints.

--- a/core/procs/reach/reach.go
+++ b/core/procs/reach/reach.go
@@ -141,16 +141,7 @@
 func (t *Tracker) RecordDial(now time.Time, key core.EndpointKey, reached bool) {
 	t.notice(now)
 	if e := t.endpoints[key]; e != nil {
-		e.probeUntil = time.Time{}
-		if reached {
-			e.aliveAt = now
-			if t.state != Reaching {
-				e.refutedAt = now
-			}
-		} else {
-			e.failedAt = now
-			t.failing[key] = e
-		}
+		t.recordDial(now, e, reached)
 	}
 	if reached {
 		t.aliveAt = now
@@ -161,6 +152,23 @@
 	t.update(now)
 }
 
+func (t *Tracker) recordDial(now time.Time, e *endpoint, reached bool) {
+	wasProbed := now.Before(e.probeUntil)
+	e.probeUntil = time.Time{}
+	switch {
+	case reached:
+		e.aliveAt = now
+		if t.state != Reaching {
+			e.refutedAt = now
+		}
+	case wasProbed && t.state == Reaching:
+		// Another probe has refuted the suspicion. The failure must not be the reason for the next one.
+	default:
+		e.failedAt = now
+		t.failing[e.key] = e
+	}
+}
+
 // RecordAnswer records that the head of an answer, or an event of a stream, arrived from an endpoint.
 func (t *Tracker) RecordAnswer(now time.Time, key core.EndpointKey) {
 	t.notice(now)
