io/front: a panic under the lock of SharedReach does not hold it; one pick for each relayed try

Asking whether a host can help counted as a relayed request that ended well. Change: the lock is released by defer; the host is picked once and kept for the next try. Only CutOff and its end are logged; suspicions are counted.

--- a/io/entry/reach.go
+++ b/io/entry/reach.go
@@ -36,12 +36,13 @@
 
 // reachChanged carries out what follows from a change of whether this host reaches the endpoints.
 func (h *Host) reachChanged(before, now reach.State, lasted time.Duration) {
-	h.log.Info("Whether this host reaches the endpoints changed.", "State", now.String(), "Before", before.String(), "Lasted", lasted.Milliseconds(), "Running", h.front.Running())
 	_reach.Add(now.String(), 1)
 	switch {
 	case now == reach.CutOff:
+		h.log.Info("This host reaches no endpoint.", "Suspected", lasted.Milliseconds(), "Running", h.front.Running())
 		h.links.CloseIdle()
 	case before == reach.CutOff:
+		h.log.Info("This host reaches endpoints again.", "CutOff", lasted.Milliseconds(), "Running", h.front.Running(), "State", now.String())
 		h.sharedPlacer.Update(func(p *place.Placer) { p.LiftBackoffs() })
 	}
 	h.peers.scheduleHeartbeat()
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -14,6 +14,7 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
+	"apricotproxy/core/procs/reach"
 	"apricotproxy/core/reqst/event"
 	"apricotproxy/core/reqst/tries"
 	"apricotproxy/io/links"
@@ -54,6 +55,8 @@
 	// this host's own did not reach its endpoint.
 	triedHosts []core.HostName
 	failedHere bool
+	// host is the host that was picked for the next try; nil for none.
+	host *reach.Host
 	// lostAddresses lists the addresses of the endpoints that closed the connection of a try
 	// before its answer was complete.
 	lostAddresses []string
@@ -176,6 +179,7 @@
 	defer e.backup.drop(e.placer())
 	defer e.buffered.release()
 	defer e.dropPrepared()
+	defer e.dropHost()
 	e.placer().recordArrival(&e.request.RoutedRequest)
 	if !e.mayRelay(tries.Again) && !e.takeUp(ctx) { // otherwise the other host finds the build
 		return
@@ -259,9 +263,9 @@
 		return tryResult{done: true}
 	}
 	cutOff := e.front.config.Reach.nextCutOff()
-	if host, ok := e.pickHost(step); ok {
+	if e.pickHost(step) {
 		e.beginTry(step)
-		end := e.relayTry(ctx, host)
+		end := e.relayTry(ctx)
 		e.front.counters.countTry(end.result.String())
 		return end
 	}
--- a/io/front/reach.go
+++ b/io/front/reach.go
@@ -48,14 +48,21 @@
 
 // update calls f with the tracker and reports a change of the state.
 func (s *SharedReach) update(f func(t *reach.Tracker, now time.Time)) {
+	before, state, lasted := s.updateState(f)
+	if before != state {
+		s.changed(before, state, lasted)
+	}
+}
+
+// updateState returns the state before and after f, and how long the former had lasted.
+func (s *SharedReach) updateState(f func(t *reach.Tracker, now time.Time)) (before, state reach.State, lasted time.Duration) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
 	f(s.tracker, now)
-	before, state := s.State(), s.tracker.State(now)
-	lasted := now.Sub(s.since)
+	before, state, lasted = s.State(), s.tracker.State(now), now.Sub(s.since)
 	if before == state {
-		s.mu.Unlock()
-		return
+		return before, state, lasted
 	}
 	s.state.Store(uint32(state))
 	s.since = now
@@ -63,8 +70,7 @@
 		close(*s.cutOff.Load())
 		s.renewCutOff()
 	}
-	s.mu.Unlock()
-	s.changed(before, state, lasted)
+	return before, state, lasted
 }
 
 // State returns whether the host reaches the endpoints.
@@ -166,14 +172,3 @@
 func (s *SharedReach) endRelayed(from core.HostName) {
 	s.update(func(t *reach.Tracker, _ time.Time) { t.EndRelayed(from) })
 }
-
-// canRelay reports whether another host takes a request now.
-func (s *SharedReach) canRelay(exclude []core.HostName) (ok bool) {
-	s.update(func(t *reach.Tracker, now time.Time) {
-		host, found := t.PickHost(now, exclude)
-		if ok = found; found {
-			t.EndRelay(now, host.Name, reach.RelayDone)
-		}
-	})
-	return ok
-}
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -55,17 +55,35 @@
 	}
 }
 
-// pickHost returns the host to relay a step to; ok is false if it is made by this host.
-func (e *exchange) pickHost(step tries.Step) (host reach.Host, ok bool) {
+// pickHost picks the host to relay a step to, unless one is picked. It returns false if the step is
+// made by this host.
+func (e *exchange) pickHost(step tries.Step) bool {
+	if e.host != nil {
+		return true
+	}
 	if !e.mayRelay(step) {
-		return reach.Host{}, false
+		return false
+	}
+	host, ok := e.front.config.Reach.pickHost(e.triedHosts)
+	if ok {
+		e.host = &host
+	}
+	return ok
+}
+
+// dropHost gives up the host that was picked.
+func (e *exchange) dropHost() {
+	if e.host != nil {
+		e.front.config.Reach.endRelay(e.host.Name, reach.RelayDone)
+		e.host = nil
 	}
-	return e.front.config.Reach.pickHost(e.triedHosts)
 }
 
-// relayTry makes one try through another host. The request is written once to it, and it makes the
+// relayTry makes one try through the host that was picked. The request is written once to it, and it makes the
 // tries at endpoints by its own knowledge. Its connection to the endpoint ends with the one to it.
-func (e *exchange) relayTry(ctx context.Context, host reach.Host) tryResult {
+func (e *exchange) relayTry(ctx context.Context) tryResult {
+	host := *e.host
+	e.host = nil
 	e.triedHosts = append(e.triedHosts, host.Name)
 	peer := core.RoutedEndpoint{ID: string(host.Name), Address: host.Address}
 	e.run = &place.Run{Endpoint: know.Endpoint{RoutedEndpoint: peer}}
--- a/io/front/room.go
+++ b/io/front/room.go
@@ -29,7 +29,7 @@
 	if ctx.Err() != nil {
 		return &tryResult{}
 	}
-	if e.failedHere = true; e.mayRelay(step) && e.front.config.Reach.canRelay(e.triedHosts) {
+	if e.failedHere = true; e.pickHost(step) {
 		return &tryResult{result: tries.NotSent, err: errCutOff}
 	}
 	e.logNoRoom(spec, verdict)
--- a/io/front/silence.go
+++ b/io/front/silence.go
@@ -92,8 +92,8 @@
 	if step == 0 {
 		step = e.tries.Elsewhere(e.situation(tryResult{}))
 	}
-	if e.mayRelay(step) && e.front.config.Reach.canRelay(e.triedHosts) {
-		e.log("A silent endpoint is left.", "Endpoint", e.run.Endpoint.ID, "Silent", e.silentFor().Milliseconds(), "Next", step.String(), "To", "another host")
+	if e.pickHost(step) {
+		e.log("A silent endpoint is left.", "Endpoint", e.run.Endpoint.ID, "Silent", e.silentFor().Milliseconds(), "Next", step.String(), "To", e.host.Name)
 		return errSlow
 	}
 	if (e.prepared != nil || e.prepare(ctx, step)) && e.mayGoOn(ctx, step) {
