--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -154,9 +154,9 @@
 	brokenOff bool
 	// mayStillRun is true if this host ended the try and the endpoint may still work on it.
 	mayStillRun bool
-	// hostBusy is true if another host takes no requests for this one now.
-	hostBusy bool
-	err      error
+	// atHost is true if another host refused the request, so that a further try is no retry at an endpoint.
+	atHost bool
+	err    error
 }
 
 // digest identifies what the request asks for. Where it has no body, the parts of its prompt
@@ -236,7 +236,7 @@
 		Delivered: e.delivered,
 		HasCopy:   e.backupReady(),
 		SpendRetry: func() bool {
-			return end.hostBusy || e.placer().allowRetry(e.request.Service) // a busy host sent nothing to endpoints
+			return end.atHost || e.placer().allowRetry(e.request.Service)
 		},
 		TimeLeft:       time.Until(e.request.Deadline) > _minTimeLeft,
 		HadEvents:      !e.firstEventAt.IsZero(),
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -32,6 +32,10 @@
 // that the other host's own answer arrives in time: a few round trips within a region.
 const _relayMargin = 20 * time.Millisecond
 
+// _maxRefusals is the number of hosts that refuse a request after which its caller is refused. In an
+// overload most would refuse it.
+const _maxRefusals = 2
+
 // errCutOff ends a wait for room because this host reaches no endpoint.
 var errCutOff = errors.New("this host reaches no endpoint")
 
@@ -169,7 +173,7 @@
 	names, status := e.front.config.Names, answer.StatusCode
 	if status == http.StatusMisdirectedRequest {
 		e.skipBody(answer)
-		return tryResult{result: tries.Refused, hostBusy: true, err: errors.New("another host takes no requests for this one now")}, reach.RelayBusy
+		return tryResult{result: tries.Refused, atHost: true, err: errors.New("another host takes no requests for this one now")}, reach.RelayBusy
 	}
 	if answer.Header.Get(names.NotRun) != "" {
 		e.skipBody(answer)
@@ -209,8 +213,12 @@
 	e.run.Endpoint.Build = core.BuildName(name)
 }
 
-// relayRefusal answers the caller as another host answered, which did not run the request.
+// relayRefusal has the request go on at a further host, since the one that refused it may lack an
+// endpoint that others reach, or answers the caller as that host did.
 func (e *exchange) relayRefusal(answer *links.Answer) tryResult {
+	if len(e.triedHosts) < _maxRefusals && e.pickHost(tries.Again) {
+		return tryResult{result: tries.Refused, atHost: true, err: errors.New("another host refused the request")}
+	}
 	e.tries.Unsent()
 	if e.delivered {
 		e.cut("another host refused to continue the stream")
