--- /dev/null
+++ b/core/procs/reach/reach.go
@@ -0,0 +1,395 @@
+// Package reach decides whether this host is cut off from the endpoints, and through which other host it relays
+// requests meanwhile.
+//
+// Connections that cannot be opened, and requests that were sent and not answered, make the host suspect a cut. It then
+// dials a sample of the endpoints: one success refutes the suspicion, failures at all of them confirm it. Only dials
+// decide. Answers on connections that are already open do not show that new ones can be made, and failures at the
+// endpoints that requests happen to go to may have other causes, as a service that is down.
+package reach
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"apricotproxy/core"
+)
+
+const (
+	// PollInterval is the longest time between two calls of DueProbes. It bounds what polling adds to the time until a cut
+	// is known: a fraction of the time limit of a dial.
+	PollInterval = 50 * time.Millisecond
+	// _suspended is the time without a call from which the process is taken to have been suspended: many polls.
+	_suspended = 20 * PollInterval
+	// _probeTimeout is when a probe without a result is given up, longer than any dial may take.
+	_probeTimeout = time.Second
+	// _quiet is the time without a sign of life from any endpoint from which a single failure is suspicious.
+	_quiet = time.Second
+	// _minFailed is the number of endpoints whose failures are suspicious while others were alive lately.
+	_minFailed = 2
+	// _evidenceLifetime is how long a failure counts: the longest backoff of an endpoint, after which it is tried again.
+	_evidenceLifetime = 3 * time.Second
+	// _holdTime is the least time from a successful dial to the next suspicion. It bounds the probes of a host that sees many
+	// endpoints fail, and is longer than dials that began before the end of a cut may take.
+	_holdTime = time.Second
+	// _firstProbes is the number of endpoints that are probed first, which refutes most suspicions, _allProbes that of the
+	// endpoints that are probed before the host takes itself for cut off. With as many, it is wrong once in twenty times
+	// where five sixths of the endpoints are gone and it knows of none which.
+	_firstProbes = 2
+	_allProbes   = 16
+	// _probeInterval is the mean time between two probes of a host that is cut off.
+	_probeInterval = 500 * time.Millisecond
+)
+
+// State is whether the host reaches the endpoints.
+type State uint8
+
+// States.
+const (
+	// Reaching: connections to endpoints can be opened, as far as the host knows.
+	Reaching State = iota + 1
+	// Suspect: there are signs that no endpoint can be reached, and probes are under way.
+	Suspect
+	// CutOff: no connection to any endpoint can be opened.
+	CutOff
+)
+
+// String returns the state's name for logs.
+func (s State) String() string {
+	switch s {
+	case Suspect:
+		return "Suspect"
+	case CutOff:
+		return "CutOff"
+	default:
+		return "Reaching"
+	}
+}
+
+// endpoint is what the host has seen of an endpoint. Times are zero if it never happened.
+type endpoint struct {
+	key core.EndpointKey
+	// aliveAt is when it last accepted a connection or answered.
+	aliveAt time.Time
+	// failedAt is when a dial last failed, silentAt when a request was last not answered. A later successful dial to any
+	// endpoint makes both void, a later answer silentAt.
+	failedAt, silentAt time.Time
+	// probedAt is when it was last probed, probeUntil until when the result is awaited.
+	probedAt, probeUntil time.Time
+	// refutedAt is when it last refuted a suspicion, or ended a cut.
+	refutedAt time.Time
+}
+
+// Tracker holds what a host knows of its own and other hosts' connections to the endpoints. It is not safe for concurrent
+// use. Methods that take a time expect times that do not decrease.
+type Tracker struct {
+	self       core.HostName
+	dataCentre core.DataCentreName
+	random     *rand.Rand
+
+	state State
+	since time.Time
+	// calledAt is when the tracker was last called.
+	calledAt time.Time
+	// holdUntil is when a suspicion may begin.
+	holdUntil time.Time
+	// hasProbed is true when the first probes of a suspicion were returned.
+	hasProbed bool
+	// nextProbeAt is when a host that is cut off probes next.
+	nextProbeAt time.Time
+	// aliveAt is when an endpoint last accepted a connection or answered.
+	aliveAt   time.Time
+	endpoints map[core.EndpointKey]*endpoint
+	// failing holds the endpoints with failures that are not known to be void.
+	failing map[core.EndpointKey]*endpoint
+
+	hosts map[core.HostName]*host
+	// forgetAt is when silent hosts are next forgotten.
+	forgetAt time.Time
+	// relayed counts the requests in flight for other hosts, by host, relayedTotal all of them.
+	relayed      map[core.HostName]int
+	relayedTotal int
+}
+
+// New returns a tracker that knows no endpoints and no other hosts.
+func New(self core.HostName, dataCentre core.DataCentreName, random *rand.Rand) *Tracker {
+	return &Tracker{
+		self: self, dataCentre: dataCentre, random: random, state: Reaching, endpoints: make(map[core.EndpointKey]*endpoint),
+		failing: make(map[core.EndpointKey]*endpoint), hosts: make(map[core.HostName]*host), relayed: make(map[core.HostName]int),
+	}
+}
+
+// SetEndpoints replaces the endpoints: all that the host may send requests to, without those that are leaving.
+func (t *Tracker) SetEndpoints(now time.Time, endpoints []core.EndpointKey) {
+	known := t.endpoints
+	t.endpoints = make(map[core.EndpointKey]*endpoint, len(endpoints))
+	for _, key := range endpoints {
+		e := known[key]
+		if e == nil {
+			e = &endpoint{key: key}
+		}
+		t.endpoints[key] = e
+	}
+	maps.DeleteFunc(t.failing, func(key core.EndpointKey, _ *endpoint) bool { return t.endpoints[key] == nil })
+	t.update(now)
+}
+
+// RecordDial records that a connection to an endpoint was opened, or could not be: it was refused, reset or not accepted in
+// time. A dial that was given up for another reason, as when its caller went away, is not recorded.
+func (t *Tracker) RecordDial(now time.Time, key core.EndpointKey, reached bool) {
+	t.notice(now)
+	if e := t.endpoints[key]; e != nil {
+		t.recordDial(now, e, reached)
+	}
+	if reached {
+		t.aliveAt = now
+		t.forgetFailures()
+		t.holdUntil = now.Add(_holdTime)
+		t.setState(now, Reaching)
+	}
+	t.update(now)
+}
+
+func (t *Tracker) recordDial(now time.Time, e *endpoint, reached bool) {
+	wasProbed := now.Before(e.probeUntil)
+	e.probeUntil = time.Time{}
+	switch {
+	case reached:
+		e.aliveAt = now
+		if t.state != Reaching {
+			e.refutedAt = now
+		}
+	case wasProbed && t.state == Reaching:
+		// Another probe has refuted the suspicion. The failure must not be the reason for the next one.
+	default:
+		e.failedAt = now
+		t.failing[e.key] = e
+	}
+}
+
+// RecordAnswer records that the head of an answer, or an event of a stream, arrived from an endpoint.
+func (t *Tracker) RecordAnswer(now time.Time, key core.EndpointKey) {
+	t.notice(now)
+	t.aliveAt = now
+	if e := t.endpoints[key]; e != nil {
+		e.aliveAt = now
+	}
+	t.update(now)
+}
+
+// RecordSilence records that the connection of a request that was sent to an endpoint timed out or was reset without an
+// answer.
+func (t *Tracker) RecordSilence(now time.Time, key core.EndpointKey) {
+	t.notice(now)
+	if e := t.endpoints[key]; e != nil {
+		e.silentAt = now
+		t.failing[key] = e
+	}
+	t.update(now)
+}
+
+// State returns whether the host reaches the endpoints.
+func (t *Tracker) State(now time.Time) State {
+	t.update(now)
+	return t.state
+}
+
+// Since returns when the state began; zero if it has been Reaching from the start.
+func (t *Tracker) Since() time.Time { return t.since }
+
+// ReachesForOthers reports whether the host can serve requests of hosts that are cut off. Most suspicions are refuted by
+// the first probes, and other hosts are not told of these.
+func (t *Tracker) ReachesForOthers(now time.Time) bool {
+	t.update(now)
+	isProbable := t.state == Suspect && t.countFailedProbes() >= min(_firstProbes, t.needed())
+	return len(t.endpoints) > 0 && t.state != CutOff && !isProbable
+}
+
+// mayServe reports whether the host is taken to reach endpoints: also under a suspicion that only rests on what another
+// host said.
+func (t *Tracker) mayServe(now time.Time) bool {
+	return t.state == Reaching || t.state == Suspect && t.countSigns(now) == 0
+}
+
+// DueProbes returns the endpoints to open a connection to now, and to close it again. Each result is passed to RecordDial.
+// It is empty while the state is Reaching. It is to be called at least each PollInterval, and after a dial failed.
+func (t *Tracker) DueProbes(now time.Time) []core.EndpointKey {
+	t.update(now)
+	switch {
+	case t.state == Suspect && !t.isProbing(now):
+		return t.probeSample(now)
+	case t.state == CutOff && !now.Before(t.nextProbeAt):
+		t.nextProbeAt = now.Add(t.jitter(_probeInterval))
+		return t.probe(now, 1, longestUnprobed)
+	default:
+		return nil
+	}
+}
+
+// probeSample probes the endpoints that decide about a suspicion: a few first, and if these fail the others.
+func (t *Tracker) probeSample(now time.Time) []core.EndpointKey {
+	count := _firstProbes
+	if t.hasProbed {
+		count = t.needed() - t.countFailedProbes()
+	}
+	t.hasProbed = true
+	return t.probe(now, count, lastRefuting, inRandomOrder, lastAlive, longestIdle)
+}
+
+// ranking orders endpoints, the one to probe first before the others.
+type ranking func(a, b *endpoint) int
+
+// lastRefuting prefers endpoints that were reached when others failed, as those of another service.
+func lastRefuting(a, b *endpoint) int {
+	return cmp.Or(b.refutedAt.Compare(a.refutedAt), lastAlive(a, b))
+}
+
+func lastAlive(a, b *endpoint) int { return b.aliveAt.Compare(a.aliveAt) }
+
+// longestIdle prefers endpoints that requests do not go to, and so probably are of other services than those that fail.
+func longestIdle(a, b *endpoint) int { return a.aliveAt.Compare(b.aliveAt) }
+
+func inRandomOrder(*endpoint, *endpoint) int { return 0 }
+
+func longestUnprobed(a, b *endpoint) int {
+	return cmp.Or(a.probedAt.Compare(b.probedAt), lastAlive(a, b))
+}
+
+// probe picks endpoints by rankings that take turns. Endpoints that failed lately come after all others, and those
+// that failed as the state was examined are left out.
+func (t *Tracker) probe(now time.Time, count int, rankings ...ranking) []core.EndpointKey {
+	candidates := make([]*endpoint, 0, len(t.endpoints))
+	for _, e := range t.endpoints {
+		if !now.Before(e.probeUntil) && (t.state == CutOff || !t.failedProbe(e)) {
+			candidates = append(candidates, e)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *endpoint) int { return cmp.Compare(a.key.ID, b.key.ID) })
+	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	var keys []core.EndpointKey
+	for turn := 0; turn < count && len(candidates) > 0; turn++ {
+		rank := rankings[turn%len(rankings)]
+		best := slices.MinFunc(candidates, func(a, b *endpoint) int {
+			return cmp.Or(compareBool(t.isDoubtful(a, now), t.isDoubtful(b, now)), rank(a, b))
+		})
+		candidates = slices.DeleteFunc(candidates, func(e *endpoint) bool { return e == best })
+		best.probedAt, best.probeUntil = now, now.Add(_probeTimeout)
+		keys = append(keys, best.key)
+	}
+	return keys
+}
+
+// isDoubtful reports whether an endpoint's failure is among those that made the host suspect a cut. While the host is cut
+// off, all fail.
+func (t *Tracker) isDoubtful(e *endpoint, now time.Time) bool {
+	return t.state == Suspect && t.hasFailed(e, now)
+}
+
+// jitter returns a random duration around a mean, so that hosts that were cut off together do not probe together.
+func (t *Tracker) jitter(mean time.Duration) time.Duration {
+	return mean*3/4 + time.Duration(t.random.Int64N(int64(mean/2)))
+}
+
+// notice records that the tracker was called. After the process was suspended, dials and requests end that were under way
+// before, which says nothing of now: older failures are dropped and new ones make the host suspect nothing for a while.
+func (t *Tracker) notice(now time.Time) {
+	if !t.calledAt.IsZero() && now.Sub(t.calledAt) >= _suspended {
+		t.forgetFailures()
+		t.holdUntil = now.Add(_holdTime)
+		if t.state == Suspect {
+			t.setState(now, Reaching)
+		}
+	}
+	t.calledAt = now
+}
+
+func (t *Tracker) forgetFailures() {
+	for _, e := range t.failing {
+		e.failedAt, e.silentAt = time.Time{}, time.Time{}
+	}
+	clear(t.failing)
+}
+
+// update derives the state from what was recorded.
+func (t *Tracker) update(now time.Time) {
+	t.notice(now)
+	if t.state == Reaching && t.isSuspicious(now) {
+		t.setState(now, Suspect)
+	}
+	if t.state == Suspect && t.hasProbed && len(t.endpoints) > 0 && t.countFailedProbes() >= t.needed() {
+		t.setState(now, CutOff)
+	}
+	if t.state != Reaching && len(t.endpoints) == 0 {
+		t.setState(now, Reaching)
+	}
+}
+
+func (t *Tracker) setState(now time.Time, state State) {
+	if t.state == state {
+		return
+	}
+	t.state, t.since, t.hasProbed, t.nextProbeAt = state, now, false, now.Add(t.jitter(_probeInterval))
+}
+
+// isSuspicious reports whether failures since the last success call for probes.
+func (t *Tracker) isSuspicious(now time.Time) bool {
+	if now.Before(t.holdUntil) {
+		return false
+	}
+	signs := t.countSigns(now)
+	return signs > 0 && signs >= min(_minFailed, len(t.endpoints)) || signs > 0 && now.Sub(t.aliveAt) >= _quiet
+}
+
+// countSigns counts the endpoints that failed lately.
+func (t *Tracker) countSigns(now time.Time) int {
+	signs := 0
+	for _, e := range t.failing {
+		if t.hasFailed(e, now) {
+			signs++
+		}
+	}
+	return signs
+}
+
+// hasFailed reports whether an endpoint failed lately: could not be dialled since one could, or did not answer since one did.
+func (t *Tracker) hasFailed(e *endpoint, now time.Time) bool {
+	oldest := now.Add(-_evidenceLifetime)
+	return e.failedAt.After(oldest) || e.silentAt.After(oldest) && e.silentAt.After(t.aliveAt)
+}
+
+// countFailedProbes counts the endpoints that were probed since the state began and could not be dialled.
+func (t *Tracker) countFailedProbes() int {
+	failed := 0
+	for _, e := range t.failing {
+		if t.failedProbe(e) {
+			failed++
+		}
+	}
+	return failed
+}
+
+func (t *Tracker) failedProbe(e *endpoint) bool {
+	return !e.probedAt.Before(t.since) && e.failedAt.After(e.probedAt)
+}
+
+// needed returns at how many endpoints probes must fail before the host takes itself for cut off.
+func (t *Tracker) needed() int { return min(_allProbes, len(t.endpoints)) }
+
+// isProbing reports whether the result of a probe is awaited.
+func (t *Tracker) isProbing(now time.Time) bool {
+	for _, e := range t.endpoints {
+		if now.Before(e.probeUntil) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkOnWord begins a suspicion because another host became cut off, if nothing shows that this host is not.
+func (t *Tracker) checkOnWord(now time.Time) {
+	if t.state == Reaching && len(t.endpoints) > 0 && !now.Before(t.holdUntil) && now.Sub(t.aliveAt) >= _quiet {
+		t.setState(now, Suspect)
+	}
+}
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -16,6 +16,7 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
+	"apricotproxy/core/procs/reach"
 	"apricotproxy/core/reqst/leave"
 	"apricotproxy/core/reqst/tries"
 )
@@ -288,6 +289,9 @@
 	if !end.brokenOff && !isConnectionEnd(end.err) {
 		return
 	}
+	if e.front.config.Reach.State() != reach.Reaching {
+		return // the connection may have ended with this host's others
+	}
 	if e.endWasPlanned(ctx) {
 		if end.health == place.Bad {
 			end.health = 0
