--- a/fakes/routed/routed.go
+++ b/fakes/routed/routed.go
@@ -105,6 +105,7 @@
 		if err != nil {
 			return
 		}
+		request.RemoteAddr = conn.RemoteAddr().String()
 		call := &Call{Request: request, BodyText: string(body), conn: conn, OnConnection: n}
 		e.mu.Lock()
 		call.Number = len(e.calls)
@@ -116,6 +117,9 @@
 	}
 }
 
+// LocalAddress returns the address of the endpoint that received the call.
+func (c *Call) LocalAddress() string { return c.conn.LocalAddr().String() }
+
 // Write sends raw bytes.
 func (c *Call) Write(text string) { _, _ = io.WriteString(c.conn, text) }
 
