--- a/proof/cutoff_test.go
+++ b/proof/cutoff_test.go
@@ -561,7 +561,7 @@
 func (r *cutRun) checkPeriod(p cutPeriod) {
 	var there, others, streams cutCount
 	relayed, slow := 0, 0
-	causes := make(map[string]int)
+	causes, othersCauses := make(map[string]int), make(map[string]int)
 	for _, request := range r.requests {
 		if request.sentAt.Before(p.begun) || request.sentAt.After(p.ended) || request.resumes {
 			continue
@@ -580,6 +580,9 @@
 				slow++
 			}
 		case !isCut:
+			if !request.served {
+				othersCauses[request.cause]++
+			}
 			if inTouch {
 				others.add(request)
 			}
@@ -603,6 +606,9 @@
 	for _, cause := range cutTop(causes) {
 		r.t.Logf("%s: not served there: %s", name, cause)
 	}
+	for _, cause := range cutTop(othersCauses) {
+		r.t.Logf("%s: not served at the others: %s", name, cause)
+	}
 	if len(p.hosts) == len(r.hosts) {
 		if p.kind != cutoff.RefuseNew && float64(slow) > _cutMaxSlow*float64(there.sent) {
 			r.t.Errorf("%s: %d of %d requests were answered later than after %v, although no host reaches an endpoint", name, slow, there.sent, _cutRefusal)
