--- a/io/entry/cutoff_test.go
+++ b/io/entry/cutoff_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -28,16 +29,20 @@
 	_cutEvents = 8
 )
 
-// cutSite is hosts before plain endpoints and engines. One host's connections to them can be cut.
+// cutSite is hosts before plain endpoints and engines. Their connections to them can be cut.
 type cutSite struct {
 	*site
-	dialer *cutDialer
+	dialers []*cutDialer
 
 	mu        sync.Mutex
 	addresses map[string]bool
 	// runs counts the requests that endpoints ran, by the requests' IDs.
 	runs map[string]int
 	sent int
+	// slow receives when an endpoint runs a slow order, left whether the connection of an order closed
+	// before it was answered.
+	slow chan struct{}
+	left chan bool
 }
 
 // cutRequest is one request of a test and the answer that it wants.
@@ -49,14 +54,14 @@
 
 func newCutSite(t *testing.T, hosts int) *cutSite {
 	t.Helper()
-	s := &cutSite{site: newStoppedSite(t, hosts), addresses: make(map[string]bool), runs: make(map[string]int)}
-	s.dialer = &cutDialer{dialer: entry.NewDialer(), isEndpoint: s.isEndpoint}
+	s := &cutSite{site: newStoppedSite(t, hosts), addresses: make(map[string]bool), runs: make(map[string]int), slow: make(chan struct{}, 1), left: make(chan bool, 1)}
 	for i := range s.Settings {
+		s.dialers = append(s.dialers, &cutDialer{dialer: entry.NewDialer(), isEndpoint: s.isEndpoint})
+		s.Settings[i].Dialer = s.dialers[i]
 		s.Settings[i].Decode = decodeCutSite
 		s.Settings[i].Names.Key = "Key"
 		s.Settings[i].Names.Reserved = []string{"Key"}
 	}
-	s.Settings[_cutHost].Dialer = s.dialer
 	s.store.Put("config", "1")
 	for i := range 3 {
 		s.addEndpoint(fmt.Sprint("desk-", i), s.serveDesk)
@@ -129,6 +134,18 @@
 }
 
 func (s *cutSite) serveDesk(c *routed.Call) bool {
+	switch c.URL.Path {
+	case "/order/slow":
+		s.slow <- struct{}{}
+		time.Sleep(500 * time.Millisecond)
+	case "/order/lost":
+		c.Reset()
+		return false
+	case "/order/watched":
+		s.slow <- struct{}{}
+		s.left <- c.WaitClosed(3 * time.Second)
+		return false
+	}
 	c.Answer(200, fmt.Sprint(c.Method, " ", c.RequestURI, " ", len(c.BodyText), c.Header.Get("Note"), c.Header.Get("Key"), c.Header.Get("Relayed-By")),
 		"Request-Id: "+c.Header.Get("Request-Id"), "Seal: s", "Extra: yes")
 	return true
@@ -245,16 +262,16 @@
 				if loaded {
 					stop = s.load(_cutHost)
 				}
-				s.dialer.setCut(state)
+				s.dialers[_cutHost].setCut(state)
 				time.Sleep(_contactTime)
 				s.wantServed(_cutHost)
 				s.wantServed(1)
 				stop()
-				s.dialer.setCut(_reaching)
+				s.dialers[_cutHost].setCut(_reaching)
 				time.Sleep(2 * time.Second)
-				written := s.dialer.written.Load()
+				written := s.dialers[_cutHost].written.Load()
 				s.wantServed(_cutHost)
-				if n := s.dialer.written.Load() - written; n < 5*int64(len(s.requests())) {
+				if n := s.dialers[_cutHost].written.Load() - written; n < 5*int64(len(s.requests())) {
 					t.Errorf("after the cut the host itself sent %d requests of %d", n, 5*len(s.requests()))
 				}
 				s.wantOnce()
@@ -262,3 +279,94 @@
 		}
 	}
 }
+
+// cutOff cuts a host off and waits until it relays requests.
+func (s *cutSite) cutOff(hosts ...int) {
+	s.t.Helper()
+	for _, host := range hosts {
+		s.dialers[host].setCut(_resetting)
+	}
+	if len(hosts) < len(s.front) {
+		s.eventually("requests are relayed", _contactTime, func() bool { return s.send(hosts[0], s.requests()[1]) == nil })
+	}
+}
+
+// order sends an order with an ID to a host, and returns the answer's status and Retry-After.
+func (s *cutSite) order(ctx context.Context, host int, path, id string) (int, string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.front[host]+path, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = "h"
+	for name, value := range map[string]string{"Request-Id": id, "Deadline-Ms": "3000", "Key": _cutKey, "Relayed-By": "host-9"} {
+		req.Header.Set(name, value)
+	}
+	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return 0, ""
+	}
+	_ = res.Body.Close()
+	return res.StatusCode, res.Header.Get("Retry-After")
+}
+
+// ran returns how often endpoints ran a request.
+func (s *cutSite) ran(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+// A relayed order that is lost at its endpoint, or with the host that sent it there, may have run: it is
+// not sent again.
+func TestRelayedOrderIsSentOnce(t *testing.T) {
+	s := newCutSite(t, 2)
+	s.cutOff(_cutHost)
+	if status, _ := s.order(t.Context(), _cutHost, "/order/lost", "lost"); status != http.StatusBadGateway || s.ran("lost") != 1 {
+		t.Errorf("an order lost at its endpoint: status %d, ran %d times", status, s.ran("lost"))
+	}
+	go func() {
+		<-s.slow
+		_ = s.Kill(1)
+	}()
+	if status, _ := s.order(t.Context(), _cutHost, "/order/slow", "slow"); status != http.StatusBadGateway || s.ran("slow") != 1 {
+		t.Errorf("an order lost with the host that sent it: status %d, ran %d times", status, s.ran("slow"))
+	}
+}
+
+// The end of the caller's connection ends the request at its endpoint.
+func TestCallerOfRelayedRequestLeaves(t *testing.T) {
+	s := newCutSite(t, 2)
+	s.cutOff(_cutHost)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-s.slow
+		cancel()
+	}()
+	if status, _ := s.order(ctx, _cutHost, "/order/watched", "watched"); status != 0 {
+		t.Errorf("status %d for a caller that left", status)
+	}
+	if !<-s.left {
+		t.Error("the endpoint's connection stayed open after the caller had left")
+	}
+}
+
+// While no host reaches endpoints, requests are refused soon, with a time to come back. Callers cannot
+// ask for what hosts ask of each other.
+func TestNoHostReachesEndpoints(t *testing.T) {
+	s := newCutSite(t, 2)
+	if status, _ := s.order(t.Context(), _cutHost, "/order/a", "before"); status != http.StatusOK {
+		t.Errorf("status %d for a caller that sends the header of a relayed request", status)
+	}
+	s.cutOff(0, 1)
+	time.Sleep(_contactTime)
+	for range 5 {
+		began := time.Now()
+		status, retryAfter := s.order(t.Context(), _cutHost, "/order/a", "while all are cut off")
+		if took := time.Since(began); status != http.StatusServiceUnavailable || retryAfter == "" || took > 1500*time.Millisecond {
+			t.Errorf("status %d with Retry-After %q after %v", status, retryAfter, took)
+		}
+	}
+	if n := s.ran("while all are cut off"); n > 0 {
+		t.Errorf("the order ran %d times", n)
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -291,6 +291,7 @@
 			return
 		case now := <-ticker.C:
 			h.docState.expire(now)
+			h.reach.Tick()
 			h.refreshOrigins(now)
 			gauges.set(now, h.docState.View().Version(), h.docState.syncStatus())
 			h.sharedPlacer.Update(func(p *place.Placer) { p.ExpirePeerLoads(now) })
--- a/io/entry/reach.go
+++ b/io/entry/reach.go
@@ -56,17 +56,15 @@
 		for _, endpoint := range h.dueProbes() {
 			group.Go(func() { _ = h.links.Probe(ctx, endpoint) }) // the pool reports the result
 		}
-		interval := _expiryInterval
+		var next <-chan time.Time
 		if h.reach.State() != reach.Reaching {
-			interval = reach.PollInterval
+			next = time.After(reach.PollInterval)
 		}
-		timer := time.NewTimer(interval)
 		select {
 		case <-ctx.Done():
-		case <-h.reach.Failed():
-		case <-timer.C:
+		case <-h.reach.Due():
+		case <-next:
 		}
-		timer.Stop()
 	}
 }
 
--- a/io/front/reach.go
+++ b/io/front/reach.go
@@ -25,8 +25,8 @@
 	answeredAt atomic.Int64
 	// cutOff is closed when the host becomes cut off, and replaced afterwards.
 	cutOff atomic.Pointer[chan struct{}]
-	// failed receives when a dial failed, so that probes are due.
-	failed chan struct{}
+	// due receives when probes may be due.
+	due chan struct{}
 
 	mu      sync.Mutex
 	tracker *reach.Tracker
@@ -35,7 +35,7 @@
 
 // NewSharedReach wraps a tracker, which must not be used directly afterwards.
 func NewSharedReach(tracker *reach.Tracker, changed func(before, now reach.State, lasted time.Duration)) *SharedReach {
-	s := &SharedReach{changed: changed, tracker: tracker, failed: make(chan struct{}, 1), since: time.Now()}
+	s := &SharedReach{changed: changed, tracker: tracker, due: make(chan struct{}, 1), since: time.Now()}
 	s.state.Store(uint32(reach.Reaching))
 	s.renewCutOff()
 	return s
@@ -66,6 +66,7 @@
 	}
 	s.state.Store(uint32(state))
 	s.since = now
+	s.signalDue()
 	if state == reach.CutOff {
 		close(*s.cutOff.Load())
 		s.renewCutOff()
@@ -89,8 +90,19 @@
 	return *s.cutOff.Load()
 }
 
-// Failed returns a channel that receives when a dial failed, so that probes may be due.
-func (s *SharedReach) Failed() <-chan struct{} { return s.failed }
+// Due returns a channel that receives when probes may be due: when a dial failed or the state changed.
+func (s *SharedReach) Due() <-chan struct{} { return s.due }
+
+func (s *SharedReach) signalDue() {
+	select {
+	case s.due <- struct{}{}:
+	default:
+	}
+}
+
+// Tick lets time pass. It is to be called several times a second: without it the process counts as
+// suspended.
+func (s *SharedReach) Tick() { s.update(func(*reach.Tracker, time.Time) {}) }
 
 // SetEndpoints sets the endpoints of a view, except those that are leaving.
 func (s *SharedReach) SetEndpoints(view *know.View, leaving []core.EndpointKey) {
@@ -111,10 +123,7 @@
 func (s *SharedReach) RecordDial(endpoint core.RoutedEndpoint, err error) {
 	s.update(func(t *reach.Tracker, now time.Time) { t.RecordDial(now, endpoint.Key(), err == nil) })
 	if err != nil {
-		select {
-		case s.failed <- struct{}{}:
-		default:
-		}
+		s.signalDue()
 	}
 }
 
