--- a/io/front/falseend.go
+++ b/io/front/falseend.go
@@ -18,9 +18,16 @@
 	// errEndedUnframed ends a try whose answer had neither a length nor chunks when its endpoint ended.
 	errEndedUnframed = fmt.Errorf("the endpoint ended, and its answer does not tell its length: %w", io.ErrUnexpectedEOF)
 	// errStopped ends such a try if its endpoint may have stopped the run for this host.
-	errStopped = errors.New("the endpoint may have stopped the run, and its answer does not tell its length")
+	errStopped = fmt.Errorf("the endpoint may have stopped the run, and its answer does not tell its length: %w", io.ErrUnexpectedEOF)
 )
 
+// errUnconfirmedEnd ends such a try if it cannot be found out whether its endpoint has ended.
+var errUnconfirmedEnd = errors.New("it is not known whether the endpoint ended, and its answer does not tell its length")
+
+// _listenerDelay is how long an endpoint that ends may take from the end of its connections to that of its listener:
+// the end of a process, and a round trip.
+const _listenerDelay = 50 * time.Millisecond
+
 // stopping records the requests to stop the run of one try. It is safe for concurrent use: they
 // are sent while another goroutine reads the stream.
 type stopping struct {
@@ -41,16 +48,23 @@
 	}
 }
 
-func (s *stopping) settle(evidence leave.Evidence) {
+func (s *stopping) settle(now time.Time, evidence leave.Evidence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.requests.Settle(evidence)
+	s.requests.Settle(now, evidence)
 	if !s.requests.Pending() {
 		close(s.settled)
 		s.settled = nil
 	}
 }
 
+// recordEvent records that an event arrived that this host had awaited since a time.
+func (s *stopping) recordEvent(awaitedSince time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests.RecordEvent(awaitedSince)
+}
+
 // wasAsked reports whether the endpoint was asked to stop the run, whatever it answered.
 func (s *stopping) wasAsked() bool {
 	s.mu.Lock()
@@ -73,6 +87,11 @@
 		case <-ctx.Done():
 		}
 	}
+	return s.mayHaveStoppedNow()
+}
+
+// mayHaveStoppedNow is mayHaveStopped without the wait.
+func (s *stopping) mayHaveStoppedNow() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.requests.MayHaveStopped()
@@ -85,11 +104,13 @@
 	if answer.Framed() {
 		return nil
 	}
+	var listening error
 	end := leave.End{
 		MayHaveStopped: e.stopping.mayHaveStopped(ctx),
 		TimeLeft:       time.Until(e.request.Deadline),
 		EndpointEnded: func() bool {
-			return errors.Is(e.front.config.Links.Connect(ctx, e.run.Endpoint.RoutedEndpoint), syscall.ECONNREFUSED)
+			listening = e.front.config.Links.Listens(ctx, e.run.Endpoint.RoutedEndpoint, _listenerDelay)
+			return listening != nil
 		},
 	}
 	cause := end.Cause()
@@ -97,13 +118,15 @@
 		return nil
 	}
 	e.log("An answer without framing is not taken for complete.", "Endpoint", e.run.Endpoint.ID, "Reason", cause.String(),
-		"Events", e.events, "TimeLeft", end.TimeLeft.Milliseconds(), "LeftByNotice", e.leftByNotice())
+		"Listening", errorText(listening), "Events", e.events, "TimeLeft", end.TimeLeft.Milliseconds(), "LeftByNotice", e.leftByNotice())
 	switch cause {
 	case leave.RunStopped:
-		return &tryResult{result: e.lostResult(), err: errStopped}
+		return &tryResult{result: e.lostResult(), brokenOff: true, err: errStopped}
 	case leave.DeadlineReached:
 		return &tryResult{result: e.lostResult(), err: errTimeout}
-	default:
+	}
+	if isConnectionEnd(listening) || errors.Is(listening, syscall.ECONNREFUSED) {
 		return &tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, place.Gone), brokenOff: true, err: errEndedUnframed}
 	}
+	return &tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, place.Unreachable), err: fmt.Errorf("%w: %w", errUnconfirmedEnd, listening)}
 }
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"expvar"
 	"io"
@@ -13,8 +14,10 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/core"
+	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
 	"apricotproxy/core/procs/reach"
+	"apricotproxy/core/reqst/leave"
 	"apricotproxy/core/reqst/tries"
 )
 
@@ -282,11 +285,20 @@
 // wherever in the answer that was: an endpoint may crash at any moment of a run. An answer that
 // broke off at its begin is also a loss of its prompt's parts alone, since other requests at an
 // endpoint are rarely at that point.
-func (e *exchange) recordEnd(end *tryResult) {
+func (e *exchange) recordEnd(ctx context.Context, end *tryResult) {
+	if !end.brokenOff && !isConnectionEnd(end.err) {
+		return
+	}
 	if e.front.config.Reach.State() != reach.Reaching {
 		return // the connection may have ended with this host's others
 	}
-	if (end.result == tries.Lost || end.result == tries.Broken) && isConnectionEnd(end.err) && !e.leftByNotice() {
+	if e.endWasPlanned(ctx) {
+		if end.health == place.Bad {
+			end.health = 0
+		}
+		return
+	}
+	if (end.result == tries.Lost || end.result == tries.Broken) && isConnectionEnd(end.err) {
 		e.log("A request was lost with its connection.", "Endpoint", e.run.Endpoint.ID, "AnswerBegun", e.answerBegun, "TryEvents", e.tryEvents,
 			"Ran", time.Since(e.sentAt).Milliseconds(), "SharedParts", e.sharedParts, "Digest", e.digest().String())
 		e.front.config.Detector.recordRequestLoss(e)
@@ -300,6 +312,21 @@
 	})
 }
 
+// endWasPlanned reports whether the end of a try's connection tells nothing of the request: its endpoint had
+// announced its leaving, or may have stopped work at the deadline, or because this host asked it to
+// and still listens.
+func (e *exchange) endWasPlanned(ctx context.Context) bool {
+	end := leave.End{MayHaveStopped: e.stopping.mayHaveStoppedNow(), TimeLeft: time.Until(e.request.Deadline), EndpointEnded: e.leftByNotice}
+	switch end.Cause() {
+	case leave.AnswerComplete:
+		return false
+	case leave.RunStopped:
+		return e.leftByNotice() || !e.front.config.Links.Refuses(ctx, e.run.Endpoint.Address)
+	default:
+		return true
+	}
+}
+
 // isConnectionEnd reports whether an endpoint closed or reset a connection, as it does when it
 // ends.
 func isConnectionEnd(err error) bool {
@@ -313,7 +340,7 @@
 
 // leftByNotice reports whether the endpoint of the current try had announced that it leaves.
 func (e *exchange) leftByNotice() bool {
-	return !e.leavingSince.IsZero() && time.Since(e.leavingSince) >= _noticeTime
+	return e.placer().leavingFor(e.run) >= _noticeTime
 }
 
 // _eventsOfSuccess is the number of events of one try after which the begin of the answer counts as
