--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -492,6 +492,34 @@
 	}
 }
 
+// Each try that one silence of an endpoint had ended doubled its backoff, so that a sound endpoint got
+// nothing for seconds after it had gone on.
+func TestTriesThatOneSilenceEndsAreOneFailure(t *testing.T) {
+	const silence = time.Second
+	s := newSite(t, 0, 1)
+	var runs []*place.Run
+	for range 4 {
+		run, _ := s.Place(_start, order())
+		runs = append(runs, run)
+	}
+	for i, run := range runs {
+		s.RecordOutcome(after(silence+time.Duration(i)*100*time.Millisecond), run, place.Unreachable)
+		s.End(run)
+	}
+	key := runs[0].Endpoint.Key()
+	if s.Usable(after(silence), key) {
+		t.Error("an endpoint that cannot be reached is used at once")
+	}
+	if !s.Usable(after(silence+500*time.Millisecond), key) {
+		t.Fatal("an endpoint gets nothing for longer because several tries ended in one silence")
+	}
+	late, _ := s.Place(after(2*silence), order())
+	s.RecordOutcome(after(2*silence), late, place.Unreachable)
+	if s.Usable(after(2*silence+500*time.Millisecond), key) {
+		t.Error("a further failure does not extend the backoff")
+	}
+}
+
 // Backup copies leave room for runs; the copies of runs whose engine leaves may fill an
 // engine.
 func TestBackupsLeaveRoomForRuns(t *testing.T) {
