core/procs/place: tries that one silence ends are one failure

Each try that a silent endpoint ended doubled the backoff of that endpoint, whenever the try had begun. A sound endpoint that fell silent for a second with four lookups got nothing from that host for 2.4 s afterwards.

A backoff is now extended only by a try that was begun after it, and an answer ends it if the endpoint was silent, but not if it could not be reached: open connections may live on while new ones are refused. A try from before no longer shortens the backoff of an endpoint that is gone.

--- a/core/procs/place/health.go
+++ b/core/procs/place/health.go
@@ -18,11 +18,24 @@
 type health struct {
 	failureRate  float64
 	backoff      time.Duration
+	backoffSince time.Time
 	backoffUntil time.Time
+	// isSilent is true if the latest backoff began because a connected endpoint was silent.
+	isSilent bool
 }
 
 func (h *health) inBackoff(now time.Time) bool { return now.Before(h.backoffUntil) }
 
+// backOff begins a backoff, which is longer after each try that was begun since the last one. An
+// earlier try tells nothing new: one silence of an endpoint may end many.
+func (h *health) backOff(now, triedAt time.Time, isSilent bool) {
+	if triedAt.Before(h.backoffSince) {
+		return
+	}
+	h.backoff = min(max(2*h.backoff, _initialBackoff), _maxBackoff)
+	h.backoffSince, h.backoffUntil, h.isSilent = now, now.Add(h.backoff), isSilent
+}
+
 // costFactor returns the factor by which failures raise an endpoint's cost.
 func (h *health) costFactor() float64 { return 1 + _failurePenalty*h.failureRate*h.failureRate }
 
@@ -35,8 +48,10 @@
 	Good Outcome = iota + 1
 	// Bad: it failed the request, broke off its answer or sent an invalid one.
 	Bad
-	// Unreachable: no connection could be made, or it stopped responding.
+	// Unreachable: no connection could be made, or a call before the try was not answered.
 	Unreachable
+	// Silent: it was connected and did not respond in time. It may go on.
+	Silent
 	// Gone: nothing listens at its address, or another incarnation does.
 	Gone
 )
@@ -56,11 +71,15 @@
 	switch outcome {
 	case Good:
 		failed, h.backoff = 0, 0
+		if h.isSilent {
+			h.backoffUntil = time.Time{}
+		}
 	case Unreachable:
-		h.backoff = min(max(2*h.backoff, _initialBackoff), _maxBackoff)
-		h.backoffUntil = now.Add(h.backoff)
+		h.backOff(now, run.startedAt, false)
+	case Silent:
+		h.backOff(now, run.startedAt, true)
 	case Gone:
-		h.backoffUntil = now.Add(_goneBackoff)
+		h.backoffSince, h.backoffUntil, h.isSilent = now, now.Add(_goneBackoff), false
 	case Bad:
 	}
 	h.failureRate += _failureWeight * (failed - h.failureRate)
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -520,6 +520,24 @@
 	}
 }
 
+// An answer shows that a silent endpoint has gone on. It does not show that an endpoint can be reached
+// that could not be: an open connection may live on while new ones are refused or hang.
+func TestAnswerEndsOnlyTheBackoffOfASilentEndpoint(t *testing.T) {
+	for outcome, usable := range map[place.Outcome]bool{place.Silent: true, place.Unreachable: false, place.Gone: false} {
+		s := newSite(t, 0, 1)
+		answered, _ := s.Place(_start, order())
+		failed, _ := s.Place(_start, order())
+		s.RecordOutcome(_start, failed, outcome)
+		if s.Usable(_start, failed.Endpoint.Key()) {
+			t.Errorf("outcome %d: the endpoint is used at once", outcome)
+		}
+		s.RecordOutcome(_start, answered, place.Good)
+		if got := s.Usable(_start, failed.Endpoint.Key()); got != usable {
+			t.Errorf("outcome %d, then an answer: usable %v, want %v", outcome, got, usable)
+		}
+	}
+}
+
 // Backup copies leave room for runs; the copies of runs whose engine leaves may fill an
 // engine.
 func TestBackupsLeaveRoomForRuns(t *testing.T) {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -385,7 +385,7 @@
 func answerOutcome(err error) place.Outcome {
 	switch {
 	case errors.Is(err, errSlow):
-		return place.Unreachable
+		return place.Silent
 	case errors.Is(err, errHandedOver), errors.Is(err, errBlocked), errors.Is(err, errNoBuffer):
 		return 0
 	}
