io/entry: a silence of up to two seconds ends no connection

A sound endpoint may fall silent for a second or so. TCP_USER_TIMEOUT was 1.5 s: a connection with unacknowledged bytes, or with a receive window of zero, was closed after that, and as tcp(7) says the option also made keep-alive probes give up after 2 s, whatever their count. The request on it was lost, and kept connections had to be opened anew.

It is 2.5 s now. Probes give up after 3 s by their count as well as by this timeout, which is when an endpoint that does not respond counts as out of contact. The options read back from a connection are 1 s idle, 1 s interval, 2 probes and 2.5 s.

The same dialer serves connections to hosts and to the store.

--- a/io/entry/dial.go
+++ b/io/entry/dial.go
@@ -13,11 +13,15 @@
 	// _tcpUserTimeout is the socket option TCP_USER_TIMEOUT of tcp(7), which package
 	// syscall lacks.
 	_tcpUserTimeout = 0x12
-	// _unacknowledgedTimeout is how long sent bytes may stay unacknowledged before the
-	// connection is closed as broken.
-	_unacknowledgedTimeout = 1500 * time.Millisecond
-	_keepAliveIdle         = time.Second
-	_keepAliveProbes       = 2
+	// _unacknowledgedTimeout is how long sent bytes may stay unacknowledged, or be refused by a
+	// receive window of zero, before the connection is closed as broken. It is between the second
+	// or two for which a sound endpoint may fall silent and the time after which one that does not
+	// respond counts as out of contact.
+	_unacknowledgedTimeout = 2500 * time.Millisecond
+	// With TCP_USER_TIMEOUT, unanswered probes end a connection at the first one that is due after
+	// that time, whatever their count, which is set to the same moment.
+	_keepAliveIdle   = time.Second
+	_keepAliveProbes = 2
 )
 
 // Dialer opens connections that detect within a few seconds that the other end is
