io/front: a silent endpoint is read until another one has accepted the request

A request left its silent endpoint, and closed the connection, once a place elsewhere was taken and could be dialled. If the endpoint there refused, the answer that the silent one would have brought was lost: a stream that may be resumed was cut, a lookup failed with 502.

A request that may run again is now sent to the other endpoint while the silent one is still read, and leaves it when the head of an answer other than a refusal has come. If the other endpoint refuses or cannot be dialled, the silent one is waited for. If the silent one goes on, the other exchange is closed; if it fails, refuses or is lost, the request goes on with the other exchange, without a further retry. Both count towards MaxAttempts, except one that refused. The silent endpoint's backoff begins when the request is sent elsewhere, as before.

--- a/core/reqst/tries/tries.go
+++ b/core/reqst/tries/tries.go
@@ -108,6 +108,17 @@
 		"a request of kind %v may have run on %d endpoints", t.route.Kind, t.ran)
 }
 
+// Offered records that the request was sent to a further endpoint while that of the current try may
+// go on.
+func (t *Tries) Offered() {
+	t.ran++
+	invar.Check(invar.OrderAtMostOnce, repeatable(t.route), "a request of kind %v was offered to a further endpoint", t.route.Kind)
+}
+
+// Withdrawn records that such an endpoint did not run the request, or that a try of its own begins
+// there, which is counted by itself.
+func (t *Tries) Withdrawn() { t.ran-- }
+
 // Situation is the input of a decision besides the history.
 type Situation struct {
 	// Delivered is true once the caller has received a part of the answer.
@@ -125,7 +136,8 @@
 	// have ended; nil if that cannot be found out. It is called only if the answer matters.
 	EndedEndpoints func() int
 	// Prepared is the step for which a place was taken before a silent endpoint was left, and a
-	// retry if it needs one; 0 for none.
+	// retry if it needs one; 0 for none. Where the try ended by itself, the request was already sent
+	// there.
 	Prepared Step
 }
 
@@ -142,11 +154,17 @@
 		if t.counted {
 			t.ran--
 		}
+		if situation.Prepared != 0 {
+			return situation.Prepared
+		}
 		if situation.TimeLeft && situation.SpendRetry() {
 			return t.retryStep(situation)
 		}
 		return t.finalStep(situation)
 	case Failed:
+		if situation.Prepared != 0 {
+			return situation.Prepared
+		}
 		if t.repeatable() && situation.TimeLeft && t.ran < t.route.MaxAttempts && situation.SpendRetry() {
 			return t.retryStep(situation)
 		}
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -111,9 +111,7 @@
 				return *end.leftWhileRunning(answer)
 			}
 			if e.received > before {
-				if e.stop.pending == nil {
-					e.dropPrepared()
-				}
+				e.hasGoneOn()
 				e.silence.AskAt = time.Now().Add(e.silenceTimeout())
 			}
 		}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -69,6 +69,13 @@
 	// silence watches the current try, prepared is where the request goes on after it.
 	silence  *links.Silence
 	prepared *prepared
+	// offered is the request of the current try if it was sent before the try, until the try takes it
+	// over.
+	offered *offer
+	// silenceRecorded is true once the endpoint of the current try counts as silent.
+	silenceRecorded bool
+	// offersDeclined counts the endpoints that did not take the request in the current silence.
+	offersDeclined int
 	// stopping is what became of requests to stop the run of the current try.
 	stopping *stopping
 	// stop is what is known of stopping the run of the current try, unended the endpoint of the
@@ -178,6 +185,7 @@
 	for {
 		end := e.runStep(ctx, step)
 		if end.whole != nil {
+			e.dropPrepared()
 			e.relay(end.whole)
 			return
 		}
@@ -194,7 +202,7 @@
 			e.timeout(context.Cause(ctx))
 			return
 		}
-		if !errors.Is(end.err, errSlow) {
+		if !errors.Is(end.err, errSlow) && !e.prepared.isOffered() {
 			e.dropPrepared()
 		}
 		next := e.tries.Next(end.result, e.situation())
@@ -250,6 +258,7 @@
 		return tryResult{done: true}
 	}
 	from, notPlaced := e.placeStep(ctx, step)
+	defer e.dropOffer()
 	if notPlaced != nil {
 		return *notPlaced
 	}
@@ -294,7 +303,7 @@
 // end is the result of the try.
 func (e *exchange) placeStep(ctx context.Context, step tries.Step) (from string, end *tryResult) {
 	if p := e.prepared; p != nil {
-		e.run, e.prepared = p.run, nil
+		e.run, e.offered, e.prepared = p.run, p.offer, nil
 		e.backup.drop(e.placer())
 		return p.from, nil
 	}
@@ -326,7 +335,10 @@
 	e.chooseBackup()
 	tryCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	e.silence, e.counted, e.waitLogged = e.newSilence(ctx, from != ""), false, false
+	if e.offered != nil {
+		e.tries.Withdrawn()
+	}
+	e.silence, e.counted, e.waitLogged, e.silenceRecorded, e.offersDeclined = e.newSilence(ctx, from != ""), false, false, false, 0
 	pace, reading := e.placer().pace(e.run, &e.request.RoutedRequest), e.placer().reading(e.spec(nil))
 	e.log(_tryBegins, "Digest", e.digest().String(), "Endpoint", endpoint.ID, "Build", string(endpoint.Build), "Address", endpoint.Address,
 		"Resumes", e.incoming.Header.Get(names.Resumes), "LastEventID", e.incoming.Header.Get(names.LastEventID), "From", from, "Backup", e.backup.endpoint().ID,
@@ -336,11 +348,12 @@
 		"Runs", e.run.PriorLoad.Runs, "Tokens", e.run.PriorLoad.Tokens, "Prefill", e.run.PriorLoad.Prefill,
 		"Slowness", hundredths(pace.Slowness), "PauseRisk", hundredths(pace.Risk),
 		"PrefillLimit", reading.Limit, "ShortQueue", reading.Short, "EnginesKept", reading.Kept, "EnginesOpen", reading.Open)
-	if err := e.confirmBuild(tryCtx, e.run, from); err != nil {
-		return tryResult{result: tries.NotSent, health: e.endpointOutcome(ctx, place.Unreachable), err: err}
+	if e.offered == nil {
+		if err := e.confirmBuild(tryCtx, e.run, from); err != nil {
+			return tryResult{result: tries.NotSent, health: e.endpointOutcome(ctx, place.Unreachable), err: err}
+		}
 	}
-	e.sentAt = time.Now()
-	answer, err := e.front.config.Links.Do(tryCtx, endpoint.RoutedEndpoint, e.outgoing(from))
+	answer, err := e.send(tryCtx, endpoint.RoutedEndpoint, from)
 	var failed *links.Error
 	if errors.As(err, &failed) && failed.Stage == links.StageDial {
 		return tryResult{result: tries.NotSent, health: e.endpointOutcome(ctx, dialOutcome(err)), err: err}
@@ -366,7 +379,7 @@
 // endpointOutcome returns the outcome of a failed try to record for the endpoint: none
 // if the try ended because the caller disconnected or the deadline passed.
 func (e *exchange) endpointOutcome(ctx context.Context, outcome place.Outcome) place.Outcome {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || outcome == place.Silent && e.silenceRecorded {
 		return 0
 	}
 	return outcome
@@ -400,13 +413,13 @@
 	return tries.Lost
 }
 
-// outgoing returns the request as it is sent to the endpoint.
-func (e *exchange) outgoing(from string) *links.Request {
+// outgoing returns the request as it is sent to the endpoint of a run.
+func (e *exchange) outgoing(run *place.Run, from string) *links.Request {
 	names := e.front.config.Names
 	header := forwardedHeader(e.incoming.Header, names)
 	header.Set(names.RequestID, e.request.ID)
 	header.Set(names.Deadline, strconv.FormatInt(max(time.Until(e.request.Deadline).Milliseconds(), 1), 10))
-	header.Set(names.ExpectedEndpoint, e.run.Endpoint.ID)
+	header.Set(names.ExpectedEndpoint, run.Endpoint.ID)
 	if e.request.Workspace != "" {
 		header.Set(names.Workspace, string(e.request.Workspace))
 	}
@@ -420,15 +433,17 @@
 		header.Set(names.LastEventID, strconv.Itoa(e.position.Last()))
 	}
 	return &links.Request{
-		Method:       e.incoming.Method,
-		Target:       e.incoming.RequestURI,
-		HostName:     e.incoming.Host,
-		Header:       header,
-		Body:         e.request.body,
-		Identify:     e.identify,
+		Method:   e.incoming.Method,
+		Target:   e.incoming.RequestURI,
+		HostName: e.incoming.Host,
+		Header:   header,
+		Body:     e.request.body,
+		Identify: func(answer *http.Response, isFirst bool) links.Ownership {
+			return e.identify(run.Endpoint.RoutedEndpoint, answer, isFirst)
+		},
 		RequireFresh: e.request.Route.Kind != core.RouteIdempotent,
 
-		MaxConnections: e.run.MaxConnections,
+		MaxConnections: run.MaxConnections,
 		Silence:        e.silence,
 	}
 }
--- a/io/front/identify.go
+++ b/io/front/identify.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"apricotproxy/core"
 	"apricotproxy/io/links"
 )
 
@@ -10,7 +11,7 @@
 // refusal (status 421 or the Not-Run header) without an id is believed only as the first answer
 // on its connection: later it may be a copy of an earlier one while this request runs. An
 // endpoint that leaves out ids gets each further request on a new connection.
-func (e *exchange) identify(answer *http.Response, isFirst bool) links.Ownership {
+func (e *exchange) identify(endpoint core.RoutedEndpoint, answer *http.Response, isFirst bool) links.Ownership {
 	names := e.front.config.Names
 	echo := answer.Header.Get(names.RequestID)
 	isRefusal := answer.StatusCode == http.StatusMisdirectedRequest || answer.Header.Get(names.NotRun) != ""
@@ -20,9 +21,9 @@
 	case echo != "" || !isRefusal:
 		return links.Foreign
 	}
-	if e.front.config.Links.RequireNew(e.run.Endpoint.RoutedEndpoint) {
+	if e.front.config.Links.RequireNew(endpoint) {
 		e.log("An endpoint refuses without a request's id; each request to it gets a new connection.",
-			"Endpoint", e.run.Endpoint.ID, "Status", answer.StatusCode, "Believed", isFirst)
+			"Endpoint", endpoint.ID, "Status", answer.StatusCode, "Believed", isFirst)
 	}
 	if !isFirst {
 		return links.Foreign
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -141,6 +141,7 @@
 // no such copy.
 func (e *exchange) continueFrom(from string) {
 	if from != "" {
+		e.prepared.dropOffer()
 		e.prepared.step, e.prepared.from = tries.Continue, from
 	}
 }
--- a/io/front/silence.go
+++ b/io/front/silence.go
@@ -20,6 +20,9 @@
 	_minSilenceTimeout = 1500 * time.Millisecond
 	// _silenceRecheck is the pause before it is checked again whether a silent endpoint can be left.
 	_silenceRecheck = 200 * time.Millisecond
+	// _maxRecheckDoublings bounds how often that pause is doubled, once for each endpoint that did not
+	// take the request.
+	_maxRecheckDoublings = 3
 )
 
 // prepared is where a request goes on once it has left a silent endpoint.
@@ -28,6 +31,8 @@
 	run  *place.Run
 	// from identifies the copy that the run continues from; empty for a new run.
 	from string
+	// offer is the request if it was sent there before the silent endpoint is left; nil if not.
+	offer *offer
 }
 
 func (p *prepared) nextStep() tries.Step {
@@ -40,6 +45,7 @@
 // dropPrepared gives up the place that was taken for a further try.
 func (e *exchange) dropPrepared() {
 	if e.prepared != nil {
+		e.prepared.dropOffer()
 		e.placer().end(e.prepared.run, 0)
 		e.prepared = nil
 	}
@@ -82,8 +88,8 @@
 }
 
 // askSilent returns errSlow if the request leaves its silent endpoint. It does so only once a place
-// elsewhere is taken and, for a stream that has begun, once the run is known not to go on. A
-// silent endpoint may go on, so otherwise it is waited for.
+// elsewhere is taken, the run of a stream that has begun is known not to go on, and the endpoint there
+// has accepted the request. A silent endpoint may go on, so otherwise it is waited for.
 func (e *exchange) askSilent(ctx context.Context) error {
 	if e.stop.since.Before(e.lastEventAt) && e.stop.pending == nil {
 		e.stop = runStop{} // the endpoint has gone on since it was asked
@@ -92,7 +98,7 @@
 	if step == 0 {
 		step = e.tries.Elsewhere(e.situation())
 	}
-	if (e.prepared != nil || e.prepare(ctx, step)) && e.mayGoOn(ctx, step) {
+	if (e.prepared != nil || e.prepare(ctx, step)) && e.mayGoOn(ctx, step) && e.isAccepted() {
 		e.log("A silent endpoint is left.", "Endpoint", e.run.Endpoint.ID, "Silent", e.silentFor().Milliseconds(), "Next", e.prepared.step.String(),
 			"To", e.prepared.run.Endpoint.ID, "Evidence", e.stop.evidence.String())
 		return errSlow
@@ -102,8 +108,8 @@
 			"Evidence", e.stop.evidence.String())
 	}
 	e.waitLogged = true
-	pause := _silenceRecheck
-	if e.stop.pending != nil {
+	pause := _silenceRecheck << min(e.offersDeclined, _maxRecheckDoublings)
+	if e.stop.pending != nil || e.prepared.isOffered() {
 		pause = _stopPoll
 	}
 	e.silence.AskAt = time.Now().Add(pause)
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -416,6 +416,9 @@
 	return nil, Foreign, errors.New("too many answers to other requests on the connection")
 }
 
+// Watch decides from now on what happens when the endpoint sends nothing for long.
+func (a *Answer) Watch(silence *Silence) { a.connection.head.conn.silence = silence }
+
 // Read reads from the body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
