io/links, io/engine: a status outside 100 to 599 is a broken answer

Callers got the statuses 600 and 999 that an endpoint in trouble had sent. One below 100, such as 000, was taken for the 1xx before an answer: the caller waited until its deadline, and what followed was read as the next answer. A report with such a status counted as a call that the engine does not offer, so that a stream was taken up at an engine whose build nobody had confirmed.

net/http takes any three characters for a status that are a number of 0 or more. io/links, which reads all answers of routed endpoints, now takes one outside 100 to 599 for a broken answer: the request may have run, and the connection is closed. io/engine closes the connection too, where it was kept for the next report or cancel.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -33,6 +33,9 @@
 	_streamBufferBytes = 1 << 10
 	_idleConnections   = 4 // per endpoint, for reports, cache events and cancels
 	_idleTimeout       = 30 * time.Second
+	// _minStatus and _maxStatus bound the statuses of answers in RFC 9110; net/http handles 1xx.
+	_minStatus = 200
+	_maxStatus = 599
 )
 
 // Config configures a Client.
@@ -343,8 +346,12 @@
 
 // statusError returns the error for a response whose status is not 2xx. A status
 // of 503 or 4xx, such as 429, proves that the request did not run; after any other
-// it may have run.
+// it may have run. After one that is none, the connection is closed.
 func statusError(endpoint core.Endpoint, res *http.Response) *core.EndpointError {
+	if res.StatusCode < _minStatus || res.StatusCode > _maxStatus {
+		err := fmt.Errorf("%d is no status", res.StatusCode)
+		return endpointError(endpoint, core.ResultLost, errors.Join(err, res.Body.Close()))
+	}
 	text, _ := readAll(res.Body, _errorBodyBytes)
 	e := endpointError(endpoint, core.ResultLost, fmt.Errorf("status %d: %s", res.StatusCode, bytes.TrimSpace(text)))
 	e.Status = res.StatusCode
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -31,6 +31,9 @@
 	// _maxStrayAnswers bounds the responses that are read to find a request's own
 	// answer; the others are skipped.
 	_maxStrayAnswers = 4
+	// _maxStatus is the last status of the last class in RFC 9110. net/http parses any three
+	// characters as a status that are a number.
+	_maxStatus = 599
 	// _maxDiscardedBytes bounds what is read of a connection only to see whether it ends.
 	_maxDiscardedBytes = 64 << 10
 	// _defaultIdleTimeout is how long an idle connection is kept when the endpoint
@@ -399,6 +402,9 @@
 		if err != nil {
 			return nil, Foreign, fmt.Errorf("read the answer: %w", err)
 		}
+		if res.StatusCode < http.StatusContinue || res.StatusCode > _maxStatus {
+			return nil, Foreign, fmt.Errorf("read the answer: %d is no status", res.StatusCode)
+		}
 		if res.StatusCode < http.StatusOK {
 			if res.StatusCode == http.StatusSwitchingProtocols {
 				return nil, Foreign, errors.New("the endpoint switched protocols")
