--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -492,6 +492,52 @@
 	}
 }
 
+// Each try that one silence of an endpoint had ended doubled its backoff, so that a sound endpoint got
+// nothing for seconds after it had gone on.
+func TestTriesThatOneSilenceEndsAreOneFailure(t *testing.T) {
+	const silence = time.Second
+	s := newSite(t, 0, 1)
+	var runs []*place.Run
+	for range 4 {
+		run, _ := s.Place(_start, order())
+		runs = append(runs, run)
+	}
+	for i, run := range runs {
+		s.RecordOutcome(after(silence+time.Duration(i)*100*time.Millisecond), run, place.Unreachable)
+		s.End(run)
+	}
+	key := runs[0].Endpoint.Key()
+	if s.Usable(after(silence), key) {
+		t.Error("an endpoint that cannot be reached is used at once")
+	}
+	if !s.Usable(after(silence+500*time.Millisecond), key) {
+		t.Fatal("an endpoint gets nothing for longer because several tries ended in one silence")
+	}
+	late, _ := s.Place(after(2*silence), order())
+	s.RecordOutcome(after(2*silence), late, place.Unreachable)
+	if s.Usable(after(2*silence+500*time.Millisecond), key) {
+		t.Error("a further failure does not extend the backoff")
+	}
+}
+
+// An answer shows that a silent endpoint has gone on. It does not show that an endpoint can be reached
+// that could not be: an open connection may live on while new ones are refused or hang.
+func TestAnswerEndsOnlyTheBackoffOfASilentEndpoint(t *testing.T) {
+	for outcome, usable := range map[place.Outcome]bool{place.Silent: true, place.Unreachable: false, place.Gone: false} {
+		s := newSite(t, 0, 1)
+		answered, _ := s.Place(_start, order())
+		failed, _ := s.Place(_start, order())
+		s.RecordOutcome(_start, failed, outcome)
+		if s.Usable(_start, failed.Endpoint.Key()) {
+			t.Errorf("outcome %d: the endpoint is used at once", outcome)
+		}
+		s.RecordOutcome(_start, answered, place.Good)
+		if got := s.Usable(_start, failed.Endpoint.Key()); got != usable {
+			t.Errorf("outcome %d, then an answer: usable %v, want %v", outcome, got, usable)
+		}
+	}
+}
+
 // Backup copies leave room for runs; the copies of runs whose engine leaves may fill an
 // engine.
 func TestBackupsLeaveRoomForRuns(t *testing.T) {
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -147,9 +147,7 @@
 				if time.Since(readAt) >= _emptyRead {
 					e.stopping.recordEvent(readAt)
 				}
-				if e.stop.pending == nil {
-					e.dropPrepared()
-				}
+				e.hasGoneOn()
 				e.silence.AskAt = time.Now().Add(e.silenceTimeout())
 			}
 		}
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -115,7 +115,7 @@
 func (e *exchange) exchangeWith(ctx context.Context, peer core.RoutedEndpoint) (tryResult, reach.RelayOutcome) {
 	attempts := e.tries.AttemptsLeft()
 	e.sentAt = time.Now()
-	answer, err := e.front.config.RelayLinks.Do(ctx, peer, e.relayRequest(attempts))
+	answer, err := e.front.config.RelayLinks.Do(ctx, peer, e.relayRequest(peer, attempts))
 	var failed *links.Error
 	switch {
 	case errors.As(err, &failed) && failed.Stage == links.StageDial:
@@ -140,7 +140,7 @@
 
 // relayRequest returns the request as it is sent to another host: as the caller sent it, with what is
 // left of its time and attempts.
-func (e *exchange) relayRequest(attempts int) *links.Request {
+func (e *exchange) relayRequest(peer core.RoutedEndpoint, attempts int) *links.Request {
 	names, incoming := e.front.config.Names, e.incoming.Header
 	header := incoming.Clone()
 	dropHopByHopHeaders(header, incoming)
@@ -163,7 +163,7 @@
 	}
 	return &links.Request{
 		Method: e.incoming.Method, Target: e.incoming.RequestURI, HostName: e.incoming.Host, Header: header, Body: e.request.body,
-		Identify: e.identify, RequireFresh: e.request.Route.Kind != core.RouteIdempotent, Silence: e.silence,
+		Identify: func(answer *http.Response, isFirst bool) links.Ownership { return e.identify(peer, answer, isFirst) }, RequireFresh: e.request.Route.Kind != core.RouteIdempotent, Silence: e.silence,
 	}
 }
 
