core/procs/reach: a lost request does not exclude the host that relayed it

An endpoint that breaks off an answer looks to the relaying host like a lost connection, and would have kept the only other host from helping until its next heartbeat. It is avoided now only if there is another one.

--- a/core/procs/reach/hosts.go
+++ b/core/procs/reach/hosts.go
@@ -58,9 +58,10 @@
 	RelayRefused
 	// RelayBusy: it takes no requests for others now, which has nothing to do with this one. It gets none for a while.
 	RelayBusy
-	// RelayLost: the connection ended after the request was sent, without a complete answer.
+	// RelayLost: the connection ended after the request was sent, without a complete answer. The host is avoided like one
+	// that refused, since the endpoint may have broken the answer off.
 	RelayLost
-	// RelayUnreachable: no connection to it could be opened; the request was not sent.
+	// RelayUnreachable: no connection to it could be opened; the request was not sent. It gets none until its next heartbeat.
 	RelayUnreachable
 )
 
@@ -70,8 +71,8 @@
 	heardAt  time.Time
 	inFlight int
 	// backoffUntil is the time until which it gets no requests, avoidUntil until which it gets them only if no other host can
-	// help. backoff is the time for which it was last avoided. failedAt is when a connection to it last failed: a heartbeat must
-	// arrive before it is used again.
+	// help. backoff is the time for which it was last avoided. failedAt is when no connection to it could be opened last: a
+	// heartbeat must arrive before it is used again.
 	backoffUntil, avoidUntil time.Time
 	failedAt                 time.Time
 	backoff                  time.Duration
@@ -180,9 +181,9 @@
 	}
 	until := now.Add(t.jitter(h.backoff))
 	switch outcome {
-	case RelayRefused:
+	case RelayRefused, RelayLost:
 		h.avoidUntil = until
-	case RelayLost, RelayUnreachable:
+	case RelayUnreachable:
 		h.failedAt, h.backoffUntil = now, until
 	default:
 		h.backoffUntil = until
--- a/core/procs/reach/reach.go
+++ b/core/procs/reach/reach.go
@@ -15,14 +15,16 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/procs/gossip"
 )
 
 const (
-	// PollInterval is the longest time between two calls of DueProbes. It bounds what polling adds to the time until a cut
-	// is known: a fraction of the time limit of a dial.
+	// PollInterval is the longest time between two calls of DueProbes while the state is not Reaching. It bounds what polling
+	// adds to the time until a cut is known: a fraction of the time limit of a dial.
 	PollInterval = 50 * time.Millisecond
-	// _suspended is the time without a call from which the process is taken to have been suspended: many polls.
-	_suspended = 20 * PollInterval
+	// _suspended is the time without a call from which the process is taken to have been suspended: a few intervals of the
+	// heartbeats, with each of which the tracker is called.
+	_suspended = 4 * gossip.Interval
 	// _probeTimeout is when a probe without a result is given up, longer than any dial may take.
 	_probeTimeout = time.Second
 	// _quiet is the time without a sign of life from any endpoint from which a single failure is suspicious.
@@ -83,7 +85,8 @@
 }
 
 // Tracker holds what a host knows of its own and other hosts' connections to the endpoints. It is not safe for concurrent
-// use. Methods that take a time expect times that do not decrease.
+// use. Methods that take a time expect times that do not decrease, and one of them is to be called several times a second:
+// without calls the process counts as suspended.
 type Tracker struct {
 	self       core.HostName
 	dataCentre core.DataCentreName
@@ -214,7 +217,8 @@
 }
 
 // DueProbes returns the endpoints to open a connection to now, and to close it again. Each result is passed to RecordDial.
-// It is empty while the state is Reaching. It is to be called at least each PollInterval, and after a dial failed.
+// It is empty while the state is Reaching. It is to be called when a dial failed, when the state changed, and each PollInterval
+// while that is not Reaching.
 func (t *Tracker) DueProbes(now time.Time) []core.EndpointKey {
 	t.update(now)
 	switch {
