--- a/core/procs/reach/hosts.go
+++ b/core/procs/reach/hosts.go
@@ -84,11 +84,10 @@
 	if said.Name == t.self {
 		return
 	}
-	h := t.hosts[said.Name]
+	h := t.host(said.Name)
 	if h == nil {
 		t.forgetSilent(now)
-		h = &host{}
-		t.hosts[said.Name] = h
+		h = t.addHost(said.Name)
 	}
 	if said.Incarnation < h.Incarnation {
 		return
@@ -103,16 +102,31 @@
 	}
 }
 
+// host returns what is known of a host; nil if nothing is.
+func (t *Tracker) host(name core.HostName) *host {
+	if i, found := t.searchHost(name); found {
+		return t.hosts[i]
+	}
+	return nil
+}
+
+func (t *Tracker) searchHost(name core.HostName) (int, bool) {
+	return slices.BinarySearchFunc(t.hosts, name, func(h *host, name core.HostName) int { return cmp.Compare(h.Name, name) })
+}
+
+func (t *Tracker) addHost(name core.HostName) *host {
+	h := &host{Host: Host{Name: name}}
+	i, _ := t.searchHost(name)
+	t.hosts = slices.Insert(t.hosts, i, h)
+	return h
+}
+
 func (t *Tracker) forgetSilent(now time.Time) {
 	if now.Before(t.forgetAt) {
 		return
 	}
 	t.forgetAt = now.Add(_forgetAfter)
-	for name, h := range t.hosts {
-		if h.inFlight == 0 && now.Sub(h.heardAt) > _forgetAfter {
-			delete(t.hosts, name)
-		}
-	}
+	t.hosts = slices.DeleteFunc(t.hosts, func(h *host) bool { return h.inFlight == 0 && now.Sub(h.heardAt) > _forgetAfter })
 }
 
 // PickHost returns a host to relay a request to, and counts the request as in flight there until EndRelay is called, once. It
@@ -122,26 +136,39 @@
 	if t.state == Reaching {
 		return Host{}, false
 	}
-	var candidates []*host
+	var best *host
+	ties := 0
 	for _, h := range t.hosts {
-		if h.canHelp(now) && !slices.Contains(exclude, h.Name) {
-			candidates = append(candidates, h)
+		if !h.canHelp(now) || slices.Contains(exclude, h.Name) {
+			continue
+		}
+		switch order := t.compareHosts(now, h, best); {
+		case order < 0:
+			best, ties = h, 1
+		case order == 0:
+			// Each of those that are equally good is picked with the same probability.
+			ties++
+			if t.random.IntN(ties) == 0 {
+				best = h
+			}
 		}
 	}
-	if len(candidates) == 0 {
+	if best == nil {
 		return Host{}, false
 	}
-	// Hosts are sorted by name first, since the order of the map is not that of the last run.
-	slices.SortFunc(candidates, func(a, b *host) int { return cmp.Compare(a.Name, b.Name) })
-	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	best := slices.MinFunc(candidates, func(a, b *host) int {
-		return cmp.Or(compareBool(now.Before(a.avoidUntil), now.Before(b.avoidUntil)), compareBool(!a.isLive(now), !b.isLive(now)),
-			compareBool(a.DataCentre != t.dataCentre, b.DataCentre != t.dataCentre), a.inFlight-b.inFlight)
-	})
 	best.inFlight++
 	return best.Host, true
 }
 
+// compareHosts orders the host that is better to relay a request to before the other, which may be nil.
+func (t *Tracker) compareHosts(now time.Time, a, b *host) int {
+	if b == nil {
+		return -1
+	}
+	return cmp.Or(compareBool(now.Before(a.avoidUntil), now.Before(b.avoidUntil)), compareBool(!a.isLive(now), !b.isLive(now)),
+		compareBool(a.DataCentre != t.dataCentre, b.DataCentre != t.dataCentre), a.inFlight-b.inFlight)
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
@@ -165,7 +192,7 @@
 // EndRelay records that a request that was relayed to a host has ended there.
 func (t *Tracker) EndRelay(now time.Time, name core.HostName, outcome RelayOutcome) {
 	t.update(now)
-	h := t.hosts[name]
+	h := t.host(name)
 	if h == nil {
 		return
 	}
--- a/core/procs/reach/reach.go
+++ b/core/procs/reach/reach.go
@@ -105,10 +105,13 @@
 	// aliveAt is when an endpoint last accepted a connection or answered.
 	aliveAt   time.Time
 	endpoints map[core.EndpointKey]*endpoint
+	// sorted are the endpoints in an order that is the same in every run.
+	sorted []*endpoint
 	// failing holds the endpoints with failures that are not known to be void.
 	failing map[core.EndpointKey]*endpoint
 
-	hosts map[core.HostName]*host
+	// hosts are the other hosts, by name.
+	hosts []*host
 	// forgetAt is when silent hosts are next forgotten.
 	forgetAt time.Time
 	// relayed counts the requests in flight for other hosts, by host, relayedTotal all of them.
@@ -120,21 +123,26 @@
 func New(self core.HostName, dataCentre core.DataCentreName, random *rand.Rand) *Tracker {
 	return &Tracker{
 		self: self, dataCentre: dataCentre, random: random, state: Reaching, endpoints: make(map[core.EndpointKey]*endpoint),
-		failing: make(map[core.EndpointKey]*endpoint), hosts: make(map[core.HostName]*host), relayed: make(map[core.HostName]int),
+		failing: make(map[core.EndpointKey]*endpoint), relayed: make(map[core.HostName]int),
 	}
 }
 
 // SetEndpoints replaces the endpoints: all that the host may send requests to, without those that are leaving.
 func (t *Tracker) SetEndpoints(now time.Time, endpoints []core.EndpointKey) {
 	known := t.endpoints
-	t.endpoints = make(map[core.EndpointKey]*endpoint, len(endpoints))
+	t.endpoints, t.sorted = make(map[core.EndpointKey]*endpoint, len(endpoints)), nil
 	for _, key := range endpoints {
+		if t.endpoints[key] != nil {
+			continue
+		}
 		e := known[key]
 		if e == nil {
 			e = &endpoint{key: key}
 		}
 		t.endpoints[key] = e
+		t.sorted = append(t.sorted, e)
 	}
+	slices.SortFunc(t.sorted, func(a, b *endpoint) int { return cmp.Or(cmp.Compare(a.key.ID, b.key.ID), a.key.Born.Compare(b.key.Born)) })
 	maps.DeleteFunc(t.failing, func(key core.EndpointKey, _ *endpoint) bool { return t.endpoints[key] == nil })
 	t.update(now)
 }
@@ -265,12 +273,11 @@
 // that failed as the state was examined are left out.
 func (t *Tracker) probe(now time.Time, count int, rankings ...ranking) []core.EndpointKey {
 	candidates := make([]*endpoint, 0, len(t.endpoints))
-	for _, e := range t.endpoints {
+	for _, e := range t.sorted {
 		if !now.Before(e.probeUntil) && (t.state == CutOff || !t.failedProbe(e)) {
 			candidates = append(candidates, e)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *endpoint) int { return cmp.Compare(a.key.ID, b.key.ID) })
 	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	var keys []core.EndpointKey
 	for turn := 0; turn < count && len(candidates) > 0; turn++ {
@@ -383,7 +390,7 @@
 
 // isProbing reports whether the result of a probe is awaited.
 func (t *Tracker) isProbing(now time.Time) bool {
-	for _, e := range t.endpoints {
+	for _, e := range t.sorted {
 		if now.Before(e.probeUntil) {
 			return true
 		}
