--- a/core/procs/reach/reach.go
+++ b/core/procs/reach/reach.go
@@ -142,7 +142,9 @@
 		t.endpoints[key] = e
 		t.sorted = append(t.sorted, e)
 	}
-	slices.SortFunc(t.sorted, func(a, b *endpoint) int { return cmp.Or(cmp.Compare(a.key.ID, b.key.ID), a.key.Born.Compare(b.key.Born)) })
+	slices.SortFunc(t.sorted, func(a, b *endpoint) int {
+		return cmp.Or(cmp.Compare(a.key.ID, b.key.ID), a.key.Born.Compare(b.key.Born))
+	})
 	maps.DeleteFunc(t.failing, func(key core.EndpointKey, _ *endpoint) bool { return t.endpoints[key] == nil })
 	t.update(now)
 }
