--- a/core/procs/reach/reach.go
+++ b/core/procs/reach/reach.go
@@ -15,14 +15,16 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/procs/gossip"
 )
 
 const (
-	// PollInterval is the longest time between two calls of DueProbes. It bounds what polling adds to the time until a cut
-	// is known: a fraction of the time limit of a dial.
+	// PollInterval is the longest time between two calls of DueProbes while the state is not Reaching. It bounds what polling
+	// adds to the time until a cut is known: a fraction of the time limit of a dial.
 	PollInterval = 50 * time.Millisecond
-	// _suspended is the time without a call from which the process is taken to have been suspended: many polls.
-	_suspended = 20 * PollInterval
+	// _suspended is the time without a call from which the process is taken to have been suspended: a few intervals of the
+	// heartbeats, with each of which the tracker is called.
+	_suspended = 4 * gossip.Interval
 	// _probeTimeout is when a probe without a result is given up, longer than any dial may take.
 	_probeTimeout = time.Second
 	// _quiet is the time without a sign of life from any endpoint from which a single failure is suspicious.
@@ -83,7 +85,8 @@
 }
 
 // Tracker holds what a host knows of its own and other hosts' connections to the endpoints. It is not safe for concurrent
-// use. Methods that take a time expect times that do not decrease.
+// use. Methods that take a time expect times that do not decrease, and one of them is to be called several times a second:
+// without calls the process counts as suspended.
 type Tracker struct {
 	self       core.HostName
 	dataCentre core.DataCentreName
@@ -102,10 +105,13 @@
 	// aliveAt is when an endpoint last accepted a connection or answered.
 	aliveAt   time.Time
 	endpoints map[core.EndpointKey]*endpoint
+	// sorted are the endpoints in an order that is the same in every run.
+	sorted []*endpoint
 	// failing holds the endpoints with failures that are not known to be void.
 	failing map[core.EndpointKey]*endpoint
 
-	hosts map[core.HostName]*host
+	// hosts are the other hosts, by name.
+	hosts []*host
 	// forgetAt is when silent hosts are next forgotten.
 	forgetAt time.Time
 	// relayed counts the requests in flight for other hosts, by host, relayedTotal all of them.
@@ -117,21 +123,28 @@
 func New(self core.HostName, dataCentre core.DataCentreName, random *rand.Rand) *Tracker {
 	return &Tracker{
 		self: self, dataCentre: dataCentre, random: random, state: Reaching, endpoints: make(map[core.EndpointKey]*endpoint),
-		failing: make(map[core.EndpointKey]*endpoint), hosts: make(map[core.HostName]*host), relayed: make(map[core.HostName]int),
+		failing: make(map[core.EndpointKey]*endpoint), relayed: make(map[core.HostName]int),
 	}
 }
 
 // SetEndpoints replaces the endpoints: all that the host may send requests to, without those that are leaving.
 func (t *Tracker) SetEndpoints(now time.Time, endpoints []core.EndpointKey) {
 	known := t.endpoints
-	t.endpoints = make(map[core.EndpointKey]*endpoint, len(endpoints))
+	t.endpoints, t.sorted = make(map[core.EndpointKey]*endpoint, len(endpoints)), nil
 	for _, key := range endpoints {
+		if t.endpoints[key] != nil {
+			continue
+		}
 		e := known[key]
 		if e == nil {
 			e = &endpoint{key: key}
 		}
 		t.endpoints[key] = e
+		t.sorted = append(t.sorted, e)
 	}
+	slices.SortFunc(t.sorted, func(a, b *endpoint) int {
+		return cmp.Or(cmp.Compare(a.key.ID, b.key.ID), a.key.Born.Compare(b.key.Born))
+	})
 	maps.DeleteFunc(t.failing, func(key core.EndpointKey, _ *endpoint) bool { return t.endpoints[key] == nil })
 	t.update(now)
 }
@@ -214,7 +227,8 @@
 }
 
 // DueProbes returns the endpoints to open a connection to now, and to close it again. Each result is passed to RecordDial.
-// It is empty while the state is Reaching. It is to be called at least each PollInterval, and after a dial failed.
+// It is empty while the state is Reaching. It is to be called when a dial failed, when the state changed, and each PollInterval
+// while that is not Reaching.
 func (t *Tracker) DueProbes(now time.Time) []core.EndpointKey {
 	t.update(now)
 	switch {
@@ -261,12 +275,11 @@
 // that failed as the state was examined are left out.
 func (t *Tracker) probe(now time.Time, count int, rankings ...ranking) []core.EndpointKey {
 	candidates := make([]*endpoint, 0, len(t.endpoints))
-	for _, e := range t.endpoints {
+	for _, e := range t.sorted {
 		if !now.Before(e.probeUntil) && (t.state == CutOff || !t.failedProbe(e)) {
 			candidates = append(candidates, e)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *endpoint) int { return cmp.Compare(a.key.ID, b.key.ID) })
 	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	var keys []core.EndpointKey
 	for turn := 0; turn < count && len(candidates) > 0; turn++ {
@@ -379,7 +392,7 @@
 
 // isProbing reports whether the result of a probe is awaited.
 func (t *Tracker) isProbing(now time.Time) bool {
-	for _, e := range t.endpoints {
+	for _, e := range t.sorted {
 		if now.Before(e.probeUntil) {
 			return true
 		}
