--- a/io/entry/cutoff_test.go
+++ b/io/entry/cutoff_test.go
@@ -201,7 +201,7 @@
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
 	if err != nil || res.StatusCode != http.StatusOK || string(body) != r.want || res.Header.Get("Request-Id") != id {
-		return fmt.Errorf("%s %s: status %d after %v with %.80q, %v, id %q", r.name, id, res.StatusCode, time.Since(began).Round(time.Millisecond), body, err, res.Header.Get("Request-Id"))
+		return fmt.Errorf("%s %s: status %d after %v with %.80q, %w, id %q", r.name, id, res.StatusCode, time.Since(began).Round(time.Millisecond), body, err, res.Header.Get("Request-Id"))
 	}
 	return nil
 }
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -228,12 +228,15 @@
 	return s.placer.PlaceOn(time.Now(), key, request)
 }
 
-// recordArrival records that a request arrived, and completes it by when its caller first asked.
-func (s *SharedPlacer) recordArrival(request *core.RoutedRequest) {
+// recordArrival records that a request arrived, and completes it by when its caller first asked. One that
+// another host relays counts in the retry budget of that host.
+func (s *SharedPlacer) recordArrival(request *core.RoutedRequest, isRelayed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.placer.CountRequest(now, request.Service)
+	if !isRelayed {
+		s.placer.CountRequest(now, request.Service)
+	}
 	s.line.RecordArrival(now, request)
 }
 
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -180,7 +180,7 @@
 	defer e.buffered.release()
 	defer e.dropPrepared()
 	defer e.dropHost()
-	e.placer().recordArrival(&e.request.RoutedRequest)
+	e.placer().recordArrival(&e.request.RoutedRequest, e.request.relayedBy != "")
 	if !e.mayRelay(tries.Again) && !e.takeUp(ctx) { // otherwise the other host finds the build
 		return
 	}
