io/front: a take-up that is not relayed finds its build first; io/links, core/procs/place: tests

Cause: while a host was cut off and no other host could help, a request that takes a stream up was placed without the build that began the stream. Change: this host's own first try finds it. LiftBackoffs forgets failures only of endpoints in backoff. Tests of the reports of dials, of lifted backoffs, and of a stream that is under way at the cut and goes on through another host.

--- a/core/procs/place/health.go
+++ b/core/procs/place/health.go
@@ -45,11 +45,13 @@
 // document is removed meanwhile.
 const _goneBackoff = 10 * time.Second
 
-// LiftBackoffs ends the backoffs of all endpoints, as when this host reaches endpoints again that it
-// could not reach for a reason of its own.
-func (p *Placer) LiftBackoffs() {
+// LiftBackoffs forgets the failures of the endpoints in backoff, as when this host reaches endpoints again
+// that it could not reach for a reason of its own.
+func (p *Placer) LiftBackoffs(now time.Time) {
 	for _, e := range p.endpoints {
-		e.health = health{}
+		if e.health.inBackoff(now) {
+			e.health = health{}
+		}
 	}
 }
 
--- a/core/procs/place/place_test.go
+++ b/core/procs/place/place_test.go
@@ -490,6 +490,10 @@
 	if !s.Usable(after(4*time.Second), run.Endpoint.Key()) {
 		t.Error("an unreachable endpoint is not tried again")
 	}
+	s.LiftBackoffs(_start)
+	if !s.Usable(_start, run.Endpoint.Key()) {
+		t.Error("an endpoint is not used after its backoff was lifted")
+	}
 }
 
 // Backup copies leave room for runs; the copies of runs whose engine leaves may fill an
--- a/io/entry/cutoff_test.go
+++ b/io/entry/cutoff_test.go
@@ -27,6 +27,8 @@
 	_cutKey = "key-1"
 	// _cutEvents is the number of events of a stream.
 	_cutEvents = 8
+	// _longEvents is the number of events of a stream that is under way when its host is cut off.
+	_longEvents = 150
 )
 
 // cutSite is hosts before plain endpoints and engines. Their connections to them can be cut.
@@ -52,6 +54,14 @@
 	want                     string
 }
 
+// deadline returns how long the caller waits.
+func (r cutRequest) deadline() time.Duration {
+	if r.path == "/check/long" {
+		return 5 * time.Second
+	}
+	return 2 * time.Second
+}
+
 func newCutSite(t *testing.T, hosts int) *cutSite {
 	t.Helper()
 	s := &cutSite{site: newStoppedSite(t, hosts), addresses: make(map[string]bool), runs: make(map[string]int), slow: make(chan struct{}, 1), left: make(chan bool, 1)}
@@ -157,9 +167,13 @@
 	if id, err := strconv.Atoi(c.Header.Get("Last-Event-Id")); err == nil {
 		first = id + 1
 	}
-	for id := first; id < _cutEvents; id++ {
+	events, pause := _cutEvents, 5*time.Millisecond
+	if c.URL.Path == "/check/long" {
+		events, pause = _longEvents, 15*time.Millisecond
+	}
+	for id := first; id < events; id++ {
 		c.Chunk(pieceText("v1", id, id))
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(pause)
 	}
 	c.EndStream()
 	return true
@@ -189,7 +203,7 @@
 		return err
 	}
 	req.Host = "h"
-	for _, h := range append([]string{"Request-Id: " + id, "Deadline-Ms: 2000", "Key: " + _cutKey}, r.headers...) {
+	for _, h := range append([]string{"Request-Id: " + id, "Deadline-Ms: " + strconv.FormatInt(r.deadline().Milliseconds(), 10), "Key: " + _cutKey}, r.headers...) {
 		name, value, _ := strings.Cut(h, ": ")
 		req.Header.Set(name, value)
 	}
@@ -370,3 +384,24 @@
 		t.Errorf("the order ran %d times", n)
 	}
 }
+
+// A stream that may be resumed and whose connection is lost by the cut goes on through another host, with
+// each event once. The caller may take it up there later, since its build is known.
+func TestResumableStreamGoesOnThroughAnotherHost(t *testing.T) {
+	for name, state := range map[string]cut{"hanging": _hanging, "resetting": _resetting} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newCutSite(t, 3)
+			r := cutRequest{name: "long stream", method: "POST", path: "/check/long", headers: s.requests()[4].headers, want: pieceText("v1", 0, _longEvents-1)}
+			time.Sleep(2 * time.Second) // a host that has just started makes no retries
+			// A host suspects no cut in the second after it opened a connection.
+			time.AfterFunc(1200*time.Millisecond, func() { s.dialers[_cutHost].setCut(state) })
+			if err := s.send(_cutHost, r); err != nil {
+				t.Error(err)
+			}
+			if n := s.ran(fmt.Sprint("r", s.sent)); n != 2 {
+				t.Errorf("the stream ran at %d endpoints, want 2", n)
+			}
+		})
+	}
+}
--- a/io/entry/reach.go
+++ b/io/entry/reach.go
@@ -43,7 +43,7 @@
 		h.links.CloseIdle()
 	case before == reach.CutOff:
 		h.log.Info("This host reaches endpoints again.", "CutOff", lasted.Milliseconds(), "Running", h.front.Running(), "State", now.String())
-		h.sharedPlacer.Update(func(p *place.Placer) { p.LiftBackoffs() })
+		h.sharedPlacer.Update(func(p *place.Placer) { p.LiftBackoffs(time.Now()) })
 	}
 	h.peers.scheduleHeartbeat()
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -106,8 +106,9 @@
 	// continued is true from the first try that continues a run or stream and does not
 	// send the request anew.
 	continued bool
-	// takenUp is true if the caller asked for the events after one that it has.
-	takenUp bool
+	// takenUp is true if the caller asked for the events after one that it has, and triedTakeUp once this
+	// host looked for their build.
+	takenUp, triedTakeUp bool
 	// sentAt is when the current try began to send the request.
 	sentAt time.Time
 	// answerBegun is true once the current try got the head of an answer that was not a
@@ -181,9 +182,6 @@
 	defer e.dropPrepared()
 	defer e.dropHost()
 	e.placer().recordArrival(&e.request.RoutedRequest, e.request.relayedBy != "")
-	if !e.mayRelay(tries.Again) && !e.takeUp(ctx) { // otherwise the other host finds the build
-		return
-	}
 	step := tries.Again
 	for {
 		end := e.runStep(ctx, step)
@@ -269,6 +267,9 @@
 		e.front.counters.countTry(end.result.String())
 		return end
 	}
+	if !e.takeUp(ctx) {
+		return tryResult{done: true}
+	}
 	from, notPlaced := e.placeStep(ctx, step, cutOff)
 	if notPlaced != nil {
 		return *notPlaced
--- a/io/front/takeup.go
+++ b/io/front/takeup.go
@@ -15,10 +15,15 @@
 // _takeUps counts the streams that callers took up, by how their origin was found out.
 var _takeUps = expvar.NewMap("apricotproxy.Routed.TakeUps")
 
-// takeUp finds the build at which the stream was begun that the caller takes up, if it does. It
-// returns false if it answered the caller: the stream cannot go on, since nobody knows the build.
+// takeUp finds the build at which the stream was begun that the caller takes up, if it does, before
+// this host's own first try. It returns false if it answered the caller: the stream cannot go on, since
+// nobody knows the build.
 func (e *exchange) takeUp(ctx context.Context) bool {
 	lastEvent := e.incoming.Header.Get(e.front.config.Names.LastEventID)
+	if e.triedTakeUp || e.begun {
+		return true
+	}
+	e.triedTakeUp = true
 	if lastEvent == "" || e.request.Route.Kind != core.RouteStreaming || !e.request.Route.Resumable {
 		return true
 	}
--- a/io/links/links_test.go
+++ b/io/links/links_test.go
@@ -316,3 +316,45 @@
 		t.Errorf("%d connections, want a new one for each request", n)
 	}
 }
+
+// The pool tells the result of each dial and that a request got no answer, but not what ended because
+// its caller left. CloseIdle has the next request open a connection.
+func TestDialsAndLostRequestsAreReported(t *testing.T) {
+	var dials []error
+	unanswered := 0
+	p := links.New(links.Settings{
+		Dialer: &net.Dialer{}, DialTimeout: time.Second, MaxIdle: 2,
+		Dialed:     func(_ core.RoutedEndpoint, err error) { dials = append(dials, err) },
+		Unanswered: func(core.RoutedEndpoint) { unanswered++ },
+	})
+	t.Cleanup(p.Close)
+	e := start(t, func(c *routed.Call) bool {
+		if c.Header.Get("Id") == "lost" {
+			return false
+		}
+		c.Answer(200, "done", "Id: "+c.Header.Get("Id"))
+		return true
+	})
+	for _, id := range []string{"1", "2"} {
+		if _, err := roundTrip(t, p, e, id); err != nil {
+			t.Fatal(err)
+		}
+		p.CloseIdle()
+	}
+	if _, err := roundTrip(t, p, e, "lost"); err == nil || unanswered != 1 {
+		t.Errorf("error %v, %d requests reported as unanswered, want 1", err, unanswered)
+	}
+	endpoint := core.RoutedEndpoint{ID: "e", Address: e.Address}
+	if err := p.Probe(t.Context(), endpoint); err != nil {
+		t.Error(err)
+	}
+	e.Close()
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	if p.Probe(left, endpoint) == nil || p.Probe(t.Context(), endpoint) == nil {
+		t.Error("connected to an endpoint that has ended")
+	}
+	if len(dials) != 5 || dials[3] != nil || dials[4] == nil {
+		t.Errorf("reported dials %v, want four that succeeded and one that failed", dials)
+	}
+}
