--- a/core/routed.go
+++ b/core/routed.go
@@ -249,6 +249,7 @@
 	NotRun           string // marks a refusal: the request did not run
 	Leaving          string // "1" in the answers of an endpoint that is leaving
 	RateLimit        string // requests per second that the endpoint takes from all hosts together
+	Brittle          string // how many requests the endpoint can turn away in a second for want of room
 	Seal             string // marks a successful answer as written by the endpoint itself
 	Model            string
 	Tokens           string
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -105,7 +105,7 @@
 				EndpointInterval: time.Second,
 			},
 		},
-		Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", Leaving: "Leaving", RateLimit: "Limit", ExpectedEndpoint: "Expect", Tokens: "Tokens", Parts: "Parts", LastEventID: "Last-Event-Id", Resumes: "Resumes"},
+		Names:  core.HeaderNames{RequestID: "Request-Id", Deadline: "Deadline-Ms", Seal: "Seal", NotRun: "Not-Run", Leaving: "Leaving", RateLimit: "Limit", Brittle: "Brittle", ExpectedEndpoint: "Expect", Tokens: "Tokens", Parts: "Parts", LastEventID: "Last-Event-Id", Resumes: "Resumes"},
 		Paths:  core.CallPaths{Ready: "/ready"},
 		Decode: decode,
 		Seed:   1,
--- a/io/local/names.go
+++ b/io/local/names.go
@@ -11,7 +11,7 @@
 func Headers() core.HeaderNames {
 	return core.HeaderNames{
 		RequestID: "Request-Id", Deadline: "Deadline-Ms", Key: "Workspace-Key", Workspace: "Workspace",
-		ExpectedEndpoint: "Expect-Endpoint", EndpointID: "Endpoint-Id", NotRun: "Not-Run", Leaving: "Endpoint-Leaving", RateLimit: "Endpoint-Limit", Seal: "Endpoint-Seal",
+		ExpectedEndpoint: "Expect-Endpoint", EndpointID: "Endpoint-Id", NotRun: "Not-Run", Leaving: "Endpoint-Leaving", RateLimit: "Endpoint-Limit", Brittle: "Endpoint-Brittle", Seal: "Endpoint-Seal",
 		Model: "Model", Tokens: "Tokens", Parts: "Prompt-Parts", ExpectedTokens: "Expected-Tokens", Priority: "Priority",
 		LastEventID: "Last-Event-Id", Resumes: "Resumes", Backup: "Backup-To", ContinueFrom: "Continue-From",
 		Reserved: []string{"Workspace", "Workspace-Key", "Expect-Endpoint", "Backup-To", "Continue-From", "Priority"},
