core/procs/place: divide the slots of brittle endpoints among the hosts

An endpoint that is brittle falls over when it turns more than a number of requests away in a second, and may let none wait. Hosts knew each other's loads too late: all sent at once what one of them could have sent.

While an endpoint says that it is brittle, its slots are divided among the hosts that may live, by a hash; a host has no more requests in flight there than its share. Endpoints of the service that have said nothing yet count as brittle too. Requests from before are waited for, a refusal pauses the host for 1 s to 2 s, and the slot of an unanswered request stays taken for a second. An engine's memory is divided like its slots. core/procs/gossip names the hosts that may live.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -172,13 +172,38 @@
 func (s *State) CountMayLive(now time.Time) int {
 	n := 1
 	for _, m := range s.members {
-		if now.Sub(m.lastHeard) < _mayLiveTimeout || m.lastHeard.IsZero() && !now.After(m.contactUntil) {
+		if m.mayLive(now) {
 			n++
 		}
 	}
 	return n
 }
 
+func (m *member) mayLive(now time.Time) bool {
+	return now.Sub(m.lastHeard) < _mayLiveTimeout || m.lastHeard.IsZero() && !now.After(m.contactUntil)
+}
+
+// MayLive returns the names of the hosts that CountMayLive counts, in order, and the number of those
+// of whose load nothing is heard: for hosts of another data centre any host there tells it.
+func (s *State) MayLive(now time.Time) (names []core.HostName, unheard int) {
+	names = []core.HostName{s.self.Host}
+	heard := make(map[core.DataCentreName]bool)
+	for _, m := range s.members {
+		heard[m.contact.DataCentre] = heard[m.contact.DataCentre] || m.live(now)
+	}
+	for name, m := range s.members {
+		if !m.mayLive(now) {
+			continue
+		}
+		names = append(names, name)
+		if !m.live(now) && (m.contact.DataCentre == s.self.DataCentre || !heard[m.contact.DataCentre]) {
+			unheard++
+		}
+	}
+	slices.Sort(names)
+	return names, unheard
+}
+
 // LocalTargets returns the heartbeat addresses of hosts of the own data centre to send to.
 func (s *State) LocalTargets(now time.Time) []string {
 	var targets []string
--- a/core/procs/gossip/gossip_test.go
+++ b/core/procs/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -137,6 +138,9 @@
 	if live, mayLive := s.CountLive(f.now), s.CountMayLive(f.now); live != 2 || mayLive != 3 {
 		t.Errorf("%d hosts are live and %d may be, want 2 and 3", live, mayLive)
 	}
+	if names, unheard := s.MayLive(f.now); len(names) != 3 || !slices.IsSorted(names) || unheard != 1 {
+		t.Errorf("hosts %v may be live, %d of them unheard; want 3, one unheard", names, unheard)
+	}
 	for f.now.Before(_start.Add(2 * time.Minute)) {
 		f.step()
 	}
--- a/core/procs/place/choice.go
+++ b/core/procs/place/choice.go
@@ -96,7 +96,7 @@
 }
 
 // FirstPermit returns when this host gets its first permit for an endpoint of a service that
-// takes no request now because of its rate limit; zero if there is none.
+// takes no request now because of a limit of all hosts; zero if there is none.
 func (p *Placer) FirstPermit(now time.Time, service core.ServiceName) time.Time {
 	return p.firstPermit(now, service)
 }
@@ -120,6 +120,9 @@
 		if !spec.allows(e) || !p.acceptsWhenOpen(now, e) || e.notice.closedUntil.After(deadline) {
 			continue
 		}
+		if !p.mayHaveSlotBy(now, e, deadline) {
+			continue
+		}
 		if !p.isRateLimited(now, e) {
 			return 0, true
 		}
--- a/core/procs/place/copies.go
+++ b/core/procs/place/copies.go
@@ -52,7 +52,20 @@
 // endpoint is leaving; it returns nil when none has room. The run continues there, so
 // the copy may fill the endpoint's memory as a run may.
 func (p *Placer) PlaceMigration(now time.Time, spec *Spec) *Run {
-	return p.pickCopyTarget(now, spec, p.copyLoad(&spec.Request), 1)
+	run := p.pickCopyTarget(now, spec, p.copyLoad(&spec.Request), 1)
+	if e := p.targetOf(run); e != nil {
+		run.isMove = true
+		e.ownMoves++
+	}
+	return run
+}
+
+// targetOf returns the state of the endpoint of a copy; nil if there is no copy.
+func (p *Placer) targetOf(copied *Run) *endpoint {
+	if copied == nil {
+		return nil
+	}
+	return p.endpointOf(copied)
 }
 
 // pickCopyTarget picks an endpoint for a copy that may fill its memory up to the given
@@ -63,7 +76,7 @@
 	var target *endpoint
 	total := 0.0
 	for _, e := range p.services[spec.Request.Service] {
-		if e.engine == nil || e.unconfirmed() || !spec.allows(e) || !p.accepts(now, e) || now.Before(e.ColdUntil) || p.isRateLimited(now, e) {
+		if e.engine == nil || e.unconfirmed() || !spec.allows(e) || !p.accepts(now, e) || now.Before(e.ColdUntil) || p.isRateLimited(now, e) || !p.hasSlot(now, e) {
 			continue
 		}
 		room := float64(e.engine.MemoryTokens)*share - float64(e.load().Tokens)
@@ -93,7 +106,7 @@
 // no work, or none beyond this host's share of a limit of all hosts.
 func (p *Placer) PlaceOn(now time.Time, key core.EndpointKey, request *core.RoutedRequest) (*Run, bool) {
 	e := p.endpoints[key.ID]
-	if e == nil || e.Key() != key || p.outOfService[e.DataCentre] || e.Draining || e.notice.leaving || e.isClosed(now) || e.health.inBackoff(now) || !p.limitsAllow(now, e) {
+	if e == nil || e.Key() != key || p.outOfService[e.DataCentre] || e.Draining || e.notice.leaving || e.isClosed(now) || e.health.inBackoff(now) || !p.ratesAllow(now, e) || !p.hasSlotForCopied(now, e) {
 		return nil, false
 	}
 	need := p.requestLoad(request)
--- a/core/procs/place/fit.go
+++ b/core/procs/place/fit.go
@@ -47,6 +47,9 @@
 	if e.DataCentre != p.dataCentre {
 		share = remoteShare
 	}
+	if !p.memoryShareAllows(now, e, need) {
+		return false
+	}
 	return used == 0 || used+need.Tokens <= int(float64(e.engine.MemoryTokens)*share)
 }
 
--- a/core/procs/place/limits.go
+++ b/core/procs/place/limits.go
@@ -40,6 +40,7 @@
 	if known == 1 && p.settledAt.IsZero() {
 		p.settledAt = now // the settings name no other host
 	}
+	p.isOnlyHost = known == 1
 	bound := int(float64(known)*_hostsMargin) + 1
 	if !p.othersKnown && known > 1 {
 		p.othersKnown, p.settledAt = true, now.Add(_settleTime)
@@ -109,9 +110,20 @@
 // limitsAllow reports whether this host's shares of the limits that an endpoint has for all hosts
 // allow one more request.
 func (p *Placer) limitsAllow(now time.Time, e *endpoint) bool {
+	return p.ratesAllow(now, e) && p.hasSlot(now, e)
+}
+
+// ratesAllow is limitsAllow without the limits on requests in flight.
+func (p *Placer) ratesAllow(now time.Time, e *endpoint) bool {
 	return (!now.Before(e.ColdUntil) || p.coldLimitAllows(now, e)) && p.hasPermit(now, e)
 }
 
+// nextLimit returns when the limits that an endpoint named for all hosts let this host send it the
+// next request: now at the earliest.
+func (p *Placer) nextLimit(now time.Time, e *endpoint) time.Time {
+	return later(p.nextPermit(now, e), p.nextSlot(now, e))
+}
+
 // sampledColdShare returns 1 on a few hosts and 0 on the others, for the case that
 // there are more hosts than requests per second that a cold endpoint can take. A hash of
 // host and endpoint selects each host independently, with a probability so low that all
--- a/core/procs/place/notice.go
+++ b/core/procs/place/notice.go
@@ -19,6 +19,8 @@
 	closedUntil time.Time
 	// rate is the limit that it named for the requests of all hosts.
 	rate rateState
+	// brittle is how many requests it said that it can turn away.
+	brittle brittleState
 }
 
 // notices holds the notices of incarnations that said anything, the oldest first.
@@ -112,7 +114,7 @@
 func (e *endpoint) isClosed(now time.Time) bool { return now.Before(e.notice.closedUntil) }
 
 // OpensAt returns when the first endpoint accepts a request if all that could still serve it
-// asked for none until some time, or for few by a rate limit; zero otherwise. An endpoint that
+// asked for none until some time, or for few by a limit of all hosts; zero otherwise. An endpoint that
 // turned the request away itself counts among them.
 func (p *Placer) OpensAt(now time.Time, spec *Spec) time.Time {
 	var first time.Time
@@ -120,7 +122,7 @@
 		if !spec.allowsBuild(e) || !p.acceptsWhenOpen(now, e) {
 			continue
 		}
-		opensAt := p.nextPermit(now, e)
+		opensAt := p.nextLimit(now, e)
 		if e.notice.closedUntil.After(opensAt) {
 			opensAt = e.notice.closedUntil
 		}
--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -122,7 +122,9 @@
 	// no limit.
 	MaxConnections int
 
-	load      Load
+	load Load
+	// isMove is true for a copy that takes a slot.
+	isMove    bool
 	startedAt time.Time
 	ended     bool
 	// pauses is what RecordPause knows of the run's latest pause.
@@ -151,6 +153,11 @@
 	coldRequests window
 	// notice is what the incarnation said of itself.
 	notice notice
+	// hostRank gives this host's share of the slots while the endpoint is brittle. ownMoves are
+	// copies of this host's runs that take a slot, unanswered the runs that may go on unanswered.
+	hostRank   hostRank
+	ownMoves   int
+	unanswered window
 	// pace is what is known of the engine's pauses.
 	pace *pace.Engine
 }
@@ -176,11 +183,16 @@
 	peers        map[Source]peerReport
 	// hostsBound is an upper bound on the number of live hosts; see SetHosts.
 	hostsBound int
+	// hosts are those that may live; isOnlyHost is true where the settings name no other.
+	hosts      liveHosts
+	isOnlyHost bool
 	// othersKnown is true once other hosts are known. From settledAt on this host knows
 	// how many hosts there may be; settledAt is zero until that time is known.
-	othersKnown  bool
-	settledAt    time.Time
-	retryBudgets map[core.ServiceName]*retryBudget
+	othersKnown bool
+	settledAt   time.Time
+	// brittleServices holds when endpoints of each service said that they are brittle.
+	brittleServices map[core.ServiceName]brittleService
+	retryBudgets    map[core.ServiceName]*retryBudget
 	// retryExtraFrom is when the host knows all retries within the window again after it grew.
 	retryExtraFrom time.Time
 	lengths        lengthEstimator
@@ -226,20 +238,21 @@
 // New returns a placer that knows no endpoints.
 func New(self core.HostName, dataCentre core.DataCentreName, bounds core.EntryBounds, random *rand.Rand) *Placer {
 	return &Placer{
-		self:          self,
-		dataCentre:    dataCentre,
-		bounds:        bounds,
-		random:        random,
-		endpoints:     make(map[string]*endpoint),
-		notices:       notices{byKey: make(map[core.EndpointKey]notice)},
-		services:      make(map[core.ServiceName][]*endpoint),
-		peers:         make(map[Source]peerReport),
-		retryBudgets:  make(map[core.ServiceName]*retryBudget),
-		unreported:    make(map[string]bool),
-		readEstimates: make(map[core.ServiceName]*readEstimate),
-		paces:         make(map[core.ServiceName]*pace.Estimator),
-		mixes:         make(map[core.ServiceName]*mix),
-		hostsBound:    _initialHosts,
+		self:            self,
+		dataCentre:      dataCentre,
+		bounds:          bounds,
+		random:          random,
+		endpoints:       make(map[string]*endpoint),
+		notices:         notices{byKey: make(map[core.EndpointKey]notice)},
+		services:        make(map[core.ServiceName][]*endpoint),
+		peers:           make(map[Source]peerReport),
+		retryBudgets:    make(map[core.ServiceName]*retryBudget),
+		unreported:      make(map[string]bool),
+		readEstimates:   make(map[core.ServiceName]*readEstimate),
+		paces:           make(map[core.ServiceName]*pace.Estimator),
+		brittleServices: make(map[core.ServiceName]brittleService),
+		mixes:           make(map[core.ServiceName]*mix),
+		hostsBound:      _initialHosts,
 	}
 }
 
@@ -394,6 +407,9 @@
 	run.ended = true
 	if e := p.endpointOf(run); e != nil {
 		e.ownLoad.remove(run.load)
+		if run.isMove {
+			e.ownMoves--
+		}
 		p.unreported[e.ID] = true
 		p.freed = append(p.freed, e)
 	}
--- a/core/procs/place/rate.go
+++ b/core/procs/place/rate.go
@@ -194,11 +194,11 @@
 }
 
 // firstPermit returns when this host gets its first permit for an endpoint of a service that
-// takes no request now because of its rate limit; zero if there is none.
+// takes no request now because of a limit of all hosts; zero if there is none.
 func (p *Placer) firstPermit(now time.Time, service core.ServiceName) time.Time {
 	var first time.Time
 	for _, e := range p.services[service] {
-		if at := p.nextPermit(now, e); at.After(now) && (first.IsZero() || at.Before(first)) {
+		if at := p.nextLimit(now, e); at.After(now) && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
 	}
