io/entry: read that endpoints are brittle, and tell other hosts

Endpoints say in their answers how many requests they can turn away in a second. Hosts read it from every answer, record refusals for want of room and requests that were left unanswered, and tell each other of changes in datagrams of their own. Lines and counters are like those of rate limits.

--- a/io/entry/answers.go
+++ b/io/entry/answers.go
@@ -29,6 +29,7 @@
 		h.detector.RecordAnswer(endpoint.Key())
 	}
 	h.inspectRateLimit(endpoint, answer)
+	h.inspectBrittleness(endpoint, answer)
 	value := answer.Header.Get("Retry-After")
 	if answer.StatusCode != http.StatusServiceUnavailable || value == "" {
 		return
@@ -72,6 +73,37 @@
 	}
 }
 
+// inspectBrittleness records that an endpoint says that it is brittle, or no longer says so, and
+// that a brittle one turned a request away. Like a rate limit, that it is not brittle counts only in
+// answers to requests of callers.
+func (h *Host) inspectBrittleness(endpoint core.RoutedEndpoint, answer *http.Response) {
+	said := place.Brittleness{SaidAt: time.Now()}
+	if value := answer.Header.Get(h.settings.Names.Brittle); value != "" {
+		refusals, err := strconv.Atoi(value)
+		if err != nil || refusals < 0 {
+			h.log.Info("The number of requests that an endpoint can turn away cannot be understood.", "Endpoint", endpoint.ID, "Value", value)
+			return
+		}
+		said.Refusals, said.IsNamed = refusals, true
+	} else if answer.Header.Get(h.settings.Names.RequestID) == "" {
+		return
+	}
+	before, changed := h.sharedPlacer.RecordBrittleness(endpoint.Key(), said)
+	if changed {
+		h.log.Info("An endpoint's brittleness changed.", "Endpoint", endpoint.ID, "Named", said.IsNamed, "Refusals", said.Refusals,
+			"NamedBefore", before.IsNamed, "RefusalsBefore", before.Refusals, "Status", answer.StatusCode)
+		_notices.Add("Brittle", 1)
+		if said.IsNamed != before.IsNamed {
+			h.peers.scheduleHeartbeat()
+		}
+	}
+	isFull := answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests
+	if said.IsNamed && isFull && answer.Header.Get(h.settings.Names.NotRun) != "" && h.sharedPlacer.RecordTurnedAway(endpoint.Key()) {
+		h.log.Info("A brittle endpoint turned a request away.", "Endpoint", endpoint.ID, "Status", answer.StatusCode, "Refusals", said.Refusals)
+		_notices.Add("TurnedAway", 1)
+	}
+}
+
 // parseRetryAfter returns the time that a Retry-After header asks for: seconds, with or
 // without a fraction, or a date. It is at most _maxClosed.
 func parseRetryAfter(value string, now time.Time) (time.Duration, bool) {
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -80,6 +80,8 @@
 		p.receiveChange(now, received.LoadUpdate)
 	case received.RateLimits != nil:
 		p.receiveRateLimits(now, received.RateLimits)
+	case received.Brittle != nil:
+		p.receiveBrittle(now, received.Brittle)
 	case received.Requests != nil:
 		p.receiveRequests(now, received.Requests)
 	case received.Origins != nil:
@@ -241,6 +243,34 @@
 	p.sendTo(datagram, err, targets)
 }
 
+// receiveBrittle records what endpoints said to other hosts of how many requests they can turn away,
+// and has changes passed on. It may come from a host that is not known yet.
+func (p *peers) receiveBrittle(now time.Time, report *news.Brittle) {
+	for _, e := range report.Endpoints {
+		before, changed := p.sharedPlacer.RecordBrittleness(e.Key, e.Brittleness)
+		if !changed {
+			continue
+		}
+		p.log.Info("Another host reports an endpoint's brittleness.", "Host", report.Host, "Endpoint", e.Key.ID, "Named", e.IsNamed,
+			"Refusals", e.Refusals, "NamedBefore", before.IsNamed, "Age", now.Sub(e.SaidAt).Milliseconds())
+		if e.IsNamed != before.IsNamed {
+			p.scheduleHeartbeat()
+		}
+	}
+}
+
+// sendBrittle sends what endpoints said of their brittleness: what changed lately or, if all is
+// true, of all that are brittle.
+func (p *peers) sendBrittle(now time.Time, all bool, targets []string) {
+	report := news.Brittle{Host: p.self.Host}
+	p.sharedPlacer.WithLock(func(placer *place.Placer) { report.Endpoints = placer.Brittlenesses(now, all) })
+	if len(report.Endpoints) == 0 {
+		return
+	}
+	datagram, err := news.EncodeBrittle(&report, now)
+	p.sendTo(datagram, err, targets)
+}
+
 // sendWelcome answers the first heartbeat of a host with one that names other hosts.
 func (p *peers) sendWelcome(now time.Time, to gossip.Contact) {
 	message := p.newMessage(now)
@@ -250,6 +280,7 @@
 	p.mu.Unlock()
 	p.sendMessage(message, []string{to.Heartbeat})
 	p.sendRateLimits(now, true, []string{to.Heartbeat})
+	p.sendBrittle(now, true, []string{to.Heartbeat})
 	p.sendBlockedRequests(now, []string{to.Heartbeat})
 	p.sendSpan(now, to.Heartbeat)
 }
@@ -405,7 +436,9 @@
 	p.mu.Lock()
 	p.state.Forget(now)
 	local, remote := p.state.LocalTargets(now), p.state.RemoteTargets(now)
+	hosts, unheard := p.state.MayLive(now)
 	p.mu.Unlock()
+	p.sharedPlacer.Update(func(placer *place.Placer) { placer.SetHostNames(hosts, unheard) })
 	message := p.newMessage(now)
 	p.sharedPlacer.WithLock(func(placer *place.Placer) { message.Loads = placer.OwnLoads() })
 	p.sendMessage(message, local)
@@ -421,6 +454,7 @@
 		p.rateLimitsDueAt = now.Add(_rateLimitsInterval)
 	}
 	p.sendRateLimits(now, all, slices.Concat(local, remote))
+	p.sendBrittle(now, all, slices.Concat(local, remote))
 	p.sendPaces(now, local, remote)
 }
 
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -128,6 +128,22 @@
 	return s.placer.RecordRateLimit(time.Now(), key, limit)
 }
 
+// RecordBrittleness records what an endpoint said of how many requests it can turn away; see
+// place.Placer.RecordBrittleness.
+func (s *SharedPlacer) RecordBrittleness(key core.EndpointKey, said place.Brittleness) (before place.Brittleness, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.RecordBrittleness(time.Now(), key, said)
+}
+
+// RecordTurnedAway records that an endpoint turned a request away for want of room; see
+// place.Placer.RecordTurnedAway.
+func (s *SharedPlacer) RecordTurnedAway(key core.EndpointKey) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.RecordTurnedAway(time.Now(), key)
+}
+
 // opensAt returns when the first endpoint accepts a request if all asked for none; zero
 // otherwise.
 func (s *SharedPlacer) opensAt(spec *place.Spec) time.Time {
@@ -283,8 +299,12 @@
 		return
 	}
 	s.Update(func(p *place.Placer) {
+		now := time.Now()
 		if outcome != 0 {
-			p.RecordOutcome(time.Now(), run, outcome)
+			p.RecordOutcome(now, run, outcome)
+		}
+		if outcome == 0 || outcome == place.Unreachable {
+			p.RecordUnanswered(now, run)
 		}
 		p.End(run)
 	})
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -69,6 +69,13 @@
 	Limits []place.EndpointRateLimit
 }
 
+// Brittle holds what endpoints said of how many requests they can turn away. Like RateLimits it is
+// sent apart from heartbeats.
+type Brittle struct {
+	Host      core.HostName
+	Endpoints []place.EndpointBrittleness
+}
+
 // Requests holds what a host knows of requests that may crash endpoints. Like RateLimits it is
 // sent apart from heartbeats.
 type Requests struct {
@@ -119,6 +126,7 @@
 	Origins    *Origins
 	Paces      *Paces
 	Demand     *Demand
+	Brittle    *Brittle
 }
 
 // The first byte of a datagram is the kind of what follows.
@@ -130,6 +138,7 @@
 	_kindOrigins    = 5
 	_kindPaces      = 6
 	_kindDemand     = 7
+	_kindBrittle    = 8
 )
 
 // Encode returns the datagram of a message that is sent now.
@@ -168,6 +177,11 @@
 // EncodeDemand returns the datagram of a demand.
 func EncodeDemand(d *Demand) ([]byte, error) { return encode(_kindDemand, demandToWire(d)) }
 
+// EncodeBrittle returns the datagram of what brittle endpoints said that is sent now.
+func EncodeBrittle(b *Brittle, now time.Time) ([]byte, error) {
+	return encode(_kindBrittle, brittleToWire(b, now))
+}
+
 func encode(kind byte, wire any) ([]byte, error) {
 	b, err := cbor.Marshal(wire)
 	if err != nil {
@@ -203,6 +217,12 @@
 			return Datagram{}, fmt.Errorf("decode rate limits: %w", err)
 		}
 		return Datagram{RateLimits: rateLimitsFromWire(&w, now)}, nil
+	case _kindBrittle:
+		var w wireBrittle
+		if err := cbor.Unmarshal(b[1:], &w); err != nil {
+			return Datagram{}, fmt.Errorf("decode brittle endpoints: %w", err)
+		}
+		return Datagram{Brittle: brittleFromWire(&w, now)}, nil
 	case _kindRequests:
 		var w wireRequests
 		if err := cbor.Unmarshal(b[1:], &w); err != nil {
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -80,6 +80,28 @@
 	}
 }
 
+func TestBrittleRoundTrip(t *testing.T) {
+	want := &news.Brittle{Host: "edge-austin-a-1", Endpoints: []place.EndpointBrittleness{
+		{Key: core.EndpointKey{ID: "i-845a0314c1", Born: _now}, Brittleness: place.Brittleness{Refusals: 3, IsNamed: true, SaidAt: _now.Add(-time.Second)}},
+		{Key: core.EndpointKey{ID: "i-98fbdc470e", Born: _now}, Brittleness: place.Brittleness{SaidAt: _now}},
+	}}
+	b, err := news.EncodeBrittle(want, _now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := news.Decode(b, _now)
+	if err != nil || !reflect.DeepEqual(got, news.Datagram{Brittle: want}) {
+		t.Errorf("%+v, %v; want %+v", got.Brittle, err, want)
+	}
+	want.Endpoints = append(want.Endpoints, place.EndpointBrittleness{Brittleness: place.Brittleness{Refusals: -1, IsNamed: true}})
+	if b, err = news.EncodeBrittle(want, _now); err != nil {
+		t.Fatal(err)
+	}
+	if got, err = news.Decode(b, _now); err != nil || len(got.Brittle.Endpoints) != 2 {
+		t.Errorf("%+v, %v; want no negative number", got.Brittle, err)
+	}
+}
+
 func TestRequestsRoundTrip(t *testing.T) {
 	key := core.EndpointKey{ID: "i-845a0314c1", Born: _now}
 	digest := poison.DigestOf("POST", "h", "/a/", "w", nil)
@@ -254,10 +276,15 @@
 		f.Fatal(err)
 	}
 	f.Add(demand)
+	brittle, err := news.EncodeBrittle(&news.Brittle{Host: "h", Endpoints: []place.EndpointBrittleness{{Brittleness: place.Brittleness{Refusals: 3, IsNamed: true, SaidAt: _now}}}}, _now)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(brittle)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		d, err := news.Decode(b, _now)
 		n := 0
-		for _, isSet := range []bool{d.Message != nil, d.LoadUpdate != nil, d.RateLimits != nil, d.Requests != nil, d.Origins != nil, d.Paces != nil, d.Demand != nil} {
+		for _, isSet := range []bool{d.Message != nil, d.LoadUpdate != nil, d.RateLimits != nil, d.Requests != nil, d.Origins != nil, d.Paces != nil, d.Demand != nil, d.Brittle != nil} {
 			if isSet {
 				n++
 			}
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -51,6 +51,20 @@
 		Limits []wireRateLimit
 	}
 
+	wireBrittle struct {
+		_         struct{} `cbor:",toarray"`
+		Host      string
+		Endpoints []wireBrittleness
+	}
+
+	wireBrittleness struct {
+		_        struct{} `cbor:",toarray"`
+		Endpoint wireIncarnation
+		IsNamed  bool
+		Refusals int
+		AgeMs    int64
+	}
+
 	wireRateLimit struct {
 		_         struct{} `cbor:",toarray"`
 		Endpoint  wireIncarnation
@@ -212,6 +226,31 @@
 	return r
 }
 
+// _maxBrittle bounds the brittle endpoints that one datagram reports, so that they fit into it.
+const _maxBrittle = 128
+
+func brittleToWire(b *Brittle, now time.Time) *wireBrittle {
+	w := &wireBrittle{Host: string(b.Host)}
+	for _, e := range b.Endpoints[:min(len(b.Endpoints), _maxBrittle)] {
+		w.Endpoints = append(w.Endpoints, wireBrittleness{Endpoint: keyToWire(e.Key), IsNamed: e.IsNamed, Refusals: e.Refusals, AgeMs: now.Sub(e.SaidAt).Milliseconds()})
+	}
+	return w
+}
+
+// brittleFromWire drops what no endpoint says.
+func brittleFromWire(w *wireBrittle, now time.Time) *Brittle {
+	b := &Brittle{Host: core.HostName(w.Host)}
+	for _, e := range w.Endpoints {
+		if e.Refusals < 0 || e.AgeMs < 0 {
+			continue
+		}
+		b.Endpoints = append(b.Endpoints, place.EndpointBrittleness{
+			Key: keyFromWire(e.Endpoint), Brittleness: place.Brittleness{Refusals: e.Refusals, IsNamed: e.IsNamed, SaidAt: now.Add(-milliseconds(e.AgeMs))},
+		})
+	}
+	return b
+}
+
 func requestsToWire(r *Requests, now time.Time) *wireRequests {
 	age := func(at time.Time) int64 { return now.Sub(at).Milliseconds() }
 	w := &wireRequests{Host: string(r.Host), DataCentre: string(r.DataCentre)}
