io/front: a stream that broke off waits for an endpoint that does not respond

A stream that had broken off was cut 0.5 s later if the only other engine of its build was silent for a second, and so could not say in time when it had started. The same holds for one that does not take a connection in time. The endpoint was excluded from further tries, and its backoff left no endpoint.

Such a stream now waits until 2 s after its last event, for which all callers wait, and tries endpoints that did not respond again after their backoff. Nothing was sent to them, so nothing runs twice.

A silence of 1.9 s is not covered: the third try ends before it, and the next one comes after the 2 s.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -50,6 +50,8 @@
 
 	// triedEndpoints lists the IDs of the endpoints of earlier tries.
 	triedEndpoints []string
+	// unreached lists those of them that did not respond before the request was sent.
+	unreached []string
 	// lostAddresses lists the addresses of the endpoints that closed the connection of a try
 	// before its answer was complete.
 	lostAddresses []string
@@ -294,6 +296,9 @@
 	if !end.done {
 		e.triedEndpoints = append(e.triedEndpoints, e.run.Endpoint.ID)
 	}
+	if end.result == tries.NotSent && errors.Is(end.err, context.DeadlineExceeded) {
+		e.unreached = append(e.unreached, e.run.Endpoint.ID)
+	}
 	e.placer().end(e.run, end.health)
 	return end
 }
--- a/io/front/room.go
+++ b/io/front/room.go
@@ -5,18 +5,31 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/place"
 )
 
+const (
+	// _maxPause is the pause of a stream for which all callers wait, by the platform's documentation.
+	_maxPause = 2 * time.Second
+	// _unreachedRecheck is the pause before it is checked again whether an endpoint is used again that
+	// did not respond.
+	_unreachedRecheck = 50 * time.Millisecond
+)
+
 // place waits until the request is placed on an endpoint, and then returns nil. If it
 // cannot be placed, place answers the caller, unless ctx has ended, and returns the
 // result of the try.
 func (e *exchange) place(ctx context.Context) *tryResult {
 	spec := e.spec(e.triedEndpoints)
 	run, verdict := e.placer().place(ctx, spec)
+	for verdict == place.NoEndpoint && e.awaitUnreached(ctx) {
+		spec = e.spec(e.triedEndpoints)
+		run, verdict = e.placer().place(ctx, spec)
+	}
 	if verdict == place.Placed {
 		e.run = run
 		e.notifyLoadChanged()
@@ -36,6 +49,22 @@
 	return &tryResult{done: true}
 }
 
+// awaitUnreached waits a moment if a stream that has begun may still go on at an endpoint that did not
+// respond before it got the stream: a sound one may be silent for a second or so. It returns false once
+// callers may no longer wait for the next event.
+func (e *exchange) awaitUnreached(ctx context.Context) bool {
+	if !e.delivered || len(e.unreached) == 0 || time.Since(e.lastEventAt) >= _maxPause {
+		return false
+	}
+	e.triedEndpoints = slices.DeleteFunc(e.triedEndpoints, func(id string) bool { return slices.Contains(e.unreached, id) })
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(_unreachedRecheck):
+		return true
+	}
+}
+
 // spec describes where the request may run next. exclude lists the IDs of endpoints that must not
 // be used.
 func (e *exchange) spec(exclude []string) *place.Spec {
