--- a/core/procs/place/health.go
+++ b/core/procs/place/health.go
@@ -60,6 +60,16 @@
 // document is removed meanwhile.
 const _goneBackoff = 10 * time.Second
 
+// LiftBackoffs forgets the failures of the endpoints in backoff, as when this host reaches endpoints again
+// that it could not reach for a reason of its own.
+func (p *Placer) LiftBackoffs(now time.Time) {
+	for _, e := range p.endpoints {
+		if e.health.inBackoff(now) {
+			e.health = health{}
+		}
+	}
+}
+
 // RecordOutcome records the outcome of a run's try.
 func (p *Placer) RecordOutcome(now time.Time, run *Run, outcome Outcome) {
 	e := p.endpointOf(run)
--- a/io/entry/dial_test.go
+++ b/io/entry/dial_test.go
@@ -15,9 +15,9 @@
 const (
 	// _soundSilence is how long a sound endpoint may fall silent: a second or so.
 	_soundSilence = 2 * time.Second
-	// _contactTime is the time after which the platform counts an endpoint that does not respond
+	// _contactLimit is the time after which the platform counts an endpoint that does not respond
 	// as out of contact (contactMs).
-	_contactTime = 3 * time.Second
+	_contactLimit = 3 * time.Second
 	// _pausedBodyBytes exceeds what the buffers of a connection to a paused endpoint hold.
 	_pausedBodyBytes = 32 << 20
 	_smallBuffer     = 4 << 10
@@ -72,8 +72,8 @@
 	t.Parallel()
 	began := time.Now()
 	n, err := dialPaused(t, time.Minute).Write(make([]byte, _pausedBodyBytes))
-	if took := time.Since(began); !errors.Is(err, syscall.ETIMEDOUT) || took > _contactTime {
-		t.Errorf("%d bytes, %v after %v; want %v within %v", n, err, took, syscall.ETIMEDOUT, _contactTime)
+	if took := time.Since(began); !errors.Is(err, syscall.ETIMEDOUT) || took > _contactLimit {
+		t.Errorf("%d bytes, %v after %v; want %v within %v", n, err, took, syscall.ETIMEDOUT, _contactLimit)
 	}
 }
 
@@ -94,11 +94,11 @@
 	for limit > 0 && givenUp < limit {
 		givenUp += interval
 	}
-	if limit <= _soundSilence || limit > _contactTime {
-		t.Errorf("sent bytes may stay unacknowledged for %v; want more than %v and at most %v", limit, _soundSilence, _contactTime)
+	if limit <= _soundSilence || limit > _contactLimit {
+		t.Errorf("sent bytes may stay unacknowledged for %v; want more than %v and at most %v", limit, _soundSilence, _contactLimit)
 	}
-	if givenUp <= _soundSilence || givenUp > _contactTime {
-		t.Errorf("probes give up after %v; want more than %v and at most %v", givenUp, _soundSilence, _contactTime)
+	if givenUp <= _soundSilence || givenUp > _contactLimit {
+		t.Errorf("probes give up after %v; want more than %v and at most %v", givenUp, _soundSilence, _contactLimit)
 	}
 	if count := option(t, conn, syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT); idle+time.Duration(count)*interval != givenUp {
 		t.Errorf("%d probes, which would give up after %v; the connection is given up after %v", count, idle+time.Duration(count)*interval, givenUp)
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,6 +21,9 @@
 // _streamReadBytes is the size of the read buffer of a stream.
 const _streamReadBytes = 4 << 10
 
+// _emptyRead is how long a read takes at least that found nothing and had to wait.
+const _emptyRead = 2 * time.Millisecond
+
 // bufferedAnswer is an endpoint's complete answer.
 type bufferedAnswer struct {
 	status int
@@ -90,9 +94,37 @@
 func (e *exchange) cut(reason string) {
 	e.log("A stream was cut.", "Reason", reason, "Events", e.events, "Took", time.Since(e.request.Arrived).Milliseconds())
 	e.front.counters.countAnswer(0)
+	if !e.incoming.ProtoAtLeast(1, 1) {
+		e.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetCaller resets the caller's connection. An answer to HTTP/1.0 ends with its connection, so that a
+// close would make a part of it complete.
+func (e *exchange) resetCaller() {
+	conn, _, err := e.controller.Hijack()
+	if err != nil {
+		e.log("The caller's connection could not be reset.", "Cause", err.Error())
+		return
+	}
+	raw := conn
+	for {
+		outer, ok := raw.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		raw = outer.NetConn()
+	}
+	if tcp, ok := raw.(interface{ SetLinger(seconds int) error }); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			e.log("The caller's connection could not be reset.", "Cause", err.Error())
+		}
+	}
+	_ = raw.Close()
+	_ = conn.Close()
+}
+
 // stream relays events as they arrive. Only complete events show that the engine still works:
 // one that has stalled may send a byte now and then.
 func (e *exchange) stream(ctx context.Context, answer *links.Answer) tryResult {
@@ -100,6 +132,7 @@
 	e.buffered.resize(0)
 	chunk := make([]byte, _streamReadBytes)
 	for {
+		readAt := time.Now()
 		n, err := answer.Read(chunk)
 		if n > 0 {
 			e.front.config.Detector.RecordAnswer(e.run.Endpoint.Key())
@@ -111,6 +144,9 @@
 				return *end.leftWhileRunning(answer)
 			}
 			if e.received > before {
+				if time.Since(readAt) >= _emptyRead {
+					e.stopping.recordEvent(readAt)
+				}
 				e.hasGoneOn()
 				e.silence.AskAt = time.Now().Add(e.silenceTimeout())
 			}
@@ -261,6 +297,7 @@
 	e.recordBegin()
 	e.front.counters.firstEventTime.record(time.Since(e.request.Arrived))
 	copyAnswerHeader(e.writer.Header(), answer.Header)
+	e.tellBuild(e.writer.Header())
 	e.writer.WriteHeader(answer.StatusCode)
 	e.log(_firstEvent, "Endpoint", e.run.Endpoint.ID, "Took", time.Since(e.request.Arrived).Milliseconds())
 }
@@ -279,6 +316,7 @@
 	for _, name := range names.Reserved {
 		header.Del(name)
 	}
+	dropRelayHeaders(header)
 	for _, name := range []string{names.Model, names.Tokens, names.Parts, names.LastEventID} {
 		if values := incoming.Values(name); len(values) > 0 {
 			header[http.CanonicalHeaderKey(name)] = values
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -75,6 +75,7 @@
 func (s *SharedPlacer) Apply(view *know.View) {
 	s.Update(func(p *place.Placer) {
 		p.Apply(view)
+		p.RecordDepartures(time.Now())
 		close(s.endpointsChanged)
 		s.endpointsChanged = make(chan struct{})
 	})
@@ -105,6 +106,7 @@
 	s.Update(func(p *place.Placer) {
 		isNew = record(p)
 		if isNew {
+			p.RecordDepartures(time.Now())
 			close(s.endpointsChanged)
 			s.endpointsChanged = make(chan struct{})
 		}
@@ -143,6 +145,13 @@
 	return s.endpointsChanged
 }
 
+// leavingFor returns how long this host has known that a run's endpoint is leaving or gone.
+func (s *SharedPlacer) leavingFor(run *place.Run) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.LeavingFor(time.Now(), run)
+}
+
 // endpointLeaving reports whether a run's endpoint is leaving, gone or unconfirmed.
 func (s *SharedPlacer) endpointLeaving(run *place.Run) bool {
 	s.mu.Lock()
@@ -151,8 +160,8 @@
 }
 
 // place places a request and waits for room as long as the placer says. The verdict is
-// Placed or the reason why there is no run.
-func (s *SharedPlacer) place(ctx context.Context, spec *place.Spec) (*place.Run, place.Verdict) {
+// Placed or the reason why there is no run. The wait also ends when cutOff is closed.
+func (s *SharedPlacer) place(ctx context.Context, spec *place.Spec, cutOff <-chan struct{}) (*place.Run, place.Verdict) {
 	now := time.Now()
 	s.mu.Lock()
 	deadline := s.line.WaitUntil(now, spec)
@@ -171,6 +180,7 @@
 	case run := <-granted:
 		return grantedRun(run)
 	case <-timer.C:
+	case <-cutOff:
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
@@ -227,12 +237,15 @@
 	return s.placer.PlaceOn(time.Now(), key, request)
 }
 
-// recordArrival records that a request arrived, and completes it by when its caller first asked.
-func (s *SharedPlacer) recordArrival(request *core.RoutedRequest) {
+// recordArrival records that a request arrived, and completes it by when its caller first asked. One that
+// another host relays counts in the retry budget of that host.
+func (s *SharedPlacer) recordArrival(request *core.RoutedRequest, isRelayed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.placer.CountRequest(now, request.Service)
+	if !isRelayed {
+		s.placer.CountRequest(now, request.Service)
+	}
 	s.line.RecordArrival(now, request)
 }
 
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -14,6 +14,7 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
+	"apricotproxy/core/procs/reach"
 	"apricotproxy/core/reqst/event"
 	"apricotproxy/core/reqst/tries"
 	"apricotproxy/io/links"
@@ -52,6 +53,12 @@
 	triedEndpoints []string
 	// unreached lists those of them that did not respond before the request was sent.
 	unreached []string
+	// triedHosts lists the hosts to which the request was relayed, and failedHere is true once a try of
+	// this host's own did not reach its endpoint.
+	triedHosts []core.HostName
+	failedHere bool
+	// host is the host that was picked for the next try; nil for none.
+	host *reach.Host
 	// lostAddresses lists the addresses of the endpoints that closed the connection of a try
 	// before its answer was complete.
 	lostAddresses []string
@@ -108,8 +115,9 @@
 	// continued is true from the first try that continues a run or stream and does not
 	// send the request anew.
 	continued bool
-	// takenUp is true if the caller asked for the events after one that it has.
-	takenUp bool
+	// takenUp is true if the caller asked for the events after one that it has, and triedTakeUp once this
+	// host looked for their build.
+	takenUp, triedTakeUp bool
 	// sentAt is when the current try began to send the request.
 	sentAt time.Time
 	// answerBegun is true once the current try got the head of an answer that was not a
@@ -156,7 +164,9 @@
 	brokenOff bool
 	// mayStillRun is true if this host ended the try and the endpoint may still work on it.
 	mayStillRun bool
-	err         error
+	// atHost is true if another host refused the request, so that a further try is no retry at an endpoint.
+	atHost bool
+	err    error
 }
 
 // digest identifies what the request asks for. Where it has no body, the parts of its prompt
@@ -179,10 +189,8 @@
 	defer e.backup.drop(e.placer())
 	defer e.buffered.release()
 	defer e.dropPrepared()
-	e.placer().recordArrival(&e.request.RoutedRequest)
-	if !e.takeUp(ctx) {
-		return
-	}
+	defer e.dropHost()
+	e.placer().recordArrival(&e.request.RoutedRequest, e.request.relayedBy != "")
 	step := tries.Again
 	for {
 		end := e.runStep(ctx, step)
@@ -207,7 +215,7 @@
 		if !errors.Is(end.err, errSlow) && !e.prepared.isOffered() {
 			e.dropPrepared()
 		}
-		next := e.tries.Next(end.result, e.situation())
+		next := e.tries.Next(end.result, e.situation(end))
 		e.log("A try ended.", "Result", end.result.String(), "Cause", errorText(end.err), "Next", next.String(),
 			"AnswerBegun", e.answerBegun, "HadEvents", !e.firstEventAt.IsZero(),
 			"Silent", e.silentFor().Milliseconds(), "HasCopy", e.backupReady(), "Version", e.front.config.View().Version())
@@ -229,12 +237,15 @@
 	}
 }
 
-func (e *exchange) situation() tries.Situation {
+// situation returns the situation after a try, or during one if end is zero.
+func (e *exchange) situation(end tryResult) tries.Situation {
 	return tries.Situation{
-		Prepared:       e.prepared.nextStep(),
-		Delivered:      e.delivered,
-		HasCopy:        e.backupReady(),
-		SpendRetry:     func() bool { return e.placer().allowRetry(e.request.Service) },
+		Prepared:  e.prepared.nextStep(),
+		Delivered: e.delivered,
+		HasCopy:   e.backupReady(),
+		SpendRetry: func() bool {
+			return end.atHost || e.placer().allowRetry(e.request.Service)
+		},
 		TimeLeft:       time.Until(e.request.Deadline) > _minTimeLeft,
 		HadEvents:      !e.firstEventAt.IsZero(),
 		EndedEndpoints: e.countEnded,
@@ -259,7 +270,17 @@
 	if e.checkStopping() || e.checkBlocked() {
 		return tryResult{done: true}
 	}
-	from, notPlaced := e.placeStep(ctx, step)
+	cutOff := e.front.config.Reach.nextCutOff()
+	if e.pickHost(step) {
+		e.beginTry(step)
+		end := e.relayTry(ctx)
+		e.front.counters.countTry(end.result.String())
+		return end
+	}
+	if !e.takeUp(ctx) {
+		return tryResult{done: true}
+	}
+	from, notPlaced := e.placeStep(ctx, step, cutOff)
 	defer e.dropOffer()
 	if notPlaced != nil {
 		return *notPlaced
@@ -268,10 +289,7 @@
 		e.placer().end(e.run, 0)
 		return tryResult{done: true}
 	}
-	e.continued = e.continued || step != tries.Again
-	e.resumed = !e.delivered
-	e.leavingSince, e.noRoomLogged, e.failedCopyTargets = time.Time{}, false, nil
-	e.answerBegun, e.firstEventAt, e.tryEvents = false, time.Time{}, 0
+	e.beginTry(step)
 	if e.unended != nil && e.delivered { // the endpoint before may still work on the stream
 		stoppedFrom, err := e.awaitStopped(ctx, from)
 		if err != nil {
@@ -285,7 +303,7 @@
 	if end.mayStillRun {
 		e.unended = &e.run.Endpoint.RoutedEndpoint
 	}
-	e.recordEnd(&end)
+	e.recordEnd(ctx, &end)
 	if !end.done && !e.backupReady() {
 		e.backup.drop(e.placer()) // the copy was to be made by this try
 	}
@@ -295,6 +313,7 @@
 	}
 	if !end.done {
 		e.triedEndpoints = append(e.triedEndpoints, e.run.Endpoint.ID)
+		e.failedHere = e.failedHere || end.health == place.Unreachable || end.health == place.Gone
 	}
 	if end.result == tries.NotSent && errors.Is(end.err, context.DeadlineExceeded) {
 		e.unreached = append(e.unreached, e.run.Endpoint.ID)
@@ -303,17 +322,25 @@
 	return end
 }
 
+// beginTry resets what is known of the current try.
+func (e *exchange) beginTry(step tries.Step) {
+	e.continued = e.continued || step != tries.Again
+	e.resumed = !e.delivered
+	e.leavingSince, e.noRoomLogged, e.failedCopyTargets = time.Time{}, false, nil
+	e.answerBegun, e.firstEventAt, e.tryEvents = false, time.Time{}, 0
+}
+
 // placeStep sets the run of the next try: the one that was prepared, one at the endpoint of the
-// copy, or a new one. from identifies the copy that it continues from, if any. If there is no run,
+// copy, or a new one. A wait for room ends when cutOff is closed. from identifies the copy that it continues from, if any. If there is no run,
 // end is the result of the try.
-func (e *exchange) placeStep(ctx context.Context, step tries.Step) (from string, end *tryResult) {
+func (e *exchange) placeStep(ctx context.Context, step tries.Step, cutOff <-chan struct{}) (from string, end *tryResult) {
 	if p := e.prepared; p != nil {
 		e.run, e.offered, e.prepared = p.run, p.offer, nil
 		e.backup.drop(e.placer())
 		return p.from, nil
 	}
 	if step != tries.Continue {
-		return "", e.place(ctx)
+		return "", e.place(ctx, step, cutOff)
 	}
 	key, from := e.backup.continuation()
 	e.backup.drop(e.placer())
--- a/io/front/room.go
+++ b/io/front/room.go
@@ -10,6 +10,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/place"
+	"apricotproxy/core/reqst/tries"
 )
 
 const (
@@ -23,12 +24,12 @@
 // place waits until the request is placed on an endpoint, and then returns nil. If it
 // cannot be placed, place answers the caller, unless ctx has ended, and returns the
 // result of the try.
-func (e *exchange) place(ctx context.Context) *tryResult {
+func (e *exchange) place(ctx context.Context, step tries.Step, cutOff <-chan struct{}) *tryResult {
 	spec := e.spec(e.triedEndpoints)
-	run, verdict := e.placer().place(ctx, spec)
-	for verdict == place.NoEndpoint && e.awaitUnreached(ctx) {
+	run, verdict := e.placer().place(ctx, spec, cutOff)
+	for verdict == place.NoEndpoint && !e.pickHost(step) && e.awaitUnreached(ctx) {
 		spec = e.spec(e.triedEndpoints)
-		run, verdict = e.placer().place(ctx, spec)
+		run, verdict = e.placer().place(ctx, spec, cutOff)
 	}
 	if verdict == place.Placed {
 		e.run = run
@@ -41,6 +42,9 @@
 	if ctx.Err() != nil {
 		return &tryResult{}
 	}
+	if e.failedHere = true; e.pickHost(step) {
+		return &tryResult{result: tries.NotSent, err: errCutOff}
+	}
 	e.logNoRoom(spec, verdict)
 	if e.delivered {
 		e.cut("no endpoint has room to continue the stream")
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -13,6 +13,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -139,6 +140,12 @@
 	// Answered is called with the header of each answer that belongs to its request; nil
 	// for none.
 	Answered func(core.RoutedEndpoint, *http.Response)
+	// Dialed is called with the result of opening a connection, unless the request's own context ended
+	// meanwhile; nil for none.
+	Dialed func(core.RoutedEndpoint, error)
+	// Unanswered is called when the connection of a request that was sent ends or times out before an
+	// answer; nil for none.
+	Unanswered func(core.RoutedEndpoint)
 }
 
 // Pool holds idle connections, by endpoint. It is safe for concurrent use.
@@ -198,6 +205,19 @@
 	}
 }
 
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = make(map[string][]*connection)
+	p.mu.Unlock()
+	for _, connections := range idle {
+		for _, c := range connections {
+			c.close()
+		}
+	}
+}
+
 // RequireNew gives each further request to an endpoint a new connection, on which no answer can
 // belong to an earlier request. It returns true when this was not the case before.
 func (p *Pool) RequireNew(endpoint core.RoutedEndpoint) bool {
@@ -218,7 +238,7 @@
 func (p *Pool) Do(ctx context.Context, endpoint core.RoutedEndpoint, request *Request) (*Answer, error) {
 	key := Key(endpoint)
 	p.addInUse(key, 1)
-	c, err := p.acquire(ctx, key, endpoint.Address, request.RequireFresh)
+	c, err := p.acquire(ctx, key, endpoint, request.RequireFresh)
 	if err != nil {
 		p.addInUse(key, -1)
 		return nil, &Error{Stage: StageDial, Err: err}
@@ -236,6 +256,8 @@
 		p.discard(key, c)
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
+		} else if p.settings.Unanswered != nil {
+			p.settings.Unanswered(endpoint)
 		}
 		return nil, &Error{Stage: StageSent, Err: err}
 	}
@@ -261,7 +283,7 @@
 }
 
 // acquire returns an idle connection or opens a new one.
-func (p *Pool) acquire(ctx context.Context, key, address string, requireFresh bool) (*connection, error) {
+func (p *Pool) acquire(ctx context.Context, key string, endpoint core.RoutedEndpoint, requireFresh bool) (*connection, error) {
 	now := time.Now()
 	for {
 		c := p.popIdle(key)
@@ -279,14 +301,18 @@
 		}
 		c.close()
 	}
-	return p.dial(ctx, address)
+	return p.dial(ctx, endpoint)
 }
 
 // dial opens a connection.
-func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+func (p *Pool) dial(ctx context.Context, endpoint core.RoutedEndpoint) (*connection, error) {
+	address := endpoint.Address
 	dialCtx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
 	defer cancel()
 	conn, err := p.settings.Dialer.DialContext(dialCtx, "tcp", address)
+	if p.settings.Dialed != nil && (err == nil || ctx.Err() == nil) {
+		p.settings.Dialed(endpoint, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
@@ -303,14 +329,64 @@
 // endpoint can be reached, which idle connections do not.
 func (p *Pool) Connect(ctx context.Context, endpoint core.RoutedEndpoint) error {
 	key := Key(endpoint)
-	c, err := p.dial(ctx, endpoint.Address)
+	c, err := p.dial(ctx, endpoint)
 	if err != nil {
 		return err
 	}
+	p.keep(key, c)
+	return nil
+}
+
+// keep keeps a connection that has carried no request for the next one.
+func (p *Pool) keep(key string, c *connection) {
 	now := time.Now()
 	c.idleSince, c.idleUntil = now, now.Add(_defaultIdleTimeout)
 	p.addInUse(key, 1)
 	p.release(key, c, 0)
+}
+
+// Listens opens a connection to an endpoint and returns an error if that fails, or if the endpoint closes it within
+// a time: one that ends closes its connections and its listener one after the other. The connection is
+// kept for the next request.
+func (p *Pool) Listens(ctx context.Context, endpoint core.RoutedEndpoint, within time.Duration) error {
+	c, err := p.dial(ctx, endpoint)
+	if err != nil {
+		return err
+	}
+	if err := c.staysOpen(within); err != nil {
+		c.close()
+		return fmt.Errorf("connection to %s: %w", endpoint.Address, err)
+	}
+	p.keep(Key(endpoint), c)
+	return nil
+}
+
+// staysOpen returns an error if the other end closes an unused connection, or sends anything on it,
+// within a time.
+func (c *connection) staysOpen(within time.Duration) error {
+	if err := c.conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return fmt.Errorf("set the read deadline: %w", err)
+	}
+	n, err := c.conn.Read(make([]byte, 1))
+	if n > 0 {
+		return errors.New("bytes that no request asked for")
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("read: %w", err)
+	}
+	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+		return fmt.Errorf("clear the read deadline: %w", err)
+	}
+	return nil
+}
+
+// Probe opens a connection to an endpoint and closes it.
+func (p *Pool) Probe(ctx context.Context, endpoint core.RoutedEndpoint) error {
+	c, err := p.dial(ctx, endpoint)
+	if err != nil {
+		return err
+	}
+	c.close()
 	return nil
 }
 
@@ -434,10 +510,12 @@
 	return n, err
 }
 
-// Framed reports whether the answer has a length or is sent in chunks. Otherwise it
-// ends when the connection closes, and it is complete only if the connection was
-// closed and not reset.
-func (a *Answer) Framed() bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
+// Framed reports whether the answer tells where it ends: it has a length, is sent in chunks, or
+// answers HEAD and has no body. Otherwise it ends when the connection closes, and it is complete
+// only if the connection was closed and not reset.
+func (a *Answer) Framed() bool {
+	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 || a.Request.Method == http.MethodHead
+}
 
 // EndsWithin reports whether the endpoint has closed the connection or does so within a limit. What
 // it sends until then is discarded.
