--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -51,6 +51,8 @@
 
 	// triedEndpoints lists the IDs of the endpoints of earlier tries.
 	triedEndpoints []string
+	// unreached lists those of them that did not respond before the request was sent.
+	unreached []string
 	// triedHosts lists the hosts to which the request was relayed, and failedHere is true once a try of
 	// this host's own did not reach its endpoint.
 	triedHosts []core.HostName
@@ -313,6 +315,9 @@
 		e.triedEndpoints = append(e.triedEndpoints, e.run.Endpoint.ID)
 		e.failedHere = e.failedHere || end.health == place.Unreachable || end.health == place.Gone
 	}
+	if end.result == tries.NotSent && errors.Is(end.err, context.DeadlineExceeded) {
+		e.unreached = append(e.unreached, e.run.Endpoint.ID)
+	}
 	e.placer().end(e.run, end.health)
 	return end
 }
--- a/io/front/room.go
+++ b/io/front/room.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"apricotproxy/core"
@@ -12,12 +13,24 @@
 	"apricotproxy/core/reqst/tries"
 )
 
+const (
+	// _maxPause is the pause of a stream for which all callers wait, by the platform's documentation.
+	_maxPause = 2 * time.Second
+	// _unreachedRecheck is the pause before it is checked again whether an endpoint is used again that
+	// did not respond.
+	_unreachedRecheck = 50 * time.Millisecond
+)
+
 // place waits until the request is placed on an endpoint, and then returns nil. If it
 // cannot be placed, place answers the caller, unless ctx has ended, and returns the
 // result of the try.
 func (e *exchange) place(ctx context.Context, step tries.Step, cutOff <-chan struct{}) *tryResult {
 	spec := e.spec(e.triedEndpoints)
 	run, verdict := e.placer().place(ctx, spec, cutOff)
+	for verdict == place.NoEndpoint && !e.pickHost(step) && e.awaitUnreached(ctx) {
+		spec = e.spec(e.triedEndpoints)
+		run, verdict = e.placer().place(ctx, spec, cutOff)
+	}
 	if verdict == place.Placed {
 		e.run = run
 		e.notifyLoadChanged()
@@ -40,6 +53,22 @@
 	return &tryResult{done: true}
 }
 
+// awaitUnreached waits a moment if a stream that has begun may still go on at an endpoint that did not
+// respond before it got the stream: a sound one may be silent for a second or so. It returns false once
+// callers may no longer wait for the next event.
+func (e *exchange) awaitUnreached(ctx context.Context) bool {
+	if !e.delivered || len(e.unreached) == 0 || time.Since(e.lastEventAt) >= _maxPause {
+		return false
+	}
+	e.triedEndpoints = slices.DeleteFunc(e.triedEndpoints, func(id string) bool { return slices.Contains(e.unreached, id) })
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(_unreachedRecheck):
+		return true
+	}
+}
+
 // spec describes where the request may run next. exclude lists the IDs of endpoints that must not
 // be used.
 func (e *exchange) spec(exclude []string) *place.Spec {
