Hosts whose connections are accepted and not answered know that they are cut off

Cause: each connection that was opened made all failures void. Where connections to endpoints are accepted and then reset, or accepted and never answered, a host never suspected a cut and served nothing.

Change: only an answer makes unanswered requests void. While there are some, a connection alone neither refutes a suspicion nor ends a cut: probes then send a request for a report over a new connection, and any byte counts. A host that probes because another one became cut off asks for answers too. A request without a byte of its answer for a second counts as unanswered before its connection ends. Deployments without a path for reports are probed by connections as before.

--- a/core/procs/reach/fleet_test.go
+++ b/core/procs/reach/fleet_test.go
@@ -32,13 +32,19 @@
 type cut uint8
 
 const (
-	connected cut = iota
-	hang          // dials and requests get no answer
-	reset         // connections are reset and new ones refused
-	refuse        // new ones are refused and the others live on
+	connected     cut = iota
+	hang              // dials and requests get no answer
+	reset             // connections are reset and new ones refused
+	refuse            // new ones are refused and the others live on
+	hangAccepted      // as hang, but new ones are accepted
+	resetAccepted     // as reset, but new ones are accepted first
 )
 
-func (c cut) String() string { return [...]string{"connected", "hang", "reset", "refuse"}[c] }
+func (c cut) String() string {
+	return [...]string{"connected", "hang", "reset", "refuse", "hang after the accept", "reset after the accept"}[c]
+}
+
+func (c cut) accepts() bool { return c == connected || c >= hangAccepted }
 
 // fleet replays requests on hosts in front of endpoints, in virtual time.
 type fleet struct {
@@ -63,7 +69,11 @@
 	known []time.Duration
 }
 
-type fleetEndpoint struct{ isDown bool }
+// fleetEndpoint is an endpoint. Until silentUntil it accepts connections and answers nothing.
+type fleetEndpoint struct {
+	isDown      bool
+	silentUntil time.Time
+}
 
 type fleetHost struct {
 	*reach.Tracker
@@ -193,10 +203,26 @@
 func (h *fleetHost) isSuspended(now time.Time) bool { return now.Before(h.suspendedUntil) }
 
 func (f *fleet) probe(h *fleetHost) {
-	for _, key := range h.DueProbes(f.now) {
+	for _, probe := range h.DueProbes(f.now) {
 		f.probes++
-		f.dial(h, key, func(bool) {})
+		f.dial(h, probe.Key, func(reached bool) {
+			if probe.Answer {
+				f.requestReport(h, probe.Key, reached)
+			}
+		})
+	}
+}
+
+// requestReport asks an endpoint for an answer over a new connection.
+func (f *fleet) requestReport(h *fleetHost, key core.EndpointKey, reached bool) {
+	takes := _roundTrip
+	if reached && (h.cut == hangAccepted || f.now.Before(f.endpoints[key].silentUntil)) {
+		takes, reached = _dialTimeout, false
 	}
+	f.onceRunning(h, takes, func(wasSuspended bool) {
+		h.RecordProbe(f.now, key, reached && !wasSuspended && h.cut == connected)
+		f.probe(h)
+	})
 }
 
 // dial opens a connection to an endpoint.
@@ -205,7 +231,7 @@
 	switch {
 	case h.cut == hang || f.random.Float64() < f.dialLoss:
 		takes, reached = _dialTimeout, false
-	case h.cut != connected || f.endpoints[key].isDown:
+	case !h.cut.accepts() || f.endpoints[key].isDown:
 		reached = false
 	}
 	f.onceRunning(h, takes, func(wasSuspended bool) {
@@ -306,12 +332,25 @@
 
 // send sends a request over a connection that is open.
 func (f *fleet) send(h *fleetHost, key core.EndpointKey, then func(ending)) {
-	f.onceRunning(h, f.upTo(f.maxDuration), func(bool) {
+	takes := f.upTo(f.maxDuration)
+	if h.cut == resetAccepted {
+		takes = _roundTrip
+	}
+	f.onceRunning(h, takes, func(bool) {
+		silent := f.endpoints[key].silentUntil.Sub(f.now)
 		switch {
-		case h.cut == hang:
-			f.after(time.Second, func() { f.lose(h, key, then) })
-		case h.cut == reset || f.endpoints[key].isDown:
+		case h.cut == hang || h.cut == hangAccepted:
+			f.after(reach.UnansweredTime, func() { f.lose(h, key, then) })
+		case h.cut == reset || h.cut == resetAccepted || f.endpoints[key].isDown:
 			f.lose(h, key, then)
+		case silent > 0:
+			if silent > reach.UnansweredTime {
+				f.after(reach.UnansweredTime, func() { h.RecordSilence(f.now, key) })
+			}
+			f.after(silent, func() {
+				h.RecordAnswer(f.now, key)
+				then(answered)
+			})
 		default:
 			h.RecordAnswer(f.now, key)
 			then(answered)
@@ -381,7 +420,7 @@
 			h.cutAt, h.knowsCut = f.now, false
 		}
 		h.cut = kind
-		if kind == reset {
+		if kind == reset || kind == resetAccepted {
 			clear(h.kept)
 		}
 	}
@@ -461,7 +500,7 @@
 		"360 hosts, a data centre but one": {hosts: 360, dcs: 4, perSecond: 3, cuts: 1, cut: allButOne},
 		"360 hosts, most":                  {hosts: 360, dcs: 4, perSecond: 2, cuts: 1, cut: most},
 	} {
-		for kind := hang; kind <= refuse; kind++ {
+		for kind := hang; kind <= resetAccepted; kind++ {
 			t.Run(fmt.Sprint(name, ", ", kind), func(t *testing.T) {
 				f := newFleet(c.hosts, c.dcs, c.perSecond, 1)
 				f.heartbeatLoss = 0.1
@@ -503,7 +542,16 @@
 			f.after(d, func() { f.endpoints[key].isDown = false })
 		}
 	}
+	silent := func(f *fleet, keys []core.EndpointKey, d time.Duration) {
+		for _, key := range keys {
+			f.endpoints[key].silentUntil = f.now.Add(d)
+		}
+	}
 	for name, trouble := range map[string]func(*fleet, int){
+		"endpoints are silent": func(f *fleet, round int) {
+			silent(f, f.keys[round%2:][:len(f.keys)/2], time.Duration(1200+100*round)*time.Millisecond)
+		},
+		"a service is silent":    func(f *fleet, _ int) { silent(f, f.keys[:f.used], 2*time.Second) },
 		"endpoints end together": func(f *fleet, round int) { down(f, f.keys[round%2:][:len(f.keys)/2], 2*time.Second) },
 		"a service is down":      func(f *fleet, _ int) { down(f, f.keys[:f.used], 4*time.Second) },
 		"a release": func(f *fleet, _ int) {
@@ -525,7 +573,7 @@
 			for _, perSecond := range []float64{0.3, 10} {
 				t.Run(fmt.Sprint(name, ", ", hosts, " hosts, ", perSecond, " requests/s"), func(t *testing.T) {
 					f := newFleet(hosts, min(hosts, 3), perSecond, 2)
-					if name == "a service is down" {
+					if name == "a service is down" || name == "a service is silent" {
 						f.used = len(f.keys) / 2
 					}
 					for round := range 10 {
--- a/core/procs/reach/hosts.go
+++ b/core/procs/reach/hosts.go
@@ -92,13 +92,14 @@
 	if said.Incarnation < h.Incarnation {
 		return
 	}
-	becameCutOff := !said.Reaches && (h.Reaches || h.heardAt.IsZero())
+	reachedBefore := h.Reaches
+	becameCutOff := !said.Reaches && (reachedBefore || h.heardAt.IsZero())
 	if said.Incarnation > h.Incarnation || said.Reaches && !h.Reaches {
 		h.backoff, h.backoffUntil, h.avoidUntil = 0, time.Time{}, time.Time{}
 	}
 	h.Host, h.heardAt = said, now
 	if becameCutOff {
-		t.checkOnWord(now)
+		t.checkOnWord(now, reachedBefore)
 	}
 }
 
--- a/core/procs/reach/reach.go
+++ b/core/procs/reach/reach.go
@@ -2,9 +2,12 @@
 // requests meanwhile.
 //
 // Connections that cannot be opened, and requests that were sent and not answered, make the host suspect a cut. It then
-// dials a sample of the endpoints: one success refutes the suspicion, failures at all of them confirm it. Only dials
+// probes a sample of the endpoints: one success refutes the suspicion, failures at all of them confirm it. Only probes
 // decide. Answers on connections that are already open do not show that new ones can be made, and failures at the
 // endpoints that requests happen to go to may have other causes, as a service that is down.
+//
+// A probe opens a connection. Where requests went unanswered that is not enough, since what resets or holds back
+// connections may accept them first: the probe then asks for an answer over the new connection.
 package reach
 
 import (
@@ -21,6 +24,9 @@
 	// PollInterval is the longest time between two calls of DueProbes. It bounds what polling adds to the time until a cut
 	// is known: a fraction of the time limit of a dial.
 	PollInterval = 50 * time.Millisecond
+	// UnansweredTime is after which time without a byte of the answer a request that waits is recorded as silent. It leaves
+	// time for the probes within the time in which a cut must be known.
+	UnansweredTime = time.Second
 	// _suspended is the time without a call from which the process is taken to have been suspended: many polls.
 	_suspended = 20 * PollInterval
 	// _probeTimeout is when a probe without a result is given up, longer than any dial may take.
@@ -48,11 +54,11 @@
 
 // States.
 const (
-	// Reaching: connections to endpoints can be opened, as far as the host knows.
+	// Reaching: endpoints can be reached, as far as the host knows.
 	Reaching State = iota + 1
 	// Suspect: there are signs that no endpoint can be reached, and probes are under way.
 	Suspect
-	// CutOff: no connection to any endpoint can be opened.
+	// CutOff: no endpoint can be reached over a new connection.
 	CutOff
 )
 
@@ -71,13 +77,15 @@
 // endpoint is what the host has seen of an endpoint. Times are zero if it never happened.
 type endpoint struct {
 	key core.EndpointKey
-	// aliveAt is when it last accepted a connection or answered.
+	// aliveAt is when it last answered, or accepted a connection while that counted.
 	aliveAt time.Time
 	// failedAt is when a dial last failed, silentAt when a request was last not answered. A later successful dial to any
-	// endpoint makes both void, a later answer silentAt.
+	// endpoint makes failedAt void, a later answer silentAt.
 	failedAt, silentAt time.Time
-	// probedAt is when it was last probed, probeUntil until when the result is awaited.
-	probedAt, probeUntil time.Time
+	// probedAt is when it was last probed, probeUntil until when the result is awaited, and probeFailedAt when a probe or
+	// dial last failed. asksAnswer is true if the last probe needs an answer.
+	probedAt, probeUntil, probeFailedAt time.Time
+	asksAnswer                          bool
 	// refutedAt is when it last refuted a suspicion, or ended a cut.
 	refutedAt time.Time
 }
@@ -97,11 +105,14 @@
 	holdUntil time.Time
 	// hasProbed is true when the first probes of a suspicion were returned.
 	hasProbed bool
+	// needsAnswer is true if only an answer shows that the host reaches endpoints: requests went unanswered, or may do so.
+	needsAnswer bool
 	// nextProbeAt is when a host that is cut off probes next.
 	nextProbeAt time.Time
-	// aliveAt is when an endpoint last accepted a connection or answered.
-	aliveAt   time.Time
-	endpoints map[core.EndpointKey]*endpoint
+	// aliveAt is when an endpoint last answered, or accepted a connection while no request was known to be unanswered.
+	// answeredAt is when one last answered.
+	aliveAt, answeredAt time.Time
+	endpoints           map[core.EndpointKey]*endpoint
 	// failing holds the endpoints with failures that are not known to be void.
 	failing map[core.EndpointKey]*endpoint
 
@@ -140,31 +151,75 @@
 // time. A dial that was given up for another reason, as when its caller went away, is not recorded.
 func (t *Tracker) RecordDial(now time.Time, key core.EndpointKey, reached bool) {
 	t.notice(now)
-	if e := t.endpoints[key]; e != nil {
-		t.recordDial(now, e, reached)
-	}
-	if reached {
-		t.aliveAt = now
-		t.forgetFailures()
-		t.holdUntil = now.Add(_holdTime)
-		t.setState(now, Reaching)
+	e := t.endpoints[key]
+	switch {
+	case !reached && e != nil:
+		t.recordFailedDial(now, e)
+	case reached && (t.needsAnswer || t.isUnanswered(now)):
+		t.recordAccept(now, e)
+	case reached:
+		t.recordReached(now, e)
 	}
 	t.update(now)
 }
 
-func (t *Tracker) recordDial(now time.Time, e *endpoint, reached bool) {
+func (t *Tracker) recordFailedDial(now time.Time, e *endpoint) {
 	wasProbed := now.Before(e.probeUntil)
 	e.probeUntil = time.Time{}
-	switch {
-	case reached:
-		e.aliveAt = now
+	if wasProbed && t.state == Reaching {
+		// Another probe has refuted the suspicion. The failure must not be the reason for the next one.
+		return
+	}
+	e.failedAt, e.probeFailedAt = now, now
+	t.failing[e.key] = e
+}
+
+// recordAccept records a connection that was opened while requests are unanswered. It only shows that connections
+// are accepted.
+func (t *Tracker) recordAccept(now time.Time, e *endpoint) {
+	for _, failed := range t.failing {
+		failed.failedAt = time.Time{}
+	}
+	if e != nil && now.Before(e.probeUntil) && !e.asksAnswer {
+		e.probeUntil = time.Time{}
+		t.hasProbed = false // the first probes are made anew, for answers
+	}
+}
+
+// recordReached records that an endpoint was reached over a new connection.
+func (t *Tracker) recordReached(now time.Time, e *endpoint) {
+	if e != nil {
+		e.aliveAt, e.probeUntil = now, time.Time{}
 		if t.state != Reaching {
 			e.refutedAt = now
 		}
-	case wasProbed && t.state == Reaching:
-		// Another probe has refuted the suspicion. The failure must not be the reason for the next one.
-	default:
-		e.failedAt = now
+	}
+	t.aliveAt = now
+	t.forgetFailures()
+	t.holdUntil = now.Add(_holdTime)
+	t.setState(now, Reaching)
+}
+
+// RecordProbe records whether an endpoint answered a probe that asked for an answer. Its connection is passed to
+// RecordDial too.
+func (t *Tracker) RecordProbe(now time.Time, key core.EndpointKey, answered bool) {
+	t.notice(now)
+	e := t.endpoints[key]
+	switch {
+	case answered:
+		t.answeredAt = now
+		t.recordReached(now, e)
+	case e != nil:
+		t.recordUnansweredProbe(now, e)
+	}
+	t.update(now)
+}
+
+func (t *Tracker) recordUnansweredProbe(now time.Time, e *endpoint) {
+	wasAccepted := now.Before(e.probeUntil) // otherwise the dial has failed
+	e.probeUntil = time.Time{}
+	if wasAccepted && t.state != Reaching {
+		e.silentAt, e.probeFailedAt = now, now
 		t.failing[e.key] = e
 	}
 }
@@ -172,15 +227,15 @@
 // RecordAnswer records that the head of an answer, or an event of a stream, arrived from an endpoint.
 func (t *Tracker) RecordAnswer(now time.Time, key core.EndpointKey) {
 	t.notice(now)
-	t.aliveAt = now
+	t.aliveAt, t.answeredAt = now, now
 	if e := t.endpoints[key]; e != nil {
 		e.aliveAt = now
 	}
 	t.update(now)
 }
 
-// RecordSilence records that the connection of a request that was sent to an endpoint timed out or was reset without an
-// answer.
+// RecordSilence records that a request that was sent to an endpoint was not answered: its connection ended or timed out, or
+// no byte came for UnansweredTime.
 func (t *Tracker) RecordSilence(now time.Time, key core.EndpointKey) {
 	t.notice(now)
 	if e := t.endpoints[key]; e != nil {
@@ -213,9 +268,17 @@
 	return t.state == Reaching || t.state == Suspect && t.countSigns(now) == 0
 }
 
-// DueProbes returns the endpoints to open a connection to now, and to close it again. Each result is passed to RecordDial.
-// It is empty while the state is Reaching. It is to be called at least each PollInterval, and after a dial failed.
-func (t *Tracker) DueProbes(now time.Time) []core.EndpointKey {
+// Probe asks whether an endpoint is reached.
+type Probe struct {
+	Key core.EndpointKey
+	// Answer is true if the endpoint must answer a request. Otherwise the connection alone is opened.
+	Answer bool
+}
+
+// DueProbes returns the endpoints to open a connection to now, and to close it again. Each result is passed to RecordDial,
+// and to RecordProbe if an answer is asked for. It is empty while the state is Reaching. It is to be called at least
+// each PollInterval, and after a dial or a request failed.
+func (t *Tracker) DueProbes(now time.Time) []Probe {
 	t.update(now)
 	switch {
 	case t.state == Suspect && !t.isProbing(now):
@@ -229,7 +292,7 @@
 }
 
 // probeSample probes the endpoints that decide about a suspicion: a few first, and if these fail the others.
-func (t *Tracker) probeSample(now time.Time) []core.EndpointKey {
+func (t *Tracker) probeSample(now time.Time) []Probe {
 	count := _firstProbes
 	if t.hasProbed {
 		count = t.needed() - t.countFailedProbes()
@@ -259,7 +322,7 @@
 
 // probe picks endpoints by rankings that take turns. Endpoints that failed lately come after all others, and those
 // that failed as the state was examined are left out.
-func (t *Tracker) probe(now time.Time, count int, rankings ...ranking) []core.EndpointKey {
+func (t *Tracker) probe(now time.Time, count int, rankings ...ranking) []Probe {
 	candidates := make([]*endpoint, 0, len(t.endpoints))
 	for _, e := range t.endpoints {
 		if !now.Before(e.probeUntil) && (t.state == CutOff || !t.failedProbe(e)) {
@@ -268,17 +331,17 @@
 	}
 	slices.SortFunc(candidates, func(a, b *endpoint) int { return cmp.Compare(a.key.ID, b.key.ID) })
 	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	var keys []core.EndpointKey
+	var probes []Probe
 	for turn := 0; turn < count && len(candidates) > 0; turn++ {
 		rank := rankings[turn%len(rankings)]
 		best := slices.MinFunc(candidates, func(a, b *endpoint) int {
 			return cmp.Or(compareBool(t.isDoubtful(a, now), t.isDoubtful(b, now)), rank(a, b))
 		})
 		candidates = slices.DeleteFunc(candidates, func(e *endpoint) bool { return e == best })
-		best.probedAt, best.probeUntil = now, now.Add(_probeTimeout)
-		keys = append(keys, best.key)
+		best.probedAt, best.probeUntil, best.asksAnswer = now, now.Add(_probeTimeout), t.needsAnswer
+		probes = append(probes, Probe{Key: best.key, Answer: t.needsAnswer})
 	}
-	return keys
+	return probes
 }
 
 // isDoubtful reports whether an endpoint's failure is among those that made the host suspect a cut. While the host is cut
@@ -307,7 +370,7 @@
 
 func (t *Tracker) forgetFailures() {
 	for _, e := range t.failing {
-		e.failedAt, e.silentAt = time.Time{}, time.Time{}
+		e.failedAt, e.silentAt, e.probeFailedAt = time.Time{}, time.Time{}, time.Time{}
 	}
 	clear(t.failing)
 }
@@ -318,8 +381,10 @@
 	if t.state == Reaching && t.isSuspicious(now) {
 		t.setState(now, Suspect)
 	}
+	t.needsAnswer = t.state != Reaching && (t.needsAnswer || t.isUnanswered(now))
 	if t.state == Suspect && t.hasProbed && len(t.endpoints) > 0 && t.countFailedProbes() >= t.needed() {
 		t.setState(now, CutOff)
+		t.needsAnswer = t.isUnanswered(now) // if no connection is accepted, the first that is shows the end of the cut
 	}
 	if t.state != Reaching && len(t.endpoints) == 0 {
 		t.setState(now, Reaching)
@@ -342,6 +407,20 @@
 	return signs > 0 && signs >= min(_minFailed, len(t.endpoints)) || signs > 0 && now.Sub(t.aliveAt) >= _quiet
 }
 
+// isUnanswered reports whether a request went unanswered lately, and none was answered since.
+func (t *Tracker) isUnanswered(now time.Time) bool {
+	for _, e := range t.failing {
+		if t.isSilent(e, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Tracker) isSilent(e *endpoint, now time.Time) bool {
+	return e.silentAt.After(now.Add(-_evidenceLifetime)) && e.silentAt.After(t.answeredAt)
+}
+
 // countSigns counts the endpoints that failed lately.
 func (t *Tracker) countSigns(now time.Time) int {
 	signs := 0
@@ -355,11 +434,10 @@
 
 // hasFailed reports whether an endpoint failed lately: could not be dialled since one could, or did not answer since one did.
 func (t *Tracker) hasFailed(e *endpoint, now time.Time) bool {
-	oldest := now.Add(-_evidenceLifetime)
-	return e.failedAt.After(oldest) || e.silentAt.After(oldest) && e.silentAt.After(t.aliveAt)
+	return e.failedAt.After(now.Add(-_evidenceLifetime)) || t.isSilent(e, now)
 }
 
-// countFailedProbes counts the endpoints that were probed since the state began and could not be dialled.
+// countFailedProbes counts the endpoints that were probed since the state began and not reached.
 func (t *Tracker) countFailedProbes() int {
 	failed := 0
 	for _, e := range t.failing {
@@ -371,7 +449,7 @@
 }
 
 func (t *Tracker) failedProbe(e *endpoint) bool {
-	return !e.probedAt.Before(t.since) && e.failedAt.After(e.probedAt)
+	return !e.probedAt.Before(t.since) && e.probeFailedAt.After(e.probedAt)
 }
 
 // needed returns at how many endpoints probes must fail before the host takes itself for cut off.
@@ -387,9 +465,11 @@
 	return false
 }
 
-// checkOnWord begins a suspicion because another host became cut off, if nothing shows that this host is not.
-func (t *Tracker) checkOnWord(now time.Time) {
+// checkOnWord begins a suspicion because another host became cut off, if nothing shows that this host is not. In which way
+// the other host is cut off is not known, so probes ask for answers, unless it may just have started.
+func (t *Tracker) checkOnWord(now time.Time, reachedBefore bool) {
 	if t.state == Reaching && len(t.endpoints) > 0 && !now.Before(t.holdUntil) && now.Sub(t.aliveAt) >= _quiet {
 		t.setState(now, Suspect)
+		t.needsAnswer = reachedBefore
 	}
 }
--- a/core/procs/reach/reach_test.go
+++ b/core/procs/reach/reach_test.go
@@ -18,7 +18,7 @@
 type script struct {
 	*reach.Tracker
 	now     time.Time
-	probing []core.EndpointKey
+	probing []reach.Probe
 }
 
 func TestScripts(t *testing.T) {
@@ -41,11 +41,8 @@
 		for _, i := range intArgs(t, d, "e") {
 			s.record(d.Cmd, endpointKey(i))
 		}
-	case "probes-failed", "probes-reached":
-		for _, key := range s.probing {
-			s.RecordDial(s.now, key, d.Cmd == "probes-reached")
-		}
-		s.probing = nil
+	case "probes-failed", "probes-accepted", "probes-reached":
+		s.endProbes(d.Cmd)
 	case "host":
 		s.RecordHost(s.now, hostArg(t, d))
 		return ""
@@ -59,7 +56,23 @@
 	}
 	due := s.DueProbes(s.now)
 	s.probing = append(s.probing, due...)
-	return fmt.Sprintf("%v, %d probes, reaches for others: %t\n", s.State(s.now), len(due), s.ReachesForOthers(s.now))
+	kind := "probes"
+	if len(due) > 0 && due[0].Answer {
+		kind = "probes for answers"
+	}
+	return fmt.Sprintf("%v, %d %s, reaches for others: %t\n", s.State(s.now), len(due), kind, s.ReachesForOthers(s.now))
+}
+
+// endProbes gives the probes under way a result: no connection, a connection without an answer, or what they ask for.
+func (s *script) endProbes(result string) {
+	probing := s.probing
+	s.probing = nil
+	for _, probe := range probing {
+		s.RecordDial(s.now, probe.Key, result != "probes-failed")
+		if probe.Answer {
+			s.RecordProbe(s.now, probe.Key, result == "probes-reached")
+		}
+	}
 }
 
 // advance moves the time on, by polls unless the host is suspended meanwhile.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -23,6 +23,7 @@
 	"apricotproxy/core/procs/origin"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
+	"apricotproxy/core/procs/reach"
 	"apricotproxy/io/front"
 	"apricotproxy/io/guard"
 	"apricotproxy/io/links"
@@ -132,7 +133,7 @@
 	h.links = links.New(links.Settings{
 		Dialer: settings.Dialer, DialTimeout: _endpointDialTimeout, MaxIdle: _maxIdlePerEndpoint, Answered: h.inspectAnswer,
 		Dialed:     func(endpoint core.RoutedEndpoint, err error) { h.reach.RecordDial(endpoint, err) },
-		Unanswered: func(endpoint core.RoutedEndpoint) { h.reach.RecordUnanswered(endpoint) },
+		Unanswered: func(endpoint core.RoutedEndpoint) { h.reach.RecordUnanswered(endpoint) }, UnansweredTime: reach.UnansweredTime,
 	})
 	h.newReach(rand.New(rand.NewPCG(seed, 3)))
 	random := rand.New(rand.NewPCG(seed, 1))
--- a/io/entry/reach.go
+++ b/io/entry/reach.go
@@ -53,8 +53,8 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	for ctx.Err() == nil {
-		for _, endpoint := range h.dueProbes() {
-			group.Go(func() { _ = h.links.Probe(ctx, endpoint) }) // the pool reports the result
+		for _, probe := range h.dueProbes() {
+			group.Go(func() { h.probe(ctx, probe) })
 		}
 		var next <-chan time.Time
 		if h.reach.State() != reach.Reaching {
@@ -68,24 +68,50 @@
 	}
 }
 
-// dueProbes returns the endpoints to probe now.
-func (h *Host) dueProbes() []core.RoutedEndpoint {
-	keys := h.reach.DueProbes()
+// endpointProbe is a probe of an endpoint.
+type endpointProbe struct {
+	core.RoutedEndpoint
+	needsAnswer bool
+}
+
+// dueProbes returns the probes to make now.
+func (h *Host) dueProbes() []endpointProbe {
+	due := h.reach.DueProbes()
 	view := h.docState.View()
-	if len(keys) == 0 || view == nil {
+	if len(due) == 0 || view == nil {
 		return nil
 	}
-	due := make(map[core.EndpointKey]bool, len(keys))
-	for _, key := range keys {
-		due[key] = true
+	needsAnswer := make(map[core.EndpointKey]bool, len(due))
+	for _, probe := range due {
+		needsAnswer[probe.Key] = probe.Answer
 	}
-	var endpoints []core.RoutedEndpoint
+	var probes []endpointProbe
 	for _, e := range view.Endpoints {
-		if due[e.Key()] {
-			endpoints = append(endpoints, e.RoutedEndpoint)
+		if answer, ok := needsAnswer[e.Key()]; ok {
+			probes = append(probes, endpointProbe{e.RoutedEndpoint, answer})
 		}
 	}
-	return endpoints
+	return probes
+}
+
+// probe makes a probe. The pool reports whether a connection was opened. Without a path for reports there is no request that
+// is safe to send, and the connection alone counts.
+func (h *Host) probe(ctx context.Context, probe endpointProbe) {
+	if !probe.needsAnswer {
+		_ = h.links.Probe(ctx, probe.RoutedEndpoint)
+		return
+	}
+	err := h.requestAnswer(ctx, probe.RoutedEndpoint)
+	if ctx.Err() == nil {
+		h.reach.RecordProbe(probe.RoutedEndpoint, err)
+	}
+}
+
+func (h *Host) requestAnswer(ctx context.Context, endpoint core.RoutedEndpoint) error {
+	if h.settings.Paths.Report == "" {
+		return h.links.Probe(ctx, endpoint)
+	}
+	return h.links.ProbeAnswer(ctx, endpoint, h.engineCall(endpoint, h.settings.Paths.Report))
 }
 
 // reachesOther reports whether this host can open a connection to an endpoint other than the given one.
--- a/io/entry/report.go
+++ b/io/entry/report.go
@@ -106,12 +106,7 @@
 // callEngine returns the body of an engine's answer to a call that has no request id. The error
 // wraps errNotOffered if its status is not 200.
 func (h *Host) callEngine(ctx context.Context, engine core.RoutedEndpoint, target string, maxBytes int64) ([]byte, error) {
-	answer, err := h.links.Do(ctx, engine, &links.Request{
-		Method: http.MethodGet, Target: target, HostName: engine.Address,
-		Header: http.Header{}, Identify: func(answer *http.Response, _ bool) links.Ownership {
-			return links.IdentifyCall(answer, h.settings.Names.RequestID)
-		},
-	})
+	answer, err := h.links.Do(ctx, engine, h.engineCall(engine, target))
 	if err != nil {
 		return nil, err
 	}
@@ -126,6 +121,16 @@
 	return body, nil
 }
 
+// engineCall returns a call that has no request id.
+func (h *Host) engineCall(engine core.RoutedEndpoint, target string) *links.Request {
+	return &links.Request{
+		Method: http.MethodGet, Target: target, HostName: engine.Address,
+		Header: http.Header{}, Identify: func(answer *http.Response, _ bool) links.Ownership {
+			return links.IdentifyCall(answer, h.settings.Names.RequestID)
+		},
+	}
+}
+
 // confirmIncarnation asks an engine whether it still is the incarnation that the host knows. One
 // that came back under its ID may be of another build before the host's documents tell so. An
 // engine that does not tell when it started is taken for the same.
--- a/io/front/reach.go
+++ b/io/front/reach.go
@@ -90,7 +90,7 @@
 	return *s.cutOff.Load()
 }
 
-// Due returns a channel that receives when probes may be due: when a dial failed or the state changed.
+// Due returns a channel that receives when probes may be due: when a dial or a probe failed or the state changed.
 func (s *SharedReach) Due() <-chan struct{} { return s.due }
 
 func (s *SharedReach) signalDue() {
@@ -139,12 +139,21 @@
 // RecordUnanswered records that a request that was sent to an endpoint got no answer.
 func (s *SharedReach) RecordUnanswered(endpoint core.RoutedEndpoint) {
 	s.update(func(t *reach.Tracker, now time.Time) { t.RecordSilence(now, endpoint.Key()) })
+	s.answeredAt.Store(0) // the next answer counts
 }
 
-// DueProbes returns the endpoints to which connections are to be opened now.
-func (s *SharedReach) DueProbes() (keys []core.EndpointKey) {
-	s.update(func(t *reach.Tracker, now time.Time) { keys = t.DueProbes(now) })
-	return keys
+// DueProbes returns what is to be probed now.
+func (s *SharedReach) DueProbes() (probes []reach.Probe) {
+	s.update(func(t *reach.Tracker, now time.Time) { probes = t.DueProbes(now) })
+	return probes
+}
+
+// RecordProbe records the result of a probe that asked for an answer.
+func (s *SharedReach) RecordProbe(endpoint core.RoutedEndpoint, err error) {
+	s.update(func(t *reach.Tracker, now time.Time) { t.RecordProbe(now, endpoint.Key(), err == nil) })
+	if err != nil {
+		s.signalDue()
+	}
 }
 
 // RecordHost records what another host said of itself.
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -141,8 +141,9 @@
 	// meanwhile; nil for none.
 	Dialed func(core.RoutedEndpoint, error)
 	// Unanswered is called when the connection of a request that was sent ends or times out before an
-	// answer; nil for none.
-	Unanswered func(core.RoutedEndpoint)
+	// answer, and when no answer has come for UnansweredTime, unless that is 0; nil for none.
+	Unanswered     func(core.RoutedEndpoint)
+	UnansweredTime time.Duration
 }
 
 // Pool holds idle connections, by endpoint. It is safe for concurrent use.
@@ -246,8 +247,10 @@
 	}
 	stop := context.AfterFunc(ctx, c.close)
 	c.head.conn.silence = request.Silence
+	stopWatch := p.watchUnanswered(endpoint)
 	written := c.write(request)
 	res, ownership, err := c.readAnswer(request)
+	stopWatch()
 	if err != nil {
 		stop()
 		p.discard(key, c)
@@ -264,6 +267,14 @@
 	return &Answer{Response: res, connection: c, written: written, stop: stop, pool: p, key: key, maxConnections: request.MaxConnections, isUnnamed: ownership == Unnamed}, nil
 }
 
+// watchUnanswered reports an endpoint that sends no head of an answer for long, until it is stopped.
+func (p *Pool) watchUnanswered(endpoint core.RoutedEndpoint) (stop func() bool) {
+	if p.settings.Unanswered == nil || p.settings.UnansweredTime == 0 {
+		return func() bool { return false }
+	}
+	return time.AfterFunc(p.settings.UnansweredTime, func() { p.settings.Unanswered(endpoint) }).Stop
+}
+
 func (p *Pool) addInUse(key string, change int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -387,6 +398,26 @@
 	return nil
 }
 
+// ProbeAnswer sends a request over a new connection and returns an error if no byte comes back within the time that opening
+// a connection may take. What resets or holds back connections may accept them first.
+func (p *Pool) ProbeAnswer(ctx context.Context, endpoint core.RoutedEndpoint, request *Request) error {
+	c, err := p.dial(ctx, endpoint)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	ctx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
+	defer cancel()
+	defer context.AfterFunc(ctx, c.close)()
+	if err := c.writeAll(request); err != nil {
+		return err
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return fmt.Errorf("read the answer of %s: %w", endpoint.Address, err)
+	}
+	return nil
+}
+
 // Refuses reports whether nothing listens at an address any more: its host refuses
 // connections. An endpoint that was just lost there has ended.
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
