io/front: connections that end with all others of a host are no evidence of crashes

Cause: resets at the begin of a cut were recorded as crashes of endpoints before the host suspected a cut, and could block sound requests at all hosts. Once a suspicion had begun, a crash was not recorded even if the suspicion was refuted.

Change: a loss is recorded once an endpoint has answered since, or once no other sign of a cut has come for 30 ms; during a suspicion when that is refuted, and not at all if the host is cut off. The end of a connection amid an answer is a sign as one before the answer, so that resets of streams alone are enough to suspect a cut.

--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -16,7 +16,6 @@
 	"apricotproxy/core"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
-	"apricotproxy/core/procs/reach"
 	"apricotproxy/core/reqst/leave"
 	"apricotproxy/core/reqst/tries"
 )
@@ -144,13 +143,9 @@
 	})
 }
 
-func (s *SharedDetector) recordRequestLoss(e *exchange) {
+func (s *SharedDetector) recordRequestLoss(loss poison.RequestLoss) {
 	now := time.Now()
-	s.UpdateRequests("own", func(d *poison.CrashDetector) {
-		d.RecordLoss(now, poison.Own, poison.RequestLoss{
-			Request: e.digest(), Endpoint: e.run.Endpoint.Key(), Parts: e.sharedParts, SentAt: e.sentAt, At: now,
-		})
-	})
+	s.UpdateRequests("own", func(d *poison.CrashDetector) { d.RecordLoss(now, poison.Own, loss) })
 	s.requestLossFound()
 }
 
@@ -218,9 +213,10 @@
 }
 
 func (s *SharedDetector) recordLoss(loss poison.Loss) {
+	now := time.Now()
 	s.mu.Lock()
-	isNew := s.detector.RecordLoss(loss.At, loss)
-	s.settle("own", loss.At)
+	isNew := s.detector.RecordLoss(now, loss)
+	s.settle("own", now)
 	s.mu.Unlock()
 	if isNew {
 		s.lossFound()
@@ -289,9 +285,6 @@
 	if !end.brokenOff && !isConnectionEnd(end.err) {
 		return
 	}
-	if e.front.config.Reach.State() != reach.Reaching {
-		return // the connection may have ended with this host's others
-	}
 	if e.endWasPlanned(ctx) {
 		if end.health == place.Bad {
 			end.health = 0
@@ -301,15 +294,35 @@
 	if (end.result == tries.Lost || end.result == tries.Broken) && isConnectionEnd(end.err) {
 		e.log("A request was lost with its connection.", "Endpoint", e.run.Endpoint.ID, "AnswerBegun", e.answerBegun, "TryEvents", e.tryEvents,
 			"Ran", time.Since(e.sentAt).Milliseconds(), "SharedParts", e.sharedParts, "Digest", e.digest().String())
-		e.front.config.Detector.recordRequestLoss(e)
+		if e.answerBegun { // otherwise the pool of connections has recorded it
+			e.front.config.Reach.RecordUnanswered(e.run.Endpoint.RoutedEndpoint)
+		}
+		loss := poison.RequestLoss{Request: e.digest(), Endpoint: e.run.Endpoint.Key(), Parts: e.sharedParts, SentAt: e.sentAt, At: time.Now()}
+		e.onceInTouch(func() { e.front.config.Detector.recordRequestLoss(loss) })
 	}
 	if !end.brokenOff || len(e.sharedParts) == 0 || e.tryEvents >= _eventsOfSuccess {
 		return
 	}
 	parts := e.request.Prompt.Parts
-	e.front.config.Detector.recordLoss(poison.Loss{
-		Endpoint: e.run.Endpoint.ID, Request: parts[len(parts)-1].ID, Parts: e.sharedParts, At: time.Now(),
-	})
+	loss := poison.Loss{Endpoint: e.run.Endpoint.ID, Request: parts[len(parts)-1].ID, Parts: e.sharedParts, At: time.Now()}
+	e.onceInTouch(func() { e.front.config.Detector.recordLoss(loss) })
+}
+
+// onceInTouch records the loss of a connection unless the connection ended with all others of this host. The request waits
+// for a moment for that to show, so that its next try finds the loss recorded, but not for the end of a suspicion.
+func (e *exchange) onceInTouch(record func()) {
+	lostAt, touch := time.Now(), e.front.config.Reach
+	if known, inTouch := touch.awaitTouch(lostAt, _suspicionTime); known {
+		if inTouch {
+			record()
+		}
+		return
+	}
+	go func() {
+		if _, inTouch := touch.awaitTouch(lostAt, _maxSuspicion); inTouch {
+			record()
+		}
+	}()
 }
 
 // endWasPlanned reports whether the end of a try's connection tells nothing of the request: its endpoint had
--- a/io/front/reach.go
+++ b/io/front/reach.go
@@ -14,6 +14,16 @@
 // of the latest matters.
 const _answerInterval = 100 * time.Millisecond
 
+const (
+	// _suspicionTime is the time after which the end of a connection is taken for the endpoint's if no other sign of a cut has
+	// come: connections that a cut resets end within milliseconds of each other.
+	_suspicionTime = 30 * time.Millisecond
+	// _maxSuspicion is the time after which a suspicion must have ended: two rounds of probes.
+	_maxSuspicion = 2 * time.Second
+	// _touchPoll is how often it is checked whether this host is in touch with endpoints.
+	_touchPoll = 5 * time.Millisecond
+)
+
 // SharedReach gives the goroutines of requests access to one reach.Tracker. It is safe for concurrent
 // use. A nil SharedReach is that of a host that always reaches the endpoints and relays nothing.
 type SharedReach struct {
@@ -136,8 +146,36 @@
 	s.update(func(t *reach.Tracker, now time.Time) { t.RecordAnswer(now, endpoint.Key()) })
 }
 
+// awaitTouch waits for at most limit until it is known whether this host has been in touch with endpoints since a moment: one has
+// answered, or nothing made the host suspect a cut for some time.
+func (s *SharedReach) awaitTouch(since time.Time, limit time.Duration) (known, inTouch bool) {
+	for deadline := time.Now().Add(limit); ; time.Sleep(_touchPoll) {
+		known, inTouch = s.inTouch(since)
+		if known || time.Now().After(deadline) {
+			return known, inTouch
+		}
+	}
+}
+
+func (s *SharedReach) inTouch(since time.Time) (known, inTouch bool) {
+	switch {
+	case s == nil:
+		return true, true
+	case s.State() == reach.CutOff:
+		return true, false
+	case s.State() == reach.Suspect:
+		return false, false
+	default:
+		inTouch = s.answeredAt.Load() > since.UnixNano() || time.Since(since) >= _suspicionTime
+		return inTouch, inTouch
+	}
+}
+
 // RecordUnanswered records that a request that was sent to an endpoint got no answer.
 func (s *SharedReach) RecordUnanswered(endpoint core.RoutedEndpoint) {
+	if s == nil {
+		return
+	}
 	s.update(func(t *reach.Tracker, now time.Time) { t.RecordSilence(now, endpoint.Key()) })
 	s.answeredAt.Store(0) // the next answer counts
 }
