--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -277,7 +277,7 @@
 		e.front.counters.countTry(end.result.String())
 		return end
 	}
-	if !e.takeUp(ctx) {
+	if e.refuseCutOff(step) || !e.takeUp(ctx) {
 		return tryResult{done: true}
 	}
 	from, notPlaced := e.placeStep(ctx, step, cutOff)
