core/procs/place: let hosts without a share of brittle endpoints use idle ones

With far more hosts than slots most hosts have no share of a service and refused all its requests while its endpoints are brittle, also with hardly any load.

Such a host may use one slot of an endpoint while the service and the endpoint have little to do by the reported loads.

TestSharesOfBrittleEndpoint now gives the service some load, since it checks the shares alone.

--- a/core/procs/place/brittle.go
+++ b/core/procs/place/brittle.go
@@ -34,6 +34,10 @@
 	// _unreportedShare is the share of the slots that may be taken by requests that are not
 	// reported yet.
 	_unreportedShare = 0.3
+	// _borrowEndpointLoad and _borrowServiceLoad are the shares of an endpoint's slots and of those
+	// of its service up to which hosts without a share may use one.
+	_borrowEndpointLoad = 1.0 / 3
+	_borrowServiceLoad  = 0.15
 	// _unansweredTime is how long the slot of a request that was not answered counts as taken:
 	// the endpoint may still work on it.
 	_unansweredTime = time.Second
@@ -237,7 +241,32 @@
 
 // hasSlot reports whether an endpoint, if it is brittle, has a slot for this host.
 func (p *Placer) hasSlot(now time.Time, e *endpoint) bool {
-	return !p.isBrittle(now, e) || p.mayUseShare(now, e) && e.shareInUse(now) < p.slotShare(now, e)
+	return !p.isBrittle(now, e) || p.mayUseShare(now, e) && (e.shareInUse(now) < p.slotShare(now, e) || p.mayBorrow(now, e))
+}
+
+// mayBorrow reports whether a host that has no share of any endpoint of a service may use a slot: one
+// at each endpoint, while the endpoint and the service have little to do by the loads that hosts
+// report.
+func (p *Placer) mayBorrow(now time.Time, e *endpoint) bool {
+	if e.shareInUse(now) > 0 || p.runsOfAll(e) > _borrowEndpointLoad*float64(e.Slots) {
+		return false
+	}
+	runs, slots := 0.0, 0
+	for _, other := range p.services[e.service] {
+		if p.slotShare(now, other) > 0 {
+			return false
+		}
+		runs += p.runsOfAll(other)
+		slots += other.Slots
+	}
+	return runs <= _borrowServiceLoad*float64(slots)
+}
+
+// runsOfAll returns the reported load of an endpoint, with as much for the hosts that are not heard
+// as for the others.
+func (p *Placer) runsOfAll(e *endpoint) float64 {
+	hosts := max(len(p.hosts.names), 1)
+	return float64(e.load().Runs*hosts) / float64(max(hosts-p.hosts.unheard, 1))
 }
 
 // mayUseShare reports whether a brittle endpoint may have a free slot. Requests from before it was
@@ -251,10 +280,8 @@
 	if !now.Before(p.brittleServices[e.service].since.Add(_settledAfter)) {
 		return true
 	}
-	hosts := max(len(p.hosts.names), 1)
-	heard := max(hosts-p.hosts.unheard, 1)
 	slots := float64(max(e.Slots, 1))
-	taken := float64(e.load().Runs*hosts)/float64(heard) + max(_unreportedShare*slots-float64(max(p.refusals(e)-1, 0)), 0)
+	taken := p.runsOfAll(e) + max(_unreportedShare*slots-float64(max(p.refusals(e)-1, 0)), 0)
 	return taken < slots
 }
 
--- a/core/procs/place/brittle_test.go
+++ b/core/procs/place/brittle_test.go
@@ -399,6 +399,7 @@
 		{9, 4, 18, []int{1, 3, 20}, []float64{0.4, 0.8, 3}},
 		{90, 15, 20, []int{1}, []float64{0.8, 3}},
 		{360, 15, 0, []int{1}, []float64{3}},
+		{87, 7, 0, []int{1}, []float64{0.1, 0.4}}, // most hosts have no share
 	} {
 		for _, refusals := range size.refusals {
 			for _, load := range size.loads {
@@ -440,7 +441,8 @@
 }
 
 // newBrittleHost returns one of nine hosts that know plain endpoints of six slots, the first of which
-// said that it can turn three requests away in a second.
+// said that it can turn three requests away in a second. The other one has too much to do for hosts
+// without a share to borrow slots.
 func newBrittleHost(t *testing.T, self int) *site {
 	t.Helper()
 	s := newSite(t, 0, 2)
@@ -453,6 +455,7 @@
 	s.SetHostNames(names, 0)
 	s.Apply(s.view)
 	s.RecordBrittleness(_start, _deskKey, brittle(3, _start))
+	s.SetPeerLoads(_start, place.Source{Host: "other"}, map[string]place.Load{"desk-1": {Runs: 2}})
 	return s
 }
 
@@ -594,3 +597,26 @@
 		t.Error("the slot is not free after the run's end")
 	}
 }
+
+// While a service has little to do, a host without any share of its slots uses one at each endpoint.
+func TestHostsWithoutShareBorrowSlots(t *testing.T) {
+	now, borrowed := after(20*time.Second), 0
+	for host := range 9 {
+		s := newBrittleHost(t, host)
+		for _, id := range []string{"desk-0", "desk-1"} {
+			s.change(id, func(e *know.Endpoint) { e.Slots = 2 })
+		}
+		if onDesk0(s, now) > 0 {
+			continue // it has a share
+		}
+		s.SetPeerLoads(now, place.Source{Host: "other"}, nil)
+		if n := onDesk0(s, now); n > 1 {
+			t.Errorf("host %d borrows %d slots of an endpoint, want 1", host, n)
+		} else if n == 1 {
+			borrowed++
+		}
+	}
+	if borrowed < 5 || borrowed > 7 {
+		t.Errorf("%d of nine hosts borrow a slot of an idle endpoint, want those without any of four slots", borrowed)
+	}
+}
