io/front: tries without an answer end when their host is cut off

Cause: a request that was sent and not answered waited for its endpoint until the route's goal or its deadline, although its host knew that it was cut off. Its prompt counted as unread at the endpoint meanwhile, so that the other hosts saw no room there.

Change: when a host becomes cut off, tries without the head of an answer end if the request may run once more, by the usual number of attempts and the retry budget, and go on through another host. Others wait as before, but their prompts are no longer told to other hosts as load.

--- a/core/procs/place/place.go
+++ b/core/procs/place/place.go
@@ -379,6 +379,11 @@
 	if run.load.Prefill > 0 {
 		p.readEstimate(run.Endpoint.Service).record(run.PriorLoad.Prefill+run.load.Prefill, now.Sub(run.startedAt))
 	}
+	p.ForgetPrefill(run)
+}
+
+// ForgetPrefill removes a run's prompt from the load of its endpoint.
+func (p *Placer) ForgetPrefill(run *Run) {
 	if e := p.endpointOf(run); e != nil && !run.ended {
 		e.ownLoad.Prefill -= run.load.Prefill
 		p.unreported[e.ID] = true
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -289,6 +289,13 @@
 	s.grantWaiting()
 }
 
+func (s *SharedPlacer) forgetPrefill(run *place.Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.placer.ForgetPrefill(run)
+	s.grantWaiting()
+}
+
 // end ends a run and records its outcome for the endpoint. An outcome of 0 is not
 // recorded.
 func (s *SharedPlacer) end(run *place.Run, outcome place.Outcome) {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -369,7 +369,9 @@
 		return tryResult{result: tries.NotSent, health: e.endpointOutcome(ctx, place.Unreachable), err: err}
 	}
 	e.sentAt = time.Now()
+	unwatch := e.watchCutOff(cancel)
 	answer, err := e.front.config.Links.Do(tryCtx, endpoint.RoutedEndpoint, e.outgoing(from))
+	unwatch()
 	var failed *links.Error
 	if errors.As(err, &failed) && failed.Stage == links.StageDial {
 		return tryResult{result: tries.NotSent, health: e.endpointOutcome(ctx, dialOutcome(err)), err: err}
@@ -415,7 +417,7 @@
 	switch {
 	case errors.Is(err, errSlow):
 		return place.Unreachable
-	case errors.Is(err, errHandedOver), errors.Is(err, errBlocked), errors.Is(err, errNoBuffer):
+	case errors.Is(err, errHandedOver), errors.Is(err, errBlocked), errors.Is(err, errNoBuffer), errors.Is(err, errCutOff):
 		return 0
 	}
 	return place.Bad
--- a/io/front/reach.go
+++ b/io/front/reach.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,11 +43,18 @@
 	mu      sync.Mutex
 	tracker *reach.Tracker
 	since   time.Time
+
+	// watchMu guards watches: the tries that are told when the host becomes cut off. It is not held while mu is taken.
+	watchMu sync.Mutex
+	watches map[*cutOffWatch]struct{}
 }
 
+// cutOffWatch has becameCutOff called when the host becomes cut off.
+type cutOffWatch struct{ becameCutOff func() }
+
 // NewSharedReach wraps a tracker, which must not be used directly afterwards.
 func NewSharedReach(tracker *reach.Tracker, changed func(before, now reach.State, lasted time.Duration)) *SharedReach {
-	s := &SharedReach{changed: changed, tracker: tracker, due: make(chan struct{}, 1), since: time.Now()}
+	s := &SharedReach{changed: changed, tracker: tracker, due: make(chan struct{}, 1), since: time.Now(), watches: make(map[*cutOffWatch]struct{})}
 	s.state.Store(uint32(reach.Reaching))
 	s.renewCutOff()
 	return s
@@ -59,8 +68,38 @@
 // update calls f with the tracker and reports a change of the state.
 func (s *SharedReach) update(f func(t *reach.Tracker, now time.Time)) {
 	before, state, lasted := s.updateState(f)
-	if before != state {
-		s.changed(before, state, lasted)
+	if before == state {
+		return
+	}
+	s.changed(before, state, lasted)
+	if state == reach.CutOff {
+		s.tellWatches()
+	}
+}
+
+func (s *SharedReach) tellWatches() {
+	s.watchMu.Lock()
+	watches := slices.Collect(maps.Keys(s.watches))
+	s.watchMu.Unlock()
+	for _, w := range watches {
+		w.becameCutOff()
+	}
+}
+
+// watchCutOff has a function called when the host becomes cut off, until stop is called. A call may still be under way
+// then.
+func (s *SharedReach) watchCutOff(becameCutOff func()) (stop func()) {
+	if s == nil {
+		return func() {}
+	}
+	w := &cutOffWatch{becameCutOff: becameCutOff}
+	s.watchMu.Lock()
+	defer s.watchMu.Unlock()
+	s.watches[w] = struct{}{}
+	return func() {
+		s.watchMu.Lock()
+		defer s.watchMu.Unlock()
+		delete(s.watches, w)
 	}
 }
 
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -41,7 +41,7 @@
 // overload most would refuse it.
 const _maxRefusals = 2
 
-// errCutOff ends a wait for room because this host reaches no endpoint.
+// errCutOff ends a wait for room or an answer because this host reaches no endpoint.
 var errCutOff = errors.New("this host reaches no endpoint")
 
 // _relays counts the requests that this host relayed to others, by outcome, and those that it served
@@ -90,6 +90,19 @@
 	return true
 }
 
+// watchCutOff acts on a try without an answer when this host becomes cut off: it is left if the request may run once more, through
+// another host. Otherwise its prompt is no longer told to other hosts as load, since it may never have reached the endpoint.
+func (e *exchange) watchCutOff(leave context.CancelCauseFunc) (stop func()) {
+	if e.request.relayedBy == "" && e.tries.MayRunAgain() {
+		return e.front.config.Reach.watchCutOff(func() { leave(errCutOff) })
+	}
+	run, placer, loadChanged := e.run, e.placer(), e.front.config.LoadChanged
+	return e.front.config.Reach.watchCutOff(func() {
+		placer.forgetPrefill(run)
+		loadChanged()
+	})
+}
+
 // dropHost gives up the host that was picked.
 func (e *exchange) dropHost() {
 	if e.host != nil {
