io/front: waits end when the last host that could help is cut off

Cause: hosts that are cut off together learn of each other by heartbeats. A request that one relayed to the other just then was sent back, and waited for room until the route's goal although no host was left.

Change: such waits end with the heartbeat that says so.

--- a/io/front/reach.go
+++ b/io/front/reach.go
@@ -35,7 +35,7 @@
 	state atomic.Uint32
 	// answeredAt is when an answer was last recorded, in nanoseconds.
 	answeredAt atomic.Int64
-	// cutOff is closed when the host becomes cut off, and replaced afterwards.
+	// cutOff is closed when the host becomes cut off, or so does the last one that could help, and replaced afterwards.
 	cutOff atomic.Pointer[chan struct{}]
 	// due receives when probes may be due.
 	due chan struct{}
@@ -131,7 +131,7 @@
 	return reach.State(s.state.Load())
 }
 
-// nextCutOff returns a channel that is closed when the host becomes cut off.
+// nextCutOff returns a channel that is closed when the host becomes cut off, or the last one that could help it.
 func (s *SharedReach) nextCutOff() <-chan struct{} {
 	if s == nil {
 		return nil
@@ -236,6 +236,17 @@
 // RecordHost records what another host said of itself.
 func (s *SharedReach) RecordHost(host reach.Host) {
 	s.update(func(t *reach.Tracker, now time.Time) { t.RecordHost(now, host) })
+	if !host.Reaches && s.isWithoutHelp() {
+		s.endWaits()
+	}
+}
+
+// endWaits ends the waits of requests that no host can serve.
+func (s *SharedReach) endWaits() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(*s.cutOff.Load())
+	s.renewCutOff()
 }
 
 // ReachesForOthers reports whether this host can serve the requests of hosts that are cut off.
