proof: the soak's plain endpoints answer calls for reports with 404

A host that suspects that it reaches no endpoint asks some for a report, over a new connection and without a request's ID. The soak took any request without an ID for one that no caller had sent. A call for a report is now told apart by its method, path, missing body and workspace; any other request without a proper ID is still a violation.

--- a/proof/soak_site_test.go
+++ b/proof/soak_site_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"apricotproxy/fakes/routed"
+	"apricotproxy/io/local"
 )
 
 // The endpoints and callers of the soak, and what is checked of them.
@@ -46,9 +47,20 @@
 	time.AfterFunc(after, r.startEndpoint)
 }
 
+// isReportCall reports whether a request is a host's own call for a report. It is the only request that has no ID, and it
+// carries nothing of a caller's.
+func isReportCall(c *routed.Call) bool {
+	_, hasID := c.Header["Request-Id"]
+	return !hasID && c.Method == "GET" && c.RequestURI == local.Paths().Report && c.BodyText == "" && c.Header.Get("Workspace") == ""
+}
+
 // answer answers a request at an endpoint. Request IDs are KIND-HOST-CALLER-NUMBER.
 func (r *soakRun) answer(c *routed.Call, e *soakEndpoint) bool {
 	id := c.Header.Get("Request-Id")
+	if isReportCall(c) { // a plain endpoint offers none
+		c.Answer(404, "")
+		return true
+	}
 	var host, caller, number int
 	kind, rest, _ := strings.Cut(id, "-")
 	if _, err := fmt.Sscanf(rest, "%d-%d-%d", &host, &caller, &number); err != nil {
