--- a/proof/soak_site_test.go
+++ b/proof/soak_site_test.go
@@ -51,7 +51,7 @@
 // carries nothing of a caller's.
 func isReportCall(c *routed.Call) bool {
 	_, hasID := c.Header["Request-Id"]
-	return !hasID && c.Method == "GET" && c.RequestURI == local.Paths().Report && c.BodyText == "" && c.Header.Get("Workspace") == ""
+	return !hasID && c.Method == http.MethodGet && c.RequestURI == local.Paths().Report && c.BodyText == "" && c.Header.Get("Workspace") == ""
 }
 
 // answer answers a request at an endpoint. Request IDs are KIND-HOST-CALLER-NUMBER.
