--- a/io/entry/cutoff_test.go
+++ b/io/entry/cutoff_test.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// _contactTime is the users' contactMs: from then on after a cut, requests must be served.
+	// _contactTime is the time after a cut from which requests must be served.
 	_contactTime = 3 * time.Second
 	// _cutHost is the host that is cut off.
 	_cutHost = 0
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -145,7 +145,7 @@
 			}
 			if e.received > before {
 				if time.Since(readAt) >= _emptyRead {
-					e.stopping.recordEvent(readAt)
+					e.stopRequests.recordEvent(readAt)
 				}
 				e.hasGoneOn()
 				e.silence.AskAt = time.Now().Add(e.silenceTimeout())
@@ -187,7 +187,7 @@
 	e.front.counters.countAnswer(answer.StatusCode)
 	e.recordAnswered()
 	e.log(_streamComplete, "Events", e.events, "Continued", e.continued, "Framed", answer.Framed(),
-		"StopAsked", e.stopping.wasAsked(), "LeftByNotice", e.leftByNotice(), "TimeLeft", time.Until(e.request.Deadline).Milliseconds(), "LongestPause", e.longestPause.Milliseconds(), "Took", time.Since(e.request.Arrived).Milliseconds())
+		"StopAsked", e.stopRequests.wasAsked(), "LeftByNotice", e.leftByNotice(), "TimeLeft", time.Until(e.request.Deadline).Milliseconds(), "LongestPause", e.longestPause.Milliseconds(), "Took", time.Since(e.request.Arrived).Milliseconds())
 	if spec := e.engineSpec(); spec != nil {
 		e.placer().recordOutputLength(&e.request.RoutedRequest, e.events*spec.EventTokens)
 	}
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -330,9 +330,9 @@
 // backup. With last, the engine stops the run first.
 func (e *exchange) copyTo(ctx context.Context, target *place.Run, last bool) moveResult {
 	source := e.run.Endpoint.RoutedEndpoint
-	var stops *stopping
+	var stops *stopRequests
 	if last {
-		stops = e.stopping
+		stops = e.stopRequests
 	}
 	moved := e.requestMove(ctx, source, target.Endpoint.Address, stops)
 	if moved.err == nil {
@@ -375,7 +375,7 @@
 // requestMove asks the engine that runs the request to copy the run's memory to another
 // engine. The run goes on meanwhile or, if stops is not nil, is stopped first; stops belongs to the
 // try of the run. The error is nil if the copy is complete.
-func (e *exchange) requestMove(ctx context.Context, source core.RoutedEndpoint, to string, stops *stopping) (result moveResult) {
+func (e *exchange) requestMove(ctx context.Context, source core.RoutedEndpoint, to string, stops *stopRequests) (result moveResult) {
 	body, err := json.Marshal(map[string]any{"id": e.request.ID, "to": to, "last": stops != nil})
 	if err != nil {
 		return moveResult{err: fmt.Errorf("encode the move: %w", err)}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -85,8 +85,8 @@
 	silenceRecorded bool
 	// offersDeclined counts the endpoints that did not take the request in the current silence.
 	offersDeclined int
-	// stopping is what became of requests to stop the run of the current try.
-	stopping *stopping
+	// stopRequests is what became of requests to stop the run of the current try.
+	stopRequests *stopRequests
 	// stop is what is known of stopping the run of the current try, unended the endpoint of the
 	// last try if this host ended it and the endpoint may still work on it; nil otherwise.
 	stop    runStop
@@ -298,7 +298,7 @@
 		}
 		from = stoppedFrom
 	}
-	e.stop, e.stopping, e.unended = runStop{}, &stopping{}, nil
+	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
 	end := e.try(ctx, from)
 	if end.mayStillRun {
 		e.unended = &e.run.Endpoint.RoutedEndpoint
@@ -331,7 +331,8 @@
 }
 
 // placeStep sets the run of the next try: the one that was prepared, one at the endpoint of the
-// copy, or a new one. A wait for room ends when cutOff is closed. from identifies the copy that it continues from, if any. If there is no run,
+// copy, or a new one. A wait for room ends when cutOff is closed. from identifies the copy that it
+// continues from, if any. If there is no run,
 // end is the result of the try.
 func (e *exchange) placeStep(ctx context.Context, step tries.Step, cutOff <-chan struct{}) (from string, end *tryResult) {
 	if p := e.prepared; p != nil {
--- a/io/front/falseend.go
+++ b/io/front/falseend.go
@@ -28,9 +28,9 @@
 // the end of a process, and a round trip.
 const _listenerDelay = 50 * time.Millisecond
 
-// stopping records the requests to stop the run of one try. It is safe for concurrent use: they
+// stopRequests records the requests to stop the run of one try. It is safe for concurrent use: they
 // are sent while another goroutine reads the stream.
-type stopping struct {
+type stopRequests struct {
 	mu       sync.Mutex
 	requests leave.StopRequests
 	asked    bool
@@ -38,7 +38,7 @@
 	settled chan struct{}
 }
 
-func (s *stopping) send() {
+func (s *stopRequests) send() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asked = true
@@ -48,7 +48,7 @@
 	}
 }
 
-func (s *stopping) settle(now time.Time, evidence leave.Evidence) {
+func (s *stopRequests) settle(now time.Time, evidence leave.Evidence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests.Settle(now, evidence)
@@ -59,14 +59,14 @@
 }
 
 // recordEvent records that an event arrived that this host had awaited since a time.
-func (s *stopping) recordEvent(awaitedSince time.Time) {
+func (s *stopRequests) recordEvent(awaitedSince time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests.RecordEvent(awaitedSince)
 }
 
 // wasAsked reports whether the endpoint was asked to stop the run, whatever it answered.
-func (s *stopping) wasAsked() bool {
+func (s *stopRequests) wasAsked() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.asked
@@ -74,7 +74,7 @@
 
 // mayHaveStopped reports whether the endpoint may have stopped the run. It waits for the answers of
 // requests that are under way, since the stream of a run that it has not stopped may end meanwhile.
-func (s *stopping) mayHaveStopped(ctx context.Context) bool {
+func (s *stopRequests) mayHaveStopped(ctx context.Context) bool {
 	s.mu.Lock()
 	settled := s.settled
 	s.mu.Unlock()
@@ -91,7 +91,7 @@
 }
 
 // mayHaveStoppedNow is mayHaveStopped without the wait.
-func (s *stopping) mayHaveStoppedNow() bool {
+func (s *stopRequests) mayHaveStoppedNow() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.requests.MayHaveStopped()
@@ -106,7 +106,7 @@
 	}
 	var listening error
 	end := leave.End{
-		MayHaveStopped: e.stopping.mayHaveStopped(ctx),
+		MayHaveStopped: e.stopRequests.mayHaveStopped(ctx),
 		TimeLeft:       time.Until(e.request.Deadline),
 		EndpointEnded: func() bool {
 			listening = e.front.config.Links.Listens(ctx, e.run.Endpoint.RoutedEndpoint, _listenerDelay)
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -79,7 +79,7 @@
 func (e *exchange) requestStop(ctx context.Context, source, to core.RoutedEndpoint) *stopRequest {
 	ctx, cancel := context.WithTimeout(ctx, _moveTimeout)
 	request := &stopRequest{cancel: cancel, done: make(chan struct{})}
-	stops := e.stopping // of the try whose run is to be stopped: the next one may begin meanwhile
+	stops := e.stopRequests // of the try whose run is to be stopped: the next one may begin meanwhile
 	go func() {
 		defer close(request.done)
 		defer cancel()
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -329,7 +329,7 @@
 // announced its leaving, or may have stopped work at the deadline, or because this host asked it to
 // and still listens.
 func (e *exchange) endWasPlanned(ctx context.Context) bool {
-	end := leave.End{MayHaveStopped: e.stopping.mayHaveStoppedNow(), TimeLeft: time.Until(e.request.Deadline), EndpointEnded: e.leftByNotice}
+	end := leave.End{MayHaveStopped: e.stopRequests.mayHaveStoppedNow(), TimeLeft: time.Until(e.request.Deadline), EndpointEnded: e.leftByNotice}
 	switch end.Cause() {
 	case leave.AnswerComplete:
 		return false
