--- a/fakes/cutoff/cutoff.go
+++ b/fakes/cutoff/cutoff.go
@@ -40,7 +40,9 @@
 	// _plugTimeout is how long an attempt to connect goes unanswered before the listener's queue
 	// counts as full.
 	_plugTimeout = 50 * time.Millisecond
-	_blockBytes  = 32 << 10
+	// _resetDelay is how long a connection that is reset after it was accepted stays open unused.
+	_resetDelay = 20 * time.Millisecond
+	_blockBytes = 32 << 10
 )
 
 // Link is the network between one host and one endpoint. It is safe for concurrent use.
@@ -196,9 +198,13 @@
 func (l *Link) add(conn *net.TCPConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed || l.cut == Reset || l.cut == ResetAccepted {
+	switch {
+	case l.closed || l.cut == Reset:
 		reset(conn)
 		return false
+	case l.cut == ResetAccepted:
+		go resetOnceUsed(conn)
+		return false
 	}
 	l.conns[conn] = struct{}{}
 	return true
@@ -216,6 +222,14 @@
 	_ = conn.Close()
 }
 
+// resetOnceUsed resets a connection once bytes arrive, or after a moment. Reset at once, the other end's
+// connect could fail already.
+func resetOnceUsed(conn *net.TCPConn) {
+	_ = conn.SetReadDeadline(time.Now().Add(_resetDelay))
+	_, _ = conn.Read(make([]byte, 1))
+	reset(conn)
+}
+
 // resetAll resets all connections. The caller holds the lock.
 func (l *Link) resetAll() {
 	for conn := range l.conns {
