io/intact: a reset that a write was told of does not end an answer

Callers got a part of an answer as a complete one: an endpoint answered a long upload at once without a length, sent a part and reset the connection while the upload was still being written.

The kernel reports a reset, or a time-out of unacknowledged bytes, to one call only. If that is the write of the request, reads return EOF, which ends an answer that has neither a length nor chunks, in HTTP/1.0 too. The result of the write was not looked at. io/engine lost a time-out in one more way: it took the kernel's for its own read deadline and read on, to EOF.

intact.Conn keeps the failure that a write was told of and returns it where a read would return EOF. It waits for a write only if the kernel says that the connection has ended. A FIN that came first still ends the answer: the write then fails with EPIPE, or goes on. io/links (endpoints, hosts that relay, reports, moves), io/engine, io/peers and io/platf use it.

The fixture of io/front limits send buffers too, so that short uploads wait.

--- a/fakes/routed/routed.go
+++ b/fakes/routed/routed.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -14,13 +15,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // Call is one request that the endpoint received.
 type Call struct {
 	*http.Request
-	BodyText string // the request's body
+	BodyText string // the request's body; empty if the endpoint was started by StartUnread
 	conn     net.Conn
 	// Number is the index of the call among the endpoint's calls, from 0.
 	Number int
@@ -37,9 +39,11 @@
 	Address string
 
 	listener net.Listener
-	mu       sync.Mutex
-	calls    []*Call
-	conns    []net.Conn
+	// leavesUnread is true if calls are handled before their bodies are read.
+	leavesUnread bool
+	mu           sync.Mutex
+	calls        []*Call
+	conns        []net.Conn
 }
 
 // Start listens on a loopback port.
@@ -53,6 +57,28 @@
 	return e, nil
 }
 
+// _unreadBufferBytes is the receive buffer of connections whose requests are not read at once, so
+// that a short body already waits for its endpoint to read it.
+const _unreadBufferBytes = 4 << 10
+
+// StartUnread is Start for an endpoint that handles a call once its header is read.
+func StartUnread(handle Handler) (*Endpoint, error) {
+	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		var setErr error
+		err := conn.Control(func(fd uintptr) {
+			setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, _unreadBufferBytes)
+		})
+		return errors.Join(err, setErr)
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	e := &Endpoint{Address: listener.Addr().String(), listener: listener, leavesUnread: true}
+	go e.accept(handle)
+	return e, nil
+}
+
 // Close stops listening and closes all connections.
 func (e *Endpoint) Close() {
 	_ = e.listener.Close()
@@ -101,12 +127,13 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
-		}
 		request.RemoteAddr = conn.RemoteAddr().String()
-		call := &Call{Request: request, BodyText: string(body), conn: conn, OnConnection: n}
+		call := &Call{Request: request, conn: conn, OnConnection: n}
+		if !e.leavesUnread {
+			if err := call.readBody(); err != nil {
+				return
+			}
+		}
 		e.mu.Lock()
 		call.Number = len(e.calls)
 		e.calls = append(e.calls, call)
@@ -117,6 +144,12 @@
 	}
 }
 
+func (c *Call) readBody() error {
+	body, err := io.ReadAll(c.Body)
+	c.BodyText = string(body)
+	return err
+}
+
 // LocalAddress returns the address of the endpoint that received the call.
 func (c *Call) LocalAddress() string { return c.conn.LocalAddr().String() }
 
@@ -175,6 +208,13 @@
 	_ = c.conn.Close()
 }
 
+// CloseWrite ends what the endpoint sends on the connection, from which it may still read.
+func (c *Call) CloseWrite() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
+
 // WaitClosed waits until the other end closes the connection and reports whether it did
 // so within the limit.
 func (c *Call) WaitClosed(limit time.Duration) bool {
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/io/intact"
 )
 
 const (
@@ -117,7 +118,7 @@
 	if err := discardUnsentOnClose(conn); err != nil {
 		return nil, errors.Join(fmt.Errorf("set up the connection to %s: %w", address, err), conn.Close())
 	}
-	return conn, nil
+	return intact.NewConn(conn), nil
 }
 
 // discardUnsentOnClose makes the kernel discard unsent bytes when a TCP connection
--- a/io/engine/gate.go
+++ b/io/engine/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -134,7 +135,8 @@
 			c.readTimeout = c.readTimeout.WithActivity(now, c.silenceTimeout)
 			return n, err
 		}
-		if err == nil || !isTimeout(err) || c.silenceTimeout <= 0 || c.readTimeout.Silent(now) {
+		// A time-out that the kernel reports ends the connection, and the next read would return io.EOF.
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || c.silenceTimeout <= 0 || c.readTimeout.Silent(now) {
 			return n, err
 		}
 		// The deadline on the connection was set before the latest byte; extend it.
@@ -144,8 +146,3 @@
 		}
 	}
 }
-
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
--- a/io/front/endless_test.go
+++ b/io/front/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strings"
@@ -20,7 +21,7 @@
 // opened. An error fails the dial.
 var dialHooks sync.Map
 
-// DialContext connects and limits the receive buffer.
+// DialContext connects and limits the buffers.
 func (d *smallBuffers) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	if hook, ok := dialHooks.Load(address); ok {
 		if err := hook.(func(context.Context) error)(ctx); err != nil {
@@ -29,7 +30,7 @@
 	}
 	conn, err := d.Dialer.DialContext(ctx, network, address)
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		err = tcp.SetReadBuffer(64 << 10)
+		err = errors.Join(tcp.SetReadBuffer(64<<10), tcp.SetWriteBuffer(16<<10))
 	}
 	return conn, err
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -81,16 +81,8 @@
 	detector := front.NewSharedDetector(logr.Discard(), func() {}, func() {})
 	r := &fixture{t: t, detector: detector, errorLines: make(chan string, 64)}
 	view := &know.View{Table: built, OutOfService: map[core.DataCentreName]bool{}}
-	for i, handle := range handlers {
-		e, err := routed.Start(handle)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(e.Close)
-		r.endpoints = append(r.endpoints, e)
-		view.Endpoints = append(view.Endpoints, know.Endpoint{RoutedEndpoint: core.RoutedEndpoint{
-			ID: fmt.Sprint("e", i), Service: "all", Address: e.Address, Slots: 8,
-		}})
+	for _, handle := range handlers {
+		view.Endpoints = append(view.Endpoints, r.start(routed.Start, handle))
 	}
 	bounds := core.EntryBounds{RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000}
 	random := rand.New(rand.NewPCG(1, 1))
@@ -106,16 +98,38 @@
 	}
 	r.apply(view)
 	r.placer.Update(func(p *place.Placer) { p.ExpirePeerLoads(start) })
-	pool := links.New(links.Settings{Dialer: &smallBuffers{}, DialTimeout: time.Second, MaxIdle: 2})
-	t.Cleanup(pool.Close)
+	r.serve(nil)
+	return r
+}
+
+// start starts an endpoint and returns its entry in a view.
+func (r *fixture) start(start func(routed.Handler) (*routed.Endpoint, error), handle routed.Handler) know.Endpoint {
+	r.t.Helper()
+	e, err := start(handle)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(e.Close)
+	r.endpoints = append(r.endpoints, e)
+	return know.Endpoint{RoutedEndpoint: core.RoutedEndpoint{ID: fmt.Sprint("e", len(r.endpoints)-1), Service: "all", Address: e.Address, Slots: 8}}
+}
+
+// serve starts a front, which send uses from then on. What it knows of reaching endpoints is nil for one
+// that always reaches them.
+func (r *fixture) serve(reached *front.SharedReach) {
+	newPool := func() *links.Pool {
+		pool := links.New(links.Settings{Dialer: &smallBuffers{}, DialTimeout: time.Second, MaxIdle: 2})
+		r.t.Cleanup(pool.Close)
+		return pool
+	}
 	r.server = httptest.NewServer(front.New(front.Config{
-		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: pool,
+		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: newPool(),
 		Detector: r.detector, Origins: r.origins, BufferBytes: _bufferBytes, BodyBytes: _bodyBytes,
+		Reach: reached, RelayLinks: newPool(), Self: "self",
 		View: r.view.Load, Logger: r.logger(), LoadChanged: func() {},
 		SyncStatus: func() know.SyncStatus { return know.SyncStatus{AsOf: 12, FreshAt: time.Now().Add(-_documentAge)} },
 	}))
-	t.Cleanup(r.server.Close)
-	return r
+	r.t.Cleanup(r.server.Close)
 }
 
 // apply puts a view in force.
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -21,6 +20,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/io/intact"
 )
 
 const (
@@ -161,7 +161,7 @@
 }
 
 type connection struct {
-	conn      net.Conn
+	conn      *intact.Conn
 	head      *headReader
 	reader    *bufio.Reader
 	idleSince time.Time
@@ -307,7 +307,7 @@
 			// first half of the idle time counts.
 			fresh = now.Before(c.idleSince.Add(c.idleUntil.Sub(c.idleSince) / 2))
 		}
-		if fresh && isClean(c.conn) {
+		if fresh && isClean(c.conn.NetConn()) {
 			return c, nil
 		}
 		c.close()
@@ -332,8 +332,9 @@
 			return nil, errors.Join(fmt.Errorf("set SO_LINGER on the connection to %s: %w", address, err), conn.Close())
 		}
 	}
-	head := &headReader{conn: silentReader{conn: conn}}
-	return &connection{conn: conn, head: head, reader: bufio.NewReaderSize(head, _readBufferBytes)}, nil
+	intactConn := intact.NewConn(conn)
+	head := &headReader{conn: silentReader{conn: intactConn}}
+	return &connection{conn: intactConn, head: head, reader: bufio.NewReaderSize(head, _readBufferBytes)}, nil
 }
 
 // Connect opens a connection to an endpoint and keeps it for the next request. It shows that the
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -20,6 +20,7 @@
 	"github.com/twitchtv/twirp"
 
 	"apricotproxy/core"
+	"apricotproxy/io/intact"
 	"apricotproxy/io/wire"
 )
 
@@ -122,7 +123,7 @@
 
 func (p *Pool) newClient(address string) *client {
 	transport := &http.Transport{
-		DialContext:         p.settings.Dialer.DialContext,
+		DialContext:         intact.DialWith(p.settings.Dialer),
 		TLSClientConfig:     p.settings.TLS,
 		MaxIdleConnsPerHost: _maxIdlePerHost,
 		IdleConnTimeout:     _idleTimeout,
--- a/io/platf/platf.go
+++ b/io/platf/platf.go
@@ -21,6 +21,7 @@
 	"golang.org/x/time/rate"
 
 	"apricotproxy/core"
+	"apricotproxy/io/intact"
 )
 
 const (
@@ -100,7 +101,7 @@
 	wait.InitialInterval = _minBackoff
 	wait.MaxInterval = _maxBackoff
 	transport := &http.Transport{
-		DialContext:         settings.Dialer.DialContext,
+		DialContext:         intact.DialWith(settings.Dialer),
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
