--- a/io/front/status_test.go
+++ b/io/front/status_test.go
@@ -94,3 +94,20 @@
 		})
 	}
 }
+
+// A status that is none does not reach the caller through another host either.
+func TestStatusThatIsNoneIsNotRelayed(t *testing.T) {
+	for _, path := range []string{"/lookup/", "/order/", "/check/", "/draft/"} {
+		for _, status := range _noStatuses {
+			t.Run(path+", "+status, func(t *testing.T) {
+				t.Parallel()
+				r := newFixture(t, func(c *routed.Call) bool { withStatus(c, status, "text/plain", "broken"); return true })
+				r.relayTo(r.endpoints[0].Address)
+				got := r.send(http.MethodPost, path, "", "Tokens: 100,400", "Deadline-Ms: 2000")
+				if got.err != nil || got.status != http.StatusBadGateway || strings.Contains(got.body, "broken") {
+					t.Errorf("status %d, %q, %v; want 502", got.status, got.body, got.err)
+				}
+			})
+		}
+	}
+}
