io/intact: an answer with a blank in the name of a field is a broken one

Callers got answers in whose header the name of a field held a blank, without that line. With "Content-Length : 1" or "Transfer-Encoding : chunked" nothing told where the body ended, or something else did, so that it was not the endpoint's. Also: a stream with such a trailer was complete; a report confirmed the build of an engine; a move handed a run over; the store's documents were those of era 0 with "Store-Era : 5".

net/http reads a name with a blank as one that it does not know, and drops it when it writes the header. It rejects control bytes, tabs, DEL, NUL and other bytes that are in no token; these cases were handled and stay so.

CheckNames takes a name that is no token of RFC 9110 for a broken answer: in the header, in a 1xx before it, in an answer to another request that is skipped, and in a trailer. The request may have run, and the connection is closed. io/links calls it where answers are read; intact.Transport does for clients of net/http: io/engine, io/peers, io/platf, io/news and the store. Values, unusual tokens and folded lines are taken as before.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -52,9 +52,9 @@
 // Client is a core.EndpointClient over HTTP. It is safe for concurrent use.
 type Client struct {
 	config  Config
-	streams *http.Transport
-	calls   *http.Transport
-	control *http.Transport
+	streams *intact.Transport
+	calls   *intact.Transport
+	control *intact.Transport
 }
 
 var _ core.EndpointClient = (*Client)(nil)
@@ -77,7 +77,7 @@
 	c.control.CloseIdleConnections()
 }
 
-func (c *Client) newTransport(oneRequestPerConn bool, silenceTimeout func() time.Duration) *http.Transport {
+func (c *Client) newTransport(oneRequestPerConn bool, silenceTimeout func() time.Duration) *intact.Transport {
 	t := &http.Transport{
 		DisableKeepAlives:      oneRequestPerConn,
 		DisableCompression:     true,
@@ -102,7 +102,7 @@
 		}
 		return newGatedConn(conn, gateOf(ctx), silenceTimeout()), nil
 	}
-	return t
+	return intact.NewTransport(t)
 }
 
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -330,7 +330,7 @@
 // sendOnce sends a request on a new connection, without retries, and returns an
 // error unless the status of the response is 2xx. The error has ResultDialFailed
 // only if no byte of the request was sent.
-func (c *Client) sendOnce(transport *http.Transport, endpoint core.Endpoint, req *http.Request, confirm func() bool) (*http.Response, error) {
+func (c *Client) sendOnce(transport *intact.Transport, endpoint core.Endpoint, req *http.Request, confirm func() bool) (*http.Response, error) {
 	g := &gate{confirm: confirm}
 	res, err := transport.RoundTrip(req.WithContext(withGate(req.Context(), g)))
 	if err != nil {
--- a/io/engine/status_test.go
+++ b/io/engine/status_test.go
@@ -16,33 +16,35 @@
 	"apricotproxy/io/engine"
 )
 
+// _calls are the calls of a client, by name.
+var _calls = map[string]func(ctx context.Context, client *engine.Client) error{
+	"call": func(ctx context.Context, client *engine.Client) error {
+		_, err := client.Call(ctx, _endpoint, core.CallRequest{Call: "c", Body: []byte(`{}`)})
+		return err
+	},
+	"start": func(ctx context.Context, client *engine.Client) error {
+		_, err := client.Start(ctx, _endpoint, core.EngineRequest{Generation: "g", Body: []byte(`{}`)})
+		return err
+	},
+	"resume": func(ctx context.Context, client *engine.Client) error {
+		_, err := client.Resume(ctx, _endpoint, "g", 3)
+		return err
+	},
+	"order": func(ctx context.Context, client *engine.Client) error {
+		return client.Order(ctx, _endpoint, core.EngineOrder{})
+	},
+	"report": func(ctx context.Context, client *engine.Client) error {
+		_, err := client.Report(ctx, _endpoint)
+		return err
+	},
+	"cancel": func(ctx context.Context, client *engine.Client) error { return client.Cancel(ctx, _endpoint, "g") },
+}
+
 // A status that is none told that a request was lost, but its connection was kept for the next request.
 func TestStatusThatIsNoneIsALostAnswer(t *testing.T) {
-	calls := map[string]func(ctx context.Context, client *engine.Client) error{
-		"call": func(ctx context.Context, client *engine.Client) error {
-			_, err := client.Call(ctx, _endpoint, core.CallRequest{Call: "c", Body: []byte(`{}`)})
-			return err
-		},
-		"start": func(ctx context.Context, client *engine.Client) error {
-			_, err := client.Start(ctx, _endpoint, core.EngineRequest{Generation: "g", Body: []byte(`{}`)})
-			return err
-		},
-		"resume": func(ctx context.Context, client *engine.Client) error {
-			_, err := client.Resume(ctx, _endpoint, "g", 3)
-			return err
-		},
-		"order": func(ctx context.Context, client *engine.Client) error {
-			return client.Order(ctx, _endpoint, core.EngineOrder{})
-		},
-		"report": func(ctx context.Context, client *engine.Client) error {
-			_, err := client.Report(ctx, _endpoint)
-			return err
-		},
-		"cancel": func(ctx context.Context, client *engine.Client) error { return client.Cancel(ctx, _endpoint, "g") },
-	}
 	const body = "{}"
 	for _, status := range []string{"000 None", "000", "099", "101 Switching Protocols", "600 Broken", "999", "1000", "20", "-1", "2e2", "+200", "+20"} {
-		for name, call := range calls {
+		for name, call := range _calls {
 			t.Run(name+", "+status, func(t *testing.T) {
 				var connections, requests atomic.Int32
 				serve := func(conn net.Conn) {
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -513,6 +513,9 @@
 		if res.StatusCode < http.StatusContinue || res.StatusCode > _maxStatus {
 			return nil, Foreign, fmt.Errorf("read the answer: %d is no status", res.StatusCode)
 		}
+		if err := intact.CheckNames(res.Header); err != nil {
+			return nil, Foreign, fmt.Errorf("read the answer: %w", err)
+		}
 		if res.StatusCode < http.StatusOK {
 			if res.StatusCode == http.StatusSwitchingProtocols {
 				return nil, Foreign, errors.New("the endpoint switched protocols")
@@ -526,6 +529,9 @@
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return nil, Foreign, fmt.Errorf("skip the answer to another request: %w", err)
 		}
+		if err := intact.CheckTrailer(res); err != nil {
+			return nil, Foreign, fmt.Errorf("skip the answer to another request: %w", err)
+		}
 	}
 	return nil, Foreign, errors.New("too many answers to other requests on the connection")
 }
@@ -537,6 +543,9 @@
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
 	if errors.Is(err, io.EOF) {
+		if broken := intact.CheckTrailer(a.Response); broken != nil {
+			return n, fmt.Errorf("read the answer's trailer: %w", broken)
+		}
 		a.complete = true
 	}
 	return n, err
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -23,6 +23,7 @@
 	"apricotproxy/core/procs/pace"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
+	"apricotproxy/io/intact"
 	"apricotproxy/io/stall"
 )
 
@@ -415,7 +416,7 @@
 
 // NewClient returns a client that uses the transport.
 func NewClient(transport http.RoundTripper) *Client {
-	return &Client{client: &http.Client{Transport: transport}}
+	return &Client{client: &http.Client{Transport: intact.NewTransport(transport)}}
 }
 
 // Pull requests the documents that a host at the given position lacks from the host at an
--- a/io/peers/peers.go
+++ b/io/peers/peers.go
@@ -117,18 +117,18 @@
 func (p *Pool) Close() { p.CloseExcept(nil) }
 
 type client struct {
-	transport *http.Transport
+	transport *intact.Transport
 	peer      wire.Peer
 }
 
 func (p *Pool) newClient(address string) *client {
-	transport := &http.Transport{
+	transport := intact.NewTransport(&http.Transport{
 		DialContext:         intact.DialWith(p.settings.Dialer),
 		TLSClientConfig:     p.settings.TLS,
 		MaxIdleConnsPerHost: _maxIdlePerHost,
 		IdleConnTimeout:     _idleTimeout,
 		DisableCompression:  true,
-	}
+	})
 	scheme := "http"
 	if p.settings.TLS != nil {
 		scheme = "https"
@@ -142,7 +142,7 @@
 
 // limitedDoer applies the limits of callLimit to each call and its answer.
 type limitedDoer struct {
-	transport *http.Transport
+	transport *intact.Transport
 }
 
 // Do implements wire.HTTPClient.
--- a/io/platf/platf.go
+++ b/io/platf/platf.go
@@ -108,7 +108,7 @@
 	}
 	return &Client{
 		baseURL: "http://" + settings.Address,
-		http:    &http.Client{Transport: transport},
+		http:    &http.Client{Transport: intact.NewTransport(transport)},
 		limiter: rate.NewLimiter(limit, _readBurst),
 		backoff: wait,
 	}
