Review: number the cases anew; case 6: streams without framing that end early as complete

A worker that leaves acts on the last move a second late. The host has given the call up, takes the events that arrive meanwhile for proof that the run goes on, and ends the client's stream as complete when the worker stops it.

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,13 +1,13 @@
-// Command 6 plays a release: workers of one software version are replaced by those of another one, one after
-// the other. During it all entry hosts are killed at the same moment, and clients take up their streams.
+// Command 6 plays workers that leave and are slow to act on a call: the last move of a run is asked for, and the
+// worker stops the run a second later. The streams have neither a length nor chunks.
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,29 +15,23 @@
 )
 
 const (
-	_workers = 8
-	// _replaced workers are replaced, a share of .5, with _gap between two of them: release of the bench's kinds.
-	_replaced = 4
-	_gap      = time.Second
-	// _drain is how long a worker goes on after it has reported that it leaves: drainMs and a little longer.
-	_drain = 2300 * time.Millisecond
-	// _sessions ask for something short; of those that the new version answered _longStreams ask for something long.
-	_sessions    = 480
-	_longStreams = 150
-	_prefix      = "/check/"
-	// _deadline and _pause are those of a stream; a long one has _longEvents events.
-	_deadline    = 6 * time.Second
-	_pause       = 100 * time.Millisecond
-	_shortEvents = 2
-	_longEvents  = 42
-	// _down is how long a host that was killed is away: herd_kill of the site file.
-	_down        = 2 * time.Second
-	_retryPause  = 250 * time.Millisecond
-	_minTimeLeft = 300 * time.Millisecond
-	// _allowed is the rule's "more than two streams".
-	_allowed = 2
-	// _beforeDrain is when the first worker drains that long streams run on.
-	_beforeDrain = 500 * time.Millisecond
+	_workers = 6
+	// _leaving workers leave one after the other: a share of .17, one of 6, at a time, as scale_in of the site file.
+	_leaving = 4
+	_gap     = 4 * time.Second
+	// _stays is how long a worker goes on after it has reported that it leaves: "at times many seconds".
+	_stays  = 12 * time.Second
+	_prefix = "/draft/"
+	// A stream has _events events with _pause between two of them.
+	_events   = 120
+	_pause    = 100 * time.Millisecond
+	_warmUp   = 4 * time.Second
+	_calm     = 3 * time.Second
+	_length   = 24 * time.Second
+	_request  = 150 * time.Millisecond
+	_deadline = 39 * time.Second
+	// _delay is how long a worker takes until it acts on the last move: "a second or so".
+	_delay = time.Second
 )
 
 type run struct {
@@ -45,208 +39,145 @@
 	site   *rig.Site
 
 	mu sync.Mutex
-	// fresh are the sessions whose first request the new version answered.
-	fresh                        []int
-	mixed, taken, refused, whole int
+	// stopped holds the runs that are to stop, by the worker's ID and the request's.
+	stopped map[string]bool
+	// lastMoves counts the calls to stop a run.
+	lastMoves int
+	// whole, short and cut count the clients' streams: complete with all events, complete with some
+	// missing, and not complete.
+	whole, short, cut, other int
 }
 
 func main() { os.Exit(rig.Main("review/6/record.txt", play)) }
 
-func settings(version string) rig.WorkerSettings {
-	return rig.WorkerSettings{Service: "scribe", Slots: 24, Version: version, Handle: func(w *rig.Worker, c *rig.Call) { handle(w, c, version) }}
-}
-
 func play(record *rig.Record) (int, error) {
-	r := &run{record: record}
+	r := &run{record: record, stopped: make(map[string]bool)}
+	scribe := rig.ScribeService()
+	scribe.Engine.Moves = true
 	var err error
 	r.site, err = rig.NewSite(&rig.Configuration{
-		Version: 1, Limits: rig.SiteLimits, Tenants: rig.Tenants(), Services: []rig.Service{rig.ScribeService()},
-		Routes: []rig.Route{{Name: "name-check", Host: rig.HostName, Prefix: _prefix, Kind: "streaming", TimeoutMs: 6000, GoalMs: 1500, Service: "scribe",
-			MaxAttempts: 2, Sticky: true, Resumable: true, GapTargetMs: 180}},
-	}, 134, rig.Pool{Count: _workers, Settings: settings("v1")})
+		Version: 1, Limits: rig.SiteLimits, Tenants: rig.Tenants(), Services: []rig.Service{scribe},
+		Routes: []rig.Route{{Name: "card-set-draft", Host: rig.HostName, Prefix: _prefix, Kind: "streaming", TimeoutMs: 39000, GoalMs: 1800, Priority: 1, Service: "scribe",
+			MaxAttempts: 1, Sticky: true, GapTargetMs: 180}},
+	}, 134, rig.Pool{Count: _workers, Settings: rig.WorkerSettings{Service: "scribe", Slots: 24, Handle: r.handle, Move: r.move}})
 	if err != nil {
 		return 0, err
 	}
 	defer r.site.Close()
-	time.Sleep(4 * time.Second)
-	old := r.site.Workers[:_workers]
-	// The release begins: the new worker starts first, the old one drains.
-	for i := range _replaced / 2 {
-		if err := r.replace(old[i], i); err != nil {
-			return 0, err
-		}
-		time.Sleep(_gap)
-	}
-	time.Sleep(_drain)
-	// Each session asks for something short first.
+	time.Sleep(_warmUp)
 	var group sync.WaitGroup
-	for n := range _sessions {
-		group.Go(func() { r.session(n, _shortEvents) })
-		time.Sleep(10 * time.Millisecond)
-	}
-	group.Wait()
-	// Then for something long. The release goes on meanwhile, and all hosts are killed.
-	fresh := r.answeredByNew()
-	for _, n := range fresh[:min(len(fresh), _longStreams)] {
-		group.Go(func() { r.session(n, _longEvents) })
-	}
-	time.Sleep(_beforeDrain)
-	for i := _replaced / 2; i < _replaced; i++ {
-		if err := r.replace(old[i], i); err != nil {
-			return 0, err
+	begun := time.Now()
+	group.Go(func() {
+		time.Sleep(_calm)
+		for i := range _leaving {
+			record.Printf("worker %s leaves", r.site.Workers[i].ID())
+			r.site.Workers[i].Drain(_stays)
+			time.Sleep(_gap)
 		}
-		time.Sleep(_gap)
-	}
-	if rig.HasTrouble() {
-		r.killAll()
+	})
+	for n := 0; time.Since(begun) < _length; n++ {
+		group.Go(func() { r.send(n) })
+		time.Sleep(_request)
 	}
 	group.Wait()
 	return r.judge(), nil
 }
 
-// replace starts a worker of the new version and has an old one drain.
-func (r *run) replace(old *rig.Worker, n int) error {
-	fresh := settings("v2")
-	fresh.Store, fresh.Zone = r.site.Store, old.Settings.Zone
-	w, err := rig.StartWorker(fmt.Sprintf("n%d", n), fresh)
-	if err != nil {
-		return err
-	}
-	r.site.Workers = append(r.site.Workers, w)
-	r.record.Printf("worker %s of v2 has started, %s of v1 drains", w.ID(), old.ID())
-	old.Drain(_drain)
-	return nil
-}
-
-// killAll kills all hosts at the same moment; they are started again.
-func (r *run) killAll() {
-	r.record.Printf("all hosts are killed")
-	var group sync.WaitGroup
-	for _, h := range r.site.Fleet.Hosts {
-		group.Go(h.Kill)
-	}
-	group.Wait()
-	time.Sleep(_down)
-	if err := r.site.Fleet.Start(); err != nil {
-		r.record.Printf("a host could not be started: %v", err)
-	}
-	r.record.Printf("the hosts are started again")
-}
-
-// handle writes a stream, from the event after the last one that the client has.
-func handle(w *rig.Worker, c *rig.Call, version string) {
-	count, _ := strconv.Atoi(string(c.Body))
+// handle writes a stream until its end, or until the run is stopped.
+func (r *run) handle(w *rig.Worker, c *rig.Call) {
 	first := 0
 	if last, err := strconv.Atoi(c.Header.Get(rig.Headers.LastEventID)); err == nil {
 		first = last + 1
 	}
 	time.Sleep(20 * time.Millisecond)
-	c.BeginStream(c.Seal())
-	for id := first; id < count; id++ {
-		if !c.Event(id, version+" "+w.ID()) {
+	c.BeginUnframed(c.Seal())
+	defer c.Close()
+	for id := first; id < _events; id++ {
+		if r.takeStop(w, c.ID) {
+			r.record.Printf("worker %s stops %s after event %d", w.ID(), c.ID, id-1)
 			return
 		}
-		time.Sleep(_pause)
-	}
-	c.EndStream()
-}
-
-// session asks for a stream of one session and takes it up when it breaks off.
-func (r *run) session(n, count int) {
-	prompt := fmt.Sprintf("5c1e07a2:200,%08x:100", 0xabc000+n)
-	end := time.Now().Add(_deadline)
-	resumes, last := "", -1
-	var events []rig.Event
-	for try := 0; ; try++ {
-		left := time.Until(end)
-		if left < _minTimeLeft {
-			break
-		}
-		host := r.host(n + try)
-		reply := rig.SendStream(host.Front, &rig.Request{
-			Method: http.MethodPost, Target: fmt.Sprintf("%s%d", _prefix, n), HostName: rig.HostName, Body: []byte(strconv.Itoa(count)), Deadline: left,
-			Header: map[string]string{"Api-Key": rig.APIKey, rig.Headers.Model: "m", rig.Headers.Tokens: "300,170", rig.Headers.Parts: prompt},
-		}, resumes, last)
-		events = append(events, reply.Events...)
-		if len(reply.Events) > 0 {
-			last = events[len(events)-1].ID
-			if resumes == "" {
-				resumes = reply.ID
-			}
-		}
-		if reply.Status != 0 {
-			r.record.Printf("session %d, attempt %s to %s, resumes %q: status %d, events %s, complete %v", n, reply.ID, host.Name, resumes, reply.Status, texts(reply.Events), reply.Complete)
-			r.count(try, &reply)
-		}
-		if reply.Complete {
-			break
+		if !c.UnframedEvent(id, w.ID()) {
+			return
 		}
-		time.Sleep(_retryPause)
+		time.Sleep(_pause)
 	}
-	r.finish(n, events)
 }
 
-func (r *run) host(n int) *rig.Host { return r.site.Fleet.Hosts[n%len(r.site.Fleet.Hosts)] }
-
-func (r *run) count(try int, reply *rig.StreamReply) {
+func (r *run) takeStop(w *rig.Worker, id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch {
-	case try > 0 && len(reply.Events) > 0:
-		r.taken++
-	case reply.Status == http.StatusServiceUnavailable:
-		r.refused++
-	}
-	if reply.Complete {
-		r.whole++
-	}
+	key := w.ID() + " " + id
+	isStopped := r.stopped[key]
+	delete(r.stopped, key)
+	return isStopped
 }
 
-// texts tells which workers wrote events.
-func texts(events []rig.Event) string {
-	var parts []string
-	for i, e := range events {
-		if i == 0 || e.Data != events[i-1].Data {
-			parts = append(parts, fmt.Sprintf("from %d %s", e.ID, e.Data))
+// move copies a run's memory. The last move waits for its turn.
+func (r *run) move(w *rig.Worker, c *rig.Call) {
+	var call struct {
+		ID   string `json:"id"`
+		To   string `json:"to"`
+		Last bool   `json:"last"`
+	}
+	_ = json.Unmarshal(c.Body, &call)
+	r.record.Printf("worker %s is asked to move %s to %s, last %v", w.ID(), call.ID, call.To, call.Last)
+	if call.Last {
+		if rig.HasTrouble() {
+			time.Sleep(delay())
 		}
+		r.mu.Lock()
+		r.stopped[w.ID()+" "+call.ID] = true
+		r.lastMoves++
+		r.mu.Unlock()
 	}
-	return "[" + strings.Join(parts, ", ") + "]"
+	time.Sleep(5 * time.Millisecond)
+	c.Answer(http.StatusOK, `{"handle":"h-`+call.ID+`","created":1}`, "Content-Type: application/json")
 }
 
-// answeredByNew returns the sessions whose first request the new version answered.
-func (r *run) answeredByNew() []int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.record.Printf("the new version answered the first requests of %d sessions", len(r.fresh))
-	return r.fresh
+// delay is how long a worker takes until it acts on the last move.
+func delay() time.Duration {
+	if d, err := time.ParseDuration(os.Getenv("DELAY")); err == nil {
+		return d
+	}
+	return _delay
 }
 
-// finish counts a stream that holds events of two versions.
-func (r *run) finish(n int, events []rig.Event) {
-	versions := make(map[string]bool)
-	for _, e := range events {
-		version, _, _ := strings.Cut(e.Data, " ")
-		versions[version] = true
-	}
-	if len(versions) == 1 && versions["v2"] && len(events) == _shortEvents {
-		r.mu.Lock()
-		r.fresh = append(r.fresh, n)
-		r.mu.Unlock()
-	}
-	if len(versions) > 1 {
-		r.record.Printf("the stream of session %d holds events of two versions: %s", n, texts(events))
-		r.mu.Lock()
-		r.mixed++
-		r.mu.Unlock()
+func (r *run) send(n int) {
+	host := r.site.Fleet.Hosts[n%len(r.site.Fleet.Hosts)]
+	reply := rig.SendStream(host.Front, &rig.Request{
+		Method: http.MethodPost, Target: fmt.Sprintf("%s%d", _prefix, n), HostName: rig.HostName, Body: fmt.Append(nil, "cards ", n), Deadline: _deadline,
+		Header: map[string]string{"Api-Key": rig.APIKey, rig.Headers.Model: "m", rig.Headers.Tokens: "300,480", rig.Headers.Parts: fmt.Sprintf("5c1e07a2:200,%08x:100", 0xb0000+n)},
+	}, "", 0)
+	var ids []string
+	for _, e := range reply.Events {
+		ids = append(ids, strconv.Itoa(e.ID))
+	}
+	last := ""
+	if len(ids) > 0 {
+		last = ids[len(ids)-1]
+	}
+	r.record.Printf("request %s to %s: status %d, %d events, the last one %s, complete %v, %v", reply.ID, host.Name, reply.Status, len(reply.Events), last, reply.Complete, reply.Err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case reply.Complete && len(reply.Events) == _events:
+		r.whole++
+	case reply.Complete:
+		r.short++
+	case len(reply.Events) > 0:
+		r.cut++
+	default:
+		r.other++
 	}
 }
 
 func (r *run) judge() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.record.Conclude("%d streams hold events of workers of two software versions (more than %d break ORDER); %d answers complete, %d streams went on after a take-up, %d attempts were refused",
-		r.mixed, _allowed, r.whole, r.taken, r.refused)
-	if r.mixed > _allowed {
+	r.record.Conclude("%d streams ended as complete before their last event (any breaks ORDER); %d were whole, %d were broken off, %d did not begin; %d last moves",
+		r.short, r.whole, r.cut, r.other, r.lastMoves)
+	if r.short > 0 {
 		return rig.Broken
 	}
 	return rig.Held
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,130 +1,252 @@
-// Command 7 plays workers that are in need for a moment: they turn requests away and say when to come back,
-// and how many requests they take from all machines together: LIMIT, a very large number by default.
+// Command 7 plays a release: workers of one software version are replaced by those of another one, one after
+// the other. During it all entry hosts are killed at the same moment, and clients take up their streams.
 package main
 
 import (
 	"fmt"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"apricotproxy/review/rig"
 )
 
 const (
-	_workers = 4
-	// _limit is the decimal number that the workers name.
-	_limit = "10000000000"
-	// _retryAfter is how long a worker wants nothing, in seconds.
-	_retryAfter = "0.5"
-	_warmUp     = 5 * time.Second
-	// The workers are in need for _need, _calm after the load began.
-	_calm     = 5 * time.Second
-	_need     = time.Second
-	_length   = 20 * time.Second
-	_pause    = 30 * time.Millisecond
-	_work     = 60 * time.Millisecond
-	_timeout  = 2 * time.Second
-	_deadline = 4 * time.Second
-	// _late is how long after its route's timeoutMs a request must have its answer.
-	_late = 500 * time.Millisecond
+	_workers = 8
+	// _replaced workers are replaced, a share of .5, with _gap between two of them: release of the bench's kinds.
+	_replaced = 4
+	_gap      = time.Second
+	// _drain is how long a worker goes on after it has reported that it leaves: drainMs and a little longer.
+	_drain = 2300 * time.Millisecond
+	// _sessions ask for something short; of those that the new version answered _longStreams ask for something long.
+	_sessions    = 480
+	_longStreams = 150
+	_prefix      = "/check/"
+	// _deadline and _pause are those of a stream; a long one has _longEvents events.
+	_deadline    = 6 * time.Second
+	_pause       = 100 * time.Millisecond
+	_shortEvents = 2
+	_longEvents  = 42
+	// _down is how long a host that was killed is away: herd_kill of the site file.
+	_down        = 2 * time.Second
+	_retryPause  = 250 * time.Millisecond
+	_minTimeLeft = 300 * time.Millisecond
+	// _allowed is the rule's "more than two streams".
+	_allowed = 2
+	// _beforeDrain is when the first worker drains that long streams run on.
+	_beforeDrain = 500 * time.Millisecond
 )
 
 type run struct {
 	record *rig.Record
 	site   *rig.Site
-	inNeed atomic.Bool
 
 	mu sync.Mutex
-	// sent counts all requests, answered those with any answer; unanswered are those that had none at their
-	// route's timeoutMs, and late those that had none half a second later.
-	sent, answered, served, unanswered, late int
+	// fresh are the sessions whose first request the new version answered.
+	fresh                        []int
+	mixed, taken, refused, whole int
 }
 
 func main() { os.Exit(rig.Main("review/7/record.txt", play)) }
 
+func settings(version string) rig.WorkerSettings {
+	return rig.WorkerSettings{Service: "scribe", Slots: 24, Version: version, Handle: func(w *rig.Worker, c *rig.Call) { handle(w, c, version) }}
+}
+
 func play(record *rig.Record) (int, error) {
 	r := &run{record: record}
 	var err error
 	r.site, err = rig.NewSite(&rig.Configuration{
-		Version: 1, Limits: rig.SiteLimits, Tenants: rig.Tenants(), Services: []rig.Service{rig.DeskService()},
-		Routes: []rig.Route{{Name: "roster-lookup", Host: rig.HostName, Prefix: "/roster/", Kind: "idempotent", TimeoutMs: int(_timeout.Milliseconds()), GoalMs: 300, Priority: 2,
-			Service: "card-desk", MaxAttempts: 2}},
-	}, 134, rig.Pool{Count: _workers, Settings: rig.WorkerSettings{Service: "card-desk", Slots: 6, Handle: r.handle}})
+		Version: 1, Limits: rig.SiteLimits, Tenants: rig.Tenants(), Services: []rig.Service{rig.ScribeService()},
+		Routes: []rig.Route{{Name: "name-check", Host: rig.HostName, Prefix: _prefix, Kind: "streaming", TimeoutMs: 6000, GoalMs: 1500, Service: "scribe",
+			MaxAttempts: 2, Sticky: true, Resumable: true, GapTargetMs: 180}},
+	}, 134, rig.Pool{Count: _workers, Settings: settings("v1")})
 	if err != nil {
 		return 0, err
 	}
 	defer r.site.Close()
-	time.Sleep(_warmUp)
-	if rig.HasTrouble() {
-		time.AfterFunc(_calm, func() {
-			record.Printf("the workers are in need")
-			r.inNeed.Store(true)
-			time.Sleep(_need)
-			r.inNeed.Store(false)
-			record.Printf("the workers are no longer in need")
-		})
+	time.Sleep(4 * time.Second)
+	old := r.site.Workers[:_workers]
+	// The release begins: the new worker starts first, the old one drains.
+	for i := range _replaced / 2 {
+		if err := r.replace(old[i], i); err != nil {
+			return 0, err
+		}
+		time.Sleep(_gap)
 	}
+	time.Sleep(_drain)
+	// Each session asks for something short first.
 	var group sync.WaitGroup
-	end := time.Now().Add(_length)
-	for n := 0; time.Now().Before(end); n++ {
-		group.Go(func() { r.send(n) })
-		time.Sleep(_pause)
+	for n := range _sessions {
+		group.Go(func() { r.session(n, _shortEvents) })
+		time.Sleep(10 * time.Millisecond)
 	}
 	group.Wait()
-	for _, h := range r.site.Fleet.Hosts {
-		record.Conclude("%s runs: %v, says that it is ready: %v", h.Name, h.Lives(), h.IsReady())
+	// Then for something long. The release goes on meanwhile, and all hosts are killed.
+	fresh := r.answeredByNew()
+	for _, n := range fresh[:min(len(fresh), _longStreams)] {
+		group.Go(func() { r.session(n, _longEvents) })
 	}
+	time.Sleep(_beforeDrain)
+	for i := _replaced / 2; i < _replaced; i++ {
+		if err := r.replace(old[i], i); err != nil {
+			return 0, err
+		}
+		time.Sleep(_gap)
+	}
+	if rig.HasTrouble() {
+		r.killAll()
+	}
+	group.Wait()
 	return r.judge(), nil
 }
 
-func (r *run) handle(w *rig.Worker, c *rig.Call) {
-	if r.inNeed.Load() {
-		r.record.Printf("worker %s turns %s away", w.ID(), c.ID)
-		c.Answer(http.StatusServiceUnavailable, "", rig.Headers.NotRun+": 1", "Retry-After: "+_retryAfter, rig.Headers.RateLimit+": "+limit())
-		return
+// replace starts a worker of the new version and has an old one drain.
+func (r *run) replace(old *rig.Worker, n int) error {
+	fresh := settings("v2")
+	fresh.Store, fresh.Zone = r.site.Store, old.Settings.Zone
+	w, err := rig.StartWorker(fmt.Sprintf("n%d", n), fresh)
+	if err != nil {
+		return err
 	}
-	time.Sleep(_work)
-	c.Answer(http.StatusOK, "found "+c.ID, c.Seal())
+	r.site.Workers = append(r.site.Workers, w)
+	r.record.Printf("worker %s of v2 has started, %s of v1 drains", w.ID(), old.ID())
+	old.Drain(_drain)
+	return nil
 }
 
-func limit() string {
-	if text := os.Getenv("LIMIT"); text != "" {
-		return text
+// killAll kills all hosts at the same moment; they are started again.
+func (r *run) killAll() {
+	r.record.Printf("all hosts are killed")
+	var group sync.WaitGroup
+	for _, h := range r.site.Fleet.Hosts {
+		group.Go(h.Kill)
+	}
+	group.Wait()
+	time.Sleep(_down)
+	if err := r.site.Fleet.Start(); err != nil {
+		r.record.Printf("a host could not be started: %v", err)
 	}
-	return _limit
+	r.record.Printf("the hosts are started again")
 }
 
-func (r *run) send(n int) {
-	host := r.site.Fleet.Hosts[n%len(r.site.Fleet.Hosts)]
-	reply := rig.Send(host.Front, &rig.Request{Method: http.MethodGet, Target: fmt.Sprintf("/roster/%d", n), HostName: rig.HostName, Deadline: _deadline,
-		Header: map[string]string{"Api-Key": rig.APIKey}})
-	r.record.Printf("request %s to %s: status %d after %v, %v", reply.ID, host.Name, reply.Status, reply.Took.Round(time.Millisecond), reply.Err)
+// handle writes a stream, from the event after the last one that the client has.
+func handle(w *rig.Worker, c *rig.Call, version string) {
+	count, _ := strconv.Atoi(string(c.Body))
+	first := 0
+	if last, err := strconv.Atoi(c.Header.Get(rig.Headers.LastEventID)); err == nil {
+		first = last + 1
+	}
+	time.Sleep(20 * time.Millisecond)
+	c.BeginStream(c.Seal())
+	for id := first; id < count; id++ {
+		if !c.Event(id, version+" "+w.ID()) {
+			return
+		}
+		time.Sleep(_pause)
+	}
+	c.EndStream()
+}
+
+// session asks for a stream of one session and takes it up when it breaks off.
+func (r *run) session(n, count int) {
+	prompt := fmt.Sprintf("5c1e07a2:200,%08x:100", 0xabc000+n)
+	end := time.Now().Add(_deadline)
+	resumes, last := "", -1
+	var events []rig.Event
+	for try := 0; ; try++ {
+		left := time.Until(end)
+		if left < _minTimeLeft {
+			break
+		}
+		host := r.host(n + try)
+		reply := rig.SendStream(host.Front, &rig.Request{
+			Method: http.MethodPost, Target: fmt.Sprintf("%s%d", _prefix, n), HostName: rig.HostName, Body: []byte(strconv.Itoa(count)), Deadline: left,
+			Header: map[string]string{"Api-Key": rig.APIKey, rig.Headers.Model: "m", rig.Headers.Tokens: "300,170", rig.Headers.Parts: prompt},
+		}, resumes, last)
+		events = append(events, reply.Events...)
+		if len(reply.Events) > 0 {
+			last = events[len(events)-1].ID
+			if resumes == "" {
+				resumes = reply.ID
+			}
+		}
+		if reply.Status != 0 {
+			r.record.Printf("session %d, attempt %s to %s, resumes %q: status %d, events %s, complete %v", n, reply.ID, host.Name, resumes, reply.Status, texts(reply.Events), reply.Complete)
+			r.count(try, &reply)
+		}
+		if reply.Complete {
+			break
+		}
+		time.Sleep(_retryPause)
+	}
+	r.finish(n, events)
+}
+
+func (r *run) host(n int) *rig.Host { return r.site.Fleet.Hosts[n%len(r.site.Fleet.Hosts)] }
+
+func (r *run) count(try int, reply *rig.StreamReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.sent++
-	if reply.Status != 0 {
-		r.answered++
+	switch {
+	case try > 0 && len(reply.Events) > 0:
+		r.taken++
+	case reply.Status == http.StatusServiceUnavailable:
+		r.refused++
+	}
+	if reply.Complete {
+		r.whole++
+	}
+}
+
+// texts tells which workers wrote events.
+func texts(events []rig.Event) string {
+	var parts []string
+	for i, e := range events {
+		if i == 0 || e.Data != events[i-1].Data {
+			parts = append(parts, fmt.Sprintf("from %d %s", e.ID, e.Data))
+		}
 	}
-	if reply.Status == http.StatusOK {
-		r.served++
+	return "[" + strings.Join(parts, ", ") + "]"
+}
+
+// answeredByNew returns the sessions whose first request the new version answered.
+func (r *run) answeredByNew() []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Printf("the new version answered the first requests of %d sessions", len(r.fresh))
+	return r.fresh
+}
+
+// finish counts a stream that holds events of two versions.
+func (r *run) finish(n int, events []rig.Event) {
+	versions := make(map[string]bool)
+	for _, e := range events {
+		version, _, _ := strings.Cut(e.Data, " ")
+		versions[version] = true
 	}
-	if reply.Took >= _timeout {
-		r.unanswered++
+	if len(versions) == 1 && versions["v2"] && len(events) == _shortEvents {
+		r.mu.Lock()
+		r.fresh = append(r.fresh, n)
+		r.mu.Unlock()
 	}
-	if reply.Took >= _timeout+_late {
-		r.late++
+	if len(versions) > 1 {
+		r.record.Printf("the stream of session %d holds events of two versions: %s", n, texts(events))
+		r.mu.Lock()
+		r.mixed++
+		r.mu.Unlock()
 	}
 }
 
 func (r *run) judge() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.record.Conclude("%d requests, %d answered, %d served; %d had no answer at their route's timeoutMs, %d of them had none half a second later (more than half breaks CONFIG)",
-		r.sent, r.answered, r.served, r.unanswered, r.late)
-	if 2*r.late > r.unanswered {
+	r.record.Conclude("%d streams hold events of workers of two software versions (more than %d break ORDER); %d answers complete, %d streams went on after a take-up, %d attempts were refused",
+		r.mixed, _allowed, r.whole, r.taken, r.refused)
+	if r.mixed > _allowed {
 		return rig.Broken
 	}
 	return rig.Held
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -41,6 +41,8 @@
 	Version string
 	// Handle answers a request that is for this worker.
 	Handle func(w *Worker, c *Call)
+	// Move answers a call to copy a run's memory; nil if the worker does not offer it.
+	Move func(w *Worker, c *Call)
 	// LeavesBodies is true if Handle reads the bodies.
 	LeavesBodies bool
 }
@@ -258,6 +260,8 @@
 		w.report(c)
 	case c.URL.Path == platform.Paths().Held:
 		w.list(c)
+	case c.URL.Path == platform.Paths().Move && w.Settings.Move != nil:
+		w.Settings.Move(w, c)
 	case c.ID == "":
 		c.Answer(http.StatusBadRequest, "", Headers.NotRun+": 1")
 	case c.Header.Get(Headers.ExpectedEndpoint) != "" && c.Header.Get(Headers.ExpectedEndpoint) != w.ID():
@@ -319,5 +323,20 @@
 	return err == nil
 }
 
+// BeginUnframed sends the head of a stream of events that has neither a length nor chunks and ends with its
+// connection.
+func (c *Call) BeginUnframed(headers ...string) {
+	_, _ = io.WriteString(c.conn, c.head(http.StatusOK, headers)+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+}
+
+// UnframedEvent sends an event of such a stream. It returns false once the connection is closed.
+func (c *Call) UnframedEvent(id int, data string) bool {
+	_, err := fmt.Fprintf(c.conn, "id: %d\ndata: %s\n\n", id, data)
+	return err == nil
+}
+
+// Close closes the call's connection.
+func (c *Call) Close() { _ = c.conn.Close() }
+
 // EndStream ends a stream.
 func (c *Call) EndStream() { _, _ = io.WriteString(c.conn, "0\r\n\r\n") }
