--- a/review/6/main.go
+++ b/review/6/main.go
@@ -39,8 +39,9 @@
 	site   *rig.Site
 
 	mu sync.Mutex
-	// stopped holds the runs that are to stop, by the worker's ID and the request's.
-	stopped map[string]bool
+	// running holds the runs that go on, by the worker's ID and the request's; true for those that are to
+	// stop.
+	running map[string]bool
 	// lastMoves counts the calls to stop a run.
 	lastMoves int
 	// whole, short and cut count the clients' streams: complete with all events, complete with some
@@ -51,7 +52,7 @@
 func main() { os.Exit(rig.Main("review/6/record.txt", play)) }
 
 func play(record *rig.Record) (int, error) {
-	r := &run{record: record, stopped: make(map[string]bool)}
+	r := &run{record: record, running: make(map[string]bool)}
 	scribe := rig.ScribeService()
 	scribe.Engine.Moves = true
 	var err error
@@ -90,10 +91,13 @@
 		first = last + 1
 	}
 	time.Sleep(20 * time.Millisecond)
+	key := w.ID() + " " + c.ID
+	r.begin(key)
+	defer r.end(key)
 	c.BeginUnframed(c.Seal())
 	defer c.Close()
 	for id := first; id < _events; id++ {
-		if r.takeStop(w, c.ID) {
+		if r.isToStop(key) {
 			r.record.Printf("worker %s stops %s after event %d", w.ID(), c.ID, id-1)
 			return
 		}
@@ -104,16 +108,37 @@
 	}
 }
 
-func (r *run) takeStop(w *rig.Worker, id string) bool {
+func (r *run) begin(key string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	key := w.ID() + " " + id
-	isStopped := r.stopped[key]
-	delete(r.stopped, key)
-	return isStopped
+	r.running[key] = false
 }
 
-// move copies a run's memory. The last move waits for its turn.
+func (r *run) end(key string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.running, key)
+}
+
+func (r *run) isToStop(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running[key]
+}
+
+// stop has a run stop, and reports whether there is one.
+func (r *run) stop(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, isRunning := r.running[key]; !isRunning {
+		return false
+	}
+	r.running[key] = true
+	r.lastMoves++
+	return true
+}
+
+// move copies a run's memory. The last move stops the run first.
 func (r *run) move(w *rig.Worker, c *rig.Call) {
 	var call struct {
 		ID   string `json:"id"`
@@ -126,10 +151,10 @@
 		if rig.HasTrouble() {
 			time.Sleep(delay())
 		}
-		r.mu.Lock()
-		r.stopped[w.ID()+" "+call.ID] = true
-		r.lastMoves++
-		r.mu.Unlock()
+		if !r.stop(w.ID() + " " + call.ID) {
+			c.Answer(http.StatusNotFound, "{}", "Content-Type: application/json")
+			return
+		}
 	}
 	time.Sleep(5 * time.Millisecond)
 	c.Answer(http.StatusOK, `{"handle":"h-`+call.ID+`","created":1}`, "Content-Type: application/json")
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -31,8 +31,10 @@
 	_shortEvents = 2
 	_longEvents  = 42
 	// _down is how long a host that was killed is away: herd_kill of the site file.
-	_down        = 2 * time.Second
-	_retryPause  = 250 * time.Millisecond
+	_down       = 2 * time.Second
+	_retryPause = 250 * time.Millisecond
+	// _tries is how often a client sends a request: "a few times".
+	_tries       = 3
 	_minTimeLeft = 300 * time.Millisecond
 	// _allowed is the rule's "more than two streams".
 	_allowed = 2
@@ -151,22 +153,25 @@
 	c.EndStream()
 }
 
-// session asks for a stream of one session and takes it up when it breaks off.
+// session asks for a stream of one session and takes it up when it breaks off. It comes back as the pages
+// say: a few times, after the Retry-After of a refusal, and on a new connection each time.
 func (r *run) session(n, count int) {
 	prompt := fmt.Sprintf("5c1e07a2:200,%08x:100", 0xabc000+n)
 	end := time.Now().Add(_deadline)
 	resumes, last := "", -1
 	var events []rig.Event
-	for try := 0; ; try++ {
+	for try, tries := 0, 0; tries < _tries && time.Until(end) >= _minTimeLeft; try++ {
 		left := time.Until(end)
-		if left < _minTimeLeft {
-			break
-		}
 		host := r.host(n + try)
 		reply := rig.SendStream(host.Front, &rig.Request{
 			Method: http.MethodPost, Target: fmt.Sprintf("%s%d", _prefix, n), HostName: rig.HostName, Body: []byte(strconv.Itoa(count)), Deadline: left,
 			Header: map[string]string{"Api-Key": rig.APIKey, rig.Headers.Model: "m", rig.Headers.Tokens: "300,170", rig.Headers.Parts: prompt},
 		}, resumes, last)
+		if reply.Status == 0 { // no machine takes connections
+			time.Sleep(_retryPause)
+			continue
+		}
+		tries++
 		events = append(events, reply.Events...)
 		if len(reply.Events) > 0 {
 			last = events[len(events)-1].ID
@@ -174,25 +179,33 @@
 				resumes = reply.ID
 			}
 		}
-		if reply.Status != 0 {
-			r.record.Printf("session %d, attempt %s to %s, resumes %q: status %d, events %s, complete %v", n, reply.ID, host.Name, resumes, reply.Status, texts(reply.Events), reply.Complete)
-			r.count(try, &reply)
-		}
+		r.record.Printf("session %d, attempt %s to %s, resumes %q: status %d, events %s, complete %v", n, reply.ID, host.Name, resumes, reply.Status, texts(reply.Events), reply.Complete)
+		r.count(tries, &reply)
 		if reply.Complete {
 			break
 		}
-		time.Sleep(_retryPause)
+		time.Sleep(comeBackIn(&reply, time.Until(end)))
 	}
 	r.finish(n, events)
 }
 
+// comeBackIn returns how long a client waits before it comes back: as it was told, up to a third of the
+// time that it has left.
+func comeBackIn(reply *rig.StreamReply, left time.Duration) time.Duration {
+	seconds, err := strconv.ParseFloat(reply.RetryAfter, 64)
+	if err != nil {
+		return _retryPause
+	}
+	return min(time.Duration(seconds*float64(time.Second)), left/3)
+}
+
 func (r *run) host(n int) *rig.Host { return r.site.Fleet.Hosts[n%len(r.site.Fleet.Hosts)] }
 
-func (r *run) count(try int, reply *rig.StreamReply) {
+func (r *run) count(tries int, reply *rig.StreamReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case try > 0 && len(reply.Events) > 0:
+	case tries > 1 && len(reply.Events) > 0:
 		r.taken++
 	case reply.Status == http.StatusServiceUnavailable:
 		r.refused++
