--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -16,6 +16,7 @@
 	"apricotproxy/core/procs/poison"
 	"apricotproxy/core/procs/reach"
 	"apricotproxy/core/reqst/event"
+	"apricotproxy/core/reqst/leave"
 	"apricotproxy/core/reqst/tries"
 	"apricotproxy/io/links"
 )
@@ -91,6 +92,8 @@
 	// last try if this host ended it and the endpoint may still work on it; nil otherwise.
 	stop    runStop
 	unended *core.RoutedEndpoint
+	// before is the last try at an endpoint that was sent the request.
+	before sentTry
 	// counted is true once the current try counts as sent, waitLogged once it was logged that
 	// its silent endpoint is waited for.
 	counted, waitLogged bool
@@ -298,8 +301,10 @@
 		}
 		from = stoppedFrom
 	}
+	e.logGoesOn(step, from)
 	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
 	end := e.try(ctx, from)
+	e.before = sentTry{endpoint: e.run.Endpoint.RoutedEndpoint, err: end.err, evidence: e.stop.evidence, handover: e.backup.handoverState()}
 	if end.mayStillRun {
 		e.unended = &e.run.Endpoint.RoutedEndpoint
 	}
@@ -322,6 +327,29 @@
 	return end
 }
 
+// sentTry is what is logged of a try once the request goes on elsewhere.
+type sentTry struct {
+	endpoint core.RoutedEndpoint
+	// err is why the try ended, evidence and handover what was known of its run then.
+	err      error
+	evidence leave.Evidence
+	handover handover
+}
+
+// logGoesOn logs what is known of the run of the last try when the request goes on at another endpoint.
+func (e *exchange) logGoesOn(step tries.Step, from string) {
+	if step == tries.Again || e.before.endpoint.ID == "" {
+		return
+	}
+	b, wasEnded := &e.before, e.unended == nil
+	evidence := b.evidence
+	if !wasEnded {
+		evidence = e.stop.evidence
+	}
+	e.log("A run goes on at another endpoint.", "Step", step.String(), "Before", b.endpoint.ID, "To", e.run.Endpoint.ID, "From", from,
+		"Cause", errorText(b.err), "EndedByEndpoint", wasEnded, "Evidence", evidence.String(), "Handover", b.handover.String(), "SinceEvent", time.Since(e.lastEventAt).Milliseconds())
+}
+
 // beginTry resets what is known of the current try.
 func (e *exchange) beginTry(step tries.Step) {
 	e.continued = e.continued || step != tries.Again
