--- a/fakes/cutoff/cutoff.go
+++ b/fakes/cutoff/cutoff.go
@@ -28,11 +28,13 @@
 	HangAccepted
 	// ResetAccepted is Reset, except that new connections are accepted before they are reset.
 	ResetAccepted
+	// HangNew answers no attempts to connect. Open connections work as before.
+	HangNew
 )
 
 // String returns a description for test output.
 func (k Kind) String() string {
-	return [...]string{"none", "hang", "reset", "new ones refused", "hang after the accept", "reset after the accept"}[k]
+	return [...]string{"none", "hang", "reset", "new ones refused", "hang after the accept", "reset after the accept", "new ones hang"}[k]
 }
 
 const (
@@ -91,7 +93,7 @@
 	l.cut = kind
 	l.pass(kind != Hang && kind != HangAccepted)
 	switch kind {
-	case Hang:
+	case Hang, HangNew:
 		return l.plug()
 	case Reset, RefuseNew:
 		_ = l.listener.Close()
@@ -110,7 +112,7 @@
 	l.pass(true)
 	l.mu.Unlock()
 	switch kind {
-	case Hang:
+	case Hang, HangNew:
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.unplug()
@@ -124,6 +126,13 @@
 	return nil
 }
 
+// ResetOpen resets the open connections. New ones meet what they met before.
+func (l *Link) ResetOpen() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resetAll()
+}
+
 // pass sets whether bytes pass. The caller holds the lock.
 func (l *Link) pass(passing bool) {
 	select {
