A stream that must run once goes on elsewhere only once its run has ended

Cause: signs that an engine does not answer were taken for the end of its run: one attempt to connect that failed (300 ms), a request to stop the run that was not answered for one more silence, and the end of this host's connection, which the path may reset. Class: the absence of an answer was taken for an answer.

An open connection that is acknowledged shows that the process lives.

--- a/core/reqst/leave/end.go
+++ b/core/reqst/leave/end.go
@@ -28,7 +28,7 @@
 func (s *StopRequests) Settle(now time.Time, evidence Evidence) {
 	s.pending--
 	s.settledAt = now
-	s.mayHaveStopped = s.mayHaveStopped || evidence != Unreachable && evidence != NoRun
+	s.mayHaveStopped = s.mayHaveStopped || !evidence.failed() && evidence != NoRun
 }
 
 // RecordEvent records that an event of the run arrived, for which this host had waited since a time with
--- a/core/reqst/leave/leave.go
+++ b/core/reqst/leave/leave.go
@@ -1,15 +1,23 @@
 // Package leave decides when a stream may go on at another endpoint although the endpoint of its
-// current try did not end it: it fell silent, or sent what is no event. That endpoint may still
-// work on the stream, and most endpoints, but not all, drop a request when its connection closes.
+// current try may still work on it. A stream that must not run twice goes on once its run is known to
+// have ended. That an endpoint does not answer, or that a connection to it has ended, does not show
+// that: the endpoint may be silent, its queue of new connections may be full, and the path may have reset
+// the connection. Most endpoints, but not all, drop a request when its connection closes.
 package leave
 
 import "time"
 
-// _repeatablePatience is how long a stream that may run at two endpoints at a time waits for the
-// answer of the one that is asked to stop: many round trips within a region.
-const _repeatablePatience = 200 * time.Millisecond
+const (
+	// _repeatablePatience is how long a stream that may run at two endpoints at a time waits for the
+	// answer of the one that is asked to stop: many round trips within a region.
+	_repeatablePatience = 200 * time.Millisecond
+	// _minFailures and _minUnreachable are how many attempts in a row to connect must have failed, and for
+	// how long, until contact to an endpoint counts as lost. Packets of a few attempts may be lost.
+	_minFailures    = 4
+	_minUnreachable = 1500 * time.Millisecond
+)
 
-// Evidence is what this host knows of the run at the endpoint that is to be left.
+// Evidence is what the last request to stop the run has shown.
 type Evidence uint8
 
 // Evidence. The zero Evidence means that the endpoint was not asked to stop the run.
@@ -22,7 +30,9 @@
 	NoRun
 	// Declined: the endpoint answered anything else. The run may go on.
 	Declined
-	// Unreachable: no connection to the endpoint could be opened.
+	// Refused: nothing listens at the endpoint's address.
+	Refused
+	// Unreachable: an attempt to connect got no answer.
 	Unreachable
 	// Unsupported: endpoints of the service cannot be asked.
 	Unsupported
@@ -30,7 +40,31 @@
 
 // String returns the name used in logs.
 func (e Evidence) String() string {
-	return [...]string{"NotAsked", "Asked", "Stopped", "NoRun", "Declined", "Unreachable", "Unsupported"}[e]
+	return [...]string{"NotAsked", "Asked", "Stopped", "NoRun", "Declined", "Refused", "Unreachable", "Unsupported"}[e]
+}
+
+// failed reports whether there was no connection on which the endpoint could be asked.
+func (e Evidence) failed() bool { return e == Refused || e == Unreachable }
+
+// Connection is the state of the connection that carried the run.
+type Connection uint8
+
+// States of a connection.
+const (
+	// Open: it may bring the rest of the stream. The endpoint's system acknowledges what is sent on it, so
+	// the endpoint has not ended.
+	Open Connection = iota + 1
+	// Closed: this host closed it.
+	Closed
+	// Ended: the endpoint, or something on the path, closed or reset it.
+	Ended
+	// Dead: nothing that was sent on it was acknowledged for some seconds.
+	Dead
+)
+
+// String returns the name used in logs.
+func (c Connection) String() string {
+	return [...]string{"None", "Open", "Closed", "Ended", "Dead"}[c]
 }
 
 // Step is what to do now.
@@ -40,7 +74,7 @@
 const (
 	// Wait: read on from the endpoint, and decide again later.
 	Wait Step = iota + 1
-	// Ask: ask the endpoint to stop the run.
+	// Ask: ask the endpoint to stop the run, unless a request to do so is under way.
 	Ask
 	// Leave: go on at the other endpoint.
 	Leave
@@ -51,60 +85,89 @@
 // String returns the name used in logs.
 func (s Step) String() string { return [...]string{"None", "Wait", "Ask", "Leave", "GiveUp"}[s] }
 
+// Contact is what is known of an endpoint besides its answers.
+type Contact struct {
+	// Failures counts the attempts in a row to connect to the endpoint that failed, the first of which began
+	// at FailingSince.
+	Failures     int
+	FailingSince time.Time
+	// IsReachedElsewhere is true if another host has a connection to the endpoint.
+	IsReachedElsewhere bool
+	// IsReplaced is true if the endpoint has started again since, or another one has its address.
+	IsReplaced bool
+	// IsWithdrawn is true if the endpoint's document is gone, or if it is not known whether it is.
+	IsWithdrawn bool
+}
+
+// isLost reports whether the endpoint cannot be reached any more, from any host that could tell.
+func (c Contact) isLost(now time.Time) bool {
+	return c.Failures >= _minFailures && now.Sub(c.FailingSince) >= _minUnreachable && c.IsWithdrawn && !c.IsReachedElsewhere
+}
+
 // Situation is the input of a decision.
 type Situation struct {
-	Evidence Evidence
+	Now        time.Time
+	Evidence   Evidence
+	Connection Connection
+	Contact    Contact
+	// HasBegun is true if the endpoint has sent an event of the run. Otherwise it may act late on the
+	// request, and begin after it has answered that it has no such run.
+	HasBegun bool
 	// Repeatable is true if the stream may run at two endpoints at a time.
 	Repeatable bool
-	// Closed is true if this host has closed the connection, so that nothing more can come.
-	Closed bool
 	// Limit is the silence after which a stream may leave its endpoint.
 	Limit time.Duration
-	// Since is how long ago the endpoint was first asked.
-	Since time.Duration
+	// AskedAt is when the endpoint was first asked.
+	AskedAt time.Time
+	// GiveUpAt is when the caller no longer waits for the next event.
+	GiveUpAt time.Time
 }
 
-// Next returns the next step. A stream that must not run twice leaves only an endpoint that has
-// stopped it or has not got it, or to which nothing gets through.
+// Next returns the next step.
 func (s Situation) Next() Step {
-	switch s.Evidence {
-	case 0:
+	switch {
+	case s.Evidence == 0:
 		return Ask
-	case Stopped, Unreachable:
+	case s.HasEnded():
 		return Leave
-	case Unsupported:
-		return s.withoutProof(Wait)
-	case Declined:
-		if s.Repeatable || s.Closed {
-			return s.afterPatience(s.withoutProof(Ask), Ask)
-		}
-		return Ask
+	case s.Repeatable:
+		return s.nextOfRepeatable()
+	case s.Connection != Open && (s.Evidence == Unsupported || !s.Now.Before(s.GiveUpAt)):
+		return GiveUp
+	case s.Evidence == Unsupported, s.Evidence == NoRun && s.HasBegun:
+		return Wait
 	default:
-		return s.afterPatience(Leave, Wait)
+		return Ask
 	}
 }
 
-// withoutProof returns the step if nothing will show that the run has stopped. An open connection
-// may bring the rest of the stream.
-func (s Situation) withoutProof(open Step) Step {
+// HasEnded reports whether the run is known to have ended, or the endpoint cannot be reached any more.
+func (s Situation) HasEnded() bool {
+	gone := s.Connection == Ended || s.Connection == Dead
 	switch {
-	case s.Repeatable:
-		return Leave
-	case s.Closed:
-		return GiveUp
+	case s.Contact.IsReplaced, s.Evidence == Stopped:
+		return true
+	case s.Evidence == NoRun:
+		return s.HasBegun && (s.Connection != Open || s.asked() >= s.Limit)
+	case s.Evidence == Refused && gone:
+		return true // a process that lives has its connections or its listener
+	case s.Evidence == Unsupported:
+		return s.Connection == Ended // there is no way to find out more
 	default:
-		return open
+		return s.Evidence.failed() && gone && s.Contact.isLost(s.Now)
 	}
 }
 
-// afterPatience returns late if the endpoint was first asked too long ago, and early before.
-func (s Situation) afterPatience(late, early Step) Step {
-	patience := s.Limit // a sound endpoint may answer nothing for a second or so on any connection
-	if s.Repeatable {
-		patience = _repeatablePatience
-	}
-	if s.Since >= patience {
-		return late
+// nextOfRepeatable returns the next step of a stream that may run twice, but not for nothing.
+func (s Situation) nextOfRepeatable() Step {
+	switch {
+	case s.Evidence.failed(), s.Evidence == Unsupported, s.asked() >= _repeatablePatience:
+		return Leave
+	case s.Evidence == Declined:
+		return Ask
+	default:
+		return Wait
 	}
-	return early
 }
+
+func (s Situation) asked() time.Duration { return s.Now.Sub(s.AskedAt) }
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -141,7 +141,7 @@
 				if end.done {
 					return *end
 				}
-				return *end.leftWhileRunning(answer)
+				return *end.leftAt(answer)
 			}
 			if e.received > before {
 				if time.Since(readAt) >= _emptyRead {
@@ -155,7 +155,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF) && e.splitter.Buffered() == 0 && e.delivered && e.mayEndStream(answer):
 			if end := e.falseEnd(ctx, answer); end != nil {
-				return *end.leftWhileRunning(answer)
+				return *end.leftAt(answer)
 			}
 			e.finishStream(answer)
 			return tryResult{done: true, health: place.Good}
@@ -164,7 +164,7 @@
 			if errors.Is(err, errSlow) {
 				return end
 			}
-			return *end.leftWhileRunning(answer)
+			return *end.leftAt(answer)
 		}
 	}
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -88,10 +88,10 @@
 	offersDeclined int
 	// stopRequests is what became of requests to stop the run of the current try.
 	stopRequests *stopRequests
-	// stop is what is known of stopping the run of the current try, unended the endpoint of the
-	// last try if this host ended it and the endpoint may still work on it; nil otherwise.
+	// stop is what is known of stopping the run of the current try, unended the run of the last try
+	// if its endpoint may still work on it; nil otherwise.
 	stop    runStop
-	unended *core.RoutedEndpoint
+	unended *leftRun
 	// before is the last try at an endpoint that was sent the request.
 	before sentTry
 	// counted is true once the current try counts as sent, waitLogged once it was logged that
@@ -165,8 +165,9 @@
 	health place.Outcome
 	// brokenOff is true when the endpoint ended its answer before it was complete.
 	brokenOff bool
-	// mayStillRun is true if this host ended the try and the endpoint may still work on it.
-	mayStillRun bool
+	// connection is the state of the connection to the endpoint if that may still work on the request; 0 if it
+	// does not, or has not got it.
+	connection leave.Connection
 	// atHost is true if another host refused the request, so that a further try is no retry at an endpoint.
 	atHost bool
 	err    error
@@ -293,7 +294,7 @@
 		return tryResult{done: true}
 	}
 	e.beginTry(step)
-	if e.unended != nil && e.delivered { // the endpoint before may still work on the stream
+	if e.mustAwaitStopped() {
 		stoppedFrom, err := e.awaitStopped(ctx, from)
 		if err != nil {
 			e.placer().end(e.run, 0)
@@ -304,9 +305,9 @@
 	e.logGoesOn(step, from)
 	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
 	end := e.try(ctx, from)
-	e.before = sentTry{endpoint: e.run.Endpoint.RoutedEndpoint, err: end.err, evidence: e.stop.evidence, handover: e.backup.handoverState()}
-	if end.mayStillRun {
-		e.unended = &e.run.Endpoint.RoutedEndpoint
+	e.before = sentTry{endpoint: e.run.Endpoint.RoutedEndpoint, err: end.err, handover: e.backup.handoverState()}
+	if end.connection != 0 && e.backup.handoverState() != _handoverDone {
+		e.unended = &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: end.connection, hasBegun: !e.firstEventAt.IsZero()}
 	}
 	e.recordEnd(ctx, &end)
 	if !end.done && !e.backupReady() {
@@ -327,12 +328,17 @@
 	return end
 }
 
+// mustAwaitStopped reports whether the stream may go on only once the run of its last try has ended. One
+// that may run twice waits only for an endpoint whose connection this host closed.
+func (e *exchange) mustAwaitStopped() bool {
+	return e.unended != nil && e.delivered && (!e.request.Route.Resumable || e.unended.connection == leave.Closed)
+}
+
 // sentTry is what is logged of a try once the request goes on elsewhere.
 type sentTry struct {
 	endpoint core.RoutedEndpoint
-	// err is why the try ended, evidence and handover what was known of its run then.
+	// err is why the try ended, handover how far its run had been handed over by then.
 	err      error
-	evidence leave.Evidence
 	handover handover
 }
 
@@ -341,13 +347,14 @@
 	if step == tries.Again || e.before.endpoint.ID == "" {
 		return
 	}
-	b, wasEnded := &e.before, e.unended == nil
-	evidence := b.evidence
-	if !wasEnded {
-		evidence = e.stop.evidence
+	b, connection := &e.before, leave.Connection(0)
+	if e.unended != nil {
+		connection = e.unended.connection
 	}
 	e.log("A run goes on at another endpoint.", "Step", step.String(), "Before", b.endpoint.ID, "To", e.run.Endpoint.ID, "From", from,
-		"Cause", errorText(b.err), "EndedByEndpoint", wasEnded, "Evidence", evidence.String(), "Handover", b.handover.String(), "SinceEvent", time.Since(e.lastEventAt).Milliseconds())
+		"Cause", errorText(b.err), "Connection", connection.String(), "Evidence", e.stop.evidence.String(), "Handover", b.handover.String(),
+		"Failures", e.stop.contact.Failures, "IsReplaced", e.stop.contact.IsReplaced, "IsWithdrawn", e.stop.contact.IsWithdrawn,
+		"IsReachedElsewhere", e.stop.contact.IsReachedElsewhere, "SinceEvent", time.Since(e.lastEventAt).Milliseconds())
 }
 
 // beginTry resets what is known of the current try.
@@ -434,7 +441,7 @@
 		cause = errSlow
 	}
 	if end.err != nil && cause != nil {
-		end.err, end.health, end.brokenOff, end.mayStillRun = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false, false
+		end.err, end.health, end.brokenOff, end.connection = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false, 0
 	}
 	return end
 }
@@ -527,7 +534,7 @@
 		e.answerBegun = true
 		if answer.Header.Get(names.Seal) == "" || answer.Header.Get("Content-Encoding") != "" {
 			end := tryResult{result: e.lostResult(), health: place.Bad, err: errors.New("the answer has no seal or is content-encoded")}
-			return *end.leftWhileRunning(answer)
+			return *end.leftAt(answer)
 		}
 		if e.request.Route.Kind == core.RouteStreaming {
 			return e.stream(ctx, answer)
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
+	"syscall"
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/procs/know"
 	"apricotproxy/core/reqst/leave"
 	"apricotproxy/core/reqst/tries"
 	"apricotproxy/io/links"
@@ -19,13 +22,19 @@
 // is taken to work on otherwise.
 const _endDelay = 20 * time.Millisecond
 
+// _maxStopPause bounds the pause, which doubles, before a lost endpoint is asked again to stop a run.
+const _maxStopPause = 320 * time.Millisecond
+
 // runStop is what is known of stopping the run of one try, which is to go on elsewhere.
 type runStop struct {
 	evidence leave.Evidence
-	// since is when the endpoint was first asked.
+	// since is when the endpoint was first asked, asked how often.
 	since time.Time
-	// from identifies the copy that the endpoint made when it stopped the run; empty for none.
-	from string
+	asked int
+	// contact is what the requests have shown of the endpoint besides.
+	contact leave.Contact
+	// from identifies the copy that the endpoint made when it stopped the run, at the address to; empty for none.
+	from, to string
 	// pending is the request that is under way; nil for none.
 	pending *stopRequest
 }
@@ -34,34 +43,55 @@
 type stopRequest struct {
 	cancel   context.CancelFunc
 	done     chan struct{}
+	sentAt   time.Time
 	evidence leave.Evidence
-	from     string
+	from, to string
 }
 
-// decideLeave returns whether the stream may go on at the endpoint to, though source did not end
-// the run. It asks source to stop the run first, and has to be called again until that is known.
-// closed is true if the connection to source is closed.
-func (e *exchange) decideLeave(ctx context.Context, source, to core.RoutedEndpoint, closed bool) leave.Step {
-	s := &e.stop
+// leftRun is a run that the endpoint of a try may still work on.
+type leftRun struct {
+	endpoint   core.RoutedEndpoint
+	connection leave.Connection
+	// hasBegun is true if the endpoint has sent an event of the run.
+	hasBegun bool
+}
+
+// currentRun returns the run of the current try, whose connection is open.
+func (e *exchange) currentRun() *leftRun {
+	return &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: leave.Open, hasBegun: !e.firstEventAt.IsZero()}
+}
+
+// decideLeave returns whether the stream may go on at the endpoint to, though a run may not have
+// ended. It asks the run's endpoint to stop it first, and has to be called again until that is known.
+func (e *exchange) decideLeave(ctx context.Context, run *leftRun, to core.RoutedEndpoint) leave.Step {
+	s, now := &e.stop, time.Now()
+	if s.pending == nil && s.since.Before(e.lastEventAt) {
+		*s = runStop{} // the endpoint has gone on since it was asked
+	}
 	if s.pending != nil {
 		select {
 		case <-s.pending.done:
 			s.finish()
-			e.log("An endpoint was asked to stop a run.", "Endpoint", source.ID, "Evidence", s.evidence.String(), "To", to.ID)
+			e.log("An endpoint was asked to stop a run.", "Endpoint", run.endpoint.ID, "Evidence", s.evidence.String(), "To", to.ID,
+				"Asked", s.asked, "Connection", run.connection.String(), "Failures", s.contact.Failures)
 		default:
 		}
 	}
 	if spec := e.engineSpec(); s.evidence == 0 && (spec == nil || !spec.Moves) {
 		s.evidence = leave.Unsupported
 	}
-	now := time.Now()
 	if s.since.IsZero() {
 		s.since = now
 	}
-	situation := leave.Situation{Evidence: s.evidence, Repeatable: e.request.Route.Resumable, Closed: closed, Limit: e.silenceTimeout(), Since: now.Sub(s.since)}
+	e.lookUp(&s.contact, run.endpoint)
+	situation := leave.Situation{
+		Now: now, Evidence: s.evidence, Connection: run.connection, Contact: s.contact, HasBegun: run.hasBegun,
+		Repeatable: e.request.Route.Resumable, Limit: e.silenceTimeout(), AskedAt: s.since, GiveUpAt: e.lastEventAt.Add(e.longestPauseOfCallers()),
+	}
 	step := situation.Next()
 	if step == leave.Ask && s.pending == nil {
-		s.pending = e.requestStop(ctx, source, to)
+		s.asked++
+		s.pending = e.requestStop(ctx, run.endpoint, to)
 		if s.evidence == 0 {
 			s.evidence = leave.Asked
 		}
@@ -69,23 +99,59 @@
 	return step
 }
 
+// lookUp sets what the documents tell of an endpoint.
+func (e *exchange) lookUp(contact *leave.Contact, endpoint core.RoutedEndpoint) {
+	config := e.front.config
+	contact.IsWithdrawn = true
+	if config.DocumentsOutdated == nil || !config.DocumentsOutdated() {
+		contact.IsWithdrawn = !slices.ContainsFunc(config.View().Endpoints, func(other know.Endpoint) bool {
+			return other.Key() == endpoint.Key() && other.DropAt.IsZero()
+		})
+	}
+	contact.IsReplaced = slices.ContainsFunc(config.View().Endpoints, func(other know.Endpoint) bool {
+		return (other.ID == endpoint.ID || other.Address == endpoint.Address) && !endpoint.Born.IsZero() && other.Born.After(endpoint.Born)
+	})
+}
+
+// longestPauseOfCallers returns for how long callers wait for the next event of a stream, by the
+// platform's documentation.
+func (e *exchange) longestPauseOfCallers() time.Duration {
+	return max(_maxPause, _maxPauseGoals*e.request.Route.Goal, _maxPauseGaps*e.request.Route.GapGoal)
+}
+
+// copyAt returns the copy that the endpoint made at an address when it stopped the run; empty for none.
+func (s *runStop) copyAt(address string) string {
+	if s.to != address {
+		return ""
+	}
+	return s.from
+}
+
 // finish takes over the result of the request that was under way.
 func (s *runStop) finish() {
-	s.evidence, s.from = s.pending.evidence, s.pending.from
-	s.pending = nil
+	r := s.pending
+	s.evidence, s.from, s.to, s.pending = r.evidence, r.from, r.to, nil
+	if r.evidence != leave.Unreachable && r.evidence != leave.Refused {
+		s.contact.Failures = 0
+		return
+	}
+	if s.contact.Failures == 0 {
+		s.contact.FailingSince = r.sentAt
+	}
+	s.contact.Failures++
 }
 
 // requestStop asks an endpoint to stop the run and to copy its memory to another one.
 func (e *exchange) requestStop(ctx context.Context, source, to core.RoutedEndpoint) *stopRequest {
 	ctx, cancel := context.WithTimeout(ctx, _moveTimeout)
-	request := &stopRequest{cancel: cancel, done: make(chan struct{})}
+	request := &stopRequest{cancel: cancel, done: make(chan struct{}), sentAt: time.Now(), to: to.Address}
 	stops := e.stopRequests // of the try whose run is to be stopped: the next one may begin meanwhile
 	go func() {
 		defer close(request.done)
 		defer cancel()
 		// A new connection shows whether the endpoint can be reached; an idle one may be dead.
 		if err := e.front.config.Links.Connect(ctx, source); err != nil {
-			request.evidence = leave.Unreachable
+			request.evidence = dialEvidence(err)
 			return
 		}
 		moved := e.requestMove(ctx, source, to.Address, stops)
@@ -97,6 +163,14 @@
 	return request
 }
 
+// dialEvidence tells what a failed attempt to connect says of a run.
+func dialEvidence(err error) leave.Evidence {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return leave.Refused
+	}
+	return leave.Unreachable
+}
+
 // evidence tells what the answer to a request to stop a run says of the run.
 func (m moveResult) evidence() leave.Evidence {
 	var failed *links.Error
@@ -106,7 +180,7 @@
 	case m.status == http.StatusNotFound:
 		return leave.NoRun
 	case m.status == 0 && errors.As(m.err, &failed) && failed.Stage == links.StageDial:
-		return leave.Unreachable
+		return dialEvidence(m.err)
 	case m.status == 0 && errors.Is(m.err, context.DeadlineExceeded):
 		return leave.Asked
 	default:
@@ -133,8 +207,8 @@
 	<-s.pending.done
 	s.finish()
 	if end.err != nil && s.evidence == leave.Stopped && e.prepared != nil {
-		e.continueFrom(s.from)
-		end.err, end.brokenOff = errSlow, false
+		e.continueFrom(s.copyAt(e.prepared.run.Endpoint.Address))
+		end.err, end.brokenOff, end.connection = errSlow, false, 0
 	}
 }
 
@@ -150,33 +224,59 @@
 // errNotStopped means that a stream cannot go on elsewhere, since it may still run.
 var errNotStopped = errors.New("the endpoint that was left may still work on the stream")
 
-// awaitStopped waits until a stream whose last try was ended by this host may go on at the
-// endpoint of the current run. It returns the copy to continue from: from if there is no newer
-// one.
+// awaitStopped waits until a stream may go on at the endpoint of the current run, though the run of its
+// last try may not have ended. It returns the copy to continue from: from if there is no newer one.
 func (e *exchange) awaitStopped(ctx context.Context, from string) (string, error) {
-	source := *e.unended
-	e.stop = runStop{}
+	pause := _stopPoll
 	for {
-		switch e.decideLeave(ctx, source, e.run.Endpoint.RoutedEndpoint, true) {
+		switch e.decideLeave(ctx, e.unended, e.run.Endpoint.RoutedEndpoint) {
 		case leave.Leave:
-			if e.stop.from != "" {
-				from = e.stop.from
+			if copied := e.stop.copyAt(e.run.Endpoint.Address); copied != "" {
+				from = copied
 			}
 			return from, nil
 		case leave.GiveUp:
 			return "", errNotStopped
 		}
-		select {
-		case <-ctx.Done():
-			return "", context.Cause(ctx)
-		case <-time.After(_stopPoll):
+		if e.stop.pending == nil {
+			pause = min(2*pause, _maxStopPause)
+		}
+		if err := e.stop.await(ctx, pause); err != nil {
+			return "", err
 		}
 	}
 }
 
-// leftWhileRunning sets in a failed try whether the endpoint may still work on the stream: it does
-// not if it ended the connection itself.
-func (t *tryResult) leftWhileRunning(answer *links.Answer) *tryResult {
-	t.mayStillRun = !answer.EndsWithin(_endDelay)
+// await waits for the end of the request that is under way, or for a pause if there is none.
+func (s *runStop) await(ctx context.Context, pause time.Duration) error {
+	var done chan struct{}
+	if s.pending != nil {
+		done, pause = s.pending.done, _stopPoll
+	}
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-done:
+	case <-time.After(pause):
+	}
+	return nil
+}
+
+// connectionAfter returns the state of a connection whose answer failed with an error. What the endpoint
+// may still send on it is discarded.
+func connectionAfter(answer *links.Answer, err error) leave.Connection {
+	switch {
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return leave.Dead
+	case isConnectionEnd(err), answer.EndsWithin(_endDelay):
+		return leave.Ended
+	default:
+		return leave.Closed
+	}
+}
+
+// leftAt sets in a failed try how the connection to its endpoint ended.
+func (t *tryResult) leftAt(answer *links.Answer) *tryResult {
+	t.connection = connectionAfter(answer, t.err)
 	return t
 }
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -131,7 +131,7 @@
 	end, outcome := e.exchangeWith(ctx, peer)
 	_relays.Add(relayOutcomeName(outcome), 1)
 	e.front.config.Reach.endRelay(host.Name, outcome)
-	end.health, end.brokenOff, end.mayStillRun = 0, false, false
+	end.health, end.brokenOff, end.connection = 0, false, 0
 	return end
 }
 
--- a/io/front/room.go
+++ b/io/front/room.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// _maxPause is the pause of a stream for which all callers wait, by the platform's documentation.
-	_maxPause = 2 * time.Second
+	// Callers wait for the next event of a stream, by the platform's documentation, for _maxPause,
+	// _maxPauseGoals times the route's Goal or _maxPauseGaps times its GapGoal, whichever is longest.
+	_maxPause      = 2 * time.Second
+	_maxPauseGoals = 4
+	_maxPauseGaps  = 8
 	// _unreachedRecheck is the pause before it is checked again whether an endpoint is used again that
 	// did not respond.
 	_unreachedRecheck = 50 * time.Millisecond
--- a/io/front/silence.go
+++ b/io/front/silence.go
@@ -21,7 +21,7 @@
 	// _silenceRecheck is the pause before it is checked again whether a silent endpoint can be left.
 	_silenceRecheck = 200 * time.Millisecond
 	// _maxRecheckDoublings bounds how often that pause is doubled, once for each endpoint that did not
-	// take the request.
+	// take the request, or each time that the silent one was asked to stop the run.
 	_maxRecheckDoublings = 3
 )
 
@@ -91,9 +91,6 @@
 // elsewhere is taken, the run of a stream that has begun is known not to go on, and the endpoint there
 // has accepted the request. A silent endpoint may go on, so otherwise it is waited for.
 func (e *exchange) askSilent(ctx context.Context) error {
-	if e.stop.since.Before(e.lastEventAt) && e.stop.pending == nil {
-		e.stop = runStop{} // the endpoint has gone on since it was asked
-	}
 	step := e.prepared.nextStep()
 	if step == 0 {
 		step = e.tries.Elsewhere(e.situation(tryResult{}))
@@ -112,7 +109,7 @@
 			"Evidence", e.stop.evidence.String())
 	}
 	e.waitLogged = true
-	pause := _silenceRecheck << min(e.offersDeclined, _maxRecheckDoublings)
+	pause := _silenceRecheck << min(max(e.offersDeclined, e.stop.asked-1, 0), _maxRecheckDoublings)
 	if e.stop.pending != nil || e.prepared.isOffered() {
 		pause = _stopPoll
 	}
@@ -125,8 +122,8 @@
 	if step == tries.Again {
 		return true // only requests that may run twice are sent anew
 	}
-	if e.decideLeave(ctx, e.run.Endpoint.RoutedEndpoint, e.prepared.run.Endpoint.RoutedEndpoint, false) == leave.Leave {
-		e.continueFrom(e.stop.from)
+	if e.decideLeave(ctx, e.currentRun(), e.prepared.run.Endpoint.RoutedEndpoint) == leave.Leave {
+		e.continueFrom(e.stop.copyAt(e.prepared.run.Endpoint.Address))
 		return true
 	}
 	if e.stop.pending == nil && step == tries.Continue {
