--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -266,7 +266,7 @@
 // may still send on it is discarded.
 func connectionAfter(answer *links.Answer, err error) leave.Connection {
 	switch {
-	case errors.Is(err, syscall.ETIMEDOUT):
+	case errors.Is(err, syscall.ETIMEDOUT), errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
 		return leave.Dead
 	case isConnectionEnd(err), answer.EndsWithin(_endDelay):
 		return leave.Ended
