A stream that may be resumed waits for the end of its run too

They left a silent engine 200 ms after it was asked to stop the run, and one whose connection had ended at once.

Now they wait for the same proof, and go on without it half a second before their caller would leave (two seconds, four times the Goal or eight times the GapGoal after the last event): a caller that has left takes the stream up elsewhere, where nothing is known either.

TestStreamDoesNotRunTwice read the end of a run before its fake engine had recorded it; it waits for the ends of all runs now and compares the same times.

--- a/core/reqst/leave/leave.go
+++ b/core/reqst/leave/leave.go
@@ -1,6 +1,6 @@
 // Package leave decides when a stream may go on at another endpoint although the endpoint of its
-// current try may still work on it. A stream that must not run twice goes on once its run is known to
-// have ended. That an endpoint does not answer, or that a connection to it has ended, does not show
+// current try may still work on it: once its run is known to have ended. A stream that may run twice goes on
+// without that knowledge when its caller would leave otherwise. That an endpoint does not answer, or that a connection to it has ended, does not show
 // that: the endpoint may be silent, its queue of new connections may be full, and the path may have reset
 // the connection. Most endpoints, but not all, drop a request when its connection closes.
 package leave
@@ -8,9 +8,10 @@
 import "time"
 
 const (
-	// _repeatablePatience is how long a stream that may run at two endpoints at a time waits for the
-	// answer of the one that is asked to stop: many round trips within a region.
-	_repeatablePatience = 200 * time.Millisecond
+	// _minAsked is how long an endpoint has to answer at least: many round trips within a region.
+	_minAsked = 200 * time.Millisecond
+	// _resumeTime is the time that the next endpoint may need until its first event.
+	_resumeTime = 500 * time.Millisecond
 	// _minFailures and _minUnreachable are how many attempts in a row to connect must have failed, and for
 	// how long, until contact to an endpoint counts as lost. Packets of a few attempts may be lost.
 	_minFailures    = 4
@@ -128,11 +129,9 @@
 	switch {
 	case s.Evidence == 0:
 		return Ask
-	case s.HasEnded():
+	case s.HasEnded(), s.Repeatable && s.isOverdue():
 		return Leave
-	case s.Repeatable:
-		return s.nextOfRepeatable()
-	case s.Connection != Open && (s.Evidence == Unsupported || !s.Now.Before(s.GiveUpAt)):
+	case !s.Repeatable && s.Connection != Open && (s.Evidence == Unsupported || !s.Now.Before(s.GiveUpAt)):
 		return GiveUp
 	case s.Evidence == Unsupported, s.Evidence == NoRun && s.HasBegun:
 		return Wait
@@ -158,16 +157,10 @@
 	}
 }
 
-// nextOfRepeatable returns the next step of a stream that may run twice, but not for nothing.
-func (s Situation) nextOfRepeatable() Step {
-	switch {
-	case s.Evidence.failed(), s.Evidence == Unsupported, s.asked() >= _repeatablePatience:
-		return Leave
-	case s.Evidence == Declined:
-		return Ask
-	default:
-		return Wait
-	}
+// isOverdue reports whether the caller would leave before the next endpoint's first event if the stream
+// went on any later. A caller that has left takes the stream up elsewhere, and nothing is known of the run then either.
+func (s Situation) isOverdue() bool {
+	return s.Evidence == Unsupported || s.asked() >= _minAsked && !s.Now.Before(s.GiveUpAt.Add(-_resumeTime))
 }
 
 func (s Situation) asked() time.Duration { return s.Now.Sub(s.AskedAt) }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -294,7 +294,7 @@
 		return tryResult{done: true}
 	}
 	e.beginTry(step)
-	if e.mustAwaitStopped() {
+	if e.unended != nil && e.delivered {
 		stoppedFrom, err := e.awaitStopped(ctx, from)
 		if err != nil {
 			e.placer().end(e.run, 0)
@@ -328,12 +328,6 @@
 	return end
 }
 
-// mustAwaitStopped reports whether the stream may go on only once the run of its last try has ended. One
-// that may run twice waits only for an endpoint whose connection this host closed.
-func (e *exchange) mustAwaitStopped() bool {
-	return e.unended != nil && e.delivered && (!e.request.Route.Resumable || e.unended.connection == leave.Closed)
-}
-
 // sentTry is what is logged of a try once the request goes on elsewhere.
 type sentTry struct {
 	endpoint core.RoutedEndpoint
--- a/io/front/stoprun_test.go
+++ b/io/front/stoprun_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -86,9 +87,13 @@
 	return true
 }
 
-// check fails if a run went on for longer than _overlap after the next one began.
+// check waits for the ends of all runs, and fails if one went on for longer than _overlap after the next one
+// began.
 func (w *persistentEngine) check(t *testing.T, runs int) {
 	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !w.haveEnded() && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.runs) != runs {
@@ -102,6 +107,12 @@
 	}
 }
 
+func (w *persistentEngine) haveEnded() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !slices.ContainsFunc(w.runs, func(run *engineRun) bool { return run.end.IsZero() })
+}
+
 // silentFor returns a trouble: the engine sends nothing for a time, unless the run is stopped.
 func silentFor(length time.Duration) func(*routed.Call, <-chan struct{}) {
 	return func(_ *routed.Call, stopped <-chan struct{}) {
