A stream whose endpoint ends after a long silence goes on at its copy

What callers saw: a stream was cut 1 ms after its endpoint, silent for 2.7 s, had ended, though there was a copy.

Cause: an endpoint whose connection has ended is asked until callers no longer wait, counted from the last event. If that is longer ago than callers wait, as after a silence or after this host stood still, the stream was given up before the first answer.

Why it works: the time is counted from the end of the connection if that is later. A caller that has left ends the request anyway.

liveEngines.check compares each run with all runs before it, no longer only with the last one.

--- a/io/front/endless_test.go
+++ b/io/front/endless_test.go
@@ -31,6 +31,9 @@
 	conn, err := d.Dialer.DialContext(ctx, network, address)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		err = errors.Join(tcp.SetReadBuffer(64<<10), tcp.SetWriteBuffer(16<<10))
+		if path, ok := lossyPaths.Load(address); ok {
+			return path.(*lossyPath).add(tcp), err
+		}
 	}
 	return conn, err
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -47,6 +47,8 @@
 	view      atomic.Pointer[know.View]
 	// errorLines receives the log lines of errors that the host itself answers.
 	errorLines chan string
+	// documentsOutdated reports whether the view may be outdated; nil for never.
+	documentsOutdated func() bool
 }
 
 func newFixture(t *testing.T, handlers ...routed.Handler) *fixture {
@@ -162,7 +164,7 @@
 		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: newPool(),
 		Detector: r.detector, Origins: r.origins, BufferBytes: _bufferBytes, BodyBytes: _bodyBytes,
 		Reach: reached, RelayLinks: newPool(), Self: "self",
-		View: r.view.Load, Logger: r.logger(), LoadChanged: func() {},
+		View: r.view.Load, Logger: r.logger(), LoadChanged: func() {}, DocumentsOutdated: r.documentsOutdated,
 		SyncStatus: func() know.SyncStatus { return know.SyncStatus{AsOf: 12, FreshAt: time.Now().Add(-_documentAge)} },
 	}))
 	r.t.Cleanup(r.server.Close)
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -52,6 +52,8 @@
 type leftRun struct {
 	endpoint   core.RoutedEndpoint
 	connection leave.Connection
+	// endedAt is when its connection was found to have ended; zero if it is open.
+	endedAt time.Time
 	// hasBegun is true if the endpoint has sent an event of the run.
 	hasBegun bool
 }
@@ -86,7 +88,7 @@
 	e.lookUp(&s.contact, run.endpoint)
 	situation := leave.Situation{
 		Now: now, Evidence: s.evidence, Connection: run.connection, Contact: s.contact, HasBegun: run.hasBegun,
-		Repeatable: e.request.Route.Resumable, Limit: e.silenceTimeout(), AskedAt: s.since, GiveUpAt: e.lastEventAt.Add(e.longestPauseOfCallers()),
+		Repeatable: e.request.Route.Resumable, Limit: e.silenceTimeout(), AskedAt: s.since, GiveUpAt: e.giveUpAt(run),
 	}
 	step := situation.Next()
 	if step == leave.Ask && s.pending == nil {
@@ -113,6 +115,16 @@
 	})
 }
 
+// giveUpAt returns until when an endpoint whose connection has ended is asked. The last event may be older than
+// callers wait: the endpoint was silent before, or this host stood still.
+func (e *exchange) giveUpAt(run *leftRun) time.Time {
+	since := e.lastEventAt
+	if run.endedAt.After(since) {
+		since = run.endedAt
+	}
+	return since.Add(e.longestPauseOfCallers())
+}
+
 // longestPauseOfCallers returns for how long callers wait for the next event of a stream, by the
 // platform's documentation.
 func (e *exchange) longestPauseOfCallers() time.Duration {
--- a/io/front/runend_test.go
+++ b/io/front/runend_test.go
@@ -22,6 +22,8 @@
 	_novelPause  = 50 * time.Millisecond
 	// _troubleEvent is the event of a new run after which its trouble begins; the copy can be used then.
 	_troubleEvent = 24
+	// _laterTroubleEvent is the event of the second run after which it has trouble of its own.
+	_laterTroubleEvent = 60
 )
 
 // liveEngines are fake engines that work on a run until it is done or was stopped, whatever becomes of its
@@ -31,6 +33,14 @@
 	trouble func(address string)
 	// moveDelay is after how long an engine acts on a request to stop a run.
 	moveDelay time.Duration
+	// answerStop answers a request to stop a run; nil for the usual answer.
+	answerStop func(c *routed.Call, id string)
+	// beginDelay returns after how long an engine begins to work on a request. Until then it knows no such run.
+	beginDelay func(c *routed.Call) time.Duration
+	// laterTrouble is called after _laterTroubleEvent of the second run; nil for none.
+	laterTrouble func(address string)
+	// neverCloses is true if an engine keeps the connection of a run that it stopped open.
+	neverCloses bool
 
 	mu          sync.Mutex
 	runs        []*liveRun
@@ -87,6 +97,10 @@
 		c.Answer(http.StatusBadRequest, "")
 		return
 	}
+	if move.Last && e.answerStop != nil {
+		e.answerStop(c, move.ID)
+		return
+	}
 	if move.Last {
 		time.Sleep(e.moveDelay)
 	}
@@ -115,9 +129,12 @@
 }
 
 func (e *liveEngines) run(c *routed.Call) bool {
+	if e.beginDelay != nil {
+		time.Sleep(e.beginDelay(c))
+	}
 	run := &liveRun{id: c.Header.Get("Request-Id"), address: c.LocalAddress(), from: c.Header.Get("Continue-From"), begun: time.Now(), stopped: make(chan struct{})}
 	e.mu.Lock()
-	isFirst := len(e.runs) == 0
+	number := len(e.runs)
 	e.runs = append(e.runs, run)
 	e.mu.Unlock()
 	defer e.end(run)
@@ -129,19 +146,30 @@
 	for id := first; id < _novelEvents; id++ {
 		select {
 		case <-run.stopped:
+			if e.neverCloses {
+				c.WaitClosed(_novelEvents * _novelPause)
+			}
 			return false
 		case <-time.After(_novelPause):
 		}
 		e.awaitSound(run.address)
 		events(c, id, id)
-		if isFirst && id == _troubleEvent {
-			e.trouble(run.address)
-		}
+		e.makeTrouble(run.address, number, id)
 	}
 	c.EndStream()
 	return true
 }
 
+// makeTrouble makes the trouble that is due after an event of a run.
+func (e *liveEngines) makeTrouble(address string, number, id int) {
+	switch {
+	case number == 0 && id == _troubleEvent:
+		e.trouble(address)
+	case number == 1 && id == _laterTroubleEvent && e.laterTrouble != nil:
+		e.laterTrouble(address)
+	}
+}
+
 func (e *liveEngines) end(run *liveRun) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -159,10 +187,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for i := 1; i < len(e.runs); i++ {
-		before, run := e.runs[i-1], e.runs[i]
-		if before.end.IsZero() || before.end.After(run.begun.Add(_overlap)) {
-			t.Errorf("run %d from %q began %v before run %d ended", i, run.from, before.end.Sub(run.begun), i-1)
+	for i, run := range e.runs {
+		for j, before := range e.runs[:i] {
+			if before.end.IsZero() || before.end.After(run.begun.Add(_overlap)) {
+				t.Errorf("run %d from %q began %v before run %d ended", i, run.from, before.end.Sub(run.begun), j)
+			}
 		}
 	}
 	return len(e.runs)
