A stream is relayed to another host only once its run has ended

A host that reaches no endpoint left a silent engine, or one whose connection it had closed, for another host at once: runStep picked the host before it waited for the end of the run. Now it waits there too. A run has begun once its engine has begun to answer, not with its first event. For a stream that may be resumed the time to go on without proof counts from its last event, since its caller leaves then. Tests of relays and cut-off hosts in io/front and io/entry pass (-run 'Relay|Cut|Touch|Reach').

--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -161,8 +161,8 @@
 			return tryResult{done: true, health: place.Good}
 		default:
 			end := tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, answerOutcome(err)), brokenOff: true, err: err}
-			if errors.Is(err, errSlow) {
-				return end
+			if errors.Is(err, errSlow) && e.host == nil {
+				return end // its run has ended, or need not have
 			}
 			return *end.leftAt(answer)
 		}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -276,10 +276,7 @@
 	}
 	cutOff := e.front.config.Reach.nextCutOff()
 	if e.pickHost(step) {
-		e.beginTry(step)
-		end := e.relayTry(ctx)
-		e.front.counters.countTry(end.result.String())
-		return end
+		return e.runRelay(ctx, step)
 	}
 	if e.refuseCutOff(step) || !e.takeUp(ctx) {
 		return tryResult{done: true}
@@ -294,20 +291,17 @@
 		return tryResult{done: true}
 	}
 	e.beginTry(step)
-	if e.unended != nil && e.delivered {
-		stoppedFrom, err := e.awaitStopped(ctx, from)
-		if err != nil {
-			e.placer().end(e.run, 0)
-			return tryResult{result: tries.NotSent, err: err}
-		}
-		from = stoppedFrom
+	from, err := e.awaitStopped(ctx, e.run.Endpoint.RoutedEndpoint, from)
+	if err != nil {
+		e.placer().end(e.run, 0)
+		return tryResult{result: tries.NotSent, err: err}
 	}
-	e.logGoesOn(step, from)
+	e.logGoesOn(step, e.run.Endpoint.ID, from)
 	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
 	end := e.try(ctx, from)
 	e.before = sentTry{endpoint: e.run.Endpoint.RoutedEndpoint, err: end.err, handover: e.backup.handoverState()}
 	if end.connection != 0 && e.backup.handoverState() != _handoverDone {
-		e.unended = &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: end.connection, endedAt: time.Now(), hasBegun: !e.firstEventAt.IsZero()}
+		e.unended = &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: end.connection, endedAt: time.Now(), hasBegun: e.answerBegun}
 	}
 	e.recordEnd(ctx, &end)
 	if !end.done && !e.backupReady() {
@@ -336,8 +330,8 @@
 	handover handover
 }
 
-// logGoesOn logs what is known of the run of the last try when the request goes on at another endpoint.
-func (e *exchange) logGoesOn(step tries.Step, from string) {
+// logGoesOn logs what is known of the run of the last try when the request goes on at another endpoint or host.
+func (e *exchange) logGoesOn(step tries.Step, to, from string) {
 	if step == tries.Again || e.before.endpoint.ID == "" {
 		return
 	}
@@ -345,7 +339,7 @@
 	if e.unended != nil {
 		connection = e.unended.connection
 	}
-	e.log("A run goes on at another endpoint.", "Step", step.String(), "Before", b.endpoint.ID, "To", e.run.Endpoint.ID, "From", from,
+	e.log("A run goes on at another endpoint.", "Step", step.String(), "Before", b.endpoint.ID, "To", to, "From", from,
 		"Cause", errorText(b.err), "Connection", connection.String(), "Evidence", e.stop.evidence.String(), "Handover", b.handover.String(),
 		"Failures", e.stop.contact.Failures, "IsReplaced", e.stop.contact.IsReplaced, "IsWithdrawn", e.stop.contact.IsWithdrawn,
 		"IsReachedElsewhere", e.stop.contact.IsReachedElsewhere, "SinceEvent", time.Since(e.lastEventAt).Milliseconds())
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -54,13 +54,13 @@
 	connection leave.Connection
 	// endedAt is when its connection was found to have ended; zero if it is open.
 	endedAt time.Time
-	// hasBegun is true if the endpoint has sent an event of the run.
+	// hasBegun is true if the endpoint has begun to answer.
 	hasBegun bool
 }
 
 // currentRun returns the run of the current try, whose connection is open.
 func (e *exchange) currentRun() *leftRun {
-	return &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: leave.Open, hasBegun: !e.firstEventAt.IsZero()}
+	return &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: leave.Open, hasBegun: e.answerBegun}
 }
 
 // decideLeave returns whether the stream may go on at the endpoint to, though a run may not have
@@ -115,11 +115,12 @@
 	})
 }
 
-// giveUpAt returns until when an endpoint whose connection has ended is asked. The last event may be older than
-// callers wait: the endpoint was silent before, or this host stood still.
+// giveUpAt returns until when an endpoint is asked. If the stream ends then, the endpoint has that time from the end of its
+// connection: the last event may be older than callers wait, since the endpoint was silent before, or this
+// host stood still.
 func (e *exchange) giveUpAt(run *leftRun) time.Time {
 	since := e.lastEventAt
-	if run.endedAt.After(since) {
+	if run.endedAt.After(since) && !e.request.Route.Resumable {
 		since = run.endedAt
 	}
 	return since.Add(e.longestPauseOfCallers())
@@ -236,14 +237,17 @@
 // errNotStopped means that a stream cannot go on elsewhere, since it may still run.
 var errNotStopped = errors.New("the endpoint that was left may still work on the stream")
 
-// awaitStopped waits until a stream may go on at the endpoint of the current run, though the run of its
-// last try may not have ended. It returns the copy to continue from: from if there is no newer one.
-func (e *exchange) awaitStopped(ctx context.Context, from string) (string, error) {
+// awaitStopped waits until a stream may go on elsewhere, though the run of its last try may not have
+// ended. It returns the copy to continue from at the endpoint to: from if there is no newer one.
+func (e *exchange) awaitStopped(ctx context.Context, to core.RoutedEndpoint, from string) (string, error) {
+	if e.unended == nil || !e.delivered {
+		return from, nil
+	}
 	pause := _stopPoll
 	for {
-		switch e.decideLeave(ctx, e.unended, e.run.Endpoint.RoutedEndpoint) {
+		switch e.decideLeave(ctx, e.unended, to) {
 		case leave.Leave:
-			if copied := e.stop.copyAt(e.run.Endpoint.Address); copied != "" {
+			if copied := e.stop.copyAt(to.Address); copied != "" {
 				from = copied
 			}
 			return from, nil
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -111,6 +111,21 @@
 	}
 }
 
+// runRelay makes one try through the host that was picked, once the run of the last try may be left.
+func (e *exchange) runRelay(ctx context.Context, step tries.Step) tryResult {
+	e.beginTry(step)
+	if e.unended != nil {
+		// No copy is made for a run that goes on at an endpoint that the other host picks.
+		if _, err := e.awaitStopped(ctx, e.unended.endpoint, ""); err != nil {
+			return tryResult{result: tries.NotSent, err: err}
+		}
+	}
+	e.logGoesOn(step, string(e.host.Name), "")
+	end := e.relayTry(ctx)
+	e.front.counters.countTry(end.result.String())
+	return end
+}
+
 // relayTry makes one try through the host that was picked. The request is written once to it, and it makes the
 // tries at endpoints by its own knowledge. Its connection to the endpoint ends with the one to it.
 func (e *exchange) relayTry(ctx context.Context) tryResult {
