An engine that does not stop a run is asked again only after a pause

What callers saw: nothing directly; an engine that answered 409 to the request to stop a run was asked 8,677 times in 2 s after the run's connection had been reset, and 99 times in 4 s while it was silent. Such calls delay an engine's work and are priced.

Cause: decideLeave takes over an answer and sends the next request in the same call, so that there was always a request under way where the pause was chosen, and the pause was never used.

Why it works: the pause belongs to the state of stopping the run and begins with the answer.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -308,6 +308,7 @@
 	e.before = sentTry{endpoint: e.run.Endpoint.RoutedEndpoint, err: end.err, handover: e.backup.handoverState()}
 	if end.connection != 0 && e.backup.handoverState() != _handoverDone {
 		e.unended = &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: end.connection, endedAt: time.Now(), hasBegun: !e.firstEventAt.IsZero()}
+		e.stop.connectionEnded()
 	}
 	e.recordEnd(ctx, &end)
 	if !end.done && !e.backupReady() {
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -37,6 +37,9 @@
 	from, to string
 	// pending is the request that is under way; nil for none.
 	pending *stopRequest
+	// askAt is when the endpoint may be asked again, pause how long that is after the last answer.
+	askAt time.Time
+	pause time.Duration
 }
 
 // stopRequest is one request to stop a run. Its result may be read once done is closed.
@@ -91,7 +94,7 @@
 		Repeatable: e.request.Route.Resumable, Limit: e.silenceTimeout(), AskedAt: s.since, GiveUpAt: e.giveUpAt(run),
 	}
 	step := situation.Next()
-	if step == leave.Ask && s.pending == nil {
+	if step == leave.Ask && s.pending == nil && !now.Before(s.askAt) {
 		s.asked++
 		s.pending = e.requestStop(ctx, run.endpoint, to)
 		if s.evidence == 0 {
@@ -143,6 +146,8 @@
 func (s *runStop) finish() {
 	r := s.pending
 	s.evidence, s.from, s.to, s.pending = r.evidence, r.from, r.to, nil
+	s.pause = min(max(2*s.pause, _stopPoll), _maxStopPause)
+	s.askAt = time.Now().Add(s.pause)
 	if r.evidence != leave.Unreachable && r.evidence != leave.Refused {
 		s.contact.Failures = 0
 		return
@@ -153,6 +158,14 @@
 	s.contact.Failures++
 }
 
+// connectionEnded drops what no longer holds once the connection that carried the run has ended: an endpoint that refused a
+// connection before may listen again.
+func (s *runStop) connectionEnded() {
+	if s.evidence != leave.Stopped && s.evidence != leave.NoRun {
+		s.evidence, s.askAt = 0, time.Time{}
+	}
+}
+
 // requestStop asks an endpoint to stop the run and to copy its memory to another one.
 func (e *exchange) requestStop(ctx context.Context, source, to core.RoutedEndpoint) *stopRequest {
 	ctx, cancel := context.WithTimeout(ctx, _moveTimeout)
@@ -239,7 +252,6 @@
 // awaitStopped waits until a stream may go on at the endpoint of the current run, though the run of its
 // last try may not have ended. It returns the copy to continue from: from if there is no newer one.
 func (e *exchange) awaitStopped(ctx context.Context, from string) (string, error) {
-	pause := _stopPoll
 	for {
 		switch e.decideLeave(ctx, e.unended, e.run.Endpoint.RoutedEndpoint) {
 		case leave.Leave:
@@ -250,18 +262,16 @@
 		case leave.GiveUp:
 			return "", errNotStopped
 		}
-		if e.stop.pending == nil {
-			pause = min(2*pause, _maxStopPause)
-		}
-		if err := e.stop.await(ctx, pause); err != nil {
+		if err := e.stop.await(ctx); err != nil {
 			return "", err
 		}
 	}
 }
 
-// await waits for the end of the request that is under way, or for a pause if there is none.
-func (s *runStop) await(ctx context.Context, pause time.Duration) error {
+// await waits for the end of the request that is under way, or until the next one may be sent.
+func (s *runStop) await(ctx context.Context) error {
 	var done chan struct{}
+	pause := max(time.Until(s.askAt), _stopPoll)
 	if s.pending != nil {
 		done, pause = s.pending.done, _stopPoll
 	}
--- a/io/front/runend_test.go
+++ b/io/front/runend_test.go
@@ -45,6 +45,7 @@
 	mu          sync.Mutex
 	runs        []*liveRun
 	silentUntil map[string]time.Time
+	pausesUntil map[string]time.Time
 }
 
 type liveRun struct {
@@ -63,6 +64,22 @@
 	e.silentUntil[address] = time.Now().Add(length)
 }
 
+// pause has an engine make no events for a time. It answers meanwhile.
+func (e *liveEngines) pause(address string, length time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.pausesUntil == nil {
+		e.pausesUntil = make(map[string]time.Time)
+	}
+	e.pausesUntil[address] = time.Now().Add(length)
+}
+
+func (e *liveEngines) restOfPause(address string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(time.Until(e.pausesUntil[address]), 0)
+}
+
 func (e *liveEngines) awaitSound(address string) {
 	for {
 		e.mu.Lock()
@@ -150,7 +167,7 @@
 				c.WaitClosed(_novelEvents * _novelPause)
 			}
 			return false
-		case <-time.After(_novelPause):
+		case <-time.After(_novelPause + e.restOfPause(run.address)):
 		}
 		e.awaitSound(run.address)
 		events(c, id, id)
--- a/io/front/runlate_test.go
+++ b/io/front/runlate_test.go
@@ -305,6 +305,32 @@
 	}
 }
 
+// An engine that did not stop a run when it was asked to was asked again at once, some forty times a second.
+func TestEngineThatDoesNotStopARunIsAskedNowAndThen(t *testing.T) {
+	const most = 10
+	for _, c := range []struct {
+		name  string
+		after func(s *lateSite, address string)
+	}{
+		{"silent", func(s *lateSite, address string) { s.engines.pause(address, 4*time.Second) }},
+		{"its connection was reset", func(s *lateSite, address string) { s.links[address].ResetOpen() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var asked atomic.Int64
+			trouble := lateCase{engines: 2, withBackups: true, mayBeCut: true, prepare: func(s *lateSite) {
+				s.engines.answerStop = func(call *routed.Call, _ string) {
+					asked.Add(1)
+					call.Answer(http.StatusConflict, "")
+				}
+			}, trouble: func(_ *testing.T, s *lateSite, address string) { c.after(s, address) }}
+			trouble.run(t)
+			if n := asked.Load(); n == 0 || n > most {
+				t.Errorf("asked %d times, want 1 to %d", n, most)
+			}
+		})
+	}
+}
+
 // lossyPaths holds, by address, the path of connections that are opened to it.
 var lossyPaths sync.Map
 
