A stream is handed over only if its engine does not go on with the run

What callers saw: nothing; a run went on at another engine for 0.5 to 1.8 s while the leaving one, which had answered the request to stop it with 200 and a handle, worked on and acted 0.5 to 3 s after its answer (TWICE).

Cause: the answer was taken for the end of the run, and the stream's connection, which still brought events, was closed at once.

Evidence: TestStreamGoesOnOnlyOnceItsRunWasStopped/answers_at_once,_acts_after_500ms, 1s, 2s and 3s failed before and pass now. The other cases of that test passed before as well.

Why it works: an engine that stops a run closes its stream, which ends the wait at once. If the stream stays open, events that arrive well after the answer show that the run goes on, and the handover counts as unanswered. An engine that stops the run and leaves the stream open costs a pause of 300 ms.

--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -41,6 +41,12 @@
 	// _handoverTimeout bounds the copy of the last part of a run's memory, during which
 	// the run is stopped.
 	_handoverTimeout = 150 * time.Millisecond
+	// _closeTimeout is how long an engine that answered that it stopped a run has to close the stream, or
+	// _closeGaps times the route's GapGoal if that is longer. Events that arrive later than _eventsInFlight after
+	// the answer show that it goes on with the run.
+	_closeTimeout   = 300 * time.Millisecond
+	_closeGaps      = 3
+	_eventsInFlight = 100 * time.Millisecond
 )
 
 // backup is a copy of a run's memory, its KV cache, on another endpoint. It is safe for
@@ -65,7 +71,8 @@
 	_handoverNone handover = iota
 	// _handoverRunning: the engine was asked to stop the run.
 	_handoverRunning
-	// _handoverUnanswered: it has not answered in time. It closes the stream if it stopped the run.
+	// _handoverUnanswered: it has not answered in time, or goes on with the run. It closes the stream if it stops
+	// the run.
 	_handoverUnanswered
 	// _handoverDone: it has stopped the run.
 	_handoverDone
@@ -210,8 +217,12 @@
 			var retry <-chan time.Time
 			pause := e.updateBackup(ctx)
 			if e.backup.handoverState() == _handoverDone {
-				end(errHandedOver)
-				return
+				if !e.worksOn(ended) {
+					end(errHandedOver)
+					return
+				}
+				e.log("An engine goes on with a run that it answered to have stopped.", "Endpoint", e.run.Endpoint.ID)
+				e.backup.setHandover(_handoverUnanswered)
 			}
 			if pause > 0 {
 				retry = time.After(pause)
@@ -238,6 +249,20 @@
 	}
 }
 
+// worksOn reports whether an engine goes on with a run that it answered to have stopped, since it acts after its answer. One
+// that has stopped closes the stream, and ended is closed with that.
+func (e *exchange) worksOn(ended <-chan struct{}) bool {
+	answeredAt := time.Now()
+	timer := time.NewTimer(max(_closeTimeout, _closeGaps*e.request.Route.GapGoal))
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return false
+	case <-timer.C:
+		return e.stopRequests.lastEvent().After(answeredAt.Add(_eventsInFlight))
+	}
+}
+
 // updateBackup makes or updates the copy if that is due. It returns the time after
 // which to check again if no endpoint has changed until then; 0 for never.
 func (e *exchange) updateBackup(ctx context.Context) time.Duration {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -438,8 +438,12 @@
 	end := e.receive(ctx, answer)
 	e.settleStop(&end)
 	cause := context.Cause(tryCtx)
-	if cause == nil && errors.Is(end.err, errSlow) {
+	switch {
+	case cause != nil:
+	case errors.Is(end.err, errSlow):
 		cause = errSlow
+	case e.backup.handoverState() == _handoverDone:
+		cause = errHandedOver
 	}
 	if end.err != nil && cause != nil {
 		end.err, end.health, end.brokenOff, end.connection = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false, 0
--- a/io/front/runlate_test.go
+++ b/io/front/runlate_test.go
@@ -179,6 +179,16 @@
 					c.Answer(http.StatusOK, `{"handle":"h9","created":1}`)
 				}
 			}},
+			lateCase{name: fmt.Sprint("answers at once, acts after ", delay), engines: 2, trouble: leaves, prepare: func(s *lateSite) {
+				s.engines.answerStop = func(c *routed.Call, id string) {
+					if !s.engines.stop(id, c.LocalAddress(), false) {
+						c.Answer(http.StatusNotFound, "")
+						return
+					}
+					c.Answer(http.StatusOK, `{"handle":"h9","created":1}`)
+					time.AfterFunc(delay, func() { s.engines.stop(id, c.LocalAddress(), true) })
+				}
+			}},
 		)
 	}
 	for _, status := range []int{409, 500, 503} {
