--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -302,6 +302,7 @@
 	e.before = sentTry{endpoint: e.run.Endpoint.RoutedEndpoint, err: end.err, handover: e.backup.handoverState()}
 	if end.connection != 0 && e.backup.handoverState() != _handoverDone {
 		e.unended = &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: end.connection, endedAt: time.Now(), hasBegun: e.answerBegun}
+		e.stop.connectionEnded()
 	}
 	e.recordEnd(ctx, &end)
 	if !end.done && !e.backupReady() {
@@ -425,8 +426,12 @@
 	end := e.receive(ctx, answer)
 	e.settleStop(&end)
 	cause := context.Cause(tryCtx)
-	if cause == nil && errors.Is(end.err, errSlow) {
+	switch {
+	case cause != nil:
+	case errors.Is(end.err, errSlow):
 		cause = errSlow
+	case e.backup.handoverState() == _handoverDone:
+		cause = errHandedOver
 	}
 	if end.err != nil && cause != nil {
 		end.err, end.health, end.brokenOff, end.connection = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false, 0
