Runs of resumable streams that nobody needs are ended

Callers that left a resumable stream and took it up at another host had it worked on by two endpoints at a time, if the first one does not drop a run when its connection closes. So had streams whose connection was reset by the path, whose endpoint did not answer the request to stop the run within 200 ms, and that ran when their host stopped.

Cause: the host closed the connection and asked nothing more; a resumable stream goes on without proof that its run has ended.

Now the endpoint is asked in the background to stop the run, with its own address as the destination, so that no memory is copied. It is asked again until it has answered that the run has ended, has been replaced, refuses connections while the run's own has ended as well, or the deadline has passed. A refusal alone is no proof: the path may refuse new connections. A host that stops cuts these streams at the end of its grace, as the end of the process did, and waits for the answers.

The bound of 256 runs at a time is not covered by a test.

--- /dev/null
+++ b/core/reqst/leave/left.go
@@ -0,0 +1,27 @@
+package leave
+
+import "time"
+
+// Left is what is known of a run that nobody needs any more, at an endpoint that may still work on it.
+type Left struct {
+	Now      time.Time
+	Evidence Evidence
+	// Connection is the state of the connection that carried the run.
+	Connection Connection
+	// IsReplaced is true if the endpoint has started again since, or another one has its address.
+	IsReplaced bool
+	// Deadline is when the endpoint gives the run up by itself.
+	Deadline time.Time
+}
+
+// IsOver reports whether the endpoint does not have to be asked again to stop the run.
+func (l Left) IsOver() bool {
+	switch {
+	case l.Evidence == Stopped, l.Evidence == NoRun, l.Evidence == Unsupported:
+		return true
+	case l.Evidence == Refused && (l.Connection == Ended || l.Connection == Dead):
+		return true // a process that lives has its connections or its listener
+	default:
+		return l.IsReplaced || !l.Now.Before(l.Deadline)
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -274,6 +274,7 @@
 	}
 	err = errors.Join(err, h.peers.socket.Close())
 	group.Wait()
+	h.front.Close()
 	h.links.Close()
 	h.relayLinks.Close()
 	h.log.Info("This host has stopped.", "Host", h.settings.Name)
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -43,4 +43,7 @@
 		h.log.Info("The time to stop is over; running requests are cut off.", "Running", h.front.Running())
 		h.front.LogRunning()
 	}
+	endCtx, cancelEnd := context.WithTimeout(context.Background(), min(_stopMargin, grace/_marginDivisor)/2)
+	defer cancelEnd()
+	h.front.EndRuns(endCtx)
 }
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -348,18 +348,27 @@
 	if handle == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), _moveTimeout)
+	if err := e.front.freeHandle(context.Background(), e.run.Endpoint.RoutedEndpoint, handle); err != nil {
+		e.log("A copy of a run's memory could not be freed.", "Cause", err.Error())
+	}
+}
+
+// freeHandle frees the memory that an engine keeps, or has copied, under a handle.
+func (f *Front) freeHandle(ctx context.Context, source core.RoutedEndpoint, handle string) error {
+	ctx, cancel := context.WithTimeout(ctx, _moveTimeout)
 	defer cancel()
-	answer, err := e.front.config.Links.Do(ctx, e.run.Endpoint.RoutedEndpoint, &links.Request{
-		Method: http.MethodDelete, Target: e.front.config.Paths.Handle + handle, HostName: e.run.Endpoint.Address,
-		Header: http.Header{}, Identify: e.identifyCall,
+	answer, err := f.config.Links.Do(ctx, source, &links.Request{
+		Method: http.MethodDelete, Target: f.config.Paths.Handle + handle, HostName: source.Address,
+		Header: http.Header{}, Identify: f.identifyCall,
 	})
 	if err != nil {
-		e.log("A copy of a run's memory could not be freed.", "Cause", err.Error())
-		return
+		return fmt.Errorf("free a handle: %w", err)
 	}
-	e.skipBody(answer)
-	answer.Close()
+	defer answer.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer, _maxSkippedBytes)); err != nil {
+		return fmt.Errorf("read the answer to the freeing of a handle: %w", err)
+	}
+	return nil
 }
 
 // moveResult is an engine's answer to the request to copy a run's memory.
@@ -375,21 +384,29 @@
 // requestMove asks the engine that runs the request to copy the run's memory to another
 // engine. The run goes on meanwhile or, if stops is not nil, is stopped first; stops belongs to the
 // try of the run. The error is nil if the copy is complete.
-func (e *exchange) requestMove(ctx context.Context, source core.RoutedEndpoint, to string, stops *stopRequests) (result moveResult) {
-	body, err := json.Marshal(map[string]any{"id": e.request.ID, "to": to, "last": stops != nil})
+func (e *exchange) requestMove(ctx context.Context, source core.RoutedEndpoint, to string, stops *stopRequests) moveResult {
+	if stops == nil {
+		return e.front.requestMove(ctx, e.request.ID, source, to, false)
+	}
+	stops.send()
+	result := e.front.requestMove(ctx, e.request.ID, source, to, true)
+	stops.settle(time.Now(), result.evidence())
+	return result
+}
+
+// requestMove asks the engine that runs a request to copy the run's memory to another engine. With last, the
+// run is stopped first.
+func (f *Front) requestMove(ctx context.Context, request string, source core.RoutedEndpoint, to string, last bool) (result moveResult) {
+	body, err := json.Marshal(map[string]any{"id": request, "to": to, "last": last})
 	if err != nil {
 		return moveResult{err: fmt.Errorf("encode the move: %w", err)}
 	}
 	ctx, cancel := context.WithTimeout(ctx, _moveTimeout)
 	defer cancel()
-	if stops != nil {
-		stops.send()
-		defer func() { stops.settle(time.Now(), result.evidence()) }()
-	}
-	answer, err := e.front.config.Links.Do(ctx, source, &links.Request{
-		Method: http.MethodPost, Target: e.front.config.Paths.Move, HostName: source.Address,
+	answer, err := f.config.Links.Do(ctx, source, &links.Request{
+		Method: http.MethodPost, Target: f.config.Paths.Move, HostName: source.Address,
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
-		Identify: e.identifyCall,
+		Identify: f.identifyCall,
 	})
 	if err != nil {
 		return moveResult{err: fmt.Errorf("request a move: %w", err)}
--- /dev/null
+++ b/io/front/endrun.go
@@ -0,0 +1,215 @@
+package front
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"apricotproxy/core"
+	"apricotproxy/core/reqst/leave"
+)
+
+const (
+	// _maxEndings bounds the runs that this host has ended in the background at a time.
+	_maxEndings = 256
+	// _endPause is the pause before an endpoint is asked again to end a run. It doubles up to _maxEndPause.
+	_endPause    = 40 * time.Millisecond
+	_maxEndPause = 160 * time.Millisecond
+	// _endPatience is how long the endpoint has to answer: the connection may be dead. The run ends within this
+	// time and a pause once the endpoint can be reached again.
+	_endPatience = 200 * time.Millisecond
+	// _endedCheck is the pause between two checks whether all runs have ended.
+	_endedCheck = 5 * time.Millisecond
+)
+
+// _endings counts the runs that were ended in the background, by what the endpoint's last answer showed.
+var _endings = expvar.NewMap("apricotproxy.Routed.Endings")
+
+// endings ends runs of resumable streams that nobody needs any more, at endpoints that may still work on
+// them. It is safe for concurrent use.
+type endings struct {
+	front *Front
+	// stopped ends when the front is closed.
+	stopped context.Context
+	stop    context.CancelFunc
+	// slots holds one element for each run that is being ended.
+	slots chan struct{}
+}
+
+// abandonedRun is a run that is to be ended.
+type abandonedRun struct {
+	request  string
+	endpoint core.RoutedEndpoint
+	deadline time.Time
+	// connection is the state of the connection that carried the run.
+	connection leave.Connection
+	// pending is a request to stop the run that is under way; nil for none.
+	pending *stopRequest
+}
+
+func newEndings(f *Front) *endings {
+	e := &endings{front: f, slots: make(chan struct{}, _maxEndings)}
+	e.stopped, e.stop = context.WithCancel(context.Background())
+	return e
+}
+
+// begin ends a run in the background. The returned channel is closed once the endpoint does not have to be
+// asked any more.
+func (e *endings) begin(run abandonedRun) (done <-chan struct{}) {
+	ended := make(chan struct{})
+	select {
+	case e.slots <- struct{}{}:
+	default:
+		_endings.Add("NotTaken", 1)
+		close(ended)
+		return ended
+	}
+	go func() {
+		defer func() {
+			<-e.slots
+			close(ended)
+		}()
+		began := time.Now()
+		evidence, asked := e.end(&run)
+		_endings.Add(evidence.String(), 1)
+		e.front.log.Info("A run that nobody needs was ended.", "Request", run.request, "Endpoint", run.endpoint.ID,
+			"Evidence", evidence.String(), "Asked", asked, "Took", time.Since(began).Milliseconds())
+	}()
+	return ended
+}
+
+// end asks the endpoint to stop a run until it is over. It returns what the last answer has shown, and how
+// often the endpoint was asked.
+func (e *endings) end(run *abandonedRun) (evidence leave.Evidence, asked int) {
+	ctx, cancel := context.WithDeadline(e.stopped, run.deadline)
+	defer cancel()
+	if run.pending != nil {
+		select {
+		case <-run.pending.done:
+			evidence = run.pending.evidence
+		case <-time.After(_endPatience):
+		case <-ctx.Done():
+		}
+	}
+	for pause := _endPause; ; pause = min(2*pause, _maxEndPause) {
+		if e.front.isOver(run, evidence) || ctx.Err() != nil {
+			return evidence, asked
+		}
+		if asked > 0 && !sleepUnlessDone(ctx, pause) {
+			return evidence, asked
+		}
+		evidence = e.ask(ctx, run)
+		asked++
+	}
+}
+
+// isOver reports whether an endpoint does not have to be asked again to stop a run.
+func (f *Front) isOver(run *abandonedRun, evidence leave.Evidence) bool {
+	left := leave.Left{Now: time.Now(), Evidence: evidence, Connection: run.connection, IsReplaced: f.isReplaced(run.endpoint), Deadline: run.deadline}
+	return left.IsOver()
+}
+
+// ask asks the endpoint to stop a run, and frees the memory that it keeps of it. The memory is copied
+// nowhere: the endpoint's own address is no destination.
+func (e *endings) ask(ctx context.Context, run *abandonedRun) leave.Evidence {
+	stopCtx, cancel := context.WithTimeout(ctx, _endPatience)
+	defer cancel()
+	moved := e.front.requestMove(stopCtx, run.request, run.endpoint, run.endpoint.Address, true)
+	if moved.handle != "" {
+		if err := e.front.freeHandle(ctx, run.endpoint, moved.handle); err != nil {
+			e.front.log.Info("The memory of a run that was ended could not be freed.", "Request", run.request, "Cause", err.Error())
+		}
+	}
+	return moved.evidence()
+}
+
+// sleepUnlessDone reports whether a time has passed before ctx has ended.
+func sleepUnlessDone(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// recordAbandoned records the run of a try that has ended, if the endpoint may still work on it although the
+// stream may go on elsewhere. It is ended at once, unless the stream waits for its end.
+func (e *exchange) recordAbandoned(end *tryResult) {
+	spec := e.engineSpec()
+	isComplete := end.done && end.err == nil
+	if isComplete || e.firstEventAt.IsZero() || !e.isResumable() || spec == nil || !spec.Moves {
+		return
+	}
+	e.abandoned = &abandonedRun{
+		request: e.request.ID, endpoint: e.run.Endpoint.RoutedEndpoint, deadline: e.request.Deadline, connection: max(end.connection, leave.Closed),
+	}
+	if end.done || !e.mustAwaitStopped() {
+		e.endAbandoned()
+	}
+}
+
+// endAbandoned has the run of the last try ended, unless it is known to have ended.
+func (e *exchange) endAbandoned() {
+	run := e.abandoned
+	e.abandoned = nil
+	if run == nil {
+		return
+	}
+	evidence := leave.Evidence(0)
+	if !e.stop.since.Before(e.lastEventAt) {
+		evidence, run.pending = e.stop.evidence, e.stop.pending
+	}
+	if !e.front.isOver(run, evidence) {
+		e.ending = e.front.endings.begin(*run)
+	}
+}
+
+// isResumable reports whether the request is a stream that callers may take up at any host.
+func (e *exchange) isResumable() bool {
+	return e.request.Route.Kind == core.RouteStreaming && e.request.Route.Resumable
+}
+
+// end ends an exchange that is being served, also while it writes to a caller that does not read.
+func (e *exchange) end(cause error) {
+	e.cancel(cause)
+	e.servedMu.Lock()
+	defer e.servedMu.Unlock()
+	if e.served {
+		return // the caller's connection may carry its next request
+	}
+	if err := e.controller.SetWriteDeadline(time.Now()); err != nil {
+		e.log("The caller's connection could not be ended.", "Cause", err.Error())
+	}
+}
+
+// setServed records that the exchange was served.
+func (e *exchange) setServed() {
+	e.cancel(nil)
+	e.servedMu.Lock()
+	defer e.servedMu.Unlock()
+	e.served = true
+}
+
+// EndRuns cuts the resumable streams that still run, and returns once their endpoints have ended the runs, or
+// when ctx ends. Their callers may take them up at other hosts.
+func (f *Front) EndRuns(ctx context.Context) {
+	for {
+		running := 0
+		f.planned.running.Range(func(key, _ any) bool {
+			if e, ok := key.(*exchange); ok && e.hasBegun.Load() && e.isResumable() {
+				running++
+				e.end(errStopping)
+			}
+			return true
+		})
+		if running == 0 && len(f.endings.slots) == 0 || !sleepUnlessDone(ctx, _endedCheck) {
+			return
+		}
+	}
+}
+
+// Close has the front ask no endpoint any more to end a run.
+func (f *Front) Close() { f.endings.stop() }
--- /dev/null
+++ b/io/front/endrun_test.go
@@ -0,0 +1,240 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"apricotproxy/fakes/cutoff"
+	"apricotproxy/fakes/routed"
+)
+
+// handleHome is handle for engines that copy nothing to their own address, as endpoints do: they stop the
+// run and keep its memory.
+func (e *liveEngines) handleHome(c *routed.Call) bool {
+	var move struct {
+		ID, To string
+		Last   bool
+	}
+	if c.URL.Path != "/move" || json.Unmarshal([]byte(c.BodyText), &move) != nil || !move.Last {
+		return e.handle(c)
+	}
+	e.awaitSound(c.LocalAddress())
+	switch {
+	case !e.stop(move.ID, c.LocalAddress(), true):
+		c.Answer(http.StatusNotFound, "")
+	default:
+		c.Answer(http.StatusServiceUnavailable, `{"handle":"h9"}`)
+	}
+	return true
+}
+
+// host is one of the hosts of a fixture. They share what they know.
+type host struct {
+	fixture *fixture
+	url     string
+	stop    func(context.Context)
+}
+
+func (r *fixture) addHost() host {
+	r.serve(nil)
+	return host{r, r.server.URL, r.front.EndRuns}
+}
+
+// caller is a caller's stream.
+type caller struct {
+	leave context.CancelFunc
+	lines *bufio.Scanner
+	body  io.Closer
+	text  strings.Builder
+	last  int
+}
+
+// begin sends a request for a stream.
+func (h host) begin(id string, headers ...string) *caller {
+	t := h.fixture.t
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+"/check/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	for _, header := range append([]string{"Request-Id: " + id, "Key: k", "Deadline-Ms: 12000", "Tokens: 100,400"}, headers...) {
+		name, value, _ := strings.Cut(header, ": ")
+		req.Header.Set(name, value)
+	}
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	res, err := transport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = res.Body.Close() })
+	if res.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", res.StatusCode)
+	}
+	return &caller{leave: cancel, lines: bufio.NewScanner(res.Body), body: res.Body, last: -1}
+}
+
+// read reads up to and including an event. It returns false if the stream ends before.
+func (c *caller) read(last int) bool {
+	for c.last < last && c.lines.Scan() {
+		if id, ok := strings.CutPrefix(c.lines.Text(), "id: "); ok {
+			c.last, _ = strconv.Atoi(id)
+		}
+		c.text.WriteString(c.lines.Text() + "\n")
+	}
+	return c.last >= last
+}
+
+// newLiveFixture returns a fixture whose resumable streams last as long as the runs of its engines.
+func newLiveFixture(t *testing.T, engines *liveEngines) *fixture {
+	t.Helper()
+	r := newFixture(t, engines.handleHome, engines.handleHome)
+	route, _ := r.view.Load().Table.Match("h", "/check/")
+	route.Timeout = 15 * time.Second
+	return r
+}
+
+// moves returns how often endpoints were asked to stop or copy a run, and how often to free its memory.
+func (r *fixture) moves() (moves, frees int) {
+	for _, e := range r.endpoints {
+		for _, c := range e.Calls() {
+			switch {
+			case c.URL.Path == "/move":
+				moves++
+			case strings.HasPrefix(c.URL.Path, "/handle/"):
+				frees++
+			}
+		}
+	}
+	return moves, frees
+}
+
+// A resumable stream was taken up at another host while the endpoint still worked on the run of the first one,
+// whose caller had left or which had stopped.
+func TestTakenUpStreamRunsOnce(t *testing.T) {
+	for name, end := range map[string]func(first host, c *caller){
+		"caller leaves": func(_ host, c *caller) { c.leave() },
+		"host stops": func(first host, _ *caller) {
+			ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
+			defer cancel()
+			first.stop(ctx)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engines := &liveEngines{trouble: func(string) {}}
+			r := newLiveFixture(t, engines)
+			first, second := r.addHost(), r.addHost()
+			c := first.begin("r1")
+			if !c.read(_troubleEvent) {
+				t.Fatalf("the stream ended after %q", c.text.String())
+			}
+			end(first, c)
+			rest := second.begin("r2", "Resumes: r1", "Last-Event-Id: "+strconv.Itoa(c.last))
+			if !rest.read(_novelEvents - 1) {
+				t.Errorf("the stream that was taken up ended after event %d", rest.last)
+			}
+			if runs := engines.check(t); runs != 2 {
+				t.Errorf("%d runs, want 2", runs)
+			}
+			if moves, frees := r.moves(); moves != 1 || frees != 1 {
+				t.Errorf("asked %d times to stop the run and %d times to free its memory, want once each", moves, frees)
+			}
+		})
+	}
+}
+
+// A resumable stream went on elsewhere while the run that it had left still worked, since nothing more was done
+// once the endpoint had not answered in time or the path had reset the connection.
+func TestRunThatResumableStreamLeftIsEnded(t *testing.T) {
+	const cutLength = 1800 * time.Millisecond
+	for name, trouble := range map[string]func(t *testing.T, e *liveEngines, address string, link *cutoff.Link){
+		"its connection is reset": func(_ *testing.T, _ *liveEngines, _ string, link *cutoff.Link) { link.ResetOpen() },
+		"silent, and new connections hang": func(t *testing.T, e *liveEngines, address string, link *cutoff.Link) {
+			e.silence(address, cutLength)
+			if err := link.Cut(cutoff.HangNew); err != nil {
+				t.Error(err)
+			}
+			restored := make(chan error, 1)
+			time.AfterFunc(cutLength, func() { restored <- link.Restore() })
+			t.Cleanup(func() {
+				if err := <-restored; err != nil {
+					t.Error(err)
+				}
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engines := &liveEngines{}
+			r := newLiveFixture(t, engines)
+			links := linkEndpoints(t, r)
+			engines.trouble = func(address string) { trouble(t, engines, address, links[address]) }
+			c := r.addHost().begin("r1")
+			if !c.read(_novelEvents - 1) {
+				t.Errorf("the stream ended after event %d", c.last)
+			}
+			if runs := engines.check(t); runs != 2 {
+				t.Errorf("%d runs, want 2", runs)
+			}
+		})
+	}
+}
+
+// Only runs of resumable streams that had begun are ended.
+func TestOtherRunsAreNotAskedToEnd(t *testing.T) {
+	isDone := make(chan struct{})
+	defer close(isDone)
+	for name, c := range map[string]struct {
+		path   string
+		handle routed.Handler
+	}{
+		"complete": {"/check/", func(c *routed.Call) bool {
+			c.BeginStream(echo(c), _seal)
+			events(c, 0, 3)
+			c.EndStream()
+			return true
+		}},
+		"no event yet": {"/check/", func(c *routed.Call) bool {
+			c.WaitClosed(time.Second)
+			return false
+		}},
+		"not resumable": {"/draft/", func(c *routed.Call) bool {
+			c.BeginStream(echo(c), _seal)
+			events(c, 0, 3)
+			c.WaitClosed(time.Second)
+			return false
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newFixture(t, c.handle)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.server.URL+c.path, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "h"
+			req.Header.Set("Request-Id", "r1")
+			req.Header.Set("Key", "k")
+			if res, err := http.DefaultTransport.RoundTrip(req); err == nil {
+				_, _ = io.Copy(io.Discard, res.Body)
+				_ = res.Body.Close()
+			}
+			time.Sleep(200 * time.Millisecond)
+			if moves, frees := r.moves(); moves+frees > 0 {
+				t.Errorf("asked %d times to stop a run and %d times to free memory, want 0", moves, frees)
+			}
+		})
+	}
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -92,6 +93,15 @@
 	// if its endpoint may still work on it; nil otherwise.
 	stop    runStop
 	unended *leftRun
+	// abandoned is the run of the last try if the stream is resumable and the run is not being ended yet; nil
+	// otherwise. ending is closed once the last run that was abandoned is over; nil for none.
+	abandoned *abandonedRun
+	ending    <-chan struct{}
+	// cancel ends the exchange. served is true once it was served; it is guarded by servedMu, as is the use of
+	// controller by other goroutines.
+	cancel   context.CancelCauseFunc
+	servedMu sync.Mutex
+	served   bool
 	// before is the last try at an endpoint that was sent the request.
 	before sentTry
 	// counted is true once the current try counts as sent, waitLogged once it was logged that
@@ -194,6 +204,7 @@
 	defer e.buffered.release()
 	defer e.dropPrepared()
 	defer e.dropHost()
+	defer e.endAbandoned()
 	e.placer().recordArrival(&e.request.RoutedRequest, e.request.relayedBy != "")
 	step := tries.Again
 	for {
@@ -302,6 +313,7 @@
 		}
 		from = stoppedFrom
 	}
+	e.endAbandoned()
 	e.logGoesOn(step, from)
 	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
 	end := e.try(ctx, from)
@@ -309,6 +321,7 @@
 	if end.connection != 0 && e.backup.handoverState() != _handoverDone {
 		e.unended = &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: end.connection, hasBegun: !e.firstEventAt.IsZero()}
 	}
+	e.recordAbandoned(&end)
 	e.recordEnd(ctx, &end)
 	if !end.done && !e.backupReady() {
 		e.backup.drop(e.placer()) // the copy was to be made by this try
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -99,6 +99,7 @@
 	bodies   *bufferLimit
 	counters *counters
 	planned  *planned
+	endings  *endings
 }
 
 // New returns a handler for routed requests.
@@ -106,7 +107,9 @@
 	if config.Origins == nil {
 		config.Origins = NewSharedOrigins(OriginConfig{})
 	}
-	return &Front{config: config, log: config.Logger.WithName("front"), buffers: newBufferLimit(config.BufferBytes), bodies: newBufferLimit(config.BodyBytes), counters: newCounters(), planned: newPlanned()}
+	f := &Front{config: config, log: config.Logger.WithName("front"), buffers: newBufferLimit(config.BufferBytes), bodies: newBufferLimit(config.BodyBytes), counters: newCounters(), planned: newPlanned()}
+	f.endings = newEndings(f)
+	return f
 }
 
 // Running returns the number of requests in flight.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -40,6 +40,7 @@
 type fixture struct {
 	t         *testing.T
 	server    *httptest.Server
+	front     *front.Front
 	endpoints []*routed.Endpoint
 	placer    *front.SharedPlacer
 	detector  *front.SharedDetector
@@ -158,13 +159,15 @@
 		r.t.Cleanup(pool.Close)
 		return pool
 	}
-	r.server = httptest.NewServer(front.New(front.Config{
+	r.front = front.New(front.Config{
 		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: newPool(),
 		Detector: r.detector, Origins: r.origins, BufferBytes: _bufferBytes, BodyBytes: _bodyBytes,
 		Reach: reached, RelayLinks: newPool(), Self: "self",
 		View: r.view.Load, Logger: r.logger(), LoadChanged: func() {},
 		SyncStatus: func() know.SyncStatus { return know.SyncStatus{AsOf: 12, FreshAt: time.Now().Add(-_documentAge)} },
-	}))
+	})
+	r.server = httptest.NewServer(r.front)
+	r.t.Cleanup(r.front.Close)
 	r.t.Cleanup(r.server.Close)
 }
 
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -108,7 +108,12 @@
 			return other.Key() == endpoint.Key() && other.DropAt.IsZero()
 		})
 	}
-	contact.IsReplaced = slices.ContainsFunc(config.View().Endpoints, func(other know.Endpoint) bool {
+	contact.IsReplaced = e.front.isReplaced(endpoint)
+}
+
+// isReplaced reports whether an endpoint has started again since, or another one has its address.
+func (f *Front) isReplaced(endpoint core.RoutedEndpoint) bool {
+	return slices.ContainsFunc(f.config.View().Endpoints, func(other know.Endpoint) bool {
 		return (other.ID == endpoint.ID || other.Address == endpoint.Address) && !endpoint.Born.IsZero() && other.Born.After(endpoint.Born)
 	})
 }
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -120,6 +120,7 @@
 	peer := core.RoutedEndpoint{ID: string(host.Name), Address: host.Address}
 	e.run = &place.Run{Endpoint: know.Endpoint{RoutedEndpoint: peer}}
 	e.backup.drop(e.placer())
+	e.endAbandoned()
 	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
 	e.silence, e.counted, e.waitLogged = &links.Silence{}, false, false
 	e.silence.Ask = func() error { // the other host leaves silent endpoints
--- a/io/front/stopping.go
+++ b/io/front/stopping.go
@@ -102,6 +102,7 @@
 // the host is about to end and the exchange's answer has not begun.
 func (p *planned) track(ctx context.Context, e *exchange) (tracked context.Context, done func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	e.cancel = cancel
 	p.running.Store(e, struct{}{})
 	stop := context.AfterFunc(p.ended, func() {
 		if !e.hasBegun.Load() {
@@ -110,8 +111,8 @@
 	})
 	return ctx, func() {
 		stop()
-		cancel(nil)
 		p.running.Delete(e)
+		e.setServed()
 	}
 }
 
