A take-up ends the attempt before it, at this host and at others

A caller whose connection hung took its resumable stream up at another host, and the first one had its endpoint go on: it still read the stream and may have waited to write it.

Cause: a host learned that its caller had left only from the connection. The question that other hosts get for the stream's record said nothing of the take-up.

With the scope not compared, TestTakeUpEndsNoOtherStream fails for another route and another workspace.

Now the question carries a claim, and hosts end attempts at the stream before they answer. It is asked also if the record is known, for at most 50 ms then. The claim is sent as one more question, so that hosts of earlier versions ignore it.

OriginConfig.AskHosts gets the claim; the two tests that give one of their own have the new parameter and are the same otherwise.

--- a/io/entry/origin.go
+++ b/io/entry/origin.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math"
 	"slices"
 	"time"
@@ -16,7 +17,7 @@
 func (h *Host) newOrigins() *front.SharedOrigins {
 	config := front.OriginConfig{
 		Begun:       func() { h.peers.scheduleOrigins() },
-		AskHosts:    func(request string) int { return h.peers.askOrigin(request) },
+		AskHosts:    func(request string, claim origin.Claim) int { return h.peers.askOrigin(request, claim) },
 		ReadHistory: h.readHistory,
 		Refresh:     func() { h.refreshOrigins(time.Now()) },
 	}
@@ -66,8 +67,8 @@
 }
 
 // askOrigin asks other hosts for the record of a stream and returns how many it asked: without
-// end if it does not know yet how many there are.
-func (p *peers) askOrigin(request string) int {
+// end if it does not know yet how many there are. A valid claim is sent with it.
+func (p *peers) askOrigin(request string, claim origin.Claim) int {
 	now := time.Now()
 	p.mu.Lock()
 	targets, allKnown := p.state.QuestionTargets(now)
@@ -75,20 +76,50 @@
 	if len(targets) == 0 {
 		return 0
 	}
-	p.sendOriginsTo(&news.Origins{Questions: []string{request}, ReplyTo: p.self.Heartbeat}, now, targets)
+	question := &news.Origins{Questions: []string{request}, ReplyTo: p.self.Heartbeat}
+	if claim.IsValid() {
+		question.Claims = []origin.Claim{claim}
+	}
+	p.sendOriginsTo(question, now, targets)
 	if !allKnown {
 		return math.MaxInt
 	}
 	return len(targets)
 }
 
-// receiveOrigins records what another host knows and answers what it asks.
-func (p *peers) receiveOrigins(now time.Time, o *news.Origins) {
+// _claimAnswerTimeout bounds the wait for the ends of attempts before a host that claims their stream is answered:
+// less than the time for which it asks, also if its first two questions were lost.
+const _claimAnswerTimeout = 40 * time.Millisecond
+
+// receiveOrigins records what another host knows, ends attempts at streams that it claims, and answers what it asks.
+func (p *peers) receiveOrigins(ctx context.Context, now time.Time, o *news.Origins) {
 	if o.Host == p.self.Host {
 		return
 	}
 	p.origins.Update(func(l *origin.Ledger) { l.Merge(o.Span) })
 	p.origins.Answer(o.Host, o.Records, o.Unknown)
+	var waits []func(context.Context)
+	for _, claim := range o.Claims {
+		if wait := p.front.EndAttempts(claim); wait != nil {
+			waits = append(waits, wait)
+		}
+	}
+	if len(waits) == 0 {
+		p.answerOrigins(now, o)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, _claimAnswerTimeout)
+		defer cancel()
+		for _, wait := range waits {
+			wait(ctx)
+		}
+		p.answerOrigins(time.Now(), o)
+	}()
+}
+
+// answerOrigins answers what another host asks.
+func (p *peers) answerOrigins(now time.Time, o *news.Origins) {
 	if len(o.Questions) == 0 || o.ReplyTo == "" {
 		return
 	}
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -34,6 +34,7 @@
 	sharedPlacer *front.SharedPlacer
 	detector     *front.SharedDetector
 	origins      *front.SharedOrigins
+	front        *front.Front
 	reach        *front.SharedReach
 	// recordHost records what another host says of whether it reaches the endpoints.
 	recordHost func(*gossip.Heartbeat)
@@ -88,7 +89,7 @@
 	case received.Requests != nil:
 		p.receiveRequests(now, received.Requests)
 	case received.Origins != nil:
-		p.receiveOrigins(now, received.Origins)
+		p.receiveOrigins(ctx, now, received.Origins)
 	case received.Paces != nil:
 		p.receivePaces(now, received.Paces)
 	case received.Demand != nil:
@@ -555,6 +556,7 @@
 		sharedPlacer:    h.sharedPlacer,
 		detector:        h.detector,
 		origins:         h.origins,
+		front:           h.front,
 		reach:           h.reach,
 		recordHost:      h.recordHost,
 		stopping:        h.stopping.Load,
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -76,8 +76,8 @@
 // timeout ends a request whose deadline has passed, or whose host ends before its answer began.
 func (e *exchange) timeout(cause error) {
 	reason := errTimeout.Error()
-	if errors.Is(cause, errStopping) {
-		reason = errStopping.Error()
+	if errors.Is(cause, errStopping) || errors.Is(cause, errTakenUp) {
+		reason = cause.Error()
 	}
 	if e.delivered {
 		e.cut(reason)
--- a/io/front/endrun.go
+++ b/io/front/endrun.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/procs/origin"
 	"apricotproxy/core/reqst/leave"
 )
 
@@ -191,6 +193,56 @@
 	e.servedMu.Lock()
 	defer e.servedMu.Unlock()
 	e.served = true
+	close(e.done)
+}
+
+// errTakenUp ends an attempt at a stream that goes on with another one.
+var errTakenUp = errors.New("the stream was taken up elsewhere")
+
+// _claimed counts the attempts that ended since their streams had been taken up.
+var _claimed = expvar.NewInt("apricotproxy.Routed.Claimed")
+
+// EndAttempts ends the attempts at a stream that another one goes on with: their callers' connections are cut, and
+// their runs ended. wait, which is nil if there are none, returns once that is done or when its context ends.
+func (f *Front) EndAttempts(claim origin.Claim) (wait func(context.Context)) {
+	var ended []*exchange
+	f.planned.running.Range(func(key, _ any) bool {
+		e, ok := key.(*exchange)
+		if !ok || !e.hasBegun.Load() || !e.isResumable() || e.request.ID != claim.Stream && e.begunBy != claim.Stream {
+			return true
+		}
+		if claim.Ends(origin.Attempt{Request: e.request.ID, BegunBy: e.begunBy, Scope: e.scope(), HasBegun: true}) {
+			e.log("A stream goes on with another attempt.", "By", claim.By)
+			_claimed.Add(1)
+			e.end(errTakenUp)
+			ended = append(ended, e)
+		}
+		return true
+	})
+	if len(ended) == 0 {
+		return nil
+	}
+	return func(ctx context.Context) {
+		for _, e := range ended {
+			e.awaitEnded(ctx)
+		}
+	}
+}
+
+// awaitEnded waits until the exchange was served and its last run is over.
+func (e *exchange) awaitEnded(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-e.done:
+	}
+	if e.ending == nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-e.ending:
+	}
 }
 
 // EndRuns cuts the resumable streams that still run, and returns once their endpoints have ended the runs, or
--- a/io/front/endrun_test.go
+++ b/io/front/endrun_test.go
@@ -11,8 +11,11 @@
 	"testing"
 	"time"
 
+	"apricotproxy/core"
+	"apricotproxy/core/procs/origin"
 	"apricotproxy/fakes/cutoff"
 	"apricotproxy/fakes/routed"
+	"apricotproxy/io/front"
 )
 
 // handleHome is handle for engines that copy nothing to their own address, as endpoints do: they stop the
@@ -62,7 +65,13 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+"/check/", nil)
+	path := "/check/"
+	for _, header := range headers {
+		if other, ok := strings.CutPrefix(header, "Path: "); ok {
+			path = other
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+path, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -98,9 +107,16 @@
 // newLiveFixture returns a fixture whose resumable streams last as long as the runs of its engines.
 func newLiveFixture(t *testing.T, engines *liveEngines) *fixture {
 	t.Helper()
-	r := newFixture(t, engines.handleHome, engines.handleHome)
-	route, _ := r.view.Load().Table.Match("h", "/check/")
-	route.Timeout = 15 * time.Second
+	return newLiveFixtureOf(t, nil, engines)
+}
+
+func newLiveFixtureOf(t *testing.T, origins *front.SharedOrigins, engines *liveEngines) *fixture {
+	t.Helper()
+	r := newFixtureWithOrigins(t, origins, engines.handleHome, engines.handleHome)
+	for _, path := range []string{"/check/", "/recheck/"} {
+		route, _ := r.view.Load().Table.Match("h", path)
+		route.Timeout = 15 * time.Second
+	}
 	return r
 }
 
@@ -238,3 +254,154 @@
 		})
 	}
 }
+
+// tellOthers returns origins whose question reaches all hosts of a fixture, which end what it claims before they
+// answer.
+func tellOthers(t *testing.T, hosts *[]*front.Front) *front.SharedOrigins {
+	var origins *front.SharedOrigins
+	origins = front.NewSharedOrigins(front.OriginConfig{AskHosts: func(request string, claim origin.Claim) int {
+		for i, h := range *hosts {
+			wait := h.EndAttempts(claim)
+			go func() {
+				if wait != nil {
+					wait(t.Context())
+				}
+				origins.Answer(core.HostName(strconv.Itoa(i)), nil, []string{request})
+			}()
+		}
+		return len(*hosts)
+	}})
+	origins.Update(func(l *origin.Ledger) { l.SetCurrent(time.Now().Add(-time.Minute), true) })
+	return origins
+}
+
+// A stream was taken up at another host while the first one, whose connection to the caller hung, had its endpoint go
+// on.
+func TestTakeUpEndsTheAttemptBefore(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// reads is true if the caller still reads the first attempt's events.
+		reads   bool
+		sameOne bool
+	}{
+		{"caller reads, at another host", true, false},
+		{"caller reads, at the same host", true, true},
+		{"caller's connection hangs, at another host", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			engines := &liveEngines{trouble: func(string) {}}
+			var fronts []*front.Front
+			r := newLiveFixtureOf(t, tellOthers(t, &fronts), engines)
+			first := r.addHost()
+			fronts = append(fronts, r.front)
+			second := r.addHost()
+			fronts = append(fronts, r.front)
+			if c.sameOne {
+				second = first
+			}
+			before := first.begin("r1")
+			if !before.read(_troubleEvent) {
+				t.Fatalf("the stream ended after event %d", before.last)
+			}
+			began := time.Now()
+			rest := second.begin("r2", "Resumes: r1", "Last-Event-Id: "+strconv.Itoa(before.last))
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("the take-up took %v", took)
+			}
+			if c.reads && before.read(_novelEvents-1) {
+				t.Error("the first attempt brought the whole stream")
+			}
+			if !rest.read(_novelEvents - 1) {
+				t.Errorf("the stream that was taken up ended after event %d", rest.last)
+			}
+			if runs := engines.check(t); runs != 2 {
+				t.Errorf("%d runs, want 2", runs)
+			}
+		})
+	}
+}
+
+// A caller ends only streams that it could take up.
+func TestTakeUpEndsNoOtherStream(t *testing.T) {
+	for name, headers := range map[string][]string{
+		"another workspace": {"Key: k2", "Resumes: r1"},
+		"another route":     {"Resumes: r1", "Path: /recheck/"},
+		"another stream":    {"Resumes: r0"},
+		"no stream":         nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engines := &liveEngines{trouble: func(string) {}}
+			var fronts []*front.Front
+			r := newLiveFixtureOf(t, tellOthers(t, &fronts), engines)
+			first := r.addHost()
+			fronts = append(fronts, r.front)
+			second := r.addHost()
+			fronts = append(fronts, r.front)
+			before := first.begin("r1")
+			if !before.read(_troubleEvent) {
+				t.Fatalf("the stream ended after event %d", before.last)
+			}
+			other := second.begin("r2", append(headers, "Last-Event-Id: "+strconv.Itoa(before.last))...)
+			if !other.read(_novelEvents-1) || !before.read(_novelEvents-1) {
+				t.Errorf("the streams ended after events %d and %d, want the last ones", other.last, before.last)
+			}
+		})
+	}
+}
+
+// A host that writes to a caller that does not read went on with the run of a stream that was taken up.
+func TestTakeUpEndsTheAttemptThatIsBlocked(t *testing.T) {
+	t.Parallel()
+	stopped := make(chan time.Time, 1)
+	data := strings.Repeat("x", 8<<10)
+	handle := func(c *routed.Call) bool {
+		switch {
+		case c.URL.Path == "/move":
+			stopped <- time.Now()
+			c.Answer(http.StatusServiceUnavailable, `{"handle":"h9"}`)
+			return true
+		case strings.HasPrefix(c.URL.Path, "/handle/"):
+			c.Answer(http.StatusOK, "")
+			return true
+		}
+		c.BeginStream(echo(c), _seal)
+		if c.Header.Get("Last-Event-Id") != "" {
+			events(c, 1, _lastEvent)
+			c.EndStream()
+			return true
+		}
+		events(c, 0, 0)
+		for id, closed := 1, false; !closed; id++ {
+			c.Chunk("id: " + strconv.Itoa(id) + "\ndata: " + data + "\n\n")
+			closed = id%100 == 0 && c.WaitClosed(time.Millisecond)
+		}
+		time.Sleep(_overlap) // it goes on although its connection has closed
+		return false
+	}
+	var fronts []*front.Front
+	r := newFixtureWithOrigins(t, tellOthers(t, &fronts), handle, handle)
+	first := r.addHost()
+	fronts = append(fronts, r.front)
+	second := r.addHost()
+	fronts = append(fronts, r.front)
+	before := first.begin("r1", "Deadline-Ms: 4000")
+	if !before.read(0) {
+		t.Fatal("the stream did not begin")
+	}
+	time.Sleep(700 * time.Millisecond) // until all buffers are full
+	rest := second.begin("r2", "Resumes: r1", "Last-Event-Id: 0")
+	began := time.Now()
+	if !rest.read(_lastEvent) {
+		t.Errorf("the stream that was taken up ended after event %d", rest.last)
+	}
+	select {
+	case at := <-stopped:
+		if at.After(began.Add(_overlap)) {
+			t.Errorf("the endpoint was asked to stop the run %v after the next one had begun", at.Sub(began))
+		}
+	case <-time.After(time.Second):
+		t.Error("the endpoint was not asked to stop the run")
+	}
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -102,6 +102,8 @@
 	cancel   context.CancelCauseFunc
 	servedMu sync.Mutex
 	served   bool
+	// done is closed once the exchange was served.
+	done chan struct{}
 	// before is the last try at an endpoint that was sent the request.
 	before sentTry
 	// counted is true once the current try counts as sent, waitLogged once it was logged that
@@ -154,7 +156,7 @@
 	e := &exchange{
 		front: f, writer: w, controller: http.NewResponseController(w), incoming: r, request: req,
 		tries: tries.New(req.Route, f.config.Switches.Tries), sharedParts: req.Prompt.SharedParts(),
-		buffered: share{limit: f.buffers}, bodyReadAt: time.Now(),
+		buffered: share{limit: f.buffers}, bodyReadAt: time.Now(), done: make(chan struct{}),
 	}
 	if last, err := strconv.Atoi(r.Header.Get(f.config.Names.LastEventID)); err == nil && req.Route.Resumable {
 		e.takenUp, e.position = true, event.After(last)
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -73,9 +73,10 @@
 			{Name: "draft", HostName: "h", Prefix: "/draft/", Kind: core.RouteStreaming, MaxAttempts: 1, Timeout: 5 * time.Second, Goal: 500 * time.Millisecond, GapGoal: 50 * time.Millisecond, Services: only("all")},
 			{Name: "novel", HostName: "h", Prefix: "/novel/", Kind: core.RouteStreaming, MaxAttempts: 1, Timeout: 15 * time.Second, Goal: 500 * time.Millisecond, GapGoal: 50 * time.Millisecond, Services: only("all")},
 			{Name: "check", HostName: "h", Prefix: "/check/", Kind: core.RouteStreaming, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Goal: 500 * time.Millisecond, GapGoal: 50 * time.Millisecond, Services: only("all")},
+			{Name: "recheck", HostName: "h", Prefix: "/recheck/", Kind: core.RouteStreaming, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Goal: 500 * time.Millisecond, GapGoal: 50 * time.Millisecond, Services: only("all")},
 			{Name: "open", HostName: "h", Prefix: "/open/", Kind: core.RouteIdempotent, Anonymous: true, MaxAttempts: 1, Services: only("all")},
 		},
-		Workspaces: []table.Workspace{{Name: "travis", Keys: []string{"k"}}},
+		Workspaces: []table.Workspace{{Name: "travis", Keys: []string{"k"}}, {Name: "jill", Keys: []string{"k2"}}},
 		Limits:     core.CallerLimits{BodyBytes: 1 << 16, HeaderBytes: 1 << 13},
 	})
 	if err != nil {
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -14,6 +14,9 @@
 	// _peerAnswerTimeout is how long other hosts have to tell what they know of a stream: a
 	// few round trips within a region, and two repetitions of a lost datagram.
 	_peerAnswerTimeout = 150 * time.Millisecond
+	// _claimTimeout is how long a stream that is taken up waits until other hosts have ended earlier attempts
+	// at it: a round trip within a region, and the end of a run. They end them without being waited for.
+	_claimTimeout = 50 * time.Millisecond
 	// _questionInterval is after how long they are asked again.
 	_questionInterval = 50 * time.Millisecond
 	// _confirmTimeout is how long a stream waits until the documents are known to be up to date: a
@@ -29,8 +32,10 @@
 	// Begun is called when there are records to copy to other hosts.
 	Begun func()
 	// AskHosts asks other hosts for the record of a stream and returns how many were asked.
-	// Their answers come to Answer.
-	AskHosts func(request string) int
+	// Their answers come to Answer. A valid claim has them end earlier attempts at the stream before.
+	AskHosts func(request string, claim origin.Claim) int
+	// TellHost has one other host end an attempt at a stream, which goes on elsewhere.
+	TellHost func(host core.HostName, claim origin.Claim)
 	// AskEngines asks the engines of services which of them hold a part of a prompt.
 	// arrived is when the request arrived for which they are asked.
 	AskEngines func(ctx context.Context, arrived time.Time, services []core.ServiceName, part string) []origin.Holder
@@ -64,9 +69,11 @@
 	// may answer before all have been asked.
 	asked   int
 	answers map[core.HostName]bool
-	// done is closed once a host knew the stream, or none of them did.
-	done     chan struct{}
-	isClosed bool
+	// done is closed once a host knew the stream, or none of them did, and complete once all have
+	// answered.
+	done, complete chan struct{}
+	isDone         bool
+	isComplete     bool
 }
 
 // NewSharedOrigins returns a ledger that knows nothing.
@@ -96,38 +103,64 @@
 	for _, r := range records {
 		s.ledger.Add(r)
 		if q := s.questions[r.Request]; q != nil {
-			q.close()
+			q.setDone()
+			q.add(from)
 		}
 	}
 	for _, request := range unknown {
-		q := s.questions[request]
-		if q == nil {
-			continue
-		}
-		q.answers[from] = true
-		if len(q.answers) >= q.asked {
-			q.close()
+		if q := s.questions[request]; q != nil {
+			q.add(from)
 		}
 	}
 }
 
-func (q *question) close() {
-	if !q.isClosed {
-		q.isClosed = true
+// add records that a host has answered.
+func (q *question) add(from core.HostName) {
+	q.answers[from] = true
+	q.check()
+}
+
+// check ends the question if all hosts have answered.
+func (q *question) check() {
+	if len(q.answers) < q.asked {
+		return
+	}
+	q.setDone()
+	if !q.isComplete {
+		q.isComplete = true
+		close(q.complete)
+	}
+}
+
+func (q *question) setDone() {
+	if !q.isDone {
+		q.isDone = true
 		close(q.done)
 	}
 }
 
+// await waits until a channel of the question is closed, a time has passed, or ctx ends.
+func (q *question) await(ctx context.Context, closed <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // find returns where a stream was begun. ownPart is the part of the prompt that
-// belongs to this request alone; empty if it has none. arrived is when the request arrived.
-func (s *SharedOrigins) find(ctx context.Context, arrived time.Time, stream origin.Stream, ownPart string) (origin.Origin, origin.Source) {
+// belongs to this request alone; empty if it has none. arrived is when the request arrived. Other hosts end
+// earlier attempts at the stream, for which find waits for a moment.
+func (s *SharedOrigins) find(ctx context.Context, arrived time.Time, stream origin.Stream, claim origin.Claim, ownPart string) (origin.Origin, origin.Source) {
 	if s.config.Refresh != nil {
 		s.config.Refresh()
 		stream.ConfirmedAfter = arrived
 	}
 	found, source := s.resolve(stream)
-	if source != origin.Recorded && s.config.AskHosts != nil {
-		found, source = s.resolveWithHosts(ctx, stream, source)
+	if s.config.AskHosts != nil && (source != origin.Recorded || claim.IsValid()) {
+		found, source = s.resolveWithHosts(ctx, stream, claim, source)
 	}
 	if source == origin.Unconfirmed {
 		found, source = s.awaitConfirmed(ctx, stream)
@@ -146,8 +179,15 @@
 
 // resolveWithHosts asks other hosts and returns where a stream was begun. A single build was found
 // without them, if at all: the stream's own may be new, and known to other hosts only.
-func (s *SharedOrigins) resolveWithHosts(ctx context.Context, stream origin.Stream, before origin.Source) (origin.Origin, origin.Source) {
-	s.askHosts(ctx, stream.Question())
+func (s *SharedOrigins) resolveWithHosts(ctx context.Context, stream origin.Stream, claim origin.Claim, before origin.Source) (origin.Origin, origin.Source) {
+	began := time.Now()
+	q := s.askHosts(ctx, stream.Question(), claim)
+	if before != origin.Recorded {
+		q.await(ctx, q.done, _peerAnswerTimeout)
+	}
+	if claim.IsValid() {
+		q.await(ctx, q.complete, time.Until(began.Add(_claimTimeout)))
+	}
 	found, source := s.resolve(stream)
 	if source != origin.Unknown && source != origin.Unconfirmed && source != before {
 		source = origin.OtherHost
@@ -203,39 +243,45 @@
 	return s.ledger.Resolve(time.Now(), stream)
 }
 
-// askHosts asks other hosts for a stream's record until one has it, all have answered, or
-// _peerAnswerTimeout has passed. Datagrams may be lost, so they are asked repeatedly.
-func (s *SharedOrigins) askHosts(ctx context.Context, request string) {
+// askHosts asks other hosts for a stream's record until one has it, or all have answered if the stream is
+// claimed, at most for _peerAnswerTimeout. Datagrams may be lost, so they are asked repeatedly, in the background.
+func (s *SharedOrigins) askHosts(ctx context.Context, request string, claim origin.Claim) *question {
 	q := s.beginQuestion(request)
-	defer s.endQuestion(request, q)
-	deadline := time.NewTimer(_peerAnswerTimeout)
-	defer deadline.Stop()
-	for {
-		if !s.ask(request, q) {
-			return
-		}
-		select {
-		case <-q.done:
-			return
-		case <-ctx.Done():
-			return
-		case <-deadline.C:
-			return
-		case <-time.After(_questionInterval):
-		}
+	if !s.ask(request, claim, q) {
+		s.endQuestion(request, q)
+		return q
+	}
+	ended := q.done
+	if claim.IsValid() {
+		ended = q.complete
 	}
+	go func() {
+		defer s.endQuestion(request, q)
+		ctx, cancel := context.WithTimeout(ctx, _peerAnswerTimeout)
+		defer cancel()
+		for {
+			q.await(ctx, ended, _questionInterval)
+			select {
+			case <-ended:
+				return
+			case <-ctx.Done():
+				return
+			default:
+			}
+			s.ask(request, claim, q)
+		}
+	}()
+	return q
 }
 
-// ask asks other hosts once. It returns false if there are none.
-func (s *SharedOrigins) ask(request string, q *question) bool {
-	asked := s.config.AskHosts(request)
+// ask asks other hosts once. It returns false if all have answered, or there are none.
+func (s *SharedOrigins) ask(request string, claim origin.Claim, q *question) bool {
+	asked := s.config.AskHosts(request, claim)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q.asked = asked
-	if len(q.answers) >= asked {
-		q.close()
-	}
-	return asked > 0 && !q.isClosed
+	q.check()
+	return !q.isComplete
 }
 
 // beginQuestion joins the question for a stream, or begins it.
@@ -244,7 +290,7 @@
 	defer s.mu.Unlock()
 	q := s.questions[request]
 	if q == nil {
-		q = &question{asked: math.MaxInt, answers: make(map[core.HostName]bool), done: make(chan struct{})}
+		q = &question{asked: math.MaxInt, answers: make(map[core.HostName]bool), done: make(chan struct{}), complete: make(chan struct{})}
 		s.questions[request] = q
 	}
 	q.waiting++
--- a/io/front/origins_test.go
+++ b/io/front/origins_test.go
@@ -35,7 +35,7 @@
 
 // ask has the hosts without the record answer at once, before the caller knows how many were asked,
 // and the last one with the record later.
-func (h *otherHosts) ask(request string) int {
+func (h *otherHosts) ask(request string, _ origin.Claim) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.asked++
--- a/io/front/outofstep_test.go
+++ b/io/front/outofstep_test.go
@@ -21,7 +21,7 @@
 	var origins *front.SharedOrigins
 	var confirmed atomic.Bool
 	origins = front.NewSharedOrigins(front.OriginConfig{
-		AskHosts: func(string) int { return 3 },
+		AskHosts: func(string, origin.Claim) int { return 3 },
 		Refresh: func() {
 			if !confirmed.Load() {
 				return
--- a/io/front/takeup.go
+++ b/io/front/takeup.go
@@ -34,7 +34,14 @@
 	for _, s := range e.request.Route.Services {
 		stream.Services = append(stream.Services, s.Service)
 	}
-	found, source := e.front.config.Origins.find(ctx, e.request.Arrived, stream, e.ownPart())
+	ownCtx, cancel := context.WithTimeout(ctx, _claimTimeout)
+	defer cancel()
+	claim := origin.Claim{Stream: stream.Request, By: e.request.ID, Scope: e.scope()}
+	awaitOwn := e.front.EndAttempts(claim)
+	found, source := e.front.config.Origins.find(ctx, e.request.Arrived, stream, claim, e.ownPart())
+	if awaitOwn != nil {
+		awaitOwn(ownCtx)
+	}
 	e.log("A caller takes up a stream.", "Resumes", stream.Request, "LastEventID", lastEvent, "Source", source.String(), "Build", string(found.Build), "Service", string(found.Service),
 		"Took", time.Since(e.request.Arrived).Milliseconds())
 	_takeUps.Add(source.String(), 1)
@@ -51,6 +58,11 @@
 	return true
 }
 
+// scope returns the scope of the request.
+func (e *exchange) scope() origin.Scope {
+	return origin.ScopeOf(e.request.Route.Name, e.request.Workspace)
+}
+
 // longestAge returns how long ago a stream can have begun that is taken up now: the route's
 // time-out or, where it has none, the time that this request has left.
 func (e *exchange) longestAge() time.Duration {
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -94,6 +94,8 @@
 	// Questions lists the requests whose records the host asks for. The answer goes to ReplyTo.
 	Questions []string
 	ReplyTo   string
+	// Claims lists streams of which the hosts that receive them end earlier attempts, before they answer.
+	Claims []origin.Claim
 	// Unknown lists the requests of which the host has no record, although it was asked.
 	Unknown []string
 	// Span is what the host knows of the builds in service.
--- a/io/news/origin.go
+++ b/io/news/origin.go
@@ -1,6 +1,8 @@
 package news
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"apricotproxy/core"
@@ -40,9 +42,29 @@
 	}
 )
 
+// _claimMark begins a claim among the questions, and separates its fields. No ID has it, so that hosts which know
+// no claims take one for the ID of a request of which they have no record.
+const _claimMark = "\x00"
+
+func claimToWire(c origin.Claim) string {
+	return _claimMark + strings.Join([]string{c.Stream, c.By, string(c.Scope)}, _claimMark)
+}
+
+func claimFromWire(text string) (origin.Claim, bool) {
+	fields := strings.Split(text, _claimMark)
+	const count = 4 // the first one is empty
+	if len(fields) != count || fields[0] != "" {
+		return origin.Claim{}, false
+	}
+	return origin.Claim{Stream: fields[1], By: fields[2], Scope: origin.Scope(fields[3])}, true
+}
+
 // originsToWire returns what is sent now. Hosts' clocks differ, so times are sent as ages.
 func originsToWire(o *Origins, now time.Time) *wireOrigins {
 	w := &wireOrigins{Host: string(o.Host), Questions: o.Questions, ReplyTo: o.ReplyTo, Unknown: o.Unknown}
+	for _, c := range o.Claims {
+		w.Questions = append(slices.Clip(w.Questions), claimToWire(c))
+	}
 	for _, r := range o.Records {
 		w.Records = append(w.Records, wireOrigin{
 			Request: r.Request, Service: string(r.Service), Build: string(r.Build), LeftMs: r.Until.Sub(now).Milliseconds(),
@@ -59,7 +81,14 @@
 }
 
 func originsFromWire(w *wireOrigins, now time.Time) *Origins {
-	o := &Origins{Host: core.HostName(w.Host), Questions: w.Questions, ReplyTo: w.ReplyTo, Unknown: w.Unknown}
+	o := &Origins{Host: core.HostName(w.Host), ReplyTo: w.ReplyTo, Unknown: w.Unknown}
+	for _, question := range w.Questions {
+		if claim, ok := claimFromWire(question); ok {
+			o.Claims = append(o.Claims, claim)
+		} else {
+			o.Questions = append(o.Questions, question)
+		}
+	}
 	for _, r := range w.Records {
 		o.Records = append(o.Records, origin.Record{
 			Request: r.Request, Origin: origin.Origin{Service: core.ServiceName(r.Service), Build: core.BuildName(r.Build)}, Until: now.Add(milliseconds(r.LeftMs)),
--- a/io/news/origin_test.go
+++ b/io/news/origin_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"apricotproxy/core"
 	"apricotproxy/core/procs/origin"
 	"apricotproxy/io/news"
@@ -136,3 +138,33 @@
 		t.Errorf("a span of %d builds, want all or no span", len(span.Builds))
 	}
 }
+
+// Hosts that know no claims take them for requests of which they have no record.
+func TestClaimsAreQuestionsToOlderHosts(t *testing.T) {
+	claim := origin.Claim{Stream: "r1", By: "r2", Scope: origin.ScopeOf("check", "travis")}
+	want := &news.Origins{Host: "edge-austin-a-1", Questions: []string{"r1"}, ReplyTo: "10.1.0.19:7200", Claims: []origin.Claim{claim, {Stream: "r3"}}}
+	if got := roundTrip(t, want, _now, _now); !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	b, err := news.EncodeOrigins(want, _now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var older struct {
+		_         struct{} `cbor:",toarray"`
+		Host      string
+		Records   []any
+		Questions []string
+		ReplyTo   string
+		Unknown   []string
+		HasSpan   bool
+		SpanMs    int64
+		Builds    []any
+	}
+	if err := cbor.Unmarshal(b[1:], &older); err != nil {
+		t.Fatal(err)
+	}
+	if len(older.Questions) != 3 || older.Questions[0] != "r1" || older.ReplyTo != want.ReplyTo {
+		t.Errorf("an older host is asked %q, to reply to %q", older.Questions, older.ReplyTo)
+	}
+}
