--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -92,6 +93,17 @@
 	// if its endpoint may still work on it; nil otherwise.
 	stop    runStop
 	unended *leftRun
+	// abandoned is the run of the last try if the stream is resumable and the run is not being ended yet; nil
+	// otherwise. ending is closed once the last run that was abandoned is over; nil for none.
+	abandoned *abandonedRun
+	ending    <-chan struct{}
+	// cancel ends the exchange. served is true once it was served; it is guarded by servedMu, as is the use of
+	// controller by other goroutines.
+	cancel   context.CancelCauseFunc
+	servedMu sync.Mutex
+	served   bool
+	// done is closed once the exchange was served.
+	done chan struct{}
 	// before is the last try at an endpoint that was sent the request.
 	before sentTry
 	// counted is true once the current try counts as sent, waitLogged once it was logged that
@@ -144,7 +156,7 @@
 	e := &exchange{
 		front: f, writer: w, controller: http.NewResponseController(w), incoming: r, request: req,
 		tries: tries.New(req.Route, f.config.Switches.Tries), sharedParts: req.Prompt.SharedParts(),
-		buffered: share{limit: f.buffers}, bodyReadAt: time.Now(),
+		buffered: share{limit: f.buffers}, bodyReadAt: time.Now(), done: make(chan struct{}),
 	}
 	if last, err := strconv.Atoi(r.Header.Get(f.config.Names.LastEventID)); err == nil && req.Route.Resumable {
 		e.takenUp, e.position = true, event.After(last)
@@ -194,6 +206,7 @@
 	defer e.buffered.release()
 	defer e.dropPrepared()
 	defer e.dropHost()
+	defer e.endAbandoned()
 	e.placer().recordArrival(&e.request.RoutedRequest, e.request.relayedBy != "")
 	step := tries.Again
 	for {
@@ -296,6 +309,7 @@
 		e.placer().end(e.run, 0)
 		return tryResult{result: tries.NotSent, err: err}
 	}
+	e.endAbandoned()
 	e.logGoesOn(step, e.run.Endpoint.ID, from)
 	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
 	end := e.try(ctx, from)
@@ -304,6 +318,7 @@
 		e.unended = &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: end.connection, endedAt: time.Now(), hasBegun: e.answerBegun}
 		e.stop.connectionEnded()
 	}
+	e.recordAbandoned(&end)
 	e.recordEnd(ctx, &end)
 	if !end.done && !e.backupReady() {
 		e.backup.drop(e.placer()) // the copy was to be made by this try
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -40,6 +40,7 @@
 type fixture struct {
 	t         *testing.T
 	server    *httptest.Server
+	front     *front.Front
 	endpoints []*routed.Endpoint
 	placer    *front.SharedPlacer
 	detector  *front.SharedDetector
@@ -74,9 +75,10 @@
 			{Name: "draft", HostName: "h", Prefix: "/draft/", Kind: core.RouteStreaming, MaxAttempts: 1, Timeout: 5 * time.Second, Goal: 500 * time.Millisecond, GapGoal: 50 * time.Millisecond, Services: only("all")},
 			{Name: "novel", HostName: "h", Prefix: "/novel/", Kind: core.RouteStreaming, MaxAttempts: 1, Timeout: 15 * time.Second, Goal: 1500 * time.Millisecond, GapGoal: 50 * time.Millisecond, Services: only("all")},
 			{Name: "check", HostName: "h", Prefix: "/check/", Kind: core.RouteStreaming, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Goal: 500 * time.Millisecond, GapGoal: 50 * time.Millisecond, Services: only("all")},
+			{Name: "recheck", HostName: "h", Prefix: "/recheck/", Kind: core.RouteStreaming, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Goal: 500 * time.Millisecond, GapGoal: 50 * time.Millisecond, Services: only("all")},
 			{Name: "open", HostName: "h", Prefix: "/open/", Kind: core.RouteIdempotent, Anonymous: true, MaxAttempts: 1, Services: only("all")},
 		},
-		Workspaces: []table.Workspace{{Name: "travis", Keys: []string{"k"}}},
+		Workspaces: []table.Workspace{{Name: "travis", Keys: []string{"k"}}, {Name: "jill", Keys: []string{"k2"}}},
 		Limits:     core.CallerLimits{BodyBytes: 1 << 16, HeaderBytes: 1 << 13},
 	})
 	if err != nil {
@@ -160,13 +162,15 @@
 		r.t.Cleanup(pool.Close)
 		return pool
 	}
-	r.server = httptest.NewServer(front.New(front.Config{
+	r.front = front.New(front.Config{
 		Names: _names, Paths: core.CallPaths{Move: "/move", Handle: "/handle/"}, SharedPlacer: r.placer, Links: newPool(),
 		Detector: r.detector, Origins: r.origins, BufferBytes: _bufferBytes, BodyBytes: _bodyBytes,
 		Reach: reached, RelayLinks: newPool(), Self: "self",
 		View: r.view.Load, Logger: r.logger(), LoadChanged: func() {}, DocumentsOutdated: r.documentsOutdated,
 		SyncStatus: func() know.SyncStatus { return know.SyncStatus{AsOf: 12, FreshAt: time.Now().Add(-_documentAge)} },
-	}))
+	})
+	r.server = httptest.NewServer(r.front)
+	r.t.Cleanup(r.front.Close)
 	r.t.Cleanup(r.server.Close)
 }
 
