The last events of an ended run have the silence limit from the answer that it has ended

Cause: the endpoint's answer that it has no such run came 2.9 s after it was first asked, and the silence that is waited for after that answer counted from the first question. It counts from the answer now.

--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -28,9 +28,11 @@
 // runStop is what is known of stopping the run of one try, which is to go on elsewhere.
 type runStop struct {
 	evidence leave.Evidence
-	// since is when the endpoint was first asked, asked how often.
-	since time.Time
-	asked int
+	// since is when the endpoint was first asked, asked how often, and answeredAt when the last request has shown
+	// the evidence.
+	since      time.Time
+	asked      int
+	answeredAt time.Time
 	// contact is what the requests have shown of the endpoint besides.
 	contact leave.Contact
 	// from identifies the copy that the endpoint made when it stopped the run, at the address to; empty for none.
@@ -91,7 +93,7 @@
 	e.lookUp(&s.contact, run.endpoint)
 	situation := leave.Situation{
 		Now: now, Evidence: s.evidence, Connection: run.connection, Contact: s.contact, HasBegun: run.hasBegun,
-		Repeatable: e.request.Route.Resumable, Limit: e.silenceTimeout(), AskedAt: s.since, GiveUpAt: e.giveUpAt(run),
+		Repeatable: e.request.Route.Resumable, Limit: e.silenceTimeout(), AskedAt: s.since, AnsweredAt: s.answeredAt, GiveUpAt: e.giveUpAt(run),
 	}
 	step := situation.Next()
 	if step == leave.Ask && s.pending == nil && !now.Before(s.askAt) {
@@ -153,7 +155,8 @@
 	r := s.pending
 	s.evidence, s.from, s.to, s.pending = r.evidence, r.from, r.to, nil
 	s.pause = min(max(2*s.pause, _stopPoll), _maxStopPause)
-	s.askAt = time.Now().Add(s.pause)
+	s.answeredAt = time.Now()
+	s.askAt = s.answeredAt.Add(s.pause)
 	if r.evidence != leave.Unreachable && r.evidence != leave.Refused {
 		s.contact.Failures = 0
 		return
