A host ends its attempt at a relayed stream before that goes on elsewhere

A host that had relayed a resumable stream to another one, and lost the connection, went on elsewhere while the other one, whose end of the connection was open, had its endpoint go on.

Cause: the other host learned of it only from the connection.

The run of the next try has the same request ID and may be at the same endpoint, so earlier runs are no longer asked to end there once it begins.

--- a/core/procs/gossip/gossip.go
+++ b/core/procs/gossip/gossip.go
@@ -244,6 +244,15 @@
 	return targets
 }
 
+// HeartbeatAddress returns the heartbeat address of a host.
+func (s *State) HeartbeatAddress(host core.HostName) (address string, known bool) {
+	m, known := s.members[host]
+	if !known {
+		return "", false
+	}
+	return m.contact.Heartbeat, true
+}
+
 // QuestionTargets returns the heartbeat addresses of the hosts to ask for what one of them may
 // know: all live ones, or in a large deployment those of the own data centre. allKnown is false
 // for a host that knows no other one yet and asks the seeds.
--- a/core/procs/gossip/targets_test.go
+++ b/core/procs/gossip/targets_test.go
@@ -145,6 +145,17 @@
 	}
 }
 
+func TestHeartbeatAddressOfHost(t *testing.T) {
+	o := newObserver("near-0")
+	o.hear("far-1")
+	if got, known := o.state.HeartbeatAddress("far-1"); got != "far-1" || !known {
+		t.Errorf("%q, known: %t; want far-1", got, known)
+	}
+	if got, known := o.state.HeartbeatAddress("far-2"); known {
+		t.Errorf("%q of a host that was not heard", got)
+	}
+}
+
 func TestQuestionsGoToAllLiveHosts(t *testing.T) {
 	o := newObserver("near-0", "near-8", "near-0")
 	if got, allKnown := o.state.QuestionTargets(o.now); !slices.Equal(got, []string{"near-8"}) || allKnown {
--- a/io/entry/cutlink_test.go
+++ b/io/entry/cutlink_test.go
@@ -36,6 +36,8 @@
 	dialer     *entry.Dialer
 	isEndpoint func(address string) bool
 	cut        atomic.Int32
+	// redirected holds the addresses at which others are reached, by these.
+	redirected sync.Map
 	// written counts the writes to endpoints that got through.
 	written atomic.Int64
 
@@ -60,6 +62,9 @@
 
 // DialContext opens a connection.
 func (d *cutDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if other, ok := d.redirected.Load(address); ok {
+		address = fmt.Sprint(other)
+	}
 	if !d.isEndpoint(address) {
 		return d.dialer.DialContext(ctx, network, address)
 	}
--- a/io/entry/cutoff_test.go
+++ b/io/entry/cutoff_test.go
@@ -167,6 +167,17 @@
 	if id, err := strconv.Atoi(c.Header.Get("Last-Event-Id")); err == nil {
 		first = id + 1
 	}
+	if c.URL.Path == "/check/watched" {
+		for id := first; id < _longEvents; id++ {
+			c.Chunk(pieceText("v1", id, id))
+			if c.WaitClosed(15 * time.Millisecond) {
+				s.left <- true
+				return false
+			}
+		}
+		c.EndStream()
+		return true
+	}
 	events, pause := _cutEvents, 5*time.Millisecond
 	if c.URL.Path == "/check/long" {
 		events, pause = _longEvents, 15*time.Millisecond
--- a/io/entry/origin.go
+++ b/io/entry/origin.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"apricotproxy/core"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/procs/origin"
 	"apricotproxy/io/front"
@@ -16,8 +17,11 @@
 // later, before it is used.
 func (h *Host) newOrigins() *front.SharedOrigins {
 	config := front.OriginConfig{
-		Begun:       func() { h.peers.scheduleOrigins() },
-		AskHosts:    func(request string, claim origin.Claim) int { return h.peers.askOrigin(request, claim) },
+		Begun:    func() { h.peers.scheduleOrigins() },
+		AskHosts: func(request string, claim origin.Claim) int { return h.peers.askOrigin(request, claim) },
+		AskHost: func(host core.HostName, request string, claim origin.Claim) int {
+			return h.peers.askOriginOf(host, request, claim)
+		},
 		ReadHistory: h.readHistory,
 		Refresh:     func() { h.refreshOrigins(time.Now()) },
 	}
@@ -76,15 +80,31 @@
 	if len(targets) == 0 {
 		return 0
 	}
+	p.sendQuestion(request, claim, now, targets)
+	if !allKnown {
+		return math.MaxInt
+	}
+	return len(targets)
+}
+
+// askOriginOf is askOrigin for a single host.
+func (p *peers) askOriginOf(host core.HostName, request string, claim origin.Claim) int {
+	p.mu.Lock()
+	address, known := p.state.HeartbeatAddress(host)
+	p.mu.Unlock()
+	if !known {
+		return 0
+	}
+	p.sendQuestion(request, claim, time.Now(), []string{address})
+	return 1
+}
+
+func (p *peers) sendQuestion(request string, claim origin.Claim, now time.Time, targets []string) {
 	question := &news.Origins{Questions: []string{request}, ReplyTo: p.self.Heartbeat}
 	if claim.IsValid() {
 		question.Claims = []origin.Claim{claim}
 	}
 	p.sendOriginsTo(question, now, targets)
-	if !allKnown {
-		return math.MaxInt
-	}
-	return len(targets)
 }
 
 // _claimAnswerTimeout bounds the wait for the ends of attempts before a host that claims their stream is answered:
--- a/io/front/endrun.go
+++ b/io/front/endrun.go
@@ -49,42 +49,49 @@
 	pending *stopRequest
 }
 
+// ending is a run that is being ended.
+type ending struct {
+	address string
+	// done is closed once the endpoint does not have to be asked any more, or cancel was called.
+	done   chan struct{}
+	cancel context.CancelFunc
+}
+
 func newEndings(f *Front) *endings {
 	e := &endings{front: f, slots: make(chan struct{}, _maxEndings)}
 	e.stopped, e.stop = context.WithCancel(context.Background())
 	return e
 }
 
-// begin ends a run in the background. The returned channel is closed once the endpoint does not have to be
-// asked any more.
-func (e *endings) begin(run abandonedRun) (done <-chan struct{}) {
-	ended := make(chan struct{})
+// begin ends a run in the background. It returns nil if too many are being ended.
+func (e *endings) begin(run abandonedRun) *ending {
 	select {
 	case e.slots <- struct{}{}:
 	default:
 		_endings.Add("NotTaken", 1)
-		close(ended)
-		return ended
+		return nil
 	}
+	begun := &ending{address: run.endpoint.Address, done: make(chan struct{})}
+	var ctx context.Context
+	ctx, begun.cancel = context.WithDeadline(e.stopped, run.deadline)
 	go func() {
 		defer func() {
+			begun.cancel()
 			<-e.slots
-			close(ended)
+			close(begun.done)
 		}()
 		began := time.Now()
-		evidence, asked := e.end(&run)
+		evidence, asked := e.end(ctx, &run)
 		_endings.Add(evidence.String(), 1)
 		e.front.log.Info("A run that nobody needs was ended.", "Request", run.request, "Endpoint", run.endpoint.ID,
 			"Evidence", evidence.String(), "Asked", asked, "Took", time.Since(began).Milliseconds())
 	}()
-	return ended
+	return begun
 }
 
 // end asks the endpoint to stop a run until it is over. It returns what the last answer has shown, and how
 // often the endpoint was asked.
-func (e *endings) end(run *abandonedRun) (evidence leave.Evidence, asked int) {
-	ctx, cancel := context.WithDeadline(e.stopped, run.deadline)
-	defer cancel()
+func (e *endings) end(ctx context.Context, run *abandonedRun) (evidence leave.Evidence, asked int) {
 	if run.pending != nil {
 		select {
 		case <-run.pending.done:
@@ -165,7 +172,43 @@
 		evidence, run.pending = e.stop.evidence, e.stop.pending
 	}
 	if !e.front.isOver(run, evidence) {
-		e.ending = e.front.endings.begin(*run)
+		if begun := e.front.endings.begin(*run); begun != nil {
+			e.endings = append(e.endings, begun)
+		}
+	}
+}
+
+// settleEndings gives up ending earlier runs of the request at an address, or at all of them if it is empty, if that
+// takes long: the next run may be there and has the same ID.
+func (e *exchange) settleEndings(ctx context.Context, address string) {
+	for _, earlier := range e.endings {
+		if address != "" && earlier.address != address {
+			continue
+		}
+		select {
+		case <-earlier.done:
+		case <-ctx.Done():
+		case <-time.After(_claimTimeout):
+		}
+		earlier.cancel()
+		<-earlier.done
+	}
+}
+
+// endRelayed has another host end its attempt at a stream that this one had relayed to it and that may go on
+// elsewhere. It waits for that for a moment, since the next run has the same ID and may be at the same endpoint.
+func (e *exchange) endRelayed(ctx context.Context, host core.HostName, end *tryResult) {
+	isComplete := end.done && end.err == nil
+	if isComplete || !e.delivered || !e.isResumable() {
+		return
+	}
+	askCtx, cancel := context.WithTimeout(e.front.endings.stopped, _peerAnswerTimeout)
+	answered := e.front.config.Origins.endAt(askCtx, host, origin.Claim{Stream: e.request.ID, Scope: e.scope()})
+	time.AfterFunc(_peerAnswerTimeout, cancel)
+	select {
+	case <-answered:
+	case <-ctx.Done():
+	case <-askCtx.Done():
 	}
 }
 
@@ -236,12 +279,11 @@
 		return
 	case <-e.done:
 	}
-	if e.ending == nil {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-e.ending:
+	for _, begun := range e.endings {
+		select {
+		case <-ctx.Done():
+		case <-begun.done:
+		}
 	}
 }
 
--- a/io/front/endrun_test.go
+++ b/io/front/endrun_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -13,6 +16,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/origin"
+	"apricotproxy/core/procs/reach"
 	"apricotproxy/fakes/cutoff"
 	"apricotproxy/fakes/routed"
 	"apricotproxy/io/front"
@@ -405,3 +409,48 @@
 		t.Error("the endpoint was not asked to stop the run")
 	}
 }
+
+// A host went on with a stream that another one had relayed to it, when that one had lost the connection and gone on
+// elsewhere. With a single endpoint, the run there must not be stopped that goes on.
+func TestRunOfRelayedStreamIsEnded(t *testing.T) {
+	for count := 1; count <= 2; count++ {
+		t.Run(strconv.Itoa(count)+" endpoints", func(t *testing.T) {
+			t.Parallel()
+			engines := &liveEngines{}
+			var other *front.Front
+			var origins *front.SharedOrigins
+			origins = front.NewSharedOrigins(front.OriginConfig{AskHost: func(host core.HostName, request string, claim origin.Claim) int {
+				wait := other.EndAttempts(claim)
+				go func() {
+					if wait != nil {
+						wait(t.Context())
+					}
+					origins.Answer(host, nil, []string{request})
+				}()
+				return 1
+			}})
+			origins.Update(func(l *origin.Ledger) { l.SetCurrent(time.Now().Add(-time.Minute), true) })
+			r := newFixtureWithOrigins(t, origins, slices.Repeat([]routed.Handler{engines.handleHome}, count)...)
+			route, _ := r.view.Load().Table.Match("h", "/check/")
+			route.Timeout = 15 * time.Second
+			r.serve(front.NewSharedReach(reach.New("other", "a", rand.New(rand.NewPCG(1, 1))), func(_, _ reach.State, _ time.Duration) {}))
+			other = r.front
+			server := httptest.NewServer(other.PeerHandler(http.NotFoundHandler()))
+			t.Cleanup(server.Close)
+			link, err := cutoff.StartHalf(server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(link.Close)
+			engines.trouble = func(string) { link.ResetNear() }
+			r.relayTo(link.Address)
+			c := host{fixture: r, url: r.server.URL}.begin("r1")
+			if !c.read(_novelEvents - 1) {
+				t.Errorf("the stream ended after event %d", c.last)
+			}
+			if runs := engines.check(t); runs != 2 {
+				t.Errorf("%d runs, want 2", runs)
+			}
+		})
+	}
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -94,9 +94,9 @@
 	stop    runStop
 	unended *leftRun
 	// abandoned is the run of the last try if the stream is resumable and the run is not being ended yet; nil
-	// otherwise. ending is closed once the last run that was abandoned is over; nil for none.
+	// otherwise. endings are the earlier ones that are being ended.
 	abandoned *abandonedRun
-	ending    <-chan struct{}
+	endings   []*ending
 	// cancel ends the exchange. served is true once it was served; it is guarded by servedMu, as is the use of
 	// controller by other goroutines.
 	cancel   context.CancelCauseFunc
@@ -316,6 +316,7 @@
 		from = stoppedFrom
 	}
 	e.endAbandoned()
+	e.settleEndings(ctx, e.run.Endpoint.Address)
 	e.logGoesOn(step, from)
 	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
 	end := e.try(ctx, from)
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -34,8 +34,8 @@
 	// AskHosts asks other hosts for the record of a stream and returns how many were asked.
 	// Their answers come to Answer. A valid claim has them end earlier attempts at the stream before.
 	AskHosts func(request string, claim origin.Claim) int
-	// TellHost has one other host end an attempt at a stream, which goes on elsewhere.
-	TellHost func(host core.HostName, claim origin.Claim)
+	// AskHost is AskHosts for a single host.
+	AskHost func(host core.HostName, request string, claim origin.Claim) int
 	// AskEngines asks the engines of services which of them hold a part of a prompt.
 	// arrived is when the request arrived for which they are asked.
 	AskEngines func(ctx context.Context, arrived time.Time, services []core.ServiceName, part string) []origin.Holder
@@ -181,7 +181,7 @@
 // without them, if at all: the stream's own may be new, and known to other hosts only.
 func (s *SharedOrigins) resolveWithHosts(ctx context.Context, stream origin.Stream, claim origin.Claim, before origin.Source) (origin.Origin, origin.Source) {
 	began := time.Now()
-	q := s.askHosts(ctx, stream.Question(), claim)
+	q := s.askHosts(ctx, stream.Question(), claim.IsValid(), func() int { return s.config.AskHosts(stream.Question(), claim) })
 	if before != origin.Recorded {
 		q.await(ctx, q.done, _peerAnswerTimeout)
 	}
@@ -245,14 +245,15 @@
 
 // askHosts asks other hosts for a stream's record until one has it, or all have answered if the stream is
 // claimed, at most for _peerAnswerTimeout. Datagrams may be lost, so they are asked repeatedly, in the background.
-func (s *SharedOrigins) askHosts(ctx context.Context, request string, claim origin.Claim) *question {
+// send asks them once and returns how many were asked.
+func (s *SharedOrigins) askHosts(ctx context.Context, request string, isClaimed bool, send func() int) *question {
 	q := s.beginQuestion(request)
-	if !s.ask(request, claim, q) {
+	if !s.ask(q, send) {
 		s.endQuestion(request, q)
 		return q
 	}
 	ended := q.done
-	if claim.IsValid() {
+	if isClaimed {
 		ended = q.complete
 	}
 	go func() {
@@ -268,15 +269,26 @@
 				return
 			default:
 			}
-			s.ask(request, claim, q)
+			s.ask(q, send)
 		}
 	}()
 	return q
 }
 
+// endAt has another host end its attempt at a stream that goes on elsewhere. ctx bounds for how long it is asked.
+// The returned channel is closed once it has answered.
+func (s *SharedOrigins) endAt(ctx context.Context, host core.HostName, claim origin.Claim) (answered <-chan struct{}) {
+	if s.config.AskHost == nil || !claim.IsValid() {
+		answered := make(chan struct{})
+		close(answered)
+		return answered
+	}
+	return s.askHosts(ctx, claim.Stream, true, func() int { return s.config.AskHost(host, claim.Stream, claim) }).complete
+}
+
 // ask asks other hosts once. It returns false if all have answered, or there are none.
-func (s *SharedOrigins) ask(request string, claim origin.Claim, q *question) bool {
-	asked := s.config.AskHosts(request, claim)
+func (s *SharedOrigins) ask(q *question, send func() int) bool {
+	asked := send()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q.asked = asked
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -121,6 +121,7 @@
 	e.run = &place.Run{Endpoint: know.Endpoint{RoutedEndpoint: peer}}
 	e.backup.drop(e.placer())
 	e.endAbandoned()
+	e.settleEndings(ctx, "")
 	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
 	e.silence, e.counted, e.waitLogged = &links.Silence{}, false, false
 	e.silence.Ask = func() error { // the other host leaves silent endpoints
@@ -130,6 +131,7 @@
 	e.log("A request is relayed to another host.", "Host", host.Name, "DataCentre", host.DataCentre, "State", e.front.config.Reach.State().String(),
 		"Delivered", e.delivered, "Waited", time.Since(e.request.Arrived).Milliseconds(), "TimeLeft", time.Until(e.request.Deadline).Milliseconds())
 	end, outcome := e.exchangeWith(ctx, peer)
+	e.endRelayed(ctx, host.Name, &end)
 	_relays.Add(relayOutcomeName(outcome), 1)
 	e.front.config.Reach.endRelay(host.Name, outcome)
 	end.health, end.brokenOff, end.connection = 0, false, 0
