A refused connection is not the end of an endpoint that other hosts reach

Cause: a refused connection after the end of the stream's own counted as the end of the process. That holds for what one host sees only if nothing on the path answers for the endpoint. Class: what one host sees was taken for the state of the endpoint.

Why it works: a host that cannot open a connection has two other hosts ask the endpoint to stop the run. Their Stopped or NoRun is the endpoint's own answer. If one of them has a connection to it, a refusal no longer shows its end. Hosts of a build without the request answer 404, which tells nothing.

--- a/core/procs/reach/hosts.go
+++ b/core/procs/reach/hosts.go
@@ -171,6 +171,38 @@
 	return best.Host, true
 }
 
+// PickReaching returns up to n live hosts that say that they reach endpoints, at random: from the own data
+// centre and from others in turn. Nothing counts as in flight there.
+func (t *Tracker) PickReaching(now time.Time, n int) []Host {
+	t.update(now)
+	var own, others []Host
+	for _, h := range t.hosts {
+		switch {
+		case !h.mayHelp(now) || !h.isLive(now) || h.Address == "":
+		case h.DataCentre == t.dataCentre:
+			own = append(own, h.Host)
+		default:
+			others = append(others, h.Host)
+		}
+	}
+	t.shuffleHosts(own)
+	t.shuffleHosts(others)
+	var picked []Host
+	for len(picked) < n && len(own)+len(others) > 0 {
+		if len(own) > 0 {
+			picked, own = append(picked, own[0]), own[1:]
+		}
+		if len(others) > 0 && len(picked) < n {
+			picked, others = append(picked, others[0]), others[1:]
+		}
+	}
+	return picked
+}
+
+func (t *Tracker) shuffleHosts(hosts []Host) {
+	t.random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+}
+
 // compareHosts orders the host that is better to relay a request to before the other, which may be nil.
 func (t *Tracker) compareHosts(now time.Time, a, b *host) int {
 	if b == nil {
--- a/core/procs/reach/reach_test.go
+++ b/core/procs/reach/reach_test.go
@@ -48,6 +48,8 @@
 		return ""
 	case "pick":
 		return s.pick(t, d) + "\n"
+	case "pick-reaching":
+		return s.pickReaching(t, d) + "\n"
 	case "end":
 		s.end(t, d)
 		return ""
@@ -118,6 +120,21 @@
 	return strings.Join(lines, "\n")
 }
 
+// pickReaching picks n hosts many times, and prints which, each time in the order of their names.
+func (s *script) pickReaching(t *testing.T, d *datadriven.TestData) string {
+	var lines []string
+	for range 100 {
+		var names []string
+		for _, host := range s.PickReaching(s.now, intArg(t, d, "n")) {
+			names = append(names, string(host.Name))
+		}
+		slices.Sort(names)
+		lines = append(lines, fmt.Sprint(names))
+	}
+	slices.Sort(lines)
+	return strings.Join(slices.Compact(lines), "\n")
+}
+
 func (s *script) end(t *testing.T, d *datadriven.TestData) {
 	outcomes := map[string]reach.RelayOutcome{
 		"done": reach.RelayDone, "refused": reach.RelayRefused, "busy": reach.RelayBusy, "lost": reach.RelayLost, "unreachable": reach.RelayUnreachable,
@@ -144,8 +161,13 @@
 }
 
 func hostArg(t *testing.T, d *datadriven.TestData) reach.Host {
+	address := ""
+	if !d.HasArg("noAddress") {
+		address = stringArg(t, d, "name") + ":1"
+	}
 	return reach.Host{
-		Name: core.HostName(stringArg(t, d, "name")), DataCentre: core.DataCentreName(stringArg(t, d, "in")), SameRegion: !d.HasArg("otherRegion"),
+		Address: address,
+		Name:    core.HostName(stringArg(t, d, "name")), DataCentre: core.DataCentreName(stringArg(t, d, "in")), SameRegion: !d.HasArg("otherRegion"),
 		Reaches: !d.HasArg("cutOff"), Stopping: d.HasArg("stopping"), Incarnation: int64(intArg(t, d, "incarnation")),
 	}
 }
--- a/core/reqst/leave/leave.go
+++ b/core/reqst/leave/leave.go
@@ -43,6 +43,44 @@
 	return [...]string{"NotAsked", "Asked", "Stopped", "NoRun", "Declined", "Refused", "Unreachable", "Unsupported"}[e]
 }
 
+// ParseEvidence returns the evidence with a name; false for a name of none.
+func ParseEvidence(name string) (Evidence, bool) {
+	for e := Asked; e <= Unsupported; e++ {
+		if e.String() == name {
+			return e, true
+		}
+	}
+	return 0, false
+}
+
+// TellsMoreThan reports whether what one host told of a run tells more than what another one did.
+func (e Evidence) TellsMoreThan(other Evidence) bool { return e.weight() > other.weight() }
+
+func (e Evidence) weight() int {
+	switch e {
+	case Stopped:
+		return 5
+	case NoRun:
+		return 4
+	case Asked, Declined:
+		return 3
+	case Refused:
+		return 2
+	case Unreachable:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// With returns the evidence of a failed attempt to connect together with what another host told of the run.
+func (e Evidence) With(elsewhere Evidence) Evidence {
+	if elsewhere == Stopped || elsewhere == NoRun {
+		return elsewhere
+	}
+	return e
+}
+
 // failed reports whether there was no connection on which the endpoint could be asked.
 func (e Evidence) failed() bool { return e == Refused || e == Unreachable }
 
@@ -91,7 +129,7 @@
 	// at FailingSince.
 	Failures     int
 	FailingSince time.Time
-	// IsReachedElsewhere is true if another host has a connection to the endpoint.
+	// IsReachedElsewhere is true if another host could open a connection to the endpoint, and none was refused since.
 	IsReachedElsewhere bool
 	// IsReplaced is true if the endpoint has started again since, or another one has its address.
 	IsReplaced bool
@@ -99,6 +137,16 @@
 	IsWithdrawn bool
 }
 
+// RecordElsewhere records what another host told of the endpoint; 0 if none did.
+func (c *Contact) RecordElsewhere(e Evidence) {
+	switch e {
+	case Asked, Stopped, NoRun, Declined:
+		c.IsReachedElsewhere = true
+	case Refused:
+		c.IsReachedElsewhere = false
+	}
+}
+
 // isLost reports whether the endpoint cannot be reached any more, from any host that could tell.
 func (c Contact) isLost(now time.Time) bool {
 	return c.Failures >= _minFailures && now.Sub(c.FailingSince) >= _minUnreachable && c.IsWithdrawn && !c.IsReachedElsewhere
@@ -149,7 +197,7 @@
 		return true
 	case s.Evidence == NoRun:
 		return s.HasBegun && (s.Connection != Open || s.asked() >= s.Limit)
-	case s.Evidence == Refused && gone:
+	case s.Evidence == Refused && gone && !s.Contact.IsReachedElsewhere:
 		return true // a process that lives has its connections or its listener
 	case s.Evidence == Unsupported:
 		return s.Connection == Ended // there is no way to find out more
--- a/core/reqst/leave/leave_test.go
+++ b/core/reqst/leave/leave_test.go
@@ -62,3 +62,43 @@
 		return s.Next().String() + "\n"
 	})
 }
+
+func TestOtherHostsEvidence(t *testing.T) {
+	ranked := []leave.Evidence{0, leave.Unreachable, leave.Refused, leave.Declined, leave.NoRun, leave.Stopped}
+	for i, less := range ranked {
+		for _, more := range ranked[i+1:] {
+			if !more.TellsMoreThan(less) || less.TellsMoreThan(more) {
+				t.Errorf("%v does not tell more than %v", more, less)
+			}
+		}
+	}
+	for _, c := range []struct {
+		own, elsewhere, want leave.Evidence
+		before, after        bool
+	}{
+		{leave.Refused, 0, leave.Refused, false, false},
+		{leave.Refused, 0, leave.Refused, true, true},
+		{leave.Refused, leave.Stopped, leave.Stopped, false, true},
+		{leave.Unreachable, leave.NoRun, leave.NoRun, false, true},
+		{leave.Refused, leave.Asked, leave.Refused, false, true},
+		{leave.Unreachable, leave.Declined, leave.Unreachable, false, true},
+		{leave.Unreachable, leave.Refused, leave.Unreachable, true, false},
+		{leave.Refused, leave.Unreachable, leave.Refused, true, true},
+	} {
+		contact := leave.Contact{IsReachedElsewhere: c.before}
+		contact.RecordElsewhere(c.elsewhere)
+		if got := c.own.With(c.elsewhere); got != c.want || contact.IsReachedElsewhere != c.after {
+			t.Errorf("%v, elsewhere %v: %v, reached elsewhere %v; want %v, %v", c.own, c.elsewhere, got, contact.IsReachedElsewhere, c.want, c.after)
+		}
+	}
+	for _, e := range ranked[1:] {
+		if parsed, ok := leave.ParseEvidence(e.String()); parsed != e || !ok {
+			t.Errorf("%q is parsed as %v, %v", e.String(), parsed, ok)
+		}
+	}
+	for _, name := range []string{"", "NotAsked", "stopped", "200"} {
+		if parsed, ok := leave.ParseEvidence(name); ok {
+			t.Errorf("%q is parsed as %v", name, parsed)
+		}
+	}
+}
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -352,7 +352,7 @@
 	defer cancel()
 	answer, err := e.front.config.Links.Do(ctx, e.run.Endpoint.RoutedEndpoint, &links.Request{
 		Method: http.MethodDelete, Target: e.front.config.Paths.Handle + handle, HostName: e.run.Endpoint.Address,
-		Header: http.Header{}, Identify: e.identifyCall,
+		Header: http.Header{}, Identify: e.front.identifyCall,
 	})
 	if err != nil {
 		e.log("A copy of a run's memory could not be freed.", "Cause", err.Error())
@@ -376,20 +376,26 @@
 // engine. The run goes on meanwhile or, if stops is not nil, is stopped first; stops belongs to the
 // try of the run. The error is nil if the copy is complete.
 func (e *exchange) requestMove(ctx context.Context, source core.RoutedEndpoint, to string, stops *stopRequests) (result moveResult) {
-	body, err := json.Marshal(map[string]any{"id": e.request.ID, "to": to, "last": stops != nil})
+	if stops != nil {
+		stops.send()
+		defer func() { stops.settle(time.Now(), result.evidence()) }()
+	}
+	return e.front.requestMove(ctx, source, e.request.ID, to, stops != nil)
+}
+
+// requestMove asks an engine to copy the memory of the run of a request to another engine. With last, the engine
+// stops the run first.
+func (f *Front) requestMove(ctx context.Context, source core.RoutedEndpoint, requestID, to string, last bool) (result moveResult) {
+	body, err := json.Marshal(map[string]any{"id": requestID, "to": to, "last": last})
 	if err != nil {
 		return moveResult{err: fmt.Errorf("encode the move: %w", err)}
 	}
 	ctx, cancel := context.WithTimeout(ctx, _moveTimeout)
 	defer cancel()
-	if stops != nil {
-		stops.send()
-		defer func() { stops.settle(time.Now(), result.evidence()) }()
-	}
-	answer, err := e.front.config.Links.Do(ctx, source, &links.Request{
-		Method: http.MethodPost, Target: e.front.config.Paths.Move, HostName: source.Address,
+	answer, err := f.config.Links.Do(ctx, source, &links.Request{
+		Method: http.MethodPost, Target: f.config.Paths.Move, HostName: source.Address,
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
-		Identify: e.identifyCall,
+		Identify: f.identifyCall,
 	})
 	if err != nil {
 		return moveResult{err: fmt.Errorf("request a move: %w", err)}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -94,11 +94,13 @@
 	keepAlivesDisabled atomic.Bool
 	running            atomic.Int64
 	// relayed counts those in flight that other hosts relayed.
-	relayed  atomic.Int64
-	buffers  *bufferLimit
-	bodies   *bufferLimit
-	counters *counters
-	planned  *planned
+	relayed atomic.Int64
+	// stopsForHosts counts the requests of other hosts to stop a run that are under way.
+	stopsForHosts atomic.Int64
+	buffers       *bufferLimit
+	bodies        *bufferLimit
+	counters      *counters
+	planned       *planned
 }
 
 // New returns a handler for routed requests.
--- a/io/front/identify.go
+++ b/io/front/identify.go
@@ -32,6 +32,6 @@
 }
 
 // identifyCall tells whether an answer belongs to a call that has no request id.
-func (e *exchange) identifyCall(answer *http.Response, _ bool) links.Ownership {
-	return links.IdentifyCall(answer, e.front.config.Names.RequestID)
+func (f *Front) identifyCall(answer *http.Response, _ bool) links.Ownership {
+	return links.IdentifyCall(answer, f.config.Names.RequestID)
 }
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -22,12 +22,18 @@
 // is taken to work on otherwise.
 const _endDelay = 20 * time.Millisecond
 
+// _connectDelay is after which time without a connection other hosts are asked to stop a run: some round trips
+// within a region.
+const _connectDelay = 100 * time.Millisecond
+
 // _maxStopPause bounds the pause, which doubles, before a lost endpoint is asked again to stop a run.
 const _maxStopPause = 320 * time.Millisecond
 
 // runStop is what is known of stopping the run of one try, which is to go on elsewhere.
 type runStop struct {
 	evidence leave.Evidence
+	// elsewhere is what another host told at the last request; 0 if none did.
+	elsewhere leave.Evidence
 	// since is when the endpoint was first asked, asked how often.
 	since time.Time
 	asked int
@@ -45,7 +51,9 @@
 	done     chan struct{}
 	sentAt   time.Time
 	evidence leave.Evidence
-	from, to string
+	// elsewhere is what another host told; 0 if none did.
+	elsewhere leave.Evidence
+	from, to  string
 }
 
 // leftRun is a run that the endpoint of a try may still work on.
@@ -72,7 +80,7 @@
 		select {
 		case <-s.pending.done:
 			s.finish()
-			e.log("An endpoint was asked to stop a run.", "Endpoint", run.endpoint.ID, "Evidence", s.evidence.String(), "To", to.ID,
+			e.log("An endpoint was asked to stop a run.", "Endpoint", run.endpoint.ID, "Evidence", s.evidence.String(), "To", to.ID, "Elsewhere", s.elsewhere.String(),
 				"Asked", s.asked, "Connection", run.connection.String(), "Failures", s.contact.Failures)
 		default:
 		}
@@ -130,7 +138,8 @@
 // finish takes over the result of the request that was under way.
 func (s *runStop) finish() {
 	r := s.pending
-	s.evidence, s.from, s.to, s.pending = r.evidence, r.from, r.to, nil
+	s.evidence, s.elsewhere, s.from, s.to, s.pending = r.evidence, r.elsewhere, r.from, r.to, nil
+	s.contact.RecordElsewhere(r.elsewhere)
 	if r.evidence != leave.Unreachable && r.evidence != leave.Refused {
 		s.contact.Failures = 0
 		return
@@ -141,7 +150,8 @@
 	s.contact.Failures++
 }
 
-// requestStop asks an endpoint to stop the run and to copy its memory to another one.
+// requestStop asks an endpoint to stop the run and to copy its memory to another one, through other hosts if this
+// one cannot open a connection to it.
 func (e *exchange) requestStop(ctx context.Context, source, to core.RoutedEndpoint) *stopRequest {
 	ctx, cancel := context.WithTimeout(ctx, _moveTimeout)
 	request := &stopRequest{cancel: cancel, done: make(chan struct{}), sentAt: time.Now(), to: to.Address}
@@ -150,19 +160,52 @@
 		defer close(request.done)
 		defer cancel()
 		// A new connection shows whether the endpoint can be reached; an idle one may be dead.
-		if err := e.front.config.Links.Connect(ctx, source); err != nil {
-			request.evidence = dialEvidence(err)
+		connected := make(chan error, 1)
+		go func() { connected <- e.front.config.Links.Connect(ctx, source) }()
+		isKnown, err := awaitConnected(connected)
+		if !isKnown || err != nil {
+			report := e.stopThroughHosts(ctx, source, to, stops)
+			request.setReport(source, report)
+			if report.evidence == leave.Stopped {
+				return
+			}
+			if !isKnown {
+				err = <-connected
+			}
+		}
+		if err != nil {
+			request.evidence = dialEvidence(err).With(request.elsewhere)
 			return
 		}
 		moved := e.requestMove(ctx, source, to.Address, stops)
 		request.evidence = moved.evidence()
-		if moved.status == http.StatusOK && request.evidence == leave.Stopped {
+		if moved.hasCopy() {
 			request.from = source.Address + "/" + moved.handle
 		}
 	}()
 	return request
 }
 
+// awaitConnected returns the result of an attempt to connect; false if there is none for a while.
+func awaitConnected(connected <-chan error) (isKnown bool, err error) {
+	timer := time.NewTimer(_connectDelay)
+	defer timer.Stop()
+	select {
+	case err := <-connected:
+		return true, err
+	case <-timer.C:
+		return false, nil
+	}
+}
+
+// setReport sets what another host told of the run.
+func (r *stopRequest) setReport(source core.RoutedEndpoint, report hostReport) {
+	r.evidence, r.elsewhere = report.evidence, report.evidence
+	if report.handle != "" {
+		r.from = source.Address + "/" + report.handle
+	}
+}
+
 // dialEvidence tells what a failed attempt to connect says of a run.
 func dialEvidence(err error) leave.Evidence {
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -188,6 +231,9 @@
 	}
 }
 
+// hasCopy reports whether the engine stopped the run and copied its memory.
+func (m moveResult) hasCopy() bool { return m.status == http.StatusOK && m.handle != "" }
+
 // settleStop waits for the answer of an endpoint that was asked to stop the run, since the
 // endpoint ends the stream before it answers. The stream then goes on from the copy.
 func (e *exchange) settleStop(end *tryResult) {
--- a/io/front/reach.go
+++ b/io/front/reach.go
@@ -261,6 +261,15 @@
 	return host, ok
 }
 
+// pickReaching returns up to n other hosts that say that they reach endpoints.
+func (s *SharedReach) pickReaching(n int) (hosts []reach.Host) {
+	if s == nil {
+		return nil
+	}
+	s.update(func(t *reach.Tracker, now time.Time) { hosts = t.PickReaching(now, n) })
+	return hosts
+}
+
 // isWithoutHelp reports whether neither this host nor, as far as it knows, another one can reach an endpoint.
 func (s *SharedReach) isWithoutHelp() bool {
 	if s.State() != reach.CutOff {
--- a/io/front/relayed.go
+++ b/io/front/relayed.go
@@ -10,13 +10,17 @@
 )
 
 // PeerHandler returns the handler of the address for other hosts: it serves the requests that they
-// relay, and passes all others to next.
+// relay, and those to stop a run, and passes all others to next.
 func (f *Front) PeerHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if from := r.Header.Get(_relayedBy); from != "" {
 			f.serveRelayed(w, r, core.HostName(from))
 			return
 		}
+		if r.Method == http.MethodPost && r.URL.Path == _stopRunPath {
+			f.serveStop(w, r)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
