--- a/fakes/routed/routed.go
+++ b/fakes/routed/routed.go
@@ -47,8 +47,11 @@
 }
 
 // Start listens on a loopback port.
-func Start(handle Handler) (*Endpoint, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func Start(handle Handler) (*Endpoint, error) { return StartAt("127.0.0.1:0", handle) }
+
+// StartAt is Start with an address to listen on, where an endpoint that was closed can start again.
+func StartAt(address string, handle Handler) (*Endpoint, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
