--- a/proof/runend_test.go
+++ b/proof/runend_test.go
@@ -143,7 +143,9 @@
 	counts            map[string]*endCount
 	// causes counts what ended tries, by the route and the cause.
 	causes map[string]int
-	wrong  []string
+	// whole holds the paths of streams that their callers got as a whole.
+	whole map[string]bool
+	wrong []string
 }
 
 // during records a time in a list for as long as a disturbance lasts.
@@ -411,6 +413,9 @@
 		}
 		if text == whole {
 			count.whole = 1
+			r.mu.Lock()
+			r.whole[path] = true
+			r.mu.Unlock()
 			break
 		}
 		cause := "complete"
@@ -441,6 +446,7 @@
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
+		r.whole[fmt.Sprint("/feed/", 1000+i)] = true
 	}
 	r.begun = time.Now()
 	var group sync.WaitGroup
@@ -484,8 +490,12 @@
 	r.ledger.mu.Lock()
 	defer r.ledger.mu.Unlock()
 	broken, again, excused, wentOn := make(map[string]int), make(map[string]int), make(map[string]int), make(map[string]int)
+	ends := make(map[string]int)
 	for path, runs := range r.ledger.runs {
 		kind, isBroken := path[1:5], false
+		if last := runs[len(runs)-1]; !r.whole[path] {
+			ends[fmt.Sprintf("%s: run %d %s", kind, len(runs), last.endCause)]++
+		}
 		for i, run := range runs {
 			if i > 0 {
 				wentOn[kind]++
@@ -510,6 +520,7 @@
 		}
 	}
 	r.t.Logf("seed %d: tries that brought no whole stream: %q", r.seed, cutTop(r.causes))
+	r.t.Logf("seed %d: ends of the last runs of streams that were not whole: %q", r.seed, cutTop(ends))
 	for _, wrong := range r.wrong {
 		r.t.Error(wrong)
 	}
@@ -557,7 +568,7 @@
 			r := &endSeries{
 				cutRun: &cutRun{t: t, folder: t.TempDir()}, seed: uint64(seed), ledger: endLedger{runs: make(map[string][]*endRun)},
 				unlisted: make(map[int]bool), leaving: make(map[int]bool), counts: map[string]*endCount{"once": {}, "feed": {}},
-				causes: make(map[string]int),
+				causes: make(map[string]int), whole: make(map[string]bool),
 			}
 			r.execute()
 			r.check()
