--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -294,7 +294,7 @@
 		return tryResult{done: true}
 	}
 	e.beginTry(step)
-	if e.mustAwaitStopped() {
+	if e.unended != nil && e.delivered {
 		stoppedFrom, err := e.awaitStopped(ctx, from)
 		if err != nil {
 			e.placer().end(e.run, 0)
@@ -307,7 +307,7 @@
 	end := e.try(ctx, from)
 	e.before = sentTry{endpoint: e.run.Endpoint.RoutedEndpoint, err: end.err, handover: e.backup.handoverState()}
 	if end.connection != 0 && e.backup.handoverState() != _handoverDone {
-		e.unended = &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: end.connection, hasBegun: !e.firstEventAt.IsZero()}
+		e.unended = &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: end.connection, endedAt: time.Now(), hasBegun: !e.firstEventAt.IsZero()}
 	}
 	e.recordEnd(ctx, &end)
 	if !end.done && !e.backupReady() {
@@ -328,12 +328,6 @@
 	return end
 }
 
-// mustAwaitStopped reports whether the stream may go on only once the run of its last try has ended. One
-// that may run twice waits only for an endpoint whose connection this host closed.
-func (e *exchange) mustAwaitStopped() bool {
-	return e.unended != nil && e.delivered && (!e.request.Route.Resumable || e.unended.connection == leave.Closed)
-}
-
 // sentTry is what is logged of a try once the request goes on elsewhere.
 type sentTry struct {
 	endpoint core.RoutedEndpoint
