--- a/proof/runend_test.go
+++ b/proof/runend_test.go
@@ -41,7 +41,7 @@
 	// _endUnlistAfter is after how long the site's file no longer names an engine that has ended.
 	_endUnlistAfter = 2 * time.Second
 	// _endTraceLines bounds the lines of the hosts' logs that are printed for a stream.
-	_endTraceLines = 80
+	_endTraceLines = 200
 )
 
 // endFault is one disturbance.
@@ -490,7 +490,7 @@
 	r.ledger.mu.Lock()
 	defer r.ledger.mu.Unlock()
 	broken, again, excused, wentOn := make(map[string]int), make(map[string]int), make(map[string]int), make(map[string]int)
-	ends := make(map[string]int)
+	ends, takenUp := make(map[string]int), 0
 	for path, runs := range r.ledger.runs {
 		kind, isBroken := path[1:5], false
 		if last := runs[len(runs)-1]; !r.whole[path] {
@@ -506,6 +506,8 @@
 				switch {
 				case overlaps && r.isExcused(run, before):
 					excused[kind]++
+				case overlaps && run.id != before.id:
+					takenUp++
 				case overlaps:
 					broken[kind]++
 					isBroken = true
@@ -526,8 +528,8 @@
 	}
 	for _, kind := range []string{"once", "feed"} {
 		count := r.counts[kind]
-		r.t.Logf("seed %d: %s: %d streams, %d whole, %d runs went on elsewhere, %d of %d take-ups went on; beside the run before %d, anew %d, excused %d",
-			r.seed, kind, count.sent, count.whole, wentOn[kind], count.wentOn, count.takeUps, broken[kind], again[kind], excused[kind])
+		r.t.Logf("seed %d: %s: %d streams, %d whole, %d runs went on elsewhere, %d of %d take-ups went on; beside the run before %d, anew %d, excused %d, taken up beside it %d",
+			r.seed, kind, count.sent, count.whole, wentOn[kind], count.wentOn, count.takeUps, broken[kind], again[kind], excused[kind], takenUp)
 	}
 }
 
