Contact is lost later while the host does not know whether an endpoint's document is gone

Cause: documents that may be outdated counted as if the engine's were gone. Now such a host waits until attempts have failed for 3 s, in which its documents are up to date again unless the store is down.

--- a/core/reqst/leave/leave.go
+++ b/core/reqst/leave/leave.go
@@ -16,6 +16,9 @@
 	// how long, until contact to an endpoint counts as lost. Packets of a few attempts may be lost.
 	_minFailures    = 4
 	_minUnreachable = 1500 * time.Millisecond
+	// _minUnreachableUnknown is the same time while this host does not know whether the endpoint's document is gone: an
+	// endpoint that lives would have to be silent for longer than a sound one may be.
+	_minUnreachableUnknown = 3 * time.Second
 )
 
 // Evidence is what the last request to stop the run has shown.
@@ -134,8 +137,9 @@
 	IsReachedElsewhere bool
 	// IsReplaced is true if the endpoint has started again since, or another one has its address.
 	IsReplaced bool
-	// IsWithdrawn is true if the endpoint's document is gone, or if it is not known whether it is.
+	// IsWithdrawn is true if the endpoint's document is gone, IsUnknown if this host does not know whether it is.
 	IsWithdrawn bool
+	IsUnknown   bool
 }
 
 // RecordElsewhere records what another host told of the endpoint; 0 if none did.
@@ -150,7 +154,11 @@
 
 // isLost reports whether the endpoint cannot be reached any more, from any host that could tell.
 func (c Contact) isLost(now time.Time) bool {
-	return c.Failures >= _minFailures && now.Sub(c.FailingSince) >= _minUnreachable && c.IsWithdrawn && !c.IsReachedElsewhere
+	if c.Failures < _minFailures || c.IsReachedElsewhere {
+		return false
+	}
+	failing := now.Sub(c.FailingSince)
+	return c.IsWithdrawn && failing >= _minUnreachable || c.IsUnknown && failing >= _minUnreachableUnknown
 }
 
 // Situation is the input of a decision.
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -117,12 +117,10 @@
 // lookUp sets what the documents tell of an endpoint.
 func (e *exchange) lookUp(contact *leave.Contact, endpoint core.RoutedEndpoint) {
 	config := e.front.config
-	contact.IsWithdrawn = true
-	if config.DocumentsOutdated == nil || !config.DocumentsOutdated() {
-		contact.IsWithdrawn = !slices.ContainsFunc(config.View().Endpoints, func(other know.Endpoint) bool {
-			return other.Key() == endpoint.Key() && other.DropAt.IsZero()
-		})
-	}
+	contact.IsUnknown = config.DocumentsOutdated != nil && config.DocumentsOutdated()
+	contact.IsWithdrawn = !contact.IsUnknown && !slices.ContainsFunc(config.View().Endpoints, func(other know.Endpoint) bool {
+		return other.Key() == endpoint.Key() && other.DropAt.IsZero()
+	})
 	contact.IsReplaced = e.front.isReplaced(endpoint)
 }
 
