io/entry: test of a stream whose engine only other hosts reach

Also: the request to stop a run goes through other hosts if its new connection is gone before it was sent.

--- a/io/front/elsewhere_test.go
+++ b/io/front/elsewhere_test.go
@@ -177,7 +177,10 @@
 
 // A stream waited for other hosts although its endpoint had ended, and refused connections of all hosts.
 func TestStreamLeavesAnEndedEndpointWithoutAWait(t *testing.T) {
-	const maxWait = 100 * time.Millisecond
+	const (
+		maxWait       = 100 * time.Millisecond
+		maxWaitForOne = 500 * time.Millisecond // for the head of the answer of a host that sends none
+	)
 	goesOnAfter := func(t *testing.T, names ...core.HostName) time.Duration {
 		engines := &liveEngines{}
 		r := newFixture(t, engines.handle, engines.handle)
@@ -185,6 +188,9 @@
 		hosts := map[core.HostName]http.Handler{}
 		for _, name := range names {
 			hosts[name] = otherHost(t, r, networks)
+			if name == "silent" {
+				hosts[name] = silentHost()
+			}
 		}
 		serveWithHosts(t, r, hosts)
 		var endedAt time.Time
@@ -207,8 +213,11 @@
 		}
 		return engines.runs[1].begun.Sub(endedAt)
 	}
-	alone, withHosts := goesOnAfter(t), goesOnAfter(t, "one", "two")
-	t.Logf("the stream went on after %v without other hosts, %v with them", alone, withHosts)
+	alone, withHosts, withSilent := goesOnAfter(t), goesOnAfter(t, "one", "two"), goesOnAfter(t, "silent")
+	t.Logf("the stream went on after %v without other hosts, %v with them, %v with one that is silent", alone, withHosts, withSilent)
+	if withSilent > alone+maxWaitForOne {
+		t.Errorf("the stream went on after %v, %v without other hosts; want at most %v more", withSilent, alone, maxWaitForOne)
+	}
 	if withHosts > alone+maxWait {
 		t.Errorf("the stream went on after %v, %v without other hosts; want at most %v more", withHosts, alone, maxWait)
 	}
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -191,33 +191,53 @@
 	go func() {
 		defer close(request.done)
 		defer cancel()
-		// A new connection shows whether the endpoint can be reached; an idle one may be dead.
-		connected := make(chan error, 1)
-		go func() { connected <- e.front.config.Links.Connect(ctx, source) }()
-		isKnown, err := awaitConnected(connected)
-		if !isKnown || err != nil {
-			report := e.stopThroughHosts(ctx, source, to, stops)
-			request.setReport(source, report)
-			if report.evidence == leave.Stopped {
-				return
-			}
-			if !isKnown {
-				err = <-connected
-			}
-		}
-		if err != nil {
-			request.evidence = dialEvidence(err).With(request.elsewhere)
-			return
-		}
-		moved := e.requestMove(ctx, source, to.Address, stops)
-		request.evidence = moved.evidence()
-		if moved.hasCopy() {
-			request.from = source.Address + "/" + moved.handle
-		}
+		e.stopRun(ctx, request, source, to, stops)
 	}()
 	return request
 }
 
+// stopRun carries out a request to stop a run.
+func (e *exchange) stopRun(ctx context.Context, request *stopRequest, source, to core.RoutedEndpoint, stops *stopRequests) {
+	connected := make(chan error, 1)
+	go func() { connected <- e.front.config.Links.Connect(ctx, source) }()
+	isKnown, err := awaitConnected(connected)
+	if isKnown && err == nil {
+		err = e.stopDirectly(ctx, request, source, to, stops)
+	}
+	if isKnown && err == nil {
+		return
+	}
+	report := e.stopThroughHosts(ctx, source, to, stops)
+	request.setReport(source, report)
+	if report.evidence == leave.Stopped {
+		return
+	}
+	if !isKnown {
+		err = <-connected
+		if err == nil {
+			err = e.stopDirectly(ctx, request, source, to, stops)
+		}
+	}
+	if err != nil {
+		request.evidence = dialEvidence(err).With(report.evidence)
+	}
+}
+
+// stopDirectly asks the endpoint over a new connection, which shows that it can be reached; an idle one may be
+// dead. It returns an error if there was no connection.
+func (e *exchange) stopDirectly(ctx context.Context, request *stopRequest, source, to core.RoutedEndpoint, stops *stopRequests) error {
+	moved := e.requestMove(ctx, source, to.Address, stops)
+	var failed *links.Error
+	if errors.As(moved.err, &failed) && failed.Stage == links.StageDial {
+		return moved.err
+	}
+	request.evidence = moved.evidence()
+	if moved.hasCopy() {
+		request.from = source.Address + "/" + moved.handle
+	}
+	return nil
+}
+
 // awaitConnected returns the result of an attempt to connect; false if there is none for a while.
 func awaitConnected(connected <-chan error) (isKnown bool, err error) {
 	timer := time.NewTimer(_connectDelay)
--- a/io/front/peerstop.go
+++ b/io/front/peerstop.go
@@ -59,6 +59,9 @@
 // stopThroughHosts asks other hosts that reach endpoints to stop a run at one to which this host cannot open a
 // connection. It returns what tells most.
 func (e *exchange) stopThroughHosts(ctx context.Context, source, to core.RoutedEndpoint, stops *stopRequests) (best hostReport) {
+	if ctx.Err() != nil {
+		return hostReport{}
+	}
 	hosts := e.front.config.Reach.pickReaching(_maxHostsAsked)
 	command := &stopCommand{Endpoint: source.Key(), Address: source.Address, Service: source.Service, RequestID: e.request.ID, To: to.Address}
 	ctx, cancel := context.WithCancel(ctx)
