--- a/core/reqst/leave/left.go
+++ b/core/reqst/leave/left.go
@@ -2,9 +2,15 @@
 
 import "time"
 
+// _refusedTime is for how long an endpoint that refuses connections may still turn out to live: the path may
+// refuse them for it, as long as hosts count as out of contact.
+const _refusedTime = 3 * time.Second
+
 // Left is what is known of a run that nobody needs any more, at an endpoint that may still work on it.
 type Left struct {
-	Now      time.Time
+	Now time.Time
+	// At is when the run was left.
+	At       time.Time
 	Evidence Evidence
 	// Connection is the state of the connection that carried the run.
 	Connection Connection
@@ -19,7 +25,7 @@
 	switch {
 	case l.Evidence == Stopped, l.Evidence == NoRun, l.Evidence == Unsupported:
 		return true
-	case l.Evidence == Refused && (l.Connection == Ended || l.Connection == Dead):
+	case l.Evidence == Refused && (l.Connection == Ended || l.Connection == Dead) && l.Now.Sub(l.At) >= _refusedTime:
 		return true // a process that lives has its connections or its listener
 	default:
 		return l.IsReplaced || !l.Now.Before(l.Deadline)
--- a/io/front/endrun.go
+++ b/io/front/endrun.go
@@ -27,8 +27,8 @@
 // _endings counts the runs that were ended in the background, by what the endpoint's last answer showed.
 var _endings = expvar.NewMap("apricotproxy.Routed.Endings")
 
-// endings ends runs of resumable streams that nobody needs any more, at endpoints that may still work on
-// them. It is safe for concurrent use.
+// endings ends runs that nobody needs any more, at endpoints that may still work on them: those of resumable streams, and
+// those that were left because their endpoints could not be reached. It is safe for concurrent use.
 type endings struct {
 	front *Front
 	// stopped ends when the front is closed.
@@ -43,8 +43,9 @@
 	request  string
 	endpoint core.RoutedEndpoint
 	deadline time.Time
-	// connection is the state of the connection that carried the run.
+	// connection is the state of the connection that carried the run, which was left at leftAt.
 	connection leave.Connection
+	leftAt     time.Time
 	// pending is a request to stop the run that is under way; nil for none.
 	pending *stopRequest
 }
@@ -114,7 +115,7 @@
 
 // isOver reports whether an endpoint does not have to be asked again to stop a run.
 func (f *Front) isOver(run *abandonedRun, evidence leave.Evidence) bool {
-	left := leave.Left{Now: time.Now(), Evidence: evidence, Connection: run.connection, IsReplaced: f.isReplaced(run.endpoint), Deadline: run.deadline}
+	left := leave.Left{Now: time.Now(), At: run.leftAt, Evidence: evidence, Connection: run.connection, IsReplaced: f.isReplaced(run.endpoint), Deadline: run.deadline}
 	return left.IsOver()
 }
 
@@ -149,7 +150,7 @@
 func (e *exchange) recordAbandoned(end *tryResult) {
 	spec := e.engineSpec()
 	isComplete := end.done && end.err == nil
-	if isComplete || e.firstEventAt.IsZero() || !e.isResumable() || spec == nil || !spec.Moves {
+	if isComplete || e.firstEventAt.IsZero() || !e.isResumable() && e.unended == nil || spec == nil || !spec.Moves {
 		return
 	}
 	e.abandoned = &abandonedRun{
@@ -160,6 +161,14 @@
 	}
 }
 
+// endAbandonedAtEnd has the run of the last try ended when the request is done. A stream that nobody can take up
+// does not go on then.
+func (e *exchange) endAbandonedAtEnd() {
+	if e.isResumable() {
+		e.endAbandoned()
+	}
+}
+
 // endAbandoned has the run of the last try ended, unless it is known to have ended.
 func (e *exchange) endAbandoned() {
 	run := e.abandoned
@@ -167,6 +176,7 @@
 	if run == nil {
 		return
 	}
+	run.leftAt = time.Now()
 	evidence := leave.Evidence(0)
 	if !e.stop.since.Before(e.lastEventAt) {
 		evidence, run.pending = e.stop.evidence, e.stop.pending
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -206,7 +206,7 @@
 	defer e.buffered.release()
 	defer e.dropPrepared()
 	defer e.dropHost()
-	defer e.endAbandoned()
+	defer e.endAbandonedAtEnd()
 	e.placer().recordArrival(&e.request.RoutedRequest, e.request.relayedBy != "")
 	step := tries.Again
 	for {
