A stream whose rest is under way is not left for an answer that came late

Cause: an endpoint that answers that it has no such run is waited for as long as the last events may be under way, but that time was counted from the request. One that answered later than that, because it could not be reached or was silent, was left at once.

Evidence: TestStreamWhoseRestIsUnderWayIsWaitedFor failed before (2 runs, want 1) and passes now.

Why it works: the time is counted from the answer.

--- a/core/reqst/leave/leave.go
+++ b/core/reqst/leave/leave.go
@@ -118,8 +118,8 @@
 	Repeatable bool
 	// Limit is the silence after which a stream may leave its endpoint.
 	Limit time.Duration
-	// AskedAt is when the endpoint was first asked.
-	AskedAt time.Time
+	// AskedAt is when the endpoint was first asked, AnsweredAt when it last answered.
+	AskedAt, AnsweredAt time.Time
 	// GiveUpAt is when the caller no longer waits for the next event.
 	GiveUpAt time.Time
 }
@@ -147,7 +147,7 @@
 	case s.Contact.IsReplaced, s.Evidence == Stopped:
 		return true
 	case s.Evidence == NoRun:
-		return s.HasBegun && (s.Connection != Open || s.asked() >= s.Limit)
+		return s.HasBegun && (s.Connection != Open || s.Now.Sub(s.AnsweredAt) >= s.Limit)
 	case s.Evidence == Refused && gone:
 		return true // a process that lives has its connections or its listener
 	case s.Evidence == Unsupported:
--- a/core/reqst/leave/leave_test.go
+++ b/core/reqst/leave/leave_test.go
@@ -49,7 +49,8 @@
 		}
 		s := leave.Situation{
 			Now: now, Evidence: evidence, Connection: connection, HasBegun: !d.HasArg("not-begun"), Repeatable: d.HasArg("repeatable"),
-			Limit: 1500 * time.Millisecond, AskedAt: now.Add(-scanDuration(t, d, "since")), GiveUpAt: now.Add(time.Second),
+			Limit: 1500 * time.Millisecond, AskedAt: now.Add(-scanDuration(t, d, "since")),
+			AnsweredAt: now.Add(-scanDuration(t, d, "answered")), GiveUpAt: now.Add(time.Second),
 			Contact: leave.Contact{IsReachedElsewhere: d.HasArg("elsewhere"), IsReplaced: d.HasArg("replaced"), IsWithdrawn: d.HasArg("withdrawn")},
 		}
 		if d.HasArg("given-up") {
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -37,9 +37,10 @@
 	from, to string
 	// pending is the request that is under way; nil for none.
 	pending *stopRequest
-	// askAt is when the endpoint may be asked again, pause how long that is after the last answer.
-	askAt time.Time
-	pause time.Duration
+	// answeredAt is when the last answer arrived, askAt when the endpoint may be asked again, pause the time
+	// between them.
+	answeredAt, askAt time.Time
+	pause             time.Duration
 }
 
 // stopRequest is one request to stop a run. Its result may be read once done is closed.
@@ -91,7 +92,7 @@
 	e.lookUp(&s.contact, run.endpoint)
 	situation := leave.Situation{
 		Now: now, Evidence: s.evidence, Connection: run.connection, Contact: s.contact, HasBegun: run.hasBegun,
-		Repeatable: e.request.Route.Resumable, Limit: e.silenceTimeout(), AskedAt: s.since, GiveUpAt: e.giveUpAt(run),
+		Repeatable: e.request.Route.Resumable, Limit: e.silenceTimeout(), AskedAt: s.since, AnsweredAt: s.answeredAt, GiveUpAt: e.giveUpAt(run),
 	}
 	step := situation.Next()
 	if step == leave.Ask && s.pending == nil && !now.Before(s.askAt) {
@@ -147,7 +148,8 @@
 	r := s.pending
 	s.evidence, s.from, s.to, s.pending = r.evidence, r.from, r.to, nil
 	s.pause = min(max(2*s.pause, _stopPoll), _maxStopPause)
-	s.askAt = time.Now().Add(s.pause)
+	s.answeredAt = time.Now()
+	s.askAt = s.answeredAt.Add(s.pause)
 	if r.evidence != leave.Unreachable && r.evidence != leave.Refused {
 		s.contact.Failures = 0
 		return
--- a/io/front/runlate_test.go
+++ b/io/front/runlate_test.go
@@ -341,6 +341,31 @@
 	}
 }
 
+// An engine that answered late that the run had ended was left at once, though the rest of the stream was under way.
+func TestStreamWhoseRestIsUnderWayIsWaitedFor(t *testing.T) {
+	const (
+		answersAfter = 3200 * time.Millisecond
+		restAfter    = 4 * time.Second
+	)
+	var silentSince atomic.Int64
+	engine := &persistentEngine{}
+	engine.trouble = func(*routed.Call, <-chan struct{}) {
+		silentSince.Store(time.Now().UnixNano())
+		time.Sleep(restAfter)
+	}
+	engine.answerStop = func(c *routed.Call) bool {
+		time.Sleep(time.Until(time.Unix(0, silentSince.Load()).Add(answersAfter)))
+		c.Answer(http.StatusNotFound, "")
+		return false
+	}
+	r := newFixture(t, engine.handle, engine.handle)
+	got := r.send(http.MethodPost, "/novel/", "", "Tokens: 100,400", "Deadline-Ms: 12000")
+	if got.err != nil || got.body != wantStream(6) {
+		t.Errorf("stream %q, %v; want %q", got.body, got.err, wantStream(6))
+	}
+	engine.check(t, 1)
+}
+
 // lossyPaths holds, by address, the path of connections that are opened to it.
 var lossyPaths sync.Map
 
