--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -34,20 +34,19 @@
 	evidence leave.Evidence
 	// elsewhere is what another host told at the last request; 0 if none did.
 	elsewhere leave.Evidence
-	// since is when the endpoint was first asked, asked how often, and answeredAt when the last request has shown
-	// the evidence.
-	since      time.Time
-	asked      int
-	answeredAt time.Time
+	// since is when the endpoint was first asked, asked how often.
+	since time.Time
+	asked int
 	// contact is what the requests have shown of the endpoint besides.
 	contact leave.Contact
 	// from identifies the copy that the endpoint made when it stopped the run, at the address to; empty for none.
 	from, to string
 	// pending is the request that is under way; nil for none.
 	pending *stopRequest
-	// askAt is when the endpoint may be asked again, pause how long that is after the last answer.
-	askAt time.Time
-	pause time.Duration
+	// answeredAt is when the last answer arrived, askAt when the endpoint may be asked again, pause the time
+	// between them.
+	answeredAt, askAt time.Time
+	pause             time.Duration
 }
 
 // stopRequest is one request to stop a run. Its result may be read once done is closed.
