--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -156,12 +156,13 @@
 }
 
 // engineSpec describes the engines of the request's service; nil for a plain service.
+// A configuration may name the service no more while the request runs.
 func (e *exchange) engineSpec() *core.EngineSpec {
 	view := e.front.config.View()
 	if service, ok := view.Table.Service(e.request.Service); ok {
-		return service.Engine
+		e.engines = service.Engine
 	}
-	return nil
+	return e.engines
 }
 
 // backupEngineSpec describes the engines of a request that needs a backup: a stream
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -73,6 +73,8 @@
 	// noRoomLogged is true once it was logged in the current try that no engine has
 	// room for a copy.
 	noRoomLogged bool
+	// engines describes the engines of the request's service, as it was last known.
+	engines *core.EngineSpec
 	// run is the placement of the current try, backup the copy of its memory on another
 	// endpoint.
 	run    *place.Run
@@ -364,6 +366,7 @@
 
 // beginTry resets what is known of the current try.
 func (e *exchange) beginTry(step tries.Step) {
+	e.engineSpec()
 	e.continued = e.continued || step != tries.Again
 	e.resumed = !e.delivered
 	e.leavingSince, e.noRoomLogged, e.failedCopyTargets = time.Time{}, false, nil
