Runs that nobody needs are stopped with another endpoint as the destination

Workers answer a request to stop a run that names their own address with 503 and no handle, and go on with it. So they do, after 0.3 s, for an address at which no worker is.

Cause: the request named the endpoint's own address, so that nothing would be copied. That such a run stops was an assumption.

The fake engines of the tests stopped runs for their own address; they answer as workers do now, which is stricter. With the own address as the only destination, TestTakenUpStreamRunsOnce, TestTakeUpEndsTheAttemptBefore, TestRunOfRelayedStreamIsEnded and TestRunIsEndedWithAnotherDestination (new) fail: the first run works on for 2.5 to 2.8 s beside the second.

Now each request names another endpoint of the service, those of the same build and data centre first, and the copy is freed. Most endpoints drop a run when its connection closes, so that they answer 404 and nothing is copied. After the first request a new connection is opened, since the idle one may have been dead, and the endpoint has the time of a move to answer. The case of TestRunOfRelayedStreamIsEnded with a single endpoint is gone: it can stop no run like this, and a run that goes on at the same endpoint does not run at two.

A run that is stopped by a request whose answer comes after 200 ms leaves its copy to expire. The tests of endrun_test.go pass with -race (one run, the new one twice).

--- a/io/front/endrun.go
+++ b/io/front/endrun.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"math/rand/v2"
 	"time"
 
 	"apricotproxy/core"
@@ -17,8 +18,10 @@
 	// _endPause is the pause before an endpoint is asked again to end a run. It doubles up to _maxEndPause.
 	_endPause    = 40 * time.Millisecond
 	_maxEndPause = 160 * time.Millisecond
-	// _endPatience is how long the endpoint has to answer: the connection may be dead. The run ends within this
-	// time and a pause once the endpoint can be reached again.
+	// _maxDeclinedPause is the same for an endpoint that has answered otherwise.
+	_maxDeclinedPause = 8 * _maxEndPause
+	// _endPatience is how long the endpoint has to answer on an idle connection, which may be dead, or to accept
+	// a new one. The run ends within this time and a pause once the endpoint can be reached again.
 	_endPatience = 200 * time.Millisecond
 	// _endedCheck is the pause between two checks whether all runs have ended.
 	_endedCheck = 5 * time.Millisecond
@@ -100,14 +103,20 @@
 		case <-ctx.Done():
 		}
 	}
-	for pause := _endPause; ; pause = min(2*pause, _maxEndPause) {
+	destinations := e.front.destinations(run.endpoint)
+	for pause := _endPause; ; pause *= 2 {
 		if e.front.isOver(run, evidence) || ctx.Err() != nil {
 			return evidence, asked
 		}
+		limit := _maxEndPause
+		if evidence == leave.Declined {
+			limit = _maxDeclinedPause
+		}
+		pause = min(pause, limit)
 		if asked > 0 && !sleepUnlessDone(ctx, pause) {
 			return evidence, asked
 		}
-		evidence = e.ask(ctx, run)
+		evidence = e.ask(ctx, run, destinations[asked%len(destinations)], asked == 0)
 		asked++
 	}
 }
@@ -118,12 +127,40 @@
 	return left.IsOver()
 }
 
-// ask asks the endpoint to stop a run, and frees the memory that it keeps of it. The memory is copied
-// nowhere: the endpoint's own address is no destination.
-func (e *endings) ask(ctx context.Context, run *abandonedRun) leave.Evidence {
-	stopCtx, cancel := context.WithTimeout(ctx, _endPatience)
+// destinations returns the addresses to which an endpoint may be asked to copy the memory of a run that it stops, in the
+// order in which they are tried. Endpoints stop no run for a destination that they do not reach, nor for themselves.
+func (f *Front) destinations(endpoint core.RoutedEndpoint) []string {
+	var same, others []string
+	for _, other := range f.config.View().Endpoints {
+		switch {
+		case other.Service != endpoint.Service || other.Address == endpoint.Address || other.Draining || !other.DropAt.IsZero():
+		case other.Build == endpoint.Build && other.DataCentre == endpoint.DataCentre:
+			same = append(same, other.Address)
+		default:
+			others = append(others, other.Address)
+		}
+	}
+	rand.Shuffle(len(same), func(i, j int) { same[i], same[j] = same[j], same[i] })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	if len(same)+len(others) == 0 {
+		return []string{endpoint.Address} // it still tells whether it has the run
+	}
+	return append(same, others...)
+}
+
+// ask asks the endpoint to stop a run, and frees the copy of its memory. Only the first time it uses an idle
+// connection.
+func (e *endings) ask(ctx context.Context, run *abandonedRun, to string, isFirst bool) leave.Evidence {
+	patienceCtx, cancel := context.WithTimeout(ctx, _endPatience)
 	defer cancel()
-	moved := e.front.requestMove(stopCtx, run.request, run.endpoint, run.endpoint.Address, true)
+	stopCtx := patienceCtx
+	if !isFirst {
+		if err := e.front.config.Links.Connect(patienceCtx, run.endpoint); err != nil {
+			return dialEvidence(err)
+		}
+		stopCtx = ctx // an endpoint that is silent stops the run once it reads the request
+	}
+	moved := e.front.requestMove(stopCtx, run.request, run.endpoint, to, true)
 	if moved.handle != "" {
 		if err := e.front.freeHandle(ctx, run.endpoint, moved.handle); err != nil {
 			e.front.log.Info("The memory of a run that was ended could not be freed.", "Request", run.request, "Cause", err.Error())
--- a/io/front/endrun_test.go
+++ b/io/front/endrun_test.go
@@ -8,9 +8,10 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,23 +23,19 @@
 	"apricotproxy/io/front"
 )
 
-// handleHome is handle for engines that copy nothing to their own address, as endpoints do: they stop the
-// run and keep its memory.
+// handleHome is handle for engines that copy nothing to themselves: they answer that there is no such destination, and the
+// run goes on.
 func (e *liveEngines) handleHome(c *routed.Call) bool {
-	var move struct {
-		ID, To string
-		Last   bool
-	}
-	if c.URL.Path != "/move" || json.Unmarshal([]byte(c.BodyText), &move) != nil || !move.Last {
+	var move struct{ ID, To string }
+	if c.URL.Path != "/move" || json.Unmarshal([]byte(c.BodyText), &move) != nil || move.To != c.LocalAddress() {
 		return e.handle(c)
 	}
 	e.awaitSound(c.LocalAddress())
-	switch {
-	case !e.stop(move.ID, c.LocalAddress(), true):
-		c.Answer(http.StatusNotFound, "")
-	default:
-		c.Answer(http.StatusServiceUnavailable, `{"handle":"h9"}`)
+	status := http.StatusServiceUnavailable
+	if !e.stop(move.ID, c.LocalAddress(), false) {
+		status = http.StatusNotFound
 	}
+	c.Answer(status, "")
 	return true
 }
 
@@ -411,46 +408,83 @@
 }
 
 // A host went on with a stream that another one had relayed to it, when that one had lost the connection and gone on
-// elsewhere. With a single endpoint, the run there must not be stopped that goes on.
+// elsewhere.
 func TestRunOfRelayedStreamIsEnded(t *testing.T) {
-	for count := 1; count <= 2; count++ {
-		t.Run(strconv.Itoa(count)+" endpoints", func(t *testing.T) {
-			t.Parallel()
-			engines := &liveEngines{}
-			var other *front.Front
-			var origins *front.SharedOrigins
-			origins = front.NewSharedOrigins(front.OriginConfig{AskHost: func(host core.HostName, request string, claim origin.Claim) int {
-				wait := other.EndAttempts(claim)
-				go func() {
-					if wait != nil {
-						wait(t.Context())
-					}
-					origins.Answer(host, nil, []string{request})
-				}()
-				return 1
-			}})
-			origins.Update(func(l *origin.Ledger) { l.SetCurrent(time.Now().Add(-time.Minute), true) })
-			r := newFixtureWithOrigins(t, origins, slices.Repeat([]routed.Handler{engines.handleHome}, count)...)
-			route, _ := r.view.Load().Table.Match("h", "/check/")
-			route.Timeout = 15 * time.Second
-			r.serve(front.NewSharedReach(reach.New("other", "a", rand.New(rand.NewPCG(1, 1))), func(_, _ reach.State, _ time.Duration) {}))
-			other = r.front
-			server := httptest.NewServer(other.PeerHandler(http.NotFoundHandler()))
-			t.Cleanup(server.Close)
-			link, err := cutoff.StartHalf(server.Listener.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(link.Close)
-			engines.trouble = func(string) { link.ResetNear() }
-			r.relayTo(link.Address)
-			c := host{fixture: r, url: r.server.URL}.begin("r1")
-			if !c.read(_novelEvents - 1) {
-				t.Errorf("the stream ended after event %d", c.last)
-			}
-			if runs := engines.check(t); runs != 2 {
-				t.Errorf("%d runs, want 2", runs)
+	t.Parallel()
+	engines := &liveEngines{}
+	var other *front.Front
+	var origins *front.SharedOrigins
+	origins = front.NewSharedOrigins(front.OriginConfig{AskHost: func(host core.HostName, request string, claim origin.Claim) int {
+		wait := other.EndAttempts(claim)
+		go func() {
+			if wait != nil {
+				wait(t.Context())
 			}
-		})
+			origins.Answer(host, nil, []string{request})
+		}()
+		return 1
+	}})
+	origins.Update(func(l *origin.Ledger) { l.SetCurrent(time.Now().Add(-time.Minute), true) })
+	r := newFixtureWithOrigins(t, origins, engines.handleHome, engines.handleHome)
+	route, _ := r.view.Load().Table.Match("h", "/check/")
+	route.Timeout = 15 * time.Second
+	r.serve(front.NewSharedReach(reach.New("other", "a", rand.New(rand.NewPCG(1, 1))), func(_, _ reach.State, _ time.Duration) {}))
+	other = r.front
+	server := httptest.NewServer(other.PeerHandler(http.NotFoundHandler()))
+	t.Cleanup(server.Close)
+	link, err := cutoff.StartHalf(server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(link.Close)
+	engines.trouble = func(string) { link.ResetNear() }
+	r.relayTo(link.Address)
+	c := host{fixture: r, url: r.server.URL}.begin("r1")
+	if !c.read(_novelEvents - 1) {
+		t.Errorf("the stream ended after event %d", c.last)
+	}
+	if runs := engines.check(t); runs != 2 {
+		t.Errorf("%d runs, want 2", runs)
+	}
+}
+
+// A run went on if its endpoint did not reach the destination that it was first asked to copy the run's memory to.
+func TestRunIsEndedWithAnotherDestination(t *testing.T) {
+	t.Parallel()
+	engines := &liveEngines{trouble: func(string) {}}
+	var unreached sync.Map
+	var isUnreached atomic.Bool
+	handle := func(c *routed.Call) bool {
+		var move struct{ To string }
+		if c.URL.Path != "/move" || json.Unmarshal([]byte(c.BodyText), &move) != nil {
+			return engines.handleHome(c)
+		}
+		if isUnreached.CompareAndSwap(false, true) {
+			unreached.Store(move.To, true)
+		}
+		if _, ok := unreached.Load(move.To); ok {
+			c.Answer(http.StatusServiceUnavailable, "")
+			return true
+		}
+		return engines.handleHome(c)
+	}
+	r := newFixture(t, handle, handle, handle)
+	route, _ := r.view.Load().Table.Match("h", "/check/")
+	route.Timeout = 15 * time.Second
+	first, second := r.addHost(), r.addHost()
+	c := first.begin("r1")
+	if !c.read(_troubleEvent) {
+		t.Fatalf("the stream ended after event %d", c.last)
+	}
+	c.leave()
+	rest := second.begin("r2", "Resumes: r1", "Last-Event-Id: "+strconv.Itoa(c.last))
+	if !rest.read(_novelEvents - 1) {
+		t.Errorf("the stream that was taken up ended after event %d", rest.last)
+	}
+	if runs := engines.check(t); runs != 2 {
+		t.Errorf("%d runs, want 2", runs)
+	}
+	if moves, frees := r.moves(); moves != 2 || frees != 1 {
+		t.Errorf("asked %d times to stop the run and %d times to free its memory, want 2 and 1", moves, frees)
 	}
 }
