A host that relayed a stream asks the other host for 3 s to end its attempt

What callers saw: nothing; engines worked twice. A host lost its connection to the host to which it had relayed a resumable stream, and went on elsewhere. Its claim was lost, so that the other host went on with its run as long as the run lasted.

Cause: the claim was sent for 150 ms only.

The stream waits no longer than before: the question is repeated in the background until it is answered.

--- a/io/front/endrun.go
+++ b/io/front/endrun.go
@@ -206,19 +206,18 @@
 }
 
 // endRelayed has another host end its attempt at a stream that this one had relayed to it and that may go on
-// elsewhere. It waits for that for a moment, since the next run has the same ID and may be at the same endpoint.
+// elsewhere. It waits for that for a moment, since the next run has the same ID and may be at the same endpoint. The
+// other host is asked further in the background.
 func (e *exchange) endRelayed(ctx context.Context, host core.HostName, end *tryResult) {
 	isComplete := end.done && end.err == nil
 	if isComplete || !e.delivered || !e.isResumable() {
 		return
 	}
-	askCtx, cancel := context.WithTimeout(e.front.endings.stopped, _peerAnswerTimeout)
-	answered := e.front.config.Origins.endAt(askCtx, host, origin.Claim{Stream: e.request.ID, Scope: e.scope()})
-	time.AfterFunc(_peerAnswerTimeout, cancel)
+	answered := e.front.config.Origins.endAt(e.front.endings.stopped, host, origin.Claim{Stream: e.request.ID, Scope: e.scope()})
 	select {
 	case <-answered:
 	case <-ctx.Done():
-	case <-askCtx.Done():
+	case <-time.After(_peerAnswerTimeout):
 	}
 }
 
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -19,6 +19,9 @@
 	_claimTimeout = 50 * time.Millisecond
 	// _questionInterval is after how long they are asked again.
 	_questionInterval = 50 * time.Millisecond
+	// _relayedEndTime is for how long another host is asked to end its attempt at a stream that was relayed to it: it
+	// may stand still, or datagrams be lost, for some seconds while its run goes on.
+	_relayedEndTime = 3 * time.Second
 	// _confirmTimeout is how long a stream waits until the documents are known to be up to date: a
 	// few readings of the store, which hosts tell each other with their heartbeats.
 	_confirmTimeout  = time.Second
@@ -181,7 +184,7 @@
 // without them, if at all: the stream's own may be new, and known to other hosts only.
 func (s *SharedOrigins) resolveWithHosts(ctx context.Context, stream origin.Stream, claim origin.Claim, before origin.Source) (origin.Origin, origin.Source) {
 	began := time.Now()
-	q := s.askHosts(ctx, stream.Question(), claim.IsValid(), func() int { return s.config.AskHosts(stream.Question(), claim) })
+	q := s.askHosts(ctx, stream.Question(), claim.IsValid(), _peerAnswerTimeout, func() int { return s.config.AskHosts(stream.Question(), claim) })
 	if before != origin.Recorded {
 		q.await(ctx, q.done, _peerAnswerTimeout)
 	}
@@ -244,9 +247,9 @@
 }
 
 // askHosts asks other hosts for a stream's record until one has it, or all have answered if the stream is
-// claimed, at most for _peerAnswerTimeout. Datagrams may be lost, so they are asked repeatedly, in the background.
+// claimed, at most for a time. Datagrams may be lost, so they are asked repeatedly, in the background.
 // send asks them once and returns how many were asked.
-func (s *SharedOrigins) askHosts(ctx context.Context, request string, isClaimed bool, send func() int) *question {
+func (s *SharedOrigins) askHosts(ctx context.Context, request string, isClaimed bool, limit time.Duration, send func() int) *question {
 	q := s.beginQuestion(request)
 	if !s.ask(q, send) {
 		s.endQuestion(request, q)
@@ -258,7 +261,7 @@
 	}
 	go func() {
 		defer s.endQuestion(request, q)
-		ctx, cancel := context.WithTimeout(ctx, _peerAnswerTimeout)
+		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		for {
 			q.await(ctx, ended, _questionInterval)
@@ -275,7 +278,8 @@
 	return q
 }
 
-// endAt has another host end its attempt at a stream that goes on elsewhere. ctx bounds for how long it is asked.
+// endAt has another host end its attempt at a stream that goes on elsewhere. It is asked for _relayedEndTime, unless
+// ctx ends before.
 // The returned channel is closed once it has answered.
 func (s *SharedOrigins) endAt(ctx context.Context, host core.HostName, claim origin.Claim) (answered <-chan struct{}) {
 	if s.config.AskHost == nil || !claim.IsValid() {
@@ -283,7 +287,7 @@
 		close(answered)
 		return answered
 	}
-	return s.askHosts(ctx, claim.Stream, true, func() int { return s.config.AskHost(host, claim.Stream, claim) }).complete
+	return s.askHosts(ctx, claim.Stream, true, _relayedEndTime, func() int { return s.config.AskHost(host, claim.Stream, claim) }).complete
 }
 
 // ask asks other hosts once. It returns false if all have answered, or there are none.
