A claim that arrives late ends no attempt that came after it

What callers saw: a stream that had been taken up for the second time was cut.

Cause: a claim named the stream and the request that took it up, and ended all other attempts. It is repeated for a while and may be read late by a host that stood still, and then ended an attempt that came after the one that had sent it.

Now it carries the last event that its caller has, and ends only attempts that began at that event or an earlier one. Hosts that know no claims still take it for the ID of a request of which they have no record.

--- a/core/procs/origin/claim.go
+++ b/core/procs/origin/claim.go
@@ -27,14 +27,22 @@
 	// elsewhere, and only the attempt at Stream itself ends.
 	By    string
 	Scope Scope
+	// Event is the last event that the caller has; NoEvent if it has none. Attempts that began at a later one came
+	// after the claim, which may arrive late.
+	Event int
 }
 
+// NoEvent stands for the last event of a caller that has none.
+const NoEvent = -1
+
 // Attempt is a request that a host serves.
 type Attempt struct {
 	Request string
 	// BegunBy is the request that began the stream, if this one took it up; empty otherwise.
 	BegunBy string
 	Scope   Scope
+	// Began is the last event that its caller had before; NoEvent if it had none.
+	Began int
 	// HasBegun is true once its caller has a part of the stream. Another attempt can only go on with that.
 	HasBegun bool
 }
@@ -47,7 +55,7 @@
 
 // Ends reports whether an attempt has to end.
 func (c Claim) Ends(a Attempt) bool {
-	if !c.IsValid() || !a.HasBegun || a.Scope != c.Scope || a.Request == c.By {
+	if !c.IsValid() || !a.HasBegun || a.Scope != c.Scope || a.Request == c.By || a.Began > c.Event {
 		return false
 	}
 	return a.Request == c.Stream || c.By != "" && a.BegunBy == c.Stream
--- a/core/procs/origin/claim_test.go
+++ b/core/procs/origin/claim_test.go
@@ -11,10 +11,14 @@
 	scope := origin.ScopeOf("check", "travis")
 	long := strings.Repeat("x", 129)
 	attempt := func(request, begunBy string) origin.Attempt {
-		return origin.Attempt{Request: request, BegunBy: begunBy, Scope: scope, HasBegun: true}
+		return origin.Attempt{Request: request, BegunBy: begunBy, Scope: scope, Began: origin.NoEvent, HasBegun: true}
 	}
-	takeUp := origin.Claim{Stream: "r1", By: "r3", Scope: scope}
-	goesOn := origin.Claim{Stream: "r1", Scope: scope}
+	beganAt := func(event int, a origin.Attempt) origin.Attempt {
+		a.Began = event
+		return a
+	}
+	takeUp := origin.Claim{Stream: "r1", By: "r3", Scope: scope, Event: 7}
+	goesOn := origin.Claim{Stream: "r1", Scope: scope, Event: 7}
 	for _, c := range []struct {
 		name    string
 		claim   origin.Claim
@@ -26,6 +30,11 @@
 		{"the one that takes it up, relayed", takeUp, attempt("r3", "r1"), false},
 		{"another stream", takeUp, attempt("r4", ""), false},
 		{"another stream that was taken up", takeUp, attempt("r4", "r5"), false},
+		{"an attempt that began before the claim", takeUp, beganAt(6, attempt("r2", "r1")), true},
+		{"an attempt that began at the same event", takeUp, beganAt(7, attempt("r2", "r1")), true},
+		{"an attempt that began after the claim", takeUp, beganAt(8, attempt("r2", "r1")), false},
+		{"goes on elsewhere, relayed again since", goesOn, beganAt(8, attempt("r1", "")), false},
+		{"the caller of the claim has no event", origin.Claim{Stream: "r1", By: "r3", Scope: scope, Event: origin.NoEvent}, beganAt(0, attempt("r2", "r1")), false},
 		{"not begun", takeUp, origin.Attempt{Request: "r1", Scope: scope}, false},
 		{"another workspace", takeUp, origin.Attempt{Request: "r1", Scope: origin.ScopeOf("check", "jill"), HasBegun: true}, false},
 		{"another route", takeUp, origin.Attempt{Request: "r1", Scope: origin.ScopeOf("draft", "travis"), HasBegun: true}, false},
--- a/io/front/endrun.go
+++ b/io/front/endrun.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"strconv"
 	"time"
 
 	"apricotproxy/core"
@@ -213,7 +214,7 @@
 	if isComplete || !e.delivered || !e.isResumable() {
 		return
 	}
-	answered := e.front.config.Origins.endAt(e.front.endings.stopped, host, origin.Claim{Stream: e.request.ID, Scope: e.scope()})
+	answered := e.front.config.Origins.endAt(e.front.endings.stopped, host, origin.Claim{Stream: e.request.ID, Scope: e.scope(), Event: e.position.Last()})
 	select {
 	case <-answered:
 	case <-ctx.Done():
@@ -263,7 +264,7 @@
 		if !ok || !e.hasBegun.Load() || !e.isResumable() || e.request.ID != claim.Stream && e.begunBy != claim.Stream {
 			return true
 		}
-		if claim.Ends(origin.Attempt{Request: e.request.ID, BegunBy: e.begunBy, Scope: e.scope(), HasBegun: true}) {
+		if claim.Ends(origin.Attempt{Request: e.request.ID, BegunBy: e.begunBy, Scope: e.scope(), Began: e.beganAt(), HasBegun: true}) {
 			e.log("A stream goes on with another attempt.", "By", claim.By)
 			_claimed.Add(1)
 			e.end(errTakenUp)
@@ -281,6 +282,15 @@
 	}
 }
 
+// beganAt returns the last event that the caller had before the request.
+func (e *exchange) beganAt() int {
+	last, err := strconv.Atoi(e.incoming.Header.Get(e.front.config.Names.LastEventID))
+	if err != nil {
+		return origin.NoEvent
+	}
+	return last
+}
+
 // awaitEnded waits until the exchange was served and its last run is over.
 func (e *exchange) awaitEnded(ctx context.Context) {
 	select {
--- a/io/front/takeup.go
+++ b/io/front/takeup.go
@@ -36,7 +36,7 @@
 	}
 	ownCtx, cancel := context.WithTimeout(ctx, _claimTimeout)
 	defer cancel()
-	claim := origin.Claim{Stream: stream.Request, By: e.request.ID, Scope: e.scope()}
+	claim := origin.Claim{Stream: stream.Request, By: e.request.ID, Scope: e.scope(), Event: e.beganAt()}
 	awaitOwn := e.front.EndAttempts(claim)
 	found, source := e.front.config.Origins.find(ctx, e.request.Arrived, stream, claim, e.ownPart())
 	if awaitOwn != nil {
--- a/io/news/origin.go
+++ b/io/news/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,16 +48,17 @@
 const _claimMark = "\x00"
 
 func claimToWire(c origin.Claim) string {
-	return _claimMark + strings.Join([]string{c.Stream, c.By, string(c.Scope)}, _claimMark)
+	return _claimMark + strings.Join([]string{c.Stream, c.By, string(c.Scope), strconv.Itoa(c.Event)}, _claimMark)
 }
 
 func claimFromWire(text string) (origin.Claim, bool) {
 	fields := strings.Split(text, _claimMark)
-	const count = 4 // the first one is empty
+	const count = 5 // the first one is empty
 	if len(fields) != count || fields[0] != "" {
 		return origin.Claim{}, false
 	}
-	return origin.Claim{Stream: fields[1], By: fields[2], Scope: origin.Scope(fields[3])}, true
+	last, err := strconv.Atoi(fields[4])
+	return origin.Claim{Stream: fields[1], By: fields[2], Scope: origin.Scope(fields[3]), Event: last}, err == nil
 }
 
 // originsToWire returns what is sent now. Hosts' clocks differ, so times are sent as ages.
--- a/io/news/origin_test.go
+++ b/io/news/origin_test.go
@@ -141,8 +141,8 @@
 
 // Hosts that know no claims take them for requests of which they have no record.
 func TestClaimsAreQuestionsToOlderHosts(t *testing.T) {
-	claim := origin.Claim{Stream: "r1", By: "r2", Scope: origin.ScopeOf("check", "travis")}
-	want := &news.Origins{Host: "edge-austin-a-1", Questions: []string{"r1"}, ReplyTo: "10.1.0.19:7200", Claims: []origin.Claim{claim, {Stream: "r3"}}}
+	claim := origin.Claim{Stream: "r1", By: "r2", Scope: origin.ScopeOf("check", "travis"), Event: 12}
+	want := &news.Origins{Host: "edge-austin-a-1", Questions: []string{"r1"}, ReplyTo: "10.1.0.19:7200", Claims: []origin.Claim{claim, {Stream: "r3", Event: origin.NoEvent}}}
 	if got := roundTrip(t, want, _now, _now); !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, want %+v", got, want)
 	}
