--- a/io/front/endrun.go
+++ b/io/front/endrun.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"apricotproxy/core"
@@ -243,19 +244,18 @@
 }
 
 // endRelayed has another host end its attempt at a stream that this one had relayed to it and that may go on
-// elsewhere. It waits for that for a moment, since the next run has the same ID and may be at the same endpoint.
+// elsewhere. It waits for that for a moment, since the next run has the same ID and may be at the same endpoint. The
+// other host is asked further in the background.
 func (e *exchange) endRelayed(ctx context.Context, host core.HostName, end *tryResult) {
 	isComplete := end.done && end.err == nil
 	if isComplete || !e.delivered || !e.isResumable() {
 		return
 	}
-	askCtx, cancel := context.WithTimeout(e.front.endings.stopped, _peerAnswerTimeout)
-	answered := e.front.config.Origins.endAt(askCtx, host, origin.Claim{Stream: e.request.ID, Scope: e.scope()})
-	time.AfterFunc(_peerAnswerTimeout, cancel)
+	answered := e.front.config.Origins.endAt(e.front.endings.stopped, host, origin.Claim{Stream: e.request.ID, Scope: e.scope(), Event: e.position.Last()})
 	select {
 	case <-answered:
 	case <-ctx.Done():
-	case <-askCtx.Done():
+	case <-time.After(_peerAnswerTimeout):
 	}
 }
 
@@ -301,7 +301,7 @@
 		if !ok || !e.hasBegun.Load() || !e.isResumable() || e.request.ID != claim.Stream && e.begunBy != claim.Stream {
 			return true
 		}
-		if claim.Ends(origin.Attempt{Request: e.request.ID, BegunBy: e.begunBy, Scope: e.scope(), HasBegun: true}) {
+		if claim.Ends(origin.Attempt{Request: e.request.ID, BegunBy: e.begunBy, Scope: e.scope(), Began: e.beganAt(), HasBegun: true}) {
 			e.log("A stream goes on with another attempt.", "By", claim.By)
 			_claimed.Add(1)
 			e.end(errTakenUp)
@@ -319,6 +319,15 @@
 	}
 }
 
+// beganAt returns the last event that the caller had before the request.
+func (e *exchange) beganAt() int {
+	last, err := strconv.Atoi(e.incoming.Header.Get(e.front.config.Names.LastEventID))
+	if err != nil {
+		return origin.NoEvent
+	}
+	return last
+}
+
 // awaitEnded waits until the exchange was served and its last run is over.
 func (e *exchange) awaitEnded(ctx context.Context) {
 	select {
