--- a/proof/runend_engine_test.go
+++ b/proof/runend_engine_test.go
@@ -26,10 +26,11 @@
 	leaving  bool
 	// ended is closed when the engine ends.
 	ended chan struct{}
-	// The engine sends and reads nothing until silentUntil. Until lateUntil it acts on requests and on calls to move
-	// a run only after lateBy.
+	// The engine sends and reads nothing until silentUntil. Until lateUntil it acts on requests only after lateBy, and
+	// on calls to move a run too unless it is their answers that are late.
 	silentUntil, lateUntil time.Time
 	lateBy                 time.Duration
+	answersLate            bool
 }
 
 // endRun is a run of a stream at an engine.
@@ -124,10 +125,10 @@
 	e.silentUntil = time.Now().Add(length)
 }
 
-func (e *endEngine) delay(length, by time.Duration) {
+func (e *endEngine) delay(length, by time.Duration, answersLate bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lateUntil, e.lateBy = time.Now().Add(length), by
+	e.lateUntil, e.lateBy, e.answersLate = time.Now().Add(length), by, answersLate
 }
 
 // awaitSound waits while the engine is silent. It reports whether the engine lives.
@@ -198,7 +199,10 @@
 		c.Answer(http.StatusBadRequest, "")
 		return true
 	}
-	if !e.awaitAction(ended) {
+	e.mu.Lock()
+	answersLate := e.answersLate
+	e.mu.Unlock()
+	if !answersLate && !e.awaitAction(ended) {
 		return false
 	}
 	runs := e.ledger.find(e.index, move.ID)
@@ -207,6 +211,9 @@
 			e.ledger.finish(run, "stopped")
 		}
 	}
+	if answersLate && !e.awaitAction(ended) {
+		return false
+	}
 	if len(runs) == 0 {
 		c.Answer(http.StatusNotFound, "")
 		return true
--- a/proof/runend_test.go
+++ b/proof/runend_test.go
@@ -74,11 +74,11 @@
 	}},
 	{"half reached", func(r *endSeries, f endFault) { r.cut([]*endLink{r.links[f.host][f.engine]}, f.cut, f.length, false) }},
 	{"half reset", func(r *endSeries, f endFault) {
-		r.cut([]*endLink{r.links[f.host][f.engine]}, cutoff.HangNew, f.length, true)
+		r.cut([]*endLink{r.links[f.host][f.engine]}, [...]cutoff.Kind{cutoff.HangNew, cutoff.RefuseNew}[f.engine%2], f.length, true)
 	}},
-	{"late", func(r *endSeries, f endFault) { r.engines[f.engine].delay(f.length, f.by) }},
+	{"late", func(r *endSeries, f endFault) { r.engines[f.engine].delay(f.length, f.by, f.host%2 == 1) }},
 	{"late and reset", func(r *endSeries, f endFault) {
-		r.engines[f.engine].delay(f.length, f.by)
+		r.engines[f.engine].delay(f.length, f.by, f.host%2 == 1)
 		r.resetOpen(r.linksTo(f.engine))
 	}},
 	{"leaves", func(r *endSeries, f endFault) { r.leave(f) }},
@@ -207,7 +207,7 @@
 	if !r.changing[f.engine].TryLock() {
 		return
 	}
-	e.delay(_endDuration, f.by)
+	e.delay(_endDuration, f.by, f.host%2 == 1)
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
