--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -34,20 +34,19 @@
 	evidence leave.Evidence
 	// elsewhere is what another host told at the last request; 0 if none did.
 	elsewhere leave.Evidence
-	// since is when the endpoint was first asked, asked how often, and answeredAt when the last request has shown
-	// the evidence.
-	since      time.Time
-	asked      int
-	answeredAt time.Time
+	// since is when the endpoint was first asked, asked how often.
+	since time.Time
+	asked int
 	// contact is what the requests have shown of the endpoint besides.
 	contact leave.Contact
 	// from identifies the copy that the endpoint made when it stopped the run, at the address to; empty for none.
 	from, to string
 	// pending is the request that is under way; nil for none.
 	pending *stopRequest
-	// askAt is when the endpoint may be asked again, pause how long that is after the last answer.
-	askAt time.Time
-	pause time.Duration
+	// answeredAt is when the last answer arrived, askAt when the endpoint may be asked again, pause the time
+	// between them.
+	answeredAt, askAt time.Time
+	pause             time.Duration
 }
 
 // stopRequest is one request to stop a run. Its result may be read once done is closed.
@@ -117,12 +116,10 @@
 // lookUp sets what the documents tell of an endpoint.
 func (e *exchange) lookUp(contact *leave.Contact, endpoint core.RoutedEndpoint) {
 	config := e.front.config
-	contact.IsWithdrawn = true
-	if config.DocumentsOutdated == nil || !config.DocumentsOutdated() {
-		contact.IsWithdrawn = !slices.ContainsFunc(config.View().Endpoints, func(other know.Endpoint) bool {
-			return other.Key() == endpoint.Key() && other.DropAt.IsZero()
-		})
-	}
+	contact.IsUnknown = config.DocumentsOutdated != nil && config.DocumentsOutdated()
+	contact.IsWithdrawn = !contact.IsUnknown && !slices.ContainsFunc(config.View().Endpoints, func(other know.Endpoint) bool {
+		return other.Key() == endpoint.Key() && other.DropAt.IsZero()
+	})
 	contact.IsReplaced = e.front.isReplaced(endpoint)
 }
 
@@ -193,33 +190,53 @@
 	go func() {
 		defer close(request.done)
 		defer cancel()
-		// A new connection shows whether the endpoint can be reached; an idle one may be dead.
-		connected := make(chan error, 1)
-		go func() { connected <- e.front.config.Links.Connect(ctx, source) }()
-		isKnown, err := awaitConnected(connected)
-		if !isKnown || err != nil {
-			report := e.stopThroughHosts(ctx, source, to, stops)
-			request.setReport(source, report)
-			if report.evidence == leave.Stopped {
-				return
-			}
-			if !isKnown {
-				err = <-connected
-			}
-		}
-		if err != nil {
-			request.evidence = dialEvidence(err).With(request.elsewhere)
-			return
-		}
-		moved := e.requestMove(ctx, source, to.Address, stops)
-		request.evidence = moved.evidence()
-		if moved.hasCopy() {
-			request.from = source.Address + "/" + moved.handle
-		}
+		e.stopRun(ctx, request, source, to, stops)
 	}()
 	return request
 }
 
+// stopRun carries out a request to stop a run.
+func (e *exchange) stopRun(ctx context.Context, request *stopRequest, source, to core.RoutedEndpoint, stops *stopRequests) {
+	connected := make(chan error, 1)
+	go func() { connected <- e.front.config.Links.Connect(ctx, source) }()
+	isKnown, err := awaitConnected(connected)
+	if isKnown && err == nil {
+		err = e.stopDirectly(ctx, request, source, to, stops)
+	}
+	if isKnown && err == nil {
+		return
+	}
+	report := e.stopThroughHosts(ctx, source, to, stops)
+	request.setReport(source, report)
+	if report.evidence == leave.Stopped {
+		return
+	}
+	if !isKnown {
+		err = <-connected
+		if err == nil {
+			err = e.stopDirectly(ctx, request, source, to, stops)
+		}
+	}
+	if err != nil {
+		request.evidence = dialEvidence(err).With(report.evidence)
+	}
+}
+
+// stopDirectly asks the endpoint over a new connection, which shows that it can be reached; an idle one may be
+// dead. It returns an error if there was no connection.
+func (e *exchange) stopDirectly(ctx context.Context, request *stopRequest, source, to core.RoutedEndpoint, stops *stopRequests) error {
+	moved := e.requestMove(ctx, source, to.Address, stops)
+	var failed *links.Error
+	if errors.As(moved.err, &failed) && failed.Stage == links.StageDial {
+		return moved.err
+	}
+	request.evidence = moved.evidence()
+	if moved.hasCopy() {
+		request.from = source.Address + "/" + moved.handle
+	}
+	return nil
+}
+
 // awaitConnected returns the result of an attempt to connect; false if there is none for a while.
 func awaitConnected(connected <-chan error) (isKnown bool, err error) {
 	timer := time.NewTimer(_connectDelay)
