--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -115,8 +115,9 @@
 func (e *exchange) runRelay(ctx context.Context, step tries.Step) tryResult {
 	e.beginTry(step)
 	if e.unended != nil {
-		// No copy is made for a run that goes on at an endpoint that the other host picks.
-		if _, err := e.awaitStopped(ctx, e.unended.endpoint, ""); err != nil {
+		// The other host picks the next endpoint, so that the copy which engines make when they stop a run is not used.
+		to := core.RoutedEndpoint{Service: e.unended.endpoint.Service, Address: e.front.destinations(e.unended.endpoint)[0]}
+		if _, err := e.awaitStopped(ctx, to, ""); err != nil {
 			return tryResult{result: tries.NotSent, err: err}
 		}
 	}
