A stream waits for its copy's endpoint if that cannot be reached for a moment

What callers saw: hosts as processes: streams whose runs were known to have ended were cut when one attempt to connect to the endpoint of their copy failed. The new case of TestStreamGoesOnOnlyOnceItsRunHasEnded failed before (cut after one attempt) and passes now. The copy's endpoint is tried until callers no longer wait for the next event.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -316,6 +316,9 @@
 	e.logGoesOn(step, e.run.Endpoint.ID, from)
 	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
 	end := e.try(ctx, from)
+	for e.mayReachCopy(ctx, &end, from) {
+		end = e.try(ctx, from)
+	}
 	e.before = sentTry{endpoint: e.run.Endpoint.RoutedEndpoint, err: end.err, handover: e.backup.handoverState()}
 	if end.connection != 0 && e.backup.handoverState() != _handoverDone {
 		e.unended = &leftRun{endpoint: e.run.Endpoint.RoutedEndpoint, connection: end.connection, endedAt: time.Now(), hasBegun: e.answerBegun}
@@ -341,6 +344,15 @@
 	return end
 }
 
+// mayReachCopy waits a moment if a run that must run once may still go on from its copy: its endpoint could not be reached,
+// nothing was sent, and the run is nowhere else. It returns false once callers may no longer wait for the next event.
+func (e *exchange) mayReachCopy(ctx context.Context, end *tryResult, from string) bool {
+	if end.result != tries.NotSent || from == "" || !e.delivered || e.request.Route.Resumable || !e.placer().usable(e.run.Endpoint.Key()) {
+		return false
+	}
+	return time.Since(e.lastEventAt) < e.longestPauseOfCallers() && sleepUnlessDone(ctx, _copyRetryInterval)
+}
+
 // sentTry is what is logged of a try once the request goes on elsewhere.
 type sentTry struct {
 	endpoint core.RoutedEndpoint
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -24,6 +24,7 @@
 	"apricotproxy/core/procs/origin"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/versn/table"
+	"apricotproxy/fakes/cutoff"
 	"apricotproxy/fakes/routed"
 	"apricotproxy/io/front"
 	"apricotproxy/io/links"
@@ -42,10 +43,12 @@
 	server    *httptest.Server
 	front     *front.Front
 	endpoints []*routed.Endpoint
-	placer    *front.SharedPlacer
-	detector  *front.SharedDetector
-	origins   *front.SharedOrigins
-	view      atomic.Pointer[know.View]
+	// networks are those in front of the endpoints, by the endpoints' addresses; nil for none.
+	networks map[string]*cutoff.Link
+	placer   *front.SharedPlacer
+	detector *front.SharedDetector
+	origins  *front.SharedOrigins
+	view     atomic.Pointer[know.View]
 	// errorLines receives the log lines of errors that the host itself answers.
 	errorLines chan string
 	// documentsOutdated reports whether the view may be outdated; nil for never.
--- a/io/front/runend_test.go
+++ b/io/front/runend_test.go
@@ -293,6 +293,14 @@
 			cut(t, link, cutoff.HangNew, shortCut)
 			link.ResetOpen()
 		}, 0, true},
+		{"its connection is reset, and attempts to connect to the copy's engine hang", func(t *testing.T, r *fixture, _ *liveEngines, _ string, link *cutoff.Link) {
+			for _, other := range r.networks {
+				if other != link {
+					cut(t, other, cutoff.HangNew, shortCut)
+				}
+			}
+			link.ResetOpen()
+		}, 0, true},
 		{"it leaves, and stops the run late", func(_ *testing.T, r *fixture, _ *liveEngines, address string, _ *cutoff.Link) {
 			for i, endpoint := range r.endpoints {
 				if endpoint.Address == address {
@@ -308,6 +316,7 @@
 			service, _ := r.view.Load().Table.Service("all")
 			service.Engine.Backups = c.moveDelay == 0 // a copy on order only
 			links := linkEndpoints(t, r)
+			r.networks = links
 			engines.trouble = func(address string) { c.trouble(t, r, engines, address, links[address]) }
 			got := r.send(http.MethodPost, "/novel/", "", "Tokens: 100,400", "Deadline-Ms: 12000")
 			if got.err != nil || got.body != wantStream(_novelEvents-1) {
