A request to stop a run does not end the next run of the request at the same engine

What callers saw: a resumable stream was cut, or ended before its last event as if it were complete (30 of 80 events; without framing). An engine had acted late on a request to stop a former run of the stream, while the next one, with the same ID, was at the same engine.

Cause: a host that relayed the stream cancelled its requests, which an engine may act on all the same, and the other host placed the stream at that engine. The other way round, the host that ended its relayed attempt went on asking after it had answered the claim.

Now an engine where an end of the request is not settled is excluded from the next run: at the host itself, at the host to which the request is relayed (Relay-Exclude; a host that does not know it behaves as before), and, until the claim is answered, where another host ran it (Relay-Endpoint). A claim of a host that goes on with the same ID is answered only once the ends are settled. Where no other engine is left, the stream waits. If the next run is at such an engine all the same, an end without framing is no end of the stream.

--- a/io/entry/origin.go
+++ b/io/entry/origin.go
@@ -118,11 +118,13 @@
 	}
 	p.origins.Update(func(l *origin.Ledger) { l.Merge(o.Span) })
 	p.origins.Answer(o.Host, o.Records, o.Unknown)
-	var waits []func(context.Context)
+	var waits []func(context.Context) bool
 	for _, claim := range o.Claims {
-		if wait := p.front.EndAttempts(claim); wait != nil {
-			waits = append(waits, wait)
+		wait := p.front.EndAttempts(claim)
+		if wait == nil {
+			continue
 		}
+		waits = append(waits, func(ctx context.Context) bool { return wait(ctx) || claim.By != "" })
 	}
 	if len(waits) == 0 {
 		p.answerOrigins(now, o)
@@ -132,7 +134,9 @@
 		ctx, cancel := context.WithTimeout(ctx, _claimAnswerTimeout)
 		defer cancel()
 		for _, wait := range waits {
-			wait(ctx)
+			if !wait(ctx) {
+				return // a host that goes on with the same ID must not be told yet; it asks again
+			}
 		}
 		p.answerOrigins(time.Now(), o)
 	}()
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -193,7 +193,7 @@
 
 // copySpec describes where a copy of the run's memory may be placed.
 func (e *exchange) copySpec() *place.Spec {
-	exclude := slices.Concat([]string{e.run.Endpoint.ID}, e.triedEndpoints, e.failedCopyTargets)
+	exclude := slices.Concat([]string{e.run.Endpoint.ID}, e.excluded(), e.failedCopyTargets)
 	return &place.Spec{
 		Request: e.request.RoutedRequest, Exclude: exclude, SourceDataCentre: e.run.Endpoint.DataCentre,
 		OneBuild: true, Build: e.run.Endpoint.Build,
--- a/io/front/endings_test.go
+++ b/io/front/endings_test.go
@@ -20,9 +20,10 @@
 	run := abandonedRun{request: "r1", endpoint: core.RoutedEndpoint{ID: "e0", Address: "e0"}, deadline: time.Now().Add(time.Minute)}
 	var begun []*ending
 	for range _maxEndings {
-		begun = append(begun, f.endings.begin(run))
+		copied := run
+		begun = append(begun, f.endings.begin(&copied))
 	}
-	if f.endings.begin(run) != nil {
+	if f.endings.begin(&run) != nil {
 		t.Errorf("more than %d runs are being ended", _maxEndings)
 	}
 	f.Close()
--- a/io/front/endrun.go
+++ b/io/front/endrun.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"strconv"
+	"sync"
 	"time"
 
 	"apricotproxy/core"
@@ -37,11 +38,16 @@
 	stop    context.CancelFunc
 	// slots holds one element for each run that is being ended.
 	slots chan struct{}
+
+	mu sync.Mutex
+	// unsettled holds the runs that are being ended, until their endpoints act on no request to stop them any more.
+	unsettled map[endingKey][]*ending
 }
 
 // abandonedRun is a run that is to be ended.
 type abandonedRun struct {
 	request  string
+	scope    origin.Scope
 	endpoint core.RoutedEndpoint
 	deadline time.Time
 	// connection is the state of the connection that carried the run, which was left at leftAt.
@@ -49,58 +55,80 @@
 	leftAt     time.Time
 	// pending is a request to stop the run that is under way; nil for none.
 	pending *stopRequest
+	// unansweredAt is when the last request to stop the run was given up that got no answer; zero for none.
+	unansweredAt time.Time
 }
 
 // ending is a run that is being ended.
 type ending struct {
-	address string
+	// run may be read by others once done is closed, but for its request, scope and endpoint.
+	run *abandonedRun
 	// done is closed once the endpoint does not have to be asked any more, or cancel was called.
 	done   chan struct{}
 	cancel context.CancelFunc
+	// isOver is true if the run is over, and may be read once done is closed. A run that is not was given up.
+	isOver bool
+	// settled is closed once the endpoint acts on no request to stop the run any more. It stays open if the run was
+	// given up.
+	settled chan struct{}
 }
 
 func newEndings(f *Front) *endings {
-	e := &endings{front: f, slots: make(chan struct{}, _maxEndings)}
+	e := &endings{front: f, slots: make(chan struct{}, _maxEndings), unsettled: make(map[endingKey][]*ending)}
 	e.stopped, e.stop = context.WithCancel(context.Background())
 	return e
 }
 
 // begin ends a run in the background. It returns nil if too many are being ended.
-func (e *endings) begin(run abandonedRun) *ending {
+func (e *endings) begin(run *abandonedRun) *ending {
 	select {
 	case e.slots <- struct{}{}:
 	default:
 		_endings.Add("NotTaken", 1)
 		return nil
 	}
-	begun := &ending{address: run.endpoint.Address, done: make(chan struct{})}
+	begun := &ending{run: run, done: make(chan struct{}), settled: make(chan struct{})}
 	var ctx context.Context
 	ctx, begun.cancel = context.WithDeadline(e.stopped, run.deadline)
+	e.add(begun)
 	go func() {
-		defer func() {
-			begun.cancel()
-			<-e.slots
-			close(begun.done)
-		}()
-		began := time.Now()
-		evidence, asked := e.end(ctx, &run)
-		_endings.Add(evidence.String(), 1)
-		e.front.log.Info("A run that nobody needs was ended.", "Request", run.request, "Endpoint", run.endpoint.ID,
-			"Evidence", evidence.String(), "Asked", asked, "Took", time.Since(began).Milliseconds())
+		defer e.remove(begun)
+		e.finish(ctx, begun)
+		if begun.isOver {
+			e.settle(begun)
+		}
 	}()
 	return begun
 }
 
+// finish ends a run.
+func (e *endings) finish(ctx context.Context, begun *ending) {
+	defer func() {
+		begun.cancel()
+		<-e.slots
+		close(begun.done)
+	}()
+	run, began := begun.run, time.Now()
+	evidence, asked := e.end(ctx, run)
+	_endings.Add(evidence.String(), 1)
+	e.front.log.Info("A run that nobody needs was ended.", "Request", run.request, "Endpoint", run.endpoint.ID,
+		"Evidence", evidence.String(), "Asked", asked, "Took", time.Since(began).Milliseconds())
+	begun.isOver = e.front.isOver(run, evidence)
+	if begun.isOver {
+		run.cancelPending()
+	}
+}
+
 // end asks the endpoint to stop a run until it is over. It returns what the last answer has shown, and how
 // often the endpoint was asked.
 func (e *endings) end(ctx context.Context, run *abandonedRun) (evidence leave.Evidence, asked int) {
 	if run.pending != nil {
 		select {
 		case <-run.pending.done:
-			evidence = run.pending.evidence
 		case <-time.After(_endPatience):
 		case <-ctx.Done():
 		}
+		evidence = run.takePending()
 	}
 	for pause := _endPause; ; pause = min(2*pause, _maxEndPause) {
 		if e.front.isOver(run, evidence) || ctx.Err() != nil {
@@ -111,6 +139,12 @@
 		}
 		evidence = e.ask(ctx, run)
 		asked++
+		if isUnanswered(evidence) {
+			run.unansweredAt = time.Now()
+		}
+		if told := run.takePending(); told.TellsMoreThan(evidence) {
+			evidence = told
+		}
 	}
 }
 
@@ -155,7 +189,7 @@
 		return
 	}
 	e.abandoned = &abandonedRun{
-		request: e.request.ID, endpoint: e.run.Endpoint.RoutedEndpoint, deadline: e.request.Deadline, connection: max(end.connection, leave.Closed),
+		request: e.request.ID, scope: e.scope(), endpoint: e.run.Endpoint.RoutedEndpoint, deadline: e.request.Deadline, connection: max(end.connection, leave.Closed),
 	}
 	if end.done || e.unended == nil {
 		e.endAbandoned()
@@ -182,8 +216,12 @@
 	if !e.stop.since.Before(e.lastEventAt) {
 		evidence, run.pending = e.stop.evidence, e.stop.pending
 	}
-	if !e.front.isOver(run, evidence) {
-		if begun := e.front.endings.begin(*run); begun != nil {
+	isOver := e.front.isOver(run, evidence)
+	if isOver && run.pending != nil {
+		run.pending.cancel() // it may reach what is at the address now
+	}
+	if !isOver || run.pending != nil {
+		if begun := e.front.endings.begin(run); begun != nil {
 			e.endings = append(e.endings, begun)
 		}
 	}
@@ -193,16 +231,19 @@
 // takes long: the next run may be there and has the same ID.
 func (e *exchange) settleEndings(ctx context.Context, address string) {
 	for _, earlier := range e.endings {
-		if address != "" && earlier.address != address {
+		if address != "" && earlier.run.endpoint.Address != address {
 			continue
 		}
 		select {
-		case <-earlier.done:
+		case <-earlier.settled:
 		case <-ctx.Done():
 		case <-time.After(_claimTimeout):
 		}
 		earlier.cancel()
 		<-earlier.done
+		if address != "" && !earlier.isOver {
+			earlier.run.cancelPending()
+		}
 	}
 }
 
@@ -215,6 +256,9 @@
 		return
 	}
 	answered := e.front.config.Origins.endAt(e.front.endings.stopped, host, origin.Claim{Stream: e.request.ID, Scope: e.scope(), Event: e.position.Last()})
+	if e.relayedAt != "" {
+		e.relayedRuns = append(e.relayedRuns, relayedRun{endpoint: e.relayedAt, over: answered, until: time.Now().Add(_relayedEndTime)})
+	}
 	select {
 	case <-answered:
 	case <-ctx.Done():
@@ -256,8 +300,9 @@
 var _claimed = expvar.NewInt("apricotproxy.Routed.Claimed")
 
 // EndAttempts ends the attempts at a stream that another one goes on with: their callers' connections are cut, and
-// their runs ended. wait, which is nil if there are none, returns once that is done or when its context ends.
-func (f *Front) EndAttempts(claim origin.Claim) (wait func(context.Context)) {
+// their runs ended. wait, which is nil if there are none, returns once that is done or when its context ends. It reports
+// whether the runs are over; if they go on elsewhere with the same ID, also that no request to stop them is under way.
+func (f *Front) EndAttempts(claim origin.Claim) (wait func(context.Context) bool) {
 	var ended []*exchange
 	f.planned.running.Range(func(key, _ any) bool {
 		e, ok := key.(*exchange)
@@ -272,13 +317,16 @@
 		}
 		return true
 	})
-	if len(ended) == 0 {
+	key := endingKey{request: claim.Stream, scope: claim.Scope}
+	goesOn := claim.By == ""
+	if len(ended) == 0 && (!goesOn || len(f.endings.of(key)) == 0) {
 		return nil
 	}
-	return func(ctx context.Context) {
+	return func(ctx context.Context) bool {
 		for _, e := range ended {
 			e.awaitEnded(ctx)
 		}
+		return (!goesOn || f.endings.awaitSettled(ctx, key)) && ctx.Err() == nil
 	}
 }
 
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -97,6 +97,10 @@
 	// otherwise. endings are the earlier ones that are being ended.
 	abandoned *abandonedRun
 	endings   []*ending
+	// relayedAt is the ID of the endpoint at which the current try runs at another host; empty if it is not known.
+	// relayedRuns are the earlier ones that other hosts were asked to end.
+	relayedAt   string
+	relayedRuns []relayedRun
 	// cancel ends the exchange. served is true once it was served; it is guarded by servedMu, as is the use of
 	// controller by other goroutines.
 	cancel   context.CancelCauseFunc
@@ -161,6 +165,7 @@
 	if last, err := strconv.Atoi(r.Header.Get(f.config.Names.LastEventID)); err == nil && req.Route.Resumable {
 		e.takenUp, e.position = true, event.After(last)
 	}
+	e.takeExcluded(r.Header)
 	return e
 }
 
@@ -312,7 +317,7 @@
 	e.endAbandoned()
 	e.settleEndings(ctx, e.run.Endpoint.Address)
 	e.logGoesOn(step, e.run.Endpoint.ID, from)
-	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
+	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{isDoubtful: e.mayStopNext()}, nil
 	end := e.try(ctx, from)
 	e.before = sentTry{endpoint: e.run.Endpoint.RoutedEndpoint, err: end.err, handover: e.backup.handoverState()}
 	if end.connection != 0 && e.backup.handoverState() != _handoverDone {
--- a/io/front/falseend.go
+++ b/io/front/falseend.go
@@ -34,6 +34,8 @@
 	mu       sync.Mutex
 	requests leave.StopRequests
 	asked    bool
+	// isDoubtful is true if the endpoint may act on a request to stop an earlier run of the same ID.
+	isDoubtful bool
 	// eventAt is when an event last arrived that this host had awaited.
 	eventAt time.Time
 	// settled is closed once no request is under way; nil if none is.
@@ -104,7 +106,7 @@
 func (s *stopRequests) mayHaveStoppedNow() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.requests.MayHaveStopped()
+	return s.isDoubtful || s.requests.MayHaveStopped()
 }
 
 // falseEnd returns the result of a try whose answer was read to the end of its connection and is
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -27,6 +27,10 @@
 	// _relayService and _relayBuild tell, in the head of a stream, which service and build wrote it.
 	_relayService = "Relay-Service"
 	_relayBuild   = "Relay-Build"
+	// _relayEndpoint tells, in the head of a stream, the ID of the endpoint that runs it, _relayExclude in a request
+	// those at which it must not run.
+	_relayEndpoint = "Relay-Endpoint"
+	_relayExclude  = "Relay-Exclude"
 )
 
 // _relayMargin is by how much the deadline of a relayed request comes before that of the request, so
@@ -137,7 +141,7 @@
 	e.backup.drop(e.placer())
 	e.endAbandoned()
 	e.settleEndings(ctx, "")
-	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{}, nil
+	e.stop, e.stopRequests, e.unended, e.relayedAt = runStop{}, &stopRequests{}, nil, ""
 	e.silence, e.counted, e.waitLogged = &links.Silence{}, false, false
 	e.silence.Ask = func() error { // the other host leaves silent endpoints
 		e.silence.AskAt = time.Time{}
@@ -199,6 +203,7 @@
 	header.Set(names.Deadline, strconv.FormatInt(max(time.Until(e.request.Deadline.Add(-_relayMargin)).Milliseconds(), 1), 10))
 	header.Set(_relayedBy, string(e.front.config.Self))
 	header.Set(_relayAttempts, strconv.Itoa(attempts))
+	e.setExcluded(header)
 	if e.position.Started() && e.delivered {
 		header.Set(names.LastEventID, strconv.Itoa(e.position.Last()))
 		begunBy := e.begunBy
@@ -223,14 +228,14 @@
 	}
 	if answer.Header.Get(names.NotRun) != "" {
 		e.skipBody(answer)
-		return e.relayRefusal(answer), reach.RelayRefused
+		return e.relayRefusal(ctx, answer), reach.RelayRefused
 	}
 	e.answerBegun = true
 	if service := answer.Header.Get(_relayService); service != "" {
 		e.setRelayedBuild(service, answer.Header.Get(_relayBuild))
 	}
-	answer.Header.Del(_relayService)
-	answer.Header.Del(_relayBuild)
+	e.setRelayedEndpoint(answer.Header)
+	dropRelayHeaders(answer.Header)
 	if status >= http.StatusOK && status < http.StatusMultipleChoices && e.request.Route.Kind == core.RouteStreaming {
 		end := e.stream(ctx, answer)
 		if end.done {
@@ -261,10 +266,14 @@
 
 // relayRefusal has the request go on at a further host, since the one that refused it may lack an
 // endpoint that others reach, or answers the caller as that host did.
-func (e *exchange) relayRefusal(answer *links.Answer) tryResult {
+func (e *exchange) relayRefusal(ctx context.Context, answer *links.Answer) tryResult {
 	if len(e.triedHosts) < _maxRefusals && e.pickHost(tries.Again) {
 		return tryResult{result: tries.Refused, atHost: true, err: errors.New("another host refused the request")}
 	}
+	if e.awaitSettledFewer(ctx) {
+		e.triedHosts = e.triedHosts[:len(e.triedHosts)-1]
+		return tryResult{result: tries.Refused, atHost: true, err: errors.New("another host refused the request while an endpoint was excluded")}
+	}
 	e.tries.Unsent()
 	if e.delivered {
 		e.cut("another host refused to continue the stream")
--- a/io/front/relayed.go
+++ b/io/front/relayed.go
@@ -77,17 +77,18 @@
 	r.Route = &route
 }
 
-// tellBuild tells the host that relayed the request which service and build write the stream.
+// tellBuild tells the host that relayed the request which service and build write the stream, and at which endpoint.
 func (e *exchange) tellBuild(header http.Header) {
 	if e.request.relayedBy != "" {
 		header.Set(_relayService, string(e.request.Service))
 		header.Set(_relayBuild, url.QueryEscape(string(e.build)))
+		header.Set(_relayEndpoint, url.QueryEscape(e.run.Endpoint.ID))
 	}
 }
 
 // dropRelayHeaders removes the headers of the hop between two hosts.
 func dropRelayHeaders(header http.Header) {
-	for _, name := range []string{_relayedBy, _relayAttempts, _relayService, _relayBuild} {
+	for _, name := range []string{_relayedBy, _relayAttempts, _relayService, _relayBuild, _relayEndpoint, _relayExclude} {
 		header.Del(name)
 	}
 }
--- a/io/front/room.go
+++ b/io/front/room.go
@@ -28,10 +28,10 @@
 // cannot be placed, place answers the caller, unless ctx has ended, and returns the
 // result of the try.
 func (e *exchange) place(ctx context.Context, step tries.Step, cutOff <-chan struct{}) *tryResult {
-	spec := e.spec(e.triedEndpoints)
+	spec := e.spec(e.excluded())
 	run, verdict := e.placer().place(ctx, spec, cutOff)
-	for verdict == place.NoEndpoint && !e.pickHost(step) && e.awaitUnreached(ctx) {
-		spec = e.spec(e.triedEndpoints)
+	for verdict == place.NoEndpoint && !e.pickHost(step) && (e.awaitUnreached(ctx) || e.awaitSettled(ctx, spec.Exclude)) {
+		spec = e.spec(e.excluded())
 		run, verdict = e.placer().place(ctx, spec, cutOff)
 	}
 	if verdict == place.Placed {
--- a/io/front/silence.go
+++ b/io/front/silence.go
@@ -149,7 +149,7 @@
 	if !e.placer().hasRetry(e.request.Service) {
 		return false
 	}
-	run := e.placer().placeNow(e.spec(slices.Concat(e.triedEndpoints, []string{e.run.Endpoint.ID})))
+	run := e.placer().placeNow(e.spec(slices.Concat(e.excluded(), []string{e.run.Endpoint.ID})))
 	if run == nil {
 		return false
 	}
