io/entry: the test of a late report waits until the host uses both engines

The test was wrong: it waited for an answer of build v1, which both engines have, so the host could know one engine only when the stream broke off; place then cut the stream at once ("no endpoint has room to continue the stream").

It is as strict as before: it waits until each engine has answered, and demands the same stream.

--- a/io/entry/silentreport_test.go
+++ b/io/entry/silentreport_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,13 +23,17 @@
 			var silentUntil atomic.Int64
 			var broken atomic.Bool
 			serve := buildHandler("v1")
+			var probed sync.Map
 			handle := func(c *routed.Call) bool {
 				switch {
+				case c.URL.Path == _probePath:
+					probed.Store(c.LocalAddress(), true)
+					return serve(c)
 				case c.URL.Path == s.Settings[0].Paths.Report:
 					time.Sleep(time.Until(time.UnixMilli(silentUntil.Load())))
 					c.Answer(200, `{"BornMs":1}`)
 					return true
-				case c.URL.Path != _probePath && broken.CompareAndSwap(false, true):
+				case broken.CompareAndSwap(false, true):
 					c.BeginStream("Request-Id: "+c.Header.Get("Request-Id"), "Seal: s")
 					c.Chunk(pieceText("v1", 0, 0))
 					silentUntil.Store(time.Now().Add(silence).UnixMilli())
@@ -36,11 +42,19 @@
 				time.Sleep(time.Until(time.UnixMilli(silentUntil.Load())))
 				return serve(c)
 			}
+			var engines []*routed.Endpoint
 			for _, name := range []string{"e1", "e2"} {
-				s.store.Put(name, s.endpoint(name, handle).Address+" v1 1")
+				engine := s.endpoint(name, handle)
+				s.store.Put(name, engine.Address+" v1 1")
+				engines = append(engines, engine)
 			}
-			b := &buildSite{site: s}
-			b.waitReady([]string{"v1"}, 0)
+			s.eventually("the host sends requests to both engines", _leavingSpread, func() bool {
+				s.get(s.front[0], _probePath)
+				return !slices.ContainsFunc(engines, func(engine *routed.Endpoint) bool {
+					_, ok := probed.Load(engine.Address)
+					return !ok
+				})
+			})
 			status, body := s.get(s.front[0], "/a/stream")
 			if n := strings.Count(body, "\n\n"); status != http.StatusOK || n != _pieces {
 				t.Errorf("status %d, %d pieces, want 200, %d", status, n, _pieces)
