proof: connections that are reset while new ones are refused cut the link

The check counted streams that went on while the path had reset an engine's connections and refused new ones, for one host or all.

--- a/proof/runend_test.go
+++ b/proof/runend_test.go
@@ -183,7 +183,8 @@
 		}
 		group.Go(func() {
 			defer link.busy.Unlock()
-			if kind != cutoff.HangNew && kind != cutoff.RefuseNew {
+			// Open connections that are reset while new ones are refused are what the end of an engine looks like, to all hosts.
+			if kind != cutoff.HangNew && kind != cutoff.RefuseNew || kind == cutoff.RefuseNew && resets {
 				defer r.during(&link.cuts)()
 			}
 			if err := link.Cut(kind); err != nil {
