A refusal does not show the end of an endpoint that refused connections before

Cause: a refused connection after the end of the run's own counted as the end of the process, also if the engine had refused connections while the run's own was open. The new case of TestStreamGoesOnOnlyOnceItsRunHasEnded failed before (1.5 s) and passes now. Such an engine is left once contact is lost.

proof: only a reset with refusals at all hosts counts as a cut of the link; at one host the others can tell.

--- a/core/reqst/leave/leave.go
+++ b/core/reqst/leave/leave.go
@@ -137,6 +137,9 @@
 	// ReachedElsewhereAt is when another host last told that it could open a connection to the endpoint; zero if none
 	// did, or one was refused since.
 	ReachedElsewhereAt time.Time
+	// RefusedWhileOpen is true if the endpoint refused connections while the one that carried the run was open, so that
+	// a refusal does not show its end.
+	RefusedWhileOpen bool
 	// IsReplaced is true if the endpoint has started again since, or another one has its address.
 	IsReplaced bool
 	// IsWithdrawn is true if the endpoint's document is gone, IsUnknown if this host does not know whether it is.
@@ -214,7 +217,7 @@
 		return true
 	case s.Evidence == NoRun:
 		return s.HasBegun && (s.Connection != Open || s.Now.Sub(s.AnsweredAt) >= s.Limit)
-	case s.Evidence == Refused && gone && !s.Contact.IsReachedElsewhere(s.Now):
+	case s.Evidence == Refused && gone && !s.Contact.RefusedWhileOpen && !s.Contact.IsReachedElsewhere(s.Now):
 		return true // a process that lives has its connections or its listener
 	case s.Evidence == Unsupported:
 		return s.Connection == Ended // there is no way to find out more
--- a/core/reqst/leave/leave_test.go
+++ b/core/reqst/leave/leave_test.go
@@ -50,7 +50,7 @@
 		s := leave.Situation{
 			Now: now, Evidence: evidence, Connection: connection, HasBegun: !d.HasArg("not-begun"), Repeatable: d.HasArg("repeatable"),
 			Limit: 1500 * time.Millisecond, AskedAt: now.Add(-scanDuration(t, d, "since")), AnsweredAt: now.Add(-scanDuration(t, d, "answered")), GiveUpAt: now.Add(time.Second),
-			Contact: leave.Contact{IsReplaced: d.HasArg("replaced"), IsWithdrawn: d.HasArg("withdrawn"), IsUnknown: d.HasArg("unknown")},
+			Contact: leave.Contact{IsReplaced: d.HasArg("replaced"), IsWithdrawn: d.HasArg("withdrawn"), IsUnknown: d.HasArg("unknown"), RefusedWhileOpen: d.HasArg("refused-while-open")},
 		}
 		if d.HasArg("elsewhere") {
 			s.Contact.ReachedElsewhereAt = now
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -88,6 +88,7 @@
 		select {
 		case <-s.pending.done:
 			s.finish()
+			s.contact.RefusedWhileOpen = s.contact.RefusedWhileOpen || s.evidence == leave.Refused && run.connection == leave.Open
 			e.log("An endpoint was asked to stop a run.", "Endpoint", run.endpoint.ID, "Evidence", s.evidence.String(), "To", to.ID, "Elsewhere", s.elsewhere.String(),
 				"Asked", s.asked, "Connection", run.connection.String(), "Failures", s.contact.Failures)
 		default:
--- a/io/front/runend_test.go
+++ b/io/front/runend_test.go
@@ -286,6 +286,11 @@
 			e.silence(address, shortSilence)
 			cut(t, link, cutoff.RefuseNew, shortSilence)
 		}, 0, false},
+		{"silent, new connections are refused, and then its own is reset", func(t *testing.T, _ *fixture, e *liveEngines, address string, link *cutoff.Link) {
+			e.silence(address, longSilence)
+			cut(t, link, cutoff.RefuseNew, longSilence)
+			time.AfterFunc(shortSilence, link.ResetOpen)
+		}, 0, true},
 		{"its connection is reset", func(_ *testing.T, _ *fixture, _ *liveEngines, _ string, link *cutoff.Link) {
 			link.ResetOpen()
 		}, 0, true},
--- a/proof/runend_test.go
+++ b/proof/runend_test.go
@@ -183,8 +183,8 @@
 		}
 		group.Go(func() {
 			defer link.busy.Unlock()
-			// Open connections that are reset while new ones are refused are what the end of an engine looks like, to all hosts.
-			if kind != cutoff.HangNew && kind != cutoff.RefuseNew || kind == cutoff.RefuseNew && resets {
+			// Connections of all hosts that are reset while new ones are refused are what the end of an engine looks like.
+			if kind != cutoff.HangNew && kind != cutoff.RefuseNew || kind == cutoff.RefuseNew && resets && len(links) == len(r.links) {
 				defer r.during(&link.cuts)()
 			}
 			if err := link.Cut(kind); err != nil {
