Runs of resumable streams that brought no event are ended where the stream goes on elsewhere

What callers saw: nothing; engines worked twice. A try was lost after the request had been sent and before its first event, or an engine that had been sent the request beside a silent one was not needed, and both engines worked on the stream to its end.

Cause: only runs that had sent an event were ended.

Now a try that was lost after it was sent is ended as well, and so is a request beside a silent engine that goes on. Where the caller has left before the first event, nothing is asked, as before.

Not ended: a request at a place that is kept while its engine may have stopped the silent run (docs/decisions/0050).

--- a/io/front/endrun.go
+++ b/io/front/endrun.go
@@ -10,7 +10,9 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/procs/origin"
+	"apricotproxy/core/procs/place"
 	"apricotproxy/core/reqst/leave"
+	"apricotproxy/core/reqst/tries"
 )
 
 const (
@@ -53,6 +55,8 @@
 	// connection is the state of the connection that carried the run, which was left at leftAt.
 	connection leave.Connection
 	leftAt     time.Time
+	// hasBegun is true if the run had sent an event.
+	hasBegun bool
 	// pending is a request to stop the run that is under way; nil for none.
 	pending *stopRequest
 	// unansweredAt is when the last request to stop the run was given up that got no answer; zero for none.
@@ -150,7 +154,7 @@
 
 // isOver reports whether an endpoint does not have to be asked again to stop a run.
 func (f *Front) isOver(run *abandonedRun, evidence leave.Evidence) bool {
-	left := leave.Left{Now: time.Now(), At: run.leftAt, Evidence: evidence, Connection: run.connection, IsReplaced: f.isReplaced(run.endpoint), Deadline: run.deadline}
+	left := leave.Left{Now: time.Now(), At: run.leftAt, Evidence: evidence, HasBegun: run.hasBegun, Connection: run.connection, IsReplaced: f.isReplaced(run.endpoint), Deadline: run.deadline}
 	return left.IsOver()
 }
 
@@ -184,18 +188,49 @@
 // stream may go on elsewhere. It is ended at once, unless the stream waits for its end.
 func (e *exchange) recordAbandoned(end *tryResult) {
 	spec := e.engineSpec()
-	isComplete := end.done && end.err == nil
-	if isComplete || e.firstEventAt.IsZero() || !e.isResumable() && e.unended == nil || spec == nil || !spec.Moves {
+	if !e.mayWorkOn(end) || !e.isResumable() && e.unended == nil || spec == nil || !spec.Moves {
 		return
 	}
-	e.abandoned = &abandonedRun{
-		request: e.request.ID, scope: e.scope(), endpoint: e.run.Endpoint.RoutedEndpoint, deadline: e.request.Deadline, connection: max(end.connection, leave.Closed),
-	}
+	e.abandoned = e.abandonedRun(e.run)
+	e.abandoned.connection, e.abandoned.hasBegun = max(end.connection, leave.Closed), !e.firstEventAt.IsZero()
 	if end.done || e.unended == nil {
 		e.endAbandoned()
 	}
 }
 
+// mayWorkOn reports whether the endpoint of a try that has ended may still work on the request. A run that brought
+// no event matters only while the request goes on.
+func (e *exchange) mayWorkOn(end *tryResult) bool {
+	if !e.firstEventAt.IsZero() {
+		return !end.done || end.err != nil
+	}
+	goesOn := !end.done && e.incoming.Context().Err() == nil
+	return goesOn && e.counted && (end.result == tries.Lost || end.result == tries.Broken)
+}
+
+// abandonedRun returns the run as one of this request that is to be ended, whose connection was closed.
+func (e *exchange) abandonedRun(run *place.Run) *abandonedRun {
+	return &abandonedRun{
+		request: e.request.ID, scope: e.scope(), endpoint: run.Endpoint.RoutedEndpoint, deadline: e.request.Deadline, connection: leave.Closed,
+	}
+}
+
+// endOffered ends the exchange with an endpoint to which the request was sent while a silent one was waited for, and has
+// its run ended if the request goes on.
+func (e *exchange) endOffered(o *offer, run *place.Run) {
+	_, isDeclined := e.resultOfOffer(o)
+	o.drop()
+	spec := e.engineSpec()
+	if isDeclined || !e.isResumable() || spec == nil || !spec.Moves || e.incoming.Context().Err() != nil {
+		return
+	}
+	left := e.abandonedRun(run)
+	left.leftAt = time.Now()
+	if begun := e.front.endings.begin(left); begun != nil {
+		e.endings = append(e.endings, begun)
+	}
+}
+
 // endAbandonedAtEnd has the run of the last try ended when the request is done. A stream that nobody can take up
 // does not go on then.
 func (e *exchange) endAbandonedAtEnd() {
--- a/io/front/offer.go
+++ b/io/front/offer.go
@@ -119,6 +119,14 @@
 	}
 }
 
+// resultOfOffer is offerDeclined for an exchange that may not have ended.
+func (e *exchange) resultOfOffer(o *offer) (outcome place.Outcome, declined bool) {
+	if !isClosed(o.done) {
+		return 0, false
+	}
+	return e.offerDeclined(o)
+}
+
 // recordSilence records for the endpoint of the current try that it is silent, once.
 func (e *exchange) recordSilence() {
 	if !e.silenceRecorded {
--- a/io/front/silence.go
+++ b/io/front/silence.go
@@ -45,7 +45,10 @@
 // dropPrepared gives up the place that was taken for a further try.
 func (e *exchange) dropPrepared() {
 	if e.prepared != nil {
-		e.prepared.dropOffer()
+		if e.prepared.isOffered() {
+			e.endOffered(e.prepared.offer, e.prepared.run)
+			e.prepared.offer = nil
+		}
 		e.placer().end(e.prepared.run, 0)
 		e.prepared = nil
 	}
--- a/io/front/unsettled.go
+++ b/io/front/unsettled.go
@@ -197,11 +197,12 @@
 	}
 }
 
-// mayStopNext reports whether the endpoint of the run may still act on a request to stop an earlier run.
+// mayStopNext reports whether the endpoint of the run may still act on a request to stop an earlier run. settleEndings
+// is called before.
 func (e *exchange) mayStopNext() bool {
 	endpoint := e.run.Endpoint.RoutedEndpoint
 	for _, earlier := range e.endings {
-		if earlier.run.endpoint.Address == endpoint.Address && !isClosed(earlier.settled) {
+		if earlier.run.endpoint.Address == endpoint.Address && !isClosed(earlier.settled) && !earlier.run.unansweredAt.IsZero() {
 			return true
 		}
 	}
