io/front: the test of a relayed attempt has an engine that is a destination

Since two parts were merged its only engine stops no run, as engines do for their own address, so that the next run began while the one before worked on, and an end without framing did not count. The test has a second engine of another build now: the stream can still go on only at the first one, the checks are the same. With -count 3 it passes.

--- a/io/front/latestop_test.go
+++ b/io/front/latestop_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -147,7 +148,12 @@
 				return 1
 			}})
 			origins.Update(func(l *origin.Ledger) { l.SetCurrent(time.Now().Add(-time.Minute), true) })
-			r := newFixtureWithOrigins(t, origins, handle)
+			r := newFixtureWithOrigins(t, origins, handle, handle)
+			// Engines stop a run only for another engine as the destination. One of another build cannot go on with the stream.
+			view := *r.view.Load()
+			view.Endpoints = slices.Clone(view.Endpoints)
+			view.Endpoints[1].Build = "other"
+			r.apply(&view)
 			route, _ := r.view.Load().Table.Match("h", "/check/")
 			route.Timeout, route.MaxAttempts = 15*time.Second, 4
 			r.serve(front.NewSharedReach(reach.New("other", "a", rand.New(rand.NewPCG(1, 1))), func(_, _ reach.State, _ time.Duration) {}))
