A silent endpoint whose connection ends is asked to confirm that it stopped the run

What callers saw: by a read of the change: an engine that was silent answered that it stopped a run, its connection was reset before it was asked once more, and it acted 1.2 s after its answer: the stream went on 1.19 s before the run ended.

Cause: a try that ends because its endpoint is silent dropped the state of its connection, so that nothing was left to wait for. The same line undid the wait for the end of a run before it is relayed to another host.

The state is kept: it is none if the run had ended when the silent endpoint was left.

--- a/core/reqst/leave/leave.go
+++ b/core/reqst/leave/leave.go
@@ -35,7 +35,7 @@
 	NoRun
 	// Declined: the endpoint answered anything else. The run may go on.
 	Declined
-	// Refused: nothing listens at the endpoint's address.
+	// Refused: an attempt to connect was refused, by the endpoint's system or by something on the path.
 	Refused
 	// Unreachable: an attempt to connect got no answer.
 	Unreachable
@@ -177,8 +177,8 @@
 	Evidence   Evidence
 	Connection Connection
 	Contact    Contact
-	// HasBegun is true if the endpoint has sent an event of the run. Otherwise it may act late on the
-	// request, and begin after it has answered that it has no such run.
+	// HasBegun is true if the endpoint has begun to answer the request. Otherwise it may act late on it, and
+	// begin after it has answered that it has no such run.
 	HasBegun bool
 	// Repeatable is true if the stream may run at two endpoints at a time.
 	Repeatable bool
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -95,8 +95,8 @@
 	// if its endpoint may still work on it; nil otherwise.
 	stop    runStop
 	unended *leftRun
-	// abandoned is the run of the last try if the stream is resumable and the run is not being ended yet; nil
-	// otherwise. endings are the earlier ones that are being ended.
+	// abandoned is the run of the last try if it may have to be ended and is not being ended yet; nil otherwise. endings
+	// are the earlier ones that are being ended.
 	abandoned *abandonedRun
 	endings   []*ending
 	// relayedAt is the ID of the endpoint at which the current try runs at another host; empty if it is not known.
@@ -470,7 +470,10 @@
 		cause = errHandedOver
 	}
 	if end.err != nil && cause != nil {
-		end.err, end.health, end.brokenOff, end.connection = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false, 0
+		end.err, end.health, end.brokenOff = cause, e.endpointOutcome(ctx, answerOutcome(cause)), false
+		if !errors.Is(cause, errSlow) {
+			end.connection = 0
+		}
 	}
 	return end
 }
