A stream that was stopped late does not end as complete

Cause: StopRequests kept one field for "the request was declined" and "the request may have reached the engine", and an event that arrived 300 ms after the request had been settled cleared both. The host gave up the request to stop after 150 ms, and its close was then taken for the end of the stream.

Change: that a run may be stopped is kept while the run lasts; only the doubt after a complete refusal ends with a later event. An answer to a move that breaks off is no refusal. The last move is awaited as long as the run goes on, and at the end of a stream as long as its caller would wait for an event. An earlier request at the engine of the next run keeps its doubt for one silence after the engine answered a later one.

--- a/core/reqst/leave/end.go
+++ b/core/reqst/leave/end.go
@@ -6,16 +6,21 @@
 // work at it: it is handed the time left in whole milliseconds, and its clock may run ahead.
 const _deadlineMargin = 10 * time.Millisecond
 
-// _inFlight is how long after its answer what an engine sent before it may still arrive: a round trip, and
-// the repetition of a lost packet.
+// _inFlight is how long after an engine has declined to stop a run what it sent before may still arrive: a round
+// trip, and the repetition of a lost packet.
 const _inFlight = 300 * time.Millisecond
 
 // StopRequests is what became of this host's requests to stop the run of one try. An endpoint that
 // stops a run closes its stream without its end, before or after it answers. Only an answer that
-// excludes it shows that a request did not stop the run: an error, or no answer at all, does not.
+// excludes it shows that a request did not stop the run: an error, or no answer at all, does not. An endpoint may
+// act late on a request that it has not answered, also once this host has given that up, and on one that it has answered with Stopped.
 type StopRequests struct {
-	pending        int
-	mayHaveStopped bool
+	pending int
+	// mayStop is true if the endpoint may act on a request at any time.
+	mayStop bool
+	// wasDeclined is true if the endpoint has answered a request with an error, after which no event has shown that the
+	// run went on.
+	wasDeclined bool
 	// settledAt is when it became known what came of the last request.
 	settledAt time.Time
 }
@@ -28,14 +33,20 @@
 func (s *StopRequests) Settle(now time.Time, evidence Evidence) {
 	s.pending--
 	s.settledAt = now
-	s.mayHaveStopped = s.mayHaveStopped || !evidence.failed() && evidence != NoRun
+	switch {
+	case evidence.failed(), evidence == NoRun:
+	case evidence == Declined:
+		s.wasDeclined = true
+	default:
+		s.mayStop = true
+	}
 }
 
 // RecordEvent records that an event of the run arrived, for which this host had waited since a time with
-// nothing else to read. A run that goes on long after the answers to all requests was not stopped.
+// nothing else to read. A run that goes on long after the endpoint has declined all requests was not stopped.
 func (s *StopRequests) RecordEvent(awaitedSince time.Time) {
 	if s.pending == 0 && !awaitedSince.Before(s.settledAt.Add(_inFlight)) {
-		s.mayHaveStopped = false
+		s.wasDeclined = false
 	}
 }
 
@@ -43,7 +54,7 @@
 func (s *StopRequests) Pending() bool { return s.pending > 0 }
 
 // MayHaveStopped reports whether the endpoint may have stopped the run because of a request.
-func (s *StopRequests) MayHaveStopped() bool { return s.mayHaveStopped || s.pending > 0 }
+func (s *StopRequests) MayHaveStopped() bool { return s.mayStop || s.wasDeclined || s.pending > 0 }
 
 // End describes an answer without framing, with neither a length nor chunks, whose connection was
 // closed. The close is the end of the answer only if the endpoint had no other reason for it.
--- a/core/reqst/leave/end_test.go
+++ b/core/reqst/leave/end_test.go
@@ -80,3 +80,33 @@
 		}
 	}
 }
+
+// An endpoint that had not answered a request, or had answered that it stopped the run, stopped it late. That events had
+// arrived until then counted as proof that it did not.
+func TestRunThatMayBeStoppedLateIsNotKnownToGoOn(t *testing.T) {
+	settledAt := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		answers []leave.Evidence
+		mayHave bool
+	}{
+		{"not answered", []leave.Evidence{leave.Asked}, true},
+		{"not answered, then declined", []leave.Evidence{leave.Asked, leave.Declined}, true},
+		{"not answered, then no such run", []leave.Evidence{leave.Asked, leave.NoRun}, true},
+		{"answered that it stopped the run", []leave.Evidence{leave.Stopped}, true},
+		{"not reached", []leave.Evidence{leave.Unreachable}, false},
+		{"declined twice", []leave.Evidence{leave.Declined, leave.Declined}, false},
+	} {
+		var s leave.StopRequests
+		for range c.answers {
+			s.Send()
+		}
+		for _, evidence := range c.answers {
+			s.Settle(settledAt, evidence)
+		}
+		s.RecordEvent(settledAt.Add(time.Minute))
+		if s.MayHaveStopped() != c.mayHave {
+			t.Errorf("%s: may have stopped %v, want %v", c.name, s.MayHaveStopped(), c.mayHave)
+		}
+	}
+}
--- a/core/reqst/leave/leave.go
+++ b/core/reqst/leave/leave.go
@@ -26,14 +26,14 @@
 
 // Evidence. The zero Evidence means that the endpoint was not asked to stop the run.
 const (
-	// Asked: the endpoint accepted a connection and has not answered the request to stop the run.
+	// Asked: the endpoint accepted a connection and has not completely answered the request to stop the run.
 	Asked Evidence = iota + 1
 	// Stopped: the endpoint answered that it stopped the run. One that acts late may still work on it, and
 	// is asked again.
 	Stopped
 	// NoRun: the endpoint answered that it has no such run. Its last events may be on their way.
 	NoRun
-	// Declined: the endpoint answered anything else. The run may go on.
+	// Declined: the endpoint answered with an error. The run may go on.
 	Declined
 	// Refused: an attempt to connect was refused, by the endpoint's system or by something on the path.
 	Refused
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -38,8 +38,8 @@
 	// _maxQuickMove is the longest that updating a copy takes while the network links
 	// are idle: the transfer of a few megabytes and a round trip.
 	_maxQuickMove = 50 * time.Millisecond
-	// _handoverTimeout bounds the copy of the last part of a run's memory, during which
-	// the run is stopped.
+	// _handoverTimeout bounds the copy of the last part of a run's memory once the engine has
+	// closed the stream of the run that it stopped.
 	_handoverTimeout = 150 * time.Millisecond
 )
 
@@ -65,7 +65,7 @@
 	_handoverNone handover = iota
 	// _handoverRunning: the engine was asked to stop the run.
 	_handoverRunning
-	// _handoverUnanswered: it has not answered in time, or goes on with the run. It closes the stream if it stops
+	// _handoverUnanswered: it has not answered, or goes on with the run. It closes the stream if it stops
 	// the run.
 	_handoverUnanswered
 	// _handoverDone: it has stopped the run.
@@ -198,10 +198,10 @@
 // maintainBackup starts a goroutine that has the run's memory copied to another
 // endpoint when its own is leaving and no usable copy exists. It calls end once the
 // run was stopped for the handover, so that the try ends. The returned function stops
-// the goroutine and waits for it.
-func (e *exchange) maintainBackup(ctx context.Context, end context.CancelCauseFunc) (stop func()) {
+// the goroutine and waits for it; it is told whether the stream is complete.
+func (e *exchange) maintainBackup(ctx context.Context, end context.CancelCauseFunc) (stop func(isComplete bool)) {
 	if spec := e.backupEngineSpec(); spec == nil || !spec.Moves {
-		return func() {}
+		return func(bool) {}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan struct{})
@@ -228,11 +228,12 @@
 			}
 		}
 	})
-	return func() {
+	return func(isComplete bool) {
 		close(ended)
-		// A stream that is stopped for the handover may end before its copy is complete,
-		// so the copy is not cancelled then.
-		if e.backup.handoverState() != _handoverRunning {
+		// A stream that is stopped for the handover may end before its copy is complete.
+		if !isComplete && e.backup.handoverState() == _handoverRunning {
+			defer time.AfterFunc(_handoverTimeout, cancel).Stop()
+		} else {
 			cancel()
 		}
 		group.Wait()
@@ -302,12 +303,11 @@
 // handOver stops the run at its engine and completes its copy. The engine closes the
 // stream without ending it, and the stream continues from the copy. If completing the
 // copy fails, it continues from the copy as it was before. Until the engine has said that it
-// stopped the run, or has closed the stream, the stream does not go on elsewhere. handOver
+// stopped the run, or has closed the stream, the stream does not go on elsewhere. An engine that is silent may
+// act on the request late, so its answer is awaited for as long as the run goes on. handOver
 // returns the time after which to try again; 0 for never.
 func (e *exchange) handOver(ctx context.Context, target *place.Run) time.Duration {
 	e.backup.setHandover(_handoverRunning)
-	ctx, cancel := context.WithTimeout(ctx, _handoverTimeout)
-	defer cancel()
 	moved := e.copyTo(ctx, target, true)
 	evidence := moved.evidence()
 	if moved.err != nil {
@@ -331,6 +331,8 @@
 // confirmHandover asks an engine that has answered that it stopped a run until it does not have it any more: one that acts
 // late may still work on it.
 func (e *exchange) confirmHandover(ctx context.Context, target *place.Run) handover {
+	ctx, cancel := context.WithTimeout(ctx, _handoverTimeout)
+	defer cancel()
 	for pause := _stopPoll; ; pause *= 2 {
 		asked := e.requestMove(ctx, e.run.Endpoint.RoutedEndpoint, target.Endpoint.Address, e.stopRequests)
 		switch evidence := asked.evidence(); evidence {
@@ -396,6 +398,8 @@
 type moveResult struct {
 	// status is the answer's status; 0 if there was none.
 	status int
+	// isWhole is true if the answer was read to its end.
+	isWhole bool
 	// handle identifies the copy, or the memory that the engine keeps of a run that it stopped
 	// and could not copy.
 	handle string
@@ -439,6 +443,7 @@
 		result.err = fmt.Errorf("read the answer to a move: %w", err)
 		return result
 	}
+	result.isWhole = true
 	result.handle, result.err = decodeHandle(text)
 	if answer.StatusCode != http.StatusOK {
 		result.err = fmt.Errorf("the engine answered a move with status %d", answer.StatusCode)
--- a/io/front/endrun.go
+++ b/io/front/endrun.go
@@ -64,6 +64,8 @@
 	pending *stopRequest
 	// unansweredAt is when the last request to stop the run was given up that got no answer; zero for none.
 	unansweredAt time.Time
+	// answeredAt is when it was known that the run had ended, before the ending is settled.
+	answeredAt time.Time
 }
 
 // ending is a run that is being ended.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -319,7 +319,7 @@
 	e.endAbandoned()
 	e.settleEndings(ctx, e.run.Endpoint.Address)
 	e.logGoesOn(step, e.run.Endpoint.ID, from)
-	e.stop, e.stopRequests, e.unended = runStop{}, &stopRequests{isDoubtful: e.mayStopNext()}, nil
+	e.stop, e.stopRequests, e.unended = runStop{}, e.newStopRequests(), nil
 	end := e.try(ctx, from)
 	for e.mayReachCopy(ctx, &end, from) {
 		end = e.try(ctx, from)
@@ -423,7 +423,7 @@
 
 // try sends the request to the endpoint of the run and relays the answer. from
 // identifies the copy that the run continues from, if any.
-func (e *exchange) try(ctx context.Context, from string) tryResult {
+func (e *exchange) try(ctx context.Context, from string) (end tryResult) {
 	endpoint, names := e.run.Endpoint, e.front.config.Names
 	e.chooseBackup()
 	tryCtx, cancel := context.WithCancelCause(ctx)
@@ -458,8 +458,9 @@
 		return tryResult{result: e.lostResult(), health: e.endpointOutcome(ctx, answerOutcome(err)), err: err}
 	}
 	defer answer.Close()
-	defer e.maintainBackup(tryCtx, cancel)()
-	end := e.receive(ctx, answer)
+	stopBackup := e.maintainBackup(tryCtx, cancel)
+	defer func() { stopBackup(end.done) }()
+	end = e.receive(ctx, answer)
 	e.settleStop(&end)
 	cause := context.Cause(tryCtx)
 	switch {
--- a/io/front/falseend.go
+++ b/io/front/falseend.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/reqst/leave"
 	"apricotproxy/io/links"
@@ -24,6 +25,9 @@
 // errUnconfirmedEnd ends such a try if it cannot be found out whether its endpoint has ended.
 var errUnconfirmedEnd = errors.New("it is not known whether the endpoint ended, and its answer does not tell its length")
 
+// _goOnTime is the time that a stream may need to go on at another endpoint.
+const _goOnTime = 500 * time.Millisecond
+
 // _listenerDelay is how long an endpoint that ends may take from the end of its connections to that of its listener:
 // the end of a process, and a round trip.
 const _listenerDelay = 50 * time.Millisecond
@@ -36,6 +40,8 @@
 	asked    bool
 	// isDoubtful is true if the endpoint may act on a request to stop an earlier run of the same ID.
 	isDoubtful bool
+	// doubtfulUntil is until when it may act on such a request although it has answered a later one.
+	doubtfulUntil time.Time
 	// settled is closed once no request is under way; nil if none is.
 	settled chan struct{}
 }
@@ -67,6 +73,14 @@
 	s.requests.RecordEvent(awaitedSince)
 }
 
+func (s *stopRequests) setDoubtfulUntil(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.doubtfulUntil) {
+		s.doubtfulUntil = at
+	}
+}
+
 // wasAsked reports whether the endpoint was asked to stop the run, whatever it answered.
 func (s *stopRequests) wasAsked() bool {
 	s.mu.Lock()
@@ -76,12 +90,10 @@
 
 // mayHaveStopped reports whether the endpoint may have stopped the run. It waits for the answers of
 // requests that are under way, since the stream of a run that it has not stopped may end meanwhile.
-func (s *stopRequests) mayHaveStopped(ctx context.Context) bool {
-	s.mu.Lock()
-	settled := s.settled
-	s.mu.Unlock()
+func (s *stopRequests) mayHaveStopped(ctx context.Context, patience time.Duration) bool {
+	settled := mutex.Get(&s.mu, func() chan struct{} { return s.settled })
 	if settled != nil {
-		timer := time.NewTimer(_handoverTimeout)
+		timer := time.NewTimer(patience)
 		defer timer.Stop()
 		select {
 		case <-settled:
@@ -96,7 +108,13 @@
 func (s *stopRequests) mayHaveStoppedNow() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.isDoubtful || s.requests.MayHaveStopped()
+	return s.isDoubtful || time.Now().Before(s.doubtfulUntil) || s.requests.MayHaveStopped()
+}
+
+// stopPatience returns how long the answers to requests to stop the run may be awaited once its stream has ended: if it is not
+// complete, it can still go on elsewhere then before its caller leaves.
+func (e *exchange) stopPatience() time.Duration {
+	return max(time.Until(e.lastEventAt.Add(e.longestPauseOfCallers()-_goOnTime)), _handoverTimeout)
 }
 
 // falseEnd returns the result of a try whose answer was read to the end of its connection and is
@@ -108,7 +126,7 @@
 	}
 	var listening error
 	end := leave.End{
-		MayHaveStopped: e.stopRequests.mayHaveStopped(ctx),
+		MayHaveStopped: e.stopRequests.mayHaveStopped(ctx, e.stopPatience()),
 		TimeLeft:       time.Until(e.request.Deadline),
 		EndpointEnded: func() bool {
 			listening = e.front.config.Links.Listens(ctx, e.run.Endpoint.RoutedEndpoint, _listenerDelay)
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -294,7 +294,7 @@
 		return leave.NoRun
 	case m.status == 0 && errors.As(m.err, &failed) && failed.Stage == links.StageDial:
 		return dialEvidence(m.err)
-	case m.status == 0 && errors.Is(m.err, context.DeadlineExceeded):
+	case !m.isWhole, m.status == http.StatusOK:
 		return leave.Asked
 	default:
 		return leave.Declined
--- a/io/front/unsettled.go
+++ b/io/front/unsettled.go
@@ -73,8 +73,9 @@
 	return evidence
 }
 
-// settle closes settled once no request to stop the run can have an effect any more.
+// settle closes settled once no request to stop the run can have an effect any more, if its endpoint is not slow.
 func (e *endings) settle(begun *ending) {
+	begun.run.answeredAt = time.Now()
 	if at := begun.run.unansweredAt; at.IsZero() || sleepUnlessDone(e.stopped, time.Until(at.Add(_lateStop))) {
 		close(begun.settled)
 	}
@@ -197,16 +198,23 @@
 	}
 }
 
-// mayStopNext reports whether the endpoint of the run may still act on a request to stop an earlier run. settleEndings
-// is called before.
-func (e *exchange) mayStopNext() bool {
+// newStopRequests returns what is known of requests to stop the next run before it begins: its endpoint may still act on one to stop
+// an earlier run of the same ID. settleEndings is called before.
+func (e *exchange) newStopRequests() *stopRequests {
 	endpoint := e.run.Endpoint.RoutedEndpoint
+	requests := &stopRequests{
+		isDoubtful: slices.ContainsFunc(e.relayedRuns, func(r relayedRun) bool { return r.endpoint == endpoint.ID && !r.isOver() }),
+	}
 	for _, earlier := range e.endings {
-		if earlier.run.endpoint.Address == endpoint.Address && !isClosed(earlier.settled) && !earlier.run.unansweredAt.IsZero() {
-			return true
+		switch {
+		case earlier.run.endpoint.Address != endpoint.Address || earlier.run.unansweredAt.IsZero():
+		case isClosed(earlier.settled):
+			requests.setDoubtfulUntil(earlier.run.answeredAt.Add(e.silenceTimeout()))
+		default:
+			requests.isDoubtful = true
 		}
 	}
-	return slices.ContainsFunc(e.relayedRuns, func(r relayedRun) bool { return r.endpoint == endpoint.ID && !r.isOver() })
+	return requests
 }
 
 // setExcluded tells another host, in a relayed request, at which endpoints the run must not be.
