A take-up is refused if an engine of another build that left may have begun it

Cause: without a record, the engines that hold the last part of the prompt were believed to have begun the stream. A part may be a session's, so that engines of the other build hold it too, and the one that began the stream was gone, or had not answered.

Change: the engines tell the build only with up-to-date documents, if each endpoint of another build has answered and none has left since the stream can have begun. Hosts record departures; one that has not followed the documents for long enough reads the store's history once for all requests.

Streams with a record, of a single build, or whose own build alone lost engines go on (TestTakeUpGoesOnAfterAnEngineOfItsBuildHasLeft, and all tests of take-ups as before). The fake store keeps each write, as the platform's does: its history lacked what a deleted document had held. Tests register the engines of a build with that build, not first without one.

--- a/core/procs/origin/origin.go
+++ b/core/procs/origin/origin.go
@@ -9,7 +9,8 @@
 //  3. that a single build was in service for as long as the stream can have lasted: a new one may
 //     be known to other hosts only, so this comes after their records, and only with documents that
 //     were up to date after the caller came back;
-//  4. which engines hold the part of the prompt that belongs to this request alone;
+//  4. which engines hold the last part of the prompt, which belongs to this request or to its session, if no endpoint of
+//     another build can have begun the stream: all that are there say that they do not hold it, and none has left;
 //  5. which builds the store's history shows in service, if there is a single one now.
 //
 // Without any of these the build is unknown, and the stream must not go on.
@@ -84,7 +85,7 @@
 
 // New returns a ledger that knows nothing.
 func New() *Ledger {
-	return &Ledger{records: make(map[string]Record), builds: builds{lastSeen: make(map[Origin]time.Time)}}
+	return &Ledger{records: make(map[string]Record), builds: builds{lastSeen: make(map[Origin]time.Time), leftAt: make(map[Origin]time.Time)}}
 }
 
 // Begin records that this host delivered the first event of a stream.
@@ -168,7 +169,7 @@
 		return Origin{}, Unknown
 	}
 	if found, ok := l.builds.single(now, s.Services[0], s.BegunAfter); ok {
-		if l.freshAt.Before(s.ConfirmedAfter) {
+		if !l.IsConfirmed(s) {
 			return found, Unconfirmed
 		}
 		return found, SingleBuild
@@ -188,6 +189,15 @@
 // that it does not know.
 func (l *Ledger) SetCurrent(now time.Time, current bool) { l.builds.setCurrent(now, current) }
 
+// ExcludesDeparted reports whether it is known that no endpoint that has left can have begun a stream at another
+// origin than found.
+func (l *Ledger) ExcludesDeparted(s Stream, found Origin) bool {
+	return l.builds.excludesDeparted(s.Services, found, s.BegunAfter)
+}
+
+// IsConfirmed reports whether the documents were up to date when a stream was taken up, or later.
+func (l *Ledger) IsConfirmed(s Stream) bool { return !l.freshAt.Before(s.ConfirmedAfter) }
+
 // SetFreshAt records when the host's documents were last known to be up to date.
 func (l *Ledger) SetFreshAt(at time.Time) { l.freshAt = at }
 
@@ -203,16 +213,18 @@
 // Merge adds what another host knows of the builds in service.
 func (l *Ledger) Merge(s Span) { l.builds.merge(s) }
 
-// Holder is an engine that was asked which parts of prompts it holds.
+// Holder is an endpoint that was asked which parts of prompts it holds.
 type Holder struct {
 	Origin
-	// Holds is true if it holds the part that belongs to the request alone.
+	// HasAnswered is false if it cannot be asked, or did not answer.
+	HasAnswered bool
+	// Holds is true if it holds the last part of the request's prompt.
 	Holds bool
 }
 
-// ResolveHolders returns the origin of a stream by the engines that hold its request's own part
-// of the prompt: only one that read the request holds it. It is unknown if no engine holds the part,
-// or engines of several builds.
+// ResolveHolders returns the origin of a stream by the engines that hold the last part of its prompt, as the one that began
+// it does. Others may hold it too, if it belongs to a session: the origin is unknown if engines of several
+// builds hold it, or one of another build has not answered.
 func ResolveHolders(holders []Holder) (Origin, Source) {
 	found, source := Origin{}, Unknown
 	for _, h := range holders {
@@ -224,5 +236,10 @@
 		}
 		found, source = h.Origin, Engines
 	}
+	for _, h := range holders {
+		if !h.HasAnswered && h.Origin != found {
+			return Origin{}, Unknown
+		}
+	}
 	return found, source
 }
--- a/core/procs/origin/script_test.go
+++ b/core/procs/origin/script_test.go
@@ -89,6 +89,10 @@
 		return found(origin.ResolveHolders(s.holders(d.Input)))
 	case "history":
 		return s.history(d)
+	case "merge-history":
+		s.ledger.Merge(s.spanOfHistory(d))
+	case "departed":
+		return s.departed(d)
 	default:
 		s.t.Fatalf("unknown command %q", d.Cmd)
 	}
@@ -229,18 +233,31 @@
 func (s *script) holders(input string) []origin.Holder {
 	var holders []origin.Holder
 	for _, words := range s.fields(input, 3) {
-		holders = append(holders, origin.Holder{Origin: originOf(words[0], words[1]), Holds: words[2] == "holds"})
+		holders = append(holders, origin.Holder{Origin: originOf(words[0], words[1]), HasAnswered: words[2] != "silent", Holds: words[2] == "holds"})
 	}
 	return holders
 }
 
-func (s *script) history(d *datadriven.TestData) string {
+func (s *script) history(d *datadriven.TestData) string { return describe(s.spanOfHistory(d)) }
+
+func (s *script) spanOfHistory(d *datadriven.TestData) origin.Span {
 	h := origin.History{FromStart: d.HasArg("from-start"), Interval: _scriptInterval}
 	for line := range strings.Lines(d.Input) {
 		name, value, _ := strings.Cut(strings.TrimSpace(line), " ")
 		h.Documents = append(h.Documents, core.Document{Name: name, Deleted: value == "deleted", Value: []byte(value)})
 	}
-	return describe(origin.SpanOf(s.time(d, "at"), h, decodeScript))
+	return origin.SpanOf(s.time(d, "at"), h, decodeScript)
+}
+
+// departed tells whether no endpoint that has left can have begun a stream at another build than the one that was found.
+func (s *script) departed(d *datadriven.TestData) string {
+	var build string
+	d.ScanArgs(s.t, "found", &build)
+	stream := origin.Stream{BegunAfter: s.time(d, "begun"), Services: []core.ServiceName{"desk"}}
+	if s.ledger.ExcludesDeparted(stream, originOf("desk", build)) {
+		return "excluded"
+	}
+	return "possible"
 }
 
 // decodeScript decodes a document of a history.
--- a/core/procs/origin/span.go
+++ b/core/procs/origin/span.go
@@ -14,12 +14,23 @@
 	// Since is the time from which on all of them are known; zero if there is none.
 	Since  time.Time
 	Builds []InService
+	// DeparturesSince is the time from which on all departures of endpoints are known; zero if there is none. Hosts do
+	// not tell each other.
+	DeparturesSince time.Time
 }
 
 // InService is a build of a service and when an endpoint of it was last registered.
 type InService struct {
 	Origin
 	LastSeen time.Time
+	// LeftAt is when an endpoint of it last left, at the latest; zero if none is known to have.
+	LeftAt time.Time
+}
+
+// member is an endpoint that is registered.
+type member struct {
+	core.EndpointKey
+	Origin
 }
 
 // builds tracks which builds were in service.
@@ -30,6 +41,11 @@
 	// lastSeen holds when each build was last registered, present those that are now.
 	lastSeen map[Origin]time.Time
 	present  []Origin
+	// departuresSince is the time from which on all departures of endpoints are known, as since. leftAt holds when
+	// an endpoint of each build last left, members the endpoints that are registered now.
+	departuresSince time.Time
+	leftAt          map[Origin]time.Time
+	members         map[member]bool
 }
 
 func (b *builds) observe(now time.Time, view *know.View) {
@@ -41,17 +57,46 @@
 		}
 	}
 	b.touch(now)
+	b.observeMembers(now, view)
+}
+
+// observeMembers records which endpoints have left.
+func (b *builds) observeMembers(now time.Time, view *know.View) {
+	before := b.members
+	b.members = make(map[member]bool, len(view.Endpoints))
+	for _, e := range view.Endpoints {
+		b.members[member{e.Key(), Origin{Service: e.Service, Build: e.Build}}] = true
+	}
+	for m := range before {
+		if !b.members[m] {
+			b.leftAt[m.Origin] = now
+		}
+	}
 }
 
 func (b *builds) setCurrent(now time.Time, current bool) {
 	switch {
 	case !current:
-		b.since = time.Time{}
+		b.since, b.departuresSince = time.Time{}, time.Time{}
 	case b.since.IsZero():
-		b.since = now
+		b.since, b.departuresSince = now, now
 	}
 }
 
+// excludesDeparted reports whether it is known that no endpoint of a service and of another origin has left since a
+// time. One that left just before may be in service on another host yet.
+func (b *builds) excludesDeparted(services []core.ServiceName, found Origin, since time.Time) bool {
+	if b.departuresSince.IsZero() || !since.After(b.departuresSince.Add(_viewSkew)) {
+		return false
+	}
+	for o, leftAt := range b.leftAt {
+		if o != found && slices.Contains(services, o.Service) && !leftAt.Add(_viewSkew).Before(since) {
+			return false
+		}
+	}
+	return true
+}
+
 func (b *builds) countPresent(name core.ServiceName) int {
 	count := 0
 	for _, o := range b.present {
@@ -109,10 +154,16 @@
 	if other.Since.Before(b.since) {
 		b.since = other.Since
 	}
+	if !other.DeparturesSince.IsZero() && other.DeparturesSince.Before(b.departuresSince) {
+		b.departuresSince = other.DeparturesSince
+	}
 	for _, o := range other.Builds {
 		if o.LastSeen.After(b.lastSeen[o.Origin]) {
 			b.lastSeen[o.Origin] = o.LastSeen
 		}
+		if o.LeftAt.After(b.leftAt[o.Origin]) {
+			b.leftAt[o.Origin] = o.LeftAt
+		}
 	}
 }
 
@@ -124,7 +175,15 @@
 			delete(b.lastSeen, o)
 		}
 	}
+	for o, leftAt := range b.leftAt {
+		if leftAt.Before(horizon) {
+			delete(b.leftAt, o)
+		}
+	}
 	if !b.since.IsZero() && b.since.Before(horizon) {
 		b.since = horizon
 	}
+	if !b.departuresSince.IsZero() && b.departuresSince.Before(horizon) {
+		b.departuresSince = horizon
+	}
 }
--- a/fakes/store/store.go
+++ b/fakes/store/store.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,9 @@
 type Store struct {
 	mu        sync.Mutex
 	documents map[string]core.Document
-	revision  uint64
+	// writes holds all documents as they were written, in order.
+	writes   []core.Document
+	revision uint64
 	// epoch counts the restores.
 	epoch uint64
 	// historyStart is the lowest revision from which a watch can start.
@@ -46,6 +49,7 @@
 	s.revision++
 	d.Epoch, d.Revision = s.epoch, s.revision
 	s.documents[d.Name] = d
+	s.writes = append(s.writes, d)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -77,6 +81,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.documents, s.revision = maps.Clone(c.documents), c.revision
+	s.writes = slices.DeleteFunc(s.writes, func(d core.Document) bool { return d.Revision > c.revision })
 	s.historyStart = min(s.historyStart, s.revision)
 	s.epoch++
 	close(s.changed)
@@ -144,7 +149,7 @@
 	if err := c.startCall(); err != nil {
 		return core.Documents{}, err
 	}
-	return c.store.since(0, false), nil
+	return c.store.list(), nil
 }
 
 // Watch waits for a change after a revision, as core.DocumentStore describes.
@@ -173,7 +178,7 @@
 			return core.Documents{}, core.ErrHistoryLost
 		}
 		if revision > after {
-			return c.store.since(after, true), nil
+			return c.store.since(after), nil
 		}
 		select {
 		case <-changed:
@@ -185,17 +190,34 @@
 	}
 }
 
-// since returns the documents that changed after a revision, deleted ones only if
-// includeDeleted is true.
-func (s *Store) since(after uint64, includeDeleted bool) core.Documents {
+// list returns all documents but the deleted ones.
+func (s *Store) list() core.Documents {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	result := core.Documents{Epoch: s.epoch, AsOf: s.revision}
 	for _, d := range s.documents {
-		if d.Revision > after && (includeDeleted || !d.Deleted) {
-			d.Epoch = s.epoch // as in an answer of the platform, whose items have none
-			result.Documents = append(result.Documents, d)
+		if !d.Deleted {
+			result.Documents = append(result.Documents, s.current(d))
 		}
 	}
 	return result
 }
+
+// since returns what was written after a revision.
+func (s *Store) since(after uint64) core.Documents {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result := core.Documents{Epoch: s.epoch, AsOf: s.revision}
+	for _, d := range s.writes {
+		if d.Revision > after {
+			result.Documents = append(result.Documents, s.current(d))
+		}
+	}
+	return result
+}
+
+// current returns a document with the present epoch, as in an answer of the platform, whose items have none.
+func (s *Store) current(d core.Document) core.Document {
+	d.Epoch = s.epoch
+	return d
+}
--- a/io/entry/builds_test.go
+++ b/io/entry/builds_test.go
@@ -46,7 +46,7 @@
 	for _, build := range builds {
 		for i := range _enginesPerBuild {
 			name := fmt.Sprint(build, "-", i)
-			engine := s.endpoint(name, newHandler(build))
+			engine := s.listen(newHandler(build))
 			s.store.Put(name, engine.Address+" "+build)
 			b.engines[build] = append(b.engines[build], engine)
 		}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -194,13 +194,20 @@
 }
 
 func (s *site) endpoint(name string, handle routed.Handler) *routed.Endpoint {
+	s.t.Helper()
+	e := s.listen(handle)
+	s.store.Put(name, e.Address)
+	return e
+}
+
+// listen starts an endpoint without a document.
+func (s *site) listen(handle routed.Handler) *routed.Endpoint {
 	s.t.Helper()
 	e, err := routed.Start(handle)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(e.Close)
-	s.store.Put(name, e.Address)
 	return e
 }
 
--- a/io/entry/held.go
+++ b/io/entry/held.go
@@ -18,17 +18,21 @@
 	_maxHeldBytes = 4 << 20
 )
 
-// askEngines asks all engines of services whether they hold a part of a prompt. Those that do
-// not answer count as not holding it. The caller may leave meanwhile, but others share the answers.
+// askEngines asks all engines of services whether they hold a part of a prompt, but those that are out of service.
+// The caller may leave meanwhile, but others share the answers.
 func (h *Host) askEngines(ctx context.Context, arrived time.Time, services []core.ServiceName, part string) []origin.Holder {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), _heldTimeout)
 	defer cancel()
-	engines := h.enginesOf(services)
-	holders := make([]origin.Holder, len(engines))
+	endpoints := h.endpointsOf(services)
+	holders := make([]origin.Holder, len(endpoints))
 	var group sync.WaitGroup
-	for i, engine := range engines {
-		holders[i].Origin = origin.Origin{Service: engine.Service, Build: engine.Build}
-		group.Go(func() { holders[i].Holds = h.held.of(engine.Key()).contains(ctx, h, engine, arrived, part) })
+	for i, e := range endpoints {
+		holders[i].Origin = origin.Origin{Service: e.Service, Build: e.Build}
+		if e.canBeAsked {
+			group.Go(func() {
+				holders[i].Holds, holders[i].HasAnswered = h.held.of(e.Key()).contains(ctx, h, e.RoutedEndpoint, arrived, part)
+			})
+		}
 	}
 	group.Wait()
 	return holders
@@ -46,6 +50,8 @@
 	mu      sync.Mutex
 	askedAt time.Time
 	parts   []string
+	// hasAnswered is false if the engine did not answer when it was last asked.
+	hasAnswered bool
 }
 
 func (l *heldLists) of(key core.EndpointKey) *heldList {
@@ -67,9 +73,9 @@
 	l.byKey = nil
 }
 
-// contains reports whether an engine holds a part. It asks the engine unless that was done since
+// contains reports whether an engine holds a part, and whether it has answered. It asks the engine unless that was done since
 // the request arrived.
-func (l *heldList) contains(ctx context.Context, h *Host, engine core.RoutedEndpoint, arrived time.Time, part string) bool {
+func (l *heldList) contains(ctx context.Context, h *Host, engine core.RoutedEndpoint, arrived time.Time, part string) (holds, hasAnswered bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.askedAt.Before(arrived) {
@@ -78,25 +84,32 @@
 		if err != nil {
 			h.log.Info("An engine did not say which parts of prompts it holds.", "Endpoint", engine.ID, "Cause", err.Error())
 		}
-		l.parts = parts
+		l.parts, l.hasAnswered = parts, err == nil
 	}
-	return slices.Contains(l.parts, part)
+	return slices.Contains(l.parts, part), l.hasAnswered
+}
+
+// possibleHolder is an endpoint that may hold a part of a prompt.
+type possibleHolder struct {
+	core.RoutedEndpoint
+	// canBeAsked is true for an engine that is in service.
+	canBeAsked bool
 }
 
-// enginesOf returns the engines of services, including those that are leaving.
-func (h *Host) enginesOf(services []core.ServiceName) []core.RoutedEndpoint {
+// endpointsOf returns the endpoints of services, including those that are leaving.
+func (h *Host) endpointsOf(services []core.ServiceName) []possibleHolder {
 	view := h.docState.View()
 	if view == nil || view.Table == nil {
 		return nil
 	}
-	var engines []core.RoutedEndpoint
+	var endpoints []possibleHolder
 	for _, e := range view.Endpoints {
-		s, ok := view.Table.Service(e.Service)
-		if ok && s.Engine != nil && slices.Contains(services, e.Service) && !view.OutOfService[e.DataCentre] {
-			engines = append(engines, e.RoutedEndpoint)
+		if slices.Contains(services, e.Service) {
+			s, ok := view.Table.Service(e.Service)
+			endpoints = append(endpoints, possibleHolder{e.RoutedEndpoint, ok && s.Engine != nil && !view.OutOfService[e.DataCentre]})
 		}
 	}
-	return engines
+	return endpoints
 }
 
 // requestHeld returns the parts of prompts that an engine holds.
--- a/io/entry/held_test.go
+++ b/io/entry/held_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -222,6 +223,91 @@
 	group.Wait()
 }
 
+// readBy has an engine of a build read the last parts of streams, as when it served earlier requests of their sessions.
+func (s *buildSite) readBy(build string, streams []*brokenStream) {
+	s.t.Helper()
+	for i, b := range streams {
+		engine := s.engines[build][i%_enginesPerBuild]
+		req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+engine.Address+_probePath, nil)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		for _, h := range b.headers(b.id + "-before") {
+			name, value, _ := strings.Cut(h, ": ")
+			req.Header.Set(name, value)
+		}
+		answer, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		_ = answer.Body.Close()
+	}
+}
+
+// removeEngine ends an engine and deletes its document.
+func (s *buildSite) removeEngine(build string, i int) {
+	s.store.Delete(fmt.Sprint(build, "-", i))
+	s.engines[build][i].Close()
+}
+
+// After all hosts had ended, streams whose engine had left went on at another build that held the last parts of their prompts
+// from earlier requests of their sessions.
+func TestTakeUpIsRefusedIfAnEngineThatLeftMayHaveBegunIt(t *testing.T) {
+	s := newHeldSite(t, 3, "v1", "v2")
+	streams := s.begin(0, _brokenStreams)
+	s.readBy("v2", streams)
+	for i := range _enginesPerBuild {
+		s.removeEngine("v1", i)
+	}
+	s.restartAll(0, streams, "v2")
+	old := ofBuild(streams, "v1")
+	if len(old) == 0 {
+		t.Fatal("no stream began at v1")
+	}
+	for i, b := range old {
+		if status, _, body := s.takeUp(i%3, b); status != http.StatusServiceUnavailable {
+			t.Errorf("stream %s of v1: status %d, from %q; want 503", b.id, status, buildOf(body))
+		}
+	}
+	s.wantNoTakeUp()
+}
+
+// An engine that does not say what it holds may have begun the stream.
+func TestTakeUpIsRefusedIfASilentEngineMayHaveBegunIt(t *testing.T) {
+	s := newHeldSite(t, 3, "v1", "v2")
+	streams := s.begin(0, _brokenStreams)
+	s.readBy("v2", streams)
+	s.restartAll(0, streams, "v1", "v2")
+	for i := range _enginesPerBuild {
+		s.engines["v1"][i].Close()
+	}
+	for i, b := range ofBuild(streams, "v1") {
+		if status, _, body := s.takeUp(i%3, b); status != http.StatusServiceUnavailable {
+			t.Errorf("stream %s of v1: status %d, from %q; want 503", b.id, status, buildOf(body))
+		}
+	}
+	s.wantNoTakeUp()
+}
+
+// Streams go on at the build of the engines that hold their parts although others of that build have left.
+func TestTakeUpGoesOnAfterAnEngineOfItsBuildHasLeft(t *testing.T) {
+	s := newHeldSite(t, 3, "v1", "v2")
+	streams := s.begin(0, _brokenStreams)
+	s.removeEngine("v2", 1)
+	s.restartAll(0, streams, "v1", "v2")
+	var kept []*brokenStream
+	for _, b := range ofBuild(streams, "v2") {
+		if slices.ContainsFunc(s.engines["v2"][0].Calls(), func(c *routed.Call) bool { return c.URL.Path == b.path }) {
+			kept = append(kept, b)
+		}
+	}
+	if len(kept) == 0 {
+		t.Fatal("no stream began at the engine that stays")
+	}
+	s.wantGoesOn(kept, 0, 1, 2)
+}
+
 // takeUpUntil takes a stream up at a host for a caller that leaves when ctx ends.
 func (s *buildSite) takeUpUntil(ctx context.Context, host int, b *brokenStream) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.front[host]+b.path, nil)
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -171,15 +171,52 @@
 	if source != origin.Unknown && source != origin.Unconfirmed {
 		return found, source
 	}
-	if s.config.AskEngines != nil && ownPart != "" {
-		holders := s.config.AskEngines(ctx, arrived, stream.Services, ownPart)
-		if found, source := origin.ResolveHolders(holders); source != origin.Unknown {
-			return found, source
-		}
+	if found, source := s.findAtEngines(ctx, arrived, stream, ownPart); source != origin.Unknown {
+		return found, source
 	}
 	return s.findInHistory(ctx, arrived, stream)
 }
 
+// findAtEngines returns where a stream was begun if the engines that hold its own part tell it. The documents must name
+// all engines that may hold it, and the store's history those that have left, if this host has not followed it.
+func (s *SharedOrigins) findAtEngines(ctx context.Context, arrived time.Time, stream origin.Stream, ownPart string) (origin.Origin, origin.Source) {
+	if s.config.AskEngines == nil || ownPart == "" || !s.awaitFresh(ctx, stream) {
+		return origin.Origin{}, origin.Unknown
+	}
+	found, source := origin.ResolveHolders(s.config.AskEngines(ctx, arrived, stream.Services, ownPart))
+	if source == origin.Unknown || s.excludesDeparted(stream, found) {
+		return found, source
+	}
+	if s.config.ReadHistory == nil {
+		return origin.Origin{}, origin.Unknown
+	}
+	s.readHistory(ctx, arrived)
+	if !s.excludesDeparted(stream, found) {
+		return origin.Origin{}, origin.Unknown
+	}
+	return found, source
+}
+
+// excludesDeparted is origin.Ledger.ExcludesDeparted.
+func (s *SharedOrigins) excludesDeparted(stream origin.Stream, found origin.Origin) (excluded bool) {
+	s.Update(func(l *origin.Ledger) { excluded = l.ExcludesDeparted(stream, found) })
+	return excluded
+}
+
+// awaitFresh waits until the documents are known to be up to date. It returns false if that takes too long.
+func (s *SharedOrigins) awaitFresh(ctx context.Context, stream origin.Stream) bool {
+	for deadline := time.Now().Add(_confirmTimeout); ; s.config.Refresh() {
+		isConfirmed := false
+		s.Update(func(l *origin.Ledger) { isConfirmed = l.IsConfirmed(stream) })
+		if isConfirmed {
+			return true
+		}
+		if time.Now().After(deadline) || !sleepUnlessDone(ctx, _confirmInterval) {
+			return false
+		}
+	}
+}
+
 // resolveWithHosts asks other hosts and returns where a stream was begun. A single build was found
 // without them, if at all: the stream's own may be new, and known to other hosts only.
 func (s *SharedOrigins) resolveWithHosts(ctx context.Context, stream origin.Stream, claim origin.Claim, before origin.Source) (origin.Origin, origin.Source) {
@@ -215,14 +252,25 @@
 	}
 }
 
-// findInHistory returns where a stream was begun if the store's history shows a single build. Requests
-// that arrive while it is read share the next reading, so that none waits for more than two.
+// findInHistory returns where a stream was begun if the store's history shows a single build.
 func (s *SharedOrigins) findInHistory(ctx context.Context, arrived time.Time, stream origin.Stream) (origin.Origin, origin.Source) {
 	isSingle := false
 	s.Update(func(l *origin.Ledger) { isSingle = l.HasSingleBuild(stream.Services) })
 	if s.config.ReadHistory == nil || !isSingle {
 		return origin.Origin{}, origin.Unknown
 	}
+	if s.readHistory(ctx, arrived) {
+		stream.ConfirmedAfter = time.Time{} // the history was read after the request arrived
+	}
+	if found, source := s.resolve(stream); source != origin.Unknown && source != origin.Unconfirmed {
+		return found, origin.StoreHistory
+	}
+	return origin.Origin{}, origin.Unknown
+}
+
+// readHistory has the ledger learn what the store's history tells, and reports whether it tells anything. Requests that
+// arrive while it is read share the next reading, so that none waits for more than two.
+func (s *SharedOrigins) readHistory(ctx context.Context, arrived time.Time) bool {
 	s.historyMu.Lock()
 	defer s.historyMu.Unlock()
 	if s.historyReadAt.Before(arrived) {
@@ -231,13 +279,7 @@
 		s.historyIsKnown = !span.Since.IsZero()
 		s.Update(func(l *origin.Ledger) { l.Merge(span) })
 	}
-	if s.historyIsKnown {
-		stream.ConfirmedAfter = time.Time{} // the history was read after the request arrived
-	}
-	if found, source := s.resolve(stream); source != origin.Unknown && source != origin.Unconfirmed {
-		return found, origin.StoreHistory
-	}
-	return origin.Origin{}, origin.Unknown
+	return s.historyIsKnown
 }
 
 func (s *SharedOrigins) resolve(stream origin.Stream) (origin.Origin, origin.Source) {
