Hosts go on after an engine has named a limit beyond any rate

Cause: the time between two permits came out as 0, and counting permits divided by it, in a panic with the placer's lock taken.

Evidence: one "integer divide by zero" in each host's log at the first request after the limit. TestPermitsOfAnyNamedLimitCanBeCounted and three values in TestHostsAnswerAfterAnyNamedLimit failed on.

Change: the time between permits is 1 us at least; such a limit limits nothing. core.Seconds converts any number without overflow. Limits that are meant give the same permits as before.

--- a/core/procs/place/rate.go
+++ b/core/procs/place/rate.go
@@ -20,6 +20,9 @@
 	// requests that an endpoint takes in a _rateWindow: permits that were kept could all be used
 	// at once.
 	_permitLifetime = time.Second
+	// _minPermitInterval is the least time between two permits of a host. No host sends an endpoint requests that often, so
+	// that a higher limit limits nothing.
+	_minPermitInterval = time.Microsecond
 	// _minRatePerSecond is the limit that is assumed at least: by its answers a host learns
 	// that an endpoint that takes no requests does so again.
 	_minRatePerSecond = 0.1
@@ -129,15 +132,13 @@
 	perSecond := max(rate.PerSecond, _minRatePerSecond)
 	bound := _rateFactor*rate.PerSecond*_rateWindow.Seconds() + _rateExtra
 	hosts := float64(p.hostsBound)
-	interval = seconds(hosts / perSecond)
+	interval = max(core.Seconds(hosts/perSecond), _minPermitInterval)
 	if perHost := math.Floor(bound / hosts); perHost >= 1 {
 		return max(interval, time.Duration(float64(_rateWindow)/perHost)), false
 	}
-	return max(interval, seconds((_rateWindow+_permitLifetime).Seconds()*hosts/maxSafeMean(bound))), true
+	return max(interval, core.Seconds((_rateWindow+_permitLifetime).Seconds()*hosts/maxSafeMean(bound))), true
 }
 
-func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
-
 // duePermit returns when this host's next permit becomes valid, or has become so.
 func (p *Placer) duePermit(now time.Time, rate *rateState) time.Time {
 	due := rate.permitAt
--- a/core/procs/place/rate_test.go
+++ b/core/procs/place/rate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -140,6 +141,24 @@
 	}
 }
 
+// A limit so high that the time between two permits came out as 0 s ended the placing of requests with a division by zero.
+func TestPermitsOfAnyNamedLimitCanBeCounted(t *testing.T) {
+	for _, perSecond := range []float64{0, 1e-300, 1e-9, 1, 1e6, 1e9, 5e9, 1e10, 1e19, math.MaxFloat64} {
+		for _, hosts := range []int{1, 3, 360} {
+			s := newLimitedHosts(t, hosts, perSecond, 1)[0]
+			permits, unlimited := s.PermitsUntil(_start, order(), _start.Add(time.Second))
+			if unlimited || permits < 0 {
+				t.Errorf("limit %g, %d hosts: %d permits, unlimited %v", perSecond, hosts, permits, unlimited)
+			}
+			run, verdict := s.Place(_start.Add(time.Second), order())
+			if perSecond >= 1e6 && verdict != place.Placed {
+				t.Errorf("limit %g, %d hosts: verdict %v after a second, want a run", perSecond, hosts, verdict)
+			}
+			s.End(run)
+		}
+	}
+}
+
 // Requests beyond the permits until their deadline are not worth waiting for.
 func TestRequestsThatNoPermitCanServeDoNotWait(t *testing.T) {
 	s := newLimitedHosts(t, 2, 4, 1)[0] // a permit each second
--- a/io/entry/rate_test.go
+++ b/io/entry/rate_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -149,3 +152,60 @@
 		t.Error("a host refuses requests although the limit has ended")
 	}
 }
+
+// wantAnswers sends a request to each host in turn until a time, and checks that each is answered within the time that its
+// caller waits.
+func (s *site) wantAnswers(until time.Time) {
+	s.t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	for i := 0; time.Now().Before(until); i++ {
+		req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+s.front[i%len(s.front)]+"/a/", nil)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		req.Host = "h"
+		req.Header.Set("Request-Id", fmt.Sprint("r", i))
+		req.Header.Set("Deadline-Ms", "900")
+		answer, err := client.Do(req)
+		if err != nil {
+			s.t.Fatalf("host %d did not answer: %v", i%len(s.front), err)
+		}
+		_ = answer.Body.Close()
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Hosts that had been told a limit beyond any rate closed the connection of the next request, and answered no other one.
+func TestHostsAnswerAfterAnyNamedLimit(t *testing.T) {
+	for value, limitsNothing := range map[string]bool{
+		"10000000000": true, "1e308": true, "9" + strings.Repeat("0", 30): true, "1e400": true, "Inf": true, "NaN": true, "-1": true, "": true,
+		"0": false, "1e-300": false, "0." + strings.Repeat("0", 400) + "1": false,
+	} {
+		t.Run(fmt.Sprintf("%.20s", value), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 3)
+			s.store.Put("config", `{"Version":1,"Prefix":"/a/"}`)
+			var inNeed atomic.Bool
+			for i := range 2 {
+				s.endpoint(fmt.Sprint("e", i), func(c *routed.Call) bool {
+					echo := "Request-Id: " + c.Header.Get("Request-Id")
+					if inNeed.Load() {
+						c.Answer(http.StatusServiceUnavailable, "", echo, "Not-Run: 1", "Retry-After: 0.2", "Limit: "+value)
+					} else {
+						c.Answer(http.StatusOK, "sound", echo, "Seal: s")
+					}
+					return true
+				})
+			}
+			s.eventually("all serve", 2*time.Second, s.allServe("/a/", "sound"))
+			time.Sleep(2 * time.Second) // a host that has just started uses no limit of all hosts
+			inNeed.Store(true)
+			s.wantAnswers(time.Now().Add(300 * time.Millisecond))
+			inNeed.Store(false)
+			s.wantAnswers(time.Now().Add(2 * time.Second))
+			if limitsNothing {
+				s.eventually("all serve again", time.Second, s.allServe("/a/", "sound"))
+			}
+		})
+	}
+}
