Locks are freed by deferred calls

Cause: 61 locks of the product were freed by a plain call after the work that they guard.

Change: all of them are freed by a deferred call, short ones through core/mutex. Longer functions are split where a lock must not be held to their end.

--- a/io/entry/idle.go
+++ b/io/entry/idle.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"apricotproxy/core/mutex"
 )
 
 const (
@@ -155,9 +157,7 @@
 func (c *idleConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.mu.Lock()
-		c.hasRead = true
-		c.mu.Unlock()
+		mutex.Do(&c.mu, func() { c.hasRead = true })
 	}
 	return n, err // unwrapped, since net/http checks its type
 }
--- a/io/entry/origin.go
+++ b/io/entry/origin.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/procs/origin"
 	"apricotproxy/io/front"
@@ -56,9 +57,7 @@
 	if len(records) == 0 {
 		return
 	}
-	p.mu.Lock()
-	targets := p.state.CopyTargets(now)
-	p.mu.Unlock()
+	targets := mutex.Get(&p.mu, func() []string { return p.state.CopyTargets(now) })
 	for chunk := range slices.Chunk(records, news.MaxOrigins) {
 		p.sendOriginsTo(&news.Origins{Records: chunk}, now, targets)
 	}
@@ -74,9 +73,9 @@
 // end if it does not know yet how many there are. A valid claim is sent with it.
 func (p *peers) askOrigin(request string, claim origin.Claim) int {
 	now := time.Now()
-	p.mu.Lock()
-	targets, allKnown := p.state.QuestionTargets(now)
-	p.mu.Unlock()
+	var targets []string
+	var allKnown bool
+	mutex.Do(&p.mu, func() { targets, allKnown = p.state.QuestionTargets(now) })
 	if len(targets) == 0 {
 		return 0
 	}
@@ -89,9 +88,9 @@
 
 // askOriginOf is askOrigin for a single host.
 func (p *peers) askOriginOf(host core.HostName, request string, claim origin.Claim) int {
-	p.mu.Lock()
-	address, known := p.state.HeartbeatAddress(host)
-	p.mu.Unlock()
+	var address string
+	var known bool
+	mutex.Do(&p.mu, func() { address, known = p.state.HeartbeatAddress(host) })
 	if !known {
 		return 0
 	}
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/await"
 	"apricotproxy/core/procs/gossip"
 	"apricotproxy/core/procs/know"
@@ -153,9 +154,7 @@
 // receiveDemand records how requests fared at another host, or at those of another data centre.
 // Like changed loads it is ignored if the host is not known.
 func (p *peers) receiveDemand(now time.Time, demand *news.Demand) {
-	p.mu.Lock()
-	known := p.state.Knows(demand.Host, demand.Incarnation)
-	p.mu.Unlock()
+	known := mutex.Get(&p.mu, func() bool { return p.state.Knows(demand.Host, demand.Incarnation) })
 	if !known {
 		return
 	}
@@ -280,9 +279,7 @@
 func (p *peers) sendWelcome(now time.Time, to gossip.Contact) {
 	message := p.newMessage(now)
 	message.Poison = p.detector.Report(now, true)
-	p.mu.Lock()
-	message.KnownHosts = p.state.WelcomeHosts(now, to.DataCentre)
-	p.mu.Unlock()
+	mutex.Do(&p.mu, func() { message.KnownHosts = p.state.WelcomeHosts(now, to.DataCentre) })
 	p.sendMessage(message, []string{to.Heartbeat})
 	p.sendRateLimits(now, true, []string{to.Heartbeat})
 	p.sendBrittle(now, true, []string{to.Heartbeat})
@@ -303,19 +300,11 @@
 	if !behind {
 		return
 	}
-	p.mu.Lock()
-	busy := p.pulling
-	p.pulling = true
-	p.mu.Unlock()
-	if busy {
+	if !p.beginPull() {
 		return
 	}
 	go func() {
-		defer func() {
-			p.mu.Lock()
-			p.pulling = false
-			p.mu.Unlock()
-		}()
+		defer p.endPull()
 		begun := time.Now()
 		err := p.pull(ctx, from)
 		switch {
@@ -329,6 +318,23 @@
 	}()
 }
 
+// beginPull returns false if documents are being pulled.
+func (p *peers) beginPull() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pulling {
+		return false
+	}
+	p.pulling = true
+	return true
+}
+
+func (p *peers) endPull() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pulling = false
+}
+
 // pull fetches the documents that this host lacks from another host.
 func (p *peers) pull(ctx context.Context, from gossip.Contact) error {
 	requestedAt := time.Now()
@@ -384,9 +390,7 @@
 				p.sendOrigins(time.Now())
 			case <-p.sendRequestsNow:
 				now := time.Now()
-				p.mu.Lock()
-				local, remote := p.state.LocalTargets(now), p.state.RemoteTargets(now)
-				p.mu.Unlock()
+				local, remote := p.targets(now)
 				p.sendRequests(now, local, remote)
 				p.sendDemand(now, local, remote)
 			}
@@ -394,6 +398,13 @@
 	}
 }
 
+// targets returns where heartbeats go, within the data centre and in others.
+func (p *peers) targets(now time.Time) (local, remote []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.LocalTargets(now), p.state.RemoteTargets(now)
+}
+
 // scheduleLoadChanges makes run send the changed loads now.
 func (p *peers) scheduleLoadChanges() {
 	select {
@@ -422,9 +433,7 @@
 // sendLoadChanges sends this host's changed loads to the hosts of its data centre.
 func (p *peers) sendLoadChanges() {
 	now := time.Now()
-	p.mu.Lock()
-	targets := p.state.LocalTargets(now)
-	p.mu.Unlock()
+	targets := mutex.Get(&p.mu, func() []string { return p.state.LocalTargets(now) })
 	change := news.LoadUpdate{Host: p.self.Host, Incarnation: p.incarnation}
 	p.sharedPlacer.WithLock(func(placer *place.Placer) { change.Loads = placer.ChangedLoads() })
 	if len(change.Loads) == 0 {
@@ -438,11 +447,14 @@
 // of the whole data centre to hosts of other data centres.
 func (p *peers) sendHeartbeats() {
 	now := time.Now()
-	p.mu.Lock()
-	p.state.Forget(now)
-	local, remote := p.state.LocalTargets(now), p.state.RemoteTargets(now)
-	hosts, unheard := p.state.MayLive(now)
-	p.mu.Unlock()
+	var local, remote []string
+	var hosts []core.HostName
+	var unheard int
+	mutex.Do(&p.mu, func() {
+		p.state.Forget(now)
+		local, remote = p.state.LocalTargets(now), p.state.RemoteTargets(now)
+		hosts, unheard = p.state.MayLive(now)
+	})
 	p.sharedPlacer.Update(func(placer *place.Placer) { placer.SetHostNames(hosts, unheard) })
 	message := p.newMessage(now)
 	p.sharedPlacer.WithLock(func(placer *place.Placer) { message.Loads = placer.OwnLoads() })
@@ -466,11 +478,11 @@
 // newMessage returns a heartbeat without loads.
 func (p *peers) newMessage(now time.Time) *news.Message {
 	var message news.Message
-	p.mu.Lock()
-	message.Heartbeat = gossip.Heartbeat{
-		From: p.self, Incarnation: p.incarnation, Stopping: p.stopping(), CanReadStore: p.canReadStore, KnownHosts: p.state.SampleHosts(now),
-	}
-	p.mu.Unlock()
+	mutex.Do(&p.mu, func() {
+		message.Heartbeat = gossip.Heartbeat{
+			From: p.self, Incarnation: p.incarnation, Stopping: p.stopping(), CanReadStore: p.canReadStore, KnownHosts: p.state.SampleHosts(now),
+		}
+	})
 	message.Reaches = p.reach.ReachesForOthers()
 	p.docState.withState(func(s *know.State) {
 		if status := s.SyncStatus(); status.AsOf > 0 {
--- a/io/fleet/apply.go
+++ b/io/fleet/apply.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/member"
 	"apricotproxy/core/procs/spread"
 )
@@ -14,9 +15,7 @@
 func (f *Fleet) decideAndApply(source string, decide func() spread.Decision) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	f.mu.Lock()
-	decision := decide()
-	f.mu.Unlock()
+	decision := mutex.Get(&f.mu, decide)
 	switch decision.Verdict {
 	case spread.VerdictAccepted:
 		f.apply(source, decision)
@@ -39,29 +38,34 @@
 		"another content has this number; publish a higher revision")
 }
 
-// apply puts an accepted revision in force. The caller holds applyMu. Heartbeats
-// announce the revision only after the Apply callback has returned, because peers
-// take an announced revision to be in force here.
-func (f *Fleet) apply(source string, decision spread.Decision) {
-	config := decision.Config
+// setConfig puts a configuration in force, and returns the one before and the addresses of peers.
+func (f *Fleet) setConfig(config core.Config) (previous core.Config, addresses []string) {
 	f.mu.Lock()
-	previous := f.config
+	defer f.mu.Unlock()
+	previous = f.config
 	f.config = config
 	f.member.SetRoster(config.Hosts)
 	f.member.SetTimings(config.Limits.HeartbeatInterval, config.Limits.TicketTerm)
 	if config.Limits.HeartbeatInterval > 0 {
 		f.heartbeatInterval = config.Limits.HeartbeatInterval
 	}
-	addresses := f.peerAddresses()
-	f.mu.Unlock()
+	return previous, f.peerAddresses()
+}
+
+// apply puts an accepted revision in force. The caller holds applyMu. Heartbeats
+// announce the revision only after the Apply callback has returned, because peers
+// take an announced revision to be in force here.
+func (f *Fleet) apply(source string, decision spread.Decision) {
+	config := decision.Config
+	previous, addresses := f.setConfig(config)
 	if f.settings.Callbacks.Apply != nil {
 		f.settings.Callbacks.Apply(config)
 	}
-	f.mu.Lock()
-	f.applied = decision.Stamp
-	f.member.SetSelf(decision.Stamp.Revision, f.draining)
-	acknowledgements := f.member.Acknowledgements()
-	f.mu.Unlock()
+	acknowledgements := mutex.Get(&f.mu, func() []member.Acknowledgement {
+		f.applied = decision.Stamp
+		f.member.SetSelf(decision.Stamp.Revision, f.draining)
+		return f.member.Acknowledgements()
+	})
 	// Peers that got this revision before this host have acknowledged it already.
 	f.reportChange(member.Change{Acknowledged: acknowledgements})
 	if f.settings.Callbacks.SetPeerAddresses != nil {
--- a/io/fleet/beat.go
+++ b/io/fleet/beat.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/member"
 	"apricotproxy/core/procs/spread"
 	"apricotproxy/io/peers"
@@ -29,9 +30,9 @@
 func (f *Fleet) heartbeatLoop(ctx context.Context) {
 	for {
 		f.sendRound(ctx)
-		f.mu.Lock()
-		pause := time.Duration(float64(f.heartbeatInterval) * (1 + _heartbeatJitter*(f.random.Float64()-0.5)))
-		f.mu.Unlock()
+		pause := mutex.Get(&f.mu, func() time.Duration {
+			return time.Duration(float64(f.heartbeatInterval) * (1 + _heartbeatJitter*(f.random.Float64()-0.5)))
+		})
 		if !waitUntil(ctx, time.Now().Add(pause), f.heartbeatNow) {
 			return
 		}
@@ -42,14 +43,16 @@
 // for the answers before requests may be dispatched again.
 func (f *Fleet) sendRound(ctx context.Context) {
 	now := time.Now()
-	f.mu.Lock()
-	suspended := !now.Before(f.dispatchUntil)
-	if !suspended {
-		f.allowDispatch(now)
-	}
-	hosts := f.member.HeartbeatTargets(now)
-	f.roundTargets, f.roundAnswers = len(hosts), 0
-	f.mu.Unlock()
+	var suspended bool
+	var hosts []core.HostName
+	mutex.Do(&f.mu, func() {
+		suspended = !now.Before(f.dispatchUntil)
+		if !suspended {
+			f.allowDispatch(now)
+		}
+		hosts = f.member.HeartbeatTargets(now)
+		f.roundTargets, f.roundAnswers = len(hosts), 0
+	})
 	sent := f.sendHeartbeats(ctx, hosts)
 	if !suspended {
 		return
@@ -73,9 +76,7 @@
 	for ctx.Err() == nil && time.Now().Before(deadline) && f.behind() {
 		waitUntil(ctx, time.Now().Add(10*time.Millisecond), nil)
 	}
-	f.mu.Lock()
-	f.allowDispatch(time.Now())
-	f.mu.Unlock()
+	mutex.Do(&f.mu, func() { f.allowDispatch(time.Now()) })
 }
 
 // behind reports whether a peer has a higher revision than this host.
@@ -201,12 +202,14 @@
 	now := time.Now()
 	stamp := spread.Stamp{Revision: message.Revision, Digest: digest}
 	host := message.From.Host
-	f.mu.Lock()
-	change := f.member.Receive(now, message)
-	conflict := f.spread.ObservePeer(host, stamp)
-	f.spread.PeerAnswered(host)
-	behind := f.spread.Behind()
-	f.mu.Unlock()
+	var change member.Change
+	var conflict, behind bool
+	mutex.Do(&f.mu, func() {
+		change = f.member.Receive(now, message)
+		conflict = f.spread.ObservePeer(host, stamp)
+		f.spread.PeerAnswered(host)
+		behind = f.spread.Behind()
+	})
 	if behind {
 		notify(f.fetchNow)
 	}
@@ -287,9 +290,9 @@
 
 // FetchRevision returns the bundle in force to a peer.
 func (f *Fleet) FetchRevision(context.Context, *wire.FetchRevisionRequest) (*wire.FetchRevisionReply, error) {
-	f.mu.Lock()
-	bundle, stamp := f.spread.Bundle(), f.spread.InForce()
-	f.mu.Unlock()
+	var bundle core.Bundle
+	var stamp spread.Stamp
+	mutex.Do(&f.mu, func() { bundle, stamp = f.spread.Bundle(), f.spread.InForce() })
 	encoded, err := json.Marshal(bundle)
 	if err != nil {
 		return nil, fmt.Errorf("encode the bundle: %w", err)
@@ -325,18 +328,16 @@
 
 // fetchOnce fetches a revision from one peer. It returns false if no fetch is due.
 func (f *Fleet) fetchOnce(ctx context.Context) bool {
-	f.mu.Lock()
-	host, ok := f.spread.NextFetch(time.Now())
-	f.mu.Unlock()
+	var host core.HostName
+	var ok bool
+	mutex.Do(&f.mu, func() { host, ok = f.spread.NextFetch(time.Now()) })
 	if !ok {
 		return false
 	}
 	bundle, err := f.fetchFrom(ctx, host)
 	if err != nil {
 		f.log.V(1).Info("Fetching a revision failed.", "Host", host, "Cause", err.Error())
-		f.mu.Lock()
-		f.spread.FetchFailed(host)
-		f.mu.Unlock()
+		mutex.Do(&f.mu, func() { f.spread.FetchFailed(host) })
 		return true
 	}
 	f.decideAndApply("peer "+string(host), func() spread.Decision { return f.spread.Fetched(host, bundle) })
--- a/io/fleet/drain.go
+++ b/io/fleet/drain.go
@@ -8,6 +8,7 @@
 
 	"apricotproxy/core"
 	"apricotproxy/core/invar"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/drain"
 	"apricotproxy/io/wire"
 )
@@ -52,10 +53,10 @@
 
 // announceStop makes the host report that it is stopping, to the balancer and to peers.
 func (f *Fleet) announceStop() {
-	f.mu.Lock()
-	f.draining = true
-	f.member.SetSelf(f.applied.Revision, true)
-	f.mu.Unlock()
+	mutex.Do(&f.mu, func() {
+		f.draining = true
+		f.member.SetSelf(f.applied.Revision, true)
+	})
 	f.log.Info("This host is stopping. It accepts requests until the platform's host list has caught up.")
 	f.auditNow(core.AuditDrain, drain.StepNotice.String(), drain.StepNotice.Cause())
 	notify(f.heartbeatNow)
@@ -160,9 +161,7 @@
 // LedgerMoved records that a host's order ledger was handed over to holder.
 func (f *Fleet) LedgerMoved(of, holder core.HostID) {
 	now := time.Now()
-	f.mu.Lock()
-	f.member.LedgerMoved(now, of, holder, now)
-	f.mu.Unlock()
+	mutex.Do(&f.mu, func() { f.member.LedgerMoved(now, of, holder, now) })
 	f.auditNow(core.AuditLedgerMoved, of.String(), "to "+holder.String())
 }
 
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/member"
 	"apricotproxy/core/procs/spread"
 	"apricotproxy/io/wire"
@@ -165,10 +166,10 @@
 // Run runs the fleet until ctx ends, and returns when all its goroutines have ended.
 func (f *Fleet) Run(ctx context.Context) error {
 	now := time.Now()
-	f.mu.Lock()
-	f.spread.Begin(now)
-	f.allowDispatch(now)
-	f.mu.Unlock()
+	mutex.Do(&f.mu, func() {
+		f.spread.Begin(now)
+		f.allowDispatch(now)
+	})
 	for _, loop := range []func(context.Context){f.readLoop, f.hostListLoop, f.heartbeatLoop, f.fetchLoop, f.startLoop} {
 		f.goroutines.Go(func() { loop(ctx) })
 	}
--- a/io/fleet/orders.go
+++ b/io/fleet/orders.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/fence"
 )
 
@@ -95,9 +96,7 @@
 // host is the steward of an endpoint.
 func (o *EngineOrders) refreshPublishedRate(ctx context.Context) {
 	now := time.Now()
-	o.mu.Lock()
-	idle := len(o.scheduler.Endpoints()) == 0 || now.Before(o.nextRateReadAt)
-	o.mu.Unlock()
+	idle := mutex.Get(&o.mu, func() bool { return len(o.scheduler.Endpoints()) == 0 || now.Before(o.nextRateReadAt) })
 	if o.settings.LoadsPerMinute == nil || idle {
 		return
 	}
@@ -112,18 +111,22 @@
 	o.scheduler.SetPublishedRate(rate)
 }
 
-// sendNext sends one order that is due. It returns false if there is none.
-func (o *EngineOrders) sendNext(ctx context.Context) bool {
-	now := time.Now()
+// next returns an order that is due. It is recorded before it is sent, because an order that gets no answer may
+// have arrived.
+func (o *EngineOrders) next(now time.Time) (fence.Order, bool) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.scheduler.ExtendView(o.settings.EngineOrdersUntil())
 	order, ok := o.scheduler.Next(now)
 	if ok {
-		// The order is recorded before it is sent, because an order that gets no
-		// answer may have arrived.
 		o.scheduler.Sent(now, order)
 	}
-	o.mu.Unlock()
+	return order, ok
+}
+
+// sendNext sends one order that is due. It returns false if there is none.
+func (o *EngineOrders) sendNext(ctx context.Context) bool {
+	order, ok := o.next(time.Now())
 	if ok {
 		o.send(ctx, order)
 	}
--- a/io/fleet/start.go
+++ b/io/fleet/start.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/spread"
 	"apricotproxy/io/wire"
 )
@@ -32,10 +33,10 @@
 		}
 	}
 	f.restoreSnapshot(ctx)
-	f.mu.Lock()
-	f.ready = true
-	revision := f.config.Revision
-	f.mu.Unlock()
+	revision := mutex.Get(&f.mu, func() core.Revision {
+		f.ready = true
+		return f.config.Revision
+	})
 	f.log.Info("This host is ready.", "Revision", revision)
 	close(f.started)
 }
@@ -43,11 +44,13 @@
 // startStep sends heartbeats to peers that have neither answered nor failed. It returns
 // true once the host has the highest revision that it can learn of.
 func (f *Fleet) startStep(ctx context.Context) bool {
-	f.mu.Lock()
-	known := f.member.Hosts()
-	ready := f.spread.Ready(time.Now(), known) && f.applied.Revision != 0
-	pending := f.spread.PendingPeers(known)
-	f.mu.Unlock()
+	var ready bool
+	var pending []core.HostName
+	mutex.Do(&f.mu, func() {
+		known := f.member.Hosts()
+		ready = f.spread.Ready(time.Now(), known) && f.applied.Revision != 0
+		pending = f.spread.PendingPeers(known)
+	})
 	if ready {
 		return true
 	}
@@ -63,9 +66,7 @@
 		f.log.V(1).Info("A seed did not answer.", "Address", address, "Cause", err.Error())
 		return
 	}
-	f.mu.Lock()
-	f.seedAddresses[core.HostName(reply.GetFrom().GetName())] = address
-	f.mu.Unlock()
+	mutex.Do(&f.mu, func() { f.seedAddresses[core.HostName(reply.GetFrom().GetName())] = address })
 	f.handleReply(reply)
 }
 
--- a/io/fleet/view.go
+++ b/io/fleet/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/io/wire"
 )
 
@@ -107,9 +108,9 @@
 // the platform's host list, or else from the seed at which the host answered. Peer
 // returns false if no address is known.
 func (f *Fleet) Peer(host core.HostName) (wire.Peer, bool) {
-	f.mu.Lock()
-	address, ok := f.peerAddress(host)
-	f.mu.Unlock()
+	var address string
+	var ok bool
+	mutex.Do(&f.mu, func() { address, ok = f.peerAddress(host) })
 	if !ok {
 		return nil, false
 	}
--- a/io/front/backup.go
+++ b/io/front/backup.go
@@ -96,16 +96,22 @@
 }
 
 func (b *backup) set(placer *SharedPlacer, run *place.Run, from, handle string) {
+	before := b.swap(run, from, handle)
+	if before != run {
+		placer.end(before, 0)
+	}
+}
+
+// swap sets the copy and returns the placement of the one before.
+func (b *backup) swap(run *place.Run, from, handle string) (before *place.Run) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	if run == nil {
 		b.handover = _handoverNone
 	}
-	before := b.run
+	before = b.run
 	b.run, b.continueFrom, b.handle = run, from, handle
-	b.mu.Unlock()
-	if before != run {
-		placer.end(before, 0)
-	}
+	return before
 }
 
 func (b *backup) drop(placer *SharedPlacer) { b.set(placer, nil, "", "") }
--- a/io/front/desk.go
+++ b/io/front/desk.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/await"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/procs/place"
@@ -179,17 +180,12 @@
 // Placed or the reason why there is no run. The wait also ends when cutOff is closed.
 func (s *SharedPlacer) place(ctx context.Context, spec *place.Spec, cutOff <-chan struct{}) (*place.Run, place.Verdict) {
 	now := time.Now()
-	s.mu.Lock()
-	deadline := s.line.WaitUntil(now, spec)
-	run, verdict := s.line.Place(now, spec)
-	if verdict == place.Placed || !now.Before(deadline) || !s.line.MayBePlacedBy(now, spec, deadline) {
-		s.mu.Unlock()
-		return run, verdict
-	}
 	granted := make(chan *place.Run, 1)
 	waiter := &await.Waiter{Spec: spec, Since: now, Granted: func(run *place.Run) { granted <- run }}
-	s.line.Enqueue(waiter)
-	s.mu.Unlock()
+	run, verdict, deadline := s.placeOrEnqueue(now, waiter)
+	if deadline.IsZero() {
+		return run, verdict
+	}
 	timer := time.NewTimer(deadline.Sub(now))
 	defer timer.Stop()
 	select {
@@ -199,15 +195,27 @@
 	case <-cutOff:
 	case <-ctx.Done():
 	}
-	s.mu.Lock()
-	withdrawn := s.line.GiveUp(time.Now(), waiter)
-	s.mu.Unlock()
+	withdrawn := mutex.Get(&s.mu, func() bool { return s.line.GiveUp(time.Now(), waiter) })
 	if withdrawn {
 		return nil, verdict
 	}
 	return grantedRun(<-granted)
 }
 
+// placeOrEnqueue places a waiter's request, or has it wait until a deadline, which is zero if it is placed or not worth
+// waiting for.
+func (s *SharedPlacer) placeOrEnqueue(now time.Time, waiter *await.Waiter) (run *place.Run, verdict place.Verdict, deadline time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	deadline = s.line.WaitUntil(now, waiter.Spec)
+	run, verdict = s.line.Place(now, waiter.Spec)
+	if verdict == place.Placed || !now.Before(deadline) || !s.line.MayBePlacedBy(now, waiter.Spec, deadline) {
+		return run, verdict, time.Time{}
+	}
+	s.line.Enqueue(waiter)
+	return run, verdict, deadline
+}
+
 func grantedRun(run *place.Run) (*place.Run, place.Verdict) {
 	if run == nil {
 		return nil, place.NoEndpoint
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/place"
 	"apricotproxy/core/procs/poison"
 	"apricotproxy/core/reqst/leave"
@@ -162,10 +163,11 @@
 
 // Merge adds what another host reported.
 func (s *SharedDetector) Merge(source string, now time.Time, report poison.Report) {
-	s.mu.Lock()
-	isNew := s.detector.Merge(now, report)
-	s.settle(source, now)
-	s.mu.Unlock()
+	isNew := mutex.Get(&s.mu, func() bool {
+		isNew := s.detector.Merge(now, report)
+		s.settle(source, now)
+		return isNew
+	})
 	if isNew {
 		s.lossFound()
 	}
@@ -214,10 +216,11 @@
 
 func (s *SharedDetector) recordLoss(loss poison.Loss) {
 	now := time.Now()
-	s.mu.Lock()
-	isNew := s.detector.RecordLoss(now, loss)
-	s.settle("own", now)
-	s.mu.Unlock()
+	isNew := mutex.Get(&s.mu, func() bool {
+		isNew := s.detector.RecordLoss(now, loss)
+		s.settle("own", now)
+		return isNew
+	})
 	if isNew {
 		s.lossFound()
 	}
--- a/io/front/reach.go
+++ b/io/front/reach.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/procs/reach"
 )
@@ -78,9 +79,7 @@
 }
 
 func (s *SharedReach) tellWatches() {
-	s.watchMu.Lock()
-	watches := slices.Collect(maps.Keys(s.watches))
-	s.watchMu.Unlock()
+	watches := mutex.Get(&s.watchMu, func() []*cutOffWatch { return slices.Collect(maps.Keys(s.watches)) })
 	for _, w := range watches {
 		w.becameCutOff()
 	}
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"apricotproxy/core/mutex"
 )
 
 // _writeTimeout is how long a caller may read nothing of an answer that waits for it: as long as a head or a body may take.
@@ -82,9 +84,7 @@
 
 // Close closes the connection.
 func (c *Conn) Close() error {
-	c.door.guard.mu.Lock()
-	c.remove()
-	c.door.guard.mu.Unlock()
+	mutex.Do(&c.door.guard.mu, c.remove)
 	return c.Conn.Close() // unwrapped, as the others
 }
 
@@ -172,14 +172,21 @@
 }
 
 func (c *Conn) countHead(text []byte) {
+	if g := c.door.guard; c.addHead(text) {
+		g.shrinkHeads()
+	}
+}
+
+// addHead counts bytes and reports whether the heads use too much memory.
+func (c *Conn) addHead(text []byte) (isFull bool) {
 	g := c.door.guard
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	if c.phase == _phaseIdle {
 		c.enter(_phaseHead)
 	}
 	if c.phase != _phaseHead {
-		g.mu.Unlock()
-		return
+		return false
 	}
 	const recordTypeHandshake = 22 // the first byte of a TLS connection, and of no request
 	if c.head == 0 && text[0] == recordTypeHandshake {
@@ -190,11 +197,7 @@
 		cost = int64(len(text)*_textFactor + bytes.Count(text, []byte("\n"))*_lineBytes)
 	}
 	c.setHead(c.head + cost)
-	isFull := g.heads > g.headBytes-g.headBytes/_smallShare
-	g.mu.Unlock()
-	if isFull {
-		g.shrinkHeads()
-	}
+	return g.heads > g.headBytes-g.headBytes/_smallShare
 }
 
 // SetDeadline sets both deadlines.
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"apricotproxy/core/mutex"
 )
 
 const (
@@ -156,9 +158,7 @@
 // The server's other hooks must be set before.
 func (g *Guard) Protect(kind Kind, server *http.Server, listener net.Listener) net.Listener {
 	d := &door{guard: g, kind: kind, maxConnections: max(g.maxConnections/kind.divisor(), _minConnections), conns: make(map[*Conn]struct{})}
-	g.mu.Lock()
-	g.doors = append(g.doors, d)
-	g.mu.Unlock()
+	mutex.Do(&g.mu, func() { g.doors = append(g.doors, d) })
 	state, connContext := server.ConnState, server.ConnContext
 	server.ConnState = func(conn net.Conn, s http.ConnState) {
 		if c := find(conn); c != nil {
@@ -285,8 +285,17 @@
 // shrinkHeads closes the connections of the largest unfinished heads while the heads use too much memory. Small heads
 // yield only when the large ones have.
 func (g *Guard) shrinkHeads() {
+	victims := g.removeHeads()
+	for _, victim := range victims {
+		_ = victim.Conn.Close()
+	}
+	g.report(_headBytes, len(victims))
+}
+
+// removeHeads removes the connections that shrinkHeads closes.
+func (g *Guard) removeHeads() (victims []*Conn) {
 	g.mu.Lock()
-	var victims []*Conn
+	defer g.mu.Unlock()
 	for g.heads > g.headBytes-g.headBytes/_smallShare {
 		victim := g.largestHead()
 		if victim == nil || victim.head <= _smallBytes && g.heads <= g.headBytes {
@@ -295,11 +304,7 @@
 		victim.remove()
 		victims = append(victims, victim)
 	}
-	g.mu.Unlock()
-	for _, victim := range victims {
-		_ = victim.Conn.Close()
-	}
-	g.report(_headBytes, len(victims))
+	return victims
 }
 
 // largestHead returns the connection without a complete request that has the largest head; nil if there is none.
@@ -332,8 +337,8 @@
 
 func (g *Guard) releaseBody(n int64) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.bodies -= n
-	g.mu.Unlock()
 }
 
 // report counts closed connections, and logs them once in a while.
@@ -342,17 +347,21 @@
 		return
 	}
 	_closed.Add(reason, int64(n))
-	now := time.Now()
+	if count, isDue := g.countUnlogged(time.Now(), reason, n); isDue {
+		g.log.Info("Connections outside the limits were closed.", "Reason", reason, "Connections", count)
+	}
+}
+
+// countUnlogged adds closed connections to those that were not logged, and reports whether these are to be logged now.
+func (g *Guard) countUnlogged(now time.Time, reason string, n int) (count int, isDue bool) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.unlogged[reason] += n
-	count := g.unlogged[reason]
-	isDue := now.Sub(g.logged[reason]) >= _logInterval
+	count = g.unlogged[reason]
+	isDue = now.Sub(g.logged[reason]) >= _logInterval
 	if isDue {
 		g.logged[reason] = now
 		delete(g.unlogged, reason)
 	}
-	g.mu.Unlock()
-	if isDue {
-		g.log.Info("Connections outside the limits were closed.", "Reason", reason, "Connections", count)
-	}
+	return count, isDue
 }
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/io/intact"
 )
 
@@ -181,8 +182,15 @@
 // EvictIdle closes the idle connections of endpoints for which keep returns false, and
 // those whose idle timeout has passed.
 func (p *Pool) EvictIdle(keep func(key string) bool) {
-	now := time.Now()
+	for _, c := range p.takeIdle(time.Now(), keep) {
+		c.close()
+	}
+}
+
+// takeIdle removes the idle connections that EvictIdle closes.
+func (p *Pool) takeIdle(now time.Time, keep func(key string) bool) []*connection {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	var closing []*connection
 	for key, connections := range p.idle {
 		var kept []*connection
@@ -200,18 +208,16 @@
 		}
 	}
 	maps.DeleteFunc(p.singleUse, func(key string, _ bool) bool { return !keep(key) })
-	p.mu.Unlock()
-	for _, c := range closing {
-		c.close()
-	}
+	return closing
 }
 
 // CloseIdle closes all idle connections.
 func (p *Pool) CloseIdle() {
-	p.mu.Lock()
-	idle := p.idle
-	p.idle = make(map[string][]*connection)
-	p.mu.Unlock()
+	idle := mutex.Get(&p.mu, func() map[string][]*connection {
+		idle := p.idle
+		p.idle = make(map[string][]*connection)
+		return idle
+	})
 	for _, connections := range idle {
 		for _, c := range connections {
 			c.close()
@@ -451,16 +457,21 @@
 // means no such bound.
 func (p *Pool) release(key string, c *connection, maxConnections int) {
 	p.addInUse(key, -1)
+	if !p.addIdle(key, c, maxConnections) {
+		c.close()
+	}
+}
+
+// addIdle adds an idle connection unless there are too many. It returns false then.
+func (p *Pool) addIdle(key string, c *connection, maxConnections int) bool {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	idle := len(p.idle[key])
-	keep := idle < p.settings.MaxIdle && !p.singleUse[key] && (maxConnections == 0 || idle+p.inUse[key] < maxConnections)
-	if keep {
-		p.idle[key] = append(p.idle[key], c)
-	}
-	p.mu.Unlock()
-	if !keep {
-		c.close()
+	if idle >= p.settings.MaxIdle || p.singleUse[key] || maxConnections != 0 && idle+p.inUse[key] >= maxConnections {
+		return false
 	}
+	p.idle[key] = append(p.idle[key], c)
+	return true
 }
 
 func (c *connection) close() { _ = c.conn.Close() }
--- a/io/load/record.go
+++ b/io/load/record.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"apricotproxy/core/mutex"
 )
 
 // Outcome is the result of a request as its caller saw it.
@@ -156,14 +158,14 @@
 	}
 	details := map[string]int{}
 	for _, s := range r.shards {
-		s.mu.Lock()
-		for kind := range kinds {
-			kinds[kind].add(s.kinds[kind])
-		}
-		for detail, count := range s.details {
-			details[detail] += count
-		}
-		s.mu.Unlock()
+		mutex.Do(&s.mu, func() {
+			for kind := range kinds {
+				kinds[kind].add(s.kinds[kind])
+			}
+			for detail, count := range s.details {
+				details[detail] += count
+			}
+		})
 	}
 	return kinds, details
 }
--- a/io/local/store.go
+++ b/io/local/store.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/know"
 	"apricotproxy/core/versn/table"
 )
@@ -100,9 +101,7 @@
 		if err := s.refresh(); err != nil {
 			return core.Documents{}, err
 		}
-		s.mu.Lock()
-		revision := s.revision
-		s.mu.Unlock()
+		revision := mutex.Get(&s.mu, func() uint64 { return s.revision })
 		if revision > after {
 			return core.Documents{}, core.ErrHistoryLost
 		}
--- a/io/platf/platf.go
+++ b/io/platf/platf.go
@@ -21,6 +21,7 @@
 	"golang.org/x/time/rate"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/io/intact"
 )
 
@@ -258,9 +259,7 @@
 
 // awaitBackoff waits until the back-off after the last failure is over.
 func (c *Client) awaitBackoff(ctx context.Context) error {
-	c.mu.Lock()
-	wait := time.Until(c.retryAt)
-	c.mu.Unlock()
+	wait := mutex.Get(&c.mu, func() time.Duration { return time.Until(c.retryAt) })
 	if wait <= 0 {
 		return ctx.Err()
 	}
--- a/io/runs/abandon.go
+++ b/io/runs/abandon.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/io/wire"
 )
 
@@ -34,11 +35,11 @@
 
 func (g *run) unregister() {
 	r := g.runner
-	r.mu.Lock()
-	if g.owned {
-		delete(r.running, g.generation)
-	}
-	r.mu.Unlock()
+	mutex.Do(&r.mu, func() {
+		if g.owned {
+			delete(r.running, g.generation)
+		}
+	})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.abandonTimer != nil {
@@ -61,10 +62,7 @@
 // checkFirstToken ends the generation if no token has arrived. It is called at
 // the request's deadline.
 func (g *run) checkFirstToken() {
-	g.mu.Lock()
-	started := g.started
-	g.mu.Unlock()
-	if !started {
+	if !mutex.Get(&g.mu, func() bool { return g.started }) {
 		g.cancelRun(errFirstTokenLate)
 	}
 }
@@ -117,9 +115,7 @@
 		return
 	}
 	for {
-		g.mu.Lock()
-		left := time.Until(g.abandonAt)
-		g.mu.Unlock()
+		left := mutex.Get(&g.mu, func() time.Duration { return time.Until(g.abandonAt) })
 		if left <= 0 || !sleep(g.runCtx, left) {
 			return
 		}
@@ -146,9 +142,8 @@
 
 func (r *Runner) adopt(generation core.GenerationID) (known bool, term time.Duration) {
 	term = r.config.Dispatcher.Config().Limits.AbandonGrace
-	r.mu.Lock()
-	g, known := r.running[generation]
-	r.mu.Unlock()
+	g := mutex.Get(&r.mu, func() *run { return r.running[generation] })
+	known = g != nil
 	if known {
 		g.postponeAbandon(time.Now().Add(term))
 	}
--- a/io/runs/leave.go
+++ b/io/runs/leave.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/io/wire"
 )
 
@@ -80,10 +81,9 @@
 // awaitIdle waits until no order is running. Each order ends by its deadline.
 func (o *Orders) awaitIdle() {
 	for {
-		o.mu.Lock()
-		running := o.ledger.Running()
-		changed := o.changed
-		o.mu.Unlock()
+		var running int
+		var changed chan struct{}
+		mutex.Do(&o.mu, func() { running, changed = o.ledger.Running(), o.changed })
 		if running == 0 {
 			return
 		}
@@ -99,9 +99,9 @@
 	if peer == nil {
 		return false, nil
 	}
-	o.mu.Lock()
-	data, attempt, err := o.ledger.Prepare(time.Now())
-	o.mu.Unlock()
+	var data []byte
+	var attempt uint64
+	mutex.Do(&o.mu, func() { data, attempt, err = o.ledger.Prepare(time.Now()) })
 	if err != nil {
 		return false, err
 	}
@@ -116,9 +116,7 @@
 // commit transfers the right to decide on orders to the successor, and notifies it
 // with retries until it answers or ctx ends.
 func (o *Orders) commit(ctx context.Context, peer wire.Peer, successor core.HostID, attempt uint64) (moved bool, err error) {
-	o.mu.Lock()
-	err = o.ledger.Commit(successor, attempt)
-	o.mu.Unlock()
+	err = mutex.Get(&o.mu, func() error { return o.ledger.Commit(successor, attempt) })
 	if err != nil {
 		return false, err
 	}
--- a/io/runs/orders.go
+++ b/io/runs/orders.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"apricotproxy/core"
+	"apricotproxy/core/mutex"
 	"apricotproxy/core/procs/ticket"
 	"apricotproxy/io/wire"
 )
@@ -188,11 +189,13 @@
 func (o *Orders) awaitOutcome(ctx context.Context, t ticket.Ticket, order Order) ([]byte, error) {
 	digest := ticket.DigestOf(order.Service, order.Call, order.Body)
 	for {
-		o.mu.Lock()
-		step := o.ledger.Begin(time.Now(), t, order.Workspace, digest)
-		changed := o.changed
-		long := o.longAnswers[t.ID]
-		o.mu.Unlock()
+		var step ticket.Step
+		var changed chan struct{}
+		var long []byte
+		mutex.Do(&o.mu, func() {
+			step = o.ledger.Begin(time.Now(), t, order.Workspace, digest)
+			changed, long = o.changed, o.longAnswers[t.ID]
+		})
 		switch step.Kind {
 		case ticket.StepRecorded:
 			if long != nil {
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -299,12 +299,18 @@
 	s.decider.Progress(time.Now(), request, tokens)
 }
 
+// takeRevoked returns the waiter of a request whose try was replaced, and forgets it.
+func (s *Shell) takeRevoked(request core.RequestID) (chan placeResult, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revoked, ok := s.revoked[request]
+	delete(s.revoked, request)
+	return revoked, ok
+}
+
 // Finish implements core.Dispatcher.
 func (s *Shell) Finish(placement core.Placement, result core.Result, tokens int) {
-	s.mu.Lock()
-	revoked, ok := s.revoked[placement.Request]
-	delete(s.revoked, placement.Request)
-	s.mu.Unlock()
+	revoked, ok := s.takeRevoked(placement.Request)
 	if ok {
 		_, _ = s.cancelWait(placement.Request, revoked)
 		return
