Numbers that others name are bounded where they come in

Beyond the range of a type they became 0 or negative, or differ by processor: time-outs of a configuration, Retry-After, Keep-Alive, ages in datagrams, weights, the tokens of prompts and the loads that hosts tell each other.

Change: core.Seconds and core.Milliseconds saturate at ten years; weights, sizes, loads and counts of tokens have bounds far beyond what can be meant.

--- a/core/versn/table/table.go
+++ b/core/versn/table/table.go
@@ -149,14 +149,25 @@
 	}
 	total := 0.0
 	for _, s := range route.Services {
-		total += max(s.Weight, 0)
+		total += share(s)
 	}
 	left := drawn * total
 	for _, s := range route.Services {
-		left -= max(s.Weight, 0)
+		left -= share(s)
 		if left < 0 {
 			return s.Service
 		}
 	}
 	return route.Services[len(route.Services)-1].Service
 }
+
+// _maxWeight is beyond any weight that is meant, and keeps the sum of all weights finite.
+const _maxWeight = 1 << 30
+
+// share returns a service's weight; 0 if it is negative or not a number.
+func share(s core.WeightedService) float64 {
+	if !(s.Weight > 0) {
+		return 0
+	}
+	return min(s.Weight, _maxWeight)
+}
--- a/core/versn/table/table_test.go
+++ b/core/versn/table/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 
 	"apricotproxy/core"
@@ -79,3 +80,17 @@
 		t.Error("found a workspace for the unknown key k4")
 	}
 }
+
+// A weight that cannot be meant left a route's requests to one of its services, or to none that was named.
+func TestPickWithWeightsThatCannotBeMeant(t *testing.T) {
+	for name, weight := range map[string]float64{"infinite": math.Inf(1), "not a number": math.NaN(), "huge": math.MaxFloat64, "negative": -1} {
+		r := &core.Route{Services: []core.WeightedService{{Service: "odd", Weight: weight}, {Service: "a", Weight: 1 << 30}, {Service: "last"}}}
+		picked := make(map[core.ServiceName]int)
+		for i := range 100 {
+			picked[table.Pick(r, float64(i)/100)]++
+		}
+		if picked["a"] < 40 || picked["last"] > 0 {
+			t.Errorf("%s: picked %v, want the service with a weight at least every second time and none without one", name, picked)
+		}
+	}
+}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -397,7 +397,7 @@
 	if err != nil || seconds < 0 {
 		return time.Time{}
 	}
-	return now.Add(time.Duration(seconds) * time.Second)
+	return now.Add(core.Seconds(float64(seconds)))
 }
 
 func readAll(body io.ReadCloser, limit int64) (data []byte, err error) {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -246,19 +246,29 @@
 	names := f.config.Names
 	var p core.Prompt
 	tokens, output, _ := strings.Cut(r.Header.Get(names.Tokens), ",")
-	p.Tokens, _ = strconv.Atoi(strings.TrimSpace(tokens))
-	p.MaxOutput, _ = strconv.Atoi(strings.TrimSpace(output))
-	p.Expected, _ = strconv.Atoi(strings.TrimSpace(r.Header.Get(names.ExpectedTokens)))
+	p.Tokens, p.MaxOutput, p.Expected = tokenCount(tokens), tokenCount(output), tokenCount(r.Header.Get(names.ExpectedTokens))
 	for part := range strings.SplitSeq(r.Header.Get(names.Parts), ",") {
 		id, size, ok := strings.Cut(strings.TrimSpace(part), ":")
 		n, err := strconv.Atoi(size)
 		if ok && err == nil {
-			p.Parts = append(p.Parts, core.PromptPart{ID: id, Tokens: n})
+			p.Parts = append(p.Parts, core.PromptPart{ID: id, Tokens: min(max(n, 0), _maxTokens)})
 		}
 	}
 	return p
 }
 
+// _maxTokens is more than any engine holds, and far below what overflows when the tokens of all requests are added.
+const _maxTokens = 1 << 32
+
+// tokenCount parses a number of tokens; 0 if it cannot be parsed or is negative. One beyond _maxTokens counts as that.
+func tokenCount(text string) int {
+	n, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0
+	}
+	return min(max(n, 0), _maxTokens)
+}
+
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
--- a/io/links/links.go
+++ b/io/links/links.go
@@ -623,7 +623,7 @@
 		if err != nil {
 			continue
 		}
-		return time.Duration(n) * time.Second * 3 / 4
+		return core.Seconds(float64(n)) * 3 / 4
 	}
 	return _defaultIdleTimeout
 }
--- a/io/news/origin.go
+++ b/io/news/origin.go
@@ -93,16 +93,16 @@
 	}
 	for _, r := range w.Records {
 		o.Records = append(o.Records, origin.Record{
-			Request: r.Request, Origin: origin.Origin{Service: core.ServiceName(r.Service), Build: core.BuildName(r.Build)}, Until: now.Add(milliseconds(r.LeftMs)),
+			Request: r.Request, Origin: origin.Origin{Service: core.ServiceName(r.Service), Build: core.BuildName(r.Build)}, Until: now.Add(core.Milliseconds(r.LeftMs)),
 		})
 	}
 	if !w.HasSpan {
 		return o
 	}
-	o.Span.Since = now.Add(-milliseconds(max(w.SpanMs, 0)))
+	o.Span.Since = now.Add(-core.Milliseconds(max(w.SpanMs, 0)))
 	for _, b := range w.Builds {
 		o.Span.Builds = append(o.Span.Builds, origin.InService{
-			Origin: origin.Origin{Service: core.ServiceName(b.Service), Build: core.BuildName(b.Build)}, LastSeen: now.Add(-milliseconds(max(b.AgeMs, 0))),
+			Origin: origin.Origin{Service: core.ServiceName(b.Service), Build: core.BuildName(b.Build)}, LastSeen: now.Add(-core.Milliseconds(max(b.AgeMs, 0))),
 		})
 	}
 	return o
--- a/io/news/wire.go
+++ b/io/news/wire.go
@@ -187,13 +187,13 @@
 func (w *wireMessage) poison(now time.Time) poison.Report {
 	var r poison.Report
 	for _, l := range w.Losses {
-		r.Losses = append(r.Losses, poison.Loss{Endpoint: l.Endpoint, Request: l.Request, Parts: l.Parts, At: now.Add(-milliseconds(l.AgeMs))})
+		r.Losses = append(r.Losses, poison.Loss{Endpoint: l.Endpoint, Request: l.Request, Parts: l.Parts, At: now.Add(-core.Milliseconds(l.AgeMs))})
 	}
 	for _, s := range w.Successes {
-		r.Successes = append(r.Successes, poison.Success{Part: s.Part, At: now.Add(-milliseconds(s.AgeMs))})
+		r.Successes = append(r.Successes, poison.Success{Part: s.Part, At: now.Add(-core.Milliseconds(s.AgeMs))})
 	}
 	for _, b := range w.Blocks {
-		r.Blocks = append(r.Blocks, poison.Block{Parts: b.Parts, Since: now.Add(-milliseconds(b.AgeMs)), Until: now.Add(milliseconds(b.LeftMs))})
+		r.Blocks = append(r.Blocks, poison.Block{Parts: b.Parts, Since: now.Add(-core.Milliseconds(b.AgeMs)), Until: now.Add(core.Milliseconds(b.LeftMs))})
 	}
 	return r
 }
@@ -221,7 +221,7 @@
 			continue
 		}
 		r.Limits = append(r.Limits, place.EndpointRateLimit{
-			Key: keyFromWire(l.Endpoint), RateLimit: place.RateLimit{PerSecond: l.PerSecond, IsNamed: l.IsNamed, SaidAt: now.Add(-milliseconds(l.AgeMs))},
+			Key: keyFromWire(l.Endpoint), RateLimit: place.RateLimit{PerSecond: l.PerSecond, IsNamed: l.IsNamed, SaidAt: now.Add(-core.Milliseconds(l.AgeMs))},
 		})
 	}
 	return r
@@ -246,7 +246,7 @@
 			continue
 		}
 		b.Endpoints = append(b.Endpoints, place.EndpointBrittleness{
-			Key: keyFromWire(e.Endpoint), Brittleness: place.Brittleness{Refusals: e.Refusals, IsNamed: e.IsNamed, SaidAt: now.Add(-milliseconds(e.AgeMs))},
+			Key: keyFromWire(e.Endpoint), Brittleness: place.Brittleness{Refusals: e.Refusals, IsNamed: e.IsNamed, SaidAt: now.Add(-core.Milliseconds(e.AgeMs))},
 		})
 	}
 	return b
@@ -271,12 +271,12 @@
 }
 
 func requestsFromWire(w *wireRequests, now time.Time) *Requests {
-	at := func(ageMs int64) time.Time { return now.Add(-milliseconds(max(ageMs, 0))) }
+	at := func(ageMs int64) time.Time { return now.Add(-core.Milliseconds(max(ageMs, 0))) }
 	r := &Requests{Host: core.HostName(w.Host), DataCentre: core.DataCentreName(w.DataCentre)}
 	for _, l := range w.Losses {
 		lostAt := at(l.AgeMs)
 		r.Report.Losses = append(r.Report.Losses, poison.RequestLoss{
-			Request: l.Request, Endpoint: keyFromWire(l.Endpoint), Parts: l.Parts, SentAt: lostAt.Add(-milliseconds(max(l.RunMs, 0))), At: lostAt,
+			Request: l.Request, Endpoint: keyFromWire(l.Endpoint), Parts: l.Parts, SentAt: lostAt.Add(-core.Milliseconds(max(l.RunMs, 0))), At: lostAt,
 		})
 	}
 	for _, s := range w.Answers {
@@ -299,8 +299,6 @@
 	return core.EndpointKey{ID: w.ID, Born: time.UnixMilli(w.BornMs).UTC()}
 }
 
-func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-
 func loadsToWire(loads map[string]place.Load) []wireLoad {
 	var wire []wireLoad
 	for id, l := range loads {
@@ -312,10 +310,15 @@
 	return wire[:min(len(wire), _maxLoads)]
 }
 
+// _maxLoad keeps sums over the loads of all hosts far from the limits of an int.
+const _maxLoad = 1 << 48
+
+func boundedLoad(n int) int { return min(max(n, 0), _maxLoad) }
+
 func loadsFromWire(wire []wireLoad) map[string]place.Load {
 	loads := make(map[string]place.Load, len(wire))
 	for _, l := range wire {
-		loads[l.Endpoint] = place.Load{Runs: l.Runs, Tokens: l.Tokens, Prefill: l.Prefill}
+		loads[l.Endpoint] = place.Load{Runs: boundedLoad(l.Runs), Tokens: boundedLoad(l.Tokens), Prefill: boundedLoad(l.Prefill)}
 	}
 	return loads
 }
--- a/io/platf/platf.go
+++ b/io/platf/platf.go
@@ -254,7 +254,7 @@
 	if err != nil || seconds < 0 {
 		return time.Time{}
 	}
-	return time.Now().Add(time.Duration(seconds) * time.Second)
+	return time.Now().Add(core.Seconds(float64(seconds)))
 }
 
 // awaitBackoff waits until the back-off after the last failure is over.
