Parts of prompts count whatever the length of their IDs

Cause: parts with IDs over 32 bytes, and those after 128 bytes of IDs in a prompt, were left out of losses in silence, so that a report fits into a datagram.

Change: parts are known by keys, a digest for an ID over 32 bytes; all parts of a prompt count, up to 16 KiB of keys, and further ones are logged and counted. Reports are split over datagrams, and losses that come in pieces are joined. Memory is bounded by bytes, and the search compares parts that were lost with the same engines once.

TestLargestReportFits checked the length of one datagram, which could only be kept by leaving parts out. It now checks the length of each datagram, and that all parts of all losses and the blocks arrive.

--- a/core/procs/poison/parts.go
+++ b/core/procs/poison/parts.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"apricotproxy/core"
 )
 
@@ -27,6 +29,10 @@
 	// _minSuspectEnds is the number of ends from which on a part matters: as a suspect, or as one
 	// that is lost nearly as often as a suspect.
 	_minSuspectEnds = 3
+	// _maxCandidates bounds the sets of parts that are compared in a search, those that were lost most often.
+	_maxCandidates = 64
+	// _maxReportedParts bounds the parts in a report that were in prompts which were answered.
+	_maxReportedParts = 1024
 	// _partsInterval is the least time between two searches for parts. With hundreds of hosts, reports
 	// arrive more often than a search is worth its time.
 	_partsInterval = 100 * time.Millisecond
@@ -43,7 +49,7 @@
 // RecordPartSuccess records a whole answer to a prompt with the parts.
 func (d *CrashDetector) RecordPartSuccess(now time.Time, origin Origin, parts []string) {
 	changed := false
-	for _, part := range boundedParts(parts) {
+	for _, part := range knownKeys(parts) {
 		changed = d.addPartSuccess(now, origin, Success{Part: part, At: now}) || changed
 	}
 	d.arePartsOutdated = d.arePartsOutdated || changed
@@ -72,7 +78,8 @@
 }
 
 func (d *CrashDetector) addPartSuccess(now time.Time, origin Origin, success Success) bool {
-	if len(success.Part) > _maxIDBytes || !success.At.After(d.lastWhole(success.Part).at) {
+	success.Part = keyOf(success.Part)
+	if !success.At.After(d.lastWhole(success.Part).at) {
 		return false
 	}
 	if len(d.whole) >= _maxGood/2 {
@@ -101,7 +108,7 @@
 	}
 	var successes []Success
 	for _, part := range slices.Sorted(maps.Keys(parts)) {
-		if s := d.lastWhole(part); s.isReported(now, toOther) && len(successes) < _maxReported {
+		if s := d.lastWhole(part); s.isReported(now, toOther) && len(successes) < _maxReportedParts {
 			successes = append(successes, Success{Part: part, At: s.at})
 		}
 	}
@@ -116,6 +123,8 @@
 	requests map[core.EndpointKey]Digest
 	lost     int
 	runs     []lostRun
+	// others are the parts that were lost with the same endpoints.
+	others []string
 }
 
 // findBlockedParts returns the parts that crash endpoints, from the losses of all requests. All
@@ -125,7 +134,7 @@
 // blocked.
 func (d *CrashDetector) findBlockedParts(now time.Time) []partBlock {
 	ends, suspects := d.suspectedParts()
-	var candidates []*partSuspect
+	candidates := make([]*partSuspect, 0, len(suspects))
 	for _, s := range suspects {
 		if len(s.ends) < _minSuspectEnds {
 			continue
@@ -138,18 +147,15 @@
 	slices.SortFunc(candidates, func(a, b *partSuspect) int {
 		return cmp.Or(len(b.runs)-len(a.runs), a.lost-b.lost, strings.Compare(a.part, b.part))
 	})
+	candidates = joinSameEnds(candidates)
+	candidates = candidates[:min(len(candidates), _maxCandidates)]
 	explained := make(map[core.EndpointKey]bool)
 	var blocks []partBlock
-	for i, s := range candidates {
+	for _, s := range candidates {
 		if !s.maySuffice(now) || len(successiveRuns(s.ends, explained)) < s.needed(candidates, explained) {
 			continue
 		}
-		block := partBlock{parts: []string{s.part}, latest: s.runs[len(s.runs)-1].at, evidence: s.evidence()}
-		for _, other := range candidates[i+1:] {
-			if s.sameEnds(other) {
-				block.parts = append(block.parts, other.part)
-			}
-		}
+		block := partBlock{parts: slices.Sorted(slices.Values(append(s.others, s.part))), latest: s.runs[len(s.runs)-1].at, evidence: s.evidence()}
 		for endpoint := range s.ends {
 			explained[endpoint] = true
 		}
@@ -158,10 +164,36 @@
 	return blocks
 }
 
+// joinSameEnds joins the suspects that were lost with the same endpoints to the first of them. Prompts may have a thousand parts in
+// common.
+func joinSameEnds(suspects []*partSuspect) []*partSuspect {
+	bySum := make(map[uint64][]*partSuspect)
+	var joined []*partSuspect
+	for _, s := range suspects {
+		sum := s.sumOfEnds()
+		if i := slices.IndexFunc(bySum[sum], s.sameEnds); i >= 0 {
+			first := bySum[sum][i]
+			first.others = append(first.others, s.part)
+			continue
+		}
+		bySum[sum] = append(bySum[sum], s)
+		joined = append(joined, s)
+	}
+	return joined
+}
+
 func (s *partSuspect) sameEnds(other *partSuspect) bool {
 	return maps.EqualFunc(s.ends, other.ends, func(a, b observation) bool { return a.at.Equal(b.at) })
 }
 
+// sumOfEnds returns a number that is the same for suspects with the same ends.
+func (s *partSuspect) sumOfEnds() (sum uint64) {
+	for endpoint, loss := range s.ends {
+		sum += xxhash.Sum64String(endpoint.ID) ^ uint64(loss.at.UnixNano())
+	}
+	return sum
+}
+
 // needed returns at how many moments the part must have been lost: more than other parts were until
 // its latest loss at ends that it does not explain. Later ends say nothing of a part that is
 // blocked by then.
@@ -184,13 +216,14 @@
 // suspectedParts returns when endpoints ended, and the parts with losses since their last whole answer.
 func (d *CrashDetector) suspectedParts() (ends map[core.EndpointKey]time.Time, suspects map[string]*partSuspect) {
 	ends, suspects = make(map[core.EndpointKey]time.Time), make(map[string]*partSuspect)
+	counts := d.countLosses()
 	for request, losses := range d.losses {
 		for endpoint, loss := range losses {
 			if at, ok := ends[endpoint]; !ok || loss.at.Before(at) {
 				ends[endpoint] = loss.at
 			}
 			for _, part := range loss.parts {
-				if !loss.at.After(d.lastWhole(part).at) {
+				if counts[part] < _minSuspectEnds || !loss.at.After(d.lastWhole(part).at) {
 					continue
 				}
 				s := suspects[part]
@@ -208,6 +241,19 @@
 	return ends, suspects
 }
 
+// countLosses returns the number of losses of each part.
+func (d *CrashDetector) countLosses() map[string]int {
+	counts := make(map[string]int)
+	for _, losses := range d.losses {
+		for _, loss := range losses {
+			for _, part := range loss.parts {
+				counts[part]++
+			}
+		}
+	}
+	return counts
+}
+
 // keepEvidence drops the ends at which many endpoints without the part ended too.
 func (s *partSuspect) keepEvidence(ends map[core.EndpointKey]time.Time) {
 	dropped := make(map[core.EndpointKey]bool)
--- a/core/procs/poison/parts_test.go
+++ b/core/procs/poison/parts_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"container/heap"
+	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,6 +30,8 @@
 	// _simMaxRefused is the share of the sound requests of all histories of a test that wrong blocks may
 	// refuse: one in a thousand.
 	_simMaxRefused = 0.001
+	// _simReportBytes is how much of a report is sent at once.
+	_simReportBytes = 8 << 10
 )
 
 // simEvent is what happens at a time. Events at the same time happen in the order in which they were
@@ -78,6 +82,8 @@
 	engines []*simEngine
 	hosts   []*poison.CrashDetector
 	started int
+	// prompt returns the IDs of a prompt's parts from names of them. They are the names if it is nil.
+	prompt func(names []string) []string
 	// crashes and late count those of the part that crashes engines, sound and refused the other requests.
 	crashes, late  int
 	contained      time.Time
@@ -138,6 +144,10 @@
 	if isDeadly {
 		parts[1] = "deadly"
 	}
+	if s.prompt != nil {
+		parts = s.prompt(parts)
+	}
+	parts, _ = poison.Keys(parts)
 	host := s.random.IntN(_simHosts)
 	_, blocked := s.hosts[host].PartsBlocked(s.now, parts)
 	s.sound += btoi(!isDeadly)
@@ -191,7 +201,11 @@
 	r := s.hosts[host].Report(s.now, false)
 	for other := range s.hosts {
 		if other != host && s.random.Float64() >= _simLostShare {
-			s.after(2*time.Millisecond, func() { s.hosts[other].Merge(s.now, poison.SameDataCentre, &r) })
+			s.after(2*time.Millisecond, func() {
+				for _, datagram := range r.Split(_simReportBytes) {
+					s.hosts[other].Merge(s.now, poison.SameDataCentre, &datagram)
+				}
+			})
 		}
 	}
 	s.after(_simInterval, func() { s.report(host) })
@@ -253,7 +267,7 @@
 	for name, faults := range _simFaults {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			total.play(t, faults, 0)
+			total.play(t, faults, 0, nil)
 		})
 	}
 }
@@ -266,7 +280,47 @@
 		for _, pause := range []time.Duration{100 * time.Millisecond, 600 * time.Millisecond, 2 * time.Second} {
 			t.Run(fmt.Sprint(name, ", each ", pause), func(t *testing.T) {
 				t.Parallel()
-				total.play(t, faults, pause)
+				total.play(t, faults, pause, nil)
+			})
+		}
+	}
+}
+
+// idOf returns an ID of a number of hexadecimal digits, at most 64, for a name.
+func idOf(name string, digits int) string {
+	return fmt.Sprintf("%x", sha256.Sum256([]byte(name)))[:digits]
+}
+
+// longPrompt returns a function for prompts of a number of parts. All but the last one of them belong to the first name.
+func longPrompt(count, digits int) func(names []string) []string {
+	return func(names []string) []string {
+		var ids []string
+		for i := range count - 1 {
+			ids = append(ids, idOf(fmt.Sprint(names[0], i), digits))
+		}
+		return append(ids, idOf(names[1], digits))
+	}
+}
+
+// A part that crashes engines was never found if its ID, or those of the parts before it in all, were too long.
+func TestPartThatCrashesEnginesIsContainedWhateverItsPromptHolds(t *testing.T) {
+	var total simTotal
+	t.Cleanup(func() { total.check(t) })
+	for name, prompt := range map[string]func(names []string) []string{
+		"two parts of 64 digits":   longPrompt(2, 64),
+		"three parts of 64 digits": longPrompt(3, 64),
+		"nine parts of 16 digits":  longPrompt(9, 16),
+		"17 parts of 8 digits":     longPrompt(17, 8),
+		"100 parts of 64 digits":   longPrompt(100, 64),
+		"200 parts of 8 digits":    longPrompt(200, 8),
+		"IDs that begin alike": func(names []string) []string {
+			return []string{strings.Repeat("0", 200) + names[0], strings.Repeat("0", 200) + names[1]}
+		},
+	} {
+		for _, faults := range []string{"none", "by chance"} {
+			t.Run(fmt.Sprint(name, ", ends ", faults), func(t *testing.T) {
+				t.Parallel()
+				total.play(t, _simFaults[faults], 600*time.Millisecond, prompt)
 			})
 		}
 	}
@@ -283,11 +337,12 @@
 }
 
 // play plays simSeeds histories.
-func (total *simTotal) play(t *testing.T, faults func(*simulation), deadlyPause time.Duration) {
+func (total *simTotal) play(t *testing.T, faults func(*simulation), deadlyPause time.Duration, prompt func(names []string) []string) {
 	t.Helper()
 	worst, crashes, sound, refused := 0, 0, 0, 0
 	for seed := range simSeeds() {
 		s := newSimulation(seed)
+		s.prompt = prompt
 		s.execute(faults, deadlyPause)
 		worst, crashes = max(worst, s.late), crashes+s.crashes
 		sound, refused = sound+s.sound, refused+s.refused
--- a/core/procs/poison/poison.go
+++ b/core/procs/poison/poison.go
@@ -12,7 +12,6 @@
 package poison
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -38,14 +37,12 @@
 	// of it: some heartbeats, since a datagram may get lost.
 	_announceTime = 2 * time.Second
 	// The most that is kept of each.
-	_maxLosses = 64
-	_maxBlocks = 16
-	_maxGood   = 4096
-	// Callers choose the IDs of parts, and a report must fit into a datagram: the most
-	// losses in a report, the longest ID and the most bytes of one loss's IDs.
+	_maxLosses    = 64
+	_maxLossBytes = 1 << 20 // of the losses' parts
+	_maxBlocks    = 16
+	_maxGood      = 1 << 15
+	// _maxReportedLosses is the most losses in a report.
 	_maxReportedLosses = 16
-	_maxIDBytes        = 32
-	_maxPartsBytes     = 128
 )
 
 // Loss is the loss of an endpoint that had begun to answer a request.
@@ -54,7 +51,7 @@
 	Endpoint string
 	// Request tells different requests apart. A request that is sent again keeps it.
 	Request string
-	// Parts are the request's parts that other requests may share.
+	// Parts are the keys of the request's parts that other requests may share.
 	Parts []string
 	At    time.Time
 }
@@ -102,24 +99,49 @@
 // New returns a detector that knows nothing.
 func New() *Detector { return &Detector{good: make(map[string]time.Time)} }
 
-// RecordLoss records a loss. It reports whether it was not known.
+// RecordLoss records a loss, or further parts of one that is known. It reports whether anything was not known.
 func (d *Detector) RecordLoss(now time.Time, loss Loss) bool {
-	loss.Request = loss.Request[:min(len(loss.Request), _maxIDBytes)]
-	loss.Parts = boundedParts(loss.Parts)
-	isKnown := func(k knownLoss) bool { return k.Endpoint == loss.Endpoint && k.Request == loss.Request }
-	if len(loss.Parts) == 0 || now.Sub(loss.At) > _lifetime || slices.ContainsFunc(d.losses, isKnown) {
+	loss.Request = keyOf(loss.Request)
+	loss.Parts = knownKeys(loss.Parts)
+	if len(loss.Parts) == 0 || now.Sub(loss.At) > _lifetime {
 		return false
 	}
-	d.losses = append(d.losses, knownLoss{Loss: loss, learnedAt: now})
-	d.losses = d.losses[max(len(d.losses)-_maxLosses, 0):]
+	i := slices.IndexFunc(d.losses, func(k knownLoss) bool { return k.Endpoint == loss.Endpoint && k.Request == loss.Request })
+	if i < 0 {
+		d.losses = append(d.losses, knownLoss{Loss: loss, learnedAt: now})
+	} else if !d.losses[i].addParts(loss.Parts) {
+		return false
+	}
+	d.losses = d.losses[d.countOutdated():]
 	d.pending = true
 	return true
 }
 
+// addParts reports whether any of the parts was not known.
+func (l *knownLoss) addParts(parts []string) bool {
+	all := knownKeys(union(l.Parts, parts))
+	if len(all) == len(l.Parts) {
+		return false
+	}
+	l.Parts = all
+	return true
+}
+
+// countOutdated returns how many of the first losses are dropped, since there are too many.
+func (d *Detector) countOutdated() int {
+	first, bytes := max(len(d.losses)-_maxLosses, 0), 0
+	for i, loss := range slices.Backward(d.losses) {
+		if bytes += bytesOf(loss.Parts); bytes > _maxLossBytes {
+			return max(first, i+1)
+		}
+	}
+	return first
+}
+
 // RecordSuccess records that an answer to a prompt with the parts went on after its first
 // event.
 func (d *Detector) RecordSuccess(at time.Time, parts []string) {
-	for _, part := range parts {
+	for _, part := range knownKeys(parts) {
 		if !at.After(d.lastSuccess(part)) {
 			continue
 		}
@@ -183,7 +205,7 @@
 }
 
 func (d *Detector) addBlock(now time.Time, b Block) bool {
-	b.Parts = boundedParts(b.Parts)
+	b.Parts = knownKeys(b.Parts)
 	if len(b.Parts) == 0 || !now.Before(b.Until) || slices.ContainsFunc(d.blocks, func(k Block) bool { return containsAll(b.Parts, k.Parts) }) {
 		return false
 	}
@@ -216,8 +238,9 @@
 	var found Block
 	most := 0
 	d.pending = false
-	for _, part := range d.suspects() {
-		losses := d.evidence(part)
+	lost := d.indexLosses()
+	for _, part := range slices.Sorted(maps.Keys(lost)) {
+		losses := d.evidence(part, lost[part])
 		endpoints := countDistinct(losses, func(l Loss) string { return l.Endpoint })
 		requests := countDistinct(losses, func(l Loss) string { return l.Request })
 		if endpoints < d.needed(now, part) || requests < _minRequests || endpoints <= most {
@@ -247,33 +270,45 @@
 	return !at.IsZero() && now.Sub(at) < _recentSuccessTime
 }
 
-// suspects returns all parts with losses, in a fixed order.
-func (d *Detector) suspects() []string {
-	parts := make(map[string]bool)
+// partLoss is a loss of a part, and the blocks that explain it.
+type partLoss struct {
+	Loss
+
+	explainedBy []Block
+}
+
+// indexLosses returns the losses of each part with as many as a block needs.
+func (d *Detector) indexLosses() map[string][]*partLoss {
+	lost := make(map[string][]*partLoss)
 	for _, loss := range d.losses {
+		l := &partLoss{Loss: loss.Loss}
+		for _, b := range d.blocks {
+			if containsAll(loss.Parts, b.Parts) {
+				l.explainedBy = append(l.explainedBy, b)
+			}
+		}
 		for _, part := range loss.Parts {
-			parts[part] = true
+			lost[part] = append(lost[part], l)
 		}
 	}
-	return slices.Sorted(maps.Keys(parts))
+	maps.DeleteFunc(lost, func(_ string, losses []*partLoss) bool { return len(losses) < _minEndpoints })
+	return lost
 }
 
 // evidence returns the losses of a part since its last success, if there are any that no
 // block explains. Losses that other parts explain are left out; those that a block of
 // several parts explains still count for each of these parts.
-func (d *Detector) evidence(part string) []Loss {
+func (d *Detector) evidence(part string, lost []*partLoss) []Loss {
 	var losses []Loss
 	hasUnexplained := false
-	for _, loss := range d.losses {
-		if !slices.Contains(loss.Parts, part) || !loss.At.After(d.lastSuccess(part)) {
+	for _, loss := range lost {
+		if !loss.At.After(d.lastSuccess(part)) {
 			continue
 		}
 		isExplained, byOthers := false, false
-		for _, b := range d.blocks {
-			if containsAll(loss.Parts, b.Parts) {
-				isExplained = true
-				byOthers = byOthers || len(b.Parts) == 1 || !slices.Contains(b.Parts, part)
-			}
+		for _, b := range loss.explainedBy {
+			isExplained = true
+			byOthers = byOthers || len(b.Parts) == 1 || !slices.Contains(b.Parts, part)
 		}
 		if !byOthers {
 			losses = append(losses, loss.Loss)
@@ -290,35 +325,44 @@
 // recent success.
 func (d *Detector) commonParts(now time.Time, part string, losses []Loss) []string {
 	common := slices.Clone(losses[0].Parts)
-	common = slices.DeleteFunc(common, func(other string) bool {
-		inAll := !slices.ContainsFunc(losses, func(l Loss) bool { return !slices.Contains(l.Parts, other) })
+	return slices.DeleteFunc(common, func(other string) bool {
+		inAll := !slices.ContainsFunc(losses, func(l Loss) bool { return !l.contains(other) })
 		return other != part && (!inAll || d.recentlyGood(now, other))
 	})
-	slices.Sort(common)
-	return slices.Compact(common)
 }
 
-// Report returns what other hosts are told: all blocks, the losses that this host learned
+func (l *Loss) contains(part string) bool {
+	_, found := slices.BinarySearch(l.Parts, part)
+	return found
+}
+
+// Report returns what other hosts are told: all blocks but the largest, the losses that this host learned
 // of lately or, for a host that has just started, all of them, and the successes of the
 // parts concerned.
 func (d *Detector) Report(now time.Time, all bool) Report {
 	var r Report
-	parts := make(map[string]bool)
-	for _, loss := range d.losses[max(len(d.losses)-_maxReportedLosses, 0):] {
-		if all || now.Sub(loss.learnedAt) < _announceTime {
+	for _, loss := range slices.Backward(d.losses) {
+		if len(r.Losses) < _maxReportedLosses && (all || now.Sub(loss.learnedAt) < _announceTime) {
 			r.Losses = append(r.Losses, loss.Loss)
-			for _, part := range loss.Parts {
-				parts[part] = true
-			}
 		}
 	}
-	r.Blocks = slices.Clone(d.blocks)
-	for part := range parts {
+	r.Losses = withinBytes(r.Losses, _maxReportBytes, func(l Loss) []string { return l.Parts })
+	slices.Reverse(r.Losses)
+	for _, b := range d.blocks {
+		if encodedBytes(b.Parts) <= _maxBlockBytes {
+			r.Blocks = append(r.Blocks, b)
+		}
+	}
+	var parts []string
+	for _, loss := range r.Losses {
+		parts = append(parts, loss.Parts...)
+	}
+	slices.Sort(parts)
+	for _, part := range slices.Compact(parts) {
 		if d.recentlyGood(now, part) {
 			r.Successes = append(r.Successes, Success{Part: part, At: d.lastSuccess(part)})
 		}
 	}
-	slices.SortFunc(r.Successes, func(a, b Success) int { return cmp.Compare(a.Part, b.Part) })
 	return r
 }
 
@@ -328,23 +372,6 @@
 // String lists the parts of a block, for logs.
 func (b Block) String() string { return strings.Join(b.Parts, "+") }
 
-// boundedParts returns the parts whose IDs are not too long, as many as may be reported.
-func boundedParts(parts []string) []string {
-	var bounded []string
-	left := _maxPartsBytes
-	for _, part := range parts {
-		if len(part) <= min(left, _maxIDBytes) {
-			bounded = append(bounded, part)
-			left -= len(part)
-		}
-	}
-	return bounded
-}
-
-func containsAll(parts, wanted []string) bool {
-	return !slices.ContainsFunc(wanted, func(part string) bool { return !slices.Contains(parts, part) })
-}
-
 func countDistinct(losses []Loss, key func(Loss) string) int {
 	seen := make(map[string]bool, len(losses))
 	for _, loss := range losses {
--- a/core/procs/poison/request.go
+++ b/core/procs/poison/request.go
@@ -23,8 +23,9 @@
 	// answer. Callers are told to come back after it.
 	_unconfirmedTime = time.Second
 	// The most that is kept of each.
-	_maxRequestLosses = 1024
-	_maxAnswers       = 1024
+	_maxRequestLosses      = 1024
+	_maxRequestLossesBytes = 4 << 20 // of the losses' parts
+	_maxAnswers            = 1024
 	// _maxReported bounds each list of a report, which must fit into a datagram.
 	_maxReported = 64
 	// _relayTime is how long this host passes on what it learned from another data centre: a
@@ -36,7 +37,7 @@
 type RequestLoss struct {
 	Request  Digest
 	Endpoint core.EndpointKey
-	// Parts are the parts of the request's prompt that other requests may share.
+	// Parts are the keys of the parts of the request's prompt that other requests may share.
 	Parts []string
 	// SentAt is when the request was sent there, At when its connection ended.
 	SentAt time.Time
@@ -111,6 +112,8 @@
 	losses     map[Digest]map[core.EndpointKey]observation
 	count      int
 	byEndpoint map[core.EndpointKey]int
+	// partBytes is about the memory that the losses' parts take.
+	partBytes int
 	// answers and successes hold the latest of those that dropped losses, so that reports of
 	// these losses are recognised as outdated.
 	answers   map[core.EndpointKey]observation
@@ -145,7 +148,10 @@
 }
 
 func (d *CrashDetector) addLoss(now time.Time, origin Origin, loss RequestLoss) bool {
-	if _, known := d.losses[loss.Request][loss.Endpoint]; known || now.Sub(loss.At) > _lifetime {
+	if known, ok := d.losses[loss.Request][loss.Endpoint]; ok {
+		return d.addParts(loss, known)
+	}
+	if now.Sub(loss.At) > _lifetime {
 		return false
 	}
 	if d.answers[loss.Endpoint].at.After(loss.At.Add(_answerDelay)) || !loss.At.After(d.successes[loss.Request].at) {
@@ -154,18 +160,40 @@
 	if d.losses[loss.Request] == nil {
 		d.losses[loss.Request] = make(map[core.EndpointKey]observation)
 	}
-	d.losses[loss.Request][loss.Endpoint] = observation{at: loss.At, learnedAt: now, origin: origin, sentAt: loss.SentAt, parts: boundedParts(loss.Parts)}
+	parts := knownKeys(loss.Parts)
+	d.losses[loss.Request][loss.Endpoint] = observation{at: loss.At, learnedAt: now, origin: origin, sentAt: loss.SentAt, parts: parts}
 	d.count++
 	d.byEndpoint[loss.Endpoint]++
-	if d.count > _maxRequestLosses {
-		d.dropLeastEvidence()
+	d.partBytes += bytesOf(parts)
+	d.dropExcess()
+	return true
+}
+
+// addParts adds further parts to a known loss, since a report of many parts comes in several datagrams. It reports whether any was
+// not known.
+func (d *CrashDetector) addParts(loss RequestLoss, known observation) bool {
+	parts := knownKeys(union(known.parts, knownKeys(loss.Parts)))
+	if len(parts) == len(known.parts) {
+		return false
 	}
+	d.partBytes += bytesOf(parts) - bytesOf(known.parts)
+	known.parts = parts
+	d.losses[loss.Request][loss.Endpoint] = known
+	d.dropExcess()
 	return true
 }
 
+// dropExcess drops losses while they are too many.
+func (d *CrashDetector) dropExcess() {
+	for d.count > _maxRequestLosses || d.partBytes > _maxRequestLossesBytes {
+		d.dropLeastEvidence()
+	}
+}
+
 // dropLoss drops one loss.
 func (d *CrashDetector) dropLoss(request Digest, endpoint core.EndpointKey) {
 	d.count--
+	d.partBytes -= bytesOf(d.losses[request][endpoint].parts)
 	if d.byEndpoint[endpoint]--; d.byEndpoint[endpoint] == 0 {
 		delete(d.byEndpoint, endpoint)
 	}
@@ -389,6 +417,7 @@
 		return cmp.Or(len(d.losses[b.Request])-len(d.losses[a.Request]), b.At.Compare(a.At), bytes.Compare(a.Request[:], b.Request[:]))
 	})
 	r.Losses = r.Losses[:min(len(r.Losses), _maxReported)]
+	r.Losses = withinBytes(r.Losses, _maxReportBytes, func(l RequestLoss) []string { return l.Parts })
 	for endpoint, answer := range d.answers {
 		if answer.isReported(now, toOther) && len(r.Answers) < _maxReported {
 			r.Answers = append(r.Answers, EndpointAnswer{Endpoint: endpoint, At: answer.at})
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -216,8 +216,8 @@
 	if report.IsEmpty() {
 		return
 	}
-	datagram, err := news.EncodeRequests(&news.Requests{Host: p.self.Host, DataCentre: p.self.DataCentre, Report: report}, now)
-	p.sendTo(datagram, err, targets)
+	datagrams, err := news.EncodeRequests(&news.Requests{Host: p.self.Host, DataCentre: p.self.DataCentre, Report: report}, now)
+	p.sendAllTo(datagrams, err, targets)
 }
 
 // receiveRateLimits records rate limits that endpoints named to other hosts, and has changes
@@ -498,8 +498,18 @@
 }
 
 func (p *peers) sendMessage(message *news.Message, targets []string) {
-	datagram, err := news.Encode(message, time.Now())
-	p.sendTo(datagram, err, targets)
+	datagrams, err := news.Encode(message, time.Now())
+	p.sendAllTo(datagrams, err, targets)
+}
+
+// sendAllTo sends datagrams to all targets, or logs err if their encoding failed.
+func (p *peers) sendAllTo(datagrams [][]byte, err error, targets []string) {
+	if err != nil {
+		p.sendTo(nil, err, targets)
+	}
+	for _, datagram := range datagrams {
+		p.sendTo(datagram, nil, targets)
+	}
 }
 
 // sendTo sends a datagram to all targets, or logs err if its encoding failed.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -42,7 +42,7 @@
 	incoming   *http.Request
 	request    *request
 	tries      *tries.Tries
-	// sharedParts are the IDs of the prompt's parts that other requests may share.
+	// sharedParts are the keys of the prompt's parts that other requests may share.
 	sharedParts []string
 	// knownDigest is the request's digest once it was needed.
 	knownDigest poison.Digest
@@ -161,13 +161,14 @@
 func newExchange(f *Front, w http.ResponseWriter, r *http.Request, req *request) *exchange {
 	e := &exchange{
 		front: f, writer: w, controller: http.NewResponseController(w), incoming: r, request: req,
-		tries: tries.New(req.Route, f.config.Switches.Tries), sharedParts: req.Prompt.SharedParts(),
+		tries:    tries.New(req.Route, f.config.Switches.Tries),
 		buffered: share{limit: f.buffers}, bodyReadAt: time.Now(), done: make(chan struct{}),
 	}
 	if last, err := strconv.Atoi(r.Header.Get(f.config.Names.LastEventID)); err == nil && req.Route.Resumable {
 		e.takenUp, e.position = true, event.After(last)
 	}
 	e.takeExcluded(r.Header)
+	e.setSharedParts()
 	return e
 }
 
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -232,6 +232,19 @@
 	s.detector.RecordSuccess(time.Now(), parts)
 }
 
+// _unwatchedParts counts the parts of prompts that are not checked against those that crash endpoints, since their prompts
+// have too many.
+var _unwatchedParts = expvar.NewInt("apricotproxy.Routed.UnwatchedParts")
+
+// setSharedParts sets the keys of the parts that other requests may share.
+func (e *exchange) setSharedParts() {
+	var left int
+	if e.sharedParts, left = poison.Keys(e.request.Prompt.SharedParts()); left > 0 {
+		_unwatchedParts.Add(int64(left))
+		e.log("A prompt has more parts than are checked.", "Unchecked", left)
+	}
+}
+
 // watchBlocks has cancel called once the request's parts are blocked, until unwatchBlocks
 // is called. A stream of which the caller has events is not ended: if it comes to its end, that clears
 // the parts.
--- a/io/front/poison_test.go
+++ b/io/front/poison_test.go
@@ -1,8 +1,10 @@
 package front_test
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -45,6 +47,27 @@
 	}
 }
 
+// Parts with long IDs, or after many others, were not compared with those that are blocked.
+func TestBlockedPartIsRefusedWhateverThePromptHolds(t *testing.T) {
+	r := newFixture(t, streamTo(3))
+	bad := strings.Repeat("b", 64)
+	r.block(bad)
+	var others strings.Builder
+	for i := range 60 {
+		fmt.Fprintf(&others, "%064x:10,", i)
+	}
+	for name, parts := range map[string]string{"three parts": "a:10," + bad + ":10,own:10", "60 others": others.String() + bad + ":10,own:10"} {
+		began := time.Now()
+		wantRefused(t, r.send(http.MethodPost, "/check/", "", "Tokens: 30,10", "Parts: "+parts), time.Since(began))
+		if n := r.calls(); n != 0 {
+			t.Errorf("%s: %d requests with the blocked part reached an engine", name, n)
+		}
+	}
+	if a := r.send(http.MethodPost, "/check/", "", "Tokens: 30,10", "Parts: "+others.String()+"own:10"); a.status != http.StatusOK {
+		t.Errorf("a prompt without the part: status %d, want 200", a.status)
+	}
+}
+
 // streamTo answers with a stream whose last event has the given id.
 func streamTo(last int) routed.Handler {
 	return func(c *routed.Call) bool {
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -37,8 +37,12 @@
 	// link of 10 Mbit/s, so that 20 of them at once take as long as a heartbeat interval.
 	// _maxLongTransfers is how many of them a host makes at a time: few, so that each ends
 	// soon, but more than one, since the other end's link may be the narrower one.
-	_longBytes        = 16 << 10
-	_maxLongTransfers = 3
+	_longBytes = 16 << 10
+	// How much of one datagram a report on prompts or requests that crash endpoints takes. The loads of a heartbeat need most of
+	// theirs.
+	_poisonReportBytes  = 2 << 10
+	_requestReportBytes = 8 << 10
+	_maxLongTransfers   = 3
 )
 
 // _pullLimits end a pull from a host that fell silent, so that another one is asked soon.
@@ -144,8 +148,24 @@
 	_kindBrittle    = 8
 )
 
-// Encode returns the datagram of a message that is sent now.
-func Encode(m *Message, now time.Time) ([]byte, error) { return encode(_kindMessage, toWire(m, now)) }
+// Encode returns the datagrams of a message that is sent now. Those after the first only hold what of the report on crashes does
+// not fit into that one.
+func Encode(m *Message, now time.Time) ([][]byte, error) {
+	var datagrams [][]byte
+	for i, report := range m.Poison.Split(_poisonReportBytes) {
+		part := *m
+		part.Poison = report
+		if i > 0 {
+			part.Loads = nil
+		}
+		datagram, err := encode(_kindMessage, toWire(&part, now))
+		if err != nil {
+			return nil, err
+		}
+		datagrams = append(datagrams, datagram)
+	}
+	return datagrams, nil
+}
 
 // EncodeLoadUpdate returns the datagram of changed loads.
 func EncodeLoadUpdate(c *LoadUpdate) ([]byte, error) {
@@ -157,9 +177,19 @@
 	return encode(_kindRateLimits, rateLimitsToWire(r, now))
 }
 
-// EncodeRequests returns the datagram of a report that is sent now.
-func EncodeRequests(r *Requests, now time.Time) ([]byte, error) {
-	return encode(_kindRequests, requestsToWire(r, now))
+// EncodeRequests returns the datagrams of a report that is sent now.
+func EncodeRequests(r *Requests, now time.Time) ([][]byte, error) {
+	var datagrams [][]byte
+	for _, report := range r.Report.Split(_requestReportBytes) {
+		part := *r
+		part.Report = report
+		datagram, err := encode(_kindRequests, requestsToWire(&part, now))
+		if err != nil {
+			return nil, err
+		}
+		datagrams = append(datagrams, datagram)
+	}
+	return datagrams, nil
 }
 
 // EncodeOrigins returns the datagram of origins that is sent now. It has no span if it would be too
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -23,6 +23,14 @@
 
 var _now = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
 
+// single returns the only datagram of a message.
+func single(datagrams [][]byte, err error) ([]byte, error) {
+	if len(datagrams) != 1 {
+		return nil, fmt.Errorf("%d datagrams, want 1: %w", len(datagrams), err)
+	}
+	return datagrams[0], err
+}
+
 func message(others, loads int) *news.Message {
 	m := &news.Message{
 		Heartbeat: gossip.Heartbeat{
@@ -48,7 +56,7 @@
 		Successes: []poison.Success{{Part: "5c1e07a2", At: _now.Add(-time.Minute)}},
 		Blocks:    []poison.Block{{Parts: []string{"e4402b7d"}, Since: _now.Add(-time.Hour), Until: _now.Add(time.Minute)}},
 	}
-	b, err := news.Encode(want, _now)
+	b, err := single(news.Encode(want, _now))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -110,7 +118,7 @@
 		Answers:   []poison.EndpointAnswer{{Endpoint: key, At: _now.Add(-time.Second)}},
 		Successes: []poison.RequestSuccess{{Request: digest, At: _now}},
 	}}
-	b, err := news.EncodeRequests(want, _now)
+	b, err := single(news.EncodeRequests(want, _now))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,7 +128,7 @@
 	for len(want.Report.Losses) < 64 {
 		want.Report.Losses = append(want.Report.Losses, want.Report.Losses[0])
 	}
-	if b, err = news.EncodeRequests(want, _now); err != nil || len(b) > 4<<10 {
+	if b, err = single(news.EncodeRequests(want, _now)); err != nil || len(b) > 4<<10 {
 		t.Errorf("%d bytes for the largest number of losses, %v; want 4 kB at most", len(b), err)
 	}
 }
@@ -148,7 +156,7 @@
 func TestMessageFitsADatagram(t *testing.T) {
 	m := message(4, 2000)
 	m.Loads["i-busy"] = place.Load{Runs: 1, Prefill: 1 << 20}
-	b, err := news.Encode(m, _now)
+	b, err := single(news.Encode(m, _now))
 	if err != nil || len(b) > 16<<10 {
 		t.Fatalf("%d bytes, %v", len(b), err)
 	}
@@ -157,22 +165,92 @@
 	}
 }
 
-// A heartbeat fits into a datagram whatever parts callers name.
+// Each datagram of a heartbeat can be received whatever parts callers name, and all of them together tell each part of each loss.
 func TestLargestReportFits(t *testing.T) {
-	d := poison.New()
-	for i := range 100 {
-		var parts []string
-		for n := range 100 {
-			parts = append(parts, fmt.Sprintf("%d%s", n, strings.Repeat("x", n)))
+	for name, length := range map[string]func(n int) int{
+		"up to 99 bytes long":  func(n int) int { return n },
+		"all of one length":    func(int) int { return 32 },
+		"as long as a SHA-256": func(int) int { return 64 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := poison.New()
+			for i := range 100 {
+				var parts []string
+				for n := range 100 {
+					parts = append(parts, fmt.Sprintf("%d%s", n, strings.Repeat("x", length(n))))
+				}
+				loss := poison.Loss{Endpoint: fmt.Sprintf("i-%010x", i), Request: fmt.Sprint(i, strings.Repeat("y", 9000)), Parts: parts, At: _now}
+				d.RecordLoss(_now, loss)
+			}
+			d.Settle(_now.Add(time.Second))
+			m := message(24, 256)
+			m.Poison = d.Report(_now.Add(time.Second), true)
+			if len(m.Poison.Blocks) == 0 {
+				t.Error("no block is reported")
+			}
+			datagrams, err := news.Encode(m, _now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			checkReport(t, datagrams, &m.Poison)
+		})
+	}
+}
+
+func checkReport(t *testing.T, datagrams [][]byte, want *poison.Report) {
+	t.Helper()
+	parts, blocks := make(map[string]int), 0
+	for i, b := range datagrams {
+		got, err := news.Decode(b, _now)
+		if err != nil || len(b) > 16<<10 {
+			t.Fatalf("datagram %d has %d bytes, %v; want at most 16 kB", i, len(b), err)
+		}
+		if hasLoads := got.Message.Loads != nil; hasLoads != (i == 0) {
+			t.Errorf("datagram %d has loads: %t; want them in the first only", i, hasLoads)
+		}
+		for _, loss := range got.Message.Poison.Losses {
+			parts[loss.Endpoint] += len(loss.Parts)
+		}
+		blocks += len(got.Message.Poison.Blocks)
+	}
+	if blocks != len(want.Blocks) {
+		t.Errorf("%d blocks arrive, want %d", blocks, len(want.Blocks))
+	}
+	for _, loss := range want.Losses {
+		if parts[loss.Endpoint] != len(loss.Parts) {
+			t.Errorf("%d parts of the loss of %s arrive, want %d", parts[loss.Endpoint], loss.Endpoint, len(loss.Parts))
+		}
+	}
+}
+
+// A report on requests arrives whole, too, with hundreds of parts in each.
+func TestLargestRequestReportFits(t *testing.T) {
+	want := &news.Requests{Host: "edge-austin-a-1"}
+	for i := range 4 {
+		parts := make([]string, 400)
+		for n := range parts {
+			parts[n] = fmt.Sprintf("%032d", n)
+		}
+		want.Report.Losses = append(want.Report.Losses, poison.RequestLoss{
+			Request: poison.DigestOf("POST", "h", fmt.Sprint("/a/", i), "w", nil), Endpoint: core.EndpointKey{ID: fmt.Sprint("i-", i), Born: _now}, Parts: parts, SentAt: _now, At: _now,
+		})
+	}
+	datagrams, err := news.EncodeRequests(want, _now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrived := 0
+	for i, b := range datagrams {
+		got, err := news.Decode(b, _now)
+		if err != nil || len(b) > 16<<10 {
+			t.Fatalf("datagram %d has %d bytes, %v; want at most 16 kB", i, len(b), err)
+		}
+		for _, loss := range got.Requests.Report.Losses {
+			arrived += len(loss.Parts)
 		}
-		loss := poison.Loss{Endpoint: fmt.Sprintf("i-%010x", i), Request: fmt.Sprint(i, strings.Repeat("y", 9000)), Parts: parts, At: _now}
-		d.RecordLoss(_now, loss)
 	}
-	d.Settle(_now.Add(time.Second))
-	m := message(24, 256)
-	m.Poison = d.Report(_now.Add(time.Second), true)
-	if b, err := news.Encode(m, _now); err != nil || len(b) > 16<<10 || len(m.Poison.Blocks) == 0 {
-		t.Errorf("%d bytes with %d blocks, %v; want at most 16 kB", len(b), len(m.Poison.Blocks), err)
+	if arrived != 4*400 {
+		t.Errorf("%d parts arrive, want %d", arrived, 4*400)
 	}
 }
 
@@ -238,7 +316,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	b, err := news.Encode(message(2, 2), _now)
+	b, err := single(news.Encode(message(2, 2), _now))
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -253,7 +331,7 @@
 		f.Fatal(err)
 	}
 	f.Add(limits)
-	requests, err := news.EncodeRequests(&news.Requests{Host: "h", Report: poison.RequestReport{Losses: []poison.RequestLoss{{SentAt: _now, At: _now}}}}, _now)
+	requests, err := single(news.EncodeRequests(&news.Requests{Host: "h", Report: poison.RequestReport{Losses: []poison.RequestLoss{{SentAt: _now, At: _now}}}}, _now))
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -325,7 +403,7 @@
 			var datagram []byte
 			for b.Loop() {
 				var err error
-				if datagram, err = news.Encode(m, _now); err != nil {
+				if datagram, err = single(news.Encode(m, _now)); err != nil {
 					b.Fatal(err)
 				}
 				if _, err := news.Decode(datagram, _now); err != nil {
