Streams of requests with long IDs have records and can be claimed

A stream of a request with an ID over 128 bytes was refused when its caller took it up at another host, and the attempt before went on beside the next.

Cause: records, questions and claims left such IDs out in silence, the same as for parts of prompts.

Change: a digest of 128 bits stands for a longer ID, from where a request's ID comes in.

--- a/core/procs/origin/claim.go
+++ b/core/procs/origin/claim.go
@@ -47,8 +47,7 @@
 	HasBegun bool
 }
 
-// IsValid reports whether the claim can be made. Those with long IDs, of which there are no records,
-// cannot.
+// IsValid reports whether the claim can be made. IDs that are longer than any key cannot be compared.
 func (c Claim) IsValid() bool {
 	return c.Stream != "" && len(c.Stream) <= _maxIDBytes && len(c.By) <= _maxIDBytes
 }
--- a/core/procs/origin/origin.go
+++ b/core/procs/origin/origin.go
@@ -17,6 +17,8 @@
 package origin
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
 	"time"
 
 	"apricotproxy/core"
@@ -26,8 +28,11 @@
 const (
 	// _maxRecords bounds the records that a host keeps; the oldest are dropped first.
 	_maxRecords = 1 << 15
-	// _maxIDBytes bounds the ID of a request that is recorded.
+	// _maxIDBytes is the longest ID of a request that is recorded as it is.
 	_maxIDBytes = 128
+	// _digestBytes is the length of the digest that stands for a longer ID, _digestMark begins its text.
+	_digestBytes = 16
+	_digestMark  = "#"
 	// _viewSkew is how much longer than on this host a build may be in service on another
 	// one: the time in which changed documents reach all hosts.
 	_viewSkew = 2 * time.Second
@@ -88,6 +93,16 @@
 	return &Ledger{records: make(map[string]Record), builds: builds{lastSeen: make(map[Origin]time.Time), leftAt: make(map[Origin]time.Time)}}
 }
 
+// Key returns what identifies a request in records, questions and claims: its ID, or a digest of one that has more than 128
+// bytes.
+func Key(id string) string {
+	if len(id) <= _maxIDBytes {
+		return id
+	}
+	digest := sha256.Sum256([]byte(id))
+	return _digestMark + base64.RawURLEncoding.EncodeToString(digest[:_digestBytes])
+}
+
 // Begin records that this host delivered the first event of a stream.
 func (l *Ledger) Begin(r Record) {
 	if l.Add(r) {
--- a/io/entry/builds_test.go
+++ b/io/entry/builds_test.go
@@ -33,6 +33,8 @@
 type buildSite struct {
 	*site
 	engines map[string][]*routed.Endpoint
+	// idPrefix begins the IDs of the requests of streams.
+	idPrefix string
 }
 
 func newBuildSite(s *site, builds ...string) *buildSite {
@@ -133,7 +135,7 @@
 	s.t.Helper()
 	streams := make([]*brokenStream, count)
 	for i := range streams {
-		b := &brokenStream{id: fmt.Sprint("r", i), path: fmt.Sprint("/a/", i)}
+		b := &brokenStream{id: fmt.Sprint(s.idPrefix, "r", i), path: fmt.Sprint("/a/", i)}
 		answer, err := s.open(s.front[host], b.path, b.headers(b.id)...)
 		if err != nil {
 			s.t.Fatal(err)
--- a/io/entry/longid_test.go
+++ b/io/entry/longid_test.go
@@ -34,3 +34,13 @@
 		t.Errorf("%d datagrams were not decoded or not sent, want none", n)
 	}
 }
+
+// Streams of requests with IDs over 128 bytes had no record, so that they were refused at other hosts.
+func TestTakeUpOfARequestWithALongIDGoesOn(t *testing.T) {
+	s := newBuildSite(newSite(t, 4), "v1", "v2")
+	s.idPrefix = strings.Repeat("x", 200)
+	s.waitReady([]string{"v1", "v2"}, 0, 1, 2, 3)
+	streams := s.begin(0, _brokenStreams)
+	s.kill(0, streams)
+	s.wantGoesOn(streams, 1, 2, 3)
+}
--- a/io/front/endrun.go
+++ b/io/front/endrun.go
@@ -329,7 +329,7 @@
 	if isComplete || !e.delivered || !e.isResumable() {
 		return
 	}
-	answered := e.front.config.Origins.endAt(e.front.endings.stopped, host, origin.Claim{Stream: e.request.ID, Scope: e.scope(), Event: e.position.Last()})
+	answered := e.front.config.Origins.endAt(e.front.endings.stopped, host, origin.Claim{Stream: origin.Key(e.request.ID), Scope: e.scope(), Event: e.position.Last()})
 	if e.relayedAt != "" {
 		e.relayedRuns = append(e.relayedRuns, relayedRun{endpoint: e.relayedAt, over: answered, until: time.Now().Add(_relayedEndTime)})
 	}
@@ -380,10 +380,10 @@
 	var ended []*exchange
 	f.planned.running.Range(func(key, _ any) bool {
 		e, ok := key.(*exchange)
-		if !ok || !e.hasBegun.Load() || !e.isResumable() || e.request.ID != claim.Stream && e.begunBy != claim.Stream {
+		if !ok || !e.hasBegun.Load() || !e.isResumable() {
 			return true
 		}
-		if claim.Ends(origin.Attempt{Request: e.request.ID, BegunBy: e.begunBy, Scope: e.scope(), Began: e.beganAt(), HasBegun: true}) {
+		if claim.Ends(origin.Attempt{Request: origin.Key(e.request.ID), BegunBy: e.begunBy, Scope: e.scope(), Began: e.beganAt(), HasBegun: true}) {
 			e.log("A stream goes on with another attempt.", "By", claim.By)
 			_claimed.Add(1)
 			e.end(errTakenUp)
--- a/io/front/takeup.go
+++ b/io/front/takeup.go
@@ -28,7 +28,7 @@
 		return true
 	}
 	stream := origin.Stream{
-		Request:    e.incoming.Header.Get(e.front.config.Names.Resumes),
+		Request:    origin.Key(e.incoming.Header.Get(e.front.config.Names.Resumes)),
 		BegunAfter: e.request.Arrived.Add(-e.longestAge()),
 	}
 	for _, s := range e.request.Route.Services {
@@ -36,7 +36,7 @@
 	}
 	ownCtx, cancel := context.WithTimeout(ctx, _claimTimeout)
 	defer cancel()
-	claim := origin.Claim{Stream: stream.Request, By: e.request.ID, Scope: e.scope(), Event: e.beganAt()}
+	claim := origin.Claim{Stream: stream.Request, By: origin.Key(e.request.ID), Scope: e.scope(), Event: e.beganAt()}
 	awaitOwn := e.front.EndAttempts(claim)
 	found, source := e.front.config.Origins.find(ctx, e.request.Arrived, stream, claim, e.ownPart())
 	if awaitOwn != nil {
@@ -98,7 +98,7 @@
 	if !e.request.Route.Resumable {
 		return
 	}
-	request := e.request.ID
+	request := origin.Key(e.request.ID)
 	if e.begunBy != "" {
 		request = e.begunBy
 	}
--- a/io/front/unsettled.go
+++ b/io/front/unsettled.go
@@ -116,7 +116,9 @@
 	return len(e.unsettled) > 0
 }
 
-func (r *abandonedRun) key() endingKey { return endingKey{request: r.request, scope: r.scope} }
+func (r *abandonedRun) key() endingKey {
+	return endingKey{request: origin.Key(r.request), scope: r.scope}
+}
 
 // awaitSettled waits until no run of a request is being ended. It returns false if ctx ends before.
 func (e *endings) awaitSettled(ctx context.Context, key endingKey) bool {
@@ -144,7 +146,7 @@
 		}
 	}
 	if e.front.endings.areAny() {
-		for _, begun := range e.front.endings.of(endingKey{request: e.request.ID, scope: e.scope()}) {
+		for _, begun := range e.front.endings.of(endingKey{request: origin.Key(e.request.ID), scope: e.scope()}) {
 			ids = append(ids, begun.run.endpoint.ID)
 		}
 	}
