Endpoints that drain begin no streams; departures after unknown deletions

Change: an endpoint counts as having left once it drains, which hosts learn within the same time as its deletion. A history with an unknown deletion tells of the departures after it.

--- a/core/procs/origin/history.go
+++ b/core/procs/origin/history.go
@@ -28,7 +28,7 @@
 	sequence uint64
 }
 
-// departure is the end of an endpoint's document in a history.
+// departure is the place in a history where an endpoint began to drain, or its document ended.
 type departure struct {
 	Origin
 	at int
@@ -39,48 +39,67 @@
 	interval   time.Duration
 	beats      []beat
 	departures []departure
+	// unknown is the position of the last deletion of a document whose content the history lacks; -1 for none.
+	unknown int
 }
 
 // SpanOf returns which builds the history shows in service. How long ago it begins, and an endpoint left, is told by the
 // heartbeats that an endpoint counted since. A deleted document whose content the history
-// lacks may be that of an endpoint of any build; the span is then empty.
+// lacks may be that of an endpoint of any build: only departures after it are known then.
 func SpanOf(now time.Time, h History, decode know.Decode) Span {
-	shown := past{interval: h.Interval}
-	last := make(map[string]*core.RoutedEndpoint)
+	shown := past{interval: h.Interval, unknown: -1}
+	members := make(map[string]*core.RoutedEndpoint)
+	written := make(map[string]bool)
 	seen := make(map[Origin]bool)
 	for i, d := range h.Documents {
 		content, err := decode(d)
 		if err != nil {
 			continue // it names no endpoint
 		}
-		before, written := last[d.Name]
-		if d.Deleted && !written && content == (know.Content{}) {
-			return Span{}
+		if d.Deleted && !written[d.Name] && content == (know.Content{}) {
+			shown.unknown = i
 		}
-		e := content.Endpoint
-		if before != nil && (e == nil || e.Key() != before.Key() || e.Build != before.Build || e.Service != before.Service) {
+		e, before := content.Endpoint, members[d.Name]
+		if hasLeft(before, e) {
 			shown.departures = append(shown.departures, departure{originOf(before), i})
 		}
-		last[d.Name] = e
+		if e != nil && e.Draining && !written[d.Name] {
+			shown.departures = append(shown.departures, departure{originOf(e), i})
+		}
+		written[d.Name], members[d.Name] = true, e
 		if e == nil {
 			continue
 		}
 		seen[originOf(e)] = true
 		shown.beats = append(shown.beats, beat{i, e.Key(), e.Sequence})
 	}
-	length := shown.timeSince(-1)
-	if h.FromStart {
+	length := shown.timeSince(shown.unknown)
+	if h.FromStart && shown.unknown < 0 {
 		length = _maxSpan
 	}
-	span := Span{Since: now.Add(-min(length, _maxSpan))}
-	span.DeparturesSince = span.Since
+	span := Span{DeparturesSince: now.Add(-min(length, _maxSpan))}
 	leftAt := shown.leftAt(now)
+	if shown.unknown >= 0 {
+		for o, at := range leftAt {
+			span.Builds = append(span.Builds, InService{Origin: o, LeftAt: at})
+		}
+		return span
+	}
+	span.Since = span.DeparturesSince
 	for o := range seen {
 		span.Builds = append(span.Builds, InService{Origin: o, LastSeen: now, LeftAt: leftAt[o]})
 	}
 	return span
 }
 
+// hasLeft reports whether an endpoint begins no streams any more once its document has been replaced.
+func hasLeft(before, after *core.RoutedEndpoint) bool {
+	if before == nil || before.Draining {
+		return false
+	}
+	return after == nil || after.Draining || after.Key() != before.Key() || originOf(after) != originOf(before)
+}
+
 func originOf(e *core.RoutedEndpoint) Origin { return Origin{Service: e.Service, Build: e.Build} }
 
 // timeSince returns the least time that passed after a document of the history, by its position.
--- a/core/procs/origin/script_test.go
+++ b/core/procs/origin/script_test.go
@@ -269,7 +269,8 @@
 		return know.Content{}, nil
 	}
 	words := strings.Fields(string(d.Value))
-	if len(words) != 4 {
+	isDraining := len(words) == 5 && words[4] == "draining"
+	if len(words) != 4 && !isDraining {
 		return know.Content{}, errors.New("not an endpoint")
 	}
 	sequence, err := strconv.ParseUint(words[2], 10, 64)
@@ -282,5 +283,6 @@
 	}
 	return know.Content{Endpoint: &core.RoutedEndpoint{
 		ID: d.Name, Service: core.ServiceName(words[0]), Build: core.BuildName(words[1]), Sequence: sequence, Born: time.UnixMilli(born),
+		Draining: isDraining,
 	}}, nil
 }
--- a/core/procs/origin/span.go
+++ b/core/procs/origin/span.go
@@ -23,7 +23,7 @@
 type InService struct {
 	Origin
 	LastSeen time.Time
-	// LeftAt is when an endpoint of it last left, at the latest; zero if none is known to have.
+	// LeftAt is when an endpoint of it last left or began to drain, at the latest; zero if none is known to have.
 	LeftAt time.Time
 }
 
@@ -42,7 +42,7 @@
 	lastSeen map[Origin]time.Time
 	present  []Origin
 	// departuresSince is the time from which on all departures of endpoints are known, as since. leftAt holds when
-	// an endpoint of each build last left, members the endpoints that are registered now.
+	// an endpoint of each build last left, members the endpoints that are registered and not draining.
 	departuresSince time.Time
 	leftAt          map[Origin]time.Time
 	members         map[member]bool
@@ -60,12 +60,14 @@
 	b.observeMembers(now, view)
 }
 
-// observeMembers records which endpoints have left.
+// observeMembers records which endpoints have left. One that drains begins no streams.
 func (b *builds) observeMembers(now time.Time, view *know.View) {
 	before := b.members
 	b.members = make(map[member]bool, len(view.Endpoints))
 	for _, e := range view.Endpoints {
-		b.members[member{e.Key(), Origin{Service: e.Service, Build: e.Build}}] = true
+		if !e.Draining {
+			b.members[member{e.Key(), originOf(&e.RoutedEndpoint)}] = true
+		}
 	}
 	for m := range before {
 		if !b.members[m] {
@@ -148,19 +150,28 @@
 // merge adds another host's span. It is ignored while this host's documents are not up to date:
 // there would be a gap between the span and what this host learns later.
 func (b *builds) merge(other Span) {
+	b.mergeDepartures(other)
 	if b.since.IsZero() || other.Since.IsZero() {
 		return
 	}
 	if other.Since.Before(b.since) {
 		b.since = other.Since
 	}
-	if !other.DeparturesSince.IsZero() && other.DeparturesSince.Before(b.departuresSince) {
-		b.departuresSince = other.DeparturesSince
-	}
 	for _, o := range other.Builds {
 		if o.LastSeen.After(b.lastSeen[o.Origin]) {
 			b.lastSeen[o.Origin] = o.LastSeen
 		}
+	}
+}
+
+func (b *builds) mergeDepartures(other Span) {
+	if b.departuresSince.IsZero() || other.DeparturesSince.IsZero() {
+		return
+	}
+	if other.DeparturesSince.Before(b.departuresSince) {
+		b.departuresSince = other.DeparturesSince
+	}
+	for _, o := range other.Builds {
 		if o.LeftAt.After(b.leftAt[o.Origin]) {
 			b.leftAt[o.Origin] = o.LeftAt
 		}
