Tests: engines of the cut-off tests register once, with their build

The fake store keeps each write since, as the platform's does, so that the history showed these engines first without a build and then with one, and take-ups that the requests of newCutSite contain were refused as possible streams of two builds.

--- a/io/entry/cutoff_test.go
+++ b/io/entry/cutoff_test.go
@@ -131,7 +131,7 @@
 }
 
 func (s *cutSite) addEndpoint(name string, handle routed.Handler) {
-	e := s.endpoint(name, func(c *routed.Call) bool {
+	e := s.listen(func(c *routed.Call) bool {
 		s.mu.Lock()
 		s.runs[c.Header.Get("Request-Id")]++
 		s.mu.Unlock()
