Tests of builds wait until each host knows all engines

Cause, by the logs of a failed run: waitReady counted the builds that all hosts together had reached, so that a host whose documents were 227 ms old and did not name the engines of v2 (AsOf 4 of 6) passed for ready. It now asks this of each host, which is stricter.

--- a/io/entry/builds_test.go
+++ b/io/entry/builds_test.go
@@ -87,14 +87,14 @@
 	}
 }
 
-// waitReady waits until hosts send requests to engines of all the given builds, and to no
+// waitReady waits until each of the hosts sends requests to engines of all the given builds, and to no
 // others.
 func (s *buildSite) waitReady(builds []string, hosts ...int) {
 	s.t.Helper()
 	const probes = 12
 	s.eventually("the hosts know the engines", _leavingSpread, func() bool {
-		seen := make(map[string]bool)
 		for _, host := range hosts {
+			seen := make(map[string]bool)
 			for range probes {
 				status, body := s.get(s.front[host], _probePath)
 				if status != http.StatusOK {
@@ -102,13 +102,16 @@
 				}
 				seen[buildOf(body)] = true
 			}
-		}
-		for _, build := range builds {
-			if !seen[build] {
+			for _, build := range builds {
+				if !seen[build] {
+					return false
+				}
+			}
+			if len(seen) != len(builds) {
 				return false
 			}
 		}
-		return len(seen) == len(builds)
+		return true
 	})
 }
 
